settings: strict JSON with comments

Every program reads one settings file and the operators write a folder of small files; both need unknown keys, doubled keys, wrong types and trailing data refused at a place a person can go to. encoding/json alone gives offsets at best and takes doubled keys silently, so the text is parsed by hujson and bound by reflection, which also reports all faults at once.

--- /dev/null
+++ b/settings/bind.go
@@ -0,0 +1,188 @@
+package settings
+
+import (
+	"encoding/json"
+	"os"
+	"reflect"
+	"strings"
+
+	"github.com/rotisserie/eris"
+)
+
+// Load decodes the file at path into the struct that into points to. Keys that
+// the file leaves out keep the values that into holds, so that a program sets
+// its defaults first.
+func Load(path string, into any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return eris.Wrap(err, "settings: read file")
+	}
+	return Decode(path, data, into)
+}
+
+// Decode is Load for a text in memory; name stands for the file in errors. The
+// error is an Errors with every fault, or nil.
+func Decode(name string, data []byte, into any) error {
+	root, faults := Parse(name, data)
+	if len(faults) > 0 {
+		return faults
+	}
+	return Bind(root, into).Err()
+}
+
+// Bind decodes a parsed value into what into points to and returns all faults.
+// It panics when into is no pointer, which is a programming error.
+func Bind(root *Node, into any) Errors {
+	target := reflect.ValueOf(into)
+	if target.Kind() != reflect.Pointer || target.IsNil() {
+		panic("settings: Bind needs a pointer")
+	}
+	var b binder
+	b.bind(root, target.Elem())
+	return b.faults
+}
+
+type binder struct{ faults Errors }
+
+func (b *binder) bind(n *Node, target reflect.Value) {
+	if _, own := target.Addr().Interface().(json.Unmarshaler); own {
+		b.unmarshal(n, target)
+		return
+	}
+	switch target.Kind() {
+	case reflect.Struct:
+		b.bindStruct(n, target)
+	case reflect.Map:
+		b.bindMap(n, target)
+	case reflect.Slice:
+		b.bindSlice(n, target)
+	case reflect.Pointer:
+		fresh := reflect.New(target.Type().Elem())
+		b.bind(n, fresh.Elem())
+		target.Set(fresh)
+	default:
+		if b.expect(n, scalarKind(target.Kind())) {
+			b.unmarshal(n, target)
+		}
+	}
+}
+
+func (b *binder) expect(n *Node, want Kind) bool {
+	if n.Kind != want {
+		b.faults.Add(n.At, "want %s, found %s", want, n.Kind)
+	}
+	return n.Kind == want
+}
+
+func scalarKind(k reflect.Kind) Kind {
+	switch k {
+	case reflect.Bool:
+		return Bool
+	case reflect.String:
+		return String
+	default:
+		return Number
+	}
+}
+
+// unmarshal leaves one value to encoding/json and puts the place before what it
+// says, which counts offsets from the value's own start.
+func (b *binder) unmarshal(n *Node, target reflect.Value) {
+	err := json.Unmarshal(n.JSON(), target.Addr().Interface())
+	if err == nil {
+		return
+	}
+	text := err.Error()
+	if wrong, ok := err.(*json.UnmarshalTypeError); ok {
+		text = "want " + wrong.Type.String() + ", found " + string(n.Literal)
+	}
+	b.faults.Add(n.At, "%s", text)
+}
+
+func (b *binder) bindStruct(n *Node, target reflect.Value) {
+	if !b.expect(n, Object) {
+		return
+	}
+	fields := Fields(target.Type())
+	for _, member := range n.Members {
+		index, known := fields[member.Name]
+		if !known {
+			hint := Hint(member.Name, keysOf(fields))
+			b.faults.Add(member.At, "unknown key %q%s", member.Name, hint)
+			continue
+		}
+		b.bind(member.Value, target.FieldByIndex(index))
+	}
+}
+
+// bindMap adds to a map that holds entries already, as for a struct's fields.
+func (b *binder) bindMap(n *Node, target reflect.Value) {
+	if !b.expect(n, Object) {
+		return
+	}
+	if target.IsNil() {
+		target.Set(reflect.MakeMapWithSize(target.Type(), len(n.Members)))
+	}
+	for _, member := range n.Members {
+		entry := reflect.New(target.Type().Elem()).Elem()
+		b.bind(member.Value, entry)
+		key := reflect.ValueOf(member.Name).Convert(target.Type().Key())
+		target.SetMapIndex(key, entry)
+	}
+}
+
+func (b *binder) bindSlice(n *Node, target reflect.Value) {
+	if !b.expect(n, List) {
+		return
+	}
+	list := reflect.MakeSlice(target.Type(), len(n.Elements), len(n.Elements))
+	for i, element := range n.Elements {
+		b.bind(element, list.Index(i))
+	}
+	target.Set(list)
+}
+
+// Fields maps the JSON keys of a struct type to its fields; the fields of
+// embedded structs without a key of their own count as the struct's.
+func Fields(t reflect.Type) map[string][]int {
+	fields := map[string][]int{}
+	for _, field := range reflect.VisibleFields(t) {
+		key, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+		if !field.IsExported() || key == "-" || (field.Anonymous && key == "") {
+			continue
+		}
+		if key == "" {
+			key = field.Name
+		}
+		fields[key] = field.Index
+	}
+	return fields
+}
+
+// JSON returns the value as standard JSON.
+func (n *Node) JSON() []byte {
+	switch n.Kind {
+	case Object:
+		return n.objectJSON()
+	case List:
+		parts := make([]string, len(n.Elements))
+		for i, element := range n.Elements {
+			parts[i] = string(element.JSON())
+		}
+		return []byte("[" + strings.Join(parts, ",") + "]")
+	default:
+		return n.Literal
+	}
+}
+
+func (n *Node) objectJSON() []byte {
+	parts := make([]string, len(n.Members))
+	for i, member := range n.Members {
+		name, err := json.Marshal(member.Name)
+		if err != nil {
+			panic(err) // a Go string always has a JSON form
+		}
+		parts[i] = string(name) + ":" + string(member.Value.JSON())
+	}
+	return []byte("{" + strings.Join(parts, ",") + "}")
+}
--- /dev/null
+++ b/settings/parse.go
@@ -0,0 +1,99 @@
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"regexp"
+	"sort"
+	"strconv"
+
+	"github.com/tailscale/hujson"
+)
+
+// Parse reads one JSON-with-comments value. A faulty text gives all faults that
+// it can tell apart: one syntax error, or every doubled key.
+func Parse(name string, data []byte) (*Node, Errors) {
+	value, err := hujson.Parse(data)
+	if err != nil {
+		return nil, Errors{syntaxError(name, err)}
+	}
+	p := parser{file: name, lines: lineStarts(data)}
+	root := p.node(&value)
+	if len(p.faults) > 0 {
+		return nil, p.faults
+	}
+	return root, nil
+}
+
+// syntaxPattern matches the prefix with which hujson gives its positions.
+var syntaxPattern = regexp.MustCompile(`^hujson: line (\d+), column (\d+): (.*)$`)
+
+func syntaxError(name string, err error) *Error {
+	parts := syntaxPattern.FindStringSubmatch(err.Error())
+	if parts == nil {
+		return &Error{At: Position{File: name, Line: 1, Column: 1}, Text: err.Error()}
+	}
+	line, _ := strconv.Atoi(parts[1])
+	column, _ := strconv.Atoi(parts[2])
+	return &Error{At: Position{File: name, Line: line, Column: column}, Text: parts[3]}
+}
+
+type parser struct {
+	file   string
+	lines  []int // offset of each line's first byte
+	faults Errors
+}
+
+func lineStarts(data []byte) []int {
+	starts := []int{0}
+	for offset := 0; ; {
+		next := bytes.IndexByte(data[offset:], '\n')
+		if next < 0 {
+			return starts
+		}
+		offset += next + 1
+		starts = append(starts, offset)
+	}
+}
+
+func (p *parser) at(offset int) Position {
+	line := sort.SearchInts(p.lines, offset+1)
+	return Position{File: p.file, Line: line, Column: offset - p.lines[line-1] + 1}
+}
+
+func (p *parser) node(value *hujson.Value) *Node {
+	n := &Node{At: p.at(value.StartOffset)}
+	switch v := value.Value.(type) {
+	case *hujson.Object:
+		n.Kind = Object
+		p.members(n, v)
+	case *hujson.Array:
+		n.Kind = List
+		for i := range v.Elements {
+			n.Elements = append(n.Elements, p.node(&v.Elements[i]))
+		}
+	case hujson.Literal:
+		n.Kind = literalKinds[v.Kind()]
+		n.Literal = bytes.Clone(v)
+	default:
+		panic(fmt.Sprintf("settings: hujson returned a %T", v))
+	}
+	return n
+}
+
+var literalKinds = map[hujson.Kind]Kind{'n': Null, 't': Bool, 'f': Bool, '0': Number, '"': String}
+
+func (p *parser) members(n *Node, object *hujson.Object) {
+	seen := make(map[string]Position, len(object.Members))
+	for i := range object.Members {
+		member := &object.Members[i]
+		name := member.Name.Value.(hujson.Literal).String()
+		at := p.at(member.Name.StartOffset)
+		if first, twice := seen[name]; twice {
+			p.faults.Add(at, "key %q stands twice in one object, first at line %d", name, first.Line)
+			continue
+		}
+		seen[name] = at
+		n.Members = append(n.Members, Member{Name: name, At: at, Value: p.node(&member.Value)})
+	}
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,92 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+type listener struct {
+	Address string   `json:"address"`
+	Timeout Duration `json:"timeout"`
+}
+
+type program struct {
+	listener
+	VM    string              `json:"vm"`
+	Rate  float64             `json:"rate"`
+	Count int                 `json:"count"`
+	On    bool                `json:"on"`
+	Names []string            `json:"names"`
+	Peers map[string]listener `json:"peers"`
+	TLS   *listener           `json:"tls"`
+	Skip  string              `json:"-"`
+}
+
+func TestDecodeReadsEveryType(t *testing.T) {
+	is := is.New(t)
+	got := program{Count: 7}
+	err := Decode("x", []byte(`{
+		// comments and trailing commas are fine
+		"address": "127.0.0.1:1", "timeout": "250ms", "vm": "a", "rate": 1.5, "on": true,
+		"names": ["p", "q",], "peers": {"b": {"address": "127.0.0.1:2"}}, "tls": {"timeout": "1s"},
+	}`), &got)
+	is.NoErr(err)
+	is.Equal(got.Count, 7) // left out: the default stays
+	is.Equal(got.Timeout.D(), 250*time.Millisecond)
+	is.Equal(got.Names, []string{"p", "q"})
+	is.Equal(got.Peers["b"].Address, "127.0.0.1:2")
+	is.Equal(got.TLS.Timeout.String(), "1s")
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	for _, c := range []struct{ name, text, want string }{
+		{"unknown key", "{\n  \"vms\": \"a\"}", `f:2:3: unknown key "vms" (did you mean "vm"?)`},
+		{"nothing near", `{"zzzzzzzzz": 1}`, `f:1:2: unknown key "zzzzzzzzz" (known: address, count, names, on, peers, rate, timeout, tls, vm)`},
+		{"nested unknown", `{"peers": {"b": {"addres": ""}}}`, `f:1:18: unknown key "addres" (did you mean "address"?)`},
+		{"hidden field", `{"Skip": ""}`, `f:1:2: unknown key "Skip" (known: address, count, names, on, peers, rate, timeout, tls, vm)`},
+		{"doubled key", "{\"vm\": \"a\",\n\"vm\": \"b\"}", `f:2:1: key "vm" stands twice in one object, first at line 1`},
+		{"wrong type", `{"vm": 1}`, `f:1:8: want a string, found a number`},
+		{"null", `{"vm": null}`, `f:1:8: want a string, found null`},
+		{"fraction", `{"count": 1.5}`, `f:1:11: want int, found 1.5`},
+		{"list for object", `[]`, `f:1:1: want an object, found a list`},
+		{"object for list", `{"names": {}}`, `f:1:11: want a list, found an object`},
+		{"bare duration", `{"timeout": 5}`, `f:1:13: want a duration such as "250ms", found 5`},
+		{"no duration", `{"timeout": "soon"}`, `f:1:13: want a duration such as "250ms", found "soon"`},
+		{"negative duration", `{"timeout": "-1s"}`, `f:1:13: want a duration such as "250ms", found "-1s"`},
+		{"all at once", "{\"vm\": 1,\n\"on\": 2}", "f:1:8: want a string, found a number\nf:2:7: want a boolean, found a number"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var into program
+			err := Decode("f", []byte(c.text), &into)
+			is.True(err != nil)
+			is.Equal(err.Error(), c.want)
+		})
+	}
+}
+
+func TestSyntaxErrorsKeepTheirPlace(t *testing.T) {
+	for _, text := range []string{"{\n\"vm\": }", "{} {}", "", "{\"vm\": \"a\""} {
+		is := is.New(t)
+		var into program
+		err := Decode("f", []byte(text), &into)
+		faults, ok := err.(Errors)
+		is.True(ok)
+		is.Equal(len(faults), 1)
+		is.True(faults[0].At.Line >= 1 && faults[0].At.Column >= 1)
+		is.Equal(faults[0].At.File, "f")
+	}
+}
+
+func TestLoadNamesTheFile(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "router.jsonc")
+	is.NoErr(os.WriteFile(path, []byte(`{"vm": 1}`), 0o600))
+	var into program
+	is.Equal(Load(path, &into).Error(), path+":1:8: want a string, found a number")
+	is.True(Load(path+"x", &into) != nil)
+}
