config: the operators' folder, merged and checked

All faults are reported at once.

A document that leaves no fleet team with an owner's token is refused: nobody could change the fleet again, since the bootstrap token counts only while the table is empty.

--- /dev/null
+++ b/config/check_parts.go
@@ -0,0 +1,182 @@
+package config
+
+import (
+	"regexp"
+
+	"buckthornridge/settings"
+)
+
+func (c *checker) fleet() {
+	at := keyPath{"fleet"}
+	c.required(at.with("name"), c.doc.Fleet.Name)
+	if len(c.doc.Fleet.DataCentres) == 0 {
+		c.fault(at.with("data_centres"), "a fleet needs at least one data centre")
+	}
+	for _, name := range sorted(c.doc.Fleet.DataCentres) {
+		place := c.doc.Fleet.DataCentres[name]
+		at := at.with("data_centres", name)
+		c.name(at)
+		c.required(at.with("region"), place.Region)
+		for _, other := range sorted(place.LatencyMS) {
+			at := at.with("latency_ms", other)
+			reference(c, at, "data centre", other, c.doc.Fleet.DataCentres)
+			notNegative(c, at, place.LatencyMS[other])
+		}
+	}
+}
+
+func (c *checker) models() {
+	for _, name := range sorted(c.doc.Models) {
+		model := c.doc.Models[name]
+		at := keyPath{"models", name}
+		c.name(at)
+		positive(c, at.with("max_output_tokens"), model.MaxOutputTokens)
+		notNegative(c, at.with("replicas"), model.Replicas)
+	}
+}
+
+func (c *checker) kinds() {
+	for _, name := range sorted(c.doc.Kinds) {
+		kind := c.doc.Kinds[name]
+		at := keyPath{"kinds", name}
+		c.name(at)
+		notNegative(c, at.with("priority"), kind.Priority)
+		notNegative(c, at.with("weight"), kind.Weight)
+		positive(c, at.with("first_token_ms"), kind.FirstTokenMS)
+		positive(c, at.with("deadline_ms"), kind.DeadlineMS)
+		if kind.FirstTokenMS > kind.DeadlineMS && kind.DeadlineMS > 0 {
+			c.fault(at.with("first_token_ms"), "later than deadline_ms, %d > %d", kind.FirstTokenMS, kind.DeadlineMS)
+		}
+	}
+}
+
+func (c *checker) upstreams() {
+	addresses := map[string]string{}
+	for _, name := range sorted(c.doc.Upstreams) {
+		upstream := c.doc.Upstreams[name]
+		at := keyPath{"upstreams", name}
+		c.name(at)
+		c.address(at.with("address"), upstream.Address)
+		if other, taken := addresses[upstream.Address]; taken {
+			c.fault(at.with("address"), "%q has this address already", other)
+		}
+		addresses[upstream.Address] = name
+		reference(c, at.with("data_centre"), "data centre", upstream.DataCentre, c.doc.Fleet.DataCentres)
+		notNegative(c, at.with("slots"), upstream.Slots)
+		c.upstreamKind(at, upstream)
+	}
+}
+
+func (c *checker) upstreamKind(at keyPath, upstream Upstream) {
+	switch upstream.Kind {
+	case UpstreamEngine:
+		for _, model := range upstream.Models {
+			reference(c, at.with("models"), "model", model, c.doc.Models)
+		}
+		if upstream.Service != "" {
+			c.fault(at.with("service"), "an engine belongs to no service")
+		}
+	case UpstreamService:
+		reference(c, at.with("service"), "service", upstream.Service, c.doc.Services)
+		if len(upstream.Models) > 0 {
+			c.fault(at.with("models"), "a plain server holds no models")
+		}
+	default:
+		c.oneOf(at.with("kind"), "upstream kind", string(upstream.Kind),
+			[]string{string(UpstreamEngine), string(UpstreamService)})
+	}
+}
+
+// operationPattern is "METHOD /path".
+var operationPattern = regexp.MustCompile(`^[A-Z]+ /\S*$`)
+
+func (c *checker) services() {
+	for _, name := range sorted(c.doc.Services) {
+		at := keyPath{"services", name}
+		c.name(at)
+		operations := c.doc.Services[name].Operations
+		if len(operations) == 0 {
+			c.fault(at.with("operations"), "a service needs at least one operation")
+		}
+		for _, call := range sorted(operations) {
+			at := at.with("operations", call)
+			if !operationPattern.MatchString(call) {
+				c.fault(at, `want "METHOD /path", found %q`, call)
+			}
+			reference(c, at.with("kind"), "kind", operations[call].Kind, c.doc.Kinds)
+			notNegative(c, at.with("tokens"), operations[call].Tokens)
+		}
+	}
+}
+
+func (c *checker) teams() {
+	reachable := false
+	for _, name := range sorted(c.doc.Teams) {
+		team := c.doc.Teams[name]
+		at := keyPath{"teams", name}
+		c.name(at)
+		for _, digest := range sorted(team.Tokens) {
+			at := at.with("tokens", digest)
+			c.digest(at, digest, "a token of team "+name)
+			c.oneOf(at, "role", team.Tokens[digest], Roles)
+			reachable = reachable || (team.Fleet && team.Tokens[digest] == RoleOwner)
+		}
+	}
+	// Without such a token an apply would lock every operator out: the
+	// bootstrap token counts only while the table is empty.
+	if !reachable {
+		c.fault(keyPath{"teams"}, "no team with fleet has a token of role owner; nobody could change this again")
+	}
+}
+
+func (c *checker) workspaces() {
+	for _, name := range sorted(c.doc.Workspaces) {
+		workspace := c.doc.Workspaces[name]
+		at := keyPath{"workspaces", name}
+		reference(c, at.with("team"), "team", workspace.Team, c.doc.Teams)
+		c.workspace(at, name, workspace)
+	}
+}
+
+func (c *checker) workspace(at keyPath, name string, workspace Workspace) {
+	c.name(at)
+	notNegative(c, at.with("share"), workspace.Share)
+	for _, digest := range sorted(workspace.Keys) {
+		at := at.with("keys", digest)
+		c.digest(at, digest, "an API key of workspace "+name)
+		reference(c, at, "budget", workspace.Keys[digest], workspace.Budgets)
+	}
+	for _, budget := range sorted(workspace.Budgets) {
+		c.name(at.with("budgets", budget))
+	}
+}
+
+func (c *checker) policy() {
+	policy := c.doc.Policy
+	at := keyPath{"policy"}
+	c.module(at.with("routing"), routingNamespace, policy.Routing)
+	c.module(at.with("admission"), admissionNamespace, policy.Admission)
+	if w := policy.Budget.RefusalWeight; w < 0 || w > 1 {
+		c.fault(at.with("budget", "refusal_weight"), "want 0 to 1, found %v", w)
+	}
+	notNegative(c, at.with("load", "queue_per_workspace"), policy.Load.QueuePerWorkspace)
+}
+
+// checkTeamScope checks a team's own folder as far as that goes without the
+// rest of the fleet's document.
+func checkTeamScope(doc Document, root *settings.Node, team string) settings.Errors {
+	c := newChecker(doc, root)
+	for _, member := range root.Members {
+		if member.Name != "workspaces" {
+			c.faults.Add(member.At, "a team's folder may hold only workspaces, not %q", member.Name)
+		}
+	}
+	for _, name := range sorted(doc.Workspaces) {
+		at := keyPath{"workspaces", name}
+		if got := doc.Workspaces[name].Team; got != team {
+			c.fault(at.with("team"), "belongs to team %q, not to %q", got, team)
+		}
+		c.workspace(at, name, doc.Workspaces[name])
+	}
+	return c.faults
+}
--- a/settings/hint.go
+++ b/settings/hint.go
@@ -31,26 +31,29 @@
 	}
 }
 
-// distance is the Levenshtein distance in bytes.
+// distance counts the inserted, deleted, changed and swapped bytes between two
+// names (optimal string alignment).
 func distance(a, b string) int {
-	row := make([]int, len(b)+1)
-	for j := range row {
-		row[j] = j
+	d := make([][]int, len(a)+1)
+	for i := range d {
+		d[i] = make([]int, len(b)+1)
+		d[i][0] = i
 	}
-	for i := range len(a) {
-		diagonal := row[0]
-		row[0] = i + 1
-		for j := range len(b) {
-			cost := 1
-			if a[i] == b[j] {
-				cost = 0
+	for j := range d[0] {
+		d[0][j] = j
+	}
+	for i := 1; i <= len(a); i++ {
+		for j := 1; j <= len(b); j++ {
+			d[i][j] = min(d[i-1][j], d[i][j-1], d[i-1][j-1]) + 1
+			if a[i-1] == b[j-1] {
+				d[i][j] = min(d[i][j], d[i-1][j-1])
+			}
+			if i > 1 && j > 1 && a[i-1] == b[j-2] && a[i-2] == b[j-1] {
+				d[i][j] = min(d[i][j], d[i-2][j-2]+1)
 			}
-			above := row[j+1]
-			row[j+1] = min(above+1, row[j]+1, diagonal+cost)
-			diagonal = above
 		}
 	}
-	return row[len(b)]
+	return d[len(a)][len(b)]
 }
 
 func keysOf[V any](m map[string]V) []string {
