config: versions in the platform's table, with deltas

One row names the accepted version; an apply is one transaction that demands that row unchanged, so of racing operators exactly one wins and the other gets the difference between its base and the head. Each apply leaves a row under its own id: a lost answer is resolved by reading that row, and a commit that arrives late meets the same condition, so both together are one change.

A version is kept as the entries that changed, as JSON text. Digests are taken over that text, not over what a release decodes from it: otherwise the first version with a new key would be refused by every older process during a rolling upgrade. Weighed and left: deltas below an entry (entries are a few hundred bytes) and objects for large documents (a lost race would leave orphans; rows of the same transaction can't).

Not measured: documents that pack to over 3 MiB, which have no room for a checkpoint.

--- /dev/null
+++ b/config/prune.go
@@ -0,0 +1,94 @@
+package config
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/platform"
+)
+
+// KeptVersions is how many versions below the head stay loadable; at 3,700
+// changes a day it is more than five days of history.
+const KeptVersions = 20_000
+
+// pruneBatch keeps a deletion below platform.MaxTxnRows: a version has its row,
+// its apply's row and its parts, at most 2*maxBlobBytes/partBytes+2 of them.
+const pruneBatch = 8
+
+// Prune deletes versions that lie more than keep below the head, down to the
+// last checkpoint that the kept ones need. It may run in two processes at once:
+// the new oldest version is agreed on first, and deleting a row twice is one
+// deletion.
+func (s *Store) Prune(ctx context.Context, keep Version) error {
+	var head headRow
+	rowVersion, err := s.readJSON(ctx, headKey, &head)
+	if err != nil || head.Version <= keep {
+		return err
+	}
+	var row versionRow
+	found, err := s.readJSON(ctx, versionKey(head.Version-keep), &row)
+	if err != nil {
+		return err
+	}
+	if found > 0 && row.Checkpoint > head.Oldest {
+		if err := s.raiseOldest(ctx, rowVersion, head, row.Checkpoint); err != nil {
+			return err
+		}
+		head.Oldest = row.Checkpoint
+	}
+	return s.deleteBelow(ctx, head.Oldest)
+}
+
+func (s *Store) raiseOldest(ctx context.Context, rowVersion int64, head headRow, oldest Version) error {
+	head.Oldest = oldest
+	write, err := encodeRow(headKey, head)
+	if err != nil {
+		return err
+	}
+	_, err = s.table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: headKey, Version: rowVersion}},
+		Writes:     []platform.Write{write},
+	})
+	return eris.Wrap(err, "raise oldest config version")
+}
+
+func (s *Store) deleteBelow(ctx context.Context, oldest Version) error {
+	var txn platform.Txn
+	versions := 0
+	flush := func() error {
+		if len(txn.Writes) == 0 {
+			return nil
+		}
+		_, err := s.table.Commit(ctx, txn)
+		txn, versions = platform.Txn{}, 0
+		return eris.Wrap(err, "delete old config versions")
+	}
+	err := s.scan(ctx, versionPrefix, "", func(row platform.Row) (bool, error) {
+		var entry versionRow
+		if err := decodeRow(row, &entry); err != nil || entry.Version >= oldest {
+			return false, err
+		}
+		for _, key := range entry.rowKeys() {
+			txn.Writes = append(txn.Writes, platform.Write{Key: key, Delete: true})
+		}
+		if versions++; versions < pruneBatch {
+			return true, nil
+		}
+		return true, flush()
+	})
+	if err != nil {
+		return err
+	}
+	return flush()
+}
+
+// rowKeys returns every row that belongs to a version.
+func (r versionRow) rowKeys() []string {
+	keys := []string{versionKey(r.Version), applyKey(r.ApplyID)}
+	keys = append(keys, r.Delta.partKeys(deltaBlob(r.Version))...)
+	if r.Whole != nil {
+		keys = append(keys, r.Whole.partKeys(wholeBlob(r.Version))...)
+	}
+	return keys
+}
--- /dev/null
+++ b/config/rows.go
@@ -0,0 +1,185 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/platform"
+)
+
+// The rows of the table, all below "config/":
+//
+//	config/head               headRow: the accepted version
+//	config/version/{n}        versionRow: the way from n-1 to n, for history too
+//	config/apply/{apply id}   applyRow: the version that this apply became
+//	config/part/{blob}/{i}    pieces of what is too large for one row
+//
+// Versions are padded to 20 digits, so that rows sort by version.
+const (
+	headKey       = "config/head"
+	versionPrefix = "config/version/"
+	applyPrefix   = "config/apply/"
+	partPrefix    = "config/part/"
+)
+
+func versionKey(v Version) string { return fmt.Sprintf("%s%020d", versionPrefix, v) }
+func applyKey(id string) string   { return applyPrefix + id }
+
+// headRow is the one row that every watcher polls; it stays small.
+type headRow struct {
+	Head
+	// Checkpoint is the last version that is also kept whole; 0 none.
+	Checkpoint Version `json:"checkpoint,omitempty"`
+	// SinceCheckpoint is the bytes of the deltas after it.
+	SinceCheckpoint int `json:"since_checkpoint"`
+	// Oldest is the lowest version that can still be loaded.
+	Oldest Version `json:"oldest,omitempty"`
+}
+
+// versionRow is one accepted version.
+type versionRow struct {
+	Record
+	Delta blob `json:"delta"`
+	// Whole is the document at this version, on checkpoints.
+	Whole *blob `json:"whole,omitempty"`
+	// Checkpoint is the last checkpoint up to and including this version.
+	Checkpoint Version `json:"checkpoint"`
+}
+
+// Record is what the history says about a version.
+type Record struct {
+	Version Version   `json:"version"`
+	Digest  string    `json:"digest"`
+	Author  string    `json:"author"`
+	ApplyID string    `json:"apply_id"`
+	At      time.Time `json:"at"`
+	Changes int       `json:"changes"` // entries set or deleted
+	Bytes   int       `json:"bytes"`   // of the delta, packed
+}
+
+// applyRow makes an apply with the same id one change.
+type applyRow struct {
+	Version Version `json:"version"`
+	Digest  string  `json:"digest"`
+}
+
+// blob is packed data, in the row itself or in Parts rows of its own.
+type blob struct {
+	Inline []byte `json:"inline,omitempty"`
+	Parts  int    `json:"parts,omitempty"`
+	Size   int    `json:"size"`
+}
+
+// Bounds of blobs. JSON makes inline data a third larger.
+const (
+	maxInlineBytes = 32 << 10
+	partBytes      = 512 << 10
+	// maxBlobBytes keeps a transaction below platform.MaxTxnBytes.
+	maxBlobBytes = 3 << 20
+)
+
+func partKey(name string, i int) string { return fmt.Sprintf("%s%s/%04d", partPrefix, name, i) }
+
+func deltaBlob(v Version) string { return fmt.Sprintf("%020d-delta", v) }
+func wholeBlob(v Version) string { return fmt.Sprintf("%020d-whole", v) }
+
+// split returns the blob of data and the rows that hold it.
+func split(name string, data []byte) (blob, []platform.Write) {
+	b := blob{Size: len(data)}
+	if len(data) <= maxInlineBytes {
+		b.Inline = data
+		return b, nil
+	}
+	var writes []platform.Write
+	for len(data) > 0 {
+		n := min(len(data), partBytes)
+		writes = append(writes, platform.Write{Key: partKey(name, b.Parts), Value: data[:n]})
+		data = data[n:]
+		b.Parts++
+	}
+	return b, writes
+}
+
+func (b blob) partKeys(name string) []string {
+	keys := make([]string, b.Parts)
+	for i := range keys {
+		keys[i] = partKey(name, i)
+	}
+	return keys
+}
+
+// ErrPruned reports a version whose rows were deleted by age.
+var ErrPruned = eris.New("config: version is no longer kept")
+
+func (s *Store) join(ctx context.Context, name string, b blob) ([]byte, error) {
+	if b.Parts == 0 {
+		return b.Inline, nil
+	}
+	rows, err := s.table.Read(ctx, b.partKeys(name)...)
+	if err != nil {
+		return nil, eris.Wrapf(err, "read parts %s", name)
+	}
+	data := make([]byte, 0, b.Size)
+	for _, row := range rows {
+		if row.Version == 0 {
+			return nil, eris.Wrapf(ErrPruned, "part %s", row.Key)
+		}
+		data = append(data, row.Value...)
+	}
+	return data, nil
+}
+
+// readJSON reads one row. version 0 means that it does not exist.
+func (s *Store) readJSON(ctx context.Context, key string, into any) (version int64, err error) {
+	rows, err := s.table.Read(ctx, key)
+	if err != nil {
+		return 0, eris.Wrapf(err, "read %s", key)
+	}
+	return rows[0].Version, decodeRow(rows[0], into)
+}
+
+func decodeRow(row platform.Row, into any) error {
+	if row.Version == 0 {
+		return nil
+	}
+	return eris.Wrapf(json.Unmarshal(row.Value, into), "decode %s", row.Key)
+}
+
+func encodeRow(key string, value any) (platform.Write, error) {
+	text, err := json.Marshal(value)
+	return platform.Write{Key: key, Value: text}, eris.Wrapf(err, "encode %s", key)
+}
+
+// scan calls visit for each row below prefix after the key after, in order,
+// until visit returns false. It asks for fewer rows when an answer would be too
+// large.
+func (s *Store) scan(ctx context.Context, prefix, after string, visit func(platform.Row) (bool, error)) error {
+	limit := maxScan
+	for {
+		rows, err := s.table.Scan(ctx, prefix, after, limit)
+		if errors.Is(err, platform.ErrTooLarge) && limit > 1 {
+			limit /= 2
+			continue
+		}
+		if err != nil {
+			return eris.Wrapf(err, "scan %s", prefix)
+		}
+		for _, row := range rows {
+			if more, err := visit(row); err != nil || !more {
+				return err
+			}
+		}
+		if len(rows) < limit {
+			return nil
+		}
+		after = rows[len(rows)-1].Key
+	}
+}
+
+// maxScan is how many version rows one scan asks for.
+const maxScan = 256
--- /dev/null
+++ b/config/size_test.go
@@ -0,0 +1,86 @@
+package config
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"maps"
+	"testing"
+
+	"buckthornridge/platform"
+)
+
+// large returns doc with n more workspaces of two keys each.
+func large(doc Document, n int) Document {
+	doc.Workspaces = maps.Clone(doc.Workspaces)
+	for i := range n {
+		name := fmt.Sprintf("customer-%05d", i)
+		doc.Workspaces[name] = Workspace{Team: "studios", Share: 1, Keys: map[string]string{
+			fmt.Sprintf("%x", sha256.Sum256([]byte(name+"/1"))): "main",
+			fmt.Sprintf("%x", sha256.Sum256([]byte(name+"/2"))): "main",
+		}, Budgets: map[string]Budget{"main": {}}}
+	}
+	return doc
+}
+
+// The letter's size of the configuration.
+const (
+	letterWorkspaces = 6_100
+	letterChanges    = 3_700 // a day
+	secondsPerDay    = 86_400
+)
+
+// BenchmarkChange measures one change of a workspace at the letter's size: the
+// time of the apply with its checkpoints, and the bytes that each watcher
+// fetches for it.
+func BenchmarkChange(b *testing.B) {
+	fake := platform.NewFake(platform.FakeOptions{})
+	store := newStore(fake, "a")
+	doc := large(example(b, "lankawrap"), letterWorkspaces)
+	ctx := context.Background()
+	if _, err := store.Apply(ctx, 0, doc, "first", "ann"); err != nil {
+		b.Fatal(err)
+	}
+	row := fake.Dump(headKey)[0]
+	base := Version(1)
+	for b.Loop() {
+		next := edited(doc, "customer-00042", float64(base+1))
+		version, err := store.Apply(ctx, base, next, fmt.Sprint(base), "ann")
+		if err != nil {
+			b.Fatal(err)
+		}
+		base = version
+	}
+	fetched := 0
+	for _, r := range fake.Dump(versionPrefix)[1:] {
+		fetched += len(r.Key) + len(r.Value)
+	}
+	perChange := float64(fetched) / float64(base-1)
+	b.ReportMetric(perChange, "B/change")
+	b.ReportMetric(perChange*letterChanges/secondsPerDay, "B/s-at-3700-a-day")
+	b.ReportMetric(float64(len(row.Key)+len(row.Value)), "B/poll")
+}
+
+// BenchmarkWalk measures what one change costs each watcher at the letter's
+// size.
+func BenchmarkWalk(b *testing.B) {
+	doc := large(example(b, "lankawrap"), letterWorkspaces)
+	first, second := image(b, doc), image(b, edited(doc, "customer-00042", 2))
+	state, err := State{}.Walk([]Step{step(b, Image{}, first, 0, 1)})
+	if err != nil {
+		b.Fatal(err)
+	}
+	change := step(b, first, second, 1, 2)
+	whole := step(b, Image{}, second, 0, 2)
+	for b.Loop() {
+		next, err := state.Walk([]Step{change})
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := Compile(2, next.Document); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(change.Data)), "B/delta")
+	b.ReportMetric(float64(len(whole.Data)), "B/whole")
+}
--- /dev/null
+++ b/config/store.go
@@ -0,0 +1,216 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/platform"
+)
+
+// Store keeps accepted versions in the platform's table. It is safe for
+// concurrent use, by any number of processes.
+type Store struct {
+	table         platform.Table
+	checkpointGap Version // versions between checkpoints, at most
+
+	mu   sync.Mutex
+	last State // the last state that was loaded or accepted, to go on from
+}
+
+// NewStore returns a store on a table.
+func NewStore(table platform.Table) *Store {
+	return &Store{table: table, checkpointGap: checkpointGap}
+}
+
+// ConflictError reports an apply whose base is not the head: another operator
+// was first. Nothing was changed.
+type ConflictError struct {
+	Base Version
+	Head Head
+	// Theirs is what was accepted between the base and the head. Begun says
+	// whether the base could still be loaded to tell.
+	Theirs Delta
+	Begun  bool
+	// Before is the image at the base, to show old values; empty unless Begun.
+	Before Image
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("config: based on version %d, but version %d is accepted (%d entries differ)",
+		e.Base, e.Head.Version, len(e.Theirs.Changes))
+}
+
+// Head returns the accepted version; version 0 before the first.
+func (s *Store) Head(ctx context.Context) (Head, error) {
+	var head headRow
+	_, err := s.readJSON(ctx, headKey, &head)
+	return head.Head, err
+}
+
+// Load returns the state at a version; version 0 is the empty one.
+func (s *Store) Load(ctx context.Context, version Version) (State, error) {
+	if version == 0 {
+		return State{}, nil
+	}
+	if last := s.cached(); last.Version == version {
+		return last, nil
+	}
+	var row versionRow
+	found, err := s.readJSON(ctx, versionKey(version), &row)
+	if err != nil {
+		return State{}, err
+	}
+	if found == 0 {
+		return State{}, eris.Wrapf(ErrPruned, "version %d", version)
+	}
+	return s.loadFrom(ctx, row)
+}
+
+func (s *Store) loadFrom(ctx context.Context, row versionRow) (State, error) {
+	state, err := s.start(ctx, row)
+	if err != nil {
+		return State{}, err
+	}
+	steps, err := s.steps(ctx, state.Version, row.Version)
+	if err != nil {
+		return State{}, err
+	}
+	if state, err = state.Walk(steps); err != nil {
+		return State{}, err
+	}
+	s.remember(state)
+	return state, nil
+}
+
+// start returns the state from which the version of row is reached by deltas:
+// the cached one when it lies on the way, else the last checkpoint.
+func (s *Store) start(ctx context.Context, row versionRow) (State, error) {
+	if last := s.cached(); last.Version > row.Checkpoint && last.Version <= row.Version {
+		return last, nil
+	}
+	if row.Checkpoint == 0 {
+		return State{}, nil
+	}
+	step, err := s.checkpoint(ctx, row.Checkpoint)
+	if err != nil {
+		return State{}, err
+	}
+	return State{}.Walk([]Step{step})
+}
+
+// checkpoint returns the step from 0 to a checkpoint.
+func (s *Store) checkpoint(ctx context.Context, version Version) (Step, error) {
+	var row versionRow
+	found, err := s.readJSON(ctx, versionKey(version), &row)
+	if err != nil {
+		return Step{}, err
+	}
+	if found == 0 || row.Whole == nil {
+		return Step{}, eris.Wrapf(ErrPruned, "checkpoint %d", version)
+	}
+	data, err := s.join(ctx, wholeBlob(version), *row.Whole)
+	return Step{To: version, Digest: row.Digest, Data: data}, err
+}
+
+// steps returns one step for each version above from up to to.
+func (s *Store) steps(ctx context.Context, from, to Version) ([]Step, error) {
+	if from >= to {
+		return nil, nil
+	}
+	var steps []Step
+	err := s.scan(ctx, versionPrefix, versionKey(from), func(row platform.Row) (bool, error) {
+		var entry versionRow
+		if err := decodeRow(row, &entry); err != nil {
+			return false, err
+		}
+		step, err := s.step(ctx, entry)
+		if err != nil {
+			return false, err
+		}
+		steps = append(steps, step)
+		return step.To < to, nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	if want := int(to - from); len(steps) != want {
+		return nil, eris.Wrapf(ErrPruned, "%d of %d versions after %d", want-len(steps), want, from)
+	}
+	return steps, nil
+}
+
+func (s *Store) step(ctx context.Context, row versionRow) (Step, error) {
+	data, err := s.join(ctx, deltaBlob(row.Version), row.Delta)
+	return Step{From: row.Version - 1, To: row.Version, Digest: row.Digest, Data: data}, err
+}
+
+// maxWalk is how many deltas a process follows before the whole document is
+// likely cheaper.
+const maxWalk = 512
+
+// Since implements Fetcher.
+func (s *Store) Since(ctx context.Context, from Version) ([]Step, error) {
+	var head headRow
+	if _, err := s.readJSON(ctx, headKey, &head); err != nil {
+		return nil, err
+	}
+	if head.Version <= from {
+		return nil, nil
+	}
+	near := from > 0 && head.Version-from <= maxWalk && from+1 >= head.Oldest
+	if near || head.Checkpoint == 0 {
+		return s.steps(ctx, from, head.Version)
+	}
+	first, err := s.checkpoint(ctx, head.Checkpoint)
+	if err != nil {
+		return nil, err
+	}
+	rest, err := s.steps(ctx, head.Checkpoint, head.Version)
+	return append([]Step{first}, rest...), err
+}
+
+// History returns up to limit records below the version before (0 for the
+// newest), newest first.
+func (s *Store) History(ctx context.Context, before Version, limit int) ([]Record, error) {
+	var head headRow
+	if _, err := s.readJSON(ctx, headKey, &head); err != nil {
+		return nil, err
+	}
+	if before == 0 || before > head.Version {
+		before = head.Version + 1
+	}
+	from := max(head.Oldest, 1)
+	if before > Version(limit) {
+		from = max(from, before-Version(limit))
+	}
+	var records []Record
+	err := s.scan(ctx, versionPrefix, versionKey(from-1), func(row platform.Row) (bool, error) {
+		var entry versionRow
+		if err := decodeRow(row, &entry); err != nil {
+			return false, err
+		}
+		if entry.Version < before {
+			records = append([]Record{entry.Record}, records...)
+		}
+		return entry.Version+1 < before, nil
+	})
+	return records, err
+}
+
+func (s *Store) cached() State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last
+}
+
+func (s *Store) remember(state State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state.Version > s.last.Version {
+		s.last = state
+	}
+}
--- /dev/null
+++ b/config/store_test.go
@@ -0,0 +1,241 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/platform"
+	"buckthornridge/settings"
+)
+
+func newStore(fake *platform.Fake, vm string) *Store { return NewStore(fake.As(vm).Table) }
+
+// edited returns a copy of doc with the share of one workspace changed.
+func edited(doc Document, workspace string, share float64) Document {
+	copied := map[string]Workspace{}
+	for name, w := range doc.Workspaces {
+		if name == workspace {
+			w.Share = share
+		}
+		copied[name] = w
+	}
+	doc.Workspaces = copied
+	return doc
+}
+
+func withinMinute(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestApplyHistoryAndLoad(t *testing.T) {
+	is := is.New(t)
+	ctx := withinMinute(t)
+	store := newStore(platform.NewFake(platform.FakeOptions{}), "a")
+	head, err := store.Head(ctx)
+	is.NoErr(err)
+	is.Equal(head.Version, Version(0))
+	docs := []Document{example(t, "lankawrap")}
+	for i := 1; i < 5; i++ {
+		docs = append(docs, edited(docs[0], "studio-kandy", float64(10+i)))
+	}
+	for i, doc := range docs {
+		version, err := store.Apply(ctx, Version(i), doc, fmt.Sprint("id-", i), "ann")
+		is.NoErr(err)
+		is.Equal(version, Version(i+1))
+	}
+	same, err := store.Apply(ctx, 5, docs[4], "id-same", "ann")
+	is.NoErr(err)
+	is.Equal(same, Version(5)) // nothing changed
+
+	fresh := NewStore(store.table)
+	for i, doc := range docs {
+		state, err := fresh.Load(ctx, Version(i+1))
+		is.NoErr(err)
+		is.True(reflect.DeepEqual(state.Document, doc))
+	}
+	records, err := fresh.History(ctx, 0, 3)
+	is.NoErr(err)
+	is.Equal(len(records), 3)
+	is.Equal(records[0].Version, Version(5))
+	is.Equal(records[0].Author, "ann")
+	is.Equal(records[0].Changes, 1)
+	records, err = fresh.History(ctx, 3, 10)
+	is.NoErr(err)
+	is.Equal(records[0].Version, Version(2))
+	is.Equal(len(records), 2)
+	_, err = fresh.Load(ctx, 9)
+	is.True(errors.Is(err, ErrPruned))
+}
+
+func TestApplyRefusesAFaultyDocument(t *testing.T) {
+	is := is.New(t)
+	fake := platform.NewFake(platform.FakeOptions{})
+	doc := example(t, "lankawrap")
+	doc.Fleet.Name = ""
+	_, err := newStore(fake, "a").Apply(withinMinute(t), 0, doc, "id", "ann")
+	var faults settings.Errors
+	is.True(errors.As(err, &faults))
+	is.Equal(len(fake.Dump("config/")), 0)
+}
+
+// Two operators edit the folder at version 1 and apply at the same moment. Ann's
+// commit arrives between Ben's read of the head and his commit. Ben must be told
+// what Ann changed; if his folder won silently, her change would be gone with
+// nobody knowing.
+func TestRacingOperatorsExactlyOneWins(t *testing.T) {
+	is := is.New(t)
+	ctx := withinMinute(t)
+	fake := platform.NewFake(platform.FakeOptions{})
+	doc := example(t, "lankawrap")
+	ann, ben := newStore(fake, "a"), newStore(fake, "b")
+	_, err := ann.Apply(ctx, 0, doc, "first", "ann")
+	is.NoErr(err)
+	raced := false
+	fake.SetHooks(platform.Hooks{Before: func(call platform.Call) {
+		if call.VM == "b" && call.Step == platform.StepCommit && !raced {
+			raced = true
+			version, err := ann.Apply(ctx, 1, edited(doc, "studio-kandy", 9), "anns", "ann")
+			is.NoErr(err)
+			is.Equal(version, Version(2))
+		}
+	}})
+	_, err = ben.Apply(ctx, 1, edited(doc, "studio-galle", 7), "bens", "ben")
+	var conflict *ConflictError
+	is.True(errors.As(err, &conflict))
+	is.Equal(conflict.Head.Version, Version(2))
+	is.True(conflict.Begun)
+	is.Equal(len(conflict.Theirs.Changes), 1)
+	is.Equal(conflict.Theirs.Changes[0].String(), "workspaces.studio-kandy")
+	head, err := ben.Head(ctx)
+	is.NoErr(err)
+	is.Equal(head.Version, Version(2))
+}
+
+// The table commits an apply, but its answer is lost, once or many times, or
+// the commit arrives late. The operator must see one change: not an error, not
+// two versions, and not a conflict with himself.
+func TestAnswerLostAfterCommitIsOneChange(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faults platform.Faults
+	}{
+		{"answer lost", platform.Faults{LoseNext: 1}},
+		{"commit held back, then released", platform.Faults{DelayNext: 1}},
+		{"commit late by less than a retry", platform.Faults{DelayNext: 1, Delay: time.Millisecond}},
+		{"late twice and lost", platform.Faults{DelayNext: 2, Delay: time.Second, LoseNext: 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx := withinMinute(t)
+				fake := platform.NewFake(platform.FakeOptions{Faults: c.faults})
+				store := newStore(fake, "a")
+				doc := example(t, "lankawrap")
+				version, err := store.Apply(ctx, 0, doc, "id", "ann")
+				is.NoErr(err)
+				is.Equal(version, Version(1))
+				time.Sleep(5 * time.Second)
+				fake.ReleaseDelayed()
+				again, err := store.Apply(ctx, 0, doc, "id", "ann")
+				is.NoErr(err)
+				is.Equal(again, Version(1))
+				is.Equal(len(fake.Dump(versionPrefix)), 1)
+				_, err = store.Apply(ctx, 1, edited(doc, "studio-kandy", 9), "id", "ann")
+				is.True(errors.Is(err, ErrApplyIDReused))
+			})
+		})
+	}
+}
+
+// The table goes away right after the commit was sent. An operator who is told
+// "failed" would repair what is not broken, so the outcome stays unknown until
+// somebody can read it back.
+func TestApplyDuringAnOutageSaysUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fake := platform.NewFake(platform.FakeOptions{Faults: platform.Faults{LoseNext: 1}})
+		fake.SetHooks(platform.Hooks{After: func(call platform.Call, _ error) {
+			if call.Step == platform.StepCommit {
+				fake.UpdateFaults(func(f *platform.Faults) { f.Down = true })
+			}
+		}})
+		store := newStore(fake, "a")
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		_, err := store.Apply(ctx, 0, example(t, "lankawrap"), "id", "ann")
+		is.True(errors.Is(err, platform.ErrOutcomeUnknown))
+		fake.SetFaults(platform.Faults{})
+		version, err := store.Apply(withinMinute(t), 0, example(t, "lankawrap"), "id", "ann")
+		is.NoErr(err)
+		is.Equal(version, Version(1))
+
+		fake.SetFaults(platform.Faults{Down: true})
+		late, cancel2 := context.WithTimeout(context.Background(), time.Second)
+		defer cancel2()
+		_, err = store.Apply(late, 1, edited(example(t, "lankawrap"), "studio-kandy", 9), "id2", "ann")
+		is.True(errors.Is(err, platform.ErrUnavailable))
+		is.True(!errors.Is(err, platform.ErrOutcomeUnknown))
+	})
+}
+
+func TestCheckpointsAndPruning(t *testing.T) {
+	is := is.New(t)
+	ctx := withinMinute(t)
+	fake := platform.NewFake(platform.FakeOptions{})
+	store := newStore(fake, "a")
+	doc := example(t, "lankawrap")
+	const gap = 16
+	const versions = 2*gap + 4
+	store.checkpointGap = gap
+	for i := range Version(versions) {
+		_, err := store.Apply(ctx, i, edited(doc, "studio-kandy", float64(i+1)), fmt.Sprint(i), "ann")
+		is.NoErr(err)
+	}
+	fresh := newStore(fake, "b")
+	steps, err := fresh.Since(ctx, 0)
+	is.NoErr(err)
+	is.Equal(steps[0].To, Version(2*gap)) // the last checkpoint, then deltas
+	is.Equal(len(steps), 5)
+	steps, err = fresh.Since(ctx, versions-2)
+	is.NoErr(err)
+	is.Equal(len(steps), 2)
+
+	is.NoErr(store.Prune(ctx, gap))
+	is.NoErr(newStore(fake, "c").Prune(ctx, gap)) // a second holder
+	is.Equal(len(fake.Dump(versionPrefix)), versions-gap+1)
+	is.Equal(len(fake.Dump(applyPrefix)), versions-gap+1)
+	fresh = newStore(fake, "d")
+	_, err = fresh.Load(ctx, gap-1)
+	is.True(errors.Is(err, ErrPruned))
+	state, err := fresh.Load(ctx, gap+7)
+	is.NoErr(err)
+	is.Equal(state.Document.Workspaces["studio-kandy"].Share, float64(gap+7))
+	steps, err = fresh.Since(ctx, 3) // its way is pruned: the whole instead
+	is.NoErr(err)
+	is.Equal(steps[0].From, Version(0))
+	records, err := fresh.History(ctx, 0, 10_000)
+	is.NoErr(err)
+	is.Equal(records[len(records)-1].Version, Version(gap))
+}
+
+func TestLargeDocumentsAreSplitOverRows(t *testing.T) {
+	is := is.New(t)
+	ctx := withinMinute(t)
+	fake := platform.NewFake(platform.FakeOptions{})
+	doc := large(example(t, "lankawrap"), 4_000)
+	_, err := newStore(fake, "a").Apply(ctx, 0, doc, "id", "ann")
+	is.NoErr(err)
+	is.True(len(fake.Dump(partPrefix)) > 0)
+	state, err := newStore(fake, "b").Load(ctx, 1)
+	is.NoErr(err)
+	is.True(reflect.DeepEqual(state.Document, doc))
+}
