peer: framed msgpack calls with streams, windows and silence detection

Cause: routers hand requests to one another and controls push versions; both need calls that say whether the other side can have acted.

Ruled out: one connection per call (340 nodes would hold tens of thousands), and no window (a slow reader would hold up every call on its connection; see TestSlowReaderDoesNotBlockOthers).

Conclusion: ErrUnreachable and ErrBroken carry the difference that 'not run' rests on.

--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,276 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type note struct {
+	Text  string `msgpack:"t"`
+	Count int    `msgpack:"c"`
+}
+
+type codedError struct{}
+
+func (codedError) Error() string { return "no grant" }
+func (codedError) Code() string  { return "budget" }
+
+// startServer serves the test's methods on loopback and returns the address.
+func startServer(t *testing.T, methods map[string]Handler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer()
+	for name, h := range methods {
+		server.Handle(name, h)
+	}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(listener)
+	}()
+	t.Cleanup(func() {
+		listener.Close()
+		server.Close()
+		<-served
+	})
+	return listener.Addr().String()
+}
+
+func startClient(t *testing.T) *Client {
+	c := NewClient(nil)
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+func echo(_ context.Context, decode func(any) error, _ Sender) (any, error) {
+	var n note
+	if err := decode(&n); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+func count(ctx context.Context, decode func(any) error, send Sender) (any, error) {
+	var n note
+	if err := decode(&n); err != nil {
+		return nil, err
+	}
+	for i := range n.Count {
+		if err := send(note{Count: i}); err != nil {
+			return nil, err
+		}
+	}
+	return note{Text: "end"}, nil
+}
+
+func TestCall(t *testing.T) {
+	is := is.New(t)
+	address := startServer(t, map[string]Handler{"echo": echo})
+	var reply note
+	err := startClient(t).Call(t.Context(), address, "echo", note{Text: "hello", Count: 3}, &reply)
+	is.NoErr(err)
+	is.Equal(reply, note{Text: "hello", Count: 3})
+}
+
+func TestStreamKeepsOrderPastTheWindow(t *testing.T) {
+	is := is.New(t)
+	address := startServer(t, map[string]Handler{"count": count})
+	stream, err := startClient(t).Open(t.Context(), address, "count", note{Count: 5 * Window})
+	is.NoErr(err)
+	defer stream.Close()
+	var message, final note
+	for i := range 5 * Window {
+		is.NoErr(stream.Next(&message, &final))
+		is.Equal(message.Count, i)
+	}
+	is.Equal(stream.Next(&message, &final), io.EOF)
+	is.Equal(final.Text, "end")
+}
+
+func TestErrorsAreToldApart(t *testing.T) {
+	address := startServer(t, map[string]Handler{
+		"coded": func(context.Context, func(any) error, Sender) (any, error) { return nil, codedError{} },
+		"plain": func(context.Context, func(any) error, Sender) (any, error) { return nil, errors.New("broken disk") },
+		"wait": func(ctx context.Context, _ func(any) error, _ Sender) (any, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		},
+		"type": func(_ context.Context, decode func(any) error, _ Sender) (any, error) {
+			var number int
+			return nil, decode(&number)
+		},
+	})
+	client := startClient(t)
+	for _, c := range []struct{ method, code string }{
+		{"coded", "budget"},
+		{"plain", CodeInternal},
+		{"type", CodeInternal},
+		{"missing", CodeUnknownMethod},
+	} {
+		t.Run(c.method, func(t *testing.T) {
+			is := is.New(t)
+			err := client.Call(t.Context(), address, c.method, note{}, nil)
+			var remote *RemoteError
+			is.True(errors.As(err, &remote))
+			is.Equal(remote.Code, c.code)
+			is.Equal(remote.Peer, address)
+			is.Equal(remote.Method, c.method)
+		})
+	}
+	t.Run("deadline", func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		err := client.Call(ctx, address, "wait", nil, nil)
+		var remote *RemoteError
+		onTheWire := errors.As(err, &remote) && remote.Code == CodeDeadline
+		is.New(t).True(onTheWire || errors.Is(err, context.DeadlineExceeded))
+	})
+}
+
+func TestNobodyListensIsUnreachable(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := listener.Addr().String()
+	is.NoErr(listener.Close())
+	err = startClient(t).Call(t.Context(), address, "echo", note{}, nil)
+	is.True(errors.Is(err, ErrUnreachable))
+}
+
+// A caller gives up on a stream. The handler would go on generating for no one
+// unless its context ends; what a user would see is budget spent on nothing.
+func TestCancelReachesTheHandler(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan error, 1)
+	address := startServer(t, map[string]Handler{
+		"endless": func(ctx context.Context, _ func(any) error, send Sender) (any, error) {
+			for {
+				if err := send(note{}); err != nil {
+					ended <- ctx.Err()
+					return nil, err
+				}
+			}
+		},
+	})
+	stream, err := startClient(t).Open(t.Context(), address, "endless", nil)
+	is.NoErr(err)
+	is.NoErr(stream.Next(nil, nil))
+	is.NoErr(stream.Close())
+	is.Equal(<-ended, context.Canceled)
+}
+
+// A VM dies while it streams. The caller must learn that the call may have run,
+// not that it was never sent; messages that arrived before are still delivered.
+func TestBrokenConnectionIsNotUnreachable(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		f, err := readFrame(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		body, _ := encodeBody(note{Text: "first"})
+		encoded, _ := encodeFrame(&frame{Kind: frameMessage, Call: f.Call, Body: body})
+		conn.Write(encoded)
+		conn.Close()
+	}()
+	stream, err := startClient(t).Open(t.Context(), listener.Addr().String(), "any", nil)
+	is.NoErr(err)
+	var message note
+	is.NoErr(stream.Next(&message, nil))
+	is.Equal(message.Text, "first")
+	err = stream.Next(&message, nil)
+	is.True(errors.Is(err, ErrBroken))
+	is.True(!errors.Is(err, ErrUnreachable))
+}
+
+// A slow reader on one call must not hold up another call on the same
+// connection: the first one's handler waits for its window, not the link.
+func TestSlowReaderDoesNotBlockOthers(t *testing.T) {
+	is := is.New(t)
+	address := startServer(t, map[string]Handler{"count": count, "echo": echo})
+	client := startClient(t)
+	slow, err := client.Open(t.Context(), address, "count", note{Count: 10 * Window})
+	is.NoErr(err)
+	defer slow.Close()
+	for i := range 50 {
+		var reply note
+		is.NoErr(client.Call(t.Context(), address, "echo", note{Count: i}, &reply))
+		is.Equal(reply.Count, i)
+	}
+}
+
+func TestReadFrameRefusesBadBytes(t *testing.T) {
+	prefixed := func(size uint32, body []byte) []byte {
+		return append(binary.BigEndian.AppendUint32(nil, size), body...)
+	}
+	for _, c := range []struct {
+		name string
+		in   []byte
+		want error
+	}{
+		{"too large", prefixed(MaxFrame+1, nil), ErrFrameTooLarge},
+		{"cut short", prefixed(100, []byte("abc")), io.ErrUnexpectedEOF},
+		{"no msgpack", prefixed(3, []byte{0xc1, 0xc1, 0xc1}), ErrMalformed},
+		{"unknown kind", prefixed(2, []byte{0x91, 0x63}), ErrMalformed},
+		{"empty", nil, io.EOF},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := readFrame(bufio.NewReader(bytes.NewReader(c.in)))
+			is.New(t).True(errors.Is(err, c.want))
+		})
+	}
+}
+
+func TestOversizedRequestIsRefusedBeforeSending(t *testing.T) {
+	is := is.New(t)
+	address := startServer(t, map[string]Handler{"echo": echo})
+	client := startClient(t)
+	big := note{Text: strings.Repeat("x", MaxFrame)}
+	is.True(errors.Is(client.Call(t.Context(), address, "echo", big, nil), ErrFrameTooLarge))
+	var reply note
+	is.NoErr(client.Call(t.Context(), address, "echo", note{Text: "still here"}, &reply))
+	is.Equal(reply.Text, "still here")
+}
+
+func FuzzReadFrame(f *testing.F) {
+	good, _ := encodeFrame(&frame{Kind: frameRequest, Call: 7, Method: "echo", Body: []byte{0xc0}})
+	f.Add(good)
+	f.Add([]byte{0, 0, 0, 1, 0xc1})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, in []byte) {
+		got, err := readFrame(bufio.NewReader(bytes.NewReader(in)))
+		if err != nil {
+			return
+		}
+		again, err := encodeFrame(got)
+		if err != nil {
+			t.Fatalf("a decoded frame does not encode: %v", err)
+		}
+		if _, err := readFrame(bufio.NewReader(bytes.NewReader(again))); err != nil {
+			t.Fatalf("an encoded frame does not decode: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,247 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Window is how many streamed messages a handler may be ahead of its caller.
+const Window = 128
+
+// Codes of errors that the package itself sends.
+const (
+	CodeUnknownMethod = "unknown_method"
+	CodeInternal      = "internal"
+	CodeCanceled      = "canceled"
+	CodeDeadline      = "deadline"
+)
+
+// Server serves calls from the system's other processes.
+type Server struct {
+	handlers map[string]Handler
+
+	mu     sync.Mutex
+	links  map[*link]struct{}
+	closed bool
+	wg     sync.WaitGroup
+}
+
+// NewServer returns a server without methods.
+func NewServer() *Server {
+	return &Server{handlers: map[string]Handler{}, links: map[*link]struct{}{}}
+}
+
+// Handle adds a method. All methods are added before Serve.
+func (s *Server) Handle(method string, h Handler) { s.handlers[method] = h }
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return eris.Wrap(err, "peer: accept")
+		}
+		s.adopt(conn)
+	}
+}
+
+func (s *Server) adopt(conn net.Conn) {
+	l := newLink(conn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		conn.Close()
+		return
+	}
+	s.links[l] = struct{}{}
+	s.wg.Add(2)
+	go func() {
+		defer s.wg.Done()
+		l.writeLoop()
+	}()
+	go func() {
+		defer s.wg.Done()
+		s.serveLink(l)
+	}()
+}
+
+// Close ends all connections and waits for their handlers.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	for l := range s.links {
+		l.fail(errClosed)
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+	return nil
+}
+
+// inbound is the handler's side of the calls on one connection.
+type inbound struct {
+	server *Server
+	link   *link
+	ctx    context.Context
+
+	mu    sync.Mutex
+	calls map[uint64]*serverCall
+}
+
+// serverCall is one running handler.
+type serverCall struct {
+	cancel context.CancelFunc
+	credit chan int64 // grants of window, merged
+}
+
+func (s *Server) serveLink(l *link) {
+	ctx, cancel := context.WithCancel(context.Background())
+	in := &inbound{server: s, link: l, ctx: ctx, calls: map[uint64]*serverCall{}}
+	r := bufio.NewReaderSize(l.conn, bufferBytes)
+	for {
+		f, err := readFrame(r)
+		if err != nil {
+			l.fail(eris.Wrapf(err, "read from %s", l.conn.RemoteAddr()))
+			break
+		}
+		in.dispatch(f)
+	}
+	// The caller is gone: its calls end, so that no handler works for no one.
+	cancel()
+	s.mu.Lock()
+	delete(s.links, l)
+	s.mu.Unlock()
+}
+
+func (in *inbound) dispatch(f *frame) {
+	switch f.Kind {
+	case frameRequest, framePush:
+		in.begin(f)
+	case frameCancel:
+		if c := in.find(f.Call); c != nil {
+			c.cancel()
+		}
+	case frameCredit:
+		if c := in.find(f.Call); c != nil {
+			c.grant(f.Credit)
+		}
+	case framePing:
+		// A full queue means frames are moving; the pong may be dropped.
+		_ = in.link.send(&frame{Kind: framePong})
+	}
+}
+
+func (in *inbound) find(call uint64) *serverCall {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.calls[call]
+}
+
+func (in *inbound) begin(f *frame) {
+	ctx, cancel := context.WithCancel(in.ctx)
+	if f.TimeoutMS > 0 {
+		cancel()
+		ctx, cancel = context.WithTimeout(in.ctx, time.Duration(f.TimeoutMS)*time.Millisecond)
+	}
+	c := &serverCall{cancel: cancel, credit: make(chan int64, 1)}
+	in.mu.Lock()
+	in.calls[f.Call] = c
+	in.mu.Unlock()
+	in.server.wg.Add(1)
+	go func() {
+		defer in.server.wg.Done()
+		defer in.end(f.Call, cancel)
+		in.run(ctx, f, c)
+	}()
+}
+
+func (in *inbound) end(call uint64, cancel context.CancelFunc) {
+	cancel()
+	in.mu.Lock()
+	delete(in.calls, call)
+	in.mu.Unlock()
+}
+
+// run calls the handler and sends its reply or error.
+func (in *inbound) run(ctx context.Context, f *frame, c *serverCall) {
+	handler, known := in.server.handlers[f.Method]
+	if !known {
+		in.reply(f, nil, &RemoteError{Code: CodeUnknownMethod, Text: f.Method})
+		return
+	}
+	decode := func(into any) error { return decodeBody(f.Body, into) }
+	reply, err := handler(ctx, decode, in.sender(ctx, f.Call, c))
+	in.reply(f, reply, err)
+}
+
+func (in *inbound) reply(f *frame, reply any, err error) {
+	if f.Kind == framePush {
+		return
+	}
+	out := &frame{Kind: frameReply, Call: f.Call}
+	if err == nil {
+		out.Body, err = encodeBody(reply)
+	}
+	if err != nil {
+		out = &frame{Kind: frameError, Call: f.Call, Code: errorCode(err), Text: err.Error()}
+	}
+	// A broken link has no one left to tell.
+	_ = in.link.send(out)
+}
+
+func errorCode(err error) string {
+	var coded CodedError
+	var remote *RemoteError
+	switch {
+	case errors.As(err, &coded):
+		return coded.Code()
+	case errors.As(err, &remote):
+		return remote.Code
+	case errors.Is(err, context.Canceled):
+		return CodeCanceled
+	case errors.Is(err, context.DeadlineExceeded):
+		return CodeDeadline
+	}
+	return CodeInternal
+}
+
+// sender returns the function by which a handler streams messages within the
+// caller's window.
+func (in *inbound) sender(ctx context.Context, call uint64, c *serverCall) Sender {
+	window := int64(Window)
+	return func(message any) error {
+		for window <= 0 {
+			select {
+			case more := <-c.credit:
+				window += more
+			case <-ctx.Done():
+				return eris.Wrapf(ctx.Err(), "stream to %s", in.link.conn.RemoteAddr())
+			}
+		}
+		body, err := encodeBody(message)
+		if err != nil {
+			return err
+		}
+		window--
+		return in.link.send(&frame{Kind: frameMessage, Call: call, Body: body})
+	}
+}
+
+// grant adds to the window. It merges with a grant that waits, and never blocks
+// the connection's reader: only the reader calls it.
+func (c *serverCall) grant(n int64) {
+	select {
+	case waiting := <-c.credit:
+		n += waiting
+	default:
+	}
+	c.credit <- n
+}
