request: one run per key, claims, attempts, homes

Cause: a request must have one outcome however often and wherever it is asked for. Runs are kept by key; a call that may not be repeated needs its claim row; 'not run' can be said only from states before dispatch (state.go).

Ruled out: a claim that lapses by time (a paused holder may wake with the call half out of the door); splicing two different answers of a model after an engine died (tokens already sent must come again as they were).

Conclusion: the durable fact of each state stands beside it.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -12,6 +12,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // ID names a budget.
@@ -23,6 +25,10 @@
 // String returns "workspace/name".
 func (id ID) String() string { return id.Workspace + "/" + id.Name }
 
+// ErrBillPending reports a bill that waits in the journal's queue because the
+// platform's table does not answer. It is written when the table comes back.
+var ErrBillPending = eris.New("budget: bill pending")
+
 // Refusal tells that a budget cannot cover a request. The request was not run.
 type Refusal struct {
 	Budget  ID
--- /dev/null
+++ b/request/call.go
@@ -0,0 +1,208 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/budget"
+	"buckthornridge/upstream"
+)
+
+// recordTimeout bounds writing a call's end into its claim row after the answer
+// to the caller is known.
+const recordTimeout = 5 * time.Second
+
+// call runs a plain service's call.
+func (e *Executor) call(ctx context.Context, run *Run, r *Request) {
+	early, cancel := context.WithTimeout(ctx, r.Timeout)
+	defer cancel()
+	release, err := e.admission.Admit(early, r)
+	if err != nil {
+		run.end(Refused, refusal(err))
+		return
+	}
+	defer release()
+	run.enter(Admitted)
+	reservation, err := e.budgets.Reserve(early, r)
+	if err != nil {
+		run.end(Refused, refusal(err))
+		return
+	}
+	run.enter(Reserved)
+	if r.Call.Repeatable {
+		e.callRepeatable(ctx, run, r, reservation)
+		return
+	}
+	e.callOnce(ctx, early, run, r, reservation)
+}
+
+// callOnce runs a call that may not be repeated, under a claim. early ends at
+// the caller's deadline: no claim is taken after it.
+func (e *Executor) callOnce(ctx, early context.Context, run *Run, r *Request, reservation Reservation) {
+	row, mine, err := e.claims.take(early, r.Key, r.Digest)
+	if err != nil {
+		reservation.Release()
+		go e.revoke(r.Key, row)
+		run.end(Refused, failed(ProblemPlatformUnavailable, NotRun, 2*time.Second,
+			"the platform's table did not record the request, so it was not run"))
+		return
+	}
+	if !mine {
+		reservation.Release()
+		e.endAsClaimed(run, r, row)
+		return
+	}
+	run.enter(Claimed)
+	reply, err := e.dispatchOnce(ctx, run, r)
+	e.endClaimed(run, r, row, reservation, reply, err)
+}
+
+// endAsClaimed ends a run whose key was claimed before, by what the row says.
+func (e *Executor) endAsClaimed(run *Run, r *Request, row claimRow) {
+	switch {
+	case row.Digest != r.Digest:
+		run.end(Refused, failed(ProblemKeyReused, NotRun, 0,
+			"this idempotency key was used for a request with other content"))
+	case row.State == claimDone:
+		run.enter(Recorded)
+		run.end(Completed, Outcome{Reply: row.Reply})
+	default:
+		run.enter(Recorded)
+		run.end(Lost, failed(ProblemOutcomeUnknown, Unknown, time.Second,
+			"an earlier call with this key was begun and its outcome is not known"))
+	}
+}
+
+// dispatchOnce sends a claimed call. Another server is tried only after proof
+// that no byte of it was run.
+func (e *Executor) dispatchOnce(ctx context.Context, run *Run, r *Request) (upstream.Reply, error) {
+	var tried []string
+	for {
+		reply, target, err := e.send(ctx, run, r, tried)
+		if err == nil || !provesNotRun(err) {
+			return reply, err
+		}
+		if len(tried) >= e.settings.Attempts {
+			return reply, err
+		}
+		tried = append(tried, target)
+		run.enter(Claimed)
+	}
+}
+
+// send makes one attempt on one server of the service.
+func (e *Executor) send(ctx context.Context, run *Run, r *Request, tried []string) (upstream.Reply, string, error) {
+	choice, err := e.router.Pick(r, tried)
+	if err != nil {
+		return upstream.Reply{}, "", err
+	}
+	target := choice.Upstream()
+	began := time.Now()
+	reply, err := e.sendTo(ctx, run, r, target)
+	choice.Done(AttemptResult{Err: err, FirstToken: time.Since(began)})
+	return reply, target, err
+}
+
+func (e *Executor) sendTo(ctx context.Context, run *Run, r *Request, target string) (upstream.Reply, error) {
+	service, err := e.router.Service(target)
+	if err != nil {
+		return upstream.Reply{}, err
+	}
+	if !e.budgets.Alive() {
+		return upstream.Reply{}, &Problem{Name: ProblemDraining, RetryAfter: time.Second,
+			Detail: "this router was replaced while it was paused"}
+	}
+	if !run.dispatch(Hint{Upstream: target}) {
+		return upstream.Reply{}, &Problem{Name: ProblemDeadline, RetryAfter: time.Second, Detail: "the caller gave up"}
+	}
+	reply, err := service.Do(ctx, upstream.Call{
+		RequestID: r.Key.ID,
+		Method:    r.Call.Method,
+		Path:      r.Call.Path,
+		Body:      r.Call.Body,
+	})
+	return reply, eris.Wrapf(err, "call %s %s: upstream %s", r.Call.Method, r.Call.Path, target)
+}
+
+// endClaimed records how a claimed call ended, bills it and publishes it.
+func (e *Executor) endClaimed(run *Run, r *Request, row claimRow, reservation Reservation, reply upstream.Reply, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	var problem *Problem
+	switch {
+	case err == nil:
+		run.enter(Answered)
+		e.bill(run, r, reservation)
+		// The reply is published even when the row could not be written: the
+		// caller has its answer, and the row still bars a second run.
+		_ = e.claims.finish(ctx, r.Key, row, claimDone, &reply)
+		run.end(Completed, Outcome{Reply: &reply})
+	case errors.As(err, &problem), provesNotRun(err):
+		reservation.Release()
+		if problem == nil {
+			problem = &Problem{Name: ProblemUpstreamFailed, RetryAfter: time.Second, Detail: err.Error()}
+		}
+		problem.RunState = NotRun
+		_ = e.claims.finish(ctx, r.Key, row, claimFree, nil)
+		run.end(Refused, Outcome{Problem: problem})
+	default:
+		reservation.Lose(r.Ceiling(), budget.CauseFailed)
+		_ = e.claims.finish(ctx, r.Key, row, claimUnknown, nil)
+		run.end(Lost, failed(ProblemOutcomeUnknown, Unknown, 0, err.Error()))
+	}
+}
+
+// bill makes the bill of an answered call durable within BillWait, or leaves it
+// pending; either way it is accounted for before the answer goes out.
+func (e *Executor) bill(run *Run, r *Request, reservation Reservation) {
+	ctx, cancel := context.WithTimeout(context.Background(), e.settings.BillWait)
+	defer cancel()
+	if err := reservation.Bill(ctx, r.Call.Tokens); err != nil && !errors.Is(err, budget.ErrBillPending) {
+		reservation.Lose(r.Call.Tokens, budget.CauseFailed)
+	}
+	run.enter(Billed)
+}
+
+// revoke frees a claim that could not be decided in time and may still take
+// effect, so that a later ask with the key is not told "unknown" for a call that
+// never left this process.
+func (e *Executor) revoke(k Key, undecided claimRow) {
+	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Retention)
+	defer cancel()
+	e.claims.revoke(ctx, k, undecided)
+}
+
+// callRepeatable runs a call that may be tried again until it is answered.
+func (e *Executor) callRepeatable(ctx context.Context, run *Run, r *Request, reservation Reservation) {
+	var tried []string
+	mayHaveRun := false
+	for n := 1; ; n++ {
+		reply, target, err := e.send(ctx, run, r, tried)
+		if err == nil {
+			run.enter(Answered)
+			e.bill(run, r, reservation)
+			run.end(Completed, Outcome{Reply: &reply})
+			return
+		}
+		tried = append(tried, target)
+		mayHaveRun = mayHaveRun || run.State().MayHaveRun() && !provesNotRun(err)
+		if problem := e.mayRetry(ctx, r, n, err); problem != nil {
+			e.endRepeatable(run, r, reservation, *problem, mayHaveRun)
+			return
+		}
+		run.again(mayHaveRun)
+	}
+}
+
+// endRepeatable ends a repeatable call that no server answered. A call that may
+// have run counts its price as lost, once: servers are not paid by attempt.
+func (e *Executor) endRepeatable(run *Run, r *Request, reservation Reservation, p Problem, mayHaveRun bool) {
+	if mayHaveRun {
+		reservation.Lose(r.Ceiling(), budget.CauseFailed)
+		reservation = nil
+	}
+	giveUp(run, reservation, p, mayHaveRun)
+}
--- /dev/null
+++ b/request/executor.go
@@ -0,0 +1,228 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"buckthornridge/platform"
+)
+
+// Settings bounds what the executor waits for and keeps.
+type Settings struct {
+	// Retention is how long the outcome of an ended run is kept for retries.
+	Retention time.Duration
+	// RetainedBytes bounds the answers kept after their end; the oldest go first.
+	RetainedBytes int
+	// DesertedGrace is how long a run whose callers all left goes on, if its
+	// caller chose the key and so can come back; without one it ends at once.
+	DesertedGrace time.Duration
+	// StallLimit is the longest gap between tokens before an attempt is given up.
+	StallLimit time.Duration
+	// FirstTokenLimit is the longest wait for the first token of an attempt.
+	FirstTokenLimit time.Duration
+	// BillWait bounds how long a whole answer waits for its bill to be durable.
+	BillWait time.Duration
+	// ServiceWait is how long a plain service's answer is awaited after its
+	// caller's deadline, so that a later ask can learn the outcome.
+	ServiceWait time.Duration
+	// Attempts bounds the attempts of one request.
+	Attempts int
+}
+
+// DefaultSettings returns the settings that the operators' page documents.
+func DefaultSettings() Settings {
+	return Settings{
+		Retention:       2 * time.Minute,
+		RetainedBytes:   256 << 20,
+		DesertedGrace:   5 * time.Second,
+		StallLimit:      3 * time.Second,
+		FirstTokenLimit: 5 * time.Second,
+		BillWait:        2 * time.Second,
+		ServiceWait:     30 * time.Second,
+		Attempts:        3,
+	}
+}
+
+// Executor runs requests on this router, each key once.
+type Executor struct {
+	holder    string // this process's incarnation
+	settings  Settings
+	admission Admission
+	budgets   Budgets
+	router    Router
+	claims    *claims
+
+	mu       sync.Mutex
+	runs     map[Key]*Run
+	retained []*Run // ended runs, oldest first
+	bytes    int    // of the retained answers
+	active   int
+	draining bool
+	idle     chan struct{} // closed when draining and nothing is active
+}
+
+// NewExecutor returns an executor for the process with this incarnation.
+func NewExecutor(holder string, s Settings, a Admission, b Budgets, r Router, t platform.Table) *Executor {
+	return &Executor{
+		holder:    holder,
+		settings:  s,
+		admission: a,
+		budgets:   b,
+		router:    r,
+		claims:    newClaims(holder, t),
+		runs:      map[Key]*Run{},
+		idle:      make(chan struct{}),
+	}
+}
+
+// Do runs the request or joins the run that its key already has, and passes
+// every update to emit. The returned error is the context's or emit's own; how
+// the request itself ended is in the outcome.
+func (e *Executor) Do(ctx context.Context, r *Request, emit func(Update) error) (Outcome, error) {
+	run, begun, problem := e.find(r)
+	if problem != nil {
+		return Outcome{Problem: problem}, nil
+	}
+	if begun {
+		go e.execute(run, r)
+	}
+	outcome, err := run.Follow(ctx, emit)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return givenUp(run), nil
+	}
+	return outcome, err
+}
+
+// givenUp is the final answer at a caller's deadline, sent at once. "Not run" is
+// said only after the run was barred from being dispatched; a run that goes on
+// may be joined again with the same key.
+func givenUp(run *Run) Outcome {
+	if run.abandon() {
+		return failed(ProblemDeadline, NotRun, time.Second, "the deadline passed before the request was dispatched")
+	}
+	return failed(ProblemDeadline, Unknown, time.Second, "the deadline passed while the request ran")
+}
+
+// find returns the key's run, and whether it is new and must be executed.
+func (e *Executor) find(r *Request) (run *Run, begun bool, problem *Problem) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if run := e.runs[r.Key]; run != nil && !e.restartable(run) {
+		if run.digest != r.Digest {
+			return nil, false, &Problem{
+				Name: ProblemKeyReused, RunState: NotRun,
+				Detail: "this idempotency key was used for a request with other content",
+			}
+		}
+		return run, false, nil
+	}
+	if e.draining {
+		return nil, false, &Problem{
+			Name: ProblemDraining, RunState: NotRun, RetryAfter: time.Second,
+			Detail: "this router is stopping; another one will serve the request",
+		}
+	}
+	run = newRun(r.Key, r.Digest)
+	e.runs[r.Key] = run
+	e.active++
+	return run, true, nil
+}
+
+// restartable reports whether a run ended without running, so that the next ask
+// with its key starts afresh instead of repeating an old refusal.
+func (e *Executor) restartable(run *Run) bool {
+	return run.State() == Refused || run.isAbandoned()
+}
+
+// execute takes a run to its end and accounts for it.
+func (e *Executor) execute(run *Run, r *Request) {
+	ctx, cancel := context.WithTimeout(context.Background(), e.runLimit(r))
+	defer cancel()
+	if r.Call != nil {
+		e.call(ctx, run, r)
+	} else {
+		e.generate(ctx, run, r)
+	}
+	e.retire(run)
+}
+
+// runLimit is how long a run may take: a model's work ends with its caller's
+// deadline, a plain service's answer is awaited longer.
+func (e *Executor) runLimit(r *Request) time.Duration {
+	if r.Call != nil {
+		return r.Timeout + e.settings.ServiceWait
+	}
+	return r.Timeout
+}
+
+// retire keeps an ended run for retries within the bounds on time and bytes.
+func (e *Executor) retire(run *Run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.active--
+	if e.draining && e.active == 0 {
+		close(e.idle)
+	}
+	if run.State() == Refused {
+		e.drop(run)
+		return
+	}
+	e.retained = append(e.retained, run)
+	e.bytes += run.size()
+	e.sweep(time.Now())
+}
+
+// sweep forgets the oldest ended runs until the bounds hold.
+func (e *Executor) sweep(now time.Time) {
+	for len(e.retained) > 0 {
+		oldest := e.retained[0]
+		if !oldest.expired(now, e.settings.Retention) && e.bytes <= e.settings.RetainedBytes {
+			return
+		}
+		e.bytes -= oldest.size()
+		e.retained[0] = nil
+		e.retained = e.retained[1:]
+		e.drop(oldest)
+	}
+}
+
+// drop removes a run unless its key has a newer one.
+func (e *Executor) drop(run *Run) {
+	if e.runs[run.key] == run {
+		delete(e.runs, run.key)
+	}
+}
+
+// Sweep forgets expired outcomes; the owner calls it from time to time.
+func (e *Executor) Sweep() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sweep(time.Now())
+}
+
+// Active returns how many runs are in progress.
+func (e *Executor) Active() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.active
+}
+
+// Drain refuses new runs and waits for those in progress.
+func (e *Executor) Drain(ctx context.Context) error {
+	e.mu.Lock()
+	if !e.draining {
+		e.draining = true
+		if e.active == 0 {
+			close(e.idle)
+		}
+	}
+	e.mu.Unlock()
+	select {
+	case <-e.idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/request/generate.go
@@ -0,0 +1,376 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/budget"
+	"buckthornridge/upstream"
+)
+
+// cancelTimeout bounds the order to an engine to stop an abandoned stream.
+const cancelTimeout = time.Second
+
+// resumeTries is how often a broken stream is resumed before another attempt.
+const resumeTries = 2
+
+// errDeserted ends an attempt whose callers all left.
+var errDeserted = eris.New("request: every caller left")
+
+// errStalled ends an attempt that brought no token for too long.
+var errStalled = eris.New("request: the engine sent no token for too long")
+
+// generate runs model work: admission, reservation, attempts, bill.
+func (e *Executor) generate(ctx context.Context, run *Run, r *Request) {
+	release, err := e.admission.Admit(ctx, r)
+	if err != nil {
+		run.end(Refused, refusal(err))
+		return
+	}
+	defer release()
+	run.enter(Admitted)
+	reservation, err := e.budgets.Reserve(ctx, r)
+	if err != nil {
+		run.end(Refused, refusal(err))
+		return
+	}
+	run.enter(Reserved)
+	e.attempts(ctx, run, r, reservation)
+}
+
+// attempts dispatches until an answer is whole or no attempt may follow. Each
+// attempt is covered by a reservation of its own: what an abandoned one may
+// have consumed stays accounted for as lost.
+func (e *Executor) attempts(ctx context.Context, run *Run, r *Request, reservation Reservation) {
+	var tried []string
+	mayHaveRun := false
+	for n := 1; ; n++ {
+		a := &attempt{executor: e, run: run, request: r, number: n, reservation: reservation}
+		usage, err := a.do(ctx, tried)
+		if err == nil {
+			run.enter(Answered)
+			e.complete(run, reservation, Outcome{Usage: usage}, usage.PromptTokens+usage.OutputTokens)
+			return
+		}
+		tried = append(tried, a.target)
+		if a.ran {
+			mayHaveRun = true
+			reservation = nil
+			if a.settle(err) {
+				run.end(Failed, failed(ProblemCanceled, Ran, 0, "every caller left"))
+				return
+			}
+		}
+		if problem := e.mayRetry(ctx, r, n, err); problem != nil {
+			giveUp(run, reservation, *problem, mayHaveRun)
+			return
+		}
+		run.again(mayHaveRun)
+		if reservation != nil {
+			continue
+		}
+		if reservation, err = e.budgets.Reserve(ctx, r); err != nil {
+			giveUp(run, nil, *refusal(err).Problem, mayHaveRun)
+			return
+		}
+	}
+}
+
+// mayRetry returns the problem that ends the request, or nil for one more try.
+func (e *Executor) mayRetry(ctx context.Context, r *Request, n int, cause error) *Problem {
+	var problem *Problem
+	switch {
+	case errors.As(cause, &problem):
+		return problem
+	case ctx.Err() != nil:
+		return &Problem{Name: ProblemDeadline, RetryAfter: time.Second, Detail: "the deadline passed"}
+	case n >= e.settings.Attempts:
+		return &Problem{Name: ProblemUpstreamFailed, RetryAfter: time.Second, Detail: cause.Error()}
+	case !e.router.Retry(r):
+		return &Problem{Name: ProblemOverloaded, RetryAfter: 2 * time.Second, Detail: "retries are used up: " + cause.Error()}
+	}
+	return nil
+}
+
+// complete bills a whole answer and publishes it. The last word to callers goes
+// out after the bill is durable, so a crash leaves no complete answer unbilled.
+// While the table does not answer, BillWait bounds the wait; the bill is then
+// pending in the journal's queue and covered by the holder's exposure.
+func (e *Executor) complete(run *Run, reservation Reservation, outcome Outcome, tokens int64) {
+	ctx, cancel := context.WithTimeout(context.Background(), e.settings.BillWait)
+	defer cancel()
+	if err := reservation.Bill(ctx, tokens); err != nil && !errors.Is(err, budget.ErrBillPending) {
+		run.end(Failed, failed(ProblemUpstreamFailed, Ran, 0, "the answer could not be billed: "+err.Error()))
+		return
+	}
+	run.enter(Billed)
+	run.end(Completed, outcome)
+}
+
+// attempt is one try on one engine.
+type attempt struct {
+	executor    *Executor
+	run         *Run
+	request     *Request
+	number      int
+	reservation Reservation
+
+	target   string // the engine's upstream id
+	streamID string
+	ran      bool  // a byte may have reached the engine
+	read     int64 // tokens received in this attempt
+	prompt   int64 // prompt tokens, once the engine said
+}
+
+// do dispatches to one engine and reads the answer into the run.
+func (a *attempt) do(ctx context.Context, tried []string) (upstream.Usage, error) {
+	if a.number == 1 && a.request.Hint != nil {
+		if usage, adopted, err := a.adopt(ctx, *a.request.Hint); adopted {
+			return usage, err
+		}
+	}
+	choice, err := a.executor.router.Pick(a.request, tried)
+	if err != nil {
+		return upstream.Usage{}, err
+	}
+	a.target = choice.Upstream()
+	result := AttemptResult{}
+	usage, err := a.start(ctx, &result)
+	result.Err, result.Usage = err, usage
+	choice.Done(result)
+	return usage, err
+}
+
+// start opens a stream of its own on the target and reads it.
+func (a *attempt) start(ctx context.Context, result *AttemptResult) (upstream.Usage, error) {
+	engine, err := a.executor.router.Engine(a.target)
+	if err != nil {
+		return upstream.Usage{}, err
+	}
+	a.streamID = fmt.Sprintf("%s/%s/%s.%d", a.request.Key.Workspace, a.request.Key.ID, a.executor.holder, a.number)
+	if problem := a.dispatch(); problem != nil {
+		return upstream.Usage{}, problem
+	}
+	w := newWatch(ctx, a.executor.settings)
+	defer w.stop()
+	g := a.request.Generate
+	stream, err := engine.Generate(w.ctx, upstream.Generate{
+		StreamID:  a.streamID,
+		Model:     g.Model,
+		Adapter:   g.Adapter,
+		Prompt:    g.Prompt,
+		MaxTokens: g.MaxTokens,
+		Priority:  g.Priority,
+	})
+	a.ran = !provesNotRun(err)
+	if err != nil {
+		return upstream.Usage{}, w.explain(err)
+	}
+	return a.follow(w, engine, stream, result)
+}
+
+// adopt takes over the stream that an earlier router left on an engine, from its
+// start, so that this router has the whole answer for every caller that may ask.
+// adopted is false if there is no such stream to be had; then nothing was done.
+func (a *attempt) adopt(ctx context.Context, h Hint) (usage upstream.Usage, adopted bool, err error) {
+	engine, err := a.executor.router.Engine(h.Upstream)
+	if err != nil {
+		return usage, false, err
+	}
+	w := newWatch(ctx, a.executor.settings)
+	defer w.stop()
+	stream, err := engine.Resume(w.ctx, h.StreamID, 0)
+	if err != nil {
+		return usage, false, err
+	}
+	a.target, a.streamID, a.ran = h.Upstream, h.StreamID, true
+	if problem := a.dispatch(); problem != nil {
+		stream.Close()
+		return usage, true, problem
+	}
+	usage, err = a.follow(w, engine, stream, &AttemptResult{})
+	return usage, true, err
+}
+
+// dispatch marks the run as possibly running before the first byte is sent.
+// It refuses when this process may no longer spend its grants, or when the run
+// was given up.
+func (a *attempt) dispatch() error {
+	if !a.executor.budgets.Alive() {
+		return &Problem{Name: ProblemDraining, RetryAfter: time.Second,
+			Detail: "this router was replaced while it was paused"}
+	}
+	if !a.run.dispatch(Hint{Upstream: a.target, StreamID: a.streamID}) {
+		return &Problem{Name: ProblemDeadline, RetryAfter: time.Second, Detail: "the caller gave up"}
+	}
+	return nil
+}
+
+// follow reads a stream to its end, resuming it where it breaks.
+func (a *attempt) follow(w *watch, engine upstream.Engine, stream upstream.Stream, result *AttemptResult) (upstream.Usage, error) {
+	began := time.Now()
+	for {
+		usage, err := a.readStream(w, stream, began, result)
+		if err == io.EOF {
+			return usage, nil
+		}
+		if stream, err = a.resume(w, engine, err); err != nil {
+			return upstream.Usage{}, w.explain(err)
+		}
+	}
+}
+
+// readStream reads a stream to its end or first error.
+func (a *attempt) readStream(w *watch, stream upstream.Stream, began time.Time, result *AttemptResult) (upstream.Usage, error) {
+	defer stream.Close()
+	for {
+		token, err := stream.Next()
+		if err == io.EOF {
+			return a.checkUsage(stream.Usage()), io.EOF
+		}
+		if err != nil {
+			a.prompt = max(a.prompt, stream.Usage().PromptTokens)
+			return upstream.Usage{}, err
+		}
+		if result.FirstToken == 0 {
+			result.FirstToken = time.Since(began)
+		}
+		w.progress()
+		if err := a.accept(token); err != nil {
+			return upstream.Usage{}, err
+		}
+		if a.run.deserted(a.grace()) {
+			return upstream.Usage{}, errDeserted
+		}
+	}
+}
+
+// accept adds a token to the run. A later attempt replays the answer from its
+// start: tokens that callers already have must come again as they were, or the
+// answer would be of two pieces that do not belong together.
+func (a *attempt) accept(token upstream.Token) error {
+	if token.Position != a.read {
+		return eris.Wrapf(upstream.ErrProtocol, "token %d where %d was due", token.Position, a.read)
+	}
+	a.read++
+	if token.Position == a.run.position() {
+		a.run.add(token.Text)
+		return nil
+	}
+	if a.run.tokenAt(token.Position) != token.Text {
+		return &Problem{Name: ProblemUpstreamFailed, RunState: Ran,
+			Detail: "another attempt gave a different answer after part of the first was sent"}
+	}
+	return nil
+}
+
+// checkUsage keeps a wrong report from billing more than the ceiling or fewer
+// tokens than were received.
+func (a *attempt) checkUsage(u upstream.Usage) upstream.Usage {
+	u.OutputTokens = a.read
+	u.PromptTokens = min(max(u.PromptTokens, 0), int64(len(a.request.Generate.Prompt)))
+	return u
+}
+
+// grace is how long the run goes on for callers that left: only those who chose
+// their key can come back for it.
+func (a *attempt) grace() time.Duration {
+	if a.request.CallerKey {
+		return a.executor.settings.DesertedGrace
+	}
+	return 0
+}
+
+// resume continues a broken stream where it stopped, if the cause allows.
+func (a *attempt) resume(w *watch, engine upstream.Engine, cause error) (upstream.Stream, error) {
+	if !errors.Is(cause, upstream.ErrBroken) || w.ctx.Err() != nil {
+		return nil, cause
+	}
+	for range resumeTries {
+		stream, err := engine.Resume(w.ctx, a.streamID, a.read)
+		if err == nil {
+			return stream, nil
+		}
+	}
+	return nil, cause
+}
+
+// settle stops a failed attempt that may have run and accounts for it. It
+// reports whether the request ends here because every caller left.
+func (a *attempt) settle(cause error) (left bool) {
+	consumed := a.stop()
+	if !errors.Is(cause, errDeserted) {
+		a.reservation.Lose(consumed, budget.CauseAbandoned)
+		return false
+	}
+	// The callers chose to leave: what was generated for them is billed.
+	ctx, cancel := context.WithTimeout(context.Background(), a.executor.settings.BillWait)
+	defer cancel()
+	if err := a.reservation.Bill(ctx, consumed); err != nil && !errors.Is(err, budget.ErrBillPending) {
+		a.reservation.Lose(consumed, budget.CauseAbandoned)
+	}
+	return true
+}
+
+// stop cancels the engine's stream and returns what the attempt consumed: the
+// tokens read and the prompt if the engine confirmed, the whole ceiling if it
+// may still be generating.
+func (a *attempt) stop() int64 {
+	ceiling := a.request.Ceiling()
+	engine, err := a.executor.router.Engine(a.target)
+	if err != nil {
+		return ceiling
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	if err := engine.Cancel(ctx, a.streamID); err != nil && !errors.Is(err, upstream.ErrNoStream) {
+		return ceiling
+	}
+	prompt := a.prompt
+	if prompt == 0 {
+		prompt = int64(len(a.request.Generate.Prompt))
+	}
+	return min(ceiling, prompt+a.read)
+}
+
+// giveUp ends a run after its last attempt. A reservation that is left covers
+// nothing: the attempt that held it did not run.
+func giveUp(run *Run, unused Reservation, p Problem, mayHaveRun bool) {
+	if unused != nil {
+		unused.Release()
+	}
+	if mayHaveRun {
+		p.RunState = Ran
+		run.end(Failed, Outcome{Problem: &p})
+		return
+	}
+	p.RunState = NotRun
+	run.end(Refused, Outcome{Problem: &p})
+}
+
+// provesNotRun reports whether an error shows that the upstream ran nothing.
+func provesNotRun(err error) bool {
+	return err != nil && (errors.Is(err, upstream.ErrNotSent) || errors.Is(err, upstream.ErrRefused))
+}
+
+// refusal turns an error before dispatch into an outcome; "not run" is true.
+func refusal(err error) Outcome {
+	var problem *Problem
+	var refused *budget.Refusal
+	switch {
+	case errors.As(err, &problem):
+		return Outcome{Problem: problem}
+	case errors.As(err, &refused) && refused.Certain:
+		return failed(ProblemBudgetExhausted, NotRun, refused.RetryAfter, refused.Error())
+	case errors.As(err, &refused):
+		return failed(ProblemPlatformUnavailable, NotRun, refused.RetryAfter, refused.Error())
+	case errors.Is(err, context.DeadlineExceeded):
+		return failed(ProblemDeadline, NotRun, time.Second, "the deadline passed before dispatch")
+	}
+	return failed(ProblemPlatformUnavailable, NotRun, time.Second, err.Error())
+}
--- /dev/null
+++ b/request/home.go
@@ -0,0 +1,57 @@
+package request
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"buckthornridge/membership"
+)
+
+// busyHomes is over how many routers of a region the requests of a busy budget
+// are spread.
+const busyHomes = 4
+
+// RoleRouter is the role of routers in the membership view.
+const RoleRouter = "router"
+
+// Homes ranks the routers of a region for a request by rendezvous hashing, the
+// best first. Requests of one budget meet at one router, so that it alone needs
+// a grant, and so do the retries of one request, so that they find its run.
+// Affinity only makes things fast: any router may run any request.
+func Homes(v *membership.View, region string, r *Request, busy bool) []membership.Member {
+	place := homeKey(r, busy)
+	type ranked struct {
+		member membership.Member
+		score  uint64
+	}
+	var all []ranked
+	for _, m := range v.Members {
+		if m.Role != RoleRouter || m.Region != region || m.State > membership.Suspected {
+			continue
+		}
+		all = append(all, ranked{member: m, score: xxhash.Sum64String(place + "|" + m.ID)})
+	}
+	slices.SortFunc(all, func(a, b ranked) int {
+		return cmp.Or(
+			cmp.Compare(a.member.State, b.member.State),
+			cmp.Compare(b.score, a.score),
+			cmp.Compare(a.member.ID, b.member.ID),
+		)
+	})
+	homes := make([]membership.Member, len(all))
+	for i, candidate := range all {
+		homes[i] = candidate.member
+	}
+	return homes
+}
+
+func homeKey(r *Request, busy bool) string {
+	budget := r.BudgetID().String()
+	if !busy {
+		return budget
+	}
+	return fmt.Sprintf("%s#%d", budget, xxhash.Sum64String(r.Key.ID)%busyHomes)
+}
--- /dev/null
+++ b/request/run.go
@@ -0,0 +1,240 @@
+package request
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Run is one execution of a request on this router. Any number of callers
+// follow it from the first token on; its goroutine alone advances it.
+type Run struct {
+	key    Key
+	digest Digest
+
+	mu        sync.Mutex
+	state     State
+	tokens    []string // by position; append-only, so readers may share it
+	bytes     int
+	hint      Hint
+	outcome   *Outcome
+	endedAt   time.Time
+	followers map[*follower]struct{}
+	leftAt    time.Time // when the last follower left
+	abandoned bool      // given up before dispatch: must not be dispatched
+}
+
+// follower is woken when the run changed; the signal is merged.
+type follower struct{ wake chan struct{} }
+
+// Update is what a follower learns: the next token, or where the stream runs.
+type Update struct {
+	Position int64  `msgpack:"p"`
+	Text     string `msgpack:"t"`
+	Hint     *Hint  `msgpack:"h"`
+}
+
+func newRun(key Key, digest Digest) *Run {
+	return &Run{
+		key:       key,
+		digest:    digest,
+		followers: map[*follower]struct{}{},
+		leftAt:    time.Now(),
+	}
+}
+
+// State returns where the run stands.
+func (r *Run) State() State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state
+}
+
+// enter moves the run to a state.
+func (r *Run) enter(to State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	mustAllow(r.state, to)
+	r.state = to
+}
+
+// position returns the position of the next token.
+func (r *Run) position() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return int64(len(r.tokens))
+}
+
+// tokenAt returns the token at a position that the run already has.
+func (r *Run) tokenAt(position int64) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tokens[position]
+}
+
+// add appends a token and wakes the followers.
+func (r *Run) add(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tokens = append(r.tokens, text)
+	r.bytes += len(text)
+	r.wakeAll()
+}
+
+// dispatch moves the run to Dispatched, before the first byte is sent, and
+// publishes where it runs. It returns false for a run that was abandoned.
+func (r *Run) dispatch(h Hint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.abandoned {
+		return false
+	}
+	mustAllow(r.state, Dispatched)
+	r.state = Dispatched
+	r.hint = h
+	r.wakeAll()
+	return true
+}
+
+// again prepares another attempt after one that ended without an answer.
+func (r *Run) again(mayHaveRun bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	to := Reserved
+	if mayHaveRun {
+		to = Retrying
+	}
+	if r.state == to {
+		return // the attempt ended before dispatch
+	}
+	mustAllow(r.state, to)
+	r.state = to
+}
+
+// abandon gives the run up if it was not dispatched and no one else follows it.
+// After true, "not run" is true and stays true: dispatch refuses the run.
+func (r *Run) abandon() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.state.MayHaveRun() || len(r.followers) > 0 {
+		return false
+	}
+	r.abandoned = true
+	return true
+}
+
+// isAbandoned reports whether abandon gave the run up.
+func (r *Run) isAbandoned() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.abandoned
+}
+
+// end publishes the outcome.
+func (r *Run) end(state State, outcome Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	mustAllow(r.state, state)
+	r.state = state
+	r.outcome = &outcome
+	r.endedAt = time.Now()
+	if outcome.Reply != nil {
+		r.bytes += len(outcome.Reply.Body)
+	}
+	r.wakeAll()
+}
+
+func (r *Run) wakeAll() {
+	for f := range r.followers {
+		select {
+		case f.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Follow passes every update from the first token on to emit and returns the
+// outcome. It ends early with the context's or emit's error; the run goes on.
+func (r *Run) Follow(ctx context.Context, emit func(Update) error) (Outcome, error) {
+	f := r.join()
+	defer r.leave(f)
+	var seen seen
+	for {
+		batch, hint, outcome := r.since(&seen)
+		if hint != nil {
+			if err := emit(Update{Hint: hint, Position: seen.position - int64(len(batch))}); err != nil {
+				return Outcome{}, err
+			}
+		}
+		for i, text := range batch {
+			position := seen.position - int64(len(batch)-i)
+			if err := emit(Update{Position: position, Text: text}); err != nil {
+				return Outcome{}, err
+			}
+		}
+		if outcome != nil {
+			return *outcome, nil
+		}
+		select {
+		case <-f.wake:
+		case <-ctx.Done():
+			return Outcome{}, ctx.Err()
+		}
+	}
+}
+
+// seen is how far a follower has come.
+type seen struct {
+	position int64
+	hint     Hint
+}
+
+// since returns what is new and moves the follower forward.
+func (r *Run) since(s *seen) (batch []string, hint *Hint, outcome *Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.hint != s.hint {
+		s.hint = r.hint
+		now := r.hint
+		hint = &now
+	}
+	batch = r.tokens[s.position:]
+	s.position = int64(len(r.tokens))
+	return batch, hint, r.outcome
+}
+
+func (r *Run) join() *follower {
+	f := &follower{wake: make(chan struct{}, 1)}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.followers[f] = struct{}{}
+	return f
+}
+
+func (r *Run) leave(f *follower) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.followers, f)
+	r.leftAt = time.Now()
+}
+
+// deserted reports whether no caller has followed the run for the grace.
+func (r *Run) deserted(grace time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.followers) == 0 && time.Since(r.leftAt) >= grace
+}
+
+// expired reports whether an ended run is older than the retention.
+func (r *Run) expired(now time.Time, retention time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state.Ended() && now.Sub(r.endedAt) >= retention
+}
+
+// size returns the bytes of the answer that the run keeps.
+func (r *Run) size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.bytes
+}
