Routing and admission: first version of the decisions

Cause: the router needs the shape of both packages to build on: a Table of live knowledge about upstreams, a Router that picks by a policy module, and a Controller that admits, queues fairly or refuses.

Choices: a load report is stored with what this router itself had at the engine when the report was true, so that other routers' part can be told from its own; a leaving upstream stays out until a report that was true later denies it; an ejected one comes back by a probe, never by time alone; retries are a share of first attempts and not of time.

--- /dev/null
+++ b/admission/controller.go
@@ -0,0 +1,147 @@
+package admission
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"buckthornridge/config"
+	"buckthornridge/kernel"
+	"buckthornridge/routing"
+)
+
+// Defaults and bounds.
+const (
+	defaultQueuePerWorkspace = 64
+	// defaultHold is how long a request is assumed to keep its place before
+	// any was seen to end.
+	defaultHold = 2 * time.Second
+	// recheck is how often a pool with waiting requests looks for room that
+	// nobody told it about, such as other routers' work that ended.
+	recheck       = 25 * time.Millisecond
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+	explains      = 4096
+)
+
+// Controller admits requests. It is safe for concurrent use.
+type Controller struct {
+	capacity Capacity
+	snapshot atomic.Pointer[config.Snapshot]
+	policy   string
+	pools    sync.Map // routing.Target to *pool
+	explain  *routing.Ring[Record]
+}
+
+// NewController returns a controller that queues by the named policy module, or
+// by DefaultPolicy for an empty name.
+func NewController(capacity Capacity, policy string) (*Controller, error) {
+	if policy == "" {
+		policy = DefaultPolicy
+	}
+	if _, err := kernel.New[Queue](Namespace, policy); err != nil {
+		return nil, err
+	}
+	c := &Controller{capacity: capacity, policy: policy, explain: routing.NewRing[Record](explains)}
+	c.snapshot.Store(&config.Snapshot{})
+	return c, nil
+}
+
+// Update takes the kinds, shares and bounds of a snapshot.
+func (c *Controller) Update(snapshot *config.Snapshot) { c.snapshot.Store(snapshot) }
+
+// Explain returns the kept decisions about a request, newest first.
+func (c *Controller) Explain(requestID string) []*Record {
+	return c.explain.Find(func(r *Record) bool { return r.RequestID == requestID })
+}
+
+// Wake looks for requests that can go now. Callers tell it that a target may
+// have got room.
+func (c *Controller) Wake(target routing.Target) {
+	if known, ok := c.pools.Load(target); ok {
+		known.(*pool).dispatch()
+	}
+}
+
+// Waiting returns how many requests wait for the target.
+func (c *Controller) Waiting(target routing.Target) int {
+	if known, ok := c.pools.Load(target); ok {
+		p := known.(*pool)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.queue.len()
+	}
+	return 0
+}
+
+// Admit waits until the request may be dispatched. The caller must call release
+// once, when the request no longer uses an upstream. The error is a *Refusal,
+// or the context's error.
+func (c *Controller) Admit(ctx context.Context, request Request) (release func(), err error) {
+	snapshot := c.snapshot.Load()
+	priority := snapshot.Kinds[request.Kind].Priority
+	share := snapshot.Workspaces[request.Workspace].Share
+	if share <= 0 {
+		share = 1
+	}
+	p := c.pool(request.target())
+	record := &Record{
+		RequestID: request.ID, At: time.Now(), Workspace: request.Workspace,
+		Kind: request.Kind, Priority: priority,
+	}
+	t := &ticket{
+		workspace: request.Workspace, priority: priority, cost: request.cost(),
+		deadline: request.Deadline, expect: c.capacity.Expect(request.routing(priority)),
+		answer: make(chan error, 1),
+	}
+	record.FirstToken = t.expect
+	err = p.enter(t, share, queueBound(snapshot), record)
+	if err == nil {
+		err = p.await(ctx, t)
+	}
+	c.note(record, err)
+	if err != nil {
+		return nil, err
+	}
+	var once sync.Once
+	return func() { once.Do(func() { p.release() }) }, nil
+}
+
+func queueBound(s *config.Snapshot) int {
+	if s.Policy.Load.QueuePerWorkspace > 0 {
+		return s.Policy.Load.QueuePerWorkspace
+	}
+	return defaultQueuePerWorkspace
+}
+
+func (c *Controller) note(record *Record, err error) {
+	record.Waited = time.Since(record.At)
+	record.Admitted = err == nil
+	if refusal, ok := err.(*Refusal); ok {
+		record.Cause = refusal.Cause
+		record.RetryAfter = refusal.RetryAfter
+	}
+	c.explain.Add(record)
+}
+
+func (c *Controller) pool(target routing.Target) *pool {
+	if known, ok := c.pools.Load(target); ok {
+		return known.(*pool)
+	}
+	queue, err := kernel.New[Queue](Namespace, c.policy)
+	if err != nil {
+		panic(err) // NewController constructed one
+	}
+	fresh := &pool{target: target, capacity: c.capacity, queue: queue, granted: map[int]*rate{}}
+	kept, _ := c.pools.LoadOrStore(target, fresh)
+	return kept.(*pool)
+}
+
+// spread returns d times a random factor from 0.75 to 1.5, within the bounds of
+// a Retry-After.
+func spread(d time.Duration) time.Duration {
+	d = min(max(d, minRetryAfter), maxRetryAfter)
+	return time.Duration(float64(d) * (0.75 + 0.75*rand.Float64()))
+}
--- /dev/null
+++ b/admission/fair.go
@@ -0,0 +1,209 @@
+package admission
+
+import (
+	"container/heap"
+	"slices"
+
+	"buckthornridge/kernel"
+)
+
+// Namespace is the kernel namespace of admission policies.
+const Namespace = "admission.policy"
+
+// DefaultPolicy is the policy used when the configuration names none.
+const DefaultPolicy = "fair_priority"
+
+func init() {
+	kernel.Register(Namespace+".fair_priority", func() any { return newFairPriority() })
+	kernel.Register(Namespace+".fifo", func() any { return newFIFO() })
+}
+
+const (
+	// burst is the service that a workspace may get ahead of its share before
+	// its requests lose their priority, in tokens per unit of share.
+	burst = 2000
+	// keptFlows bounds the idle flows that are remembered.
+	keptFlows = 1024
+)
+
+// fairPriority serves the most urgent kind first among the workspaces within
+// their share; a workspace ahead of its share comes after all of them. Strict
+// priority alone would let one workspace's many captions starve every other's
+// briefs; fair shares alone would put a caption behind another's brief.
+type fairPriority struct {
+	flows      map[string]*flow
+	levels     map[int]*level
+	priorities []int // sorted keys of levels
+	// virtual rises as service is given, at the pace of one unit of share.
+	virtual     float64
+	activeShare float64 // of the flows with waiting requests
+	tickets     int
+}
+
+func newFairPriority() *fairPriority {
+	return &fairPriority{flows: map[string]*flow{}, levels: map[int]*level{}}
+}
+
+func (q *fairPriority) level(priority int) *level {
+	if l := q.levels[priority]; l != nil {
+		return l
+	}
+	q.levels[priority] = &level{}
+	at, _ := slices.BinarySearch(q.priorities, priority)
+	q.priorities = slices.Insert(q.priorities, at, priority)
+	return q.levels[priority]
+}
+
+func (q *fairPriority) flow(workspace string, share float64) *flow {
+	f := q.flows[workspace]
+	if f == nil {
+		q.forgetIdle()
+		f = &flow{workspace: workspace, levels: map[int]*levelFlow{}, tag: q.virtual}
+		q.flows[workspace] = f
+	}
+	if f.waiting == 0 {
+		f.share = share
+	}
+	return f
+}
+
+// forgetIdle drops the flows that hold nothing and owe nothing.
+func (q *fairPriority) forgetIdle() {
+	if len(q.flows) < keptFlows {
+		return
+	}
+	for workspace, f := range q.flows {
+		if f.waiting == 0 && f.tag <= q.virtual {
+			delete(q.flows, workspace)
+		}
+	}
+}
+
+func (q *fairPriority) push(t *ticket, share float64) {
+	f := q.flow(t.workspace, share)
+	if f.waiting == 0 {
+		f.tag = max(f.tag, q.virtual)
+		q.activeShare += f.share
+	}
+	lf := f.levels[t.priority]
+	if lf == nil {
+		lf = &levelFlow{flow: f, index: -1}
+		f.levels[t.priority] = lf
+	}
+	t.place = lf.tickets.PushBack(t)
+	l := q.level(t.priority)
+	if lf.index < 0 {
+		heap.Push(l, lf)
+	}
+	l.tickets++
+	f.waiting++
+	q.tickets++
+}
+
+func (q *fairPriority) pop() *ticket {
+	lf := q.next()
+	if lf == nil {
+		return nil
+	}
+	t := lf.tickets.Front().Value.(*ticket)
+	q.remove(t)
+	return t
+}
+
+// next returns the flow whose turn it is.
+func (q *fairPriority) next() *levelFlow {
+	var urgent *levelFlow
+	for _, priority := range q.priorities {
+		l := q.levels[priority]
+		if len(l.flows) == 0 {
+			continue
+		}
+		first := l.flows[0]
+		if first.flow.tag <= q.virtual+burst {
+			return first
+		}
+		if urgent == nil || first.flow.tag < urgent.flow.tag {
+			urgent = first
+		}
+	}
+	return urgent
+}
+
+func (q *fairPriority) remove(t *ticket) {
+	if t.place == nil {
+		return
+	}
+	f := q.flows[t.workspace]
+	lf := f.levels[t.priority]
+	lf.tickets.Remove(t.place)
+	t.place = nil
+	l := q.levels[t.priority]
+	l.tickets--
+	if lf.tickets.Len() == 0 {
+		l.drop(lf)
+	}
+	f.waiting--
+	q.tickets--
+	if f.waiting == 0 {
+		q.activeShare -= f.share
+	}
+}
+
+func (q *fairPriority) served(workspace string, share, cost float64) {
+	f := q.flow(workspace, share)
+	f.tag = max(f.tag, q.virtual) + cost/f.share
+	for priority, lf := range f.levels {
+		q.levels[priority].fix(lf)
+	}
+	active := q.activeShare
+	if f.waiting == 0 {
+		active += f.share
+	}
+	q.virtual += cost / active
+}
+
+func (q *fairPriority) len() int { return q.tickets }
+
+func (q *fairPriority) ofWorkspace(workspace string) int {
+	if f := q.flows[workspace]; f != nil {
+		return f.waiting
+	}
+	return 0
+}
+
+// ahead counts the more urgent requests and, of the equally urgent, those that
+// get their turn before this workspace's next one.
+func (q *fairPriority) ahead(workspace string, share float64, priority int) int {
+	total := 0
+	for _, p := range q.priorities {
+		if p > priority {
+			break
+		}
+		total += q.levels[p].tickets
+	}
+	own, active := 0.0, q.activeShare
+	if f := q.flows[workspace]; f != nil && f.waiting > 0 {
+		own = float64(f.waiting)
+	} else {
+		active += share
+	}
+	turn := int((own + 1) * active / share)
+	return min(total, turn)
+}
+
+func (q *fairPriority) displace(workspace string, priority int) *ticket {
+	f := q.flows[workspace]
+	if f == nil {
+		return nil
+	}
+	for i := len(q.priorities) - 1; i >= 0 && q.priorities[i] > priority; i-- {
+		lf := f.levels[q.priorities[i]]
+		if lf == nil || lf.tickets.Len() == 0 {
+			continue
+		}
+		t := lf.tickets.Back().Value.(*ticket)
+		q.remove(t)
+		return t
+	}
+	return nil
+}
--- /dev/null
+++ b/routing/explain.go
@@ -0,0 +1,85 @@
+package routing
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Reason says why a request went where it went, or nowhere.
+type Reason string
+
+// The reasons of a decision.
+const (
+	ReasonPolicy   Reason = "best by policy"
+	ReasonProbe    Reason = "probe of an ejected upstream"
+	ReasonFloor    Reason = "every other upstream is ejected"
+	ReasonSpare    Reason = "no live upstream; a suspected one"
+	ReasonNone     Reason = "no upstream holds the target"
+	ReasonNoRetry  Reason = "retry budget used up"
+	ReasonExcluded Reason = "every upstream was tried or is leaving"
+)
+
+const (
+	maxExamined     = 12
+	defaultExplains = 4096
+)
+
+// Candidate is one upstream that a decision looked at.
+type Candidate struct {
+	Upstream     string        `json:"upstream"`
+	Cost         time.Duration `json:"cost_ns"`
+	FirstToken   time.Duration `json:"first_token_ns"`
+	CachedTokens int64         `json:"cached_tokens"`
+	InFlight     int64         `json:"in_flight"`
+}
+
+// Record explains one decision about one attempt.
+type Record struct {
+	RequestID  string        `json:"request_id"`
+	At         time.Time     `json:"at"`
+	Target     Target        `json:"target"`
+	Attempt    int           `json:"attempt"`
+	Upstream   string        `json:"upstream,omitempty"`
+	FirstToken time.Duration `json:"first_token_ns"`
+	Why        Reason        `json:"why"`
+	Candidates []Candidate   `json:"candidates,omitempty"`
+}
+
+// Ring keeps the last records of type T for explanation. Writers never wait.
+type Ring[T any] struct {
+	slots []atomic.Pointer[T]
+	next  atomic.Uint64
+}
+
+// NewRing returns a ring of the last size records.
+func NewRing[T any](size int) *Ring[T] { return &Ring[T]{slots: make([]atomic.Pointer[T], size)} }
+
+// Add keeps a record in place of the oldest one. The caller must not change it
+// afterwards.
+func (r *Ring[T]) Add(record *T) {
+	i := r.next.Add(1) - 1
+	r.slots[i%uint64(len(r.slots))].Store(record)
+}
+
+// Find returns the kept records that match, newest first.
+func (r *Ring[T]) Find(match func(*T) bool) []*T {
+	var found []*T
+	next := r.next.Load()
+	for back := uint64(1); back <= uint64(len(r.slots)) && back <= next; back++ {
+		record := r.slots[(next-back)%uint64(len(r.slots))].Load()
+		if record != nil && match(record) {
+			found = append(found, record)
+		}
+	}
+	return found
+}
+
+// note keeps a candidate for the explanation.
+func (v *view) note(e *entry, est estimate) {
+	if len(v.examined) < maxExamined {
+		v.examined = append(v.examined, Candidate{
+			Upstream: e.id, Cost: est.cost, FirstToken: est.firstToken,
+			CachedTokens: est.cached, InFlight: e.inFlight.Load(),
+		})
+	}
+}
--- /dev/null
+++ b/routing/health.go
@@ -0,0 +1,76 @@
+package routing
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Limits of ejection.
+const (
+	failuresToEject = 3
+	firstEjection   = time.Second
+	longestEjection = 30 * time.Second
+	maxEjectedShare = 0.5 // of any pool that the upstream belongs to
+)
+
+// health ejects an upstream that fails or stalls and lets it back by probes.
+// Times are counted from the table's start.
+type health struct {
+	failures atomic.Int64 // consecutive
+	// ejectedUntil is the end of the current or last ejection.
+	ejectedUntil atomic.Int64
+	ejections    atomic.Int64 // consecutive; doubles the next ejection
+	// probing is 1 while the one probe after an ejection is in flight.
+	probing atomic.Int32
+	// progressAt is the last first token, or the dispatch that ended an idle
+	// time: an upstream with waiting requests and no progress is stalled.
+	progressAt atomic.Int64
+}
+
+func (h *health) begin(now time.Duration, waiting int64) {
+	if waiting == 1 {
+		h.progressAt.Store(int64(now))
+	}
+}
+
+func (h *health) progress(now time.Duration) { h.progressAt.Store(int64(now)) }
+
+// ejected reports whether the upstream takes no work but a probe. An ejection
+// ends with the first probe that succeeds, never by time alone: an upstream that
+// is still down would otherwise cost a burst of failures at each end.
+func (h *health) ejected() bool { return h.ejections.Load() > 0 }
+
+// takeProbe claims the one probe of an upstream on probation.
+func (h *health) takeProbe(now time.Duration) bool {
+	return int64(now) >= h.ejectedUntil.Load() && h.probing.CompareAndSwap(0, 1)
+}
+
+// succeeded ends a probation.
+func (h *health) succeeded() {
+	h.failures.Store(0)
+	h.ejections.Store(0)
+	h.probing.Store(0)
+}
+
+// failed counts a failure and reports whether the upstream should be ejected.
+func (h *health) failed() bool {
+	return h.failures.Add(1) >= failuresToEject || h.ejected()
+}
+
+// eject starts the next ejection, twice as long as the one before.
+func (h *health) eject(now time.Duration) {
+	length := firstEjection << min(h.ejections.Add(1)-1, 5)
+	length = min(length, longestEjection)
+	h.ejectedUntil.Store(int64(now + length))
+	h.failures.Store(0)
+	h.probing.Store(0)
+}
+
+// stalledFor returns how long the upstream has had waiting requests without any
+// first token.
+func (h *health) stalledFor(now time.Duration, waiting int64) time.Duration {
+	if waiting <= 0 {
+		return 0
+	}
+	return now - time.Duration(h.progressAt.Load())
+}
--- /dev/null
+++ b/routing/policy.go
@@ -0,0 +1,146 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"buckthornridge/kernel"
+)
+
+// Namespace is the kernel namespace of routing policies.
+const Namespace = "routing.policy"
+
+// DefaultPolicy is the policy used when the configuration names none.
+const DefaultPolicy = "expected_cost"
+
+// Policy chooses one of a pool's upstreams. Implementations are modules in
+// Namespace; they are safe for concurrent use and keep no state per request.
+type Policy interface {
+	// choose returns a usable upstream, or nil if it found none.
+	choose(v *view) *entry
+}
+
+func init() {
+	kernel.Register(Namespace+".round_robin", func() any { return roundRobin{} })
+	kernel.Register(Namespace+".least_in_flight", func() any { return leastInFlight{} })
+	kernel.Register(Namespace+".power_of_two", func() any { return powerOfTwo{} })
+	kernel.Register(Namespace+".prefix_affinity", func() any { return prefixAffinity{} })
+	kernel.Register(Namespace+".expected_cost", func() any { return expectedCost{} })
+}
+
+// view is what a policy sees of one decision.
+type view struct {
+	request  *Request
+	pool     *pool
+	set      *set
+	index    *PrefixIndex
+	wall     time.Time
+	now      time.Duration
+	from     int // index of the router's data centre
+	hits     hits
+	estimate estimate // of the chosen upstream
+	why      Reason
+	examined []Candidate
+}
+
+// usable reports whether the upstream may take this request.
+func (v *view) usable(e *entry) bool {
+	if !e.takesWork() || e.health.ejected() {
+		return false
+	}
+	return v.allowed(e)
+}
+
+// allowed is usable without regard to ejection.
+func (v *view) allowed(e *entry) bool {
+	if v.request.Attempt > 0 && !e.retries.has() {
+		return false
+	}
+	for _, id := range v.request.Exclude {
+		if id == e.id {
+			return false
+		}
+	}
+	return true
+}
+
+type roundRobin struct{}
+
+func (roundRobin) choose(v *view) *entry {
+	n := uint64(len(v.pool.live))
+	for range n {
+		e := v.pool.live[v.pool.turn.Add(1)%n]
+		if v.usable(e) {
+			return e
+		}
+	}
+	return nil
+}
+
+type leastInFlight struct{}
+
+// choose looks at every upstream: it is the yardstick that the sampling
+// policies are compared with, not one for large pools.
+func (leastInFlight) choose(v *view) *entry {
+	var best *entry
+	n := len(v.pool.live)
+	if n == 0 {
+		return nil
+	}
+	first := rand.IntN(n)
+	for i := range n {
+		e := v.pool.live[(first+i)%n]
+		if v.usable(e) && (best == nil || e.inFlight.Load() < best.inFlight.Load()) {
+			best = e
+		}
+	}
+	return best
+}
+
+type powerOfTwo struct{}
+
+func (powerOfTwo) choose(v *view) *entry {
+	a, b := v.sample(v.pool.live), v.sample(v.pool.live)
+	if a == nil || (b != nil && b.inFlight.Load() < a.inFlight.Load()) {
+		return b
+	}
+	return a
+}
+
+type prefixAffinity struct{}
+
+// choose follows the longest known prefix whatever the load.
+func (prefixAffinity) choose(v *view) *entry {
+	v.hits = v.index.find(v.request.Prefix, v.now)
+	var best *entry
+	var longest int64
+	for _, h := range v.hits.found[:v.hits.n] {
+		e := v.set.entries[h.upstream]
+		if e == nil || !v.usable(e) || !e.serves(v.request.Target) {
+			continue
+		}
+		if h.blocks > longest {
+			best, longest = e, h.blocks
+		}
+	}
+	if best != nil {
+		return best
+	}
+	return powerOfTwo{}.choose(v)
+}
+
+const sampleTries = 4
+
+// sample returns a random usable upstream of the list, or nil after a few tries.
+func (v *view) sample(from []*entry) *entry {
+	for range sampleTries {
+		if len(from) == 0 {
+			return nil
+		}
+		e := from[rand.IntN(len(from))]
+		if v.usable(e) {
+			return e
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/routing/prefix.go
@@ -0,0 +1,142 @@
+package routing
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"buckthornridge/upstream"
+)
+
+// DefaultPrefixPairs is the default capacity of a PrefixIndex: 2^18 pairs of 24
+// bytes.
+const DefaultPrefixPairs = 1 << 18
+
+const (
+	prefixWays   = 8 // holders remembered per bucket
+	prefixLocks  = 64
+	prefixMaxAge = 10 * time.Minute
+)
+
+// PrefixIndex remembers which upstreams probably hold which prompt prefixes. It
+// is a hash table of fixed size: a new pair takes the place of the oldest one
+// in its bucket. A wrong answer costs time and nothing else.
+type PrefixIndex struct {
+	start   time.Time
+	buckets []prefixBucket
+	locks   [prefixLocks]sync.Mutex
+	mu      sync.RWMutex
+	feeds   map[string]*feed
+}
+
+type prefixBucket [prefixWays]prefixPair
+
+type prefixPair struct {
+	prefix uint64
+	feed   *feed
+	seen   time.Duration // since start
+}
+
+// feed is one upstream's stream of cache events.
+type feed struct {
+	upstream string
+	last     atomic.Int64 // sequence number of the last event
+	// gapAt is when events were last known to be lost. A pair seen before may
+	// have been evicted since.
+	gapAt atomic.Int64
+}
+
+// NewPrefixIndex returns an index for about the given number of pairs.
+func NewPrefixIndex(pairs int) *PrefixIndex {
+	buckets := 1
+	for buckets*prefixWays < pairs {
+		buckets *= 2
+	}
+	return &PrefixIndex{
+		start:   time.Now(),
+		buckets: make([]prefixBucket, buckets),
+		feeds:   map[string]*feed{},
+	}
+}
+
+func (x *PrefixIndex) feed(upstreamID string) *feed {
+	x.mu.RLock()
+	f := x.feeds[upstreamID]
+	x.mu.RUnlock()
+	if f != nil {
+		return f
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.feeds[upstreamID] == nil {
+		x.feeds[upstreamID] = &feed{upstream: upstreamID}
+	}
+	return x.feeds[upstreamID]
+}
+
+// Apply takes cache events of an upstream in the order of their sequence
+// numbers. Events seen before are ignored.
+func (x *PrefixIndex) Apply(upstreamID string, events []upstream.CacheEvent) {
+	f := x.feed(upstreamID)
+	for _, event := range events {
+		last := f.last.Load()
+		if event.Sequence <= last {
+			continue
+		}
+		if event.Sequence != last+1 && last != 0 {
+			f.gapAt.Store(int64(time.Since(x.start)))
+		}
+		f.last.Store(event.Sequence)
+		if event.Stored {
+			x.put(f, event.Prefix)
+		} else {
+			x.remove(f, event.Prefix)
+		}
+	}
+}
+
+// LastEvent returns the sequence number of the upstream's last applied event.
+func (x *PrefixIndex) LastEvent(upstreamID string) int64 { return x.feed(upstreamID).last.Load() }
+
+// Restarted forgets the sequence of an upstream whose events start anew, and
+// doubts what was known about it.
+func (x *PrefixIndex) Restarted(upstreamID string) {
+	f := x.feed(upstreamID)
+	f.last.Store(0)
+	f.gapAt.Store(int64(time.Since(x.start)))
+}
+
+func (x *PrefixIndex) bucket(prefix uint64) (*prefixBucket, *sync.Mutex) {
+	i := prefix & uint64(len(x.buckets)-1)
+	return &x.buckets[i], &x.locks[i%prefixLocks]
+}
+
+func (x *PrefixIndex) put(f *feed, prefix uint64) {
+	bucket, lock := x.bucket(prefix)
+	lock.Lock()
+	defer lock.Unlock()
+	oldest := 0
+	for i := range bucket {
+		pair := &bucket[i]
+		if pair.feed == nil || (pair.prefix == prefix && pair.feed == f) {
+			oldest = i
+			break
+		}
+		if pair.seen < bucket[oldest].seen {
+			oldest = i
+		}
+	}
+	bucket[oldest] = prefixPair{prefix: prefix, feed: f, seen: time.Since(x.start)}
+}
+
+func (x *PrefixIndex) remove(f *feed, prefix uint64) {
+	bucket, lock := x.bucket(prefix)
+	lock.Lock()
+	defer lock.Unlock()
+	for i := range bucket {
+		if bucket[i].prefix == prefix && bucket[i].feed == f {
+			bucket[i] = prefixPair{}
+			return
+		}
+	}
+}
--- /dev/null
+++ b/routing/retry.go
@@ -0,0 +1,46 @@
+package routing
+
+import "sync/atomic"
+
+// Retries are allowed as a share of first attempts, with a burst that covers
+// the requests in flight at one upstream when it is lost.
+const (
+	upstreamRetryShare  = 0.2
+	upstreamRetryBurst  = 10
+	workspaceRetryShare = 0.2
+	workspaceRetryBurst = 20
+	retryUnit           = 1000 // one retry in the bucket's integer unit
+)
+
+// TokenBucket allows retries as a share of first attempts. It is filled by
+// requests and not by time, so that a fall in traffic cannot save up a storm.
+type TokenBucket struct {
+	level atomic.Int64
+	share int64
+	burst int64
+}
+
+func (b *TokenBucket) init(share float64, burst int) {
+	b.share = int64(share * retryUnit)
+	b.burst = int64(burst) * retryUnit
+	b.level.Store(b.burst)
+}
+
+// Deposit counts a first attempt.
+func (b *TokenBucket) Deposit() {
+	if b.level.Load() < b.burst {
+		b.level.Add(b.share)
+	}
+}
+
+// Withdraw takes one retry and reports whether there was one.
+func (b *TokenBucket) Withdraw() bool {
+	if b.level.Add(-retryUnit) >= 0 {
+		return true
+	}
+	b.level.Add(retryUnit)
+	return false
+}
+
+// has reports whether a retry is left.
+func (b *TokenBucket) has() bool { return b.level.Load() >= retryUnit }
--- /dev/null
+++ b/routing/router.go
@@ -0,0 +1,172 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"buckthornridge/kernel"
+)
+
+// Router picks upstreams from a table by a policy.
+type Router struct {
+	table   *Table
+	policy  Policy
+	explain *Ring[Record]
+	// workspaces holds a *TokenBucket of retries per workspace.
+	workspaces sync.Map
+}
+
+// NewRouter returns a router over the table that uses the named policy module,
+// or DefaultPolicy for an empty name.
+func NewRouter(table *Table, policy string) (*Router, error) {
+	if policy == "" {
+		policy = DefaultPolicy
+	}
+	module, err := kernel.New[Policy](Namespace, policy)
+	if err != nil {
+		return nil, err
+	}
+	return &Router{table: table, policy: module, explain: NewRing[Record](defaultExplains)}, nil
+}
+
+// Table returns the router's table.
+func (r *Router) Table() *Table { return r.table }
+
+// Explain returns the kept decisions about a request, newest first.
+func (r *Router) Explain(requestID string) []*Record {
+	return r.explain.Find(func(rec *Record) bool { return rec.RequestID == requestID })
+}
+
+// Pick chooses an upstream and counts the request there until Choice.Done is
+// called. The error is a *NoUpstreamError.
+func (r *Router) Pick(request Request) (*Choice, error) {
+	budget := r.retriesOf(request.Workspace)
+	if request.Attempt == 0 {
+		budget.Deposit()
+	} else if !budget.Withdraw() {
+		return nil, r.refuse(&request, ReasonNoRetry)
+	}
+	v := r.view(&request)
+	if v.pool == nil {
+		return nil, r.refuse(&request, ReasonNone)
+	}
+	e := r.choose(v)
+	if e == nil {
+		return nil, r.refuse(&request, ReasonExcluded)
+	}
+	return r.commit(v, e), nil
+}
+
+func (r *Router) view(request *Request) *view {
+	s := r.table.current.Load()
+	v := &view{request: request, set: s, index: r.table.index, wall: time.Now(), why: ReasonPolicy}
+	v.now = v.wall.Sub(r.table.start)
+	v.pool = s.pools[request.Target]
+	v.from = s.places.index[request.DataCentre]
+	return v
+}
+
+// choose asks the policy, after a probe that is due and before the upstreams
+// that are only better than none.
+func (r *Router) choose(v *view) *entry {
+	if e := v.dueProbe(); e != nil {
+		v.why = ReasonProbe
+		return e
+	}
+	if e := r.policy.choose(v); e != nil {
+		return e
+	}
+	if e := v.anyOf(v.pool.live); e != nil {
+		v.why = ReasonFloor
+		return e
+	}
+	if e := v.anyOf(v.pool.spare); e != nil {
+		v.why = ReasonSpare
+		return e
+	}
+	return nil
+}
+
+// dueProbe looks at one random upstream and claims its probe if one is due. A
+// first attempt only: a request that failed once is not risked again.
+func (v *view) dueProbe() *entry {
+	if v.request.Attempt > 0 || len(v.pool.live) == 0 {
+		return nil
+	}
+	e := v.pool.live[rand.IntN(len(v.pool.live))]
+	if e.health.ejected() && e.takesWork() && v.allowed(e) && e.health.takeProbe(v.now) {
+		return e
+	}
+	return nil
+}
+
+// anyOf returns the first allowed upstream of a list, from a random position,
+// preferring one that is not ejected.
+func (v *view) anyOf(list []*entry) *entry {
+	var fallback *entry
+	if len(list) == 0 {
+		return nil
+	}
+	first := rand.IntN(len(list))
+	for i := range list {
+		e := list[(first+i)%len(list)]
+		if v.usable(e) {
+			return e
+		}
+		if fallback == nil && e.takesWork() && v.allowed(e) {
+			fallback = e
+		}
+	}
+	return fallback
+}
+
+func (r *Router) retriesOf(workspace string) *TokenBucket {
+	if known, ok := r.workspaces.Load(workspace); ok {
+		return known.(*TokenBucket)
+	}
+	fresh := new(TokenBucket)
+	fresh.init(workspaceRetryShare, workspaceRetryBurst)
+	kept, _ := r.workspaces.LoadOrStore(workspace, fresh)
+	return kept.(*TokenBucket)
+}
+
+const (
+	retryAfterNone  = 2 * time.Second
+	retryAfterSpent = time.Second
+)
+
+func (r *Router) refuse(request *Request, why Reason) error {
+	r.explain.Add(&Record{
+		RequestID: request.ID, At: time.Now(), Target: request.Target, Attempt: request.Attempt, Why: why,
+	})
+	base := retryAfterNone
+	if why == ReasonNoRetry {
+		base = retryAfterSpent
+	}
+	// Spread, so that the refused do not come back together.
+	after := base/2 + rand.N(base)
+	return &NoUpstreamError{Target: request.Target, RetryAfter: after, Why: string(why)}
+}
+
+// commit counts the request at the chosen upstream and keeps the explanation.
+func (r *Router) commit(v *view, e *entry) *Choice {
+	if v.estimate.firstToken == 0 || v.why != ReasonPolicy {
+		v.estimate = v.predict(e, v.cachedTokens(e, v.hits.of(e)))
+	}
+	if v.request.Attempt == 0 {
+		e.retries.Deposit()
+	} else {
+		e.retries.Withdraw()
+	}
+	e.begin(v.now, v.estimate.own)
+	r.explain.Add(&Record{
+		RequestID: v.request.ID, At: v.wall, Target: v.request.Target, Attempt: v.request.Attempt,
+		Upstream: e.id, FirstToken: v.estimate.firstToken, Why: v.why, Candidates: v.examined,
+	})
+	return &Choice{
+		UpstreamID: e.id, Address: e.address, Expected: v.estimate.firstToken, Why: v.why,
+		table: r.table, entry: e, estimate: v.estimate, prefix: v.request.Prefix,
+		distance: 2 * v.set.places.latency[v.from][e.dataCentre],
+	}
+}
--- /dev/null
+++ b/routing/router_test.go
@@ -0,0 +1,117 @@
+package routing
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/config"
+	"buckthornridge/kernel"
+	"buckthornridge/membership"
+	"buckthornridge/upstream"
+)
+
+var model = Target{Model: "m"}
+
+// snapshotOf returns a configuration with n engines in two data centres.
+func snapshotOf(n int) *config.Snapshot {
+	s := &config.Snapshot{}
+	s.Fleet.DataCentres = map[string]config.DataCentre{
+		"a": {Region: "r"}, "b": {Region: "r"}, "far": {Region: "other"},
+	}
+	s.Upstreams = map[string]config.Upstream{}
+	for i := range n {
+		s.Upstreams[fmt.Sprintf("e%d", i)] = config.Upstream{
+			Kind: config.UpstreamEngine, Address: fmt.Sprint("127.0.0.1:", 1000+i),
+			DataCentre: []string{"a", "b"}[i%2], Models: []string{"m"}, Slots: 8,
+		}
+	}
+	return s
+}
+
+func newRouter(t testing.TB, n int, policy string) *Router {
+	table := NewTable()
+	table.Update(snapshotOf(n))
+	r, err := NewRouter(table, policy)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestEveryPolicyAvoidsWhatTakesNoWork(t *testing.T) {
+	for _, policy := range kernel.Names(Namespace) {
+		t.Run(policy, func(t *testing.T) {
+			is := is.New(t)
+			r := newRouter(t, 6, policy)
+			r.table.SetState("e0", membership.Leaving)
+			r.table.SetState("e1", membership.Gone)
+			r.table.Report("e2", upstream.Load{Leaving: true, Models: []string{"m"}})
+			r.table.Report("e3", upstream.Load{Models: []string{"another"}})
+			for range 200 {
+				c, err := r.Pick(Request{Target: model, DataCentre: "a", Exclude: []string{"e4"}})
+				is.NoErr(err)
+				is.Equal(c.UpstreamID, "e5") // the only one left
+				c.Done(Outcome{Kind: OutcomeOK, FirstToken: time.Millisecond})
+			}
+		})
+	}
+}
+
+func TestPickReportsThatNobodyCan(t *testing.T) {
+	is := is.New(t)
+	r := newRouter(t, 1, "")
+	_, err := r.Pick(Request{ID: "q", Target: Target{Model: "unknown"}})
+	var none *NoUpstreamError
+	is.True(errors.As(err, &none))
+	is.True(none.RetryAfter > 0)
+	_, err = r.Pick(Request{Target: model, Exclude: []string{"e0"}})
+	is.True(errors.As(err, &none))
+	is.Equal(r.Explain("q")[0].Why, ReasonNone)
+}
+
+func TestDoneReleasesEverything(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRouter(t, 1, "")
+		e := r.table.current.Load().entries["e0"]
+		for _, first := range []time.Duration{0, time.Second} {
+			c, err := r.Pick(Request{Target: model, PromptTokens: 100})
+			is.NoErr(err)
+			is.Equal(e.inFlight.Load(), int64(1))
+			is.Equal(e.prefill.Load(), int64(100))
+			c.Done(Outcome{Kind: OutcomeOK, FirstToken: first})
+			c.Done(Outcome{Kind: OutcomeOK, FirstToken: first})
+			is.Equal(e.inFlight.Load(), int64(0))
+			is.Equal(e.waiting.Load(), int64(0))
+			is.Equal(e.prefill.Load(), int64(0))
+		}
+	})
+}
+
+func TestLeavingStandsAgainstOlderEvidence(t *testing.T) {
+	// A user's request lands on an engine seconds after it said that it leaves:
+	// the engine refuses a request with "leaving", then a load report from
+	// before that and the lagging VM list both still call it live.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRouter(t, 2, "")
+		time.Sleep(10 * time.Second)
+		c, err := r.Pick(Request{Target: model, Exclude: []string{"e1"}})
+		is.NoErr(err)
+		c.Done(Outcome{Kind: OutcomeLeaving})
+		r.table.SetState("e0", membership.Live)
+		r.table.Report("e0", upstream.Load{Models: []string{"m"}, AgeMillis: 1000})
+		_, err = r.Pick(Request{Target: model, Exclude: []string{"e1"}})
+		is.True(err != nil) // e0 takes nothing
+
+		time.Sleep(time.Second)
+		r.table.Report("e0", upstream.Load{Models: []string{"m"}})
+		_, err = r.Pick(Request{Target: model, Exclude: []string{"e1"}})
+		is.NoErr(err) // it changed its mind
+	})
+}
