--- a/request/call.go
+++ b/request/call.go
@@ -189,7 +189,7 @@
 		}
 		tried = append(tried, target)
 		mayHaveRun = mayHaveRun || run.State().MayHaveRun() && !provesNotRun(err)
-		if problem := e.mayRetry(ctx, r, n, err); problem != nil {
+		if problem := e.mayRetry(ctx, n, err); problem != nil {
 			e.endRepeatable(run, r, reservation, *problem, mayHaveRun)
 			return
 		}
--- a/request/generate.go
+++ b/request/generate.go
@@ -66,7 +66,7 @@
 				return
 			}
 		}
-		if problem := e.mayRetry(ctx, r, n, err); problem != nil {
+		if problem := e.mayRetry(ctx, n, err); problem != nil {
 			giveUp(run, reservation, *problem, mayHaveRun)
 			return
 		}
@@ -82,7 +82,7 @@
 }
 
 // mayRetry returns the problem that ends the request, or nil for one more try.
-func (e *Executor) mayRetry(ctx context.Context, r *Request, n int, cause error) *Problem {
+func (e *Executor) mayRetry(ctx context.Context, n int, cause error) *Problem {
 	var problem *Problem
 	switch {
 	case errors.As(cause, &problem):
@@ -91,8 +91,6 @@
 		return &Problem{Name: ProblemDeadline, RetryAfter: time.Second, Detail: "the deadline passed"}
 	case n >= e.settings.Attempts:
 		return &Problem{Name: ProblemUpstreamFailed, RetryAfter: time.Second, Detail: cause.Error()}
-	case !e.router.Retry(r):
-		return &Problem{Name: ProblemOverloaded, RetryAfter: 2 * time.Second, Detail: "retries are used up: " + cause.Error()}
 	}
 	return nil
 }
--- a/request/ports.go
+++ b/request/ports.go
@@ -51,10 +51,9 @@
 
 // Router picks upstreams and knows their clients.
 type Router interface {
-	// Pick returns a *Problem (not run) when no upstream can take the request.
+	// Pick returns a *Problem when no upstream can take the request, or when the
+	// retry budgets allow no further attempt; exclude lists what was tried.
 	Pick(r *Request, exclude []string) (Choice, error)
-	// Retry reports whether the retry budgets allow one more attempt.
-	Retry(r *Request) bool
 	Engine(id string) (upstream.Engine, error)
 	Service(id string) (upstream.Service, error)
 }
