Wiring of the router: ports, upstream clients, members; telemetry; program

Cause: decision packages take interfaces; the router gives them the real ones. Ruled out: letting decision packages import one another's types. Conclusion: adapters stay in one package.

--- /dev/null
+++ b/program/program.go
@@ -0,0 +1,79 @@
+// Package program is what every binary does alike: arguments, settings, version
+// and its end.
+package program
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/alexflint/go-arg"
+	"k8s.io/klog/v2"
+
+	"buckthornridge/settings"
+)
+
+// exitUsage is the exit code of a program whose settings or flags are wrong.
+const exitUsage = 2
+
+// Arguments are those that every program takes.
+type Arguments struct {
+	Settings string `arg:"positional,required" help:"settings file, JSON with comments"`
+	Check    bool   `arg:"--check" help:"check the settings and exit"`
+
+	about string
+}
+
+// Description implements arg.Described.
+func (a Arguments) Description() string { return a.about }
+
+// Version implements arg.Versioned.
+func (Arguments) Version() string { return "buckthornridge " + BuildVersion() }
+
+// BuildVersion returns the version that the binary was built from.
+func BuildVersion() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "(devel)"
+	}
+	return info.Main.Version
+}
+
+// Validated is a settings type that can tell what is wrong with it.
+type Validated interface{ Validate() error }
+
+// MustLoad reads a program's arguments and settings. Wrong ones end the program
+// with a clear text; --check ends it after the checks.
+func MustLoad[T Validated](about string, into T) {
+	a := Arguments{about: about}
+	arg.MustParse(&a)
+	err := settings.Load(a.Settings, into)
+	if err == nil {
+		err = into.Validate()
+		if err != nil {
+			err = fmt.Errorf("%s: %w", a.Settings, err)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitUsage)
+	}
+	if a.Check {
+		fmt.Printf("%s: no faults\n", a.Settings)
+		os.Exit(0)
+	}
+}
+
+// Exit ends a program with its error, if there is one.
+func Exit(err error) {
+	if err != nil && !errors.Is(err, ErrStopped) {
+		klog.Errorf("ended: %v", err)
+		klog.Flush()
+		os.Exit(1)
+	}
+	klog.Flush()
+}
+
+// ErrStopped reports a planned stop.
+var ErrStopped = errors.New("stopped")
--- a/request/generate.go
+++ b/request/generate.go
@@ -19,11 +19,11 @@
 // resumeTries is how often a broken stream is resumed before another attempt.
 const resumeTries = 2
 
-// errDeserted ends an attempt whose callers all left.
-var errDeserted = eris.New("request: every caller left")
+// ErrDeserted ends an attempt whose callers all left.
+var ErrDeserted = eris.New("request: every caller left")
 
-// errStalled ends an attempt that brought no token for too long.
-var errStalled = eris.New("request: the engine sent no token for too long")
+// ErrStalled ends an attempt that brought no token for too long.
+var ErrStalled = eris.New("request: the engine sent no token for too long")
 
 // generate runs model work: admission, reservation, attempts, bill.
 func (e *Executor) generate(ctx context.Context, run *Run, r *Request) {
@@ -118,6 +118,7 @@
 	number      int
 	reservation Reservation
 
+	choice   Choice // nil for an adopted stream
 	target   string // the engine's upstream id
 	streamID string
 	ran      bool  // a byte may have reached the engine
@@ -136,7 +137,7 @@
 	if err != nil {
 		return upstream.Usage{}, err
 	}
-	a.target = choice.Upstream()
+	a.choice, a.target = choice, choice.Upstream()
 	result := AttemptResult{}
 	usage, err := a.start(ctx, &result)
 	result.Err, result.Usage = err, usage
@@ -235,15 +236,16 @@
 			a.prompt = max(a.prompt, stream.Usage().PromptTokens)
 			return upstream.Usage{}, err
 		}
-		if result.FirstToken == 0 {
+		if a.read == 0 && a.choice != nil {
 			result.FirstToken = time.Since(began)
+			a.choice.FirstToken(result.FirstToken)
 		}
 		w.progress()
 		if err := a.accept(token); err != nil {
 			return upstream.Usage{}, err
 		}
 		if a.run.deserted(a.grace()) {
-			return upstream.Usage{}, errDeserted
+			return upstream.Usage{}, ErrDeserted
 		}
 	}
 }
@@ -302,7 +304,7 @@
 // reports whether the request ends here because every caller left.
 func (a *attempt) settle(cause error) (left bool) {
 	consumed := a.stop()
-	if !errors.Is(cause, errDeserted) {
+	if !errors.Is(cause, ErrDeserted) {
 		a.reservation.Lose(consumed, budget.CauseAbandoned)
 		return false
 	}
--- a/request/ports.go
+++ b/request/ports.go
@@ -46,6 +46,8 @@
 // Choice is an upstream picked for one attempt.
 type Choice interface {
 	Upstream() string
+	// FirstToken is called when the first token came, so long after dispatch.
+	FirstToken(time.Duration)
 	Done(AttemptResult)
 }
 
--- a/request/watch.go
+++ b/request/watch.go
@@ -18,7 +18,7 @@
 func newWatch(parent context.Context, s Settings) *watch {
 	ctx, cancel := context.WithCancelCause(parent)
 	w := &watch{ctx: ctx, cancel: cancel, limit: s.StallLimit}
-	w.timer = time.AfterFunc(s.FirstTokenLimit, func() { cancel(errStalled) })
+	w.timer = time.AfterFunc(s.FirstTokenLimit, func() { cancel(ErrStalled) })
 	return w
 }
 
@@ -27,7 +27,7 @@
 
 // explain returns the watch's reason in place of the error that it caused.
 func (w *watch) explain(err error) error {
-	if cause := context.Cause(w.ctx); cause == errStalled {
+	if cause := context.Cause(w.ctx); cause == ErrStalled {
 		return cause
 	}
 	return err
--- /dev/null
+++ b/router/ports.go
@@ -0,0 +1,198 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/admission"
+	"buckthornridge/budget"
+	"buckthornridge/request"
+	"buckthornridge/routing"
+	"buckthornridge/upstream"
+)
+
+// bytesPerToken is the usual length of a token in bytes. It serves estimates of
+// time only; what is reserved is the ceiling.
+const bytesPerToken = 4
+
+// admissionPort lets requests pass through admission.
+type admissionPort struct {
+	controller *admission.Controller
+	dataCentre string
+}
+
+var _ request.Admission = admissionPort{}
+
+// Admit implements request.Admission.
+func (p admissionPort) Admit(ctx context.Context, r *request.Request) (func(), error) {
+	release, err := p.controller.Admit(ctx, p.translate(r))
+	var refusal *admission.Refusal
+	if errors.As(err, &refusal) {
+		return nil, refused(refusal)
+	}
+	return release, err
+}
+
+func (p admissionPort) translate(r *request.Request) admission.Request {
+	out := admission.Request{
+		ID:         r.Key.ID,
+		Workspace:  r.Key.Workspace,
+		Kind:       r.Kind,
+		DataCentre: p.dataCentre,
+	}
+	if r.Call != nil {
+		out.Service = r.Call.Service
+		out.Deadline = time.Now().Add(r.Timeout)
+		return out
+	}
+	g := r.Generate
+	out.Model = g.Model
+	out.Prefix = upstream.PrefixChain(g.Model, g.Adapter, g.Prompt)
+	out.PromptTokens = int64(len(g.Prompt)) / bytesPerToken
+	out.MaxTokens = g.MaxTokens
+	if g.FirstToken > 0 {
+		out.Deadline = time.Now().Add(g.FirstToken)
+	}
+	return out
+}
+
+func refused(r *admission.Refusal) *request.Problem {
+	name := request.ProblemOverloaded
+	if r.Cause == admission.CauseDeadline {
+		name = request.ProblemDeadline
+	}
+	return &request.Problem{Name: name, RunState: request.NotRun, RetryAfter: r.RetryAfter, Detail: r.Error()}
+}
+
+// budgetPort reserves from this router's grants.
+type budgetPort struct{ keeper *budget.Keeper }
+
+var _ request.Budgets = budgetPort{}
+
+// Reserve implements request.Budgets.
+func (p budgetPort) Reserve(ctx context.Context, r *request.Request) (request.Reservation, error) {
+	reservation, err := p.keeper.Reserve(ctx, budget.Request{
+		Budget:     r.BudgetID(),
+		RequestKey: r.Key.ID,
+		Ceiling:    r.Ceiling(),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return reservation, nil
+}
+
+// Alive implements request.Budgets.
+func (p budgetPort) Alive() bool { return p.keeper.Alive() }
+
+// routingPort picks upstreams and finds their clients.
+type routingPort struct {
+	router     *routing.Router
+	pool       *pool
+	dataCentre string
+}
+
+var _ request.Router = routingPort{}
+
+// Pick implements request.Router.
+func (p routingPort) Pick(r *request.Request, exclude []string) (request.Choice, error) {
+	choice, err := p.router.Pick(p.translate(r, exclude))
+	var none *routing.NoUpstreamError
+	if errors.As(err, &none) {
+		return nil, &request.Problem{Name: request.ProblemOverloaded, RunState: request.NotRun,
+			RetryAfter: none.RetryAfter, Detail: none.Error()}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return routingChoice{choice: choice, began: time.Now()}, nil
+}
+
+func (p routingPort) translate(r *request.Request, exclude []string) routing.Request {
+	out := routing.Request{
+		ID:         r.Key.ID,
+		Workspace:  r.Key.Workspace,
+		Attempt:    len(exclude),
+		DataCentre: p.dataCentre,
+		Exclude:    exclude,
+	}
+	if r.Call != nil {
+		out.Target = routing.Target{Service: r.Call.Service}
+		return out
+	}
+	g := r.Generate
+	out.Target = routing.Target{Model: g.Model}
+	out.Prefix = upstream.PrefixChain(g.Model, g.Adapter, g.Prompt)
+	out.PromptTokens = int64(len(g.Prompt)) / bytesPerToken
+	out.MaxTokens = g.MaxTokens
+	out.Priority = g.Priority
+	return out
+}
+
+// Engine implements request.Router.
+func (p routingPort) Engine(id string) (upstream.Engine, error) { return p.pool.engine(id) }
+
+// Service implements request.Router.
+func (p routingPort) Service(id string) (upstream.Service, error) { return p.pool.service(id) }
+
+// routingChoice reports an attempt's result to routing.
+type routingChoice struct {
+	choice *routing.Choice
+	began  time.Time
+}
+
+// Upstream implements request.Choice.
+func (c routingChoice) Upstream() string { return c.choice.UpstreamID }
+
+// FirstToken implements request.Choice.
+func (c routingChoice) FirstToken(after time.Duration) { c.choice.FirstToken(after) }
+
+// Done implements request.Choice.
+func (c routingChoice) Done(result request.AttemptResult) {
+	c.choice.Done(routing.Outcome{
+		Kind:         outcomeKind(result.Err),
+		FirstToken:   result.FirstToken,
+		Total:        time.Since(c.began),
+		PromptTokens: result.Usage.PromptTokens,
+		CachedTokens: result.Usage.CachedTokens,
+		OutputTokens: result.Usage.OutputTokens,
+	})
+}
+
+// outcomeKind says what an error of an attempt tells about the upstream.
+func outcomeKind(err error) routing.OutcomeKind {
+	var refused *upstream.RefusedError
+	var problem *request.Problem
+	switch {
+	case err == nil || err == io.EOF:
+		return routing.OutcomeOK
+	case errors.As(err, &refused):
+		return refusalKind(refused.Reason)
+	case errors.Is(err, upstream.ErrNotSent):
+		return routing.OutcomeUnreachable
+	case errors.Is(err, upstream.ErrProtocol):
+		return routing.OutcomeProtocol
+	case errors.Is(err, upstream.ErrBroken), errors.Is(err, request.ErrStalled):
+		return routing.OutcomeBroken
+	case errors.As(err, &problem), errors.Is(err, context.Canceled), errors.Is(err, request.ErrDeserted):
+		return routing.OutcomeCancelled
+	}
+	return routing.OutcomeBroken
+}
+
+func refusalKind(reason upstream.RefusalReason) routing.OutcomeKind {
+	switch reason {
+	case upstream.RefusedLeaving:
+		return routing.OutcomeLeaving
+	case upstream.RefusedModelNotLoaded:
+		return routing.OutcomeNotLoaded
+	}
+	return routing.OutcomeFull
+}
+
+func missing(name string) error     { return eris.Errorf("settings: %s is missing", name) }
+func notPositive(name string) error { return eris.Errorf("settings: %s must be over 0", name) }
--- /dev/null
+++ b/router/settings.go
@@ -0,0 +1,85 @@
+package router
+
+import (
+	"time"
+
+	"buckthornridge/settings"
+	"buckthornridge/telemetry"
+)
+
+// Settings is a router's settings file. A process learns its addresses and its
+// data centre from it and nothing else.
+type Settings struct {
+	// VM is the id of the VM that the router runs on.
+	VM string `json:"vm"`
+	// DataCentre and Region place the VM.
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region"`
+	// Listen is the callers' address, host:port.
+	Listen string `json:"listen"`
+	// PeerListen is the address for the system's other processes.
+	PeerListen string `json:"peer_listen"`
+	// AdminListen serves /healthz, /readyz and /debug/.
+	AdminListen string `json:"admin_listen"`
+	// Platform is the platform's address, host:port.
+	Platform string `json:"platform"`
+	// DrainLimit bounds a planned stop.
+	DrainLimit settings.Duration `json:"drain_limit"`
+	// LeaveNotice is how long /readyz says "no" before a planned stop refuses
+	// new requests, so that the balancer goes elsewhere first.
+	LeaveNotice settings.Duration `json:"leave_notice"`
+	// LoadInterval is the time between two load reports taken of an upstream.
+	LoadInterval settings.Duration `json:"load_interval"`
+	// MemberInterval is the time between two looks at the VM list.
+	MemberInterval settings.Duration `json:"member_interval"`
+	// Trace says where spans go.
+	Trace telemetry.Trace `json:"trace"`
+}
+
+// Defaults of Settings.
+const (
+	defaultDrainLimit     = 90 * time.Second
+	defaultLeaveNotice    = 2 * time.Second
+	defaultLoadInterval   = 500 * time.Millisecond
+	defaultMemberInterval = time.Second
+)
+
+// DefaultSettings returns the settings of what a file leaves out.
+func DefaultSettings() Settings {
+	return Settings{
+		DrainLimit:     settings.Duration(defaultDrainLimit),
+		LeaveNotice:    settings.Duration(defaultLeaveNotice),
+		LoadInterval:   settings.Duration(defaultLoadInterval),
+		MemberInterval: settings.Duration(defaultMemberInterval),
+	}
+}
+
+// Validate reports the first setting that is missing or out of range.
+func (s Settings) Validate() error {
+	for _, required := range []struct{ name, value string }{
+		{"vm", s.VM},
+		{"data_centre", s.DataCentre},
+		{"region", s.Region},
+		{"listen", s.Listen},
+		{"peer_listen", s.PeerListen},
+		{"admin_listen", s.AdminListen},
+		{"platform", s.Platform},
+	} {
+		if required.value == "" {
+			return missing(required.name)
+		}
+	}
+	for _, positive := range []struct {
+		name  string
+		value settings.Duration
+	}{
+		{"drain_limit", s.DrainLimit},
+		{"load_interval", s.LoadInterval},
+		{"member_interval", s.MemberInterval},
+	} {
+		if positive.value <= 0 {
+			return notPositive(positive.name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/telemetry/span.go
@@ -0,0 +1,56 @@
+package telemetry
+
+import (
+	"context"
+	"net/http"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// tracerName names the instrumentation in spans.
+const tracerName = "buckthornridge"
+
+// traceparent is the header and field that carries a trace between hops.
+const traceparent = "traceparent"
+
+// Attr is one attribute of a span.
+func Attr(key, value string) attribute.KeyValue { return attribute.String(key, value) }
+
+// Hop begins the span of one hop. End it with Done.
+func Hop(ctx context.Context, name string, attributes ...attribute.KeyValue) (context.Context, trace.Span) {
+	return otel.Tracer(tracerName).Start(ctx, name, trace.WithAttributes(attributes...))
+}
+
+// Done ends a span, with its error if there is one.
+func Done(span trace.Span, err error) {
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+	}
+	span.End()
+}
+
+// FromHeader takes over the trace that a caller began.
+func FromHeader(ctx context.Context, h http.Header) context.Context {
+	return propagator.Extract(ctx, propagation.HeaderCarrier(h))
+}
+
+// ToHeader hands the trace on.
+func ToHeader(ctx context.Context, h http.Header) {
+	propagator.Inject(ctx, propagation.HeaderCarrier(h))
+}
+
+// FromText takes over the trace that another process handed on in a message.
+func FromText(ctx context.Context, text string) context.Context {
+	return propagator.Extract(ctx, propagation.MapCarrier{traceparent: text})
+}
+
+// ToText returns the trace as a traceparent, or "" outside of one.
+func ToText(ctx context.Context) string {
+	carrier := propagation.MapCarrier{}
+	propagator.Inject(ctx, carrier)
+	return carrier[traceparent]
+}
