Platform: the stand-in server and its program

Cause: the processes of the thin path need a platform to stand on.

The stand-in serves the fake, so that the platform's rules exist once. POST /debug/faults changes what its body names.

--- /dev/null
+++ b/standin/platform/server.go
@@ -0,0 +1,71 @@
+// Package platform is the stand-in for the platform: platform.Fake served over
+// HTTP, with its faults under /debug.
+package platform
+
+import (
+	"expvar"
+	"net/http"
+
+	"golang.org/x/time/rate"
+
+	"buckthornridge/platform"
+	"buckthornridge/platform/wire"
+)
+
+// Server is the stand-in's handler.
+type Server struct {
+	fake        *platform.Fake
+	mux         *http.ServeMux
+	weightLimit *rate.Limiter
+}
+
+// NewServer returns a handler over an empty platform.
+func NewServer(s Settings) *Server {
+	fake := platform.NewFake(platform.FakeOptions{
+		Seed:                 s.Seed,
+		Faults:               s.faults(),
+		Weights:              s.weights(),
+		WeightBytesPerSecond: int64(s.WeightBytesPerSecond),
+	})
+	server := &Server{fake: fake, mux: http.NewServeMux(), weightLimit: newWeightLimit(int64(s.WeightBytesPerSecond))}
+	server.routeServices()
+	server.routeDebug()
+	return server
+}
+
+// Fake returns the platform that is served.
+func (s *Server) Fake() *platform.Fake { return s.fake }
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+func (s *Server) routeServices() {
+	s.mux.HandleFunc("POST "+wire.PathRead, s.read)
+	s.mux.HandleFunc("POST "+wire.PathScan, s.scan)
+	s.mux.HandleFunc("POST "+wire.PathCommit, s.commit)
+	s.mux.HandleFunc("GET "+wire.PathObjects, s.listObjects)
+	s.mux.HandleFunc("GET "+wire.PathObjects+"/{name}", s.getObject)
+	s.mux.HandleFunc("PUT "+wire.PathObjects+"/{name}", s.putObject)
+	s.mux.HandleFunc("DELETE "+wire.PathObjects+"/{name}", s.deleteObject)
+	s.mux.HandleFunc("GET "+wire.PathVMs, s.listVMs)
+	s.mux.HandleFunc("POST "+wire.PathVMs, s.announce)
+	s.mux.HandleFunc("GET "+wire.PathWeights, s.listWeights)
+	s.mux.HandleFunc("GET "+wire.PathWeights+"/{model}", s.weightBytes)
+}
+
+func (s *Server) routeDebug() {
+	s.mux.HandleFunc("GET /debug/faults", s.showFaults)
+	s.mux.HandleFunc("POST /debug/faults", s.changeFaults)
+	s.mux.HandleFunc("POST /debug/release", s.release)
+	s.mux.HandleFunc("GET /debug/vms", s.showVMs)
+	s.mux.HandleFunc("POST /debug/vms", s.setVMState)
+	s.mux.HandleFunc("GET /debug/counters", s.showCounters)
+	s.mux.HandleFunc("GET /debug/table", s.showTable)
+	s.mux.Handle("GET /debug/vars", expvar.Handler())
+	s.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { answer(w, wire.Done{Done: true}) })
+}
+
+// services are those of the VM that makes the request.
+func (s *Server) services(r *http.Request) platform.Services {
+	return s.fake.As(r.Header.Get(wire.HeaderVM))
+}
--- /dev/null
+++ b/standin/platform/settings.go
@@ -0,0 +1,81 @@
+package platform
+
+import (
+	"buckthornridge/platform"
+	"buckthornridge/settings"
+)
+
+// Settings of the stand-in, in the form of its settings file.
+type Settings struct {
+	// Address to listen on, host:port.
+	Address string `json:"address"`
+	// Seed of the faults that come at a rate.
+	Seed uint64 `json:"seed"`
+	// Weights in the weight store.
+	Weights []WeightSettings `json:"weights"`
+	// WeightBytesPerSecond is the total rate of the weight store, 0 for no limit.
+	WeightBytesPerSecond Count `json:"weight_bytes_per_second"`
+	FaultSettings
+}
+
+// WeightSettings are a platform.Weight in the form of settings.
+type WeightSettings struct {
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Bytes   Count  `json:"bytes"`
+}
+
+// FaultSettings are platform.Faults in the form of settings and of /debug/faults.
+type FaultSettings struct {
+	Down            bool              `json:"down"`
+	Cut             []string          `json:"cut"`
+	Silent          bool              `json:"silent"`
+	Latency         settings.Duration `json:"latency"`
+	LoseNext        Count             `json:"lose_next"`
+	LoseRate        Share             `json:"lose_rate"`
+	DelayNext       Count             `json:"delay_next"`
+	DelayRate       Share             `json:"delay_rate"`
+	Delay           settings.Duration `json:"delay"`
+	WritesPerSecond Rate              `json:"writes_per_second"`
+	ReadsPerSecond  Rate              `json:"reads_per_second"`
+	CountRows       bool              `json:"count_rows"`
+	VMListLag       settings.Duration `json:"vm_list_lag"`
+	VMListFrozen    bool              `json:"vm_list_frozen"`
+}
+
+// DefaultSettings are a healthy platform with its rates.
+func DefaultSettings() Settings {
+	return Settings{
+		Address:       "127.0.0.1:7000",
+		Seed:          1,
+		FaultSettings: FaultSettings{WritesPerSecond: 600, ReadsPerSecond: 2000},
+	}
+}
+
+func (s Settings) weights() []platform.Weight {
+	var weights []platform.Weight
+	for _, w := range s.Weights {
+		weights = append(weights, platform.Weight{Model: w.Model, Version: w.Version, Bytes: int64(w.Bytes)})
+	}
+	return weights
+}
+
+func faultSettings(f platform.Faults) FaultSettings {
+	return FaultSettings{
+		Down: f.Down, Cut: append([]string{}, f.Cut...), Silent: f.Silent, Latency: settings.Duration(f.Latency),
+		LoseNext: Count(f.LoseNext), LoseRate: Share(f.LoseRate),
+		DelayNext: Count(f.DelayNext), DelayRate: Share(f.DelayRate), Delay: settings.Duration(f.Delay),
+		WritesPerSecond: Rate(f.WritesPerSecond), ReadsPerSecond: Rate(f.ReadsPerSecond), CountRows: f.CountRows,
+		VMListLag: settings.Duration(f.VMListLag), VMListFrozen: f.VMListFrozen,
+	}
+}
+
+func (s FaultSettings) faults() platform.Faults {
+	return platform.Faults{
+		Down: s.Down, Cut: s.Cut, Silent: s.Silent, Latency: s.Latency.D(),
+		LoseNext: int(s.LoseNext), LoseRate: float64(s.LoseRate),
+		DelayNext: int(s.DelayNext), DelayRate: float64(s.DelayRate), Delay: s.Delay.D(),
+		WritesPerSecond: float64(s.WritesPerSecond), ReadsPerSecond: float64(s.ReadsPerSecond), CountRows: s.CountRows,
+		VMListLag: s.VMListLag.D(), VMListFrozen: s.VMListFrozen,
+	}
+}
