Engine and service clients, engine stand-in

The engine stand-in: one step loop over a batch, priority queue, prefix cache of 64-byte blocks, late and gappy events, streams detached from connections. Contract tests over loopback: answers, refusals, nine kinds of damaged answers, resume, cancellation, ceilings, take-over by a second reader.

--- /dev/null
+++ b/standin/engine/core.go
@@ -0,0 +1,241 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"buckthornridge/standin/answer"
+	"buckthornridge/upstream"
+	"buckthornridge/upstream/wire"
+)
+
+// core is the scheduler: admission, the batch, the cache and the life of
+// streams. It does no I/O and reads no clock.
+type core struct {
+	settings Settings
+	cache    *prefixCache
+	events   *eventLog
+	streams  map[string]*sequence // known ids, until they are forgotten
+	waiting  queue
+	batch    []*sequence // by priority, then arrival
+	arrivals int64
+	runs     runLog
+}
+
+func newCore(s Settings) *core {
+	events := newEventLog(s)
+	return &core{
+		settings: s,
+		cache:    newPrefixCache(s.CacheBlocks, events),
+		events:   events,
+		streams:  map[string]*sequence{},
+		runs:     runLog{capacity: s.MaxRuns},
+	}
+}
+
+// submit takes a request, or returns the code of the refusal.
+func (c *core) submit(g wire.Generate, overrun int64, now time.Time) (*sequence, string) {
+	if c.streams[g.StreamID] != nil {
+		return nil, wire.ErrorStreamExists
+	}
+	if len(c.batch) >= c.settings.Slots && c.waiting.len() >= c.settings.MaxQueue {
+		return nil, wire.ErrorFull
+	}
+	s := newSequence(g, overrun, now)
+	c.arrivals++
+	s.arrival = c.arrivals
+	c.streams[g.StreamID] = s
+	c.runs.add(s.run)
+	c.waiting.push(s)
+	return s, ""
+}
+
+// step is one planned pass of the model over the batch.
+type step struct {
+	prefill  []prefillShare
+	decode   []*sequence
+	duration time.Duration
+}
+
+type prefillShare struct {
+	sequence *sequence
+	tokens   int64
+}
+
+func (s step) empty() bool { return len(s.prefill) == 0 && len(s.decode) == 0 }
+
+// plan fills the batch from the queue and shares out the next step.
+func (c *core) plan() step {
+	c.admit()
+	var next step
+	left := c.settings.PrefillPerStep
+	for _, s := range c.batch {
+		switch {
+		case s.at() == stageDecode && !s.full(c.settings.BufferTokens):
+			next.decode = append(next.decode, s)
+		case s.at() == stagePrefill && (left > 0 || s.prefill == 0):
+			share := min(left, s.prefill)
+			left -= share
+			next.prefill = append(next.prefill, prefillShare{sequence: s, tokens: share})
+		}
+	}
+	next.duration = c.stepTime(len(next.decode) + len(next.prefill))
+	return next
+}
+
+func (c *core) stepTime(sequences int) time.Duration {
+	return c.settings.scaled(c.settings.StepBaseMS + float64(sequences)*c.settings.StepPerSequenceMS)
+}
+
+func (c *core) admit() {
+	for len(c.batch) < c.settings.Slots && c.waiting.len() > 0 {
+		s := c.waiting.pop()
+		blocks := c.cache.lookup(s.chain)
+		cached := int64(blocks) * upstream.PrefixBlockBytes / answer.BytesPerToken
+		s.cached.Store(cached)
+		s.prefill = s.promptTokens - cached
+		s.enter(stagePrefill)
+		at, _ := slices.BinarySearchFunc(c.batch, s, func(a, b *sequence) int {
+			if goesFirst(a, b) {
+				return -1
+			}
+			return 1
+		})
+		c.batch = slices.Insert(c.batch, at, s)
+	}
+}
+
+// finish applies a step that has run. Sequences that were cancelled meanwhile
+// are passed over.
+func (c *core) finish(done step, now time.Time) {
+	c.events.now = now
+	for _, p := range done.prefill {
+		c.finishPrefill(p)
+	}
+	for _, s := range done.decode {
+		if s.at() == stageDecode {
+			c.generate(s)
+		}
+	}
+	c.batch = slices.DeleteFunc(c.batch, (*sequence).ended)
+}
+
+// finishPrefill counts processed prompt tokens. The step that completes the
+// prompt also gives the first token.
+func (c *core) finishPrefill(p prefillShare) {
+	s := p.sequence
+	if s.at() != stagePrefill {
+		return
+	}
+	s.prefill -= p.tokens
+	if s.prefill > 0 {
+		return
+	}
+	c.cache.store(s.model, s.chain)
+	s.enter(stageDecode)
+	c.generate(s)
+}
+
+func (c *core) generate(s *sequence) {
+	if s.generated.Load() < s.limit {
+		s.generated.Add(1)
+	}
+	if s.generated.Load() >= s.limit {
+		s.finished.Store(true)
+		s.enter(stageFinished)
+	}
+	s.notify()
+}
+
+// cancel ends a stream at once. It reports whether the stream was known.
+func (c *core) cancel(streamID string) bool {
+	s := c.streams[streamID]
+	if s == nil {
+		return false
+	}
+	delete(c.streams, streamID)
+	c.end(s)
+	return true
+}
+
+func (c *core) end(s *sequence) {
+	switch s.at() {
+	case stageQueued:
+		c.waiting.remove(s)
+	case stagePrefill, stageDecode:
+		c.batch = slices.DeleteFunc(c.batch, func(other *sequence) bool { return other == s })
+	default:
+		return
+	}
+	s.cancelled.Store(true)
+	s.enter(stageCancelled)
+	s.notify()
+}
+
+// attached is one connection's hold on a stream.
+type attached struct {
+	*sequence
+	reader    int
+	next      int64           // position to write next
+	progress  <-chan struct{} // tells of new tokens or the end
+	displaced <-chan struct{} // closed when another connection takes over
+	faults    Faults
+}
+
+// attach makes a new connection the stream's reader in place of the last one.
+// It returns nil when the tokens from a position are no longer, or not yet,
+// there.
+//
+// Each reader has its own channels: a displaced one that lingers must not take
+// the notification of the last token from its successor, which would then wait
+// for ever.
+func (c *core) attach(s *sequence, from int64) *attached {
+	generated := s.generated.Load()
+	if from < max(0, generated-c.settings.BufferTokens) || from > generated {
+		return nil
+	}
+	if s.displaced != nil {
+		close(s.displaced)
+	}
+	s.displaced = make(chan struct{})
+	s.wake = make(chan struct{}, 1)
+	s.readers++
+	s.reader = s.readers
+	return &attached{sequence: s, reader: s.reader, next: from, progress: s.wake, displaced: s.displaced}
+}
+
+// detach starts the resume window, unless another connection took over.
+func (c *core) detach(s *sequence, reader int, now time.Time) {
+	if s.reader != reader {
+		return
+	}
+	s.reader = 0
+	s.detachedAt = now
+	s.displaced, s.wake = nil, nil
+}
+
+// expire cancels streams whose resume window is over, and forgets them.
+func (c *core) expire(now time.Time) {
+	for id, s := range c.streams {
+		if s.reader == 0 && now.Sub(s.detachedAt) >= c.settings.resumeWindow() {
+			delete(c.streams, id)
+			c.end(s)
+		}
+	}
+}
+
+// load is the state at this moment, for the lagging report.
+func (c *core) load() upstream.Load {
+	report := upstream.Load{
+		Running:    len(c.batch),
+		Queued:     c.waiting.len(),
+		StepMillis: float64(c.stepTime(len(c.batch))) / float64(time.Millisecond),
+	}
+	for _, s := range c.batch {
+		report.PrefillTokens += s.prefill
+	}
+	for _, s := range c.waiting.items {
+		report.PrefillTokens += s.promptTokens
+	}
+	return report
+}
--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,293 @@
+// Package engine is a stand-in model engine: it batches continuously, caches
+// prompt prefixes in bounded memory and speaks the engines' HTTP protocol.
+//
+// Its answers come from package answer, so callers can check every byte. It
+// records what really ran, and produces the failures that the clients of
+// engines must survive.
+package engine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"buckthornridge/upstream"
+	"buckthornridge/upstream/wire"
+)
+
+// expiryParts is how many times a resume window is looked at.
+const expiryParts = 8
+
+// Engine is one stand-in engine. Start begins its work, Stop ends it.
+type Engine struct {
+	settings Settings
+	models   *models
+	weights  WeightSource
+	work     chan struct{} // tells the batch loop of new work
+
+	mu      sync.Mutex // guards all below
+	core    *core
+	faults  Faults
+	leaving time.Time // zero until the engine leaves
+	refused int64     // requests refused since it leaves
+	sample  upstream.Load
+	sampled time.Time
+
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+// New returns an engine with checked settings. Its id names it to the weight
+// store.
+func New(id string, s Settings) (*Engine, error) {
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	s = s.withDefaults()
+	return &Engine{
+		settings: s,
+		models:   newModels(s),
+		weights:  newWeightSource(s, id),
+		work:     make(chan struct{}, 1),
+		core:     newCore(s),
+	}, nil
+}
+
+// Start begins batching and loading.
+func (e *Engine) Start(ctx context.Context) error {
+	ctx, e.stop = context.WithCancel(ctx)
+	e.done.Go(func() { e.batch(ctx) })
+	e.done.Go(func() { e.models.run(ctx, e.weights, e.settings.scaled(loadRetry)) })
+	return nil
+}
+
+// Stop ends the engine at once, with its streams.
+func (e *Engine) Stop() error {
+	e.stop()
+	e.done.Wait()
+	return nil
+}
+
+// Drain makes the engine leave and waits until its streams have ended and been
+// read, or the context is done.
+func (e *Engine) Drain(ctx context.Context) error {
+	e.Leave()
+	for e.open() > 0 {
+		sleep(ctx, time.Millisecond*10)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// Leave makes the engine refuse new requests.
+func (e *Engine) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving.IsZero() {
+		e.leaving = time.Now()
+	}
+}
+
+// open counts the streams that still run or still have a reader.
+func (e *Engine) open() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	open := 0
+	for _, s := range e.core.streams {
+		if !s.ended() || s.reader != 0 {
+			open++
+		}
+	}
+	return open
+}
+
+// SetFaults replaces the engine's faults.
+func (e *Engine) SetFaults(f Faults) error {
+	if err := f.validate(); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+	e.kick()
+	return nil
+}
+
+// batch runs one step after the other while there is work.
+func (e *Engine) batch(ctx context.Context) {
+	var busyUntil, expired time.Time
+	window := e.settings.resumeWindow() / expiryParts
+	for ctx.Err() == nil {
+		now := time.Now()
+		if now.Sub(expired) >= window {
+			e.expire(now)
+			expired = now
+		}
+		next := e.planStep()
+		if next.empty() {
+			e.wait(ctx, window)
+			busyUntil = time.Time{}
+			continue
+		}
+		// Steps follow each other without the timer's lateness adding up.
+		if now.Sub(busyUntil) > next.duration {
+			busyUntil = now
+		}
+		busyUntil = busyUntil.Add(next.duration)
+		sleep(ctx, time.Until(busyUntil))
+		e.finishStep(next)
+	}
+}
+
+func (e *Engine) expire(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.core.expire(now)
+}
+
+func (e *Engine) planStep() step {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Stall {
+		return step{}
+	}
+	next := e.core.plan()
+	next.duration = time.Duration(float64(next.duration) * e.faults.slowFactor())
+	return next
+}
+
+func (e *Engine) finishStep(done step) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.core.finish(done, time.Now())
+}
+
+// wait returns when there may be work, at the latest after a time.
+func (e *Engine) wait(ctx context.Context, longest time.Duration) {
+	timer := time.NewTimer(longest)
+	defer timer.Stop()
+	select {
+	case <-e.work:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (e *Engine) kick() {
+	select {
+	case e.work <- struct{}{}:
+	default: // the loop is told already
+	}
+}
+
+// submit takes a request and attaches its first reader, or returns the code of
+// the refusal.
+func (e *Engine) submit(g wire.Generate) (*attached, string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if refusal := e.refusal(g); refusal != "" {
+		return nil, refusal
+	}
+	s, refusal := e.core.submit(g, e.faults.Overrun, time.Now())
+	if refusal != "" {
+		return nil, refusal
+	}
+	e.kick()
+	return e.attach(s, 0)
+}
+
+func (e *Engine) refusal(g wire.Generate) string {
+	switch {
+	case e.faults.Refuse != "":
+		return e.faults.Refuse
+	case !e.leaving.IsZero():
+		e.refused++
+		return wire.ErrorLeaving
+	case !e.models.ready(g.Model, g.Adapter):
+		return wire.ErrorModelNotLoaded
+	}
+	return ""
+}
+
+// resume attaches another reader to a stream.
+func (e *Engine) resume(r wire.Resume) (*attached, string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.core.streams[r.StreamID]
+	if s == nil {
+		return nil, wire.ErrorNoStream
+	}
+	return e.attach(s, r.From)
+}
+
+func (e *Engine) attach(s *sequence, from int64) (*attached, string) {
+	a := e.core.attach(s, from)
+	if a == nil {
+		return nil, wire.ErrorNoStream
+	}
+	a.faults = e.faults
+	e.countWireFault()
+	return a, ""
+}
+
+// countWireFault ends a wire fault that has hit its last connection.
+func (e *Engine) countWireFault() {
+	f := &e.faults.Wire
+	if f.Kind == WireSound || f.Connections == 0 {
+		return
+	}
+	f.Connections--
+	if f.Connections == 0 {
+		*f = WireFault{}
+	}
+}
+
+func (e *Engine) detach(a *attached) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.core.detach(a.sequence, a.reader, time.Now())
+}
+
+func (e *Engine) cancel(streamID string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.cancel(streamID)
+}
+
+func (e *Engine) order(o upstream.Order) (refusal string) {
+	unloaded, refusal := e.models.order(o)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.core.events.now = time.Now()
+	for _, model := range unloaded {
+		e.core.cache.drop(model)
+	}
+	return refusal
+}
+
+// load returns a report that is at most the set lag old.
+func (e *Engine) load() upstream.Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if now.Sub(e.sampled) >= e.settings.scaled(e.settings.LoadLagMS) {
+		e.sample, e.sampled = e.core.load(), now
+		e.sample.StepMillis *= e.faults.slowFactor()
+		e.sample.Leaving = !e.leaving.IsZero()
+		e.models.report(&e.sample)
+	}
+	report := e.sample
+	if e.faults.IdleLoad {
+		report.Running, report.Queued, report.PrefillTokens, report.StepMillis = 0, 0, 0, 0
+	}
+	report.AgeMillis = now.Sub(e.sampled).Milliseconds()
+	return report
+}
+
+func (e *Engine) cacheEvents(after int64) []upstream.CacheEvent {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.events.after(after, time.Now())
+}
--- /dev/null
+++ b/standin/engine/http.go
@@ -0,0 +1,192 @@
+package engine
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"buckthornridge/upstream"
+	"buckthornridge/upstream/wire"
+)
+
+// Paths that only the stand-in has.
+const (
+	PathRuns   = "/debug/runs"
+	PathFaults = "/debug/faults"
+	PathState  = "/debug/state"
+)
+
+// Bounds of requests.
+const (
+	maxRequestBytes = 32 << 20
+	maxIDBytes      = 1024
+)
+
+// defaultRetryAfterMS is the hint that goes with a refusal.
+const defaultRetryAfterMS = 100
+
+// Handler returns the engine's HTTP interface.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+wire.PathGenerate, e.serveGenerate)
+	mux.HandleFunc("POST "+wire.PathResume, e.serveResume)
+	mux.HandleFunc("POST "+wire.PathCancel, e.serveCancel)
+	mux.HandleFunc("GET "+wire.PathLoad, e.serveLoad)
+	mux.HandleFunc("GET "+wire.PathCacheEvents, e.serveCacheEvents)
+	mux.HandleFunc("POST "+wire.PathOrders, e.serveOrder)
+	mux.HandleFunc("GET "+wire.PathKV+"{prefix}", e.serveExport)
+	mux.HandleFunc("PUT "+wire.PathKV+"{prefix}", e.serveImport)
+	mux.HandleFunc("GET "+PathRuns, e.serveRuns)
+	mux.HandleFunc("GET "+PathState, e.serveState)
+	mux.HandleFunc("POST "+PathFaults, e.serveFaults)
+	return mux
+}
+
+func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	var g wire.Generate
+	if !readJSON(w, r, &g) {
+		return
+	}
+	if g.StreamID == "" || len(g.StreamID) > maxIDBytes || g.Model == "" {
+		e.refuse(w, wire.ErrorMalformed)
+		return
+	}
+	a, refusal := e.submit(g)
+	if refusal != "" {
+		e.refuse(w, refusal)
+		return
+	}
+	e.serveStream(w, r, a)
+}
+
+func (e *Engine) serveResume(w http.ResponseWriter, r *http.Request) {
+	var request wire.Resume
+	if !readJSON(w, r, &request) {
+		return
+	}
+	a, refusal := e.resume(request)
+	if refusal != "" {
+		e.refuse(w, refusal)
+		return
+	}
+	e.serveStream(w, r, a)
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var request wire.Cancel
+	if !readJSON(w, r, &request) {
+		return
+	}
+	if !e.cancel(request.StreamID) {
+		e.refuse(w, wire.ErrorNoStream)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, e.load())
+}
+
+func (e *Engine) serveCacheEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		e.refuse(w, wire.ErrorMalformed)
+		return
+	}
+	writeJSON(w, http.StatusOK, e.cacheEvents(after))
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o upstream.Order
+	if !readJSON(w, r, &o) {
+		return
+	}
+	if refusal := e.order(o); refusal != "" {
+		e.refuse(w, refusal)
+		return
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func (e *Engine) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, e.core.runs.report())
+}
+
+// State tells how the engine is leaving, for audits.
+type State struct {
+	// LeavingSinceUnixMS is 0 until the engine leaves.
+	LeavingSinceUnixMS int64 `json:"leaving_since_unix_ms"`
+	// RefusedLeaving counts requests that came after.
+	RefusedLeaving int64 `json:"refused_leaving"`
+	OpenStreams    int   `json:"open_streams"`
+}
+
+func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
+	state := State{OpenStreams: e.open()}
+	e.mu.Lock()
+	if !e.leaving.IsZero() {
+		state.LeavingSinceUnixMS = e.leaving.UnixMilli()
+	}
+	state.RefusedLeaving = e.refused
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, state)
+}
+
+func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if !readJSON(w, r, &f) {
+		return
+	}
+	if err := e.SetFaults(f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// refuse answers with a problem and the status that goes with its code.
+func (e *Engine) refuse(w http.ResponseWriter, code string) {
+	problem := wire.Problem{Error: code}
+	status := http.StatusServiceUnavailable
+	switch code {
+	case wire.ErrorModelNotLoaded, wire.ErrorNoStream:
+		status = http.StatusNotFound
+	case wire.ErrorMalformed:
+		status = http.StatusBadRequest
+	case wire.ErrorNoMemory:
+		status = http.StatusUnprocessableEntity
+	case wire.ErrorOldFence, wire.ErrorStreamExists:
+		status = http.StatusConflict
+	case wire.ErrorLeaving, wire.ErrorFull:
+		problem.RetryAfterMillis = e.retryAfter()
+	}
+	writeJSON(w, status, problem)
+}
+
+func (e *Engine) retryAfter() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.RetryAfterMS > 0 {
+		return e.faults.RetryAfterMS
+	}
+	return defaultRetryAfterMS
+}
+
+// readJSON reads a request's body, or answers that it is malformed.
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err := decoder.Decode(into); err != nil {
+		writeJSON(w, http.StatusBadRequest, wire.Problem{Error: wire.ErrorMalformed})
+		return false
+	}
+	_, _ = io.Copy(io.Discard, decoder.Buffered())
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value) // the client is gone if this fails
+}
--- /dev/null
+++ b/standin/engine/runs.go
@@ -0,0 +1,90 @@
+package engine
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Run tells what really ran of one stream, for audits.
+type Run struct {
+	StreamID     string `json:"stream_id"`
+	Model        string `json:"model"`
+	PromptTokens int64  `json:"prompt_tokens"`
+	Generated    int64  `json:"generated"` // tokens
+	Read         int64  `json:"read"`      // tokens written to a connection
+	Cancelled    bool   `json:"cancelled"`
+	Finished     bool   `json:"finished"`
+	// StartedUnixMS is when the request was taken, in milliseconds since 1970.
+	StartedUnixMS int64 `json:"started_unix_ms"`
+}
+
+// run is the live form of Run: the batch writes generated, a reader read.
+type run struct {
+	streamID     string
+	model        string
+	promptTokens int64
+	started      time.Time
+	generated    atomic.Int64
+	read         atomic.Int64
+	cancelled    atomic.Bool
+	finished     atomic.Bool
+}
+
+func (r *run) report() Run {
+	return Run{
+		StreamID:      r.streamID,
+		Model:         r.model,
+		PromptTokens:  r.promptTokens,
+		Generated:     r.generated.Load(),
+		Read:          r.read.Load(),
+		Cancelled:     r.cancelled.Load(),
+		Finished:      r.finished.Load(),
+		StartedUnixMS: r.started.UnixMilli(),
+	}
+}
+
+// runLog keeps every run, up to a bound beyond which new ones are only counted.
+type runLog struct {
+	mu       sync.Mutex
+	capacity int
+	runs     []*run
+	omitted  int64
+}
+
+func (l *runLog) add(r *run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.runs) >= l.capacity {
+		l.omitted++
+		return
+	}
+	l.runs = append(l.runs, r)
+}
+
+// RunReport lists all runs since the start.
+type RunReport struct {
+	Runs []Run `json:"runs"`
+	// Omitted counts runs beyond the bound on records; an audit needs 0.
+	Omitted int64 `json:"omitted"`
+}
+
+func (l *runLog) report() RunReport {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	report := RunReport{Runs: make([]Run, len(l.runs)), Omitted: l.omitted}
+	for i, r := range l.runs {
+		report.Runs[i] = r.report()
+	}
+	return report
+}
+
+// raise sets a counter to a value unless it is higher already.
+func raise(counter *atomic.Int64, to int64) {
+	for {
+		old := counter.Load()
+		if old >= to || counter.CompareAndSwap(old, to) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/standin/engine/sequence.go
@@ -0,0 +1,90 @@
+package engine
+
+import (
+	"sync/atomic"
+	"time"
+
+	"buckthornridge/standin/answer"
+	"buckthornridge/upstream"
+	"buckthornridge/upstream/wire"
+)
+
+// stage is where a sequence stands.
+type stage int32
+
+const (
+	stageQueued stage = iota
+	stagePrefill
+	stageDecode
+	stageFinished
+	stageCancelled
+)
+
+// sequence is one stream in the engine. Fields without a note belong to the
+// core and are used under the engine's lock.
+type sequence struct {
+	*run    // its counters are atomic: readers load them without the lock
+	request wire.Generate
+	arrival int64 // breaks ties of priority
+	index   int   // in the queue's heap
+	chain   []uint64
+	seed    uint64 // constant
+	limit   int64  // constant: tokens to generate
+	finish  string // constant: the finish reason
+	cached  atomic.Int64
+	prefill int64 // prompt tokens still to process
+	stage   atomic.Int32
+
+	reader     int // the connection that reads it; 0 for none
+	readers    int // connections it had so far
+	detachedAt time.Time
+	displaced  chan struct{} // closed when another connection takes over
+	wake       chan struct{} // tells the reader of progress; nil without one
+}
+
+func newSequence(g wire.Generate, overrun int64, now time.Time) *sequence {
+	length := answer.Length(g.Model, g.Prompt)
+	finish := answer.FinishStop
+	if length > g.MaxTokens {
+		length, finish = max(g.MaxTokens, 0), answer.FinishLength
+	}
+	return &sequence{
+		run: &run{
+			streamID:     g.StreamID,
+			model:        g.Model,
+			promptTokens: answer.PromptTokens(g.Prompt),
+			started:      now,
+		},
+		request:    g,
+		chain:      upstream.PrefixChain(g.Model, g.Adapter, g.Prompt),
+		seed:       answer.Seed(g.Model, g.Prompt),
+		limit:      length + overrun,
+		finish:     finish,
+		detachedAt: now,
+	}
+}
+
+func (s *sequence) at() stage      { return stage(s.stage.Load()) }
+func (s *sequence) enter(to stage) { s.stage.Store(int32(to)) }
+func (s *sequence) ended() bool    { return s.at() >= stageFinished }
+
+// usage is what the sequence consumed so far.
+func (s *sequence) usage() wire.Usage {
+	return wire.Usage{
+		PromptTokens: s.promptTokens,
+		CachedTokens: s.cached.Load(),
+		OutputTokens: s.generated.Load(),
+	}
+}
+
+// full reports whether the sequence must wait for its reader.
+func (s *sequence) full(bufferTokens int64) bool {
+	return s.generated.Load()-s.read.Load() >= bufferTokens
+}
+
+func (s *sequence) notify() {
+	select {
+	case s.wake <- struct{}{}:
+	default: // there is no reader, or a notification is pending already
+	}
+}
--- /dev/null
+++ b/standin/engine/stream.go
@@ -0,0 +1,159 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"buckthornridge/standin/answer"
+	"buckthornridge/upstream/wire"
+)
+
+// oversizedText is longer than any client takes for one token.
+const oversizedText = 1 << 20
+
+// serveStream writes a stream's lines until its end, until another connection
+// takes over or until this one breaks.
+func (e *Engine) serveStream(w http.ResponseWriter, r *http.Request, a *attached) {
+	defer e.detach(a)
+	w.Header().Set("Content-Type", wire.ContentTypeLines)
+	out := newLineWriter(w, a)
+	if !out.flush() {
+		return
+	}
+	for {
+		if !out.writeTokens() {
+			return
+		}
+		e.kick() // the batch may wait for room in the stream's buffer
+		if a.ended() && a.next >= a.generated.Load() {
+			out.writeLast()
+			return
+		}
+		select {
+		case <-a.progress:
+		case <-a.displaced:
+			panic(http.ErrAbortHandler) // a clean end could pass as the answer's
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// lineWriter writes one connection's lines, damaged by its wire fault.
+type lineWriter struct {
+	attached *attached
+	w        http.ResponseWriter
+	control  *http.ResponseController
+	id       []byte // the stream id in JSON
+	written  int64  // tokens on this connection
+	buf      []byte
+	over     bool // the fault ended the connection's tokens
+}
+
+func newLineWriter(w http.ResponseWriter, a *attached) *lineWriter {
+	id, _ := json.Marshal(a.streamID) // a string always encodes
+	return &lineWriter{attached: a, w: w, control: http.NewResponseController(w), id: id}
+}
+
+func (l *lineWriter) flush() bool { return l.control.Flush() == nil }
+
+// writeTokens writes the tokens that are ready. It reports whether the
+// connection goes on.
+func (l *lineWriter) writeTokens() bool {
+	a := l.attached
+	l.buf = l.buf[:0]
+	ready := a.generated.Load()
+	for ; a.next < ready; a.next++ {
+		if !l.appendToken(a.next) {
+			return false
+		}
+	}
+	if len(l.buf) == 0 {
+		return true
+	}
+	if _, err := l.w.Write(l.buf); err != nil || !l.flush() {
+		return false
+	}
+	raise(&a.run.read, ready)
+	return true
+}
+
+// appendToken adds a token's line. It reports false if the fault ends the body.
+func (l *lineWriter) appendToken(position int64) bool {
+	fault := l.attached.faults.Wire
+	hit := l.written == fault.After
+	l.written++
+	if !hit && !l.over {
+		l.appendLine(l.id, position, answer.Token(l.attached.seed, position))
+		return true
+	}
+	return l.appendDamaged(fault.Kind, position)
+}
+
+func (l *lineWriter) appendDamaged(kind WireFaultKind, position int64) bool {
+	text := answer.Token(l.attached.seed, position)
+	switch kind {
+	case WireKill:
+		l.sendNow()
+		panic(http.ErrAbortHandler)
+	case WireTruncate:
+		l.sendNow()
+		return false
+	case WireForeign:
+		l.appendLine([]byte(`"another/stream/1"`), position, text)
+	case WireDuplicate:
+		l.appendLine(l.id, position, text)
+		l.appendLine(l.id, position, text)
+	case WireSkip:
+	case WireReorder:
+		l.appendLine(l.id, position+1, text)
+	case WireLoseTail:
+		l.over = true
+	case WireMalformed:
+		l.buf = append(l.buf, "{\"stream_id\":\n"...)
+	case WireOversized:
+		l.appendLine(l.id, position, strings.Repeat("x", oversizedText))
+	default:
+		l.appendLine(l.id, position, text)
+	}
+	return true
+}
+
+// sendNow writes what came before a fault that ends the connection.
+func (l *lineWriter) sendNow() {
+	_, _ = l.w.Write(l.buf)
+	l.flush()
+	raise(&l.attached.run.read, l.attached.next)
+}
+
+func (l *lineWriter) appendLine(id []byte, position int64, text string) {
+	l.buf = append(l.buf, `{"stream_id":`...)
+	l.buf = append(l.buf, id...)
+	l.buf = append(l.buf, `,"position":`...)
+	l.buf = strconv.AppendInt(l.buf, position, 10)
+	l.buf = append(l.buf, `,"text":"`...)
+	l.buf = append(l.buf, text...) // words need no escapes
+	l.buf = append(l.buf, "\"}\n"...)
+}
+
+// lastLine is the line that ends an answer.
+type lastLine struct {
+	StreamID     string     `json:"stream_id"`
+	Done         bool       `json:"done"`
+	FinishReason string     `json:"finish_reason"`
+	Usage        wire.Usage `json:"usage"`
+}
+
+// writeLast writes the end of the answer. A cancelled stream has none: its
+// connection breaks.
+func (l *lineWriter) writeLast() {
+	a := l.attached
+	if a.at() == stageCancelled {
+		panic(http.ErrAbortHandler)
+	}
+	last := lastLine{StreamID: a.streamID, Done: true, FinishReason: a.finish, Usage: a.usage()}
+	last.Usage.OutputTokens += a.faults.UsageError
+	_ = json.NewEncoder(l.w).Encode(last) // the client is gone if this fails
+}
--- /dev/null
+++ b/upstream/counters.go
@@ -0,0 +1,36 @@
+package upstream
+
+import (
+	"errors"
+	"expvar"
+)
+
+// counters are the package's counters under "upstream" in /debug/vars.
+var counters = expvar.NewMap("upstream")
+
+// Names of the counters.
+const (
+	countNotSent  = "not_sent"
+	countRefused  = "refused"
+	countBroken   = "broken"
+	countProtocol = "protocol_violations"
+	countOverrun  = "overruns"        // engines that generated past the maximum
+	countAdjusted = "usages_adjusted" // usage reports that could not be true
+)
+
+func countFailure(kind error) {
+	for _, c := range []struct {
+		kind error
+		name string
+	}{
+		{ErrNotSent, countNotSent},
+		{ErrRefused, countRefused},
+		{ErrBroken, countBroken},
+		{ErrProtocol, countProtocol},
+	} {
+		if errors.Is(kind, c.kind) {
+			counters.Add(c.name, 1)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/upstream/engine_test.go
@@ -0,0 +1,171 @@
+package upstream_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/standin/answer"
+	"buckthornridge/standin/engine"
+	"buckthornridge/upstream"
+)
+
+// quick are settings under which a step takes well under a millisecond.
+func quick() engine.Settings {
+	return engine.Settings{
+		Models:            []string{"small", "large"},
+		StepBaseMS:        0.1,
+		StepPerSequenceMS: 0.001,
+		LoadLagMS:         0.001,
+		CacheEventDelayMS: 0.001,
+		WeightBytes:       1,
+	}
+}
+
+// fixture is a stand-in engine over loopback with its client.
+type fixture struct {
+	*engine.Engine
+	client *upstream.HTTPEngine
+	url    string
+}
+
+func start(t *testing.T, s engine.Settings) fixture {
+	t.Helper()
+	e, err := engine.New("engine-1", s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := e.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(e.Handler())
+	transport := upstream.NewTransport()
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		server.CloseClientConnections()
+		server.Close()
+		_ = e.Stop()
+	})
+	address := strings.TrimPrefix(server.URL, "http://")
+	return fixture{Engine: e, client: upstream.NewEngine(address, transport), url: server.URL}
+}
+
+func request(id, prompt string, maxTokens int64) upstream.Generate {
+	return upstream.Generate{StreamID: id, Model: "small", Prompt: prompt, MaxTokens: maxTokens}
+}
+
+// read returns the texts up to the stream's end or error, and closes it.
+func read(s upstream.Stream) (texts []string, err error) {
+	defer s.Close()
+	for {
+		token, err := s.Next()
+		if err != nil {
+			return texts, err
+		}
+		texts = append(texts, token.Text)
+	}
+}
+
+func TestGenerate(t *testing.T) {
+	tests := []struct {
+		name, prompt string
+		max          int64
+		finish       string
+	}{
+		{"whole answer", "user: hi [[tokens=20]]\n", 100, upstream.FinishStop},
+		{"cut off", "user: hi [[tokens=20]]\n", 7, upstream.FinishLength},
+		{"empty answer", "[[tokens=0]]", 7, upstream.FinishStop},
+		{"one token", "[[tokens=1]]", 1, upstream.FinishStop},
+		{"no output wanted", "[[tokens=5]]", 0, upstream.FinishLength},
+		{"empty prompt", "", 500, upstream.FinishStop},
+		{"long prompt", strings.Repeat("lorem ", 20_000), 500, upstream.FinishStop},
+	}
+	f := start(t, quick())
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			stream, err := f.client.Generate(t.Context(), request("w/"+tt.name+"/1", tt.prompt, tt.max))
+			is.NoErr(err)
+			texts, err := read(stream)
+			is.Equal(err, io.EOF)
+			want, finish := answer.Tokens("small", tt.prompt, tt.max)
+			is.Equal(strings.Join(texts, ""), strings.Join(want, ""))
+			is.Equal(finish, tt.finish)
+			is.Equal(stream.Usage(), upstream.Usage{
+				PromptTokens: answer.PromptTokens(tt.prompt),
+				OutputTokens: int64(len(want)),
+				FinishReason: finish,
+			})
+		})
+	}
+}
+
+func TestRefusalsCertifyNotRun(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults engine.Faults
+		g      upstream.Generate
+		reason upstream.RefusalReason
+		retry  time.Duration
+	}{
+		{"leaving", engine.Faults{Refuse: "leaving", RetryAfterMS: 70}, request("a", "p", 5), upstream.RefusedLeaving, 70 * time.Millisecond},
+		{"full", engine.Faults{Refuse: "full", RetryAfterMS: 70}, request("a", "p", 5), upstream.RefusedFull, 70 * time.Millisecond},
+		{"model not loaded", engine.Faults{}, upstream.Generate{StreamID: "a", Model: "none"}, upstream.RefusedModelNotLoaded, 0},
+		{"adapter not loaded", engine.Faults{}, upstream.Generate{StreamID: "a", Model: "small", Adapter: "none"}, upstream.RefusedModelNotLoaded, 0},
+		{"no stream id", engine.Faults{}, request("", "p", 5), upstream.RefusedMalformed, 0},
+	}
+	f := start(t, quick())
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.NoErr(f.SetFaults(tt.faults))
+			_, err := f.client.Generate(t.Context(), tt.g)
+			is.True(errors.Is(err, upstream.ErrRefused))
+			var refused *upstream.RefusedError
+			is.True(errors.As(err, &refused))
+			is.Equal(refused.Reason, tt.reason)
+			is.Equal(refused.RetryAfter, tt.retry)
+			is.Equal(len(f.runs(t)), 0) // the engine's record agrees
+		})
+	}
+}
+
+// A status that looks like a refusal but does not carry the protocol's code may
+// come from anything between the client and the engine; the request may have run.
+func TestUnknownRefusalsDoNotCertifyNotRun(t *testing.T) {
+	for _, tt := range []struct {
+		status int
+		body   string
+	}{
+		{503, `{"error":"busy"}`},
+		{503, ``},
+		{503, `<html>overloaded</html>`},
+		{404, `{"error":"not found"}`},
+		{500, `{}`},
+		{302, ``},
+		{204, ``},
+		{503, strings.Repeat(" ", 1<<20) + `{"error":"full"}`},
+	} {
+		is := is.New(t)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Location", "/elsewhere")
+			w.WriteHeader(tt.status)
+			_, _ = io.WriteString(w, tt.body)
+		}))
+		transport := upstream.NewTransport()
+		client := upstream.NewEngine(strings.TrimPrefix(server.URL, "http://"), transport)
+		_, err := client.Generate(t.Context(), request("a", "p", 5))
+		is.True(errors.Is(err, upstream.ErrProtocol) || errors.Is(err, upstream.ErrBroken))
+		is.True(!errors.Is(err, upstream.ErrRefused))
+		is.True(!errors.Is(err, upstream.ErrNotSent))
+		transport.CloseIdleConnections()
+		server.Close()
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -38,7 +38,6 @@
 	// MaxTokens is the ceiling: the engine stops there, the client cancels past it.
 	MaxTokens int64
 	Priority  int
-	// PromptTokens is filled by the engine in its usage report.
 }
 
 // Token is one generated token with its position in the answer, from 0.
@@ -52,8 +51,14 @@
 	PromptTokens int64
 	CachedTokens int64
 	OutputTokens int64
-	// FinishReason is "stop" or "length".
+	// FinishReason is FinishStop or FinishLength.
 	FinishReason string
+	// Overrun says that the engine went on past MaxTokens and was cut there.
+	// PromptTokens is unknown then, and 0.
+	Overrun bool
+	// Adjusted says that a figure of the engine's report could not be true and
+	// was replaced by its bound.
+	Adjusted bool
 }
 
 // Stream is one running generation. It is used by one goroutine.
@@ -61,7 +66,8 @@
 	// Next returns the next token. At the end of the answer it returns io.EOF,
 	// and Usage is complete; any other error leaves the answer incomplete.
 	Next() (Token, error)
-	// Usage returns the engine's report so far.
+	// Usage returns the engine's report at the end of the answer; before it, and
+	// after an error, only OutputTokens is known.
 	Usage() Usage
 	// Close releases the connection. The engine keeps the stream for a while so
 	// that it can be resumed; Engine.Cancel ends it at once.
@@ -75,6 +81,10 @@
 	PrefillTokens int64    `json:"prefill_tokens"` // prompt tokens still to process
 	StepMillis    float64  `json:"step_millis"`    // time of the last batch step
 	Models        []string `json:"models"`
+	Loading       []string `json:"loading"` // ordered, not yet loaded
+	Adapters      []string `json:"adapters"`
+	Role          string   `json:"role"`
+	Fence         int64    `json:"fence"` // of the last order taken
 	Leaving       bool     `json:"leaving"`
 	AgeMillis     int64    `json:"age_millis"` // how old the report is
 }
@@ -98,7 +108,8 @@
 // Engine is the client of one model engine.
 type Engine interface {
 	Generate(ctx context.Context, g Generate) (Stream, error)
-	// Resume continues a stream from a position that the caller already has.
+	// Resume continues a stream from the position after the caller's last token.
+	// The caller holds the result to the request's ceilings with Limit.
 	Resume(ctx context.Context, streamID string, from int64) (Stream, error)
 	Cancel(ctx context.Context, streamID string) error
 	Load(ctx context.Context) (Load, error)
@@ -113,6 +124,8 @@
 	Method    string
 	Path      string
 	Body      []byte
+	// ContentType describes Body; empty leaves it unsaid.
+	ContentType string
 }
 
 // Reply is a plain service's answer.
