--- /dev/null
+++ b/budget/acquire.go
@@ -0,0 +1,209 @@
+package budget
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"buckthornridge/budget/ledger"
+)
+
+// Timing of the acquire loop.
+const (
+	minPoll       = 20 * time.Millisecond // between two looks at the table
+	maxPoll       = 250 * time.Millisecond
+	recallTimeout = 300 * time.Millisecond
+	// recallFanOut bounds the holders that are asked at once.
+	recallFanOut = 16
+)
+
+// startAcquire starts the account's acquire loop unless one runs. The caller
+// holds acc.mu.
+func (k *Keeper) startAcquire(acc *account) {
+	if k.ctx.Err() == nil && !acc.acquiring {
+		acc.acquiring = true
+		k.spawn(func() { k.acquire(acc) })
+	}
+}
+
+// acquire asks the table and then the other holders for what the waiters need,
+// until nobody waits. All waiters of a budget share its operations. The account
+// is busy only during its own table operations, so that two holders that recall
+// from each other both get an answer.
+func (k *Keeper) acquire(acc *account) {
+	for poll := minPoll; k.wanted(acc); poll = min(2*poll, maxPoll) {
+		if k.acquireOnce(acc) {
+			poll = minPoll / 2
+			continue
+		}
+		k.waitChange(acc, poll)
+	}
+}
+
+// wanted reports whether the acquire loop should go on, and ends it otherwise.
+func (k *Keeper) wanted(acc *account) bool {
+	acc.mu.Lock()
+	defer acc.mu.Unlock()
+	if len(acc.waiters) > 0 && k.ctx.Err() == nil {
+		return true
+	}
+	acc.acquiring = false
+	k.evict(acc)
+	return false
+}
+
+// acquireOnce reports whether it got tokens.
+func (k *Keeper) acquireOnce(acc *account) bool {
+	asked := time.Now()
+	row, granted, err := k.grant(acc)
+	if err != nil {
+		return false
+	}
+	if granted > 0 {
+		return true
+	}
+	acc.mu.Lock()
+	missing := acc.shortfall() - row.Free
+	acc.mu.Unlock()
+	given, reserved, complete := int64(0), int64(0), false
+	if missing > 0 {
+		given, reserved, complete = k.recall(acc, row, missing)
+	}
+	if given > 0 {
+		return true
+	}
+	acc.mu.Lock()
+	defer acc.mu.Unlock()
+	acc.view = view{at: asked, free: row.Free, others: othersHeld(row, k.cfg.Holder)}
+	if complete {
+		acc.view.others = reserved
+	}
+	k.refuseHopeless(acc, asked)
+	return false
+}
+
+// refuseHopeless refuses at once those whom no settlement can help. The caller
+// holds acc.mu.
+func (k *Keeper) refuseHopeless(acc *account, asked time.Time) {
+	reachable := acc.idle + acc.reserved + acc.view.free + acc.view.others
+	for _, w := range append([]*waiter(nil), acc.waiters...) {
+		if w.reservation.ceiling > reachable && !w.since.After(asked) {
+			acc.remove(w)
+			w.result <- acc.refusal(w, true)
+		}
+	}
+}
+
+func othersHeld(row *ledger.Budget, holder string) int64 {
+	return row.HeldTokens() - row.Holders[holder].Held
+}
+
+// grant takes tokens out of the table: what the waiters need, and more ahead of
+// demand while the budget is full.
+func (k *Keeper) grant(acc *account) (*ledger.Budget, int64, error) {
+	limits := k.limits()
+	op := k.newTransfer(acc, func(row *ledger.Budget) change {
+		return k.planGrant(acc, row, limits)
+	})
+	if err := acc.hold(k.ctx); err != nil {
+		return nil, 0, err
+	}
+	err := k.transferAll(k.ctx, op)
+	acc.mu.Lock()
+	defer acc.mu.Unlock()
+	acc.end()
+	if err != nil {
+		return nil, 0, err
+	}
+	if op.change.skip {
+		return &op.row, 0, nil
+	}
+	acc.listed = true
+	acc.idle += op.change.delta
+	acc.exposure = op.change.exposure
+	acc.view = view{at: acc.view.at, free: op.row.Free, others: othersHeld(&op.row, k.cfg.Holder)}
+	acc.serve()
+	return &op.row, op.change.delta, nil
+}
+
+// planGrant decides the size of a grant and the exposure.
+func (k *Keeper) planGrant(acc *account, row *ledger.Budget, limits limits) change {
+	acc.mu.Lock()
+	defer acc.mu.Unlock()
+	need := acc.fitting(row.Free)
+	if need <= 0 || need > row.Free {
+		return change{skip: true}
+	}
+	ahead := int64(acc.demand.rate(time.Now()) * limits.horizon.Seconds())
+	ahead = min(ahead, (row.Free-need)/int64(2*(1+len(row.Holders))))
+	delta := need + max(0, ahead)
+	return change{delta: delta, exposure: k.planExposure(acc, delta, limits)}
+}
+
+// planExposure returns the exposure after a grant: twice the recent peak, which
+// healthy group commits need, or the policy's share of what is held. It never
+// falls below what is uncommitted, and until the operation is certain the lower
+// of the old and the new value is in force. The caller holds acc.mu.
+func (k *Keeper) planExposure(acc *account, delta int64, limits limits) int64 {
+	held := acc.idle + acc.reserved + delta
+	for _, w := range acc.waiters {
+		acc.wish = max(acc.wish, w.reservation.ceiling)
+	}
+	exposure := max(2*acc.wish, int64(float64(held)*limits.exposed))
+	exposure = max(min(exposure, held), acc.uncommitted)
+	acc.wish = acc.uncommitted
+	acc.exposure = min(acc.exposure, exposure)
+	return exposure
+}
+
+// recall asks the other holders of the row for idle tokens. complete says that
+// all of them answered; reserved is what their running requests may still use.
+func (k *Keeper) recall(acc *account, row *ledger.Budget, want int64) (given, reserved int64, complete bool) {
+	if k.cfg.Recaller == nil {
+		return 0, 0, false
+	}
+	holders := k.otherHolders(row)
+	complete = len(holders) <= recallFanOut
+	holders = holders[:min(len(holders), recallFanOut)]
+	ctx, cancel := context.WithTimeout(k.ctx, recallTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for _, holder := range holders {
+		group.Go(func() {
+			reply, err := k.cfg.Recaller.Recall(ctx, holder, acc.id, want)
+			mu.Lock()
+			defer mu.Unlock()
+			given += reply.Given
+			reserved += reply.Reserved
+			complete = complete && err == nil
+		})
+	}
+	group.Wait()
+	count.recalls.Add(1)
+	return given, reserved, complete
+}
+
+// otherHolders lists the other holders that have tokens, in random order.
+func (k *Keeper) otherHolders(row *ledger.Budget) []string {
+	var holders []string
+	for holder, entry := range row.Holders {
+		if holder != k.cfg.Holder && entry.Held > 0 && !entry.Closed {
+			holders = append(holders, holder)
+		}
+	}
+	rand.Shuffle(len(holders), func(i, j int) { holders[i], holders[j] = holders[j], holders[i] })
+	return holders
+}
+
+// waitChange waits for a settlement or until the next look at the table is due.
+func (k *Keeper) waitChange(acc *account, poll time.Duration) {
+	timer := time.NewTimer(poll)
+	defer timer.Stop()
+	select {
+	case <-acc.changed:
+	case <-timer.C:
+	case <-k.ctx.Done():
+	}
+}
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -12,16 +12,12 @@
 import (
 	"fmt"
 	"time"
+
+	"buckthornridge/budget/ledger"
 )
 
 // ID names a budget.
-type ID struct {
-	Workspace string `msgpack:"w" json:"workspace"`
-	Name      string `msgpack:"n" json:"budget"`
-}
-
-// String returns "workspace/name".
-func (id ID) String() string { return id.Workspace + "/" + id.Name }
+type ID = ledger.ID
 
 // Refusal tells that a budget cannot cover a request. The request was not run.
 type Refusal struct {
@@ -44,16 +40,13 @@
 }
 
 // Cause says why tokens were consumed without a bill.
-type Cause string
+type Cause = ledger.Cause
 
 // The causes of lost tokens.
 const (
-	// CauseAbandoned: the attempt was given up; another one was billed.
-	CauseAbandoned Cause = "abandoned"
-	// CauseDuplicate: the request was billed by another router first.
-	CauseDuplicate Cause = "duplicate"
-	// CauseFailed: the request ended with an error after it ran in part.
-	CauseFailed Cause = "failed"
-	// CauseHolderGone: the holder died; its journal does not account for them.
-	CauseHolderGone Cause = "holder_gone"
+	CauseAbandoned  = ledger.CauseAbandoned
+	CauseDuplicate  = ledger.CauseDuplicate
+	CauseFailed     = ledger.CauseFailed
+	CauseHolderGone = ledger.CauseHolderGone
+	CauseLate       = ledger.CauseLate
 )
--- /dev/null
+++ b/budget/giveback.go
@@ -0,0 +1,158 @@
+package budget
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/budget/ledger"
+)
+
+// sweepInterval is the time between two looks for idle grants.
+const sweepInterval = 5 * time.Second
+
+// Recall serves another holder: it returns idle tokens of a budget to the
+// table, up to want, and tells what running requests still reserve.
+func (k *Keeper) Recall(ctx context.Context, id ID, want int64) (RecallReply, error) {
+	k.mu.RLock()
+	acc := k.accounts[id]
+	k.mu.RUnlock()
+	if acc == nil || want <= 0 {
+		return RecallReply{}, nil
+	}
+	if err := acc.hold(ctx); err != nil {
+		return RecallReply{Reserved: acc.outstanding()}, eris.Wrapf(err, "recall %s from %s", id, k.cfg.Holder)
+	}
+	given, err := k.giveBack(ctx, want, acc)
+	return RecallReply{Given: given, Reserved: acc.outstanding()}, err
+}
+
+// outstanding returns what this holder's requests may still use.
+func (acc *account) outstanding() int64 {
+	acc.mu.Lock()
+	defer acc.mu.Unlock()
+	return acc.reserved
+}
+
+// hold makes the account busy, waiting for others that use it.
+func (acc *account) hold(ctx context.Context) error {
+	for {
+		acc.mu.Lock()
+		if acc.begin() {
+			acc.mu.Unlock()
+			return nil
+		}
+		if acc.unbusy == nil {
+			acc.unbusy = make(chan struct{})
+		}
+		free := acc.unbusy
+		acc.mu.Unlock()
+		select {
+		case <-free:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// giveBack returns up to want idle tokens of each busy account to the table and
+// ends its busy state. Accounts without reservations are closed if they keep
+// nothing. Tokens are taken out of idle before the table is told, so that they
+// are never spent here and granted elsewhere.
+func (k *Keeper) giveBack(ctx context.Context, want int64, accounts ...*account) (int64, error) {
+	ops := make([]*transfer, len(accounts))
+	taken := make([]int64, len(accounts))
+	for i, acc := range accounts {
+		acc.mu.Lock()
+		taken[i] = min(want, acc.idle)
+		acc.idle -= taken[i]
+		acc.mu.Unlock()
+		ops[i] = k.newTransfer(acc, func(*ledger.Budget) change { return acc.planReturn(taken[i]) })
+	}
+	err := k.transferAll(ctx, ops...)
+	given := int64(0)
+	for i, acc := range accounts {
+		given += k.gaveBack(acc, ops[i], taken[i], err)
+	}
+	return given, err
+}
+
+// planReturn returns tokens, and closes the entry of an account that is done. A
+// closed account has no exposure: nothing can be dispatched from it.
+func (acc *account) planReturn(tokens int64) change {
+	acc.mu.Lock()
+	defer acc.mu.Unlock()
+	done := acc.idle == 0 && acc.reserved == 0 && acc.uncommitted == 0
+	if !acc.listed || (tokens == 0 && !done) {
+		return change{skip: true}
+	}
+	if done {
+		acc.exposure = 0
+		return change{delta: -tokens, close: true}
+	}
+	return change{delta: -tokens, exposure: max(acc.exposure, acc.uncommitted)}
+}
+
+// gaveBack takes over the outcome.
+func (k *Keeper) gaveBack(acc *account, op *transfer, taken int64, err error) int64 {
+	acc.mu.Lock()
+	defer acc.mu.Unlock()
+	defer k.evict(acc)
+	acc.end()
+	if err != nil && k.ctx.Err() == nil {
+		acc.idle += taken // certainly not returned
+		acc.settled()
+		return 0
+	}
+	if err != nil || op.change.skip {
+		return 0
+	}
+	acc.listed = !op.change.close
+	return taken
+}
+
+// sweepLoop returns grants that were not used for a while.
+func (k *Keeper) sweepLoop() {
+	for pause(k.ctx, sweepInterval) == nil {
+		if k.Alive() && !k.draining.Load() {
+			since := time.Now().Add(-k.limits().idle)
+			_ = k.returnIdle(k.ctx, func(acc *account) bool { return acc.lastUse.Before(since) && acc.reserved == 0 })
+		}
+	}
+}
+
+// returnAll returns everything idle.
+func (k *Keeper) returnAll(ctx context.Context) error {
+	return k.returnIdle(ctx, func(*account) bool { return true })
+}
+
+// returnIdle returns the idle tokens of the chosen accounts, many budgets in
+// one transaction.
+func (k *Keeper) returnIdle(ctx context.Context, choose func(*account) bool) error {
+	var all error
+	var chosen []*account
+	flush := func() {
+		if len(chosen) > 0 {
+			_, err := k.giveBack(ctx, maxTokens, chosen...)
+			all = errors.Join(all, err)
+			chosen = nil
+		}
+	}
+	for _, acc := range k.snapshot() {
+		acc.mu.Lock()
+		if !acc.evicted && !acc.busy && choose(acc) && acc.begin() {
+			chosen = append(chosen, acc)
+		}
+		acc.mu.Unlock()
+		if len(chosen) == maxBatch {
+			flush()
+		}
+	}
+	flush()
+	return all
+}
+
+// maxTokens is more than any budget has.
+const maxTokens = int64(1) << 62
--- /dev/null
+++ b/budget/keeper_test.go
@@ -0,0 +1,133 @@
+package budget_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/budget"
+	"buckthornridge/budget/ledger"
+	"buckthornridge/config"
+	"buckthornridge/journal"
+	"buckthornridge/platform"
+)
+
+var studio = budget.ID{Workspace: "lankawrap", Name: "studio-1"}
+
+// fleet is a platform with routers that reach each other directly.
+type fleet struct {
+	t       *testing.T
+	fake    *platform.Fake
+	table   platform.Table // of an operator, who is never cut off
+	weight  float64
+	keepers map[string]*budget.Keeper
+	cut     map[string]bool // routers that recalls do not reach
+}
+
+func newFleet(t *testing.T) *fleet {
+	fake := platform.NewFake(platform.FakeOptions{Seed: 1, Faults: platform.Faults{Latency: 2 * time.Millisecond}})
+	return &fleet{
+		t: t, fake: fake, table: fake.As("operator").Table, weight: 0.5,
+		keepers: map[string]*budget.Keeper{}, cut: map[string]bool{},
+	}
+}
+
+// Recall implements budget.Recaller.
+func (f *fleet) Recall(ctx context.Context, holder string, id budget.ID, want int64) (budget.RecallReply, error) {
+	k := f.keepers[holder]
+	if k == nil || f.cut[holder] {
+		return budget.RecallReply{}, fmt.Errorf("%s unreachable", holder)
+	}
+	return k.Recall(ctx, id, want)
+}
+
+// start starts an incarnation of a router and waits until it serves.
+func (f *fleet) start(vm, incarnation string) *budget.Keeper {
+	services := f.fake.As(vm)
+	announced := platform.VM{ID: vm, Incarnation: incarnation, Role: "router", Address: "127.0.0.1:1", State: platform.VMLive}
+	if err := services.VMs.Announce(f.t.Context(), announced); err != nil {
+		f.t.Fatal(err)
+	}
+	holder := budget.HolderName(vm, incarnation)
+	k := budget.NewKeeper(budget.KeeperConfig{
+		Table: services.Table, Holder: holder, Recaller: f,
+		Policy: func() config.BudgetPolicy { return config.BudgetPolicy{RefusalWeight: f.weight} },
+	})
+	f.keepers[holder] = k
+	_ = k.Start(f.t.Context())
+	<-k.Ready()
+	return k
+}
+
+func (f *fleet) topUp(id budget.ID, topUp string, tokens int64) {
+	if _, err := budget.TopUp(f.t.Context(), f.table, id, topUp, tokens); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// duties makes a pass of the fold and the reclaim.
+func (f *fleet) duties() {
+	if _, err := (journal.Folder{Table: f.table}).Run(f.t.Context()); err != nil {
+		f.t.Error("fold:", err)
+	}
+	if _, err := (budget.Reclaimer{Table: f.table, VMs: f.fake.As("operator").VMs}).Run(f.t.Context()); err != nil {
+		f.t.Error("reclaim:", err)
+	}
+}
+
+// status returns a budget after an audit of all.
+func (f *fleet) status(id budget.ID) budget.State {
+	f.audit()
+	state, err := budget.Status(f.t.Context(), f.table, id)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return state
+}
+
+func (f *fleet) audit() {
+	report, err := budget.Audit(f.t.Context(), f.table)
+	if err != nil || len(report.Violations) > 0 {
+		f.t.Fatal("audit:", err, report.Violations)
+	}
+}
+
+// stop ends all routers.
+func (f *fleet) stop() {
+	for _, k := range f.keepers {
+		_ = k.Stop()
+	}
+}
+
+func TestReserveBillRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t)
+		defer f.stop()
+		f.topUp(studio, "order-1", 1000)
+		k := f.start("vm-1", "1")
+
+		first, err := k.Reserve(t.Context(), budget.Request{Budget: studio, RequestKey: "a", Ceiling: 400})
+		is.NoErr(err)
+		second, err := k.Reserve(t.Context(), budget.Request{Budget: studio, RequestKey: "b", Ceiling: 600})
+		is.NoErr(err)
+		_, err = k.Reserve(t.Context(), budget.Request{Budget: studio, RequestKey: "c", Ceiling: 1})
+		refusal, ok := err.(*budget.Refusal)
+		is.True(ok)
+		is.True(refusal.Certain)
+		is.NoErr(first.Bill(t.Context(), 250))
+		second.Release()
+		is.NoErr(k.Drain(t.Context()))
+		f.duties()
+		state := f.status(studio)
+		is.Equal(state.Billed, int64(250))
+		is.Equal(state.Free, int64(750))
+		is.Equal(len(state.Holders), 0)
+		is.Equal(len(f.fake.Dump(ledger.FoldPrefix)), 0)
+		is.Equal(len(f.fake.Dump(ledger.HeldPrefix)), 0)
+	})
+}
--- /dev/null
+++ b/budget/ledger/ledger.go
@@ -0,0 +1,246 @@
+// Package ledger holds the table rows of a budget and the only functions that
+// move tokens between their columns.
+//
+// Every function keeps the identity
+//
+//	purchased = billed + lost + sum of holders' held + free
+//
+// and refuses a move that would take a column below zero, so that a row that
+// was read whole and is written under a condition on its version stays whole.
+package ledger
+
+import (
+	"fmt"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// ErrMove reports a move of more tokens than the column it comes from holds.
+var ErrMove = eris.New("ledger: move exceeds its source")
+
+// ID names a budget.
+type ID struct {
+	Workspace string `msgpack:"w" json:"workspace"`
+	Name      string `msgpack:"n" json:"budget"`
+}
+
+// String returns "workspace/name".
+func (id ID) String() string { return id.Workspace + "/" + id.Name }
+
+// Cause says why tokens were consumed without a bill.
+type Cause string
+
+// The causes of lost tokens.
+const (
+	// CauseAbandoned: the attempt was given up; another one was billed.
+	CauseAbandoned Cause = "abandoned"
+	// CauseDuplicate: the request was billed by another router first.
+	CauseDuplicate Cause = "duplicate"
+	// CauseFailed: the request ended with an error after it ran in part.
+	CauseFailed Cause = "failed"
+	// CauseHolderGone: the holder died; its journal does not account for them.
+	CauseHolderGone Cause = "holder_gone"
+	// CauseLate: the bill became durable after the duplicate index may have
+	// forgotten an earlier bill of the same request.
+	CauseLate Cause = "late"
+)
+
+// Holding is what one holder, a router's incarnation, has of a budget.
+type Holding struct {
+	// Held counts granted tokens that no folded bill has used yet.
+	Held int64 `msgpack:"h" json:"held"`
+	// Exposure bounds what the holder may dispatch before its journal tells of
+	// it; if the holder dies, that much of Held is lost.
+	Exposure int64 `msgpack:"x" json:"exposure"`
+	// Op numbers the holder's last grant or return, and Delta is what it moved
+	// to the holder. A holder whose answer was lost finds its outcome here.
+	Op    uint64 `msgpack:"o" json:"op"`
+	Delta int64  `msgpack:"d" json:"delta"`
+	// Closed says that the holder gave back everything but unfolded bills.
+	Closed bool `msgpack:"c,omitempty" json:"closed,omitempty"`
+}
+
+// Generation is one row of a budget's index of billed requests.
+type Generation struct {
+	Number  uint64 `msgpack:"n" json:"number"`
+	Started int64  `msgpack:"s" json:"started_ms"` // Unix time in milliseconds
+	Keys    int    `msgpack:"k" json:"keys"`
+}
+
+// Budget is the row of one budget. All counts are tokens.
+type Budget struct {
+	Purchased int64              `msgpack:"p" json:"purchased"`
+	Billed    int64              `msgpack:"b" json:"billed"`
+	Lost      map[Cause]int64    `msgpack:"l" json:"lost"`
+	Free      int64              `msgpack:"f" json:"free"`
+	Holders   map[string]Holding `msgpack:"g" json:"holders"`
+	// Index lists the rows that remember billed requests, oldest first.
+	Index []Generation `msgpack:"i,omitempty" json:"-"`
+}
+
+// LostTokens sums the lost tokens over all causes.
+func (b *Budget) LostTokens() int64 {
+	var sum int64
+	for _, tokens := range b.Lost {
+		sum += tokens
+	}
+	return sum
+}
+
+// HeldTokens sums what all holders have.
+func (b *Budget) HeldTokens() int64 {
+	var sum int64
+	for _, h := range b.Holders {
+		sum += h.Held
+	}
+	return sum
+}
+
+// Check returns an error if the row breaks the identity or has a negative
+// column.
+func (b *Budget) Check() error {
+	sum := b.Billed + b.LostTokens() + b.HeldTokens() + b.Free
+	if sum != b.Purchased {
+		return eris.Errorf("purchased %d, but billed %d + lost %d + held %d + free %d = %d",
+			b.Purchased, b.Billed, b.LostTokens(), b.HeldTokens(), b.Free, sum)
+	}
+	if b.Purchased < 0 || b.Billed < 0 || b.Free < 0 {
+		return eris.Errorf("negative column: purchased %d, billed %d, free %d", b.Purchased, b.Billed, b.Free)
+	}
+	for cause, tokens := range b.Lost {
+		if tokens < 0 {
+			return eris.Errorf("negative loss %d by %s", tokens, cause)
+		}
+	}
+	for name, h := range b.Holders {
+		if h.Held < 0 || h.Exposure < 0 {
+			return eris.Errorf("holder %s: negative held %d or exposure %d", name, h.Held, h.Exposure)
+		}
+	}
+	return nil
+}
+
+// Purchase adds a top-up.
+func (b *Budget) Purchase(tokens int64) error {
+	if tokens <= 0 || b.Purchased+tokens < b.Purchased {
+		return eris.Wrapf(ErrMove, "top-up of %d tokens", tokens)
+	}
+	b.Purchased += tokens
+	b.Free += tokens
+	return nil
+}
+
+// Transfer moves delta tokens from free to a holder, or back if negative.
+func (b *Budget) Transfer(holder string, change Holding) error {
+	h := b.Holders[holder]
+	if change.Delta > b.Free || -change.Delta > h.Held {
+		return eris.Wrapf(ErrMove, "transfer of %d to %s: free %d, held %d", change.Delta, holder, b.Free, h.Held)
+	}
+	b.Free -= change.Delta
+	change.Held = h.Held + change.Delta
+	b.setHolding(holder, change)
+	return nil
+}
+
+// Bill moves a holder's tokens to billed.
+func (b *Budget) Bill(holder string, tokens int64) error {
+	if err := b.take(holder, tokens); err != nil {
+		return eris.Wrapf(err, "bill")
+	}
+	b.Billed += tokens
+	return nil
+}
+
+// Lose moves a holder's tokens to lost.
+func (b *Budget) Lose(holder string, tokens int64, cause Cause) error {
+	if err := b.take(holder, tokens); err != nil {
+		return eris.Wrapf(err, "lose (%s)", cause)
+	}
+	b.addLost(cause, tokens)
+	return nil
+}
+
+// Recover moves lost tokens of a holder that is gone to billed: its bill was
+// handed to another router, which wrote it down.
+func (b *Budget) Recover(tokens int64) error {
+	if tokens < 0 || tokens > b.Lost[CauseHolderGone] {
+		return eris.Wrapf(ErrMove, "recover %d of %d lost", tokens, b.Lost[CauseHolderGone])
+	}
+	b.Lost[CauseHolderGone] -= tokens
+	b.Billed += tokens
+	return nil
+}
+
+// Reclaim removes a holder that is gone and whose journal is sealed and folded.
+// Of what it held, unsettled tokens (the ceilings its journal left open) and
+// its exposure are lost, and the rest is free again. It returns the loss.
+func (b *Budget) Reclaim(holder string, unsettled int64) int64 {
+	h := b.Holders[holder]
+	lost := min(h.Held, unsettled+h.Exposure)
+	if lost > 0 {
+		b.addLost(CauseHolderGone, lost)
+	}
+	b.Free += h.Held - lost
+	delete(b.Holders, holder)
+	return lost
+}
+
+// Settle removes a holder that closed its account once nothing is held. It
+// reports whether it did.
+func (b *Budget) Settle(holder string) bool {
+	h, known := b.Holders[holder]
+	if !known || !h.Closed || h.Held != 0 {
+		return false
+	}
+	delete(b.Holders, holder)
+	return true
+}
+
+func (b *Budget) take(holder string, tokens int64) error {
+	h := b.Holders[holder]
+	if tokens < 0 || tokens > h.Held {
+		return eris.Wrapf(ErrMove, "%d tokens of %s, which holds %d", tokens, holder, h.Held)
+	}
+	if tokens > 0 {
+		h.Held -= tokens
+		b.Holders[holder] = h
+	}
+	return nil
+}
+
+func (b *Budget) addLost(cause Cause, tokens int64) {
+	if b.Lost == nil {
+		b.Lost = map[Cause]int64{}
+	}
+	b.Lost[cause] += tokens
+}
+
+func (b *Budget) setHolding(holder string, h Holding) {
+	if b.Holders == nil {
+		b.Holders = map[string]Holding{}
+	}
+	b.Holders[holder] = h
+}
+
+// Encode returns a row's value.
+func Encode(value any) []byte {
+	data, err := msgpack.Marshal(value)
+	if err != nil {
+		// Rows are plain structs of numbers and strings: this is a
+		// programming error.
+		panic(fmt.Sprintf("ledger: encode %T: %v", value, err))
+	}
+	return data
+}
+
+// Decode reads a row's value; an absent row (no bytes) leaves into as it is.
+func Decode(key string, data []byte, into any) error {
+	if len(data) == 0 {
+		return nil
+	}
+	if err := msgpack.Unmarshal(data, into); err != nil {
+		return eris.Wrapf(err, "decode row %s", key)
+	}
+	return nil
+}
--- /dev/null
+++ b/budget/limits.go
@@ -0,0 +1,76 @@
+package budget
+
+import (
+	"expvar"
+	"math"
+	"time"
+)
+
+// What refused callers are told.
+const (
+	retryUncertain = time.Second            // the table did not answer
+	retryMin       = 200 * time.Millisecond // the next settlement is near
+	retryTopUp     = 5 * time.Second        // only a top-up can help
+)
+
+// maxPending bounds the entries that are kept in memory while the table is down.
+const maxPending = 100_000
+
+// callTimeout bounds one call to the table; a commit that takes longer has an
+// unknown outcome and is resolved.
+const callTimeout = 2 * time.Second
+
+// limits is what the policy's refusal weight sets. None of it can cause
+// overspend.
+type limits struct {
+	// wait bounds how long a request waits for tokens.
+	wait time.Duration
+	// billWait bounds how long Bill waits for the table.
+	billWait time.Duration
+	// horizon is the demand that a grant should cover.
+	horizon time.Duration
+	// exposed is the share of a grant that may be spent while the table is down.
+	// It is also the share that a crash can lose.
+	exposed float64
+	// idle is the time after which an unused grant is returned.
+	idle time.Duration
+}
+
+// limits interpolates between few stranded and lost tokens (weight 0) and few
+// refusals (weight 1); the horizon and the waits geometrically.
+func (k *Keeper) limits() limits {
+	weight := min(max(k.cfg.Policy().RefusalWeight, 0), 1)
+	between := func(low, high time.Duration) time.Duration {
+		return time.Duration(float64(low) * math.Pow(float64(high)/float64(low), weight))
+	}
+	return limits{
+		wait:     between(250*time.Millisecond, 2*time.Second),
+		billWait: 2 * time.Second,
+		horizon:  between(10*time.Second, time.Hour),
+		exposed:  weight * weight,
+		idle:     between(15*time.Second, 5*time.Minute),
+	}
+}
+
+// count holds the package's counters.
+var count = struct {
+	refused, openWaits, billsPending, clamped *expvar.Int
+	grants, returns, conflicts, recalls       *expvar.Int
+}{}
+
+func init() {
+	all := expvar.NewMap("budget")
+	counter := func(name string) *expvar.Int {
+		c := new(expvar.Int)
+		all.Set(name, c)
+		return c
+	}
+	count.refused = counter("refused")
+	count.openWaits = counter("open_waits")      // dispatches that waited for their journal entry
+	count.billsPending = counter("bill_pending") // bills not durable in time
+	count.clamped = counter("clamped_tokens")    // reported above the ceiling
+	count.grants = counter("grants")
+	count.returns = counter("returns")
+	count.conflicts = counter("conflicts")
+	count.recalls = counter("recalls")
+}
--- /dev/null
+++ b/budget/reclaim.go
@@ -0,0 +1,215 @@
+package budget
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"buckthornridge/budget/ledger"
+	"buckthornridge/journal"
+	"buckthornridge/platform"
+)
+
+// Bounds of one pass of a Reclaimer.
+const (
+	reclaimBatch   = 50 // budgets in one transaction
+	reclaimRetries = 8  // after lost races or answers
+)
+
+// holderSeparator parts VM id and incarnation in a holder's name.
+const holderSeparator = "#"
+
+// HolderName names an incarnation of a VM as a holder of grants.
+func HolderName(vmID, incarnation string) string { return vmID + holderSeparator + incarnation }
+
+// Reclaimer frees what holders that are gone left behind. It acts on nothing
+// but the platform's word that an incarnation is gone, never on a lapse of time:
+// a paused router may wake with a request half out of the door. Before it frees
+// anything it seals the holder's journal, so that a router that the platform
+// was wrong about can neither bill nor take grants any more. Any number of
+// reclaimers may run at once.
+type Reclaimer struct {
+	Table platform.Table
+	VMs   platform.VMList
+}
+
+// ReclaimStats counts what a pass did.
+type ReclaimStats struct {
+	Sealed  int   `json:"sealed"`  // journals sealed
+	Holders int   `json:"holders"` // holders removed for good
+	Budgets int   `json:"budgets"`
+	Freed   int64 `json:"freed_tokens"`
+	Lost    int64 `json:"lost_tokens"`
+}
+
+// Run makes one bounded pass. It goes on after an error with one holder.
+func (r Reclaimer) Run(ctx context.Context) (ReclaimStats, error) {
+	var stats ReclaimStats
+	vms, _, err := r.VMs.List(ctx)
+	if err != nil {
+		return stats, eris.Wrapf(err, "reclaim: list VMs")
+	}
+	holders, err := journal.Holders(ctx, r.Table)
+	if err != nil {
+		return stats, err
+	}
+	var all error
+	for _, holder := range holders {
+		if err := r.reclaimHolder(ctx, holder, isGone(vms, holder), &stats); err != nil {
+			all = errors.Join(all, eris.Wrapf(err, "reclaim %s", holder))
+		}
+	}
+	return stats, all
+}
+
+// isGone tells whether the platform says that an incarnation runs no more: it
+// lists it as gone, or a later one of the same VM. A holder that is not listed
+// may be new to a lagging list.
+func isGone(vms []platform.VM, holder string) bool {
+	id, incarnation, _ := strings.Cut(holder, holderSeparator)
+	for _, vm := range vms {
+		if vm.ID != id {
+			continue
+		}
+		if vm.Incarnation == incarnation && vm.State == platform.VMGone {
+			return true
+		}
+		if platform.OlderIncarnation(incarnation, vm.Incarnation) {
+			return true
+		}
+	}
+	return false
+}
+
+// reclaimHolder seals the journal of a holder that is gone, and frees the grants
+// of one whose journal is sealed, by whomever, and folded whole.
+func (r Reclaimer) reclaimHolder(ctx context.Context, holder string, gone bool, stats *ReclaimStats) error {
+	sealed, err := r.seal(ctx, holder, gone, stats)
+	if err != nil || !sealed {
+		return err
+	}
+	_, complete, err := journal.Folder{Table: r.Table}.FoldHolder(ctx, holder)
+	if err != nil || !complete {
+		return err
+	}
+	for retries := 1; ; retries++ {
+		more, err := r.free(ctx, holder, stats)
+		if err == nil && !more {
+			return nil
+		}
+		if err == nil {
+			retries = 0
+			continue
+		}
+		lostRace := errors.Is(err, platform.ErrConditionFailed) || errors.Is(err, platform.ErrOutcomeUnknown)
+		if !lostRace || retries > reclaimRetries {
+			return err
+		}
+		if err := pause(ctx, minBackoff*time.Duration(retries)); err != nil {
+			return err
+		}
+	}
+}
+
+// seal reports whether the journal is sealed, and seals it if its holder is
+// gone. A lost answer shows as sealed, or not, on the next pass.
+func (r Reclaimer) seal(ctx context.Context, holder string, gone bool, stats *ReclaimStats) (bool, error) {
+	key := ledger.LifeKey(holder)
+	rows, err := r.Table.Read(ctx, key)
+	if err != nil {
+		return false, eris.Wrapf(err, "read life")
+	}
+	if rows[0].Version == 0 || !gone {
+		return rows[0].Version == 0, nil
+	}
+	_, err = r.Table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: key, Version: rows[0].Version}},
+		Writes:     []platform.Write{{Key: key, Delete: true}},
+	})
+	if err != nil {
+		return false, eris.Wrapf(err, "seal")
+	}
+	stats.Sealed++
+	klog.InfoS("journal of a router that is gone sealed", "holder", holder)
+	return true, nil
+}
+
+// free reclaims some of the holder's budgets in one transaction, or removes the
+// holder once there are none. The condition on the fold row makes sure that the
+// open reservations are those of the whole journal.
+func (r Reclaimer) free(ctx context.Context, holder string, stats *ReclaimStats) (more bool, err error) {
+	foldKey := ledger.FoldKey(holder)
+	rows, err := r.Table.Read(ctx, foldKey)
+	if err != nil || rows[0].Version == 0 {
+		return false, eris.Wrapf(err, "read fold state")
+	}
+	fold := rows[0]
+	var state journal.State
+	if err := ledger.Decode(foldKey, fold.Value, &state); err != nil {
+		return false, err
+	}
+	txn := platform.Txn{Conditions: []platform.Condition{{Key: foldKey, Version: fold.Version}}}
+	listed, err := r.Table.Scan(ctx, ledger.HeldByPrefix(holder), "", reclaimBatch)
+	if err != nil {
+		return false, eris.Wrapf(err, "scan held budgets")
+	}
+	if len(listed) == 0 {
+		txn.Writes = []platform.Write{{Key: foldKey, Delete: true}}
+		_, err := r.Table.Commit(ctx, txn)
+		if err == nil {
+			stats.Holders++
+		}
+		return false, eris.Wrapf(err, "remove holder")
+	}
+	one, err := r.planFree(ctx, holder, state, listed, &txn)
+	if err != nil {
+		return false, err
+	}
+	if _, err := r.Table.Commit(ctx, txn); err != nil {
+		return false, eris.Wrapf(err, "free grants")
+	}
+	stats.Budgets += one.Budgets
+	stats.Freed += one.Freed
+	stats.Lost += one.Lost
+	return true, nil
+}
+
+func (r Reclaimer) planFree(ctx context.Context, holder string, state journal.State, listed []platform.Row, txn *platform.Txn) (ReclaimStats, error) {
+	var stats ReclaimStats
+	ids := make([]ID, len(listed))
+	keys := make([]string, len(listed))
+	for i, row := range listed {
+		id, err := ledger.ParseID(ledger.HeldByPrefix(holder), row.Key)
+		if err != nil {
+			return stats, err
+		}
+		ids[i], keys[i] = id, ledger.BudgetKey(id)
+		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
+	}
+	rows, err := r.Table.Read(ctx, keys...)
+	if err != nil {
+		return stats, eris.Wrapf(err, "read budgets")
+	}
+	unsettled := map[ID]int64{}
+	for _, open := range state.Open {
+		unsettled[open.Budget] += open.Ceiling
+	}
+	for i, row := range rows {
+		var budget ledger.Budget
+		if err := ledger.Decode(row.Key, row.Value, &budget); err != nil {
+			return stats, err
+		}
+		held := budget.Holders[holder].Held
+		lost := budget.Reclaim(holder, unsettled[ids[i]])
+		stats.Budgets++
+		stats.Lost += lost
+		stats.Freed += held - lost
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: row.Key, Version: row.Version})
+		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Value: ledger.Encode(&budget)})
+	}
+	return stats, nil
+}
--- /dev/null
+++ b/budget/transfer.go
@@ -0,0 +1,218 @@
+package budget
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/budget/ledger"
+	"buckthornridge/journal"
+	"buckthornridge/platform"
+)
+
+// Waits between attempts while the table does not answer.
+const (
+	minBackoff = 20 * time.Millisecond
+	maxBackoff = time.Second
+)
+
+// maxBatch bounds the budgets in one transaction; each takes two rows.
+const maxBatch = 100
+
+// change is what an operation does to this holder's entry in a budget row.
+type change struct {
+	skip     bool  // leave the row as it is
+	delta    int64 // tokens to this holder; negative: back to free
+	exposure int64
+	close    bool // the holder wants nothing more of the budget
+}
+
+// transfer is one numbered operation on one budget row.
+type transfer struct {
+	acc  *account
+	op   uint64
+	plan func(row *ledger.Budget) change
+
+	row     ledger.Budget // as last read or written
+	version int64         // of the row as last read
+	change  change        // planned last; certain after success
+}
+
+// batch carries transfers out in one transaction.
+type batch struct {
+	keeper *Keeper
+	ops    []*transfer
+	// unresolved is the transaction whose answer was lost, with the row
+	// versions that it demands; nil if no sending can still take effect.
+	unresolved *platform.Txn
+}
+
+func (k *Keeper) newTransfer(acc *account, plan func(*ledger.Budget) change) *transfer {
+	return &transfer{acc: acc, op: k.numbers.Add(1), plan: plan}
+}
+
+// transferAll carries out operations and returns once their outcome is certain.
+// An error means that nothing took effect, unless the keeper was stopped.
+//
+// A lost answer is resolved by reading back: the row names the holder's last
+// operation. While every row still has the version that the lost transaction
+// demands, exactly that transaction is sent again, since the first sending may
+// yet take effect; once a version differs it never can, and a new one is
+// planned.
+func (k *Keeper) transferAll(ctx context.Context, ops ...*transfer) error {
+	b := &batch{keeper: k, ops: ops}
+	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
+		err := b.attempt(ctx)
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, journal.ErrSealed) {
+			k.journal.MarkSealed(err)
+			return err
+		}
+		if errors.Is(err, platform.ErrConditionFailed) {
+			count.conflicts.Add(1)
+		} else if b.unresolved == nil {
+			return err
+		}
+		ctx = k.ctx // once sent, it must be resolved, whoever asked for it
+		if pause(k.ctx, backoff) != nil {
+			return err
+		}
+	}
+}
+
+func (b *batch) attempt(ctx context.Context) error {
+	if err := b.read(ctx); err != nil {
+		return err
+	}
+	if b.unresolved != nil && b.tookEffect() {
+		return nil
+	}
+	if b.unresolved != nil && !b.sameVersions() {
+		b.unresolved = nil
+	}
+	txn := b.unresolved
+	if txn == nil {
+		planned, err := b.planAll()
+		if err != nil || len(planned.Writes) == 0 {
+			return err
+		}
+		txn = &planned
+	}
+	err := b.keeper.commit(ctx, *txn)
+	if err != nil && !ledger.NoEffect(err) {
+		b.unresolved = txn
+	}
+	return err
+}
+
+// read refreshes the rows and makes sure that the journal is not sealed.
+func (b *batch) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	life := b.keeper.journal.Condition()
+	keys := []string{life.Key}
+	for _, op := range b.ops {
+		keys = append(keys, ledger.BudgetKey(op.acc.id))
+	}
+	rows, err := b.keeper.cfg.Table.Read(ctx, keys...)
+	if err != nil {
+		return eris.Wrapf(err, "read budgets of %s", b.keeper.cfg.Holder)
+	}
+	if rows[0].Version != life.Version {
+		return eris.Wrapf(journal.ErrSealed, "read budgets of %s", b.keeper.cfg.Holder)
+	}
+	for i, op := range b.ops {
+		row := rows[i+1]
+		op.row, op.version = ledger.Budget{}, row.Version
+		if err := ledger.Decode(row.Key, row.Value, &op.row); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// tookEffect tells whether the unresolved transaction was applied. It is applied
+// whole, so that one row tells. A closed entry without tokens is removed by the
+// fold, and only then: no entry means that the closing took effect.
+func (b *batch) tookEffect() bool {
+	for _, op := range b.ops {
+		if op.change.skip {
+			continue
+		}
+		entry, listed := op.row.Holders[b.keeper.cfg.Holder]
+		return entry.Op == op.op || (op.change.close && !listed)
+	}
+	return false
+}
+
+func (b *batch) sameVersions() bool {
+	demanded := map[string]int64{}
+	for _, c := range b.unresolved.Conditions {
+		demanded[c.Key] = c.Version
+	}
+	for _, op := range b.ops {
+		if !op.change.skip && demanded[ledger.BudgetKey(op.acc.id)] != op.version {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *batch) planAll() (platform.Txn, error) {
+	txn := platform.Txn{Conditions: []platform.Condition{b.keeper.journal.Condition()}}
+	for _, op := range b.ops {
+		op.change = op.plan(&op.row)
+		if op.change.skip {
+			continue
+		}
+		if err := b.plan(op, &txn); err != nil {
+			return txn, err
+		}
+	}
+	return txn, nil
+}
+
+// plan adds one budget row, and the row that lists it among the holder's
+// budgets, which a reclaim goes by.
+func (b *batch) plan(op *transfer, txn *platform.Txn) error {
+	holder := b.keeper.cfg.Holder
+	_, listed := op.row.Holders[holder]
+	err := op.row.Transfer(holder, ledger.Holding{
+		Op: op.op, Delta: op.change.delta, Exposure: op.change.exposure, Closed: op.change.close,
+	})
+	if err != nil {
+		return eris.Wrapf(err, "transfer in %s", op.acc.id)
+	}
+	heldKey := ledger.HeldKey(holder, op.acc.id)
+	if op.row.Settle(holder) {
+		txn.Writes = append(txn.Writes, platform.Write{Key: heldKey, Delete: true})
+	} else if !listed {
+		txn.Writes = append(txn.Writes, platform.Write{Key: heldKey})
+	}
+	key := ledger.BudgetKey(op.acc.id)
+	txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Version: op.version})
+	txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: ledger.Encode(&op.row)})
+	return nil
+}
+
+func (k *Keeper) commit(ctx context.Context, txn platform.Txn) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := k.cfg.Table.Commit(ctx, txn)
+	return eris.Wrapf(err, "transfer of %s", k.cfg.Holder)
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/journal/adopted.go
@@ -0,0 +1,104 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"buckthornridge/budget/ledger"
+	"buckthornridge/platform"
+)
+
+// foldAdopted folds bills that a stopped holder handed to another router. They
+// wait until that holder's grants are reclaimed; its unsettled reservations were
+// counted as lost then, and a bill among them moves its tokens to billed. If the
+// holder's own copy of the bill became durable after all, it came first.
+func (f Folder) foldAdopted(ctx context.Context) (FoldStats, error) {
+	var stats FoldStats
+	var all error
+	after := ""
+	for {
+		rows, err := f.Table.Scan(ctx, ledger.AdoptedPrefix, after, scanPage)
+		if err != nil {
+			return stats, errors.Join(all, eris.Wrapf(err, "scan handed-over bills"))
+		}
+		for _, row := range rows {
+			one, err := f.foldAdoptedRow(ctx, row)
+			stats.add(one)
+			all = errors.Join(all, err)
+			after = row.Key
+		}
+		if len(rows) == 0 {
+			return stats, all
+		}
+	}
+}
+
+func (f Folder) foldAdoptedRow(ctx context.Context, row platform.Row) (FoldStats, error) {
+	var stats FoldStats
+	var segment Segment
+	if err := ledger.Decode(row.Key, row.Value, &segment); err != nil {
+		return stats, err
+	}
+	holder, err := ledger.ParseHolder(ledger.AdoptedPrefix, row.Key)
+	if err != nil {
+		return stats, err
+	}
+	state, err := f.Table.Read(ctx, ledger.FoldKey(holder))
+	if err != nil || state[0].Version != 0 {
+		return stats, eris.Wrapf(err, "read fold state of %s", holder)
+	}
+	for retries := 1; ; retries++ {
+		stats, err = f.recoverBills(ctx, row, segment)
+		if err == nil || retries > foldRetries || !retryable(err) || f.isGone(ctx, row.Key) {
+			return stats, eris.Wrapf(err, "fold %s", row.Key)
+		}
+		if err := pause(ctx, minBackoff*time.Duration(retries)); err != nil {
+			return stats, err
+		}
+	}
+}
+
+// isGone tells whether a row is gone, for another folder, or a transaction whose
+// answer was lost, took it.
+func (f Folder) isGone(ctx context.Context, key string) bool {
+	rows, err := f.Table.Read(ctx, key)
+	return err == nil && rows[0].Version == 0
+}
+
+func (f Folder) recoverBills(ctx context.Context, row platform.Row, segment Segment) (FoldStats, error) {
+	var stats FoldStats
+	work := foldWork{segments: []Segment{segment}}
+	if err := work.books.read(ctx, f.Table, work.budgets()); err != nil {
+		return stats, err
+	}
+	for _, e := range segment.Entries {
+		if e.Kind != KindBill {
+			continue // lost already, with the holder
+		}
+		book := work.books.of(e.Budget)
+		if !book.firstBill(e.Request) {
+			stats.Duplicates++
+			continue
+		}
+		if err := book.row.Recover(e.Tokens); err != nil {
+			// The holder's losses cover every bill it can have handed over;
+			// whoever sees this line found a fault in that argument.
+			klog.ErrorS(err, "handed-over bill exceeds the losses of holders that are gone", "budget", e.Budget, "row", row.Key)
+			continue
+		}
+		stats.Bills++
+		stats.Billed += e.Tokens
+	}
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: row.Key, Version: row.Version}},
+		Writes:     []platform.Write{{Key: row.Key, Delete: true}},
+	}
+	work.books.write(&txn, time.Now())
+	_, err := f.Table.Commit(ctx, txn)
+	stats.Txns++
+	return stats, eris.Wrapf(err, "commit")
+}
--- /dev/null
+++ b/journal/books.go
@@ -0,0 +1,159 @@
+package journal
+
+import (
+	"cmp"
+	"context"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/budget/ledger"
+	"buckthornridge/platform"
+)
+
+// The index of billed requests.
+const (
+	// Retention is how long a folded bill is remembered at least, in the
+	// folders' time. Two bills of one request that are folded further apart
+	// count as two requests.
+	Retention = 3 * time.Hour
+	// generationAge and generationKeys end a generation.
+	generationAge  = Retention / 6
+	generationKeys = 32 << 10
+	keyBytes       = 8
+)
+
+// book is one budget in a fold transaction: its row, and the keys of requests
+// that were billed lately.
+type book struct {
+	id      ledger.ID
+	row     ledger.Budget
+	version int64
+	billed  map[uint64]bool
+	current []byte   // keys of the youngest generation
+	added   []uint64 // by this transaction
+}
+
+// books are the budgets of one fold transaction.
+type books struct{ byID map[ledger.ID]*book }
+
+func (b *books) of(id ledger.ID) *book { return b.byID[id] }
+
+// ids lists the budgets in a fixed order.
+func (b *books) ids() []ledger.ID {
+	ids := make([]ledger.ID, 0, len(b.byID))
+	for id := range b.byID {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b ledger.ID) int {
+		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Name, b.Name))
+	})
+	return ids
+}
+
+// read loads budget rows and after them their index. The index needs no
+// conditions of its own: whoever changes it also changes the budget row, on
+// whose version the transaction depends, and it is read after that row.
+func (b *books) read(ctx context.Context, table platform.Table, ids []ledger.ID) error {
+	b.byID = map[ledger.ID]*book{}
+	keys := make([]string, len(ids))
+	for i, id := range ids {
+		keys[i] = ledger.BudgetKey(id)
+	}
+	rows, err := table.Read(ctx, keys...)
+	if err != nil {
+		return eris.Wrapf(err, "read budgets")
+	}
+	for i, row := range rows {
+		one := &book{id: ids[i], version: row.Version, billed: map[uint64]bool{}}
+		if err := ledger.Decode(row.Key, row.Value, &one.row); err != nil {
+			return err
+		}
+		b.byID[one.id] = one
+		if err := one.readIndex(ctx, table); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *book) readIndex(ctx context.Context, table platform.Table) error {
+	if len(b.row.Index) == 0 {
+		return nil
+	}
+	keys := make([]string, len(b.row.Index))
+	for i, generation := range b.row.Index {
+		keys[i] = ledger.IndexKey(b.id, generation.Number)
+	}
+	rows, err := table.Read(ctx, keys...)
+	if err != nil {
+		return eris.Wrapf(err, "read index of %s", b.id)
+	}
+	for _, row := range rows {
+		for at := 0; at+keyBytes <= len(row.Value); at += keyBytes {
+			b.billed[binary.BigEndian.Uint64(row.Value[at:])] = true
+		}
+	}
+	b.current = rows[len(rows)-1].Value
+	return nil
+}
+
+// firstBill reports whether the request was not billed before, and remembers it.
+// Two different keys with one hash make the second a duplicate: its tokens count
+// as lost instead of billed, so that a caller gains nothing by it.
+func (b *book) firstBill(request string) bool {
+	key := xxhash.Sum64String(request)
+	if b.billed[key] {
+		return false
+	}
+	b.billed[key] = true
+	b.added = append(b.added, key)
+	return true
+}
+
+// write adds the rows, their conditions and the index to a transaction.
+func (b *books) write(txn *platform.Txn, now time.Time) {
+	for _, id := range b.ids() {
+		one := b.byID[id]
+		if len(one.added) > 0 {
+			one.writeIndex(txn, now)
+		}
+		key := ledger.BudgetKey(id)
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Version: one.version})
+		txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: ledger.Encode(&one.row)})
+	}
+}
+
+// writeIndex appends the new keys to the youngest generation or starts a new
+// one, and drops generations whose last key is older than Retention.
+func (b *book) writeIndex(txn *platform.Txn, now time.Time) {
+	index := b.row.Index
+	last := len(index) - 1
+	if last < 0 || index[last].Keys >= generationKeys || age(now, index[last]) >= generationAge {
+		next := ledger.Generation{Started: now.UnixMilli(), Number: 1}
+		if last >= 0 {
+			next.Number = index[last].Number + 1
+		}
+		index = append(index, next)
+		last++
+		b.current = nil
+	}
+	for _, key := range b.added {
+		b.current = binary.BigEndian.AppendUint64(b.current, key)
+	}
+	index[last].Keys += len(b.added)
+	for len(index) > 1 && age(now, index[1]) > Retention {
+		txn.Writes = append(txn.Writes, platform.Write{Key: ledger.IndexKey(b.id, index[0].Number), Delete: true})
+		index = index[1:]
+	}
+	b.row.Index = index
+	youngest := index[len(index)-1]
+	txn.Writes = append(txn.Writes, platform.Write{Key: ledger.IndexKey(b.id, youngest.Number), Value: b.current})
+}
+
+func age(now time.Time, g ledger.Generation) time.Duration {
+	return now.Sub(time.UnixMilli(g.Started))
+}
--- /dev/null
+++ b/journal/commit.go
@@ -0,0 +1,270 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/budget/ledger"
+	"buckthornridge/platform"
+)
+
+// Waits between attempts while the table does not answer.
+const (
+	minBackoff = 20 * time.Millisecond
+	maxBackoff = time.Second
+)
+
+// create inserts the life and fold rows of a new journal.
+func (w *Writer) create(ctx context.Context) error {
+	lifeKey, foldKey := ledger.LifeKey(w.holder), ledger.FoldKey(w.holder)
+	value := ledger.Encode(life{Nonce: w.nonce, Started: time.Now().UnixMilli()})
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: lifeKey}, {Key: foldKey}},
+		Writes:     []platform.Write{{Key: lifeKey, Value: value}, {Key: foldKey, Value: ledger.Encode(State{})}},
+	}
+	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
+		version, err := w.commit(ctx, txn)
+		if errors.Is(err, platform.ErrConditionFailed) {
+			version, err = w.readBackLife(ctx)
+		}
+		if err == nil {
+			w.version.Store(version)
+			close(w.ready)
+			return nil
+		}
+		if errors.Is(err, ErrTaken) || errors.Is(err, ErrSealed) {
+			return err
+		}
+		if err := pause(ctx, backoff); err != nil {
+			return err
+		}
+	}
+}
+
+// readBackLife resolves a creation that may have taken effect before: the row
+// is ours if it carries our nonce.
+func (w *Writer) readBackLife(ctx context.Context) (int64, error) {
+	row, err := w.readLife(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if row.Version == 0 {
+		return 0, eris.Wrapf(ErrSealed, "create journal of %s", w.holder)
+	}
+	var found life
+	if err := ledger.Decode(row.Key, row.Value, &found); err != nil {
+		return 0, err
+	}
+	if found.Nonce != w.nonce {
+		return 0, eris.Wrapf(ErrTaken, "create journal of %s", w.holder)
+	}
+	return row.Version, nil
+}
+
+func (w *Writer) readLife(ctx context.Context) (platform.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, err := w.table.Read(ctx, ledger.LifeKey(w.holder))
+	if err != nil {
+		return platform.Row{}, eris.Wrapf(err, "read life of %s", w.holder)
+	}
+	return rows[0], nil
+}
+
+// writeAll writes what is queued, batch by batch, and returns how often the
+// table refused for its rate.
+func (w *Writer) writeAll(ctx context.Context) (refusals int, err error) {
+	batch := w.take()
+	if len(batch) > 0 {
+		if refusals, err = w.append(ctx, batch); err != nil {
+			return refusals, err
+		}
+		w.durable(batch)
+	}
+	if err := w.writeAdopted(ctx); err != nil {
+		return refusals, err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.empty() {
+		w.wake()
+	} else if w.idle != nil {
+		close(w.idle)
+		w.idle = nil
+	}
+	return refusals, nil
+}
+
+// take moves the next batch in flight.
+func (w *Writer) take() []*Item {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	count := prefix(w.queue, func(i *Item) Entry { return i.entry })
+	batch := w.queue[:count:count]
+	for _, item := range batch {
+		item.taken = true
+	}
+	w.queue = append([]*Item(nil), w.queue[count:]...)
+	w.inFlight = batch
+	return batch
+}
+
+// prefix returns how many of the items fit in one segment.
+func prefix[T any](items []T, entry func(T) Entry) int {
+	budgets := map[ledger.ID]bool{}
+	for at, item := range items {
+		budgets[entry(item).Budget] = true
+		if at == MaxSegmentEntries || len(budgets) > MaxSegmentBudgets {
+			return at
+		}
+	}
+	return len(items)
+}
+
+// append writes one segment and returns once that is certain. A lost answer is
+// resolved by sending the same segment under the same key again: it can take
+// effect only once, because the key must not exist and the fold row remembers
+// which sequence numbers were folded away.
+func (w *Writer) append(ctx context.Context, batch []*Item) (refusals int, err error) {
+	segment := Segment{Entries: make([]Entry, len(batch))}
+	for i, item := range batch {
+		segment.Entries[i] = item.entry
+	}
+	key := ledger.SegmentKey(w.holder, w.next)
+	txn := platform.Txn{
+		Conditions: []platform.Condition{w.Condition(), {Key: key}},
+		Writes:     []platform.Write{{Key: key, Value: ledger.Encode(segment)}},
+	}
+	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
+		_, err := w.commit(ctx, txn)
+		if errors.Is(err, platform.ErrConditionFailed) {
+			err = w.readBackSegment(ctx, key)
+		}
+		if err == nil {
+			w.next++
+			return refusals, nil
+		}
+		if errors.Is(err, ErrSealed) {
+			return refusals, err
+		}
+		if errors.Is(err, platform.ErrRateLimited) {
+			refusals++
+		}
+		if err := pause(ctx, backoff); err != nil {
+			return refusals, err
+		}
+	}
+}
+
+// readBackSegment tells whether a segment whose conditions failed took effect
+// before: it is there, or it is folded. If it is neither, the journal was
+// sealed.
+func (w *Writer) readBackSegment(ctx context.Context, key string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	rows, err := w.table.Read(ctx, key, ledger.FoldKey(w.holder))
+	if err != nil {
+		return eris.Wrapf(err, "read back %s", key)
+	}
+	if rows[0].Version != 0 {
+		return nil
+	}
+	var state State
+	if err := ledger.Decode(rows[1].Key, rows[1].Value, &state); err != nil {
+		return err
+	}
+	if state.Next > w.next {
+		return nil
+	}
+	return eris.Wrapf(ErrSealed, "append %s", key)
+}
+
+func (w *Writer) durable(batch []*Item) {
+	w.mu.Lock()
+	w.inFlight = nil
+	w.mu.Unlock()
+	for _, item := range batch {
+		if item.notify != nil {
+			item.notify()
+		}
+		close(item.done)
+	}
+}
+
+// writeAdopted writes the bills taken over from other holders.
+func (w *Writer) writeAdopted(ctx context.Context) error {
+	for {
+		w.mu.Lock()
+		if len(w.adopted) == 0 {
+			w.mu.Unlock()
+			return nil
+		}
+		next := w.adopted[0]
+		w.mu.Unlock()
+		txn := platform.Txn{
+			Conditions: []platform.Condition{w.Condition(), {Key: next.key}},
+			Writes:     []platform.Write{{Key: next.key, Value: next.value}},
+		}
+		if err := w.commitAdopted(ctx, txn); err != nil {
+			return err
+		}
+		w.mu.Lock()
+		w.adopted = w.adopted[1:]
+		w.mu.Unlock()
+	}
+}
+
+// commitAdopted returns once the row was written. A second copy, written after
+// the first was folded away, is harmless: its requests are billed already.
+func (w *Writer) commitAdopted(ctx context.Context, txn platform.Txn) error {
+	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
+		_, err := w.commit(ctx, txn)
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, platform.ErrConditionFailed) {
+			row, err := w.readLife(ctx)
+			if err == nil && row.Version == w.version.Load() {
+				return nil
+			}
+			if err == nil {
+				return eris.Wrapf(ErrSealed, "adopt into journal of %s", w.holder)
+			}
+		}
+		if err := pause(ctx, backoff); err != nil {
+			return err
+		}
+	}
+}
+
+// Seal ends the journal for good: no entry can be appended after it returned
+// nil. The holder itself does so when it stops as planned.
+func (w *Writer) Seal(ctx context.Context) error {
+	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
+		if w.sealed.Load() {
+			return nil
+		}
+		txn := platform.Txn{
+			Conditions: []platform.Condition{w.Condition()},
+			Writes:     []platform.Write{{Key: ledger.LifeKey(w.holder), Delete: true}},
+		}
+		_, err := w.commit(ctx, txn)
+		if err == nil || errors.Is(err, platform.ErrConditionFailed) {
+			w.MarkSealed(eris.New("planned stop"))
+			return nil
+		}
+		if err := pause(ctx, backoff); err != nil {
+			return eris.Wrapf(err, "seal journal of %s", w.holder)
+		}
+	}
+}
+
+func (w *Writer) commit(ctx context.Context, txn platform.Txn) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	version, err := w.table.Commit(ctx, txn)
+	return version, eris.Wrapf(err, "journal of %s", w.holder)
+}
--- /dev/null
+++ b/journal/fold.go
@@ -0,0 +1,267 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/budget/ledger"
+	"buckthornridge/platform"
+)
+
+// Bounds of one pass of a Folder.
+const (
+	foldSegments = 64 // segments in one transaction
+	foldTxns     = 50 // transactions per holder and pass
+	foldRetries  = 8  // after lost races or answers
+	scanPage     = 500
+)
+
+// Folder moves what journals say into the budget rows. Any number of folders may
+// run at once: a transaction demands that the journal's fold row and every
+// budget row it writes are as they were read, so that each segment is folded
+// once whatever happens to answers.
+type Folder struct {
+	Table platform.Table
+}
+
+// FoldStats counts what a pass did.
+type FoldStats struct {
+	Holders    int   `json:"holders"`
+	Txns       int   `json:"txns"`
+	Segments   int   `json:"segments"`
+	Bills      int   `json:"bills"`
+	Duplicates int   `json:"duplicates"` // bills of requests that were billed before
+	Billed     int64 `json:"billed_tokens"`
+	Lost       int64 `json:"lost_tokens"`
+}
+
+func (s *FoldStats) add(o FoldStats) {
+	s.Txns += o.Txns
+	s.Segments += o.Segments
+	s.Bills += o.Bills
+	s.Duplicates += o.Duplicates
+	s.Billed += o.Billed
+	s.Lost += o.Lost
+}
+
+// Run makes one bounded pass over all journals and handed-over bills. It goes on
+// after an error with one journal.
+func (f Folder) Run(ctx context.Context) (FoldStats, error) {
+	var stats FoldStats
+	holders, err := Holders(ctx, f.Table)
+	if err != nil {
+		return stats, err
+	}
+	var all error
+	for _, holder := range holders {
+		one, _, err := f.FoldHolder(ctx, holder)
+		stats.Holders++
+		stats.add(one)
+		all = errors.Join(all, err)
+	}
+	adopted, err := f.foldAdopted(ctx)
+	stats.add(adopted)
+	return stats, errors.Join(all, err)
+}
+
+// Holders lists the holders whose journals are not folded away for good.
+func Holders(ctx context.Context, table platform.Table) ([]string, error) {
+	var holders []string
+	after := ""
+	for {
+		rows, err := table.Scan(ctx, ledger.FoldPrefix, after, scanPage)
+		if err != nil {
+			return nil, eris.Wrapf(err, "scan journals")
+		}
+		for _, row := range rows {
+			holder, err := ledger.ParseHolder(ledger.FoldPrefix, row.Key)
+			if err != nil {
+				return nil, err
+			}
+			holders = append(holders, holder)
+			after = row.Key
+		}
+		if len(rows) == 0 {
+			return holders, nil
+		}
+	}
+}
+
+// FoldHolder folds one journal as far as the pass's bounds allow. complete says
+// that nothing was left when it looked last; if the journal was sealed before,
+// nothing ever follows.
+func (f Folder) FoldHolder(ctx context.Context, holder string) (stats FoldStats, complete bool, err error) {
+	retries := 0
+	for stats.Txns < foldTxns {
+		one, more, err := f.step(ctx, holder)
+		if err == nil {
+			stats.add(one)
+			retries = 0
+			if !more {
+				return stats, true, nil
+			}
+			continue
+		}
+		retries++
+		if retries > foldRetries || !retryable(err) {
+			return stats, false, eris.Wrapf(err, "fold journal of %s", holder)
+		}
+		if err := pause(ctx, minBackoff*time.Duration(retries)); err != nil {
+			return stats, false, err
+		}
+	}
+	return stats, false, nil
+}
+
+// retryable errors are cured by reading again: a lost race, or a lost answer,
+// whose transaction either shows in the rows or can no longer take effect once a
+// new one does.
+func retryable(err error) bool {
+	return errors.Is(err, platform.ErrConditionFailed) || errors.Is(err, platform.ErrOutcomeUnknown)
+}
+
+// step folds the next segments of a journal in one transaction.
+func (f Folder) step(ctx context.Context, holder string) (stats FoldStats, more bool, err error) {
+	work, err := f.load(ctx, holder)
+	if err != nil || len(work.segments) == 0 {
+		return stats, false, err
+	}
+	if err := work.books.read(ctx, f.Table, work.budgets()); err != nil {
+		return stats, false, err
+	}
+	for _, segment := range work.segments {
+		for _, e := range segment.Entries {
+			if err := work.apply(e); err != nil {
+				return stats, false, err
+			}
+		}
+	}
+	if _, err := f.Table.Commit(ctx, work.txn()); err != nil {
+		return stats, false, eris.Wrapf(err, "commit fold")
+	}
+	work.stats.Txns, work.stats.Segments = 1, len(work.segments)
+	return work.stats, true, nil
+}
+
+// foldWork is one fold transaction in the making.
+type foldWork struct {
+	holder   string
+	state    State
+	version  int64 // of the fold row
+	segments []Segment
+	keys     []string // of the segments
+	books    books
+	stats    FoldStats
+}
+
+// load reads the fold state and the segments that follow it.
+func (f Folder) load(ctx context.Context, holder string) (*foldWork, error) {
+	rows, err := f.Table.Read(ctx, ledger.FoldKey(holder))
+	if err != nil {
+		return nil, eris.Wrapf(err, "read fold state")
+	}
+	work := &foldWork{holder: holder, version: rows[0].Version}
+	if work.version == 0 {
+		return work, nil // folded and reclaimed for good
+	}
+	if err := ledger.Decode(rows[0].Key, rows[0].Value, &work.state); err != nil {
+		return nil, err
+	}
+	if work.state.Open == nil {
+		work.state.Open = map[uint64]OpenEntry{}
+	}
+	after := ledger.SegmentsPrefix(holder)
+	if work.state.Next > 0 {
+		after = ledger.SegmentKey(holder, work.state.Next-1)
+	}
+	found, err := f.Table.Scan(ctx, ledger.SegmentsPrefix(holder), after, foldSegments)
+	if err != nil {
+		return nil, eris.Wrapf(err, "scan segments")
+	}
+	return work, work.choose(found)
+}
+
+// choose takes the segments that fit in one transaction, in sequence.
+func (w *foldWork) choose(found []platform.Row) error {
+	budgets := map[ledger.ID]bool{}
+	for _, row := range found {
+		if row.Key != ledger.SegmentKey(w.holder, w.state.Next+uint64(len(w.segments))) {
+			return nil // another folder was here since the state was read
+		}
+		var segment Segment
+		if err := ledger.Decode(row.Key, row.Value, &segment); err != nil {
+			return err
+		}
+		for _, e := range segment.Entries {
+			budgets[e.Budget] = true
+		}
+		if len(w.segments) > 0 && len(budgets) > MaxSegmentBudgets {
+			return nil
+		}
+		w.segments = append(w.segments, segment)
+		w.keys = append(w.keys, row.Key)
+	}
+	return nil
+}
+
+func (w *foldWork) budgets() []ledger.ID {
+	var ids []ledger.ID
+	seen := map[ledger.ID]bool{}
+	for _, segment := range w.segments {
+		for _, e := range segment.Entries {
+			if !seen[e.Budget] {
+				seen[e.Budget] = true
+				ids = append(ids, e.Budget)
+			}
+		}
+	}
+	return ids
+}
+
+// apply folds one entry. The first bill of a request wins; a second one, of
+// another attempt, is lost.
+func (w *foldWork) apply(e Entry) error {
+	if e.Kind == KindOpen {
+		w.state.Open[e.Reservation] = OpenEntry{Budget: e.Budget, Ceiling: e.Tokens}
+		return nil
+	}
+	delete(w.state.Open, e.Reservation)
+	book := w.books.of(e.Budget)
+	if e.Kind == KindBill && book.firstBill(e.Request) {
+		w.stats.Bills++
+		w.stats.Billed += e.Tokens
+		return book.row.Bill(w.holder, e.Tokens)
+	}
+	cause := e.Cause
+	if e.Kind == KindBill {
+		cause = ledger.CauseDuplicate
+		w.stats.Duplicates++
+	}
+	if e.Tokens == 0 {
+		return nil
+	}
+	w.stats.Lost += e.Tokens
+	return book.row.Lose(w.holder, e.Tokens, cause)
+}
+
+func (w *foldWork) txn() platform.Txn {
+	w.state.Next += uint64(len(w.segments))
+	foldKey := ledger.FoldKey(w.holder)
+	txn := platform.Txn{
+		Conditions: []platform.Condition{{Key: foldKey, Version: w.version}},
+		Writes:     []platform.Write{{Key: foldKey, Value: ledger.Encode(w.state)}},
+	}
+	for _, key := range w.keys {
+		txn.Writes = append(txn.Writes, platform.Write{Key: key, Delete: true})
+	}
+	for _, id := range w.books.ids() {
+		if w.books.of(id).row.Settle(w.holder) {
+			txn.Writes = append(txn.Writes, platform.Write{Key: ledger.HeldKey(w.holder, id), Delete: true})
+		}
+	}
+	w.books.write(&txn, time.Now())
+	return txn
+}
--- /dev/null
+++ b/journal/writer.go
@@ -0,0 +1,299 @@
+package journal
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"buckthornridge/budget/ledger"
+	"buckthornridge/platform"
+)
+
+// Timing of group commits.
+const (
+	// DefaultInterval is the least time between two group commits.
+	DefaultInterval = 40 * time.Millisecond
+	// maxInterval bounds the interval after refusals.
+	maxInterval = time.Second
+	// callTimeout bounds one call to the table; a call that takes longer has an
+	// unknown outcome and is resolved.
+	callTimeout = 2 * time.Second
+)
+
+// Item is one entry on its way to the table.
+type Item struct {
+	entry  Entry
+	taken  bool // is part of the batch that is being written
+	notify func()
+	done   chan struct{}
+	err    error // valid once done is closed
+}
+
+// Done is closed when the entry is durable or never will be; see Err.
+func (i *Item) Done() <-chan struct{} { return i.done }
+
+// Err tells why the entry will never be durable. Valid after Done is closed.
+func (i *Item) Err() error { return i.err }
+
+// Writer appends to the journal of one holder. One batch is in flight at a time;
+// entries that arrive meanwhile share the next one.
+type Writer struct {
+	table    platform.Table
+	holder   string
+	interval time.Duration
+	nonce    string
+
+	version atomic.Int64 // of the life row; 0 until the journal exists
+	sealed  atomic.Bool
+	kick    chan struct{}
+	ready   chan struct{} // closed when the journal exists
+	dead    chan struct{} // closed when the journal is sealed
+
+	mu       sync.Mutex
+	queue    []*Item
+	inFlight []*Item
+	adopted  []adoption
+	idle     chan struct{} // closed and replaced when nothing is pending
+	next     uint64        // sequence number of the next segment
+	adopts   uint64
+}
+
+type adoption struct {
+	key   string
+	value []byte
+}
+
+// NewWriter returns a writer for a holder's journal. Interval 0 means
+// DefaultInterval. Run does its work.
+func NewWriter(table platform.Table, holder string, interval time.Duration) *Writer {
+	if interval <= 0 {
+		interval = DefaultInterval
+	}
+	return &Writer{
+		table: table, holder: holder, interval: interval, nonce: rand.Text(),
+		kick: make(chan struct{}, 1), ready: make(chan struct{}), dead: make(chan struct{}),
+	}
+}
+
+// Holder returns the name of the journal's holder.
+func (w *Writer) Holder() string { return w.holder }
+
+// Alive reports whether the journal exists and is not known to be sealed.
+func (w *Writer) Alive() bool { return w.version.Load() != 0 && !w.sealed.Load() }
+
+// Sealed reports whether the journal is known to be sealed.
+func (w *Writer) Sealed() bool { return w.sealed.Load() }
+
+// Ready is closed once the journal exists.
+func (w *Writer) Ready() <-chan struct{} { return w.ready }
+
+// Dead is closed once the journal is known to be sealed.
+func (w *Writer) Dead() <-chan struct{} { return w.dead }
+
+// Condition demands, in any transaction of this holder, that its journal is not
+// sealed. Without it a holder that was declared gone and wakes up could take new
+// grants that nobody would ever reclaim.
+func (w *Writer) Condition() platform.Condition {
+	return platform.Condition{Key: ledger.LifeKey(w.holder), Version: w.version.Load()}
+}
+
+// Add queues an entry for the next group commit. notify, if not nil, runs once
+// the entry is durable, before Done is closed.
+func (w *Writer) Add(e Entry, notify func()) *Item {
+	item := &Item{entry: e, notify: notify, done: make(chan struct{})}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.sealed.Load() {
+		item.err = ErrSealed
+		close(item.done)
+		return item
+	}
+	w.queue = append(w.queue, item)
+	w.wake()
+	return item
+}
+
+// Replace swaps the entry of an item that no batch has taken yet, so that a
+// request that opens and closes between two commits needs one entry. It reports
+// whether it did.
+func (w *Writer) Replace(item *Item, e Entry, notify func()) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if item.taken || w.sealed.Load() {
+		return false
+	}
+	item.entry, item.notify = e, notify
+	return true
+}
+
+// Remove takes back an item that no batch has taken yet. It reports whether it
+// did.
+func (w *Writer) Remove(item *Item) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if item.taken || w.sealed.Load() {
+		return false
+	}
+	for at, queued := range w.queue {
+		if queued == item {
+			w.queue = append(w.queue[:at], w.queue[at+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// PendingCount returns the number of entries that are not durable yet.
+func (w *Writer) PendingCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.queue) + len(w.inFlight)
+}
+
+// Pending returns the bills and losses that are not durable yet, oldest first.
+// A router that must stop while the table is down hands them to another one,
+// whose writer adopts them.
+func (w *Writer) Pending() []Entry {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var entries []Entry
+	for _, items := range [][]*Item{w.inFlight, w.queue} {
+		for _, item := range items {
+			if item.entry.Kind != KindOpen {
+				entries = append(entries, item.entry)
+			}
+		}
+	}
+	return entries
+}
+
+// Adopt takes over entries of another holder that stops. They are written as
+// soon as the table answers and folded once that holder's journal is sealed and
+// its grants are reclaimed. To adopt the same entries twice, by one router or
+// two, does no harm: a request is billed once.
+func (w *Writer) Adopt(holder string, entries []Entry) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for len(entries) > 0 {
+		count := prefix(entries, func(e Entry) Entry { return e })
+		value := ledger.Encode(Segment{Entries: entries[:count]})
+		w.adopted = append(w.adopted, adoption{ledger.AdoptedKey(holder, w.holder, w.adopts), value})
+		w.adopts++
+		entries = entries[count:]
+	}
+	w.wake()
+}
+
+// Flush waits until everything that is pending now is durable, the journal is
+// sealed, or ctx ends.
+func (w *Writer) Flush(ctx context.Context) error {
+	for {
+		w.mu.Lock()
+		empty := w.empty()
+		if w.idle == nil {
+			w.idle = make(chan struct{})
+		}
+		idle := w.idle
+		w.mu.Unlock()
+		if empty {
+			return nil
+		}
+		select {
+		case <-idle:
+		case <-w.dead:
+			return ErrSealed
+		case <-ctx.Done():
+			return eris.Wrapf(ctx.Err(), "flush journal of %s", w.holder)
+		}
+	}
+}
+
+func (w *Writer) empty() bool {
+	return len(w.queue) == 0 && len(w.inFlight) == 0 && len(w.adopted) == 0
+}
+
+func (w *Writer) wake() {
+	select {
+	case w.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Run creates the journal and writes batches until ctx ends or the journal is
+// sealed, which it returns as ErrSealed.
+func (w *Writer) Run(ctx context.Context) error {
+	if err := w.create(ctx); err != nil {
+		return w.stopped(err)
+	}
+	interval := w.interval
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-w.kick:
+		}
+		started := time.Now()
+		refusals, err := w.writeAll(ctx)
+		if err != nil {
+			return w.stopped(err)
+		}
+		interval = w.nextInterval(interval, refusals)
+		if err := pause(ctx, interval-time.Since(started)); err != nil {
+			return err
+		}
+	}
+}
+
+// nextInterval slows group commits down while the table refuses them for their
+// rate, and speeds up again step by step.
+func (w *Writer) nextInterval(interval time.Duration, refusals int) time.Duration {
+	if refusals > 0 {
+		return min(2*interval, maxInterval)
+	}
+	return max(interval*3/4, w.interval)
+}
+
+func (w *Writer) stopped(err error) error {
+	if errors.Is(err, ErrSealed) || errors.Is(err, ErrTaken) {
+		w.MarkSealed(err)
+	}
+	return err
+}
+
+// MarkSealed ends the writer after its life row was found changed: every entry that is not durable never will be.
+func (w *Writer) MarkSealed(cause error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.sealed.Swap(true) {
+		return
+	}
+	klog.InfoS("journal sealed", "holder", w.holder, "pending", len(w.queue)+len(w.inFlight), "cause", cause)
+	for _, items := range [][]*Item{w.inFlight, w.queue} {
+		for _, item := range items {
+			item.err = ErrSealed
+			close(item.done)
+		}
+	}
+	w.inFlight, w.queue = nil, nil
+	close(w.dead)
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
