config: watchers keep every VM on the highest accepted version

Each process polls the head row and follows deltas; while the table does not answer it asks a few peers, and a fresh one asks up to 16 and takes the highest. Whoever advances tells three peers. A head below the version in force is counted and never followed; since a fresh VM could meet only such a table, its peers tell it: without that the test of an older table left the fresh VM at version 1 while the others served 3 (seen to fail, 'want version 3, have 1').

The table and the peers have a loop each: with one loop a table that swallows calls would delay the look at the peers by its timeout. In virtual time every watcher serves a version within 5 s, also one cut off from the table (refused and silent) with all offers from others lost to it.

--- /dev/null
+++ b/config/watcher_peers.go
@@ -0,0 +1,160 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Bounds of the steps that are kept for peers; one that lacks more gets the
+// whole document.
+const (
+	maxRecentSteps = 64
+	maxRecentBytes = 256 << 10
+)
+
+// remember keeps the last steps; w.mu is held.
+func (w *Watcher) remember(steps []Step) {
+	if steps[0].From == 0 {
+		w.recent = nil
+		steps = steps[1:]
+	}
+	w.recent = append(w.recent, steps...)
+	size := 0
+	for i := len(w.recent) - 1; i >= 0; i-- {
+		size += len(w.recent[i].Data)
+		if size > maxRecentBytes || len(w.recent)-i > maxRecentSteps {
+			w.recent = append([]Step(nil), w.recent[i+1:]...)
+			return
+		}
+	}
+}
+
+// Head implements Fetcher, for peers that ask.
+func (w *Watcher) Head(context.Context) (Head, error) { return w.State().Head, nil }
+
+// Since implements Fetcher, for peers that ask.
+func (w *Watcher) Since(_ context.Context, from Version) ([]Step, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.state.Version <= from {
+		return nil, nil
+	}
+	for i, step := range w.recent {
+		if step.From == from && from > 0 {
+			return w.recent[i:], nil
+		}
+	}
+	if w.whole == nil {
+		packed, err := Diff(Image{}, w.state.Image).Pack()
+		if err != nil {
+			return nil, err
+		}
+		w.whole = &Step{To: w.state.Version, Digest: w.state.Digest, Data: packed}
+	}
+	return []Step{*w.whole}, nil
+}
+
+// pollPeers asks peers while the table does not answer, or nothing is in force.
+// With a table that answers it costs nothing.
+func (w *Watcher) pollPeers(ctx context.Context) {
+	fanout := peerFanout
+	if w.Holder.Load() == nil {
+		fanout = freshFanout
+	} else if w.tableAnswers() {
+		return
+	}
+	peers := sample(w.options.Peers(), fanout)
+	best, version, err := w.highest(ctx, peers)
+	if best != nil {
+		err = w.catchUp(ctx, best, version)
+	}
+	if err != nil {
+		w.Counters.PeerErrors.Add(1)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failure.peers = err
+}
+
+// tableAnswers reports whether the last look at the table was answered.
+func (w *Watcher) tableAnswers() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failure.table == nil && time.Since(w.tableAt) < 2*w.options.Interval
+}
+
+// highest asks all peers at once and returns the one with the highest version.
+// The error says why there is none.
+func (w *Watcher) highest(ctx context.Context, peers []Peer) (best Peer, version Version, err error) {
+	heads := make([]Head, len(peers))
+	errs := make([]error, len(peers))
+	var wg sync.WaitGroup
+	for i, peer := range peers {
+		wg.Go(func() {
+			w.Counters.PeerPolls.Add(1)
+			head, err := w.head(ctx, peer)
+			heads[i], errs[i] = head, eris.Wrapf(err, "ask %s", peer.Name())
+		})
+	}
+	wg.Wait()
+	for i, head := range heads {
+		if errs[i] == nil && head.Version > version {
+			best, version = peers[i], head.Version
+		}
+	}
+	if best == nil {
+		err = errors.Join(eris.Errorf("%d asked, none holds a version", len(peers)), errors.Join(errs...))
+	}
+	return best, version, err
+}
+
+// Offered takes note that a peer holds a version. It never blocks: an offer
+// that finds the queue full is dropped, since the next poll brings the same.
+func (w *Watcher) Offered(version Version, from Fetcher) {
+	w.Counters.Offers.Add(1)
+	if have, _ := w.position(); version <= have {
+		return
+	}
+	select {
+	case w.offers <- offer{version, from}:
+	default:
+	}
+}
+
+func (w *Watcher) takeOffers(ctx context.Context) {
+	defer w.wg.Done()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case o := <-w.offers:
+			if err := w.catchUp(ctx, o.from, o.version); err != nil {
+				w.Counters.PeerErrors.Add(1)
+			}
+		}
+	}
+}
+
+// tell offers a new version to a few peers, who offer it on: all of them know
+// it after a few rounds, and none sends more than peerFanout small messages.
+func (w *Watcher) tell(ctx context.Context, version Version) {
+	defer w.wg.Done()
+	for _, peer := range sample(w.options.Peers(), peerFanout) {
+		ctx, cancel := context.WithTimeout(ctx, w.options.Timeout)
+		if peer.Offer(ctx, version) != nil {
+			w.Counters.OffersLost.Add(1)
+		}
+		cancel()
+	}
+}
+
+func sample(peers []Peer, n int) []Peer {
+	peers = append([]Peer(nil), peers...)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(n, len(peers))]
+}
