config: tests lose all offers where they say so, and split large blobs

The test of a VM cut off from the table said that offers are lost, but they were not; now they are, and asking alone keeps the limit of 5 s. The large document of another test cost 3 s and never reached a second part; parts have a test of their own.

--- a/config/store_test.go
+++ b/config/store_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -231,7 +232,7 @@
 	is := is.New(t)
 	ctx := withinMinute(t)
 	fake := platform.NewFake(platform.FakeOptions{})
-	doc := large(example(t, "lankawrap"), 4_000)
+	doc := large(example(t, "lankawrap"), 600)
 	_, err := newStore(fake, "a").Apply(ctx, 0, doc, "id", "ann")
 	is.NoErr(err)
 	is.True(len(fake.Dump(partPrefix)) > 0)
@@ -239,3 +240,24 @@
 	is.NoErr(err)
 	is.True(reflect.DeepEqual(state.Document, doc))
 }
+
+func TestBlobsOfManyParts(t *testing.T) {
+	is := is.New(t)
+	ctx := withinMinute(t)
+	store := newStore(platform.NewFake(platform.FakeOptions{}), "a")
+	for _, size := range []int{0, maxInlineBytes, maxInlineBytes + 1, 2 * partBytes, maxBlobBytes} {
+		data := bytes.Repeat([]byte("0123456789abcdef"), size/16+1)[:size]
+		name := fmt.Sprint("blob", size)
+		b, writes := split(name, data)
+		if len(writes) > 0 {
+			_, err := store.table.Commit(ctx, platform.Txn{Writes: writes})
+			is.NoErr(err)
+		}
+		got, err := store.join(ctx, name, b)
+		is.NoErr(err)
+		is.True(bytes.Equal(got, data))
+	}
+	b, _ := split("lost", make([]byte, 2*partBytes))
+	_, err := store.join(ctx, "lost", b)
+	is.True(errors.Is(err, ErrPruned))
+}
--- a/config/watcher_test.go
+++ b/config/watcher_test.go
@@ -30,6 +30,13 @@
 	mu       sync.Mutex // guards what follows
 	watchers map[string]*Watcher
 	apart    map[string]bool // cut off from its peers
+	noOffers bool            // all offers are lost
+}
+
+func (f *fleet) loseOffers() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.noOffers = true
 }
 
 func (f *fleet) setApart(vm string, apart bool) {
@@ -126,6 +133,9 @@
 
 func (p localPeer) Offer(_ context.Context, version Version) error {
 	w, err := p.reach()
+	if p.fleet.noOffers {
+		return errCut
+	}
 	if err == nil {
 		w.Offered(version, localPeer{p.fleet, p.to, p.from})
 	}
@@ -171,6 +181,7 @@
 	for _, silent := range []bool{false, true} {
 		inFleet(t, abc, func(t *testing.T, f *fleet) {
 			is := is.New(t)
+			f.loseOffers()
 			f.apply(1)
 			time.Sleep(inForceLimit)
 			asked := f.watchers["a"].Counters.PeerPolls.Value()
