--- a/config/folder_test.go
+++ b/config/folder_test.go
@@ -111,9 +111,12 @@
 "workspaces": {"w": {"team": "t", "keys": {"` + digestB + `": "main"}, "budgets": {"main": {}}}}
 }`
 
+func init() {
+	kernel.Register("routing.policy.expected_cost_test", func() any { return nil })
+}
+
 // change is the second file, at 2.json.
 func TestCheckRefuses(t *testing.T) {
-	kernel.Register("routing.policy.expected_cost_test", func() any { return nil })
 	for _, c := range []struct{ name, change, want string }{
 		{"unknown key", `{"kinds": {"caption": {"wieght": 1}}}`, `2.json:1:24: unknown key "wieght" (did you mean "weight"?)`},
 		{"no name", `{"fleet": {"name": ""}}`, `2.json:1:12: fleet.name: must not be empty`},
