--- a/router/members.go
+++ b/router/members.go
@@ -26,6 +26,9 @@
 	mu       sync.Mutex
 	listed   map[string]membership.Member
 	suspects map[string]time.Time // until when
+
+	self      string // set once this VM is leaving
+	selfState membership.State
 }
 
 func newMembers(list platform.VMList, interval time.Duration) *members {
@@ -118,6 +121,10 @@
 			view.Members[id] = member
 		}
 	}
+	if own, listed := view.Members[m.self]; listed {
+		own.State = m.selfState
+		view.Members[m.self] = own
+	}
 	m.view.Store(view)
 }
 
@@ -131,3 +138,11 @@
 	}
 	return n
 }
+
+// setSelf overrides the list for this VM, which knows its own state first.
+func (m *members) setSelf(id string, state membership.State) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.self, m.selfState = id, state
+	m.publish()
+}
--- /dev/null
+++ b/router/recall.go
@@ -0,0 +1,64 @@
+package router
+
+import (
+	"context"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/budget"
+	"buckthornridge/membership"
+	"buckthornridge/peer"
+)
+
+// methodRecall asks a router to give idle grant of a budget back.
+const methodRecall = "budget.recall"
+
+// recallRequest is the message of methodRecall.
+type recallRequest struct {
+	Budget budget.ID `msgpack:"b"`
+	Want   int64     `msgpack:"w"`
+}
+
+// recaller reaches the other holders of a budget over the peer protocol.
+type recaller struct {
+	peers peer.Caller
+	view  *membership.Holder
+}
+
+var _ budget.Recaller = (*recaller)(nil)
+
+// Recall implements budget.Recaller.
+func (r *recaller) Recall(ctx context.Context, holder string, id budget.ID, want int64) (budget.RecallReply, error) {
+	address, err := r.address(holder)
+	if err != nil {
+		return budget.RecallReply{}, err
+	}
+	var reply budget.RecallReply
+	err = r.peers.Call(ctx, address, methodRecall, recallRequest{Budget: id, Want: want}, &reply)
+	return reply, err
+}
+
+// address finds the live incarnation that is the holder.
+func (r *recaller) address(holder string) (string, error) {
+	for _, m := range r.view.Load().Members {
+		if m.Role == roleRouter && budget.HolderName(m.ID, m.Incarnation) == holder {
+			return m.PeerAddress, nil
+		}
+	}
+	return "", eris.Wrapf(peer.ErrUnreachable, "recall: holder %s is not in the view", holder)
+}
+
+// registerRecall serves recalls from this router's grants.
+func registerRecall(s *peer.Server, keeper *budget.Keeper) {
+	s.Handle(methodRecall, func(ctx context.Context, decode func(any) error, _ peer.Sender) (any, error) {
+		var q recallRequest
+		if err := decode(&q); err != nil {
+			return nil, err
+		}
+		if strings.TrimSpace(q.Budget.Workspace) == "" || q.Want <= 0 {
+			return nil, eris.Wrap(peer.ErrMalformed, "budget.recall: no budget or no amount")
+		}
+		return keeper.Recall(ctx, q.Budget, q.Want)
+	})
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,270 @@
+// Package router assembles a router from its modules: callers' HTTP, the peer
+// protocol, admission, budgets, routing, upstreams and the view of the fleet.
+package router
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"buckthornridge/admission"
+	"buckthornridge/api"
+	"buckthornridge/budget"
+	"buckthornridge/config"
+	"buckthornridge/peer"
+	"buckthornridge/platform"
+	"buckthornridge/platform/httpclient"
+	"buckthornridge/request"
+	"buckthornridge/routing"
+)
+
+const roleRouter = request.RoleRouter
+
+// Timing of a router's own upkeep.
+const (
+	sweepInterval = 5 * time.Second
+	// headerTimeout and idleTimeout bound callers that send slowly or nothing.
+	headerTimeout = 10 * time.Second
+	bodyTimeout   = 30 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// maxHeaderBytes bounds the memory that one connection can take before its
+	// request is known.
+	maxHeaderBytes = 16 << 10
+	announceLimit  = 2 * time.Second
+)
+
+// Router is one router process.
+type Router struct {
+	settings    Settings
+	incarnation string
+	services    platform.Services
+	client      *httpclient.Client
+
+	snapshots *config.Holder
+	store     *config.Store
+	members   *members
+	table     *routing.Table
+	pool      *pool
+	admission *admission.Controller
+	keeper    *budget.Keeper
+	executor  *request.Executor
+	frontend  *request.Frontend
+	peers     *peer.Client
+	peerSrv   *peer.Server
+	routes    *routing.Router
+
+	callers *http.Server
+	admin   *http.Server
+
+	leaving atomic.Bool
+	cancel  context.CancelFunc
+	tasks   sync.WaitGroup
+}
+
+// New builds a router from checked settings. Start begins its work.
+func New(s Settings) (*Router, error) {
+	client := httpclient.New(httpclient.Options{Address: s.Platform, VM: s.VM})
+	r := &Router{
+		settings:    s,
+		incarnation: strconv.FormatInt(time.Now().UnixNano(), 10),
+		client:      client,
+		services:    client.Services(),
+		snapshots:   new(config.Holder),
+		peers:       peer.NewClient(nil),
+		peerSrv:     peer.NewServer(),
+		table:       routing.NewTable(),
+	}
+	r.store = config.NewStore(r.services.Table)
+	r.members = newMembers(r.services.VMs, s.MemberInterval.D())
+	r.pool = newPool(r.table, s.LoadInterval.D())
+	if err := r.buildDecisions(); err != nil {
+		return nil, err
+	}
+	r.buildFrontend()
+	r.buildServers()
+	return r, nil
+}
+
+// buildDecisions builds the modules that decide about requests.
+func (r *Router) buildDecisions() (err error) {
+	if r.routes, err = routing.NewRouter(r.table, ""); err != nil {
+		return err
+	}
+	if r.admission, err = admission.NewController(r.routes, ""); err != nil {
+		return err
+	}
+	r.table.OnRoom(r.admission.Wake)
+	r.keeper = budget.NewKeeper(budget.KeeperConfig{
+		Table:    r.services.Table,
+		Holder:   budget.HolderName(r.settings.VM, r.incarnation),
+		Policy:   r.budgetPolicy,
+		Recaller: &recaller{peers: r.peers, view: r.members.view},
+	})
+	return nil
+}
+
+func (r *Router) budgetPolicy() config.BudgetPolicy {
+	if s := r.snapshots.Load(); s != nil {
+		return s.Policy.Budget
+	}
+	return config.BudgetPolicy{}
+}
+
+func (r *Router) buildFrontend() {
+	r.executor = request.NewExecutor(
+		budget.HolderName(r.settings.VM, r.incarnation),
+		request.DefaultSettings(),
+		admissionPort{controller: r.admission, dataCentre: r.settings.DataCentre},
+		budgetPort{keeper: r.keeper},
+		routingPort{router: r.routes, pool: r.pool, dataCentre: r.settings.DataCentre},
+		r.services.Table,
+	)
+	r.frontend = &request.Frontend{
+		Self:     r.settings.VM,
+		Region:   r.settings.Region,
+		Executor: r.executor,
+		Peers:    r.peers,
+		View:     r.members.view.Load,
+		Busy:     r.busy,
+		Suspect:  r.members.suspect,
+	}
+	r.frontend.Register(r.peerSrv)
+	registerRecall(r.peerSrv, r.keeper)
+	registerAdopt(r.peerSrv, r.keeper)
+}
+
+// busy reports whether the configuration marks the request's budget as busy.
+func (r *Router) busy(q *request.Request) bool {
+	s := r.snapshots.Load()
+	return s != nil && s.Workspaces[q.Key.Workspace].Budgets[q.Budget].Busy
+}
+
+func (r *Router) buildServers() {
+	server := &api.Server{VM: r.settings.VM, Snapshots: r.snapshots, Requests: r.frontend}
+	r.callers = &http.Server{
+		Handler:           server.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	r.admin = &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: headerTimeout}
+}
+
+// Start listens and begins all work. It returns once callers can connect;
+// /readyz tells when they are served.
+func (r *Router) Start(ctx context.Context) error {
+	listeners, err := r.listen()
+	if err != nil {
+		return err
+	}
+	ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	if err := r.keeper.Start(ctx); err != nil {
+		return err
+	}
+	r.spawn(func() { r.announceUntilDone(ctx) })
+	r.spawn(func() { r.followConfig(ctx) })
+	r.spawn(func() { r.members.run(ctx) })
+	r.spawn(func() { r.pool.run(ctx) })
+	r.spawn(func() { r.sweep(ctx) })
+	r.spawn(func() { logEnd("peer", r.peerSrv.Serve(listeners.peer)) })
+	r.spawn(func() { logEnd("admin", r.admin.Serve(listeners.admin)) })
+	r.spawn(func() { logEnd("callers", r.callers.Serve(listeners.callers)) })
+	klog.Infof("router %s (%s) serves callers on %s", r.settings.VM, r.incarnation, r.settings.Listen)
+	return nil
+}
+
+type listeners struct{ callers, peer, admin net.Listener }
+
+func (r *Router) listen() (l listeners, err error) {
+	for _, one := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{r.settings.Listen, &l.callers},
+		{r.settings.PeerListen, &l.peer},
+		{r.settings.AdminListen, &l.admin},
+	} {
+		if *one.into, err = net.Listen("tcp", one.address); err != nil {
+			return l, eris.Wrapf(err, "listen on %s", one.address)
+		}
+	}
+	return l, nil
+}
+
+func (r *Router) spawn(task func()) {
+	r.tasks.Add(1)
+	go func() {
+		defer r.tasks.Done()
+		task()
+	}()
+}
+
+func logEnd(server string, err error) {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) {
+		klog.Errorf("%s listener ended: %v", server, err)
+	}
+}
+
+// announceUntilDone puts this VM on the platform's list.
+func (r *Router) announceUntilDone(ctx context.Context) {
+	for {
+		err := r.announce(ctx, platform.VMLive)
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		klog.Warningf("not yet on the VM list: %v", err)
+		select {
+		case <-time.After(time.Second):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *Router) announce(ctx context.Context, state platform.VMState) error {
+	return r.services.VMs.Announce(ctx, platform.VM{
+		ID:          r.settings.VM,
+		Incarnation: r.incarnation,
+		Role:        roleRouter,
+		DataCentre:  r.settings.DataCentre,
+		Region:      r.settings.Region,
+		Address:     r.settings.Listen,
+		PeerAddress: r.settings.PeerListen,
+		State:       state,
+	})
+}
+
+// sweep forgets old outcomes.
+func (r *Router) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			r.executor.Sweep()
+			r.table.SetRouters(r.members.routers())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// install takes a new snapshot into force.
+func (r *Router) install(s *config.Snapshot) {
+	if !r.snapshots.Advance(s) {
+		return
+	}
+	r.table.Update(s)
+	r.pool.update(s)
+	r.admission.Update(s)
+	klog.Infof("configuration %d is in force", s.Version)
+}
