admin: the administration API

Many teams share a platform, so each request has a team and a role from the folder itself. A fleet team sends the whole document and conflicts with any change.

A change is recorded in the table before it is made and its end after it: the record can't be missing, at worst it stays 'begun'. A digest that another team uses is refused without saying whose it is.

The bootstrap token counts only while the table has no configuration: a control that starts behind the fleet asks the table, not its own view.

--- /dev/null
+++ b/admin/auth.go
@@ -0,0 +1,97 @@
+package admin
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+
+	"buckthornridge/config"
+)
+
+// principal is who a request comes from.
+type principal struct {
+	team  string
+	role  string
+	fleet bool
+	token string // the first digits of the token's digest, for the audit
+	// bootstrap is the token of the process settings, which counts only while
+	// there is no configuration.
+	bootstrap bool
+}
+
+// tokenDigits is how many digits of a digest the audit shows.
+const tokenDigits = 8
+
+// may reports whether a role covers another.
+func (p principal) may(role string) bool {
+	return slices.Index(config.Roles, p.role) >= slices.Index(config.Roles, role)
+}
+
+// author names a principal in the history and the audit.
+func (p principal) author() string { return p.team + "/" + p.role + "/" + p.token }
+
+// tokenIndex holds the tokens of one configuration.
+type tokenIndex struct {
+	version config.Version
+	owners  map[config.KeyDigest]principal
+}
+
+// authenticator knows the admin tokens of the configuration in force.
+type authenticator struct {
+	holder    *config.Holder
+	bootstrap string // SHA-256 digest in hex; empty for none
+	index     atomic.Pointer[tokenIndex]
+}
+
+// identify finds who sent a request. Tokens are looked up by their digest, so
+// that the time tells nothing about how much of a guessed token was right.
+func (a *authenticator) identify(r *http.Request) (principal, *Problem) {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" {
+		return principal{}, problem(ProblemUnauthorized, "an admin token is needed: Authorization: Bearer TOKEN")
+	}
+	digest := sha256.Sum256([]byte(token))
+	snapshot := a.holder.Load()
+	if snapshot == nil {
+		return a.identifyBootstrap(digest)
+	}
+	if who, known := a.tokens(snapshot).owners[digest]; known {
+		return who, nil
+	}
+	return principal{}, problem(ProblemUnauthorized, "the admin token is not known")
+}
+
+// identifyBootstrap lets the first operator in. The table decides whether there
+// is a configuration already: see Server.apply.
+func (a *authenticator) identifyBootstrap(digest config.KeyDigest) (principal, *Problem) {
+	text := hex.EncodeToString(digest[:])
+	if a.bootstrap == "" || subtle.ConstantTimeCompare([]byte(text), []byte(strings.ToLower(a.bootstrap))) != 1 {
+		return principal{}, problem(ProblemUnauthorized, "the admin token is not known; there is no configuration here yet")
+	}
+	return principal{team: "bootstrap", role: config.RoleOwner, fleet: true, bootstrap: true, token: text[:tokenDigits]}, nil
+}
+
+func (a *authenticator) tokens(snapshot *config.Snapshot) *tokenIndex {
+	if index := a.index.Load(); index != nil && index.version == snapshot.Version {
+		return index
+	}
+	index := &tokenIndex{version: snapshot.Version, owners: map[config.KeyDigest]principal{}}
+	for name, team := range snapshot.Teams {
+		for text, role := range team.Tokens {
+			digest, err := config.ParseDigest(text)
+			if err != nil {
+				continue // refused by the checks already
+			}
+			index.owners[digest] = principal{team: name, role: role, fleet: team.Fleet, token: strings.ToLower(text[:tokenDigits])}
+		}
+	}
+	a.index.Store(index)
+	return index
+}
+
+// isAuthor reports whether a version's author is of a team.
+func isAuthor(author, team string) bool { return strings.HasPrefix(author, team+"/") }
--- /dev/null
+++ b/admin/budgets.go
@@ -0,0 +1,95 @@
+package admin
+
+import (
+	"context"
+	"fmt"
+
+	"buckthornridge/budget"
+	"buckthornridge/platform"
+)
+
+// NewBudgets returns the Budgets that are kept in a table.
+func NewBudgets(table platform.Table) Budgets { return tableBudgets{table} }
+
+type tableBudgets struct{ table platform.Table }
+
+func (b tableBudgets) TopUp(ctx context.Context, id budget.ID, topUpID string, tokens int64) (bool, error) {
+	return budget.TopUp(ctx, b.table, id, topUpID, tokens)
+}
+
+func (b tableBudgets) Status(ctx context.Context, id budget.ID) (budget.State, error) {
+	return budget.Status(ctx, b.table, id)
+}
+
+func (b tableBudgets) Audit(ctx context.Context) (budget.Report, error) {
+	return budget.Audit(ctx, b.table)
+}
+
+// ownBudget returns the budget that a request names. One that is not there and
+// one that is another team's look the same, so that names can't be tried out.
+func (s *Server) ownBudget(c call) (budget.ID, error) {
+	id := budget.ID{Workspace: c.PathValue("workspace"), Name: c.PathValue("budget")}
+	snapshot := s.Watcher.Holder.Load()
+	workspace, known := snapshot.Workspaces[id.Workspace]
+	if _, has := workspace.Budgets[id.Name]; !known || !has || !(c.who.fleet || workspace.Team == c.who.team) {
+		return id, problem(ProblemNotFound, fmt.Sprintf("there is no budget %s here", id))
+	}
+	return id, nil
+}
+
+func (s *Server) budget(c call) (any, error) {
+	id, err := s.ownBudget(c)
+	if err != nil {
+		return nil, err
+	}
+	state, err := s.Budgets.Status(c.Context(), id)
+	if err != nil {
+		return nil, err
+	}
+	return BudgetReply{Workspace: id.Workspace, Budget: id.Name, BudgetStatus: BudgetStatus{
+		Purchased: state.Purchased, Billed: state.Billed, Lost: state.LostTokens(),
+		Held: state.HeldTokens(), Free: state.Free,
+	}}, nil
+}
+
+func (s *Server) topUp(c call) (any, error) {
+	id, err := s.ownBudget(c)
+	if err != nil {
+		return nil, err
+	}
+	var request TopUpRequest
+	if _, err := decodeBody(c, maxBodyBytes, &request); err != nil {
+		return nil, err
+	}
+	if !idPattern.MatchString(request.ID) {
+		return nil, problem(ProblemMalformed, "id: want "+idWanted)
+	}
+	if request.Tokens <= 0 {
+		return nil, problem(ProblemMalformed, "tokens: must be more than 0")
+	}
+	record := c.record(ActionTopUp, id.String(), fmt.Sprintf("%d tokens, top-up %s", request.Tokens, request.ID))
+	applied, err := audited(c.Context(), s, record, func(ctx context.Context) (bool, error) {
+		return s.Budgets.TopUp(ctx, id, request.ID, request.Tokens)
+	})
+	return TopUpReply{Applied: true, Before: !applied}, err
+}
+
+func (s *Server) auditBudgets(c call) (any, error) {
+	if !c.who.fleet {
+		return nil, problem(ProblemForbidden, "only teams with fleet may audit all budgets")
+	}
+	return s.Budgets.Audit(c.Context())
+}
+
+func (s *Server) records(c call) (any, error) {
+	limit, err := listLimit(c)
+	if err != nil {
+		return nil, err
+	}
+	prefix := auditAllPrefix
+	if !c.who.fleet {
+		prefix = auditTeam(c.who.team)
+	}
+	records, err := s.audit.list(c.Context(), prefix, c.URL.Query().Get("after"), max(limit, 1))
+	return AuditReply{Records: records}, err
+}
--- /dev/null
+++ b/admin/config.go
@@ -0,0 +1,190 @@
+package admin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"buckthornridge/config"
+	"buckthornridge/settings"
+)
+
+func (s *Server) getConfig(c call) (any, error) {
+	version, err := number(c, "version", 0)
+	if err != nil {
+		return nil, err
+	}
+	state, err := s.load(c.Context(), config.Version(version))
+	if err != nil {
+		return nil, err
+	}
+	return ConfigReply{Version: state.Version, Document: visible(state.Document, c.who)}, nil
+}
+
+// load returns a version; 0 stands for the accepted one.
+func (s *Server) load(ctx context.Context, version config.Version) (config.State, error) {
+	if version == 0 {
+		head, err := s.Store.Head(ctx)
+		if err != nil {
+			return config.State{}, err
+		}
+		version = head.Version
+	}
+	return s.Store.Load(ctx, version)
+}
+
+func (s *Server) apply(c call) (any, error) {
+	var request ApplyRequest
+	root, err := decodeBody(c, maxConfigBytes, &request)
+	if err != nil {
+		return nil, err
+	}
+	if !idPattern.MatchString(request.ApplyID) {
+		return nil, problem(ProblemMalformed, "apply_id: want "+idWanted)
+	}
+	// Teams share the platform, but not their ids.
+	request.ApplyID = c.who.team + "/" + request.ApplyID
+	if c.who.fleet {
+		if faults := config.Check(request.Document, documentNode(root)); len(faults) > 0 {
+			return nil, faults
+		}
+	}
+	record := c.record(ActionApply, fmt.Sprintf("version after %d", request.Base), "apply "+request.ApplyID)
+	version, err := audited(c.Context(), s, record, func(ctx context.Context) (config.Version, error) {
+		return s.applyScoped(ctx, c.who, request)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return ApplyReply{Version: version}, nil
+}
+
+// documentNode returns the document's place in the body.
+func documentNode(root *settings.Node) *settings.Node {
+	if member := root.Member("document"); member != nil {
+		return member.Value
+	}
+	return nil
+}
+
+// applyScoped applies what a principal may change. For a team without fleet a
+// base is stale only when the team's own part has changed since: other teams'
+// changes go on all day, and are no conflict with it.
+func (s *Server) applyScoped(ctx context.Context, who principal, request ApplyRequest) (config.Version, error) {
+	for {
+		done, err := s.appliedBefore(ctx, who, request)
+		if err != nil || done > 0 {
+			return done, err
+		}
+		version, err := s.applyOnce(ctx, who, request)
+		// Another team was faster: its change is none of this one's.
+		var conflict *config.ConflictError
+		if who.fleet || !errors.As(err, &conflict) || ctx.Err() != nil {
+			return version, err
+		}
+	}
+}
+
+// appliedBefore returns the version that an apply with the same id became.
+func (s *Server) appliedBefore(ctx context.Context, who principal, request ApplyRequest) (config.Version, error) {
+	version, err := s.Store.Applied(ctx, request.ApplyID)
+	if err != nil || version == 0 {
+		return 0, err
+	}
+	then, err := s.Store.Load(ctx, version)
+	if err != nil {
+		return 0, err
+	}
+	if !same(then.Document, combine(then.Document, request.Document, who)) {
+		return 0, config.ErrApplyIDReused
+	}
+	return version, nil
+}
+
+func (s *Server) applyOnce(ctx context.Context, who principal, request ApplyRequest) (config.Version, error) {
+	head, err := s.Store.Head(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if who.bootstrap && head.Version > 0 {
+		return 0, problem(ProblemUnauthorized, "there is a configuration already: the bootstrap token no longer counts")
+	}
+	base, err := s.rebase(ctx, who, request, head.Version)
+	if err != nil {
+		return 0, err
+	}
+	current, err := s.Store.Load(ctx, base)
+	if err != nil {
+		return 0, err
+	}
+	if p := checkScope(current.Document, request.Document, who); p != nil {
+		return 0, p
+	}
+	next := combine(current.Document, request.Document, who)
+	return s.Store.Apply(ctx, base, next, request.ApplyID, who.author())
+}
+
+// rebase returns the version to apply on, or a conflict when a team's own part
+// has changed since its base.
+func (s *Server) rebase(ctx context.Context, who principal, request ApplyRequest, head config.Version) (config.Version, error) {
+	if who.fleet || request.Base == head {
+		return request.Base, nil
+	}
+	before, err := s.Store.Load(ctx, request.Base)
+	if errors.Is(err, config.ErrPruned) {
+		return 0, conflictProblem(&config.ConflictError{Base: request.Base, Head: config.Head{Version: head}})
+	}
+	if err != nil {
+		return 0, err
+	}
+	now, err := s.Store.Load(ctx, head)
+	if err != nil {
+		return 0, err
+	}
+	theirs, image, err := ownChanges(before.Document, now.Document, who)
+	if err != nil {
+		return 0, err
+	}
+	if len(theirs.Changes) > 0 {
+		return 0, conflictProblem(&config.ConflictError{Base: request.Base, Head: now.Head, Theirs: theirs, Begun: true, Before: image})
+	}
+	return head, nil
+}
+
+// ownChanges returns how a team's own part of the document changed.
+func ownChanges(before, now config.Document, who principal) (config.Delta, config.Image, error) {
+	own := func(doc config.Document) (config.Image, error) {
+		return config.NewImage(config.Document{
+			Workspaces: owned(doc, who.team),
+			Teams:      map[string]config.Team{who.team: doc.Teams[who.team]},
+		})
+	}
+	old, err := own(before)
+	if err != nil {
+		return config.Delta{}, config.Image{}, err
+	}
+	current, err := own(now)
+	return config.Diff(old, current), old, err
+}
+
+func (s *Server) history(c call) (any, error) {
+	before, err := number(c, "before", 0)
+	if err != nil {
+		return nil, err
+	}
+	limit, err := listLimit(c)
+	if err != nil {
+		return nil, err
+	}
+	records, err := s.Store.History(c.Context(), config.Version(before), limit)
+	if err != nil {
+		return nil, err
+	}
+	reply := HistoryReply{Versions: []config.Record{}}
+	for _, record := range records {
+		if c.who.fleet || isAuthor(record.Author, c.who.team) {
+			reply.Versions = append(reply.Versions, record)
+		}
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/admin/problem.go
@@ -0,0 +1,140 @@
+package admin
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+
+	"buckthornridge/budget"
+	"buckthornridge/config"
+	"buckthornridge/platform"
+	"buckthornridge/settings"
+)
+
+// ProblemName is the last part of a problem's type.
+type ProblemName string
+
+// The problems of the API.
+const (
+	ProblemUnauthorized   ProblemName = "unauthorized"
+	ProblemForbidden      ProblemName = "forbidden"
+	ProblemNotFound       ProblemName = "not-found"
+	ProblemMethod         ProblemName = "method-not-allowed"
+	ProblemMalformed      ProblemName = "malformed"
+	ProblemTooLarge       ProblemName = "too-large"
+	ProblemInvalidConfig  ProblemName = "invalid-config"
+	ProblemConflict       ProblemName = "conflict"
+	ProblemIDReused       ProblemName = "id-reused"
+	ProblemUnavailable    ProblemName = "platform-unavailable"
+	ProblemOutcomeUnknown ProblemName = "outcome-unknown"
+	ProblemNotReady       ProblemName = "not-ready"
+)
+
+// problemType precedes the name in a problem's type.
+const problemType = "urn:buckthornridge:problem:"
+
+var problemStatus = map[ProblemName]int{
+	ProblemUnauthorized:   http.StatusUnauthorized,
+	ProblemForbidden:      http.StatusForbidden,
+	ProblemNotFound:       http.StatusNotFound,
+	ProblemMethod:         http.StatusMethodNotAllowed,
+	ProblemMalformed:      http.StatusBadRequest,
+	ProblemTooLarge:       http.StatusRequestEntityTooLarge,
+	ProblemInvalidConfig:  http.StatusUnprocessableEntity,
+	ProblemConflict:       http.StatusConflict,
+	ProblemIDReused:       http.StatusUnprocessableEntity,
+	ProblemUnavailable:    http.StatusServiceUnavailable,
+	ProblemOutcomeUnknown: http.StatusGatewayTimeout,
+	ProblemNotReady:       http.StatusServiceUnavailable,
+}
+
+// Problem is an error reply.
+type Problem struct {
+	Type      string `json:"type"`
+	Title     string `json:"title"`
+	Status    int    `json:"status"`
+	Detail    string `json:"detail"`
+	RequestID string `json:"request_id,omitempty"`
+	// Faults of a document that failed the checks, as file:line:column: text.
+	Faults []string `json:"faults,omitempty"`
+	// Base, Head and Changes say, for a conflict, what the base lacks.
+	Base    config.Version `json:"base,omitempty"`
+	Head    config.Version `json:"head,omitempty"`
+	Changes []string       `json:"changes,omitempty"`
+}
+
+// Error implements error.
+func (p *Problem) Error() string {
+	lines := append([]string{p.Title + ": " + p.Detail}, p.Faults...)
+	return strings.Join(append(lines, p.Changes...), "\n")
+}
+
+// Name returns the last part of the type.
+func (p *Problem) Name() ProblemName {
+	return ProblemName(strings.TrimPrefix(p.Type, problemType))
+}
+
+func problem(name ProblemName, detail string) *Problem {
+	return &Problem{
+		Type:   problemType + string(name),
+		Title:  strings.ReplaceAll(string(name), "-", " "),
+		Status: problemStatus[name],
+		Detail: detail,
+	}
+}
+
+// problemOf tells a caller what an error of the lower packages means for it.
+func problemOf(err error) *Problem {
+	var p *Problem
+	var faults settings.Errors
+	var conflict *config.ConflictError
+	switch {
+	case errors.As(err, &p):
+		return p
+	case errors.As(err, &faults):
+		return invalid(faults)
+	case errors.As(err, &conflict):
+		return conflictProblem(conflict)
+	case errors.Is(err, config.ErrApplyIDReused), errors.Is(err, budget.ErrTopUpReused):
+		return problem(ProblemIDReused, err.Error())
+	case errors.Is(err, config.ErrPruned):
+		return problem(ProblemNotFound, err.Error())
+	case errors.Is(err, platform.ErrTooLarge):
+		return problem(ProblemTooLarge, err.Error())
+	case errors.Is(err, platform.ErrInvalid):
+		return problem(ProblemMalformed, err.Error())
+	case errors.Is(err, platform.ErrOutcomeUnknown):
+		return problem(ProblemOutcomeUnknown, "send the same request again, with the same id: "+err.Error())
+	}
+	return problem(ProblemUnavailable, err.Error())
+}
+
+func invalid(faults settings.Errors) *Problem {
+	p := problem(ProblemInvalidConfig, "the document fails the checks; nothing was changed")
+	for _, fault := range faults {
+		p.Faults = append(p.Faults, fault.Error())
+	}
+	return p
+}
+
+func conflictProblem(e *config.ConflictError) *Problem {
+	p := problem(ProblemConflict, e.Error()+"; nothing was changed")
+	p.Base, p.Head = e.Base, e.Head.Version
+	if e.Begun {
+		p.Changes = e.Theirs.Describe(e.Before)
+	}
+	return p
+}
+
+func writeProblem(w http.ResponseWriter, p *Problem) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(p.Status)
+	// The caller may be gone; nobody is left to tell.
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+func writeJSON(w http.ResponseWriter, reply any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(reply)
+}
--- /dev/null
+++ b/admin/scope.go
@@ -0,0 +1,152 @@
+package admin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"strings"
+
+	"buckthornridge/config"
+)
+
+// visible returns what a principal may see of a document.
+func visible(doc config.Document, who principal) config.Document {
+	if who.fleet {
+		return doc
+	}
+	seen := config.Document{
+		Fleet:      config.Fleet{Name: doc.Fleet.Name},
+		Models:     doc.Models,
+		Kinds:      doc.Kinds,
+		Services:   doc.Services,
+		Workspaces: owned(doc, who.team),
+	}
+	if team, ok := doc.Teams[who.team]; ok && who.may(config.RoleOwner) {
+		seen.Teams = map[string]config.Team{who.team: team}
+	}
+	return seen
+}
+
+func owned(doc config.Document, team string) map[string]config.Workspace {
+	workspaces := map[string]config.Workspace{}
+	for name, workspace := range doc.Workspaces {
+		if workspace.Team == team {
+			workspaces[name] = workspace
+		}
+	}
+	return workspaces
+}
+
+// checkScope refuses a document that reaches for more than a principal may
+// change. head is the document that it would replace.
+func checkScope(head, sent config.Document, who principal) *Problem {
+	switch {
+	case who.fleet && !who.may(config.RoleOwner) && !same(head.Teams, sent.Teams):
+		return problem(ProblemForbidden, "only an owner may change teams and their tokens")
+	case who.fleet:
+		return nil
+	}
+	if !onlyOwnSections(sent) {
+		return problem(ProblemForbidden, "a team may send only its workspaces and, by an owner, its own tokens")
+	}
+	for name, workspace := range sent.Workspaces {
+		if workspace.Team != who.team {
+			return problem(ProblemForbidden, fmt.Sprintf("workspace %q names another team", name))
+		}
+		if current, exists := head.Workspaces[name]; exists && current.Team != who.team {
+			return problem(ProblemForbidden, fmt.Sprintf("the name of workspace %q is taken", name))
+		}
+	}
+	if p := checkTeamScope(head, sent, who); p != nil {
+		return p
+	}
+	return checkForeignDigests(head, sent, who)
+}
+
+// onlyOwnSections reports whether a document holds nothing but workspaces and
+// teams.
+func onlyOwnSections(doc config.Document) bool {
+	entries := len(doc.Models) + len(doc.Kinds) + len(doc.Upstreams) + len(doc.Services)
+	return entries == 0 && doc.Policy == config.Policy{} && same(doc.Fleet, config.Fleet{})
+}
+
+func checkTeamScope(head, sent config.Document, who principal) *Problem {
+	for name, team := range sent.Teams {
+		switch {
+		case name != who.team:
+			return problem(ProblemForbidden, fmt.Sprintf("team %q is not yours", name))
+		case same(team, head.Teams[name]):
+		case !who.may(config.RoleOwner):
+			return problem(ProblemForbidden, "only an owner may change tokens")
+		case team.Fleet:
+			return problem(ProblemForbidden, "a team can't give itself the fleet")
+		}
+	}
+	return nil
+}
+
+// checkForeignDigests refuses a key or token that another team uses already,
+// without telling whose it is, which the general checks would.
+func checkForeignDigests(head, sent config.Document, who principal) *Problem {
+	foreign := map[string]bool{}
+	for name, team := range head.Teams {
+		if name != who.team {
+			addDigests(foreign, team.Tokens)
+		}
+	}
+	for _, workspace := range head.Workspaces {
+		if workspace.Team != who.team {
+			addDigests(foreign, workspace.Keys)
+		}
+	}
+	own := map[string]bool{}
+	for _, workspace := range sent.Workspaces {
+		addDigests(own, workspace.Keys)
+	}
+	for _, team := range sent.Teams {
+		addDigests(own, team.Tokens)
+	}
+	for digest := range own {
+		if foreign[digest] {
+			return problem(ProblemForbidden, "digest "+digest+" is in use")
+		}
+	}
+	return nil
+}
+
+func addDigests(into map[string]bool, digests map[string]string) {
+	for digest := range digests {
+		into[strings.ToLower(digest)] = true
+	}
+}
+
+// combine returns head with what a principal sent in place of its own.
+func combine(head, sent config.Document, who principal) config.Document {
+	if who.fleet {
+		return sent
+	}
+	next := head
+	next.Workspaces = maps.Clone(sent.Workspaces)
+	if next.Workspaces == nil {
+		next.Workspaces = map[string]config.Workspace{}
+	}
+	for name, workspace := range head.Workspaces {
+		if workspace.Team != who.team {
+			next.Workspaces[name] = workspace
+		}
+	}
+	if team, ok := sent.Teams[who.team]; ok {
+		next.Teams = maps.Clone(head.Teams)
+		next.Teams[who.team] = team
+	}
+	return next
+}
+
+// same compares values by their JSON text, in which an empty map equals the
+// one that a folder leaves out.
+func same(a, b any) bool {
+	left, err1 := json.Marshal(a)
+	right, err2 := json.Marshal(b)
+	return err1 == nil && err2 == nil && bytes.Equal(left, right)
+}
--- /dev/null
+++ b/admin/server.go
@@ -0,0 +1,143 @@
+package admin
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"time"
+
+	"buckthornridge/budget"
+	"buckthornridge/config"
+	"buckthornridge/platform"
+)
+
+// Budgets is what the API needs of prepaid budgets; NewBudgets implements it
+// over the table.
+type Budgets interface {
+	// TopUp buys tokens, once per id; applied is false when the id had been
+	// applied before. budget.ErrTopUpReused: the id stands for another amount.
+	TopUp(ctx context.Context, id budget.ID, topUpID string, tokens int64) (applied bool, err error)
+	// Status reads one budget; one that was never topped up is all zero.
+	Status(ctx context.Context, id budget.ID) (budget.State, error)
+	// Audit checks every budget.
+	Audit(ctx context.Context) (budget.Report, error)
+}
+
+// Processes reaches the system's other processes.
+type Processes interface {
+	// Source returns the process at an address for peers.
+	Source(address string) config.Fetcher
+	// Drain asks the process at an address for a planned stop.
+	Drain(ctx context.Context, address string) error
+}
+
+// Options sets up a Server.
+type Options struct {
+	Store     *config.Store
+	Watcher   *config.Watcher
+	Table     platform.Table // for the audit
+	VMs       platform.VMList
+	Budgets   Budgets
+	Processes Processes
+	// Bootstrap is the SHA-256 digest in hex of the token that may apply the
+	// first configuration; empty for none.
+	Bootstrap string
+}
+
+// Server is the administration API.
+type Server struct {
+	Options
+	Counters Counters
+	auth     authenticator
+	audit    auditLog
+	mux      *http.ServeMux
+}
+
+// NewServer returns the API; it is an http.Handler.
+func NewServer(options Options) *Server {
+	s := &Server{
+		Options: options,
+		auth:    authenticator{holder: &options.Watcher.Holder, bootstrap: options.Bootstrap},
+		audit:   auditLog{table: options.Table},
+		mux:     http.NewServeMux(),
+	}
+	s.Counters.init()
+	s.route(PathConfig, methods{
+		http.MethodGet:  {config.RoleViewer, s.getConfig},
+		http.MethodPost: {config.RoleOperator, s.apply},
+	})
+	s.route(PathHistory, methods{http.MethodGet: {config.RoleViewer, s.history}})
+	s.route(PathStatus, methods{http.MethodGet: {config.RoleViewer, s.status}})
+	s.route(PathBudget, methods{http.MethodGet: {config.RoleViewer, s.budget}})
+	s.route(PathTopUp, methods{http.MethodPost: {config.RoleOperator, s.topUp}})
+	s.route(PathAudit, methods{http.MethodGet: {config.RoleViewer, s.records}})
+	s.route(PathBudgets, methods{http.MethodGet: {config.RoleViewer, s.auditBudgets}})
+	s.route(PathDrain, methods{http.MethodPost: {config.RoleOperator, s.drain}})
+	s.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		s.refuse(w, problem(ProblemNotFound, "there is nothing at "+r.URL.Path), "")
+	})
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// endpoint is one method of a path: the least role, and what it does. Its reply
+// is sent as JSON.
+type endpoint struct {
+	role  string
+	serve func(call) (reply any, err error)
+}
+
+type methods map[string]endpoint
+
+// call is one authorised request.
+type call struct {
+	*http.Request
+	w   http.ResponseWriter
+	who principal
+	id  string
+}
+
+// requestTimeout bounds one request; an apply uses most of it when the table
+// does not answer.
+const requestTimeout = 15 * time.Second
+
+func (s *Server) route(path string, by methods) {
+	s.mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+		s.Counters.Requests.Add(1)
+		id := rand.Text()
+		w.Header().Set("X-Request-Id", id)
+		target, known := by[r.Method]
+		if !known {
+			s.refuse(w, problem(ProblemMethod, r.Method+" is not served at "+r.URL.Path), id)
+			return
+		}
+		who, p := s.auth.identify(r)
+		if p == nil && !who.may(target.role) {
+			p = problem(ProblemForbidden, "the role "+who.role+" may not do this; it takes "+target.role)
+		}
+		if p == nil && who.bootstrap && (r.URL.Path != PathConfig || r.Method != http.MethodPost) {
+			p = problem(ProblemNotReady, "there is no configuration here yet; the bootstrap token may only apply one")
+		}
+		if p != nil {
+			s.refuse(w, p, id)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+		defer cancel()
+		reply, err := target.serve(call{Request: r.WithContext(ctx), w: w, who: who, id: id})
+		if err != nil {
+			s.refuse(w, problemOf(err), id)
+			return
+		}
+		writeJSON(w, reply)
+	})
+}
+
+// refuse counts and sends a problem.
+func (s *Server) refuse(w http.ResponseWriter, p *Problem, id string) {
+	p.RequestID = id
+	s.Counters.Problems.Add(string(p.Name()), 1)
+	writeProblem(w, p)
+}
--- /dev/null
+++ b/admin/status.go
@@ -0,0 +1,107 @@
+package admin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"buckthornridge/platform"
+)
+
+// Bounds of asking the fleet's processes.
+const (
+	askAtOnce  = 16
+	askTimeout = time.Second
+)
+
+// Roles of the system's own processes in the VM list.
+const (
+	roleRouter  = "router"
+	roleControl = "control"
+)
+
+// ControlID is the id under which the control process of a VM announces itself:
+// two processes under one id would each make the other gone.
+func ControlID(vm string) string { return vm + "/control" }
+
+func (s *Server) status(c call) (any, error) {
+	head, err := s.Store.Head(c.Context())
+	if err != nil {
+		return nil, err
+	}
+	reply := StatusReply{Accepted: head.Version, InForce: s.Watcher.State().Version}
+	if !c.who.fleet {
+		return reply, nil
+	}
+	vms, asOf, err := s.processes(c.Context())
+	if err != nil {
+		return nil, err
+	}
+	reply.AsOf = asOf
+	reply.Processes = ask(c.Context(), vms, func(ctx context.Context, vm platform.VM, status *ProcessStatus) error {
+		head, err := s.Processes.Source(vm.PeerAddress).Head(ctx)
+		status.Version = head.Version
+		return err
+	})
+	return reply, nil
+}
+
+// processes returns the system's own processes that may still run.
+func (s *Server) processes(ctx context.Context) ([]platform.VM, time.Time, error) {
+	vms, asOf, err := s.VMs.List(ctx)
+	var own []platform.VM
+	for _, vm := range vms {
+		if vm.State != platform.VMGone && (vm.Role == roleRouter || vm.Role == roleControl) {
+			own = append(own, vm)
+		}
+	}
+	return own, asOf, err
+}
+
+// ask puts a question to processes, some at a time, and keeps their order.
+func ask(ctx context.Context, vms []platform.VM, question func(context.Context, platform.VM, *ProcessStatus) error) []ProcessStatus {
+	replies := make([]ProcessStatus, len(vms))
+	turn := make(chan struct{}, askAtOnce)
+	var wg sync.WaitGroup
+	for i, vm := range vms {
+		turn <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-turn }()
+			ctx, cancel := context.WithTimeout(ctx, askTimeout)
+			defer cancel()
+			reply := ProcessStatus{VM: vm.ID, Incarnation: vm.Incarnation, Role: vm.Role,
+				DataCentre: vm.DataCentre, State: string(vm.State)}
+			if err := question(ctx, vm, &reply); err != nil {
+				reply.Error = err.Error()
+			}
+			replies[i] = reply
+		})
+	}
+	wg.Wait()
+	return replies
+}
+
+func (s *Server) drain(c call) (any, error) {
+	if !c.who.fleet {
+		return nil, problem(ProblemForbidden, "only teams with fleet may drain VMs")
+	}
+	name := c.PathValue("vm")
+	vms, _, err := s.processes(c.Context())
+	if err != nil {
+		return nil, err
+	}
+	var named []platform.VM
+	for _, vm := range vms {
+		if vm.ID == name || vm.ID == ControlID(name) {
+			named = append(named, vm)
+		}
+	}
+	if len(named) == 0 {
+		return nil, problem(ProblemNotFound, "no process on a VM "+name+" is listed")
+	}
+	return audited(c.Context(), s, c.record(ActionDrain, name, "planned stop"), func(ctx context.Context) (DrainReply, error) {
+		return DrainReply{Processes: ask(ctx, named, func(ctx context.Context, vm platform.VM, _ *ProcessStatus) error {
+			return s.Processes.Drain(ctx, vm.PeerAddress)
+		})}, nil
+	})
+}
--- a/config/check_parts.go
+++ b/config/check_parts.go
@@ -113,13 +113,9 @@
 	reachable := false
 	for _, name := range sorted(c.doc.Teams) {
 		team := c.doc.Teams[name]
-		at := keyPath{"teams", name}
-		c.name(at)
-		for _, digest := range sorted(team.Tokens) {
-			at := at.with("tokens", digest)
-			c.digest(at, digest, "a token of team "+name)
-			c.oneOf(at, "role", team.Tokens[digest], Roles)
-			reachable = reachable || (team.Fleet && team.Tokens[digest] == RoleOwner)
+		c.team(keyPath{"teams", name}, name, team)
+		for _, role := range team.Tokens {
+			reachable = reachable || (team.Fleet && role == RoleOwner)
 		}
 	}
 	// Without such a token an apply would lock every operator out: the
@@ -129,6 +125,15 @@
 	}
 }
 
+func (c *checker) team(at keyPath, name string, team Team) {
+	c.name(at)
+	for _, digest := range sorted(team.Tokens) {
+		at := at.with("tokens", digest)
+		c.digest(at, digest, "a token of team "+name)
+		c.oneOf(at, "role", team.Tokens[digest], Roles)
+	}
+}
+
 func (c *checker) workspaces() {
 	for _, name := range sorted(c.doc.Workspaces) {
 		workspace := c.doc.Workspaces[name]
@@ -167,9 +172,16 @@
 func checkTeamScope(doc Document, root *settings.Node, team string) settings.Errors {
 	c := newChecker(doc, root)
 	for _, member := range root.Members {
-		if member.Name != "workspaces" {
-			c.faults.Add(member.At, "a team's folder may hold only workspaces, not %q", member.Name)
+		if member.Name != string(SectionWorkspaces) && member.Name != string(SectionTeams) {
+			c.faults.Add(member.At, "a team's folder may hold only workspaces and its own teams entry, not %q", member.Name)
+		}
+	}
+	for _, name := range sorted(doc.Teams) {
+		at := keyPath{"teams", name}
+		if name != team {
+			c.fault(at, "is not team %q", team)
 		}
+		c.team(at, name, doc.Teams[name])
 	}
 	for _, name := range sorted(doc.Workspaces) {
 		at := keyPath{"workspaces", name}
--- /dev/null
+++ b/config/describe.go
@@ -0,0 +1,65 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"buckthornridge/settings"
+)
+
+// Describe returns one line for each value that a delta adds (+), deletes (-)
+// or changes (~) in before, in the order of their keys. Digests of keys and
+// tokens are shown, since they are no secrets.
+func (d Delta) Describe(before Image) []string {
+	var lines []string
+	for _, change := range d.Changes {
+		old := before.Entry(change.EntryKey)
+		at := change.EntryKey.String()
+		switch {
+		case len(old) == 0:
+			lines = append(lines, fmt.Sprintf("+ %s: %s", at, change.Value))
+		case len(change.Value) == 0:
+			lines = append(lines, fmt.Sprintf("- %s: %s", at, old))
+		default:
+			lines = describeChange(lines, at, parsed(old), parsed(change.Value))
+		}
+	}
+	return lines
+}
+
+func parsed(text []byte) *settings.Node {
+	node, faults := settings.Parse("entry", text)
+	if len(faults) > 0 {
+		// What is no JSON is shown as it stands.
+		return &settings.Node{Kind: settings.String, Literal: text}
+	}
+	return node
+}
+
+func describeChange(lines []string, at string, old, now *settings.Node) []string {
+	if old.Kind != settings.Object || now.Kind != settings.Object {
+		if before, after := string(old.JSON()), string(now.JSON()); before != after {
+			lines = append(lines, fmt.Sprintf("~ %s: %s -> %s", at, before, after))
+		}
+		return lines
+	}
+	names := map[string]bool{}
+	for _, name := range append(memberNames(old), memberNames(now)...) {
+		names[name] = true
+	}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		lines = describeMember(lines, at+"."+name, old.Member(name), now.Member(name))
+	}
+	return lines
+}
+
+func describeMember(lines []string, at string, old, now *settings.Member) []string {
+	switch {
+	case old == nil:
+		return append(lines, fmt.Sprintf("+ %s: %s", at, now.Value.JSON()))
+	case now == nil:
+		return append(lines, fmt.Sprintf("- %s: %s", at, old.Value.JSON()))
+	}
+	return describeChange(lines, at, old.Value, now.Value)
+}
--- a/config/merge.go
+++ b/config/merge.go
@@ -56,10 +56,14 @@
 	return load(fsys, dir, Check)
 }
 
-// LoadTeamFS reads the folder of a team that shares the platform: it may hold
-// only workspaces, all of that team. References to the rest of the fleet's
+// LoadTeamFolder reads the folder of a team that shares the platform: it may
+// hold only the team's workspaces and its own entry below teams. References to the rest of the fleet's
 // document are checked where that is known, by the administration API.
-func LoadTeamFS(fsys fs.FS, dir, team string) (*Merged, error) {
+func LoadTeamFolder(dir, team string) (*Merged, error) {
+	return loadTeamFS(os.DirFS(dir), dir, team)
+}
+
+func loadTeamFS(fsys fs.FS, dir, team string) (*Merged, error) {
 	return load(fsys, dir, func(doc Document, root *settings.Node) settings.Errors {
 		return checkTeamScope(doc, root, team)
 	})
--- a/config/store.go
+++ b/config/store.go
@@ -51,6 +51,13 @@
 	return head.Head, err
 }
 
+// Applied returns the version that the apply with an id became, or 0.
+func (s *Store) Applied(ctx context.Context, applyID string) (Version, error) {
+	var row applyRow
+	_, err := s.readJSON(ctx, applyKey(applyID), &row)
+	return row.Version, err
+}
+
 // Load returns the state at a version; version 0 is the empty one.
 func (s *Store) Load(ctx context.Context, version Version) (State, error) {
 	if version == 0 {
