--- a/admin/server.go
+++ b/admin/server.go
@@ -42,6 +42,9 @@
 	// Bootstrap is the SHA-256 digest in hex of the token that may apply the
 	// first configuration; empty for none.
 	Bootstrap string
+	// Timeout bounds one request, which an apply uses up when the table does not
+	// answer; 0 for the default.
+	Timeout time.Duration
 }
 
 // Server is the administration API.
@@ -55,6 +58,9 @@
 
 // NewServer returns the API; it is an http.Handler.
 func NewServer(options Options) *Server {
+	if options.Timeout == 0 {
+		options.Timeout = defaultTimeout
+	}
 	s := &Server{
 		Options: options,
 		auth:    authenticator{holder: &options.Watcher.Holder, bootstrap: options.Bootstrap},
@@ -99,9 +105,7 @@
 	id  string
 }
 
-// requestTimeout bounds one request; an apply uses most of it when the table
-// does not answer.
-const requestTimeout = 15 * time.Second
+const defaultTimeout = 15 * time.Second
 
 func (s *Server) route(path string, by methods) {
 	s.mux.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
@@ -124,7 +128,7 @@
 			s.refuse(w, p, id)
 			return
 		}
-		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+		ctx, cancel := context.WithTimeout(r.Context(), s.Timeout)
 		defer cancel()
 		reply, err := target.serve(call{Request: r.WithContext(ctx), w: w, who: who, id: id})
 		if err != nil {
