certs: TLS and mutual TLS by settings, reloaded while running

The system's processes are known by IP numbers that change, so what counts between them is the CA and a name in the settings. Refused and tested: expired, not yet valid, another CA, another name, a certificate that is not for clients, none at all.

--- /dev/null
+++ b/certs/certs_test.go
@@ -0,0 +1,225 @@
+package certs
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const fleetName = "fleet.example"
+
+// authority signs certificates for tests.
+type authority struct {
+	t    *testing.T
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test CA"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &authority{t, cert, key}
+}
+
+// issue writes a certificate, changed by change, into a folder.
+func (a *authority) issue(dir string, change func(*x509.Certificate)) Files {
+	a.t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(time.Now().UnixNano()), DNSNames: []string{fleetName},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
+	change(template)
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	private, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	files := Files{Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"),
+		CA: filepath.Join(dir, "ca.pem"), Name: fleetName}
+	a.write(files.Cert, "CERTIFICATE", der)
+	a.write(files.Key, "PRIVATE KEY", private)
+	a.write(files.CA, "CERTIFICATE", a.cert.Raw)
+	return files
+}
+
+func (a *authority) write(path, kind string, der []byte) {
+	a.t.Helper()
+	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+		a.t.Fatal(err)
+	}
+}
+
+func good(*x509.Certificate) {}
+
+func open(t *testing.T, files Files) *Store {
+	t.Helper()
+	s, err := Open(files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// connect makes a handshake over loopback, sends a byte, and returns both
+// errors.
+func connect(t *testing.T, client, server *tls.Config) (clientErr, serverErr error) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	done := make(chan error, 1)
+	go func() {
+		raw, err := listener.Accept()
+		if err == nil {
+			defer raw.Close()
+			_, err = tls.Server(raw, server).Write([]byte{1})
+		}
+		done <- err
+	}()
+	raw, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, clientErr = tls.Client(raw, client).Read(make([]byte, 1))
+	raw.Close()
+	return clientErr, <-done
+}
+
+func TestMutualTLS(t *testing.T) {
+	ca, other := newAuthority(t), newAuthority(t)
+	server := open(t, ca.issue(t.TempDir(), good))
+	expired := func(c *x509.Certificate) { c.NotAfter = time.Now().Add(-time.Minute) }
+	early := func(c *x509.Certificate) { c.NotBefore = time.Now().Add(time.Minute) }
+	named := func(c *x509.Certificate) { c.DNSNames = []string{"other.example"} }
+	serverOnly := func(c *x509.Certificate) { c.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth} }
+	for _, c := range []struct {
+		name   string
+		ca     *authority
+		change func(*x509.Certificate)
+		fits   bool
+	}{
+		{"good", ca, good, true},
+		{"expired", ca, expired, false},
+		{"not valid yet", ca, early, false},
+		{"another CA", other, good, false},
+		{"another name", ca, named, false},
+		{"not for clients", ca, serverOnly, false},
+	} {
+		t.Run("client "+c.name, func(t *testing.T) {
+			is := is.New(t)
+			files := c.ca.issue(t.TempDir(), c.change)
+			ca.write(files.CA, "CERTIFICATE", ca.cert.Raw) // the client trusts the server
+			before := server.Counters.Refused.Value()
+			_, err := connect(t, open(t, files).Client(), server.Server())
+			is.Equal(err == nil, c.fits)
+			is.Equal(server.Counters.Refused.Value() == before, c.fits)
+		})
+	}
+	t.Run("client without a certificate", func(t *testing.T) {
+		is := is.New(t)
+		_, err := connect(t, &tls.Config{InsecureSkipVerify: true}, server.Server())
+		is.True(err != nil)
+	})
+	t.Run("server from another CA", func(t *testing.T) {
+		is := is.New(t)
+		files := ca.issue(t.TempDir(), good)
+		client := open(t, files)
+		err, _ := connect(t, client.Client(), open(t, other.issue(t.TempDir(), good)).Server())
+		is.True(err != nil)
+		is.Equal(client.Counters.Refused.Value(), int64(1))
+	})
+}
+
+func TestTLSTowardsCallersAsksForNoCertificate(t *testing.T) {
+	is := is.New(t)
+	ca := newAuthority(t)
+	files := ca.issue(t.TempDir(), good)
+	files.CA, files.Name = "", ""
+	pool := x509.NewCertPool()
+	pool.AddCert(ca.cert)
+	err, _ := connect(t, &tls.Config{RootCAs: pool, ServerName: fleetName}, open(t, files).Server())
+	is.NoErr(err)
+}
+
+// A certificate runs out and is replaced while the process runs; a moment long
+// the new certificate stands beside the old key. Connections must go on with
+// the old one, and then use the new one, without a restart.
+func TestReload(t *testing.T) {
+	is := is.New(t)
+	ca := newAuthority(t)
+	files := ca.issue(t.TempDir(), good)
+	s := open(t, files)
+	first := s.material().cert.Certificate[0]
+	key, err := os.ReadFile(files.Key)
+	is.NoErr(err)
+	later := func() { // the next look is due
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.checked = time.Now().Add(-checkInterval)
+	}
+
+	ca.issue(filepath.Dir(files.Cert), func(c *x509.Certificate) { c.DNSNames = append(c.DNSNames, "new.example") })
+	newKey, err := os.ReadFile(files.Key)
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(files.Key, key, 0o600)) // not there yet
+	later()
+	is.Equal(s.material().cert.Certificate[0], first)
+	is.Equal(s.Counters.Failures.Value(), int64(1))
+
+	is.NoErr(os.WriteFile(files.Key, newKey, 0o600))
+	later()
+	err, _ = connect(t, s.Client(), s.Server())
+	is.NoErr(err)
+	is.True(string(s.material().cert.Certificate[0]) != string(first))
+	is.Equal(s.Counters.Reloads.Value(), int64(1))
+}
+
+func TestOpenRefuses(t *testing.T) {
+	is := is.New(t)
+	files := newAuthority(t).issue(t.TempDir(), good)
+	for _, bad := range []Files{
+		{Cert: files.Cert},
+		{Cert: files.Cert, Key: files.Key, Name: "x"},
+		{Cert: files.Cert, Key: files.Cert},
+		{Cert: files.Cert, Key: files.Key, CA: files.Key},
+		{Cert: files.Cert, Key: files.Key, CA: files.CA + "x"},
+	} {
+		_, err := Open(bad)
+		is.True(err != nil)
+	}
+	is.NoErr(Files{}.Validate())
+	is.True(!Files{}.Enabled())
+}
