buckthorn-control: the process beside each router

It keeps the VM on the accepted configuration, serves the administration API and takes leases of duties. An operator's drain and SIGTERM are the same planned stop: requests end, leases go back, so that another process does the duties at its next look.

--- /dev/null
+++ b/admin/remote.go
@@ -0,0 +1,33 @@
+package admin
+
+import (
+	"context"
+
+	"buckthornridge/config"
+	"buckthornridge/peer"
+)
+
+// MethodDrain of the peer protocol asks a process for a planned stop. The reply
+// comes at once; the stop goes on after it.
+const MethodDrain = "process.drain"
+
+// RemoteProcesses is Processes over the peer protocol.
+type RemoteProcesses struct{ Caller peer.Caller }
+
+// Source implements Processes.
+func (p RemoteProcesses) Source(address string) config.Fetcher {
+	return config.RemotePeer{Caller: p.Caller, Address: address}
+}
+
+// Drain implements Processes.
+func (p RemoteProcesses) Drain(ctx context.Context, address string) error {
+	return p.Caller.Call(ctx, address, MethodDrain, nil, nil)
+}
+
+// ServeDrain answers MethodDrain by calling stop, which must not block.
+func ServeDrain(handlers config.Handlers, stop func()) {
+	handlers.Handle(MethodDrain, func(context.Context, func(any) error, peer.Sender) (any, error) {
+		stop()
+		return nil, nil
+	})
+}
--- a/certs/certs_test.go
+++ b/certs/certs_test.go
@@ -1,6 +1,7 @@
 package certs
 
 import (
+	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -16,6 +17,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"buckthornridge/peer"
 )
 
 const fleetName = "fleet.example"
@@ -223,3 +226,30 @@
 	is.NoErr(Files{}.Validate())
 	is.True(!Files{}.Enabled())
 }
+
+// Processes of the system call each other; one without a certificate of the
+// fleet must not get as far as a method.
+func TestPeersOverMutualTLS(t *testing.T) {
+	is := is.New(t)
+	ca := newAuthority(t)
+	store := open(t, ca.issue(t.TempDir(), good))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	calls := 0
+	server := peer.NewServer()
+	server.Handle("hello", func(context.Context, func(any) error, peer.Sender) (any, error) {
+		calls++
+		return "hello", nil
+	})
+	go server.Serve(tls.NewListener(listener, store.Server()))
+
+	inside, outside := peer.NewClient(store.Client()), peer.NewClient(&tls.Config{InsecureSkipVerify: true})
+	var reply string
+	is.NoErr(inside.Call(t.Context(), listener.Addr().String(), "hello", nil, &reply))
+	is.Equal(reply, "hello")
+	is.True(outside.Call(t.Context(), listener.Addr().String(), "hello", nil, &reply) != nil)
+	for _, end := range []func() error{inside.Close, outside.Close, listener.Close, server.Close} {
+		is.NoErr(end())
+	}
+	is.Equal(calls, 1)
+}
--- /dev/null
+++ b/cmd/buckthorn-control/main.go
@@ -0,0 +1,52 @@
+// Command buckthorn-control runs beside each router: it keeps the VM on the
+// accepted configuration, serves the administration API and takes its share of
+// the fleet's duties.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"k8s.io/klog/v2"
+
+	// The policies register themselves, so that a folder's names are checked.
+	_ "buckthornridge/admission"
+	"buckthornridge/control"
+	"buckthornridge/program"
+	_ "buckthornridge/routing"
+)
+
+func main() {
+	s := control.DefaultSettings()
+	program.MustLoad("Control process: configuration, administration API and the fleet's duties.", &s)
+	program.Exit(run(s))
+}
+
+// run works until a signal or an operator's order, then drains; a second signal
+// ends the drain.
+func run(s control.Settings) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	c, err := control.New(s)
+	if err != nil {
+		return err
+	}
+	c.Publish()
+	if err := c.Start(ctx); err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case <-c.StopAsked():
+	}
+	second, stopSecond := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stopSecond()
+	limited, cancel := context.WithTimeout(second, s.DrainLimit.D())
+	defer cancel()
+	if err := c.Drain(limited); err != nil {
+		klog.ErrorS(err, "the planned stop was cut short")
+	}
+	return c.Stop()
+}
