--- a/config/watcher_test.go
+++ b/config/watcher_test.go
@@ -166,11 +166,18 @@
 
 func TestInForceOnEveryWatcherWithinTheLimit(t *testing.T) {
 	inFleet(t, abc, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		var told []Version
+		hooked := NewWatcher(WatcherOptions{Table: newStore(f.fake, "d"),
+			OnAdvance: func(s *Snapshot) { told = append(told, s.Version) }})
+		is.NoErr(hooked.Start(t.Context()))
 		for version := Version(1); version <= 5; version++ {
 			f.apply(version)
 			time.Sleep(inForceLimit)
 			f.inForce(version, abc...)
 		}
+		is.NoErr(hooked.Stop())
+		is.Equal(told, []Version{1, 2, 3, 4, 5})
 	})
 }
 
