config: checks without places are cheap; forks after a restore are seen

A table restored from an older copy may accept other versions under numbers that a process remembers. Load showed what it remembered (seen to fail: share 7 for 8); now the digest in the row decides, and a remembered state on another way is left for the last checkpoint. The API refuses an apply while the table's version is behind the one in force: the new version's number would have been passed already, and it would be accepted but never in force.

--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -128,6 +128,26 @@
 	is.Equal(b.head().Version, config.Version(1))
 }
 
+// The table was restored from an older copy. A version accepted now would get a
+// number that the fleet has passed already: the operator would be told that it
+// is accepted, and it would never be in force.
+func TestATableBehindTheFleetTakesNoApply(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	old := b.fake.Dump("config/head")
+	changed := bytes.Replace(b.folder.Root.JSON(), []byte(`"refusal_weight":0.8`), []byte(`"refusal_weight":0.7`), 1)
+	_, err := b.client(operator).Apply(t.Context(), 1, "a", changed)
+	is.NoErr(err)
+	b.await(2)
+	_, err = b.fake.As("restore").Table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: old[0].Key, Value: old[0].Value}}})
+	is.NoErr(err)
+	client := b.client(operator)
+	client.Patience = 0
+	_, err = client.Apply(t.Context(), 1, "b", b.folder.Root.JSON())
+	p := refused(t, err, ProblemUnavailable)
+	is.True(strings.Contains(p.Detail, "is behind version 2"))
+}
+
 func TestRacingOperatorsSeeTheDifference(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t)
--- a/admin/config.go
+++ b/admin/config.go
@@ -109,6 +109,12 @@
 	if who.bootstrap && head.Version > 0 {
 		return 0, problem(ProblemUnauthorized, "there is a configuration already: the bootstrap token no longer counts")
 	}
+	if inForce := s.Watcher.State().Version; head.Version < inForce {
+		// A table restored from an older copy: the next version would have a
+		// number that the fleet has left behind, and would never be in force.
+		return 0, problem(ProblemUnavailable, fmt.Sprintf("the table's version %d is behind version %d, which is in force; "+
+			"nothing was changed", head.Version, inForce))
+	}
 	base, err := s.rebase(ctx, who, request, head.Version)
 	if err != nil {
 		return 0, err
--- a/config/apply.go
+++ b/config/apply.go
@@ -168,6 +168,9 @@
 // transaction returns the writes of the version after head.
 func (a *applier) transaction(before Image, head headRow) (platform.Txn, error) {
 	next := head.Version + 1
+	if err := a.checkSize(); err != nil {
+		return platform.Txn{}, err
+	}
 	delta := Diff(before, a.image)
 	packed, err := delta.Pack()
 	if err != nil {
@@ -193,6 +196,22 @@
 	})
 }
 
+// checkSize refuses a document that would fit no checkpoint: fresh processes
+// would have to follow every version since the last one that did.
+func (a *applier) checkSize() error {
+	if a.image.size() <= a.maxWhole {
+		return nil // packing makes it smaller
+	}
+	whole, err := Diff(Image{}, a.image).Pack()
+	if err != nil {
+		return err
+	}
+	if len(whole) > a.maxWhole {
+		return eris.Wrapf(platform.ErrTooLarge, "document of %d bytes packed, at most %d", len(whole), a.maxWhole)
+	}
+	return nil
+}
+
 func addRows(txn *platform.Txn, rows map[string]any) error {
 	for _, key := range sorted(rows) {
 		write, err := encodeRow(key, rows[key])
--- a/config/check.go
+++ b/config/check.go
@@ -59,14 +59,20 @@
 }
 
 func newChecker(doc Document, root *settings.Node) *checker {
-	if root == nil {
-		text, err := json.Marshal(doc)
+	return &checker{doc: doc, root: root, digests: map[string]string{}}
+}
+
+// place returns the root of the places. Without one the document's own JSON is
+// made only for a fault, since it takes longer than all checks.
+func (c *checker) place() *settings.Node {
+	if c.root == nil {
+		text, err := json.Marshal(c.doc)
 		if err != nil {
 			panic(err) // a Document holds no value that JSON lacks, but NaN, which JSON cannot bring in
 		}
-		root, _ = settings.Parse("document", text)
+		c.root, _ = settings.Parse("document", text)
 	}
-	return &checker{doc: doc, root: root, digests: map[string]string{}}
+	return c.root
 }
 
 // keyPath names a value in a document by its keys from the top.
@@ -76,7 +82,8 @@
 
 // fault reports at the deepest part of p that is written down.
 func (c *checker) fault(p keyPath, format string, args ...any) {
-	at, node := c.root.At, c.root
+	node := c.place()
+	at := node.At
 	for _, key := range p {
 		member := node.Member(key)
 		if member == nil {
--- a/config/image.go
+++ b/config/image.go
@@ -58,6 +58,15 @@
 // Entry returns the JSON text of an entry, or nil.
 func (i Image) Entry(key EntryKey) json.RawMessage { return i.entries[key] }
 
+// size returns the bytes of all entries.
+func (i Image) size() int {
+	size := 0
+	for key, value := range i.entries {
+		size += len(key.Section) + len(key.Name) + len(value)
+	}
+	return size
+}
+
 func (i Image) keys() []EntryKey {
 	return slices.SortedFunc(maps.Keys(i.entries), EntryKey.compare)
 }
--- a/config/store.go
+++ b/config/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 
@@ -15,6 +16,7 @@
 type Store struct {
 	table         platform.Table
 	checkpointGap Version // versions between checkpoints, at most
+	maxWhole      int     // bytes of a whole document, packed, at most
 
 	mu   sync.Mutex
 	last State // the last state that was loaded or accepted, to go on from
@@ -22,7 +24,7 @@
 
 // NewStore returns a store on a table.
 func NewStore(table platform.Table) *Store {
-	return &Store{table: table, checkpointGap: checkpointGap}
+	return &Store{table: table, checkpointGap: checkpointGap, maxWhole: maxBlobBytes}
 }
 
 // ConflictError reports an apply whose base is not the head: another operator
@@ -63,9 +65,6 @@
 	if version == 0 {
 		return State{}, nil
 	}
-	if last := s.cached(); last.Version == version {
-		return last, nil
-	}
 	var row versionRow
 	found, err := s.readJSON(ctx, versionKey(version), &row)
 	if err != nil {
@@ -74,39 +73,46 @@
 	if found == 0 {
 		return State{}, eris.Wrapf(ErrPruned, "version %d", version)
 	}
+	if last := s.cached(); last.Head == (Head{Version: version, Digest: row.Digest}) {
+		return last, nil
+	}
 	return s.loadFrom(ctx, row)
 }
 
+// loadFrom goes on from the remembered state where that lies on the way. It may
+// lie on another way since the table was restored from an older copy; that shows
+// as ErrCorrupt, and the way from the last checkpoint is taken.
 func (s *Store) loadFrom(ctx context.Context, row versionRow) (State, error) {
-	state, err := s.start(ctx, row)
-	if err != nil {
-		return State{}, err
-	}
-	steps, err := s.steps(ctx, state.Version, row.Version)
-	if err != nil {
-		return State{}, err
+	if last := s.cached(); last.Version > row.Checkpoint && last.Version < row.Version {
+		state, err := s.walkTo(ctx, last, row.Version)
+		if !errors.Is(err, ErrCorrupt) {
+			return state, err
+		}
 	}
-	if state, err = state.Walk(steps); err != nil {
-		return State{}, err
+	var start State
+	if row.Checkpoint > 0 {
+		step, err := s.checkpoint(ctx, row.Checkpoint)
+		if err != nil {
+			return State{}, err
+		}
+		if start, err = start.Walk([]Step{step}); err != nil {
+			return State{}, err
+		}
 	}
-	s.remember(state)
-	return state, nil
+	return s.walkTo(ctx, start, row.Version)
 }
 
-// start returns the state from which the version of row is reached by deltas:
-// the cached one when it lies on the way, else the last checkpoint.
-func (s *Store) start(ctx context.Context, row versionRow) (State, error) {
-	if last := s.cached(); last.Version > row.Checkpoint && last.Version <= row.Version {
-		return last, nil
-	}
-	if row.Checkpoint == 0 {
-		return State{}, nil
+func (s *Store) walkTo(ctx context.Context, from State, version Version) (State, error) {
+	steps, err := s.steps(ctx, from.Version, version)
+	if err != nil {
+		return State{}, err
 	}
-	step, err := s.checkpoint(ctx, row.Checkpoint)
+	state, err := from.Walk(steps)
 	if err != nil {
 		return State{}, err
 	}
-	return State{}.Walk([]Step{step})
+	s.remember(state)
+	return state, nil
 }
 
 // checkpoint returns the step from 0 to a checkpoint.
@@ -217,7 +223,7 @@
 func (s *Store) remember(state State) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if state.Version > s.last.Version {
+	if state.Version >= s.last.Version {
 		s.last = state
 	}
 }
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -241,6 +241,44 @@
 	is.True(reflect.DeepEqual(state.Document, doc))
 }
 
+func TestTooLargeADocumentIsRefused(t *testing.T) {
+	is := is.New(t)
+	fake := platform.NewFake(platform.FakeOptions{})
+	store := newStore(fake, "a")
+	store.maxWhole = 4_000
+	_, err := store.Apply(withinMinute(t), 0, large(example(t, "lankawrap"), 10), "a", "ann") // 4 KB of JSON and more, but packed less
+	is.NoErr(err)
+	_, err = store.Apply(withinMinute(t), 1, large(example(t, "lankawrap"), 100), "b", "ann")
+	is.True(errors.Is(err, platform.ErrTooLarge))
+	is.Equal(len(fake.Dump(versionPrefix)), 1)
+}
+
+// The table was restored from an older copy, and other versions were accepted
+// since under numbers that this process has seen before. It must not show what
+// it remembers under them.
+func TestLoadDoesNotTakeARememberedVersionForAnother(t *testing.T) {
+	is := is.New(t)
+	ctx := withinMinute(t)
+	fake := platform.NewFake(platform.FakeOptions{})
+	store, other := newStore(fake, "a"), newStore(fake, "b")
+	doc := example(t, "lankawrap")
+	_, err := store.Apply(ctx, 0, doc, "1", "ann")
+	is.NoErr(err)
+	old := fake.Dump("config/")
+	_, err = store.Apply(ctx, 1, edited(doc, "studio-kandy", 7), "2", "ann")
+	is.NoErr(err)
+	restore(t, fake, old)
+	for _, row := range fake.Dump(versionKey(2)) {
+		_, err = fake.As("restore").Table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: row.Key, Delete: true}}})
+		is.NoErr(err)
+	}
+	_, err = other.Apply(ctx, 1, edited(doc, "studio-kandy", 8), "3", "ben")
+	is.NoErr(err)
+	state, err := store.Load(ctx, 2)
+	is.NoErr(err)
+	is.Equal(state.Document.Workspaces["studio-kandy"].Share, 8.0)
+}
+
 func TestBlobsOfManyParts(t *testing.T) {
 	is := is.New(t)
 	ctx := withinMinute(t)
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -33,6 +33,8 @@
 	API       string        `arg:"--api,env:BUCKTHORN_API" help:"base URL of the administration API" default:"http://127.0.0.1:7300"`
 	TokenFile string        `arg:"--token-file" help:"file with the admin token; else the variable BUCKTHORN_TOKEN"`
 	CA        string        `arg:"--ca" help:"file with the certificates that the API's must come from"`
+	Cert      string        `arg:"--cert" help:"certificate to show to the API, if it asks for one"`
+	Key       string        `arg:"--key" help:"key of the certificate"`
 	Patience  time.Duration `arg:"--patience" help:"how long a change is sent again after a lost answer" default:"30s"`
 
 	Check   *checkCommand   `arg:"subcommand:check" help:"check a folder"`
@@ -111,16 +113,33 @@
 		}
 		token = strings.TrimSpace(string(text))
 	}
+	tlsConfig, err := a.tls()
+	if err != nil {
+		return nil, err
+	}
 	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.TLSClientConfig = tlsConfig
+	return &admin.Client{Base: a.API, Token: token, HTTP: &http.Client{Transport: transport}, Patience: a.Patience}, nil
+}
+
+func (a arguments) tls() (*tls.Config, error) {
+	c := &tls.Config{MinVersion: tls.VersionTLS13}
 	if a.CA != "" {
 		pem, err := os.ReadFile(a.CA)
 		if err != nil {
 			return nil, eris.Wrap(err, "read CA")
 		}
-		transport.TLSClientConfig = &tls.Config{RootCAs: x509.NewCertPool(), MinVersion: tls.VersionTLS13}
-		if !transport.TLSClientConfig.RootCAs.AppendCertsFromPEM(pem) {
+		c.RootCAs = x509.NewCertPool()
+		if !c.RootCAs.AppendCertsFromPEM(pem) {
 			return nil, eris.Errorf("%s holds no certificate", a.CA)
 		}
 	}
-	return &admin.Client{Base: a.API, Token: token, HTTP: &http.Client{Transport: transport}, Patience: a.Patience}, nil
+	if a.Cert != "" {
+		cert, err := tls.LoadX509KeyPair(a.Cert, a.Key)
+		if err != nil {
+			return nil, eris.Wrap(err, "read certificate")
+		}
+		c.Certificates = []tls.Certificate{cert}
+	}
+	return c, nil
 }
--- a/ctl/remote.go
+++ b/ctl/remote.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -69,7 +70,11 @@
 	return s.table(func(row func(string, ...any)) {
 		row("VM\tROLE\tDATA CENTRE\tSTATE\tVERSION\tERROR")
 		for _, p := range list {
-			row("%s\t%s\t%s\t%s\t%d\t%s", p.VM, p.Role, p.DataCentre, p.State, p.Version, p.Error)
+			version := "-"
+			if p.Version > 0 {
+				version = strconv.FormatUint(uint64(p.Version), 10)
+			}
+			row("%s\t%s\t%s\t%s\t%s\t%s", p.VM, p.Role, p.DataCentre, p.State, version, p.Error)
 		}
 	})
 }
