Platform: one contract suite for the fake and the stand-in over loopback

Cause: what holds in tests with the fake must hold over the wire.

The suite (platformtest.Run) covers conditions, versions after deletion, whole transactions, limits, paging, lost answers, delayed writes, down, silence, deadlines, rate limits, cut VMs, VM list lag and freeze, incarnations, objects, and transfers of a kept sum under faults. It has no timing bounds: delays are held until released, and rates are so low that no second token comes.

--- /dev/null
+++ b/standin/platform/contract_test.go
@@ -0,0 +1,61 @@
+package platform_test
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"buckthornridge/platform"
+	"buckthornridge/platform/httpclient"
+	"buckthornridge/platform/platformtest"
+	standin "buckthornridge/standin/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestStandInKeepsTheContract(t *testing.T) {
+	platformtest.Run(t, func(t *testing.T) platformtest.Harness {
+		server := standin.NewServer(contractSettings())
+		address := serve(t, server)
+		as := func(vmID string) platform.Services {
+			client := httpclient.New(httpclient.Options{Address: address, VM: vmID})
+			t.Cleanup(client.Close)
+			return client.Services()
+		}
+		return platformtest.Harness{As: as, Fake: server.Fake()}
+	})
+}
+
+// contractSettings give the platform that platformtest.Options describe.
+func contractSettings() standin.Settings {
+	options := platformtest.Options()
+	s := standin.Settings{Seed: options.Seed, WeightBytesPerSecond: standin.Count(options.WeightBytesPerSecond)}
+	for _, w := range options.Weights {
+		s.Weights = append(s.Weights, standin.WeightSettings{Model: w.Model, Version: w.Version, Bytes: standin.Count(w.Bytes)})
+	}
+	return s
+}
+
+// serve runs a server on loopback until the test ends and returns its address.
+func serve(t *testing.T, server *standin.Server) string {
+	t.Helper()
+	listener := listen(t)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- standin.Run(ctx, listener, server) }()
+	t.Cleanup(func() {
+		stop()
+		is.New(t).NoErr(<-ended)
+	})
+	return listener.Addr().String()
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	return listener
+}
