--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -36,7 +36,7 @@
 	}{
 		"no body":           {"POST", wire.PathCommit, "", 400, "invalid"},
 		"no JSON":           {"POST", wire.PathCommit, "{", 400, "invalid"},
-		"unknown field":     {"POST", wire.PathCommit, `{"write":[]}`, 400, "invalid"},
+		"unknown field":     {"POST", wire.PathCommit, `{"writes":[{"key":"x"}],"write":[]}`, 400, "invalid"},
 		"wrong type":        {"POST", wire.PathCommit, `{"writes":"x"}`, 400, "invalid"},
 		"value not base64":  {"POST", wire.PathCommit, `{"writes":[{"key":"x","value":"!"}]}`, 400, "invalid"},
 		"two messages":      {"POST", wire.PathCommit, `{"writes":[{"key":"x"}]}{}`, 400, "invalid"},
