Engine stand-in: settings with checked types

Durations and ranges are checked while they are decoded, so that an error names file, line and column; a default can now be replaced by zero, which the earlier zero-means-default reading ruled out. Faults are merged like the platform's.

--- a/standin/engine/core.go
+++ b/standin/engine/core.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"buckthornridge/settings"
 	"buckthornridge/standin/answer"
 	"buckthornridge/upstream"
 	"buckthornridge/upstream/wire"
@@ -26,10 +27,10 @@
 	events := newEventLog(s)
 	return &core{
 		settings: s,
-		cache:    newPrefixCache(s.CacheBlocks, events),
+		cache:    newPrefixCache(int(s.CacheBlocks), events),
 		events:   events,
 		streams:  map[string]*sequence{},
-		runs:     runLog{capacity: s.MaxRuns},
+		runs:     runLog{capacity: int(s.MaxRuns)},
 	}
 }
 
@@ -38,7 +39,7 @@
 	if c.streams[g.StreamID] != nil {
 		return nil, wire.ErrorStreamExists
 	}
-	if len(c.batch) >= c.settings.Slots && c.waiting.len() >= c.settings.MaxQueue {
+	if len(c.batch) >= c.slots() && c.waiting.len() >= int(c.settings.MaxQueue) {
 		return nil, wire.ErrorFull
 	}
 	s := newSequence(g, overrun, now)
@@ -68,10 +69,10 @@
 func (c *core) plan() step {
 	c.admit()
 	var next step
-	left := c.settings.PrefillPerStep
+	left := int64(c.settings.PrefillPerStep)
 	for _, s := range c.batch {
 		switch {
-		case s.at() == stageDecode && !s.full(c.settings.BufferTokens):
+		case s.at() == stageDecode && !s.full(int64(c.settings.BufferTokens)):
 			next.decode = append(next.decode, s)
 		case s.at() == stagePrefill && (left > 0 || s.prefill == 0):
 			share := min(left, s.prefill)
@@ -84,11 +85,14 @@
 }
 
 func (c *core) stepTime(sequences int) time.Duration {
-	return c.settings.scaled(c.settings.StepBaseMS + float64(sequences)*c.settings.StepPerSequenceMS)
+	unscaled := c.settings.StepBase + settings.Duration(sequences)*c.settings.StepPerSequence
+	return c.settings.scaled(unscaled)
 }
 
+func (c *core) slots() int { return int(c.settings.Slots) }
+
 func (c *core) admit() {
-	for len(c.batch) < c.settings.Slots && c.waiting.len() > 0 {
+	for len(c.batch) < c.slots() && c.waiting.len() > 0 {
 		s := c.waiting.pop()
 		blocks := c.cache.lookup(s.chain)
 		cached := int64(blocks) * upstream.PrefixBlockBytes / answer.BytesPerToken
@@ -191,7 +195,7 @@
 // for ever.
 func (c *core) attach(s *sequence, from int64) *attached {
 	generated := s.generated.Load()
-	if from < max(0, generated-c.settings.BufferTokens) || from > generated {
+	if from < max(0, generated-int64(c.settings.BufferTokens)) || from > generated {
 		return nil
 	}
 	if s.displaced != nil {
@@ -217,7 +221,7 @@
 // expire cancels streams whose resume window is over, and forgets them.
 func (c *core) expire(now time.Time) {
 	for id, s := range c.streams {
-		if s.reader == 0 && now.Sub(s.detachedAt) >= c.settings.resumeWindow() {
+		if s.reader == 0 && now.Sub(s.detachedAt) >= c.settings.ResumeWindow.D() {
 			delete(c.streams, id)
 			c.end(s)
 		}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -37,13 +37,12 @@
 	done sync.WaitGroup
 }
 
-// New returns an engine with checked settings. Its id names it to the weight
+// New returns an engine; start from DefaultSettings. Its id names it to the weight
 // store.
 func New(id string, s Settings) (*Engine, error) {
 	if err := s.Validate(); err != nil {
 		return nil, err
 	}
-	s = s.withDefaults()
 	return &Engine{
 		settings: s,
 		models:   newModels(s),
@@ -118,7 +117,7 @@
 // batch runs one step after the other while there is work.
 func (e *Engine) batch(ctx context.Context) {
 	var busyUntil, expired time.Time
-	window := e.settings.resumeWindow() / expiryParts
+	window := e.settings.ResumeWindow.D() / expiryParts
 	for ctx.Err() == nil {
 		now := time.Now()
 		if now.Sub(expired) >= window {
@@ -272,7 +271,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if now.Sub(e.sampled) >= e.settings.scaled(e.settings.LoadLagMS) {
+	if now.Sub(e.sampled) >= e.settings.scaled(e.settings.LoadLag) {
 		e.sample, e.sampled = e.core.load(), now
 		e.sample.StepMillis *= e.faults.slowFactor()
 		e.sample.Leaving = !e.leaving.IsZero()
--- a/standin/engine/events.go
+++ b/standin/engine/events.go
@@ -31,8 +31,8 @@
 
 func newEventLog(s Settings) *eventLog {
 	return &eventLog{
-		delay:    s.scaled(s.CacheEventDelayMS),
-		loss:     s.CacheEventLoss,
+		delay:    s.scaled(s.CacheEventDelay),
+		loss:     float64(s.CacheEventLoss),
 		random:   rand.New(rand.NewPCG(s.Seed, s.Seed)),
 		sequence: s.FirstEvent,
 	}
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -2,7 +2,7 @@
 
 import "github.com/rotisserie/eris"
 
-// Faults replace each other whole; the zero value means a sound engine.
+// Faults of an engine; the zero value means a sound one.
 type Faults struct {
 	// Refuse makes the engine refuse requests with this code, "full" for example.
 	Refuse string `json:"refuse,omitempty"`
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -6,6 +6,9 @@
 	"net/http"
 	"strconv"
 
+	"k8s.io/klog/v2"
+
+	"buckthornridge/settings"
 	"buckthornridge/upstream"
 	"buckthornridge/upstream/wire"
 )
@@ -135,17 +138,29 @@
 }
 
 func (e *Engine) serveFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if !readJSON(w, r, &f) {
-		return
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err == nil {
+		err = e.changeFaults(body)
 	}
-	if err := e.SetFaults(f); err != nil {
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	klog.InfoS("faults changed", "body", string(body))
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// changeFaults sets the faults that a body names and keeps the others.
+func (e *Engine) changeFaults(body []byte) error {
+	e.mu.Lock()
+	next := e.faults
+	e.mu.Unlock()
+	if err := settings.Decode("body", body, &next); err != nil {
+		return err
+	}
+	return e.SetFaults(next)
+}
+
 // refuse answers with a problem and the status that goes with its code.
 func (e *Engine) refuse(w http.ResponseWriter, code string) {
 	problem := wire.Problem{Error: code}
--- a/standin/engine/kv.go
+++ b/standin/engine/kv.go
@@ -21,7 +21,7 @@
 	}
 	blob = binary.AppendUvarint(nil, uint64(len(model)))
 	blob = append(blob, model...)
-	filler := make([]byte, e.settings.KVBytesPerBlock)
+	filler := make([]byte, int(e.settings.KVBytesPerBlock))
 	for _, hash := range chain {
 		blob = binary.LittleEndian.AppendUint64(blob, hash)
 		blob = append(blob, filler...)
@@ -32,7 +32,7 @@
 // importKV adds an exported prefix to the cache. It returns the code of the
 // refusal, if any.
 func (e *Engine) importKV(prefix uint64, blob []byte) (refusal string) {
-	model, chain, ok := decodeKV(blob, e.settings.KVBytesPerBlock)
+	model, chain, ok := decodeKV(blob, int(e.settings.KVBytesPerBlock))
 	if !ok || chain[len(chain)-1] != prefix {
 		return wire.ErrorMalformed
 	}
--- a/standin/engine/models.go
+++ b/standin/engine/models.go
@@ -6,12 +6,13 @@
 	"sync"
 	"time"
 
+	"buckthornridge/settings"
 	"buckthornridge/upstream"
 	"buckthornridge/upstream/wire"
 )
 
-// loadRetry is the pause, in milliseconds, after weights could not be read.
-const loadRetry = 1000
+// loadRetry is the pause after weights could not be read.
+const loadRetry = settings.Duration(time.Second)
 
 // WeightSource reads the weights of a model; it returns when they are loaded.
 type WeightSource interface {
@@ -33,7 +34,7 @@
 func newModels(s Settings) *models {
 	return &models{
 		fencing:   s.Fencing,
-		maxModels: s.MaxModels,
+		maxModels: int(s.MaxModels),
 		target:    upstream.Order{Models: s.Models, Adapters: s.Adapters},
 		loaded:    slices.Clone(s.Models),
 		adapters:  slices.Clone(s.Adapters),
--- a/standin/engine/settings.go
+++ b/standin/engine/settings.go
@@ -4,60 +4,63 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"buckthornridge/settings"
+	"buckthornridge/standin/number"
 )
 
-// Settings shape one stand-in engine. Zero values take the defaults.
+// Settings shape one stand-in engine, in the form of its settings file. Start
+// from DefaultSettings.
 type Settings struct {
 	// Models and Adapters are loaded at the start.
 	Models   []string `json:"models"`
 	Adapters []string `json:"adapters"`
-	// MaxModels is how many models fit into memory; default 2.
-	MaxModels int `json:"max_models"`
+	// MaxModels is how many models fit into memory.
+	MaxModels number.Count `json:"max_models"`
 	// Fencing makes the engine refuse orders with an old fencing number.
 	Fencing bool `json:"fencing"`
 
-	// Slots is the largest batch; default 32.
-	Slots int `json:"slots"`
-	// MaxQueue is how many requests may wait for a slot; default 1024.
-	MaxQueue int `json:"max_queue"`
-	// StepBaseMS and StepPerSequenceMS give the milliseconds of one step:
-	// base + sequences x per sequence; defaults 10 and 0.25.
-	StepBaseMS        float64 `json:"step_base_ms"`
-	StepPerSequenceMS float64 `json:"step_per_sequence_ms"`
-	// PrefillPerStep is how many prompt tokens one step processes; default 2048.
-	PrefillPerStep int64 `json:"prefill_per_step"`
+	// Slots is the largest batch.
+	Slots number.Count `json:"slots"`
+	// MaxQueue is how many requests may wait for a slot.
+	MaxQueue number.Count `json:"max_queue"`
+	// A step takes StepBase + sequences x StepPerSequence.
+	StepBase        settings.Duration `json:"step_base"`
+	StepPerSequence settings.Duration `json:"step_per_sequence"`
+	// PrefillPerStep is how many prompt tokens one step processes.
+	PrefillPerStep number.Count `json:"prefill_per_step"`
 	// TimeScale multiplies the times of steps, model loads, cache events and
-	// load reports, but not ResumeWindowMS; default 1.
-	TimeScale float64 `json:"time_scale"`
+	// load reports, but not ResumeWindow.
+	TimeScale number.Factor `json:"time_scale"`
 
-	// CacheBlocks bounds the prefix cache, in blocks of 64 prompt bytes;
-	// default 4096.
-	CacheBlocks int `json:"cache_blocks"`
-	// CacheEventDelayMS is how late cache events are published; default 200.
-	CacheEventDelayMS float64 `json:"cache_event_delay_ms"`
-	// CacheEventLoss is the share of cache events never published, from 0 to 1.
-	CacheEventLoss float64 `json:"cache_event_loss"`
-	// KVBytesPerBlock is the size of an exported block; default 64.
-	KVBytesPerBlock int `json:"kv_bytes_per_block"`
-	// LoadLagMS is how old a load report may be; default 250.
-	LoadLagMS float64 `json:"load_lag_ms"`
+	// CacheBlocks bounds the prefix cache, in blocks of 64 prompt bytes.
+	CacheBlocks number.Count `json:"cache_blocks"`
+	// CacheEventDelay is how late cache events are published.
+	CacheEventDelay settings.Duration `json:"cache_event_delay"`
+	// CacheEventLoss is the share of cache events that are never published.
+	CacheEventLoss number.Share `json:"cache_event_loss"`
+	// KVBytesPerBlock is the size of an exported block.
+	KVBytesPerBlock number.Count `json:"kv_bytes_per_block"`
+	// LoadLag is how old a load report may be.
+	LoadLag settings.Duration `json:"load_lag"`
 
 	// BufferTokens is how many tokens of a stream the engine keeps for a resume,
-	// and how far it runs ahead of the reader; default 4096.
-	BufferTokens int64 `json:"buffer_tokens"`
-	// ResumeWindowMS is how long the engine keeps a stream without a connection
-	// before it cancels it; default 10000.
-	ResumeWindowMS float64 `json:"resume_window_ms"`
+	// and how far it runs ahead of the reader.
+	BufferTokens number.Count `json:"buffer_tokens"`
+	// ResumeWindow is how long the engine keeps a stream without a connection
+	// before it cancels it.
+	ResumeWindow settings.Duration `json:"resume_window"`
 
 	// WeightBytes and WeightBytesPerSecond give the time of a model load when no
-	// weight store is set; defaults 1e9 and 1e9.
-	WeightBytes          float64 `json:"weight_bytes"`
-	WeightBytesPerSecond float64 `json:"weight_bytes_per_second"`
-	// WeightStore is the platform's base URL to read weights from, if set.
+	// weight store is set.
+	WeightBytes          number.Count `json:"weight_bytes"`
+	WeightBytesPerSecond number.Count `json:"weight_bytes_per_second"`
+	// WeightStore is the platform's address, host:port, to read weights from;
+	// empty simulates the reading.
 	WeightStore string `json:"weight_store"`
 
-	// MaxRuns bounds the record of runs; default 1000000.
-	MaxRuns int `json:"max_runs"`
+	// MaxRuns bounds the record of runs.
+	MaxRuns number.Count `json:"max_runs"`
 	// Seed selects the cache events that are lost.
 	Seed uint64 `json:"seed"`
 	// FirstEvent is the sequence number before the first cache event. Programs
@@ -65,75 +68,46 @@
 	FirstEvent int64 `json:"-"`
 }
 
-// withDefaults returns the settings with defaults in place of zeros.
-func (s Settings) withDefaults() Settings {
-	setDefault(&s.MaxModels, 2)
-	setDefault(&s.Slots, 32)
-	setDefault(&s.MaxQueue, 1024)
-	setDefault(&s.StepBaseMS, 10)
-	setDefault(&s.StepPerSequenceMS, 0.25)
-	setDefault(&s.PrefillPerStep, 2048)
-	setDefault(&s.TimeScale, 1)
-	setDefault(&s.CacheBlocks, 4096)
-	setDefault(&s.CacheEventDelayMS, 200)
-	setDefault(&s.KVBytesPerBlock, 64)
-	setDefault(&s.LoadLagMS, 250)
-	setDefault(&s.BufferTokens, 4096)
-	setDefault(&s.ResumeWindowMS, 10_000)
-	setDefault(&s.WeightBytes, 1e9)
-	setDefault(&s.WeightBytesPerSecond, 1e9)
-	setDefault(&s.MaxRuns, 1_000_000)
-	return s
-}
-
-func setDefault[T int | int64 | float64](field *T, value T) {
-	if *field == 0 {
-		*field = value
+// DefaultSettings are a sound engine without a model.
+func DefaultSettings() Settings {
+	return Settings{
+		MaxModels:            2,
+		Slots:                32,
+		MaxQueue:             1024,
+		StepBase:             settings.Duration(10 * time.Millisecond),
+		StepPerSequence:      settings.Duration(250 * time.Microsecond),
+		PrefillPerStep:       2048,
+		TimeScale:            1,
+		CacheBlocks:          4096,
+		CacheEventDelay:      settings.Duration(200 * time.Millisecond),
+		KVBytesPerBlock:      64,
+		LoadLag:              settings.Duration(250 * time.Millisecond),
+		BufferTokens:         4096,
+		ResumeWindow:         settings.Duration(10 * time.Second),
+		WeightBytes:          1e9,
+		WeightBytesPerSecond: 1e9,
+		MaxRuns:              1_000_000,
 	}
 }
 
-// Validate checks the settings, with defaults in place.
+// Validate checks what the types of the fields do not.
 func (s Settings) Validate() error {
-	s = s.withDefaults()
-	for _, field := range []struct {
-		name  string
-		value float64
-	}{
-		{"max_models", float64(s.MaxModels)},
-		{"slots", float64(s.Slots)},
-		{"max_queue", float64(s.MaxQueue)},
-		{"step_base_ms", s.StepBaseMS},
-		{"step_per_sequence_ms", s.StepPerSequenceMS},
-		{"prefill_per_step", float64(s.PrefillPerStep)},
-		{"time_scale", s.TimeScale},
-		{"cache_blocks", float64(s.CacheBlocks)},
-		{"cache_event_delay_ms", s.CacheEventDelayMS},
-		{"kv_bytes_per_block", float64(s.KVBytesPerBlock)},
-		{"load_lag_ms", s.LoadLagMS},
-		{"buffer_tokens", float64(s.BufferTokens)},
-		{"resume_window_ms", s.ResumeWindowMS},
-		{"weight_bytes", s.WeightBytes},
-		{"weight_bytes_per_second", s.WeightBytesPerSecond},
-		{"max_runs", float64(s.MaxRuns)},
-	} {
-		if field.value < 0 {
-			return eris.Errorf("%s is %v; it must not be negative", field.name, field.value)
-		}
+	if len(s.Models) > int(s.MaxModels) {
+		return eris.Errorf("%d models do not fit into max_models %d", len(s.Models), s.MaxModels)
 	}
-	if s.CacheEventLoss < 0 || s.CacheEventLoss > 1 {
-		return eris.Errorf("cache_event_loss is %v; it must lie between 0 and 1", s.CacheEventLoss)
+	for _, count := range []number.Count{s.MaxModels, s.Slots, s.MaxQueue, s.PrefillPerStep, s.CacheBlocks,
+		s.KVBytesPerBlock, s.BufferTokens, s.WeightBytes, s.WeightBytesPerSecond, s.MaxRuns} {
+		if count < 1 {
+			return eris.New("a count is not positive; start from DefaultSettings")
+		}
 	}
-	if len(s.Models) > s.MaxModels {
-		return eris.Errorf("%d models do not fit into max_models %d", len(s.Models), s.MaxModels)
+	if s.StepBase <= 0 || s.TimeScale <= 0 {
+		return eris.New("step_base and time_scale must be positive")
 	}
 	return nil
 }
 
-// scaled returns a time in milliseconds as a duration under the time scale.
-func (s Settings) scaled(ms float64) time.Duration {
-	return time.Duration(ms * s.TimeScale * float64(time.Millisecond))
-}
-
-func (s Settings) resumeWindow() time.Duration {
-	return time.Duration(s.ResumeWindowMS * float64(time.Millisecond))
+// scaled applies the time scale.
+func (s Settings) scaled(d settings.Duration) time.Duration {
+	return time.Duration(float64(d) * float64(s.TimeScale))
 }
--- a/standin/engine/weights.go
+++ b/standin/engine/weights.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"buckthornridge/settings"
 )
 
 // simulatedWeights takes the time that reading so many bytes would take.
@@ -22,35 +24,36 @@
 // storedWeights reads the bytes of the platform's weight store, which limits
 // their rate, and throws them away.
 type storedWeights struct {
-	base string // URL
-	vm   string
+	address string // of the platform, host:port
+	vm      string
 }
 
 // Load implements WeightSource.
 func (w storedWeights) Load(ctx context.Context, model string) error {
-	address := w.base + "/v1/weights/" + url.PathEscape(model)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	from := "http://" + w.address + "/v1/weights/" + url.PathEscape(model)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, from, nil)
 	if err != nil {
-		return eris.Wrapf(err, "weights %s", w.base)
+		return eris.Wrapf(err, "weights %s", w.address)
 	}
 	req.Header.Set("X-Vm", w.vm)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return eris.Wrapf(err, "weights %s", w.base)
+		return eris.Wrapf(err, "weights %s", w.address)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return eris.Errorf("weights %s: status %d", w.base, resp.StatusCode)
+		return eris.Errorf("weights %s: status %d", w.address, resp.StatusCode)
 	}
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return eris.Wrapf(err, "weights %s", w.base)
+		return eris.Wrapf(err, "weights %s", w.address)
 	}
 	return nil
 }
 
 func newWeightSource(s Settings, vm string) WeightSource {
 	if s.WeightStore != "" {
-		return storedWeights{base: s.WeightStore, vm: vm}
+		return storedWeights{address: s.WeightStore, vm: vm}
 	}
-	return simulatedWeights{duration: s.scaled(s.WeightBytes / s.WeightBytesPerSecond * 1000)}
+	seconds := float64(s.WeightBytes) / float64(s.WeightBytesPerSecond)
+	return simulatedWeights{duration: s.scaled(settings.Duration(seconds * float64(time.Second)))}
 }
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -11,9 +11,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"go.opentelemetry.io/otel"
-	"go.opentelemetry.io/otel/propagation"
 
+	"buckthornridge/telemetry"
 	"buckthornridge/upstream/wire"
 )
 
@@ -188,7 +187,7 @@
 // roundTrip sends a request, with the trace of its context, and says of a
 // failure whether the request can have reached the upstream.
 func roundTrip(transport http.RoundTripper, req *http.Request) (*http.Response, error) {
-	otel.GetTextMapPropagator().Inject(req.Context(), propagation.HeaderCarrier(req.Header))
+	telemetry.ToHeader(req.Context(), req.Header)
 	var trace sendTrace
 	resp, err := transport.RoundTrip(req.WithContext(trace.withTrace(req.Context())))
 	if err != nil {
--- a/upstream/engine_fault_test.go
+++ b/upstream/engine_fault_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"buckthornridge/settings"
 	"buckthornridge/standin/answer"
 	"buckthornridge/standin/engine"
 	"buckthornridge/upstream"
@@ -134,7 +135,7 @@
 func TestEnginePastTheMaximumIsCutAndCancelled(t *testing.T) {
 	is := is.New(t)
 	s := quick()
-	s.StepBaseMS = 5
+	s.StepBase = settings.Duration(5 * time.Millisecond)
 	f := start(t, s)
 	is.NoErr(f.SetFaults(engine.Faults{Overrun: 1_000_000}))
 	const prompt = "[[tokens=500]]"
--- a/upstream/engine_test.go
+++ b/upstream/engine_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"buckthornridge/settings"
 	"buckthornridge/standin/answer"
 	"buckthornridge/standin/engine"
 	"buckthornridge/upstream"
@@ -19,14 +20,14 @@
 
 // quick are settings under which a step takes well under a millisecond.
 func quick() engine.Settings {
-	return engine.Settings{
-		Models:            []string{"small", "large"},
-		StepBaseMS:        0.1,
-		StepPerSequenceMS: 0.001,
-		LoadLagMS:         0.001,
-		CacheEventDelayMS: 0.001,
-		WeightBytes:       1,
-	}
+	s := engine.DefaultSettings()
+	s.Models = []string{"small", "large"}
+	s.StepBase = settings.Duration(100 * time.Microsecond)
+	s.StepPerSequence = settings.Duration(time.Microsecond)
+	s.LoadLag = 0
+	s.CacheEventDelay = 0
+	s.WeightBytes = 1
+	return s
 }
 
 // fixture is a stand-in engine over loopback with its client.
