Service stand-in, buckthorn-upstream, contract tests of calls

Tests: nothing is sent twice on a reused connection that the server closes, and a call of which the client said "not sent" never shows up at the service.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -67,19 +67,6 @@
 	return nil
 }
 
-// Drain makes the engine leave and waits until its streams have ended and been
-// read, or the context is done.
-func (e *Engine) Drain(ctx context.Context) error {
-	e.Leave()
-	for e.open() > 0 {
-		sleep(ctx, time.Millisecond*10)
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-	}
-	return nil
-}
-
 // Leave makes the engine refuse new requests.
 func (e *Engine) Leave() {
 	e.mu.Lock()
@@ -89,8 +76,8 @@
 	}
 }
 
-// open counts the streams that still run or still have a reader.
-func (e *Engine) open() int {
+// Open counts the streams that still run or still have a reader.
+func (e *Engine) Open() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	open := 0
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"expvar"
 	"io"
 	"net/http"
 	"strconv"
@@ -43,6 +44,7 @@
 	mux.HandleFunc("GET "+PathRuns, e.serveRuns)
 	mux.HandleFunc("GET "+PathState, e.serveState)
 	mux.HandleFunc("POST "+PathFaults, e.serveFaults)
+	mux.Handle("GET /debug/vars", expvar.Handler())
 	return mux
 }
 
@@ -127,7 +129,7 @@
 }
 
 func (e *Engine) serveState(w http.ResponseWriter, _ *http.Request) {
-	state := State{OpenStreams: e.open()}
+	state := State{OpenStreams: e.Open()}
 	e.mu.Lock()
 	if !e.leaving.IsZero() {
 		state.LeavingSinceUnixMS = e.leaving.UnixMilli()
--- a/standin/number/number.go
+++ b/standin/number/number.go
@@ -46,3 +46,16 @@
 	*f = Factor(value)
 	return nil
 }
+
+// Natural is a whole number from 0.
+type Natural int64
+
+// UnmarshalJSON refuses what is not whole or negative.
+func (n *Natural) UnmarshalJSON(data []byte) error {
+	var value int64
+	if json.Unmarshal(data, &value) != nil || value < 0 {
+		return eris.Errorf("want a whole number from 0, found %s", data)
+	}
+	*n = Natural(value)
+	return nil
+}
--- /dev/null
+++ b/standin/service/http.go
@@ -0,0 +1,110 @@
+package service
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+// Paths that only the stand-in has.
+const (
+	PathExecutions = "/debug/executions"
+	PathFaults     = "/debug/faults"
+)
+
+// requestIDHeader carries the request id.
+const requestIDHeader = "X-Request-Id"
+
+const maxBodyBytes = 32 << 20
+
+// oversizedBytes is longer than any client takes for a reply.
+const oversizedBytes = 64 << 20
+
+// Handler returns the server's HTTP interface. Calls do not go through the mux,
+// which answers paths that are not clean with a redirect of its own.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathExecutions, s.serveExecutions)
+	mux.HandleFunc("POST "+PathFaults, s.serveFaults)
+	mux.HandleFunc("GET "+pathDebug+"vars", expvar.Handler().ServeHTTP)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, pathDebug) {
+			mux.ServeHTTP(w, r)
+			return
+		}
+		s.serveCall(w, r)
+	})
+}
+
+const pathDebug = "/debug/"
+
+func (s *Service) serveExecutions(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Report())
+}
+
+func (s *Service) serveFaults(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err == nil {
+		err = s.changeFaults(body)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	klog.InfoS("faults changed", "body", string(body))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// serveCall runs a call. Once it is read, it runs whether or not the caller
+// stays, as a real service's would.
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	fault := s.begin()
+	defer s.end()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, "unreadable body", http.StatusBadRequest)
+		return
+	}
+	if fault.Kind == KillBefore {
+		panic(http.ErrAbortHandler)
+	}
+	s.slots <- struct{}{}
+	execution := s.execute(r, r.Header.Get(requestIDHeader), body)
+	time.Sleep(s.settings.Latency.D() + fault.Latency.D())
+	<-s.slots
+	s.answer(r.Context(), w, fault, execution)
+}
+
+func (s *Service) answer(ctx context.Context, w http.ResponseWriter, fault Faults, e Execution) {
+	status := http.StatusOK
+	if fault.Status != 0 {
+		status = int(fault.Status)
+	}
+	switch fault.Kind {
+	case KillAfter:
+		panic(http.ErrAbortHandler)
+	case Hang:
+		<-ctx.Done()
+		return
+	case Cut:
+		w.Header().Set("Content-Length", "1000")
+		_, _ = io.WriteString(w, `{"service":`)
+		panic(http.ErrAbortHandler)
+	case Oversized:
+		_, _ = w.Write(make([]byte, oversizedBytes)) // the client may have gone
+		return
+	}
+	writeJSON(w, status, Reply{Service: s.settings.Name, RequestID: e.RequestID, Execution: e.Execution, Digest: e.Digest})
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(value) // the client is gone if this fails
+}
--- /dev/null
+++ b/upstream/notsent_test.go
@@ -0,0 +1,156 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/upstream"
+)
+
+// rawServer takes connections, counts the requests that reach it and answers
+// each connection's first one; it closes the connection at the second.
+type rawServer struct {
+	net.Listener
+	requests atomic.Int64
+}
+
+func startRaw(t *testing.T) *rawServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &rawServer{Listener: listener}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.serve(conn)
+		}
+	}()
+	t.Cleanup(func() {
+		listener.Close()
+		<-done
+	})
+	return s
+}
+
+func (s *rawServer) serve(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for answered := false; ; answered = true {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		s.requests.Add(1)
+		if answered {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+// A member confirms a submission. The connection to the service is one that was
+// used before, and the service closes it after it took the request. net/http
+// sends some requests again by itself in this case: the submission would count
+// twice although the caller asked once.
+func TestNothingIsSentTwiceOnAReusedConnection(t *testing.T) {
+	for _, method := range []string{"GET", "HEAD", "OPTIONS", "TRACE", "POST", "PUT", "DELETE"} {
+		for _, body := range []string{"", "body"} {
+			t.Run(method+body, func(t *testing.T) {
+				is := is.New(t)
+				server := startRaw(t)
+				transport := upstream.NewTransport()
+				defer transport.CloseIdleConnections()
+				client := upstream.NewService(server.Addr().String(), transport)
+				_, err := client.Do(t.Context(), upstream.Call{RequestID: "1", Method: "POST", Path: "/warm"})
+				is.NoErr(err)
+				_, err = client.Do(t.Context(), upstream.Call{RequestID: "2", Method: method, Path: "/c", Body: []byte(body)})
+				is.True(errors.Is(err, upstream.ErrBroken)) // it may have run
+				is.Equal(server.requests.Load(), int64(2))  // the first call and this one, once
+			})
+		}
+	}
+}
+
+// Nobody listens at the address: nothing was sent, and another server may be
+// tried at once.
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := listener.Addr().String()
+	is.NoErr(listener.Close())
+	transport := upstream.NewTransport()
+	_, err = upstream.NewService(address, transport).Do(t.Context(), upstream.Call{RequestID: "r", Method: "POST", Path: "/c"})
+	is.True(errors.Is(err, upstream.ErrNotSent))
+	_, err = upstream.NewEngine(address, transport).Generate(t.Context(), request("a", "p", 5))
+	is.True(errors.Is(err, upstream.ErrNotSent))
+	is.True(strings.Contains(err.Error(), address)) // the peer is named
+}
+
+// The caller gave up before the request was sent.
+func TestCancelledBeforeSendingIsNotSent(t *testing.T) {
+	is := is.New(t)
+	server, client := startService(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := client.Do(ctx, upstream.Call{RequestID: "r", Method: "POST", Path: "/c"})
+	is.True(errors.Is(err, upstream.ErrNotSent))
+	is.True(errors.Is(err, context.Canceled))
+	is.Equal(len(server.Report().Executions), 0)
+}
+
+// Callers give up at every possible moment of sending. The transport writes on
+// a goroutine of its own, which may be about to write when the request fails. A
+// call of which the client said "not sent" must never show up at the service.
+func TestNotSentIsTrueAtEveryMoment(t *testing.T) {
+	is := is.New(t)
+	server, client := startService(t)
+	notSent := map[string]bool{}
+	for i := range 600 {
+		id := "r-" + string(rune('a'+i%26)) + strings.Repeat("x", i/26)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i)*500*time.Nanosecond)
+		_, err := client.Do(ctx, upstream.Call{RequestID: id, Method: "POST", Path: "/c", Body: []byte("b")})
+		cancel()
+		if errors.Is(err, upstream.ErrNotSent) {
+			notSent[id] = true
+		}
+	}
+	_, err := client.Do(t.Context(), upstream.Call{RequestID: "last", Method: "POST", Path: "/c"})
+	is.NoErr(err)
+	for _, e := range server.Report().Executions {
+		is.True(!notSent[e.RequestID]) // told "not sent", yet it ran
+	}
+	is.True(len(notSent) > 0)
+}
+
+// With a transport that is not the package's own, what was sent cannot be
+// followed; every failure then counts as one after which the request may have run.
+func TestForeignTransportNeverCertifiesNotSentOnceConnected(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer server.Close()
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	client := upstream.NewService(strings.TrimPrefix(server.URL, "http://"), transport)
+	_, err := client.Do(t.Context(), upstream.Call{RequestID: "r", Method: "POST", Path: "/c"})
+	is.True(errors.Is(err, upstream.ErrBroken))
+}
