--- a/standin/engine/stream.go
+++ b/standin/engine/stream.go
@@ -150,9 +150,14 @@
 // connection breaks.
 func (l *lineWriter) writeLast() {
 	a := l.attached
-	if a.at() == stageCancelled {
+	fault := a.faults.Wire
+	lost := l.written == fault.After && (fault.Kind == WireKill || fault.Kind == WireTruncate)
+	if a.at() == stageCancelled || lost && fault.Kind == WireKill {
 		panic(http.ErrAbortHandler)
 	}
+	if lost {
+		return
+	}
 	last := lastLine{StreamID: a.streamID, Done: true, FinishReason: a.finish, Usage: a.usage()}
 	last.Usage.OutputTokens += a.faults.UsageError
 	_ = json.NewEncoder(l.w).Encode(last) // the client is gone if this fails
--- a/upstream/engine_fault_test.go
+++ b/upstream/engine_fault_test.go
@@ -63,7 +63,7 @@
 func TestResumeAfterABrokenConnection(t *testing.T) {
 	const prompt = "[[tokens=30]]"
 	whole, _ := answer.Tokens("small", prompt, 50)
-	for _, after := range []int64{0, 1, 29} {
+	for _, after := range []int64{0, 1, 29, 30} {
 		is := is.New(t)
 		f := start(t, quick())
 		is.NoErr(f.SetFaults(engine.Faults{Wire: engine.WireFault{Kind: engine.WireKill, After: after, Connections: 1}}))
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -52,13 +52,10 @@
 // splitLines passes on only lines that end in a line feed. A connection that
 // breaks may cut a line so that the rest is valid JSON with a shorter text; the
 // line feed is the proof that the line is whole.
-func splitLines(data []byte, atEOF bool) (advance int, line []byte, err error) {
+func splitLines(data []byte, _ bool) (advance int, line []byte, err error) {
 	if end := bytes.IndexByte(data, '\n'); end >= 0 {
 		return end + 1, data[:end], nil
 	}
-	if atEOF && len(data) > 0 {
-		return 0, nil, errUnterminated
-	}
 	return 0, nil, nil
 }
 
