Tests of the batching, the stand-ins' HTTP, planned stops and the program

Batching, queue, cache, resume window and buffer as pure steps; the loop, load lag and model loads in virtual time; planned stop of an engine with a stream open and of a service under calls.

--- /dev/null
+++ b/standin/engine/cache_test.go
@@ -0,0 +1,117 @@
+package engine
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"buckthornridge/settings"
+	"buckthornridge/upstream"
+)
+
+func testCache(capacity int) *prefixCache {
+	s := DefaultSettings()
+	s.CacheEventDelay = 0
+	return newPrefixCache(capacity, newEventLog(s))
+}
+
+// prompts share prefixes: each is a path of one-letter blocks.
+func promptOf(path string) []uint64 {
+	var prompt strings.Builder
+	for _, letter := range path {
+		prompt.WriteString(strings.Repeat(string(letter), upstream.PrefixBlockBytes))
+	}
+	return upstream.PrefixChain("m", "", prompt.String())
+}
+
+func TestCacheKeepsWhatWasUsedLast(t *testing.T) {
+	is := is.New(t)
+	c := testCache(4)
+	c.store("m", promptOf("ab"))
+	c.store("m", promptOf("xy"))
+	is.Equal(c.lookup(promptOf("abz")), 2) // used: "xy" is the older one now
+	c.store("m", promptOf("q"))
+	is.Equal(c.lookup(promptOf("xy")), 1) // the end of the oldest prefix went first
+	is.Equal(c.lookup(promptOf("ab")), 2)
+}
+
+func TestPromptLongerThanTheCacheKeepsItsStart(t *testing.T) {
+	is := is.New(t)
+	c := testCache(3)
+	c.store("m", promptOf("abcdef"))
+	is.Equal(c.lookup(promptOf("abcdef")), 3)
+}
+
+// The bound holds, a block's parents are cached with it, and who folds all
+// events without loss holds exactly the cache's blocks.
+func TestCacheInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.IntRange(1, 6).Draw(t, "capacity")
+		c := testCache(capacity)
+		for _, path := range rapid.SliceOfN(rapid.StringMatching(`[ab]{1,7}`), 1, 30).Draw(t, "paths") {
+			c.store("m", promptOf(path))
+			if len(c.blocks) > capacity || len(c.blocks) != c.order.Len() {
+				t.Fatalf("%d blocks in a cache of %d", len(c.blocks), capacity)
+			}
+			if got := c.lookup(promptOf(path)); got != min(len(path), capacity) {
+				t.Fatalf("%d blocks of %q after it was stored", got, path)
+			}
+		}
+		for hash := range c.blocks {
+			if _, chain, found := c.export(hash); !found || chain[len(chain)-1] != hash {
+				t.Fatalf("block %x has no whole prefix", hash)
+			}
+		}
+		folded := map[uint64]bool{}
+		for _, e := range c.log.after(0, time.Now()) {
+			if folded[e.Prefix] == e.Stored {
+				t.Fatalf("event %+v changes nothing", e)
+			}
+			if folded[e.Prefix] = e.Stored; !e.Stored {
+				delete(folded, e.Prefix)
+			}
+		}
+		if len(folded) != len(c.blocks) {
+			t.Fatalf("events give %d blocks, the cache has %d", len(folded), len(c.blocks))
+		}
+	})
+}
+
+// Routing would believe in a cache that is gone if it could not see that it
+// missed events: lost ones leave a gap, late ones come later but in order.
+func TestCacheEventsAreLateAndGappy(t *testing.T) {
+	is := is.New(t)
+	s := DefaultSettings()
+	s.CacheEventDelay = settings.Duration(time.Second)
+	s.CacheEventLoss = 0.3
+	s.FirstEvent = 1000
+	log := newEventLog(s)
+	log.now = epoch
+	for i := range uint64(200) {
+		log.add(i, true)
+	}
+	is.Equal(len(log.after(0, epoch.Add(999*time.Millisecond))), 0)
+	events := log.after(0, epoch.Add(time.Second))
+	is.True(len(events) > 100 && len(events) < 180)
+	last := int64(1000)
+	for _, e := range events {
+		is.True(e.Sequence > last)
+		is.Equal(e.Sequence, 1001+int64(e.Prefix)) // the number tells which are missing
+		last = e.Sequence
+	}
+	is.Equal(len(log.after(last, epoch.Add(time.Hour))), 0)
+	is.Equal(newEventLog(s).random.Uint64(), newEventLog(s).random.Uint64()) // seeded
+}
+
+func TestEventLogIsBounded(t *testing.T) {
+	is := is.New(t)
+	log := newEventLog(DefaultSettings())
+	for i := range uint64(3 * keptEvents) {
+		log.add(i, true)
+	}
+	is.True(len(log.events) < 2*keptEvents)
+	is.Equal(len(log.after(0, time.Now().Add(time.Hour))), eventsPerReply)
+}
--- /dev/null
+++ b/standin/engine/core_test.go
@@ -0,0 +1,234 @@
+package engine
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/settings"
+	"buckthornridge/upstream"
+	"buckthornridge/upstream/wire"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func testSettings() Settings {
+	s := DefaultSettings()
+	s.Models = []string{"m"}
+	s.Slots = 4
+	s.MaxQueue = 3
+	s.StepBase = settings.Duration(10 * time.Millisecond)
+	s.StepPerSequence = settings.Duration(time.Millisecond)
+	s.PrefillPerStep = 100
+	return s
+}
+
+func ask(id string, priority int, tokens int) wire.Generate {
+	return wire.Generate{StreamID: id, Model: "m", Prompt: fmt.Sprintf("%s [[tokens=%d]]", id, tokens), MaxTokens: 1000, Priority: priority}
+}
+
+func mustSubmit(t *testing.T, c *core, g wire.Generate) *sequence {
+	t.Helper()
+	s, refusal := c.submit(g, 0, epoch)
+	if refusal != "" {
+		t.Fatal(refusal)
+	}
+	return s
+}
+
+// steps runs the core to the end of n steps and returns their time.
+func steps(c *core, n int) time.Duration {
+	var total time.Duration
+	for range n {
+		next := c.plan()
+		total += next.duration
+		c.finish(next, epoch)
+	}
+	return total
+}
+
+func TestStepTimeGrowsWithTheBatch(t *testing.T) {
+	for _, tt := range []struct {
+		sequences int
+		want      time.Duration
+	}{{1, 11 * time.Millisecond}, {3, 13 * time.Millisecond}, {4, 14 * time.Millisecond}, {6, 14 * time.Millisecond}} {
+		is := is.New(t)
+		c := newCore(testSettings())
+		for i := range tt.sequences {
+			mustSubmit(t, c, ask(fmt.Sprint(i), 0, 50))
+		}
+		is.Equal(steps(c, 1), tt.want) // no more than four slots are in a step
+		is.Equal(c.load().Running, min(tt.sequences, 4))
+		is.Equal(c.load().Queued, max(tt.sequences-4, 0))
+	}
+}
+
+func TestPriorityThenArrivalDecidesWhoGetsASlot(t *testing.T) {
+	is := is.New(t)
+	s := testSettings()
+	s.Slots = 1
+	s.MaxQueue = 10
+	c := newCore(s)
+	mustSubmit(t, c, ask("running", 5, 1))
+	steps(c, 1) // it took the slot, and its one token ends it
+	var order []string
+	for i, priority := range []int{2, 0, 1, 0} {
+		mustSubmit(t, c, ask(fmt.Sprint(priority, "-", i), priority, 1))
+	}
+	for range 4 {
+		next := c.plan()
+		order = append(order, next.prefill[0].sequence.streamID)
+		c.finish(next, epoch)
+	}
+	is.Equal(order, []string{"0-1", "0-3", "1-2", "2-0"})
+}
+
+func TestFullQueueRefuses(t *testing.T) {
+	is := is.New(t)
+	c := newCore(testSettings())
+	for i := range 4 {
+		mustSubmit(t, c, ask(fmt.Sprint("a", i), 0, 50))
+	}
+	c.plan()
+	for i := range 3 {
+		mustSubmit(t, c, ask(fmt.Sprint("b", i), 0, 50))
+	}
+	_, refusal := c.submit(ask("c", 0, 50), 0, epoch)
+	is.Equal(refusal, wire.ErrorFull)
+	_, refusal = c.submit(ask("a0", 0, 50), 0, epoch)
+	is.Equal(refusal, wire.ErrorStreamExists)
+	is.Equal(len(c.runs.report().Runs), 7) // a refused request leaves no run
+}
+
+func TestPrefillIsSharedOutAndSkippedForACachedPrefix(t *testing.T) {
+	is := is.New(t)
+	c := newCore(testSettings())
+	g := ask("first", 0, 3)
+	g.Prompt = strings.Repeat("p", 960) + "[[tokens=3]]" // 243 tokens: three steps at 100
+	first := mustSubmit(t, c, g)
+	steps(c, 2)
+	is.Equal(first.generated.Load(), int64(0))
+	is.Equal(c.load().PrefillTokens, int64(43))
+	steps(c, 1)
+	is.Equal(first.generated.Load(), int64(1)) // the step that ends prefill gives a token
+
+	g.StreamID = "second"
+	second := mustSubmit(t, c, g)
+	steps(c, 1)
+	is.Equal(second.cached.Load(), int64(240)) // 15 whole blocks of 16 tokens
+	is.Equal(second.generated.Load(), int64(1))
+	is.True(second.usage().CachedTokens <= second.usage().PromptTokens)
+}
+
+// A prompt of one long brief must not hold up a caption that is in the batch:
+// tokens keep coming in each step while the brief is processed.
+func TestPrefillDoesNotStopDecoding(t *testing.T) {
+	is := is.New(t)
+	c := newCore(testSettings())
+	caption := mustSubmit(t, c, ask("caption", 0, 50))
+	steps(c, 1)
+	g := ask("brief", 9, 5)
+	g.Prompt += strings.Repeat("x", 8000)
+	mustSubmit(t, c, g)
+	steps(c, 10)
+	is.Equal(caption.generated.Load(), int64(11))
+}
+
+func TestCancelFreesItsPlace(t *testing.T) {
+	is := is.New(t)
+	s := testSettings()
+	s.Slots = 1
+	c := newCore(s)
+	running := mustSubmit(t, c, ask("running", 0, 50))
+	steps(c, 2)
+	queued := mustSubmit(t, c, ask("queued", 0, 50))
+	last := mustSubmit(t, c, ask("last", 0, 50))
+	next := c.plan()
+	is.True(c.cancel("running")) // in the middle of a step
+	is.True(c.cancel("queued"))
+	c.finish(next, epoch)
+	is.Equal(running.generated.Load(), int64(2)) // nothing after the cancellation
+	is.Equal(queued.generated.Load(), int64(0))
+	is.True(!c.cancel("running"))
+	steps(c, 1)
+	is.Equal(last.generated.Load(), int64(1))
+	for _, run := range c.runs.report().Runs {
+		is.Equal(run.Cancelled, run.StreamID != "last")
+	}
+}
+
+// A router dies with a stream open. The engine goes on as far as its buffer
+// reaches, keeps the stream for the resume window and then cancels it; a
+// connection within the window keeps it alive.
+func TestResumeWindow(t *testing.T) {
+	window := testSettings().ResumeWindow.D()
+	for _, tt := range []struct {
+		name    string
+		resumed bool
+	}{{"nobody comes", false}, {"resumed in time", true}} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCore(testSettings())
+			s := mustSubmit(t, c, ask("s", 0, 500))
+			first := c.attach(s, 0)
+			steps(c, 5)
+			c.expire(epoch.Add(2 * window)) // a reader is there
+			is.True(!s.ended())
+			c.detach(s, first.reader, epoch)
+			c.expire(epoch.Add(window - 1))
+			is.True(!s.ended())
+			if tt.resumed {
+				is.True(c.attach(s, 3) != nil)
+				c.detach(s, first.reader, epoch) // the old connection's end comes late
+			}
+			c.expire(epoch.Add(window))
+			is.Equal(s.cancelled.Load(), !tt.resumed)
+			is.Equal(c.streams["s"] != nil, tt.resumed)
+			is.Equal(c.load().Running, map[bool]int{true: 1, false: 0}[tt.resumed])
+		})
+	}
+}
+
+func TestFinishedStreamIsKeptForTheWindowAndNotCancelled(t *testing.T) {
+	is := is.New(t)
+	c := newCore(testSettings())
+	s := mustSubmit(t, c, ask("s", 0, 2))
+	steps(c, 3)
+	c.expire(epoch.Add(time.Second))
+	is.True(c.attach(s, 0) != nil) // the whole answer can still be had
+	c.detach(s, s.reader, epoch)
+	c.expire(epoch.Add(time.Hour))
+	is.Equal(len(c.streams), 0)
+	is.True(s.finished.Load() && !s.cancelled.Load())
+}
+
+func TestEngineRunsAheadOnlyAsFarAsItsBuffer(t *testing.T) {
+	is := is.New(t)
+	set := testSettings()
+	set.BufferTokens = 10
+	c := newCore(set)
+	s := mustSubmit(t, c, ask("s", 0, 500))
+	for range 30 {
+		steps(c, 1)
+	}
+	is.Equal(s.generated.Load(), int64(10))
+	is.True(c.plan().empty()) // nothing to do until the reader reads
+	s.read.Store(4)
+	steps(c, 30)
+	is.Equal(s.generated.Load(), int64(14))
+	is.True(c.attach(s, 3) == nil) // no longer kept
+	is.True(c.attach(s, 4) != nil)
+	is.True(c.attach(s, 15) == nil) // not yet there
+}
+
+func TestLoadReportsWork(t *testing.T) {
+	is := is.New(t)
+	c := newCore(testSettings())
+	is.Equal(c.load(), upstream.Load{StepMillis: 10})
+	g := ask("s", 0, 5)
+	mustSubmit(t, c, g)
+	is.Equal(c.load(), upstream.Load{Queued: 1, StepMillis: 10, PrefillTokens: int64(len(g.Prompt)+3) / 4})
+}
--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,213 @@
+package engine
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"buckthornridge/settings"
+	"buckthornridge/standin/number"
+	"buckthornridge/upstream"
+	"buckthornridge/upstream/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func startEngine(t *testing.T, s Settings) *Engine {
+	t.Helper()
+	e, err := New("engine-1", s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := e.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+func TestStreamsTakeTheirStepsInTime(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		fault Faults
+		scale number.Factor
+		want  time.Duration // of 20 tokens in a batch of two, after one of one
+	}{
+		{"sound", Faults{}, 1, 20 * 12 * time.Millisecond},
+		{"slow", Faults{SlowFactor: 3}, 1, 3 * 20 * 12 * time.Millisecond},
+		{"scaled", Faults{}, 0.5, 10 * 12 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := testSettings()
+				s.TimeScale = tt.scale
+				e := startEngine(t, s)
+				is.NoErr(e.SetFaults(tt.fault))
+				e.mu.Lock() // both requests before the first step
+				a, _ := e.core.submit(ask("a", 0, 20), 0, time.Now())
+				b, _ := e.core.submit(ask("b", 0, 20), 0, time.Now())
+				e.mu.Unlock()
+				e.kick()
+				time.Sleep(tt.want - time.Millisecond)
+				synctest.Wait()
+				is.True(a.generated.Load() < 20)
+				time.Sleep(2 * time.Millisecond)
+				synctest.Wait()
+				is.Equal(a.generated.Load(), int64(20))
+				is.Equal(b.generated.Load(), int64(20))
+				is.NoErr(e.Stop())
+			})
+		})
+	}
+}
+
+func TestStallStopsAndGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := startEngine(t, testSettings())
+		is.NoErr(e.SetFaults(Faults{Stall: true}))
+		a, refusal := e.submit(ask("a", 0, 20))
+		is.Equal(refusal, "")
+		time.Sleep(5 * time.Second)
+		is.Equal(a.generated.Load(), int64(0))
+		is.NoErr(e.SetFaults(Faults{}))
+		time.Sleep(time.Second)
+		is.Equal(a.generated.Load(), int64(20))
+		is.NoErr(e.Stop())
+	})
+}
+
+func TestDetachedStreamEndsByItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := startEngine(t, testSettings())
+		a, _ := e.submit(ask("a", 0, 1000))
+		e.detach(a)
+		time.Sleep(9 * time.Second)
+		is.Equal(e.Open(), 1)
+		time.Sleep(3 * time.Second)
+		is.Equal(e.Open(), 0)
+		is.NoErr(e.Stop())
+	})
+}
+
+func TestLoadReportLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := testSettings()
+		s.LoadLag = settings.Duration(time.Second)
+		e := startEngine(t, s)
+		is.Equal(e.load().Running, 0)
+		_, _ = e.submit(ask("a", 0, 1000))
+		time.Sleep(900 * time.Millisecond)
+		stale := e.load()
+		is.Equal(stale.Running, 0) // still tells of the idle engine
+		is.Equal(stale.AgeMillis, int64(900))
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(e.load().Running, 1)
+		is.NoErr(e.SetFaults(Faults{IdleLoad: true}))
+		is.Equal(e.load().Running, 0)
+		is.NoErr(e.Stop())
+	})
+}
+
+func TestLeavingRefusesNewAndFinishesOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := startEngine(t, testSettings())
+		a, _ := e.submit(ask("a", 0, 20))
+		e.Leave()
+		_, refusal := e.submit(ask("b", 0, 20))
+		is.Equal(refusal, wire.ErrorLeaving)
+		time.Sleep(time.Second)
+		is.Equal(a.generated.Load(), int64(20))
+		resumed, refusal := e.resume(wire.Resume{StreamID: "a", From: 7})
+		is.Equal(refusal, "") // old work is still handed out
+		is.Equal(e.Open(), 1)
+		e.detach(resumed)
+		is.Equal(e.Open(), 0)
+		is.Equal(e.load().Leaving, true)
+		is.NoErr(e.Stop())
+	})
+}
+
+func TestOrdersLoadAndUnloadModels(t *testing.T) {
+	for _, fencing := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			s := testSettings()
+			s.Fencing = fencing
+			s.WeightBytes, s.WeightBytesPerSecond = 30, 10 // three seconds a model
+			e := startEngine(t, s)
+			is.Equal(e.order(upstream.Order{Fence: 5, Models: []string{"n", "o"}, Role: "batch"}), "")
+			_, refusal := e.submit(ask("a", 0, 1))
+			is.Equal(refusal, wire.ErrorModelNotLoaded) // "m" is unloaded at once
+			time.Sleep(4 * time.Second)
+			load := e.load()
+			is.Equal(load.Models, []string{"n"})
+			is.Equal(load.Loading, []string{"o"})
+			is.Equal(load.Fence, int64(5))
+			is.Equal(load.Role, "batch")
+			time.Sleep(3 * time.Second)
+			is.Equal(e.load().Models, []string{"n", "o"})
+
+			refusal = e.order(upstream.Order{Fence: 4, Models: []string{"m"}})
+			is.Equal(refusal == wire.ErrorOldFence, fencing) // the other kind obeys
+			time.Sleep(4 * time.Second)
+			is.Equal(e.load().Models[0] == "m", !fencing)
+			is.Equal(e.order(upstream.Order{Fence: 9, Models: []string{"a", "b", "c"}}), wire.ErrorNoMemory)
+			is.NoErr(e.Stop())
+		})
+	}
+}
+
+// An order is overtaken while its model is read from the weight store: the
+// model must not appear after the later order dropped it.
+func TestModelDroppedDuringItsLoadDoesNotAppear(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := testSettings()
+		s.WeightBytes, s.WeightBytesPerSecond = 30, 10
+		e := startEngine(t, s)
+		is.Equal(e.order(upstream.Order{Fence: 1, Models: []string{"n"}}), "")
+		time.Sleep(time.Second)
+		is.Equal(e.order(upstream.Order{Fence: 2, Models: []string{"m"}}), "")
+		time.Sleep(10 * time.Second)
+		is.Equal(e.load().Models, []string{"m"})
+		is.NoErr(e.Stop())
+	})
+}
+
+func TestUnloadEmptiesTheModelsCache(t *testing.T) {
+	is := is.New(t)
+	e, err := New("e", testSettings())
+	is.NoErr(err)
+	e.core.cache.store("m", promptOf("abc"))
+	e.core.cache.store("n", promptOf("xy"))
+	is.Equal(e.order(upstream.Order{Models: []string{"n"}}), "")
+	is.Equal(len(e.core.cache.blocks), 2)
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	for _, text := range []string{
+		`{"slots": 0}`, `{"slots": 1.5}`, `{"time_scale": 0}`, `{"cache_event_loss": 1.1}`,
+		`{"step_base": 10}`, `{"step_base": "-1ms"}`, `{"slot": 3}`, `{"models": "m"}`,
+	} {
+		is := is.New(t)
+		s := DefaultSettings()
+		is.True(settings.Decode("f", []byte(text), &s) != nil)
+	}
+	is := is.New(t)
+	s := DefaultSettings()
+	s.Models = []string{"a", "b", "c"}
+	_, err := New("e", s)
+	is.True(err != nil) // more models than fit
+	_, err = New("e", Settings{})
+	is.True(err != nil)
+}
+
+func upstreamOrder(models ...string) upstream.Order { return upstream.Order{Models: models} }
--- /dev/null
+++ b/standin/node/node_test.go
@@ -0,0 +1,201 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rotisserie/eris"
+	"go.uber.org/goleak"
+
+	"buckthornridge/platform"
+	"buckthornridge/settings"
+	"buckthornridge/standin/engine"
+	"buckthornridge/standin/service"
+	"buckthornridge/upstream"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// recordedList takes announcements and refuses the first ones.
+type recordedList struct {
+	platform.VMList
+	mu     sync.Mutex
+	refuse int
+	with   error
+	states []platform.VMState
+}
+
+func (l *recordedList) Announce(_ context.Context, vm platform.VM) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.refuse > 0 {
+		l.refuse--
+		return l.with
+	}
+	l.states = append(l.states, vm.State)
+	return nil
+}
+
+func (l *recordedList) seen(state platform.VMState) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Contains(l.states, state)
+}
+
+// running is a node over loopback.
+type running struct {
+	address string
+	stop    context.CancelFunc
+	done    chan error
+}
+
+func runNode(t *testing.T, up Upstream, list platform.VMList, grace time.Duration) running {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r := running{address: listener.Addr().String(), stop: stop, done: make(chan error, 1)}
+	options := Options{VM: platform.VM{ID: "u-1", Incarnation: "1"}, List: list, LeaveGrace: grace, DrainTimeout: 10 * time.Second}
+	go func() { r.done <- Run(ctx, listener, up, options) }()
+	t.Cleanup(stop)
+	return r
+}
+
+// eventually waits for what another goroutine is about to do.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for range 2000 {
+		if holds() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("never: %s", what)
+}
+
+func testEngine(t *testing.T) *engine.Engine {
+	t.Helper()
+	s := engine.DefaultSettings()
+	s.Models = []string{"m"}
+	s.StepBase = settings.Duration(2 * time.Millisecond)
+	e, err := engine.New("u-1", s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+// An engine is replaced in the middle of a caption. The caption must come whole
+// to its end, while new requests are told that they were not run.
+func TestPlannedStopCutsNoStream(t *testing.T) {
+	is := is.New(t)
+	list := &recordedList{}
+	e := testEngine(t)
+	r := runNode(t, e, list, 0)
+	transport := upstream.NewTransport()
+	defer transport.CloseIdleConnections()
+	client := upstream.NewEngine(r.address, transport)
+	g := upstream.Generate{StreamID: "w/1/1", Model: "m", Prompt: "[[tokens=150]]", MaxTokens: 200}
+	stream, err := client.Generate(t.Context(), g)
+	is.NoErr(err)
+	_, err = stream.Next()
+	is.NoErr(err)
+	is.NoErr(e.SetFaults(engine.Faults{Stall: true})) // the caption stays open
+	r.stop()
+	eventually(t, "leaving is announced", func() bool { return list.seen(platform.VMLeaving) })
+	g.StreamID = "w/2/1"
+	eventually(t, "new requests are refused", func() bool {
+		_, err := client.Generate(t.Context(), g)
+		return errors.Is(err, upstream.ErrRefused)
+	})
+	is.NoErr(e.SetFaults(engine.Faults{}))
+	for read := 1; ; read++ {
+		if _, err = stream.Next(); err != nil {
+			is.Equal(read, 150)
+			break
+		}
+	}
+	is.Equal(err, io.EOF)
+	is.NoErr(stream.Close())
+	is.NoErr(<-r.done)
+	is.Equal(list.states, []platform.VMState{platform.VMLive, platform.VMLeaving, platform.VMGone})
+	_, err = client.Generate(t.Context(), g)
+	is.True(errors.Is(err, upstream.ErrNotSent)) // the address is free again
+}
+
+// A print-order server is replaced. Calls that arrive within the grace run and
+// are answered, and their connections are given up.
+func TestLeavingServiceAnswersWithinItsGrace(t *testing.T) {
+	is := is.New(t)
+	s, err := service.New(service.DefaultSettings())
+	is.NoErr(err)
+	list := &recordedList{}
+	r := runNode(t, s, list, time.Second)
+	transport := upstream.NewTransport()
+	defer transport.CloseIdleConnections()
+	client := upstream.NewService(r.address, transport)
+	call := upstream.Call{RequestID: "1", Method: "POST", Path: "/c"}
+	_, err = client.Do(t.Context(), call)
+	is.NoErr(err)
+	r.stop()
+	eventually(t, "leaving is announced", func() bool { return list.seen(platform.VMLeaving) })
+	for range 5 {
+		_, err = client.Do(t.Context(), call)
+		is.NoErr(err)
+	}
+	is.NoErr(<-r.done)
+	_, err = client.Do(t.Context(), call)
+	is.True(errors.Is(err, upstream.ErrNotSent)) // never a call of unknown outcome
+	is.Equal(len(s.Report().Executions), 6)
+	is.True(s.Report().LeavingSinceUnixMS > 0)
+}
+
+// The platform is down when an upstream starts: it serves all the same and is
+// announced once the platform is back.
+func TestAnnouncementIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	list := &recordedList{refuse: 2, with: eris.Wrap(platform.ErrUnavailable, "announce")}
+	r := runNode(t, testEngine(t), list, 0)
+	resp, err := http.Get("http://" + r.address + "/v1/load")
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	http.DefaultClient.CloseIdleConnections()
+	eventually(t, "live is announced", func() bool { return list.seen(platform.VMLive) })
+	r.stop()
+	is.NoErr(<-r.done)
+}
+
+// Another process with this id started later: the older one must not fight it
+// for the entry.
+func TestRefusedAnnouncementIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	list := &recordedList{refuse: 1, with: platform.ErrInvalid}
+	r := runNode(t, testEngine(t), list, 0)
+	eventually(t, "it was refused", func() bool {
+		list.mu.Lock()
+		defer list.mu.Unlock()
+		return list.refuse == 0
+	})
+	r.stop()
+	is.NoErr(<-r.done)
+	is.True(!list.seen(platform.VMLive))
+}
+
+func TestOutageDoesNotHoldUpTheStop(t *testing.T) {
+	is := is.New(t)
+	list := &recordedList{refuse: 1 << 30, with: platform.ErrUnavailable}
+	r := runNode(t, testEngine(t), list, 0)
+	r.stop()
+	is.NoErr(<-r.done)
+	is.Equal(len(list.states), 0)
+}
