Limit: an overrun counts the prompt's ceiling

An engine that was cut past its maximum reported no prompt tokens. Counting 0 for them would free that part of the reservation and let a budget be overspent; asking the engine again was ruled out, as it has just broken the protocol. The engine stand-in no longer spins with a resume window of 0.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -15,8 +15,12 @@
 	"buckthornridge/upstream/wire"
 )
 
-// expiryParts is how many times a resume window is looked at.
-const expiryParts = 8
+// Streams are looked at for their expiry so many times in a resume window, but
+// not all the time when the window is short.
+const (
+	expiryParts   = 8
+	expiryAtLeast = 10 * time.Millisecond
+)
 
 // Engine is one stand-in engine. Start begins its work, Stop ends it.
 type Engine struct {
@@ -104,7 +108,7 @@
 // batch runs one step after the other while there is work.
 func (e *Engine) batch(ctx context.Context) {
 	var busyUntil, expired time.Time
-	window := e.settings.ResumeWindow.D() / expiryParts
+	window := max(e.settings.ResumeWindow.D()/expiryParts, expiryAtLeast)
 	for ctx.Err() == nil {
 		now := time.Now()
 		if now.Sub(expired) >= window {
--- a/upstream/engine_fault_test.go
+++ b/upstream/engine_fault_test.go
@@ -145,7 +145,9 @@
 	is.Equal(err, io.EOF)
 	want, _ := answer.Tokens("small", prompt, 12)
 	is.Equal(texts, want)
-	is.Equal(stream.Usage(), upstream.Usage{OutputTokens: 12, FinishReason: upstream.FinishLength, Overrun: true})
+	is.Equal(stream.Usage(), upstream.Usage{
+		PromptTokens: int64(len(prompt)), OutputTokens: 12, FinishReason: upstream.FinishLength, Overrun: true,
+	})
 	is.True(f.run(t, "w/over/1").Cancelled) // the cancellation came before the end
 }
 
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -23,7 +23,8 @@
 //
 // An engine that generates past the maximum is cut there and cancelled, so that
 // it can use up no more than was reserved. The answer then ends with FinishLength
-// and Usage.Overrun; its prompt tokens are unknown and stay 0.
+// and Usage.Overrun. The engine reported no prompt tokens in this case; their
+// ceiling stands for them, since a bill of less could let a budget be overspent.
 func Limit(ctx context.Context, e Engine, s Stream, g Generate) Stream {
 	return &limitedStream{ctx: ctx, engine: e, Stream: s, g: g, next: s.Usage().OutputTokens}
 }
@@ -67,7 +68,12 @@
 	// The engine ends the stream by itself once its resume window is over, so a
 	// cancellation that fails costs a few seconds of its time and no promise.
 	_ = s.engine.Cancel(ctx, s.g.StreamID)
-	s.usage = Usage{OutputTokens: s.g.MaxTokens, FinishReason: FinishLength, Overrun: true}
+	s.usage = Usage{
+		PromptTokens: int64(len(s.g.Prompt)),
+		OutputTokens: s.g.MaxTokens,
+		FinishReason: FinishLength,
+		Overrun:      true,
+	}
 }
 
 // complete checks the engine's report at the end of an answer.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -54,7 +54,7 @@
 	// FinishReason is FinishStop or FinishLength.
 	FinishReason string
 	// Overrun says that the engine went on past MaxTokens and was cut there.
-	// PromptTokens is unknown then, and 0.
+	// PromptTokens is then the ceiling, the prompt's bytes.
 	Overrun bool
 	// Adjusted says that a figure of the engine's report could not be true and
 	// was replaced by its bound.
