--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -15,8 +15,12 @@
 	"buckthornridge/upstream/wire"
 )
 
-// expiryParts is how many times a resume window is looked at.
-const expiryParts = 8
+// Streams are looked at for their expiry so many times in a resume window, but
+// not all the time when the window is short.
+const (
+	expiryParts   = 8
+	expiryAtLeast = 10 * time.Millisecond
+)
 
 // Engine is one stand-in engine. Start begins its work, Stop ends it.
 type Engine struct {
@@ -37,13 +41,12 @@
 	done sync.WaitGroup
 }
 
-// New returns an engine with checked settings. Its id names it to the weight
+// New returns an engine; start from DefaultSettings. Its id names it to the weight
 // store.
 func New(id string, s Settings) (*Engine, error) {
 	if err := s.Validate(); err != nil {
 		return nil, err
 	}
-	s = s.withDefaults()
 	return &Engine{
 		settings: s,
 		models:   newModels(s),
@@ -68,19 +71,6 @@
 	return nil
 }
 
-// Drain makes the engine leave and waits until its streams have ended and been
-// read, or the context is done.
-func (e *Engine) Drain(ctx context.Context) error {
-	e.Leave()
-	for e.open() > 0 {
-		sleep(ctx, time.Millisecond*10)
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-	}
-	return nil
-}
-
 // Leave makes the engine refuse new requests.
 func (e *Engine) Leave() {
 	e.mu.Lock()
@@ -90,8 +80,8 @@
 	}
 }
 
-// open counts the streams that still run or still have a reader.
-func (e *Engine) open() int {
+// Open counts the streams that still run or still have a reader.
+func (e *Engine) Open() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	open := 0
@@ -118,7 +108,7 @@
 // batch runs one step after the other while there is work.
 func (e *Engine) batch(ctx context.Context) {
 	var busyUntil, expired time.Time
-	window := e.settings.resumeWindow() / expiryParts
+	window := max(e.settings.ResumeWindow.D()/expiryParts, expiryAtLeast)
 	for ctx.Err() == nil {
 		now := time.Now()
 		if now.Sub(expired) >= window {
@@ -272,7 +262,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if now.Sub(e.sampled) >= e.settings.scaled(e.settings.LoadLagMS) {
+	if now.Sub(e.sampled) >= e.settings.scaled(e.settings.LoadLag) {
 		e.sample, e.sampled = e.core.load(), now
 		e.sample.StepMillis *= e.faults.slowFactor()
 		e.sample.Leaving = !e.leaving.IsZero()
