--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -79,6 +79,21 @@
 	return note{Text: "end"}, nil
 }
 
+// A router that stops closes its server and waits for Serve. Serve used to go on
+// accepting, and the process hung until it was killed.
+func TestCloseEndsServe(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := NewServer()
+	served := make(chan error)
+	go func() { served <- server.Serve(listener) }()
+	is.NoErr(startClient(t).Push(t.Context(), listener.Addr().String(), "any", nil))
+	is.NoErr(server.Close())
+	is.NoErr(<-served)
+	is.NoErr(server.Serve(listener)) // after Close it does not begin again
+}
+
 func TestCall(t *testing.T) {
 	is := is.New(t)
 	address := startServer(t, map[string]Handler{"echo": echo})
--- a/peer/server.go
+++ b/peer/server.go
@@ -26,10 +26,11 @@
 type Server struct {
 	handlers map[string]Handler
 
-	mu     sync.Mutex
-	links  map[*link]struct{}
-	closed bool
-	wg     sync.WaitGroup
+	mu        sync.Mutex
+	listeners []net.Listener
+	links     map[*link]struct{}
+	closed    bool
+	wg        sync.WaitGroup
 }
 
 // NewServer returns a server without methods.
@@ -40,8 +41,11 @@
 // Handle adds a method. All methods are added before Serve.
 func (s *Server) Handle(method string, h Handler) { s.handlers[method] = h }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until the listener or the server is closed.
 func (s *Server) Serve(listener net.Listener) error {
+	if !s.own(listener) {
+		return nil
+	}
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -54,6 +58,18 @@
 	}
 }
 
+// own notes a listener for Close; it reports false if the server is closed.
+func (s *Server) own(listener net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		listener.Close()
+		return false
+	}
+	s.listeners = append(s.listeners, listener)
+	return true
+}
+
 func (s *Server) adopt(conn net.Conn) {
 	l := newLink(conn)
 	s.mu.Lock()
@@ -74,10 +90,13 @@
 	}()
 }
 
-// Close ends all connections and waits for their handlers.
+// Close ends all listeners and connections and waits for the handlers.
 func (s *Server) Close() error {
 	s.mu.Lock()
 	s.closed = true
+	for _, listener := range s.listeners {
+		listener.Close()
+	}
 	for l := range s.links {
 		l.fail(errClosed)
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -66,7 +66,10 @@
 	p := standin.NewServer(standin.DefaultSettings())
 	platformServer := httptest.NewServer(p)
 	t.Cleanup(platformServer.Close)
-	e, err := engine.New("design-1", engine.Settings{Models: []string{"livery"}, StepBaseMS: 1})
+	shape := engine.DefaultSettings()
+	shape.Models = []string{"livery"}
+	shape.StepBase = settings.Duration(time.Millisecond)
+	e, err := engine.New("design-1", shape)
 	if err != nil {
 		t.Fatal(err)
 	}
