router: follow the configuration through the table and peers; TLS; operator's drain

Cause: the router polled the table alone and went blind in an outage; the watcher takes versions from peers as well and never goes back. Ruled out: polling the watcher's holder for changes (an upstream could be used before its client exists); OnAdvance is called in order instead. Conclusion: router/config.go is wiring only.

--- a/cmd/buckthorn-router/main.go
+++ b/cmd/buckthorn-router/main.go
@@ -37,7 +37,10 @@
 	if err := r.Start(ctx); err != nil {
 		return err
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-r.StopAsked():
+	}
 	second, stopSecond := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stopSecond()
 	limited, cancel := context.WithTimeout(second, s.DrainLimit.D())
--- a/config/watcher.go
+++ b/config/watcher.go
@@ -41,6 +41,9 @@
 	// Peers returns the peers to ask when the table does not answer, and to tell
 	// of a new version. May be nil.
 	Peers func() []Peer
+	// OnAdvance is called with each snapshot that came into force, in order and
+	// one at a time. May be nil.
+	OnAdvance func(*Snapshot)
 	// Interval between two looks at a source, Timeout of one call; 0 defaults.
 	Interval time.Duration
 	Timeout  time.Duration
@@ -212,7 +215,9 @@
 	klog.InfoS("configuration in force", "version", next.Version, "before", w.state.Version)
 	w.state, w.whole, w.resync = next, nil, false
 	w.remember(steps)
-	w.Holder.Advance(snapshot)
+	if w.Holder.Advance(snapshot) && w.options.OnAdvance != nil {
+		w.options.OnAdvance(snapshot)
+	}
 	w.Counters.Advances.Add(1)
 	w.Counters.Version.Set(int64(next.Version))
 	w.wg.Add(1)
--- a/router/admin.go
+++ b/router/admin.go
@@ -35,8 +35,8 @@
 	switch {
 	case r.leaving.Load():
 		return "leaving: a planned stop is in progress"
-	case r.snapshots.Load() == nil:
-		return "no configuration: neither the platform's table nor another VM has given one yet"
+	case r.snapshot() == nil:
+		return "no configuration: " + r.watcher.Ready().Error()
 	case r.keeper.Journal().Sealed():
 		return "sealed: the platform declared this incarnation gone; restart the process"
 	case !r.keeper.Alive():
@@ -67,7 +67,7 @@
 
 func (r *Router) status(w http.ResponseWriter, _ *http.Request) {
 	s := Status{VM: r.settings.VM, Incarnation: r.incarnation, Active: r.executor.Active(), Ready: r.notReady()}
-	if snapshot := r.snapshots.Load(); snapshot != nil {
+	if snapshot := r.snapshot(); snapshot != nil {
 		s.Version = snapshot.Version
 	}
 	writeJSON(w, s)
--- a/router/config.go
+++ b/router/config.go
@@ -1,50 +1,80 @@
 package router
 
 import (
-	"context"
-	"time"
-
-	"k8s.io/klog/v2"
+	"crypto/tls"
+	"net"
 
+	"buckthornridge/admin"
+	"buckthornridge/certs"
 	"buckthornridge/config"
+	"buckthornridge/peer"
 )
 
-// configInterval is the time between two looks at the accepted version.
-const configInterval = time.Second
-
-// followConfig keeps the router on the accepted configuration.
-func (r *Router) followConfig(ctx context.Context) {
-	ticker := time.NewTicker(configInterval)
-	defer ticker.Stop()
-	for {
-		if err := r.refreshConfig(ctx); err != nil && ctx.Err() == nil {
-			klog.V(1).Infof("configuration not refreshed: %v", err)
+// openCerts opens the certificates that the settings name. They are reloaded
+// while the router runs.
+func (r *Router) openCerts() (err error) {
+	if r.settings.TLS.Enabled() {
+		if r.callerTLS, err = certs.Open(r.settings.TLS); err != nil {
+			return err
 		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
+	}
+	var client *tls.Config
+	if r.settings.PeerTLS.Enabled() {
+		if r.peerTLS, err = certs.Open(r.settings.PeerTLS); err != nil {
+			return err
 		}
+		client = r.peerTLS.Client()
 	}
+	r.peers = peer.NewClient(client)
+	return nil
 }
 
-// refreshConfig takes the accepted version if it is higher than the one in force.
-func (r *Router) refreshConfig(ctx context.Context) error {
-	head, err := r.store.Head(ctx)
-	if err != nil || head.Version == 0 {
-		return err
+// secure wraps a listener in TLS if there are certificates for it.
+func secure(l net.Listener, store *certs.Store) net.Listener {
+	if store == nil {
+		return l
 	}
-	if now := r.snapshots.Load(); now != nil && now.Version >= head.Version {
-		return nil
-	}
-	state, err := r.store.Load(ctx, head.Version)
-	if err != nil {
-		return err
+	return tls.NewListener(l, store.Server())
+}
+
+// buildConfig keeps the router on the accepted configuration, through the table
+// and, where that does not answer, through other VMs.
+func (r *Router) buildConfig() {
+	r.watcher = config.NewWatcher(config.WatcherOptions{
+		Table:     config.NewStore(r.services.Table),
+		Peers:     config.RemotePeers(r.peers, r.settings.PeerListen, r.peerAddresses),
+		OnAdvance: r.install,
+	})
+	config.Serve(r.peerSrv, r.watcher, r.peers)
+	admin.ServeDrain(r.peerSrv, r.askStop)
+}
+
+// peerAddresses returns whom to ask for the configuration.
+func (r *Router) peerAddresses() []string {
+	var all []string
+	for _, m := range r.members.view.Load().Members {
+		if m.PeerAddress != "" {
+			all = append(all, m.PeerAddress)
+		}
 	}
-	snapshot, err := config.Compile(state.Version, state.Document)
-	if err != nil {
-		return err
+	if len(all) == 0 {
+		return r.settings.Peers
 	}
-	r.install(snapshot)
-	return nil
+	return all
+}
+
+// snapshot returns the configuration in force, or nil before the first.
+func (r *Router) snapshot() *config.Snapshot { return r.watcher.Holder.Load() }
+
+// install hands a new configuration to the modules that keep a part of it.
+func (r *Router) install(s *config.Snapshot) {
+	r.table.Update(s)
+	r.pool.update(s)
+	r.admission.Update(s)
 }
+
+// askStop asks for a planned stop.
+func (r *Router) askStop() { r.askOnce.Do(func() { close(r.stopAsked) }) }
+
+// StopAsked is closed when an operator asked for a planned stop.
+func (r *Router) StopAsked() <-chan struct{} { return r.stopAsked }
--- a/router/router.go
+++ b/router/router.go
@@ -18,6 +18,7 @@
 	"buckthornridge/admission"
 	"buckthornridge/api"
 	"buckthornridge/budget"
+	"buckthornridge/certs"
 	"buckthornridge/config"
 	"buckthornridge/peer"
 	"buckthornridge/platform"
@@ -48,8 +49,7 @@
 	services    platform.Services
 	client      *httpclient.Client
 
-	snapshots *config.Holder
-	store     *config.Store
+	watcher   *config.Watcher
 	members   *members
 	table     *routing.Table
 	pool      *pool
@@ -64,9 +64,14 @@
 	callers *http.Server
 	admin   *http.Server
 
-	leaving atomic.Bool
-	cancel  context.CancelFunc
-	tasks   sync.WaitGroup
+	callerTLS *certs.Store // nil without TLS
+	peerTLS   *certs.Store // nil without TLS
+
+	leaving   atomic.Bool
+	stopAsked chan struct{} // closed when an operator asked for a planned stop
+	askOnce   sync.Once
+	cancel    context.CancelFunc
+	tasks     sync.WaitGroup
 }
 
 // New builds a router from checked settings. Start begins its work.
@@ -77,17 +82,19 @@
 		incarnation: strconv.FormatInt(time.Now().UnixNano(), 10),
 		client:      client,
 		services:    client.Services(),
-		snapshots:   new(config.Holder),
-		peers:       peer.NewClient(nil),
 		peerSrv:     peer.NewServer(),
 		table:       routing.NewTable(),
+		stopAsked:   make(chan struct{}),
+	}
+	if err := r.openCerts(); err != nil {
+		return nil, err
 	}
-	r.store = config.NewStore(r.services.Table)
 	r.members = newMembers(r.services.VMs, s.MemberInterval.D())
 	r.pool = newPool(r.table, s.LoadInterval.D())
 	if err := r.buildDecisions(); err != nil {
 		return nil, err
 	}
+	r.buildConfig()
 	r.buildFrontend()
 	r.buildServers()
 	return r, nil
@@ -112,7 +119,7 @@
 }
 
 func (r *Router) budgetPolicy() config.BudgetPolicy {
-	if s := r.snapshots.Load(); s != nil {
+	if s := r.snapshot(); s != nil {
 		return s.Policy.Budget
 	}
 	return config.BudgetPolicy{}
@@ -143,12 +150,12 @@
 
 // busy reports whether the configuration marks the request's budget as busy.
 func (r *Router) busy(q *request.Request) bool {
-	s := r.snapshots.Load()
+	s := r.snapshot()
 	return s != nil && s.Workspaces[q.Key.Workspace].Budgets[q.Budget].Busy
 }
 
 func (r *Router) buildServers() {
-	server := &api.Server{VM: r.settings.VM, Snapshots: r.snapshots, Requests: r.frontend}
+	server := &api.Server{VM: r.settings.VM, Snapshots: &r.watcher.Holder, Requests: r.frontend}
 	r.callers = &http.Server{
 		Handler:           server.Handler(),
 		ReadHeaderTimeout: headerTimeout,
@@ -171,7 +178,9 @@
 		return err
 	}
 	r.spawn(func() { r.announceUntilDone(ctx) })
-	r.spawn(func() { r.followConfig(ctx) })
+	if err := r.watcher.Start(ctx); err != nil {
+		return err
+	}
 	r.spawn(func() { r.members.run(ctx) })
 	r.spawn(func() { r.pool.run(ctx) })
 	r.spawn(func() { r.sweep(ctx) })
@@ -197,6 +206,8 @@
 			return l, eris.Wrapf(err, "listen on %s", one.address)
 		}
 	}
+	l.callers = secure(l.callers, r.callerTLS)
+	l.peer = secure(l.peer, r.peerTLS)
 	return l, nil
 }
 
@@ -257,14 +268,3 @@
 		}
 	}
 }
-
-// install takes a new snapshot into force.
-func (r *Router) install(s *config.Snapshot) {
-	if !r.snapshots.Advance(s) {
-		return
-	}
-	r.table.Update(s)
-	r.pool.update(s)
-	r.admission.Update(s)
-	klog.Infof("configuration %d is in force", s.Version)
-}
--- a/router/settings.go
+++ b/router/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"buckthornridge/certs"
 	"buckthornridge/settings"
 	"buckthornridge/telemetry"
 )
@@ -32,6 +33,13 @@
 	LoadInterval settings.Duration `json:"load_interval"`
 	// MemberInterval is the time between two looks at the VM list.
 	MemberInterval settings.Duration `json:"member_interval"`
+	// TLS secures the callers' listener, PeerTLS the connections between the
+	// system's own processes, both ways.
+	TLS     certs.Files `json:"tls"`
+	PeerTLS certs.Files `json:"peer_tls"`
+	// Peers are addresses of other processes to ask for the configuration while
+	// the platform's VM list was never reached.
+	Peers []string `json:"peers"`
 	// Trace says where spans go.
 	Trace telemetry.Trace `json:"trace"`
 }
