--- a/config/watcher.go
+++ b/config/watcher.go
@@ -41,8 +41,8 @@
 	// Peers returns the peers to ask when the table does not answer, and to tell
 	// of a new version. May be nil.
 	Peers func() []Peer
-	// OnAdvance is called with each snapshot that came into force, in order and
-	// one at a time. May be nil.
+	// OnAdvance is called with each snapshot, in the order of their versions,
+	// after it is in force. It must not block. May be nil.
 	OnAdvance func(*Snapshot)
 	// Interval between two looks at a source, Timeout of one call; 0 defaults.
 	Interval time.Duration
@@ -215,7 +215,8 @@
 	klog.InfoS("configuration in force", "version", next.Version, "before", w.state.Version)
 	w.state, w.whole, w.resync = next, nil, false
 	w.remember(steps)
-	if w.Holder.Advance(snapshot) && w.options.OnAdvance != nil {
+	w.Holder.Advance(snapshot)
+	if w.options.OnAdvance != nil {
 		w.options.OnAdvance(snapshot)
 	}
 	w.Counters.Advances.Add(1)
