scripts/fleet.sh: functions that start and stop a fleet of plain processes

Cause: the demo and the experiments need the same fleet, several at once, each process known by its pid. Ruled out: reading the folder by a program of our own; the two fields that the stand-ins need are on one line each in the example folders.

--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,165 @@
+# Functions to start and stop a fleet of plain processes on the loopback
+# address. Source this file; it runs nothing by itself.
+#
+# Variables (all have defaults):
+#   RUN        directory of this run: settings, logs, pids
+#   FOLDER     operators' folder with upstreams on 127.0.0.1:7xxx
+#   BASE_PORT  first port of this run (7000); runs at once need 1000 ports each
+#   VMS        number of VMs, each a router and a control process (3)
+#   BIN        where the programs are (bin)
+
+: "${BIN:=bin}" "${BASE_PORT:=7000}" "${VMS:=3}" "${FOLDER:=examples/lankawrap}"
+: "${READY_TRIES:=150}" # of 0.1 s each
+fleet_port() { echo $((BASE_PORT + $1)); }
+fleet_platform() { echo "127.0.0.1:$(fleet_port 0)"; }
+fleet_router() { echo "127.0.0.1:$(fleet_port $((400 + $1)))"; }
+fleet_router_admin() { echo "127.0.0.1:$(fleet_port $((600 + $1)))"; }
+fleet_api() { echo "127.0.0.1:$(fleet_port $((300 + $1)))"; }
+
+# fleet_prefix gives the start of the folder's example keys and tokens.
+fleet_prefix() { case "$(basename "$FOLDER")" in preiswarte) echo pw ;; *) echo lw ;; esac; }
+fleet_token() { echo "$(fleet_prefix)-admin-platform-owner-example"; }
+
+# fleet_write_settings writes one settings file per process into $RUN, and a
+# copy of the folder with this run's ports.
+fleet_write_settings() {
+	mkdir -p "$RUN/settings" "$RUN/log" "$RUN/pid" "$RUN/folder"
+	for file in "$FOLDER"/*.jsonc; do
+		perl -pe 's/127\.0\.0\.1:7(\d{3})/"127.0.0.1:" . ('"$BASE_PORT"' + $1)/ge' "$file" >"$RUN/folder/$(basename "$file")"
+	done
+	fleet_settings_platform
+	fleet_settings_upstreams
+	local i
+	for i in $(seq 1 "$VMS"); do fleet_settings_vm "$i"; done
+}
+
+fleet_settings_platform() {
+	echo "{\"address\": \"$(fleet_platform)\", \"vm_list_lag\": \"${VM_LIST_LAG:-1s}\"}" >"$RUN/settings/platform.jsonc"
+}
+
+# fleet_settings_upstreams reads the engines and servers from the folder.
+fleet_settings_upstreams() {
+	perl -ne '
+		next unless /^\s*"([^"]+)":\s*\{"kind":\s*"(engine|service)",\s*"address":\s*"([^"]+)",\s*"data_centre":\s*"([^"]+)"(.*)/;
+		my ($id, $kind, $address, $dc, $rest) = ($1, $2, $3, $4, $5);
+		my $own;
+		if ($kind eq "engine") {
+			my ($models) = $rest =~ /"models":\s*(\[[^\]]*\])/;
+			my ($slots) = $rest =~ /"slots":\s*(\d+)/;
+			my $fencing = $rest =~ /"fencing":\s*true/ ? "true" : "false";
+			$own = "\"engine\": {\"models\": $models, \"slots\": $slots, \"fencing\": $fencing}";
+		} else {
+			my ($service) = $rest =~ /"service":\s*"([^"]+)"/;
+			$own = "\"service\": {\"name\": \"$service\"}";
+		}
+		open(my $out, ">", "$ENV{RUN}/settings/$id.jsonc") or die $!;
+		print $out "{\"id\": \"$id\", \"kind\": \"$kind\", \"address\": \"$address\", \"data_centre\": \"$dc\", " .
+			"\"region\": \"$ENV{FLEET_REGION}\", \"platform\": \"$ENV{FLEET_PLATFORM}\", $own}\n";
+		print "$id\n";
+	' "$RUN"/folder/*.jsonc >"$RUN/upstreams"
+}
+
+fleet_settings_vm() {
+	local i=$1 dcs dc
+	read -ra dcs <<<"$FLEET_DATA_CENTRES"
+	dc=${dcs[$(((i - 1) % ${#dcs[@]}))]}
+	local place="\"vm\": \"vm-$i\", \"data_centre\": \"$dc\", \"region\": \"$FLEET_REGION\", \"platform\": \"$(fleet_platform)\""
+	cat >"$RUN/settings/router-$i.jsonc" <<-END
+		{$place, "listen": "$(fleet_router "$i")", "admin_listen": "$(fleet_router_admin "$i")",
+		"peer_listen": "127.0.0.1:$(fleet_port $((500 + i)))", "drain_limit": "30s"}
+	END
+	cat >"$RUN/settings/control-$i.jsonc" <<-END
+		{$place, "admin_listen": "$(fleet_api "$i")", "peer_listen": "127.0.0.1:$(fleet_port $((350 + i)))",
+		"bootstrap": "$(printf %s "$(fleet_token)" | sha256sum | cut -d' ' -f1)"}
+	END
+}
+
+# fleet_places sets the region and the data centres from the folder.
+fleet_places() {
+	FLEET_REGION=$(perl -ne 'if (/"region":\s*"([^"]+)"/) { print $1; exit }' "$FOLDER"/10-fleet.jsonc)
+	FLEET_DATA_CENTRES=$(perl -ne 'print "$1 " if /^\s*"([^"]+)":\s*\{"region"/' "$FOLDER"/10-fleet.jsonc)
+	FLEET_PLATFORM=$(fleet_platform)
+	export RUN FLEET_REGION FLEET_PLATFORM
+}
+
+# fleet_start NAME starts the process of $RUN/settings/NAME.jsonc.
+fleet_start() {
+	local name=$1 program
+	case "$name" in
+	platform) program=buckthorn-platform ;;
+	router-*) program=buckthorn-router ;;
+	control-*) program=buckthorn-control ;;
+	*) program=buckthorn-upstream ;;
+	esac
+	"$BIN/$program" "$RUN/settings/$name.jsonc" >>"$RUN/log/$name.log" 2>&1 &
+	echo $! >"$RUN/pid/$name"
+}
+
+# fleet_signal SIGNAL NAME sends a signal to one process of this run.
+fleet_signal() { kill "-$1" "$(cat "$RUN/pid/$2")" 2>/dev/null; }
+
+# fleet_wait_http URL waits until the address answers 200.
+fleet_wait_http() {
+	local try
+	for try in $(seq 1 "$READY_TRIES"); do
+		curl -fs -o /dev/null --max-time 1 "$1" && return 0
+		sleep 0.1
+	done
+	echo "not ready: $1" >&2
+	return 1
+}
+
+# fleet_ctl calls buckthornctl on the first VM's administration API.
+fleet_ctl() { BUCKTHORN_TOKEN=$(fleet_token) BUCKTHORN_API="http://$(fleet_api 1)" "$BIN/buckthornctl" "$@"; }
+
+# fleet_up starts everything and returns once every router serves callers.
+fleet_up() {
+	local name i
+	fleet_places
+	fleet_write_settings
+	fleet_start platform
+	fleet_wait_http "http://$(fleet_platform)/healthz" || return 1
+	while read -r name; do fleet_start "$name"; done <"$RUN/upstreams"
+	for i in $(seq 1 "$VMS"); do fleet_start "control-$i"; done
+	for i in $(seq 1 "$VMS"); do fleet_wait_http "http://$(fleet_api "$i")/healthz" || return 1; done
+	fleet_ctl apply "$RUN/folder" || return 1
+	for i in $(seq 1 "$VMS"); do fleet_start "router-$i"; done
+	for i in $(seq 1 "$VMS"); do
+		fleet_wait_http "http://$(fleet_router_admin "$i")/readyz" || return 1
+		fleet_wait_http "http://$(fleet_api "$i")/readyz" || return 1
+	done
+}
+
+# fleet_workspaces lists the folder's workspaces.
+fleet_workspaces() { perl -ne 'print "$1\n" if /^    "([^"]+)": \{$/' "$FOLDER"/70-workspaces.jsonc; }
+
+# fleet_top_up TOKENS buys so many tokens for every workspace's main budget.
+fleet_top_up() {
+	local workspace
+	for workspace in $(fleet_workspaces); do
+		fleet_ctl topup "$workspace/main" "$1" --id first || return 1
+	done
+}
+
+# fleet_down stops every process of this run: TERM, and KILL for what is left
+# after STOP_SECONDS. CONT lets a stopped process see the signal.
+fleet_down() {
+	local file tries=$((${STOP_SECONDS:-5} * 10))
+	for file in "$RUN"/pid/*; do
+		kill -CONT "$(cat "$file")" 2>/dev/null
+		kill -TERM "$(cat "$file")" 2>/dev/null
+	done
+	while [ "$tries" -gt 0 ] && fleet_any_alive; do
+		sleep 0.1
+		tries=$((tries - 1))
+	done
+	for file in "$RUN"/pid/*; do kill -KILL "$(cat "$file")" 2>/dev/null; done
+	wait 2>/dev/null
+	return 0
+}
+
+fleet_any_alive() {
+	local file
+	for file in "$RUN"/pid/*; do kill -0 "$(cat "$file")" 2>/dev/null && return 0; done
+	return 1
+}
