--- a/request/generate.go
+++ b/request/generate.go
@@ -123,7 +123,6 @@
 	streamID string
 	ran      bool  // a byte may have reached the engine
 	read     int64 // tokens received in this attempt
-	prompt   int64 // prompt tokens, once the engine said
 }
 
 // do dispatches to one engine and reads the answer into the run.
--- a/router/router.go
+++ b/router/router.go
@@ -61,8 +61,9 @@
 	peerSrv   *peer.Server
 	routes    *routing.Router
 
-	callers *http.Server
-	admin   *http.Server
+	listeners listeners
+	callers   *http.Server
+	admin     *http.Server
 
 	callerTLS *certs.Store // nil without TLS
 	peerTLS   *certs.Store // nil without TLS
@@ -74,7 +75,8 @@
 	tasks     sync.WaitGroup
 }
 
-// New builds a router from checked settings. Start begins its work.
+// New builds a router from checked settings and takes its addresses. Start
+// begins its work.
 func New(s Settings) (*Router, error) {
 	client := httpclient.New(httpclient.Options{Address: s.Platform, VM: s.VM})
 	r := &Router{
@@ -89,6 +91,9 @@
 	if err := r.openCerts(); err != nil {
 		return nil, err
 	}
+	if err := r.listen(); err != nil {
+		return nil, err
+	}
 	r.members = newMembers(r.services.VMs, s.MemberInterval.D())
 	r.pool = newPool(r.table, s.LoadInterval.D())
 	if err := r.buildDecisions(); err != nil {
@@ -169,10 +174,6 @@
 // Start listens and begins all work. It returns once callers can connect;
 // /readyz tells when they are served.
 func (r *Router) Start(ctx context.Context) error {
-	listeners, err := r.listen()
-	if err != nil {
-		return err
-	}
 	ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	if err := r.keeper.Start(ctx); err != nil {
 		return err
@@ -184,31 +185,36 @@
 	r.spawn(func() { r.members.run(ctx) })
 	r.spawn(func() { r.pool.run(ctx) })
 	r.spawn(func() { r.sweep(ctx) })
-	r.spawn(func() { logEnd("peer", r.peerSrv.Serve(listeners.peer)) })
-	r.spawn(func() { logEnd("admin", r.admin.Serve(listeners.admin)) })
-	r.spawn(func() { logEnd("callers", r.callers.Serve(listeners.callers)) })
+	r.spawn(func() { logEnd("peer", r.peerSrv.Serve(r.listeners.peer)) })
+	r.spawn(func() { logEnd("admin", r.admin.Serve(r.listeners.admin)) })
+	r.spawn(func() { logEnd("callers", r.callers.Serve(r.listeners.callers)) })
 	klog.Infof("router %s (%s) serves callers on %s", r.settings.VM, r.incarnation, r.settings.Listen)
 	return nil
 }
 
+// listeners are the router's three sockets.
 type listeners struct{ callers, peer, admin net.Listener }
 
-func (r *Router) listen() (l listeners, err error) {
+// listen takes the addresses of the settings; where a port is 0, the settings
+// get the one that was given.
+func (r *Router) listen() error {
 	for _, one := range []struct {
-		address string
+		address *string
 		into    *net.Listener
 	}{
-		{r.settings.Listen, &l.callers},
-		{r.settings.PeerListen, &l.peer},
-		{r.settings.AdminListen, &l.admin},
+		{&r.settings.Listen, &r.listeners.callers},
+		{&r.settings.PeerListen, &r.listeners.peer},
+		{&r.settings.AdminListen, &r.listeners.admin},
 	} {
-		if *one.into, err = net.Listen("tcp", one.address); err != nil {
-			return l, eris.Wrapf(err, "listen on %s", one.address)
+		l, err := net.Listen("tcp", *one.address)
+		if err != nil {
+			return eris.Wrapf(err, "listen on %s", *one.address)
 		}
+		*one.into, *one.address = l, l.Addr().String()
 	}
-	l.callers = secure(l.callers, r.callerTLS)
-	l.peer = secure(l.peer, r.peerTLS)
-	return l, nil
+	r.listeners.callers = secure(r.listeners.callers, r.callerTLS)
+	r.listeners.peer = secure(r.listeners.peer, r.peerTLS)
+	return nil
 }
 
 func (r *Router) spawn(task func()) {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -34,6 +33,9 @@
 	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("k8s.io/klog/v2.(*flushDaemon).run.func1"))
 }
 
+// anyPort lets the system choose a port.
+const anyPort = "127.0.0.1:0"
+
 const testKey = "test-key"
 
 // fleet is a platform, one engine, one plain service and some routers, all real
@@ -130,7 +132,7 @@
 	f.t.Helper()
 	s := DefaultSettings()
 	s.VM, s.DataCentre, s.Region, s.Platform = vm, "a", "r", platformAddress
-	s.Listen, s.PeerListen, s.AdminListen = freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
+	s.Listen, s.PeerListen, s.AdminListen = anyPort, anyPort, anyPort
 	s.MemberInterval, s.LoadInterval = settings.Duration(20*time.Millisecond), settings.Duration(20*time.Millisecond)
 	s.LeaveNotice = settings.Duration(50 * time.Millisecond)
 	r, err := New(s)
@@ -144,15 +146,6 @@
 	return r
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (f *fleet) await(what string, ok func() bool) {
 	f.t.Helper()
 	for range 1000 {
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -8,6 +8,9 @@
 #   VMS        number of VMs, each a router and a control process (3)
 #   BIN        where the programs are (bin)
 
+# shellcheck source=scripts/http.sh
+. "$(dirname "${BASH_SOURCE[0]}")/http.sh"
+
 : "${BIN:=bin}" "${BASE_PORT:=7000}" "${VMS:=3}" "${FOLDER:=examples/lankawrap}"
 : "${READY_TRIES:=150}" # of 0.1 s each
 fleet_port() { echo $((BASE_PORT + $1)); }
@@ -25,7 +28,7 @@
 fleet_write_settings() {
 	mkdir -p "$RUN/settings" "$RUN/log" "$RUN/pid" "$RUN/folder"
 	for file in "$FOLDER"/*.jsonc; do
-		perl -pe 's/127\.0\.0\.1:7(\d{3})/"127.0.0.1:" . ('"$BASE_PORT"' + $1)/ge' "$file" >"$RUN/folder/$(basename "$file")"
+		sed -E "s/127\.0\.0\.1:7([0-9]{3})/127.0.0.1:${BASE_PORT%000}\1/" "$file" >"$RUN/folder/$(basename "$file")"
 	done
 	fleet_settings_platform
 	fleet_settings_upstreams
@@ -37,26 +40,32 @@
 	echo "{\"address\": \"$(fleet_platform)\", \"vm_list_lag\": \"${VM_LIST_LAG:-1s}\"}" >"$RUN/settings/platform.jsonc"
 }
 
-# fleet_settings_upstreams reads the engines and servers from the folder.
+# fleet_settings_upstreams reads the engines and servers from the folder, where
+# each stands on a line of its own.
 fleet_settings_upstreams() {
-	perl -ne '
-		next unless /^\s*"([^"]+)":\s*\{"kind":\s*"(engine|service)",\s*"address":\s*"([^"]+)",\s*"data_centre":\s*"([^"]+)"(.*)/;
-		my ($id, $kind, $address, $dc, $rest) = ($1, $2, $3, $4, $5);
-		my $own;
-		if ($kind eq "engine") {
-			my ($models) = $rest =~ /"models":\s*(\[[^\]]*\])/;
-			my ($slots) = $rest =~ /"slots":\s*(\d+)/;
-			my $fencing = $rest =~ /"fencing":\s*true/ ? "true" : "false";
-			$own = "\"engine\": {\"models\": $models, \"slots\": $slots, \"fencing\": $fencing}";
-		} else {
-			my ($service) = $rest =~ /"service":\s*"([^"]+)"/;
-			$own = "\"service\": {\"name\": \"$service\"}";
-		}
-		open(my $out, ">", "$ENV{RUN}/settings/$id.jsonc") or die $!;
-		print $out "{\"id\": \"$id\", \"kind\": \"$kind\", \"address\": \"$address\", \"data_centre\": \"$dc\", " .
-			"\"region\": \"$ENV{FLEET_REGION}\", \"platform\": \"$ENV{FLEET_PLATFORM}\", $own}\n";
-		print "$id\n";
-	' "$RUN"/folder/*.jsonc >"$RUN/upstreams"
+	local line id kind address dc own slots fencing
+	local entry='^ *"([^"]+)": \{"kind": "(engine|service)", "address": "([^"]+)", "data_centre": "([^"]+)"(.*)'
+	: >"$RUN/upstreams"
+	while IFS= read -r line; do
+		[[ $line =~ $entry ]] || continue
+		id=${BASH_REMATCH[1]} kind=${BASH_REMATCH[2]} address=${BASH_REMATCH[3]} dc=${BASH_REMATCH[4]}
+		line=${BASH_REMATCH[5]}
+		if [ "$kind" = engine ]; then
+			slots=$(fleet_field slots "$line") fencing=$(fleet_field fencing "$line")
+			own="\"engine\": {\"models\": $(fleet_field models "$line"), \"slots\": ${slots:-16}, \"fencing\": ${fencing:-false}}"
+		else
+			own="\"service\": {\"name\": $(fleet_field service "$line")}"
+		fi
+		echo "{\"id\": \"$id\", \"kind\": \"$kind\", \"address\": \"$address\", \"data_centre\": \"$dc\", \"region\": \"$FLEET_REGION\", \"platform\": \"$(fleet_platform)\", $own}" \
+			>"$RUN/settings/$id.jsonc"
+		echo "$id" >>"$RUN/upstreams"
+	done < <(cat "$RUN"/folder/*.jsonc)
+}
+
+# fleet_field NAME LINE prints a field's list, string, number or boolean.
+fleet_field() {
+	local field="\"$1\": (\\[[^]]*\\]|\"[^\"]*\"|[a-z0-9]+)"
+	if [[ $2 =~ $field ]]; then echo "${BASH_REMATCH[1]}"; fi
 }
 
 fleet_settings_vm() {
@@ -76,10 +85,9 @@
 
 # fleet_places sets the region and the data centres from the folder.
 fleet_places() {
-	FLEET_REGION=$(perl -ne 'if (/"region":\s*"([^"]+)"/) { print $1; exit }' "$FOLDER"/10-fleet.jsonc)
-	FLEET_DATA_CENTRES=$(perl -ne 'print "$1 " if /^\s*"([^"]+)":\s*\{"region"/' "$FOLDER"/10-fleet.jsonc)
-	FLEET_PLATFORM=$(fleet_platform)
-	export RUN FLEET_REGION FLEET_PLATFORM
+	local places="$FOLDER/10-fleet.jsonc"
+	FLEET_REGION=$(sed -nE 's/.*"region": *"([^"]+)".*/\1/p' "$places" | head -n 1)
+	FLEET_DATA_CENTRES=$(sed -nE 's/^ *"([^"]+)": *\{"region".*/\1/p' "$places" | tr '\n' ' ')
 }
 
 # fleet_start NAME starts the process of $RUN/settings/NAME.jsonc.
@@ -98,14 +106,14 @@
 # fleet_signal SIGNAL NAME sends a signal to one process of this run.
 fleet_signal() { kill "-$1" "$(cat "$RUN/pid/$2")" 2>/dev/null; }
 
-# fleet_wait_http URL waits until the address answers 200.
+# fleet_wait_http HOST:PORT PATH waits until the address answers 200.
 fleet_wait_http() {
 	local try
 	for try in $(seq 1 "$READY_TRIES"); do
-		curl -fs -o /dev/null --max-time 1 "$1" && return 0
+		(http_get "$1" "$2") >/dev/null 2>&1 && return 0
 		sleep 0.1
 	done
-	echo "not ready: $1" >&2
+	echo "not ready: $1$2" >&2
 	return 1
 }
 
@@ -118,20 +126,20 @@
 	fleet_places
 	fleet_write_settings
 	fleet_start platform
-	fleet_wait_http "http://$(fleet_platform)/healthz" || return 1
+	fleet_wait_http "$(fleet_platform)" /healthz || return 1
 	while read -r name; do fleet_start "$name"; done <"$RUN/upstreams"
 	for i in $(seq 1 "$VMS"); do fleet_start "control-$i"; done
-	for i in $(seq 1 "$VMS"); do fleet_wait_http "http://$(fleet_api "$i")/healthz" || return 1; done
+	for i in $(seq 1 "$VMS"); do fleet_wait_http "$(fleet_api "$i")" /healthz || return 1; done
 	fleet_ctl apply "$RUN/folder" || return 1
 	for i in $(seq 1 "$VMS"); do fleet_start "router-$i"; done
 	for i in $(seq 1 "$VMS"); do
-		fleet_wait_http "http://$(fleet_router_admin "$i")/readyz" || return 1
-		fleet_wait_http "http://$(fleet_api "$i")/readyz" || return 1
+		fleet_wait_http "$(fleet_router_admin "$i")" /readyz || return 1
+		fleet_wait_http "$(fleet_api "$i")" /readyz || return 1
 	done
 }
 
 # fleet_workspaces lists the folder's workspaces.
-fleet_workspaces() { perl -ne 'print "$1\n" if /^    "([^"]+)": \{$/' "$FOLDER"/70-workspaces.jsonc; }
+fleet_workspaces() { sed -nE 's/^    "([^"]+)": \{$/\1/p' "$FOLDER"/70-workspaces.jsonc; }
 
 # fleet_top_up TOKENS buys so many tokens for every workspace's main budget.
 fleet_top_up() {
