--- a/request/call.go
+++ b/request/call.go
@@ -45,7 +45,7 @@
 	row, mine, err := e.claims.take(early, r.Key, r.Digest)
 	if err != nil {
 		reservation.Release()
-		go e.revoke(r.Key, row)
+		e.spawn(func() { e.revoke(r.Key, row) })
 		run.end(Refused, failed(ProblemPlatformUnavailable, NotRun, 2*time.Second,
 			"the platform's table did not record the request, so it was not run"))
 		return
@@ -170,7 +170,7 @@
 // effect, so that a later ask with the key is not told "unknown" for a call that
 // never left this process.
 func (e *Executor) revoke(k Key, undecided claimRow) {
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Retention)
+	ctx, cancel := context.WithTimeout(e.base, e.settings.Retention)
 	defer cancel()
 	e.claims.revoke(ctx, k, undecided)
 }
--- /dev/null
+++ b/request/call_test.go
@@ -0,0 +1,229 @@
+package request
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/platform"
+	"buckthornridge/upstream"
+)
+
+func TestOrderRunsOnceHoweverOftenAsked(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		service := w.service("s1")
+		one, _ := w.executor("vm-1")
+		two, _ := w.executor("vm-2")
+		for _, e := range []*Executor{one, two, one, two} {
+			got := ask(t.Context(), e.Do, order("k"))
+			is.Equal(got.outcome.Problem, nil)
+			is.Equal(string(got.outcome.Reply.Body), "did it")
+		}
+		is.Equal(service.runs, 1)
+	})
+}
+
+// Two routers that do not see each other get the same order at the same moment,
+// as when a caller retries during a partition. One claim wins.
+func TestTwoRoutersRaceForOneOrder(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		service := w.service("s1")
+		service.delay = time.Second
+		w.fake.SetFaults(platform.Faults{Latency: 10 * time.Millisecond})
+		got := make(chan answered, 9)
+		for _, vm := range []string{"1", "2", "3", "4", "5", "6", "7", "8", "9"} {
+			e, _ := w.executor("vm-" + vm)
+			go func() { got <- ask(t.Context(), e.Do, order("k")) }()
+		}
+		done := 0
+		for range 9 {
+			a := <-got
+			if a.outcome.Problem == nil {
+				done++
+				continue
+			}
+			is.Equal(a.outcome.Problem.RunState, Unknown)
+		}
+		is.Equal(done, 1)
+		is.Equal(service.runs, 1)
+	})
+}
+
+// The claim's write takes effect and its answer is lost. Read back, it is this
+// router's own: the order is served, once.
+func TestLostAnswerOfAClaim(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		service := w.service("s1")
+		e, _ := w.executor("vm-1")
+		w.fake.SetFaults(platform.Faults{LoseNext: 1})
+		got := ask(t.Context(), e.Do, order("k"))
+		is.Equal(got.outcome.Problem, nil)
+		is.Equal(service.runs, 1)
+	})
+}
+
+// The table is down when an order comes: the caller is told "not run", which is
+// true, at once after its deadline, and the next try is served.
+func TestOrderDuringAnOutageIsNotRun(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		service := w.service("s1")
+		e, budgets := w.executor("vm-1")
+		w.fake.SetFaults(platform.Faults{Down: true})
+		got := ask(t.Context(), e.Do, order("k"))
+		is.Equal(got.outcome.Problem.RunState, NotRun)
+		is.True(got.outcome.Problem.RetryAfter > 0)
+		synctest.Wait()
+		is.Equal(service.runs, 0)
+		is.Equal(budgets.open, 0)
+		w.fake.SetFaults(platform.Faults{})
+		time.Sleep(2 * time.Second)
+		is.Equal(ask(t.Context(), e.Do, order("k")).outcome.Problem, nil)
+		is.Equal(service.runs, 1)
+	})
+}
+
+// The claim's write is delayed in the network until after the caller was told
+// "not run". Had it taken effect then, the next ask at another router would be
+// told "unknown" for a call that never left; revoke bars it.
+func TestDelayedClaimDoesNotStandAfterNotRun(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		service := w.service("s1")
+		e, _ := w.executor("vm-1")
+		w.fake.SetFaults(platform.Faults{DelayNext: 1, Delay: 0})
+		w.fake.SetHooks(platform.Hooks{After: func(c platform.Call, _ error) {
+			if c.Step == platform.StepCommit {
+				w.fake.UpdateFaults(func(f *platform.Faults) { f.Down = true })
+			}
+		}})
+		got := ask(t.Context(), e.Do, order("k"))
+		is.Equal(got.outcome.Problem.RunState, NotRun)
+		w.fake.SetHooks(platform.Hooks{})
+		w.fake.SetFaults(platform.Faults{})
+		time.Sleep(2 * time.Second) // revoke writes its row
+		w.fake.ReleaseDelayed()
+		other, _ := w.executor("vm-2")
+		is.Equal(ask(t.Context(), other.Do, order("k")).outcome.Problem, nil)
+		is.Equal(service.runs, 1)
+	})
+}
+
+// The service dies after it read the order. Whether it ran is unknown; it is
+// said so, and no router sends it again.
+func TestServiceDiesAfterReading(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		dying, healthy := w.service("s1"), w.service("s2")
+		dying.err = upstream.ErrBroken
+		e, budgets := w.executor("vm-1")
+		other, _ := w.executor("vm-2")
+		for _, at := range []*Executor{e, e, other} {
+			got := ask(t.Context(), at.Do, order("k"))
+			is.Equal(got.outcome.Problem.Name, ProblemOutcomeUnknown)
+			is.Equal(got.outcome.Problem.RunState, Unknown)
+		}
+		is.Equal(dying.runs, 1)
+		is.Equal(healthy.runs, 0)
+		is.Equal(budgets.lost, []int64{5})
+	})
+}
+
+// A refused connection proves that nothing ran: the next server gets the order.
+func TestRefusedConnectionTriesAnotherServer(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		w.service("s1").err = upstream.ErrNotSent
+		healthy := w.service("s2")
+		e, _ := w.executor("vm-1")
+		is.Equal(ask(t.Context(), e.Do, order("k")).outcome.Problem, nil)
+		is.Equal(healthy.runs, 1)
+	})
+}
+
+// No server can be reached: "not run" is true, and a later ask, at any router,
+// may run the order.
+func TestUnreachableServiceFreesTheClaim(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		service := w.service("s1")
+		service.err = upstream.ErrNotSent
+		e, budgets := w.executor("vm-1")
+		is.Equal(ask(t.Context(), e.Do, order("k")).outcome.Problem.RunState, NotRun)
+		is.Equal(budgets.released, 1)
+		service.err = nil
+		other, _ := w.executor("vm-2")
+		is.Equal(ask(t.Context(), other.Do, order("k")).outcome.Problem, nil)
+		is.Equal(service.runs, 1)
+	})
+}
+
+// The service answers after the caller's deadline. The caller has its final
+// answer, "unknown", at the deadline; a later ask learns that it was done.
+func TestAnswerAfterTheDeadlineIsLearnedLater(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		service := w.service("s1")
+		service.delay = 8 * time.Second
+		e, _ := w.executor("vm-1")
+		began := time.Now()
+		got := ask(t.Context(), e.Do, order("k"))
+		is.Equal(got.outcome.Problem.RunState, Unknown)
+		is.Equal(time.Since(began), order("k").Timeout)
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		other, _ := w.executor("vm-2")
+		for _, at := range []*Executor{e, other} {
+			is.Equal(ask(t.Context(), at.Do, order("k")).outcome.Problem, nil)
+		}
+		is.Equal(service.runs, 1)
+	})
+}
+
+func TestOrderWithOtherContentIsRefusedAtAnyRouter(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		w.service("s1")
+		one, _ := w.executor("vm-1")
+		two, _ := w.executor("vm-2")
+		ask(t.Context(), one.Do, order("k"))
+		other := order("k")
+		other.Digest[0]++
+		for _, e := range []*Executor{one, two} {
+			got := ask(t.Context(), e.Do, other)
+			is.Equal(got.outcome.Problem.Name, ProblemKeyReused)
+		}
+	})
+}
+
+// A repeatable look-up may be tried again after a broken answer.
+func TestLookupIsRepeated(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		w.service("s1").err = upstream.ErrBroken
+		healthy := w.service("s2")
+		e, budgets := w.executor("vm-1")
+		r := order("k")
+		r.Call.Repeatable = true
+		is.Equal(ask(t.Context(), e.Do, r).outcome.Problem, nil)
+		is.Equal(healthy.runs, 1)
+		is.Equal(budgets.billed, []int64{5})
+		is.Equal(len(w.fake.Dump(claimPrefix)), 0) // look-ups need no claim
+	})
+}
--- a/request/executor.go
+++ b/request/executor.go
@@ -54,6 +54,10 @@
 	router    Router
 	claims    *claims
 
+	base  context.Context // ends with Stop
+	stop  context.CancelFunc
+	tasks sync.WaitGroup
+
 	mu       sync.Mutex
 	runs     map[Key]*Run
 	retained []*Run // ended runs, oldest first
@@ -65,7 +69,10 @@
 
 // NewExecutor returns an executor for the process with this incarnation.
 func NewExecutor(holder string, s Settings, a Admission, b Budgets, r Router, t platform.Table) *Executor {
+	base, stop := context.WithCancel(context.Background())
 	return &Executor{
+		base:      base,
+		stop:      stop,
 		holder:    holder,
 		settings:  s,
 		admission: a,
@@ -86,7 +93,7 @@
 		return Outcome{Problem: problem}, nil
 	}
 	if begun {
-		go e.execute(run, r)
+		e.spawn(func() { e.execute(run, r) })
 	}
 	outcome, err := run.Follow(ctx, emit)
 	if errors.Is(err, context.DeadlineExceeded) {
@@ -105,6 +112,15 @@
 	return failed(ProblemDeadline, Unknown, time.Second, "the deadline passed while the request ran")
 }
 
+// spawn runs a task that Stop waits for.
+func (e *Executor) spawn(task func()) {
+	e.tasks.Add(1)
+	go func() {
+		defer e.tasks.Done()
+		task()
+	}()
+}
+
 // find returns the key's run, and whether it is new and must be executed.
 func (e *Executor) find(r *Request) (run *Run, begun bool, problem *Problem) {
 	e.mu.Lock()
@@ -138,7 +154,7 @@
 
 // execute takes a run to its end and accounts for it.
 func (e *Executor) execute(run *Run, r *Request) {
-	ctx, cancel := context.WithTimeout(context.Background(), e.runLimit(r))
+	ctx, cancel := context.WithTimeout(e.base, e.runLimit(r))
 	defer cancel()
 	if r.Call != nil {
 		e.call(ctx, run, r)
@@ -226,3 +242,9 @@
 		return ctx.Err()
 	}
 }
+
+// Stop ends all runs at once and waits for them.
+func (e *Executor) Stop() {
+	e.stop()
+	e.tasks.Wait()
+}
--- /dev/null
+++ b/request/forward_test.go
@@ -0,0 +1,282 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
+	"pgregory.net/rapid"
+
+	"buckthornridge/membership"
+	"buckthornridge/peer"
+	"buckthornridge/upstream"
+)
+
+// network connects the frontends of a test without sockets. A link can be cut
+// before or in the middle of a call.
+type network struct {
+	routers map[string]*Executor
+	down    map[string]bool
+	cutAt   map[string]int // breaks the stream of this router after so many updates
+}
+
+func (n *network) Call(context.Context, string, string, any, any) error { return peer.ErrUnreachable }
+func (n *network) Push(context.Context, string, string, any) error      { return peer.ErrUnreachable }
+
+// Open implements peer.Caller; messages are packed as on the wire.
+func (n *network) Open(ctx context.Context, address, _ string, message any) (peer.Stream, error) {
+	if n.down[address] {
+		return nil, peer.ErrUnreachable
+	}
+	var r Request
+	if err := repack(message, &r); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
+	s := &netStream{updates: make(chan Update), outcome: make(chan Outcome, 1), cancel: cancel, left: -1}
+	if at, cut := n.cutAt[address]; cut {
+		s.left = at
+	}
+	go func() {
+		outcome, err := n.routers[address].Do(ctx, &r, func(u Update) error {
+			select {
+			case s.updates <- u:
+				return nil
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		})
+		if err == nil {
+			s.outcome <- outcome
+		}
+	}()
+	return s, nil
+}
+
+func repack(from, into any) error {
+	packed, err := msgpack.Marshal(from)
+	if err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(packed, into)
+}
+
+type netStream struct {
+	updates chan Update
+	outcome chan Outcome
+	cancel  context.CancelFunc
+	left    int
+}
+
+func (s *netStream) Next(message, final any) error {
+	if s.left == 0 {
+		return peer.ErrBroken
+	}
+	s.left--
+	select {
+	case u := <-s.updates:
+		return repack(u, message)
+	case o := <-s.outcome:
+		if err := repack(o, final); err != nil {
+			return err
+		}
+		return io.EOF
+	}
+}
+
+func (s *netStream) Close() error {
+	s.cancel()
+	return nil
+}
+
+// frontends gives every router a frontend over the same view.
+func (w *world) frontends(n *network, names ...string) map[string]*Frontend {
+	view := &membership.View{Members: map[string]membership.Member{}}
+	all := map[string]*Frontend{}
+	n.routers = map[string]*Executor{}
+	for _, name := range names {
+		view.Members[name] = membership.Member{ID: name, Role: RoleRouter, Region: "r", PeerAddress: name}
+		e, _ := w.executor(name)
+		n.routers[name] = e
+		all[name] = &Frontend{
+			Self: name, Region: "r", Executor: e, Peers: n,
+			View:    func() *membership.View { return view },
+			Busy:    func(*Request) bool { return false },
+			Suspect: func(string, error) {},
+		}
+	}
+	return all
+}
+
+// homes names the routers in the order in which a request tries them.
+func homes(f *Frontend, r *Request) []string {
+	var names []string
+	for _, m := range Homes(f.View(), f.Region, r, false) {
+		names = append(names, m.ID)
+	}
+	return names
+}
+
+// Retries of one request enter at every router: they meet at its home.
+func TestRetriesAtAllRoutersMeet(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		engine := w.engine("e1")
+		all := w.frontends(&network{}, "a", "b", "c")
+		got := make(chan answered, 3)
+		for _, f := range all {
+			go func() { got <- ask(t.Context(), f.Do, chat("k", 50)) }()
+		}
+		for range 3 {
+			is.Equal((<-got).text, whole(50))
+		}
+		is.Equal(engine.generated, 1)
+	})
+}
+
+// The home dies in the middle of a stream. The entry router goes to the next
+// home, which resumes the engine's stream; the caller sees each token once.
+func TestHomeDiesInTheMiddle(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		engine := w.engine("e1")
+		n := &network{}
+		all := w.frontends(n, "a", "b", "c")
+		order := homes(all["a"], chat("k", 100))
+		n.cutAt = map[string]int{order[0]: 41}
+		got := ask(t.Context(), all[order[2]].Do, chat("k", 100))
+		is.Equal(got.outcome.Problem, nil)
+		is.Equal(got.text, whole(100))
+		is.Equal(engine.generated, 1)
+		is.Equal(engine.resumed, 1)
+	})
+}
+
+// As before, but the engine lost the stream and another one answers otherwise:
+// the caller gets an error, never two halves of different answers.
+func TestNextHomeAnswersOtherwise(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		engine := w.engine("e1")
+		engine.noResume, engine.fickle = true, true
+		n := &network{}
+		all := w.frontends(n, "a", "b", "c")
+		order := homes(all["a"], chat("k", 100))
+		n.cutAt = map[string]int{order[0]: 41}
+		got := ask(t.Context(), all[order[2]].Do, chat("k", 100))
+		is.True(errors.Is(got.err, errMismatch))
+		is.True(len(got.text) < len(whole(100)))
+	})
+}
+
+// The home of an order is cut off after it was handed over. The next home finds
+// the claim and must not run the order again.
+func TestCutOffHomeOfAnOrder(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		service := w.service("s1")
+		service.delay = time.Second
+		n := &network{}
+		all := w.frontends(n, "a", "b", "c")
+		places := homes(all["a"], order("k"))
+		n.cutAt = map[string]int{places[0]: 1} // breaks after the dispatch is known
+		got := ask(t.Context(), all[places[2]].Do, order("k"))
+		is.Equal(got.outcome.Problem.RunState, Unknown)
+		n.cutAt = nil
+		time.Sleep(2 * time.Second)
+		later := ask(t.Context(), all[places[1]].Do, order("k"))
+		is.Equal(later.outcome.Problem, nil)
+		is.Equal(string(later.outcome.Reply.Body), "did it")
+		is.Equal(service.runs, 1)
+	})
+}
+
+// No other router answers: the entry router serves the request itself.
+func TestEntryServesAlone(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		w.engine("e1")
+		n := &network{}
+		all := w.frontends(n, "a", "b", "c")
+		order := homes(all["a"], chat("k", 10))
+		n.down = map[string]bool{order[0]: true, order[1]: true}
+		is.Equal(ask(t.Context(), all[order[2]].Do, chat("k", 10)).text, whole(10))
+	})
+}
+
+// A home that is stopping refuses; the next one serves.
+func TestStoppingHomeIsPassedOver(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		w.engine("e1")
+		n := &network{}
+		all := w.frontends(n, "a", "b", "c")
+		order := homes(all["a"], chat("k", 10))
+		is.NoErr(n.routers[order[0]].Drain(t.Context()))
+		is.Equal(ask(t.Context(), all[order[2]].Do, chat("k", 10)).text, whole(10))
+	})
+}
+
+// Removing one router moves only the requests that it was the home of.
+func TestHomesMoveLittle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		view := &membership.View{Members: map[string]membership.Member{}}
+		for i := range rapid.IntRange(2, 40).Draw(t, "routers") {
+			id := "vm-" + strconv.Itoa(i)
+			view.Members[id] = membership.Member{ID: id, Role: RoleRouter, Region: "r"}
+		}
+		r := chat(rapid.StringMatching(`[a-z]{1,8}`).Draw(t, "id"), 1)
+		r.Budget = rapid.StringMatching(`[a-z]{1,8}`).Draw(t, "budget")
+		busy := rapid.Bool().Draw(t, "busy")
+		before := Homes(view, "r", r, busy)
+		gone := rapid.SampledFrom(before).Draw(t, "gone").ID
+		delete(view.Members, gone)
+		after := Homes(view, "r", r, busy)
+		if before[0].ID != gone && after[0].ID != before[0].ID {
+			t.Fatalf("home moved from %s to %s when %s left", before[0].ID, after[0].ID, gone)
+		}
+	})
+}
+
+// Whatever way a run goes, "not run" is only ever published from states in which
+// nothing may have run.
+func TestNoWayBackToNotRun(t *testing.T) {
+	for from, to := range next {
+		for _, s := range to {
+			if s == Refused && from.MayHaveRun() && from != Dispatched {
+				t.Errorf("%s leads to refused", from)
+			}
+		}
+	}
+	if allowed(Retrying, Refused) || allowed(Retrying, Reserved) || allowed(Answered, Refused) {
+		t.Error("a run that may have run can be refused")
+	}
+}
+
+// An engine's usage is not trusted past the request's ceiling, also on a stream
+// that was resumed.
+func TestResumedStreamKeepsItsCeiling(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		engine := w.engine("e1")
+		engine.breakAt = 5
+		engine.overrun = 1000
+		e, budgets := w.executor("vm-1")
+		got := ask(t.Context(), e.Do, chat("k", 10))
+		is.Equal(got.text, whole(10))
+		is.Equal(got.outcome.Usage.FinishReason, upstream.FinishLength)
+		is.True(budgets.billed[0] <= chat("k", 10).Ceiling())
+	})
+}
--- /dev/null
+++ b/request/generate_test.go
@@ -0,0 +1,314 @@
+package request
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/upstream"
+)
+
+// A caller's connection drops and it asks again with the same key while the
+// first run still streams. A second run would be billed twice.
+func TestRetryJoinsTheRunningRequest(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		engine := w.engine("e1")
+		e, budgets := w.executor("vm-1")
+		first := make(chan answered, 1)
+		go func() { first <- ask(t.Context(), e.Do, chat("k", 100)) }()
+		time.Sleep(300 * time.Millisecond)
+		second := ask(t.Context(), e.Do, chat("k", 100))
+		is.Equal(second.text, whole(100))
+		is.Equal((<-first).text, whole(100))
+		is.Equal(engine.generated, 1)
+		is.Equal(budgets.billed, []int64{103})
+	})
+}
+
+func TestRetryAfterTheEndGetsTheSameAnswer(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		engine := w.engine("e1")
+		e, _ := w.executor("vm-1")
+		is.Equal(ask(t.Context(), e.Do, chat("k", 5)).text, whole(5))
+		time.Sleep(DefaultSettings().Retention / 2)
+		again := ask(t.Context(), e.Do, chat("k", 5))
+		is.Equal(again.text, whole(5))
+		is.Equal(again.outcome.Usage.OutputTokens, int64(5))
+		is.Equal(engine.generated, 1)
+	})
+}
+
+func TestKeyWithOtherContentIsRefused(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		w.engine("e1")
+		e, _ := w.executor("vm-1")
+		ask(t.Context(), e.Do, chat("k", 5))
+		other := chat("k", 5)
+		other.Digest[0]++
+		got := ask(t.Context(), e.Do, other)
+		is.Equal(got.outcome.Problem.Name, ProblemKeyReused)
+		is.Equal(got.outcome.Problem.RunState, NotRun)
+	})
+}
+
+func TestKeysOfTwoWorkspacesNeverMeet(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		engine := w.engine("e1")
+		e, _ := w.executor("vm-1")
+		ask(t.Context(), e.Do, chat("k", 5))
+		other := chat("k", 7)
+		other.Key.Workspace = "counter"
+		other.Digest[0]++
+		is.Equal(ask(t.Context(), e.Do, other).text, whole(7))
+		is.Equal(engine.generated, 2)
+	})
+}
+
+// The connection to the engine breaks in the middle. The engine still has the
+// stream: it is resumed where it stopped, and nothing is generated twice.
+func TestBrokenStreamIsResumed(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		engine := w.engine("e1")
+		engine.breakAt = 40
+		e, budgets := w.executor("vm-1")
+		got := ask(t.Context(), e.Do, chat("k", 100))
+		is.Equal(got.outcome.Problem, nil)
+		is.Equal(got.text, whole(100))
+		is.Equal(engine.resumed, 1)
+		is.Equal(budgets.billed, []int64{103})
+		is.Equal(len(budgets.lost), 0)
+	})
+}
+
+// The engine dies in the middle. Another one runs the request; what the first
+// one consumed stays accounted for as lost, and the caller sees one answer.
+func TestAnotherEngineReplaysTheAnswer(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		first, second := w.engine("e1"), w.engine("e2")
+		first.breakAt, first.noResume = 40, true
+		e, budgets := w.executor("vm-1")
+		got := ask(t.Context(), e.Do, chat("k", 100))
+		is.Equal(got.text, whole(100))
+		is.Equal(second.generated, 1)
+		is.Equal(budgets.billed, []int64{103})
+		is.Equal(budgets.lost, []int64{int64(len("a prompt")) + 40})
+		is.Equal(len(first.cancelled), 1)
+	})
+}
+
+// The second engine gives another answer. Its rest must not be glued to what the
+// caller has: the answer ends with an error, never marked complete.
+func TestDifferentReplayEndsWithAnError(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		first, second := w.engine("e1"), w.engine("e2")
+		first.breakAt, first.noResume, second.salt = 40, true, "x"
+		e, budgets := w.executor("vm-1")
+		got := ask(t.Context(), e.Do, chat("k", 100))
+		is.Equal(got.text, whole(40))
+		is.Equal(got.outcome.Problem.Name, ProblemUpstreamFailed)
+		is.Equal(got.outcome.Problem.RunState, Ran)
+		is.Equal(len(budgets.billed), 0)
+		is.Equal(budgets.open, 0)
+	})
+}
+
+// Every engine dies before its first token. The first attempt may have run, so
+// the final answer must not say "not run", even though the last attempt was
+// refused before it was sent.
+func TestNotRunIsNotSaidAfterAnAttemptThatMayHaveRun(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		first, second := w.engine("e1"), w.engine("e2")
+		first.breakAt, first.noResume, first.stallAt = 0, true, 1
+		first.gap = time.Minute // no first token either
+		second.refuse = upstream.ErrNotSent
+		e, _ := w.executor("vm-1")
+		got := ask(t.Context(), e.Do, chat("k", 100))
+		is.Equal(got.outcome.Problem.RunState, Ran)
+	})
+}
+
+func TestRefusedEverywhereIsNotRun(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		for _, id := range []string{"e1", "e2"} {
+			w.engine(id).refuse = &upstream.RefusedError{Reason: upstream.RefusedFull}
+		}
+		e, budgets := w.executor("vm-1")
+		got := ask(t.Context(), e.Do, chat("k", 100))
+		is.Equal(got.outcome.Problem.RunState, NotRun)
+		is.Equal(budgets.released, 1)
+		is.Equal(budgets.open, 0)
+	})
+}
+
+// An engine accepts the request and then sends nothing. The attempt is given up
+// after the first-token limit, long before the caller's deadline.
+func TestStalledEngineIsLeft(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		stalled := w.engine("e1")
+		w.engine("e2")
+		stalled.stallAt, stalled.noResume = 3, true
+		e, _ := w.executor("vm-1")
+		began := time.Now()
+		got := ask(t.Context(), e.Do, chat("k", 10))
+		is.Equal(got.text, whole(10))
+		is.True(time.Since(began) < DefaultSettings().StallLimit+time.Second)
+	})
+}
+
+// A caller without a key of its own leaves: it cannot come back, so the engine's
+// stream is cancelled at once and what was generated is billed.
+func TestStreamOfACallerThatLeftIsCancelled(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		key    bool
+		within time.Duration
+	}{
+		{"no key", false, 100 * time.Millisecond},
+		{"own key", true, DefaultSettings().DesertedGrace + 100*time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t)
+				engine := w.engine("e1")
+				e, budgets := w.executor("vm-1")
+				ctx, leave := context.WithCancel(t.Context())
+				r := chat("k", 1_000_000)
+				r.CallerKey = c.key
+				done := make(chan answered, 1)
+				go func() { done <- ask(ctx, e.Do, r) }()
+				time.Sleep(200 * time.Millisecond)
+				leave()
+				is.Equal((<-done).err, context.Canceled)
+				time.Sleep(c.within)
+				synctest.Wait()
+				is.Equal(len(engine.cancelled), 1)
+				is.Equal(len(budgets.billed), 1)
+				is.Equal(budgets.open, 0)
+			})
+		})
+	}
+}
+
+// A caller that left comes back within the grace: it joins its run.
+func TestCallerThatLeftCanComeBack(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		engine := w.engine("e1")
+		e, budgets := w.executor("vm-1")
+		ctx, leave := context.WithCancel(t.Context())
+		go func() { ask(ctx, e.Do, chat("k", 300)) }()
+		time.Sleep(200 * time.Millisecond)
+		leave()
+		time.Sleep(time.Second)
+		is.Equal(ask(t.Context(), e.Do, chat("k", 300)).text, whole(300))
+		is.Equal(engine.generated, 1)
+		is.Equal(len(engine.cancelled), 0)
+		is.Equal(budgets.billed, []int64{303})
+	})
+}
+
+// A router is paused, the platform declares it gone, its journal is sealed. It
+// wakes with a reservation in hand and must not dispatch.
+func TestSealedRouterDispatchesNothing(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		engine := w.engine("e1")
+		e, budgets := w.executor("vm-1")
+		budgets.dead = true
+		got := ask(t.Context(), e.Do, chat("k", 10))
+		is.Equal(got.outcome.Problem.RunState, NotRun)
+		is.Equal(engine.generated, 0)
+	})
+}
+
+// A reservation comes back after the caller's deadline. The caller was told "not
+// run" at the deadline, so the request must not be dispatched any more.
+func TestGivenUpBeforeDispatchStaysNotRun(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		engine, service := w.engine("e1"), w.service("s1")
+		e, budgets := w.executor("vm-1")
+		e.settings.ServiceWait = time.Hour
+		budgets.slow = time.Minute
+		r := chat("k", 10)
+		is.Equal(ask(t.Context(), e.Do, r).outcome.Problem.RunState, NotRun)
+		call := order("c")
+		is.Equal(ask(t.Context(), e.Do, call).outcome.Problem.RunState, NotRun)
+		time.Sleep(2 * time.Minute)
+		synctest.Wait()
+		is.Equal(engine.generated, 0)
+		is.Equal(service.runs, 0)
+		is.Equal(budgets.open, 0)
+	})
+}
+
+// A planned stop: the running answer ends whole, new requests are refused as
+// "not run" and belong elsewhere.
+func TestDrainCutsNothing(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		w.engine("e1")
+		e, _ := w.executor("vm-1")
+		running := make(chan answered, 1)
+		go func() { running <- ask(t.Context(), e.Do, chat("k", 100)) }()
+		time.Sleep(100 * time.Millisecond)
+		drained := make(chan error, 1)
+		go func() { drained <- e.Drain(t.Context()) }()
+		synctest.Wait()
+		late := ask(t.Context(), e.Do, chat("other", 100))
+		is.Equal(late.outcome.Problem.Name, ProblemDraining)
+		is.Equal(late.outcome.Problem.RunState, NotRun)
+		joined := ask(t.Context(), e.Do, chat("k", 100))
+		is.Equal(joined.text, whole(100))
+		is.Equal((<-running).text, whole(100))
+		is.NoErr(<-drained)
+	})
+}
+
+func TestRetainedAnswersAreBounded(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		w.engine("e1").gap = 0
+		e, _ := w.executor("vm-1")
+		e.settings.RetainedBytes = 10 * len(whole(100))
+		for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m"} {
+			ask(t.Context(), e.Do, chat(id, 100))
+		}
+		synctest.Wait()
+		is.Equal(len(e.runs), 10)
+		is.True(e.bytes <= e.settings.RetainedBytes)
+		time.Sleep(e.settings.Retention)
+		e.Sweep()
+		is.Equal(len(e.runs), 0)
+		is.Equal(e.bytes, 0)
+	})
+}
--- /dev/null
+++ b/request/harness_test.go
@@ -0,0 +1,314 @@
+package request
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"buckthornridge/budget"
+	"buckthornridge/platform"
+	"buckthornridge/upstream"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// world is what a test's executors share: upstreams, table and accounts.
+type world struct {
+	t        *testing.T
+	fake     *platform.Fake
+	engines  map[string]*fakeEngine
+	services map[string]*fakeService
+	order    []string // upstreams in the order of Pick
+}
+
+func newWorld(t *testing.T) *world {
+	return &world{
+		t:        t,
+		fake:     platform.NewFake(platform.FakeOptions{}),
+		engines:  map[string]*fakeEngine{},
+		services: map[string]*fakeService{},
+	}
+}
+
+func (w *world) engine(id string) *fakeEngine {
+	e := &fakeEngine{id: id, gap: 10 * time.Millisecond, kept: map[string]int64{}}
+	w.engines[id] = e
+	w.order = append(w.order, id)
+	return e
+}
+
+func (w *world) service(id string) *fakeService {
+	s := &fakeService{}
+	w.services[id] = s
+	w.order = append(w.order, id)
+	return s
+}
+
+// executor starts a router's executor in the world.
+func (w *world) executor(vm string) (*Executor, *fakeBudgets) {
+	b := &fakeBudgets{}
+	settings := DefaultSettings()
+	e := NewExecutor(vm, settings, open{}, b, &fakeRouter{world: w}, w.fake.As(vm).Table)
+	w.t.Cleanup(e.Stop)
+	return e, b
+}
+
+// open admits everyone.
+type open struct{}
+
+func (open) Admit(context.Context, *Request) (func(), error) { return func() {}, nil }
+
+// fakeBudgets counts what becomes of reservations.
+type fakeBudgets struct {
+	mu       sync.Mutex
+	dead     bool
+	refuse   error
+	slow     time.Duration // Reserve takes so long, whatever its context says
+	billErr  error
+	billed   []int64
+	lost     []int64
+	released int
+	open     int
+}
+
+func (b *fakeBudgets) Alive() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.dead
+}
+
+func (b *fakeBudgets) Reserve(context.Context, *Request) (Reservation, error) {
+	time.Sleep(b.slow)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.refuse != nil {
+		return nil, b.refuse
+	}
+	b.open++
+	return &fakeReservation{budgets: b}, nil
+}
+
+type fakeReservation struct {
+	budgets *fakeBudgets
+	closed  bool
+}
+
+func (r *fakeReservation) close() {
+	if r.closed {
+		panic("reservation closed twice")
+	}
+	r.closed = true
+	r.budgets.open--
+}
+
+func (r *fakeReservation) Bill(_ context.Context, tokens int64) error {
+	r.budgets.mu.Lock()
+	defer r.budgets.mu.Unlock()
+	r.close()
+	r.budgets.billed = append(r.budgets.billed, tokens)
+	return r.budgets.billErr
+}
+
+func (r *fakeReservation) Lose(tokens int64, _ budget.Cause) {
+	r.budgets.mu.Lock()
+	defer r.budgets.mu.Unlock()
+	r.close()
+	r.budgets.lost = append(r.budgets.lost, tokens)
+}
+
+func (r *fakeReservation) Release() {
+	r.budgets.mu.Lock()
+	defer r.budgets.mu.Unlock()
+	r.close()
+	r.budgets.released++
+}
+
+// fakeRouter picks the first upstream that was not tried.
+type fakeRouter struct{ world *world }
+
+type fakeChoice string
+
+func (c fakeChoice) Upstream() string       { return string(c) }
+func (fakeChoice) FirstToken(time.Duration) {}
+func (fakeChoice) Done(AttemptResult)       {}
+
+func (f *fakeRouter) Pick(_ *Request, exclude []string) (Choice, error) {
+	tried := strings.Join(exclude, " ")
+	for _, id := range f.world.order {
+		if !strings.Contains(tried, id) {
+			return fakeChoice(id), nil
+		}
+	}
+	return nil, &Problem{Name: ProblemOverloaded, RetryAfter: time.Second, Detail: "no upstream"}
+}
+
+func (f *fakeRouter) Engine(id string) (upstream.Engine, error)   { return f.world.engines[id], nil }
+func (f *fakeRouter) Service(id string) (upstream.Service, error) { return f.world.services[id], nil }
+
+// fakeEngine answers "t0 t1 ..." and can break in the ways of its fields. It
+// keeps streams for a resume, as engines do.
+type fakeEngine struct {
+	upstream.Engine // methods that no test calls
+	id              string
+	gap             time.Duration // between tokens
+	salt            string        // makes the answers of engines differ
+	fickle          bool          // each run gives another answer
+	refuse          error         // Generate's answer
+	breakAt         int64         // the connection breaks before this token; 0: never
+	noResume        bool
+	stallAt         int64 // no token from here on; 0: never
+	overrun         int64 // tokens that a resumed stream goes on past the maximum
+
+	mu        sync.Mutex
+	generated int // calls of Generate
+	resumed   int
+	cancelled []string
+	kept      map[string]int64 // MaxTokens by stream id
+}
+
+func (e *fakeEngine) Generate(ctx context.Context, g upstream.Generate) (upstream.Stream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.refuse != nil {
+		return nil, e.refuse
+	}
+	e.generated++
+	e.kept[g.StreamID] = g.MaxTokens
+	s := &fakeStream{engine: e, ctx: ctx, max: g.MaxTokens, breakAt: e.breakAt, salt: e.salt}
+	if e.fickle {
+		s.salt = fmt.Sprint(e.generated)
+	}
+	return s, nil
+}
+
+func (e *fakeEngine) Resume(ctx context.Context, id string, from int64) (upstream.Stream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	limit, known := e.kept[id]
+	if e.noResume || !known {
+		return nil, upstream.ErrNoStream
+	}
+	e.resumed++
+	return &fakeStream{engine: e, ctx: ctx, max: limit + e.overrun, at: from, salt: e.salt}, nil
+}
+
+func (e *fakeEngine) Cancel(_ context.Context, id string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cancelled = append(e.cancelled, id)
+	return nil
+}
+
+type fakeStream struct {
+	engine  *fakeEngine
+	ctx     context.Context
+	at, max int64
+	breakAt int64
+	salt    string
+}
+
+func (s *fakeStream) Next() (upstream.Token, error) {
+	if s.engine.stallAt > 0 && s.at >= s.engine.stallAt {
+		<-s.ctx.Done()
+	}
+	if !sleep(s.ctx, s.engine.gap) {
+		return upstream.Token{}, fmt.Errorf("%w: %w", upstream.ErrBroken, s.ctx.Err())
+	}
+	if s.breakAt > 0 && s.at >= s.breakAt {
+		return upstream.Token{}, upstream.ErrBroken
+	}
+	if s.at >= s.max {
+		return upstream.Token{}, io.EOF
+	}
+	s.at++
+	return upstream.Token{Position: s.at - 1, Text: fmt.Sprintf("%st%d ", s.salt, s.at-1)}, nil
+}
+
+func (s *fakeStream) Usage() upstream.Usage {
+	return upstream.Usage{PromptTokens: 3, OutputTokens: s.at, FinishReason: upstream.FinishLength}
+}
+
+func (s *fakeStream) Close() error { return nil }
+
+// fakeService records what it ran.
+type fakeService struct {
+	delay time.Duration
+	err   error // the answer's fate; a call that fails with it ran unless runs is false
+	runs  int
+	mu    sync.Mutex
+}
+
+func (s *fakeService) Do(ctx context.Context, c upstream.Call) (upstream.Reply, error) {
+	s.mu.Lock()
+	proved := provesNotRun(s.err)
+	if !proved {
+		s.runs++
+	}
+	s.mu.Unlock()
+	if !sleep(ctx, s.delay) {
+		return upstream.Reply{}, upstream.ErrBroken
+	}
+	return upstream.Reply{Status: 200, Body: append([]byte("did "), c.Body...)}, s.err
+}
+
+// chat is a model request with a key that the caller chose.
+func chat(id string, tokens int64) *Request {
+	return &Request{
+		Key: Key{Workspace: "studio", ID: id}, Digest: sha256.Sum256([]byte("chat")), Budget: "main",
+		CallerKey: true, Timeout: 20 * time.Second,
+		Generate: &Generate{Model: "livery", Prompt: "a prompt", MaxTokens: tokens},
+	}
+}
+
+// order is a call that may not be repeated.
+func order(id string) *Request {
+	return &Request{
+		Key: Key{Workspace: "studio", ID: id}, Digest: sha256.Sum256([]byte("order")), Budget: "main",
+		CallerKey: true, Timeout: 5 * time.Second,
+		Call: &Call{Service: "orders", Method: "POST", Path: "/confirm", Body: []byte("it"), Tokens: 5},
+	}
+}
+
+// answered is what one caller got.
+type answered struct {
+	text    string
+	outcome Outcome
+	err     error
+}
+
+// ask runs a request and collects the answer, with the request's own deadline.
+func ask(ctx context.Context, do func(context.Context, *Request, func(Update) error) (Outcome, error), r *Request) answered {
+	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
+	defer cancel()
+	var text strings.Builder
+	outcome, err := do(ctx, r, func(u Update) error {
+		text.WriteString(u.Text)
+		return nil
+	})
+	return answered{text: text.String(), outcome: outcome, err: err}
+}
+
+// whole is the answer of n tokens by an engine without salt.
+func whole(n int64) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, "t%d ", i)
+	}
+	return b.String()
+}
+
+// inBubble runs a test in virtual time and waits for all of its goroutines.
+func inBubble(t *testing.T, f func(t *testing.T)) {
+	synctest.Test(t, func(t *testing.T) {
+		f(t)
+		synctest.Wait()
+	})
+}
--- a/router/stop.go
+++ b/router/stop.go
@@ -69,6 +69,7 @@
 	if r.cancel != nil {
 		r.cancel()
 	}
+	r.executor.Stop()
 	err := errors.Join(r.callers.Close(), r.admin.Close(), r.peerSrv.Close(), r.keeper.Stop(), r.watcher.Stop(), r.peers.Close())
 	r.tasks.Wait()
 	r.client.Close()
