Budgets: random schedules against the truth, and four faults they found

A property test runs random schedules of requests, retries, kills, restarts, pauses, cuts, outages, lost and delayed writes, hand-overs and duties in virtual time, and compares the table at every step with what engines consumed.

Found by it, each failing first: - A segment that is sent again after a lost answer, and arrives after the fold took the first copy away, stayed behind for ever (rapid). The reclaim removes such rows with the holder. - A table that takes calls and never answers stopped operators' and duties' calls without a deadline. Every call is now bounded (ledger.Bounded). - An append that took effect while a transfer learned of the seal closed its entries twice and panicked.

--- a/budget/keeper.go
+++ b/budget/keeper.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"buckthornridge/budget/ledger"
 	"buckthornridge/config"
 	"buckthornridge/journal"
 	"buckthornridge/platform"
@@ -67,6 +68,7 @@
 // NewKeeper returns a keeper that holds nothing. Start begins its work.
 func NewKeeper(cfg KeeperConfig) *Keeper {
 	ctx, cancel := context.WithCancel(context.Background())
+	cfg.Table = ledger.Bounded(cfg.Table)
 	return &Keeper{
 		cfg:      cfg,
 		journal:  journal.NewWriter(cfg.Table, cfg.Holder, cfg.CommitInterval),
--- a/budget/keeper_test.go
+++ b/budget/keeper_test.go
@@ -42,7 +42,21 @@
 	if k == nil || f.cut[holder] {
 		return budget.RecallReply{}, fmt.Errorf("%s unreachable", holder)
 	}
-	return k.Recall(ctx, id, want)
+	type answer struct {
+		reply budget.RecallReply
+		err   error
+	}
+	answered := make(chan answer, 1)
+	go func() {
+		reply, err := k.Recall(ctx, id, want)
+		answered <- answer{reply, err}
+	}()
+	select {
+	case a := <-answered:
+		return a.reply, a.err
+	case <-ctx.Done(): // the other process may be paused
+		return budget.RecallReply{}, ctx.Err()
+	}
 }
 
 // start starts an incarnation of a router and waits until it serves.
@@ -55,7 +69,7 @@
 	holder := budget.HolderName(vm, incarnation)
 	k := budget.NewKeeper(budget.KeeperConfig{
 		Table: services.Table, Holder: holder, Recaller: f,
-		Policy: func() config.BudgetPolicy { return config.BudgetPolicy{RefusalWeight: f.weight} },
+		Policy: f.policy,
 	})
 	f.keepers[holder] = k
 	_ = k.Start(f.t.Context())
@@ -63,6 +77,8 @@
 	return k
 }
 
+func (f *fleet) policy() config.BudgetPolicy { return config.BudgetPolicy{RefusalWeight: f.weight} }
+
 func (f *fleet) topUp(id budget.ID, topUp string, tokens int64) {
 	if _, err := budget.TopUp(f.t.Context(), f.table, id, topUp, tokens); err != nil {
 		f.t.Fatal(err)
--- a/budget/limits.go
+++ b/budget/limits.go
@@ -16,10 +16,6 @@
 // maxPending bounds the entries that are kept in memory while the table is down.
 const maxPending = 100_000
 
-// callTimeout bounds one call to the table; a commit that takes longer has an
-// unknown outcome and is resolved.
-const callTimeout = 2 * time.Second
-
 // limits is what the policy's refusal weight sets. None of it can cause
 // overspend.
 type limits struct {
--- a/budget/operator.go
+++ b/budget/operator.go
@@ -31,6 +31,7 @@
 	if topUpID == "" || tokens <= 0 {
 		return false, eris.Wrapf(ErrInvalidRequest, "top up %s: id %q, %d tokens", id, topUpID, tokens)
 	}
+	table = ledger.Bounded(table)
 	for attempt := 1; ; attempt++ {
 		applied, err = topUpOnce(ctx, table, id, topUpID, tokens)
 		// A lost answer is resolved by reading again: either the top-up's row is
@@ -83,7 +84,7 @@
 
 // Status reads one budget. A budget that was never topped up is all zero.
 func Status(ctx context.Context, table platform.Table, id ID) (State, error) {
-	rows, err := table.Read(ctx, ledger.BudgetKey(id))
+	rows, err := ledger.Bounded(table).Read(ctx, ledger.BudgetKey(id))
 	if err != nil {
 		return State{}, eris.Wrapf(err, "status of %s", id)
 	}
@@ -116,6 +117,7 @@
 // the applied top-ups. It is right at any moment, also under load: the first two
 // are read in one row, and the third is read again before it is reported.
 func Audit(ctx context.Context, table platform.Table) (Report, error) {
+	table = ledger.Bounded(table)
 	report := Report{Lost: map[Cause]int64{}}
 	after := ""
 	for {
--- a/budget/reclaim.go
+++ b/budget/reclaim.go
@@ -48,6 +48,7 @@
 
 // Run makes one bounded pass. It goes on after an error with one holder.
 func (r Reclaimer) Run(ctx context.Context) (ReclaimStats, error) {
+	r.Table = ledger.Bounded(r.Table)
 	var stats ReclaimStats
 	vms, _, err := r.VMs.List(ctx)
 	if err != nil {
@@ -158,12 +159,7 @@
 		return false, eris.Wrapf(err, "scan held budgets")
 	}
 	if len(listed) == 0 {
-		txn.Writes = []platform.Write{{Key: foldKey, Delete: true}}
-		_, err := r.Table.Commit(ctx, txn)
-		if err == nil {
-			stats.Holders++
-		}
-		return false, eris.Wrapf(err, "remove holder")
+		return r.remove(ctx, holder, txn, stats)
 	}
 	one, err := r.planFree(ctx, holder, state, listed, &txn)
 	if err != nil {
@@ -178,6 +174,27 @@
 	return true, nil
 }
 
+// remove deletes what is left of a holder that holds nothing: the fold row, and
+// segments that were sent a second time because an answer was lost, and arrived
+// after the fold had taken the first copy away. No fold ever reads those.
+func (r Reclaimer) remove(ctx context.Context, holder string, txn platform.Txn, stats *ReclaimStats) (more bool, err error) {
+	stray, err := r.Table.Scan(ctx, ledger.SegmentsPrefix(holder), "", reclaimBatch)
+	if err != nil {
+		return false, eris.Wrapf(err, "scan segments")
+	}
+	for _, row := range stray {
+		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
+	}
+	if len(stray) == 0 {
+		txn.Writes = []platform.Write{{Key: ledger.FoldKey(holder), Delete: true}}
+	}
+	_, err = r.Table.Commit(ctx, txn)
+	if err == nil && len(stray) == 0 {
+		stats.Holders++
+	}
+	return len(stray) > 0, eris.Wrapf(err, "remove holder")
+}
+
 func (r Reclaimer) planFree(ctx context.Context, holder string, state journal.State, listed []platform.Row, txn *platform.Txn) (ReclaimStats, error) {
 	var stats ReclaimStats
 	ids := make([]ID, len(listed))
--- a/budget/transfer.go
+++ b/budget/transfer.go
@@ -111,8 +111,6 @@
 
 // read refreshes the rows and makes sure that the journal is not sealed.
 func (b *batch) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	life := b.keeper.journal.Condition()
 	keys := []string{life.Key}
 	for _, op := range b.ops {
@@ -200,8 +198,6 @@
 }
 
 func (k *Keeper) commit(ctx context.Context, txn platform.Txn) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	_, err := k.cfg.Table.Commit(ctx, txn)
 	return eris.Wrapf(err, "transfer of %s", k.cfg.Holder)
 }
--- /dev/null
+++ b/budget/world_test.go
@@ -0,0 +1,428 @@
+package budget_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"buckthornridge/budget"
+	"buckthornridge/budget/ledger"
+	"buckthornridge/journal"
+	"buckthornridge/platform"
+)
+
+// eventKind is something that happens in a random schedule.
+type eventKind int
+
+const (
+	eventRequest   eventKind = iota // a request with its own key
+	eventRetry                      // the last request again, at this router
+	eventTopUp                      //
+	eventDuties                     // fold and reclaim
+	eventTwoDuties                  // two control processes at once
+	eventKill                       // the process dies, and the platform notices after a while
+	eventRestart                    // a new incarnation under the same address
+	eventPause                      // the process stops, its calls half way out of the door
+	eventWake
+	eventDeclareGone // the platform takes the VM for gone, paused or not
+	eventCut
+	eventHeal
+	eventStoreDown
+	eventStoreUp
+	eventSlow
+	eventLoseAnswers  // writes take effect, their answers are lost
+	eventDelayWrites  // writes take effect later, or never
+	eventReleaseWrite // the delayed ones arrive
+	eventHandOver     // a planned stop that hands its pending bills over
+	eventKinds
+)
+
+// event is one step of a schedule.
+type event struct {
+	After   time.Duration
+	Kind    eventKind
+	Router  int
+	Ceiling int64
+	Used    int64 // share of the ceiling in percent
+	Lasts   time.Duration
+	Number  int
+}
+
+const worldRouters = 3
+
+func drawEvent(t *rapid.T) event {
+	return event{
+		After:   time.Duration(rapid.IntRange(0, 1500).Draw(t, "after ms")) * time.Millisecond,
+		Kind:    eventKind(rapid.OneOf(rapid.Just(0), rapid.IntRange(0, int(eventKinds)-1)).Draw(t, "kind")),
+		Router:  rapid.IntRange(0, worldRouters-1).Draw(t, "router"),
+		Ceiling: rapid.Int64Range(1, 400).Draw(t, "ceiling"),
+		Used:    rapid.Int64Range(0, 100).Draw(t, "used percent"),
+		Lasts:   time.Duration(rapid.IntRange(0, 3000).Draw(t, "lasts ms")) * time.Millisecond,
+		Number:  rapid.IntRange(1, 4).Draw(t, "number"),
+	}
+}
+
+// world runs a schedule and keeps the truth that the table must never
+// contradict: what engines consumed and may yet consume.
+type world struct {
+	*fleet
+	ctx     context.Context
+	routers [worldRouters]*worldRouter
+	clients sync.WaitGroup
+	number  int
+	last    event
+
+	mu       sync.Mutex
+	consumed int64            // by ended runs
+	running  int64            // ceilings of running ones
+	acked    map[string]int64 // bills that Bill called durable, by request key
+	tried    map[string]int64 // bills that were tried
+	faults   []string
+	paused   map[string]chan struct{}
+}
+
+type worldRouter struct {
+	vm          string
+	incarnation int
+	keeper      *budget.Keeper
+	dead        chan struct{} // closed when the process died
+}
+
+func runWorld(t *testing.T, weight float64, schedule []event) []string {
+	w := &world{fleet: newFleet(t), acked: map[string]int64{}, tried: map[string]int64{}, paused: map[string]chan struct{}{}}
+	w.weight = weight
+	w.ctx = t.Context()
+	w.fake.SetHooks(platform.Hooks{Before: w.beforeCall})
+	for i := range w.routers {
+		w.routers[i] = &worldRouter{vm: fmt.Sprintf("vm-%d", i)}
+		w.boot(w.routers[i])
+	}
+	w.buy(1000)
+	for _, e := range schedule {
+		time.Sleep(e.After)
+		w.happen(e)
+		w.check()
+	}
+	w.settle()
+	return w.faults
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+// beforeCall holds the calls of a paused process; they arrive when it wakes.
+func (w *world) beforeCall(c platform.Call) {
+	w.mu.Lock()
+	wake := w.paused[c.VM]
+	w.mu.Unlock()
+	if wake != nil {
+		<-wake
+	}
+}
+
+func (w *world) boot(r *worldRouter) {
+	r.incarnation++
+	r.dead = make(chan struct{})
+	services := w.fake.As(r.vm)
+	announced := platform.VM{ID: r.vm, Incarnation: fmt.Sprint(r.incarnation), Role: "router", Address: "127.0.0.1:1", State: platform.VMLive}
+	faults := w.fake.Faults()
+	w.fake.SetFaults(platform.Faults{})
+	w.faultless(w.fake.As("starter").VMs.Announce(w.ctx, announced))
+	w.fake.SetFaults(faults)
+	holder := budget.HolderName(r.vm, fmt.Sprint(r.incarnation))
+	r.keeper = budget.NewKeeper(budget.KeeperConfig{Table: services.Table, Holder: holder, Recaller: w, Policy: w.policy})
+	w.keepers[holder] = r.keeper
+	_ = r.keeper.Start(w.ctx)
+}
+
+func (w *world) buy(tokens int64) {
+	w.number++
+	ctx, cancel := context.WithTimeout(w.ctx, 10*time.Second)
+	defer cancel()
+	_, err := budget.TopUp(ctx, w.table, studio, fmt.Sprint("order-", w.number), tokens)
+	w.faultless(err)
+}
+
+// faultless notes errors that no fault of the platform explains.
+func (w *world) faultless(err error) {
+	if err != nil && !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrOutcomeUnknown) {
+		w.fault("%v", err)
+	}
+}
+
+func (w *world) happen(e event) {
+	r := w.routers[e.Router]
+	switch e.Kind {
+	case eventRequest:
+		w.number++
+		e.Number = w.number
+		w.last = e
+		w.client(r, e)
+	case eventRetry:
+		if w.last.Number > 0 {
+			w.client(r, w.last)
+		}
+	case eventTopUp:
+		w.buy(e.Ceiling)
+	case eventDuties:
+		w.quietDuties()
+	case eventTwoDuties:
+		var both sync.WaitGroup
+		both.Go(w.quietDuties)
+		both.Go(w.quietDuties)
+		both.Wait()
+	case eventKill:
+		w.kill(r)
+	case eventRestart:
+		w.kill(r)
+		w.boot(r)
+	case eventPause:
+		w.mu.Lock()
+		if w.paused[r.vm] == nil {
+			w.paused[r.vm] = make(chan struct{})
+		}
+		w.mu.Unlock()
+	case eventWake:
+		w.wake(r)
+	case eventDeclareGone:
+		_ = w.fake.SetVMState(r.vm, platform.VMGone)
+	case eventHandOver:
+		w.handOver(r, w.routers[(e.Router+1)%worldRouters])
+	default:
+		w.fake.UpdateFaults(func(f *platform.Faults) { changeFaults(f, r.vm, e) })
+		if e.Kind == eventReleaseWrite {
+			w.fake.ReleaseDelayed()
+		}
+	}
+}
+
+func changeFaults(f *platform.Faults, vm string, e event) {
+	switch e.Kind {
+	case eventCut:
+		f.Cut = append(f.Cut, vm)
+		f.Silent = e.Number%2 == 0
+	case eventHeal:
+		f.Cut = nil
+	case eventStoreDown:
+		f.Down = true
+		f.Silent = e.Number%2 == 0
+	case eventStoreUp:
+		f.Down = false
+	case eventSlow:
+		f.Latency = time.Duration(e.Number) * 400 * time.Millisecond
+	case eventLoseAnswers:
+		f.LoseNext = e.Number
+	case eventDelayWrites:
+		f.DelayNext = e.Number
+		f.Delay = e.Lasts
+	}
+}
+
+func (w *world) quietDuties() {
+	ctx, cancel := context.WithTimeout(w.ctx, 20*time.Second)
+	defer cancel()
+	_, _ = journal.Folder{Table: w.table}.Run(ctx)
+	_, _ = budget.Reclaimer{Table: w.table, VMs: w.fake.As("operator").VMs}.Run(ctx)
+}
+
+func (w *world) wake(r *worldRouter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if wake := w.paused[r.vm]; wake != nil {
+		close(wake)
+		delete(w.paused, r.vm)
+	}
+}
+
+// kill ends a process: it bills nothing more. Its runs go on at the engines.
+func (w *world) kill(r *worldRouter) {
+	w.wake(r)
+	select {
+	case <-r.dead:
+	default:
+		close(r.dead)
+	}
+	_ = r.keeper.Stop()
+}
+
+// handOver is a planned stop that gives up after a while, for example because
+// the table is down, and hands what is pending to a neighbour.
+func (w *world) handOver(r, to *worldRouter) {
+	if w.isPaused(r) || w.isPaused(to) || isClosed(r.dead) || isClosed(to.dead) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(w.ctx, time.Second)
+	defer cancel()
+	if err := r.keeper.Drain(ctx); err != nil && !r.keeper.Journal().Sealed() {
+		pending := r.keeper.Journal().Pending()
+		to.keeper.Journal().Adopt(r.keeper.Journal().Holder(), pending)
+	}
+	w.kill(r)
+}
+
+func (w *world) isPaused(r *worldRouter) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.paused[r.vm] != nil
+}
+
+func isClosed(c chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// client sends one request to a router.
+func (w *world) client(r *worldRouter, e event) {
+	keeper, dead := r.keeper, r.dead
+	if isClosed(dead) || w.isPaused(r) {
+		return
+	}
+	w.clients.Go(func() {
+		ctx, cancel := context.WithTimeout(w.ctx, 3*time.Second)
+		defer cancel()
+		key := fmt.Sprint("request-", e.Number)
+		reservation, err := keeper.Reserve(ctx, budget.Request{Budget: studio, RequestKey: key, Ceiling: e.Ceiling})
+		if err != nil || isClosed(dead) {
+			return
+		}
+		w.dispatched(e.Ceiling)
+		select {
+		case <-time.After(e.Lasts):
+		case <-dead:
+			w.ran(e.Ceiling, e.Ceiling) // nobody stops the engine
+			return
+		}
+		used := e.Ceiling * e.Used / 100
+		w.ran(e.Ceiling, used)
+		switch e.Number % 5 {
+		case 4:
+			reservation.Lose(used, budget.CauseFailed)
+		default:
+			w.bill(reservation, key, used, dead)
+		}
+	})
+}
+
+func (w *world) dispatched(ceiling int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running += ceiling
+	var row ledger.Budget
+	_ = ledger.Decode("", w.fake.Dump(ledger.BudgetKey(studio))[0].Value, &row)
+	if w.consumed+w.running > row.Purchased {
+		w.fault("overspend: %d consumed, %d running, %d purchased", w.consumed, w.running, row.Purchased)
+	}
+}
+
+func (w *world) ran(ceiling, used int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running -= ceiling
+	w.consumed += used
+}
+
+func (w *world) bill(r *budget.Reservation, key string, used int64, dead chan struct{}) {
+	w.mu.Lock()
+	w.tried[key] = used
+	w.mu.Unlock()
+	err := r.Bill(w.ctx, used)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err == nil {
+		w.acked[key] = used
+	} else if !errors.Is(err, budget.ErrBillPending) && !errors.Is(err, journal.ErrSealed) {
+		w.fault("bill: %v", err)
+	}
+}
+
+// check audits the table past all faults.
+func (w *world) check() {
+	for _, row := range w.fake.Dump(ledger.BudgetPrefix) {
+		var b ledger.Budget
+		if err := ledger.Decode(row.Key, row.Value, &b); err != nil {
+			w.fault("%v", err)
+		}
+		if err := b.Check(); err != nil {
+			w.fault("%s: %v", row.Key, err)
+		}
+	}
+}
+
+// settle ends all faults and processes, and compares the books with the truth.
+func (w *world) settle() {
+	w.fake.SetFaults(platform.Faults{Latency: time.Millisecond})
+	for _, r := range w.routers {
+		w.wake(r)
+	}
+	w.clients.Wait()
+	w.fake.ReleaseDelayed()
+	for _, r := range w.routers {
+		if !isClosed(r.dead) {
+			ctx, cancel := context.WithTimeout(w.ctx, 30*time.Second)
+			if err := r.keeper.Drain(ctx); err != nil && !errors.Is(err, journal.ErrSealed) {
+				w.fault("drain: %v", err)
+			}
+			cancel()
+		}
+		w.kill(r)
+		_ = w.fake.SetVMState(r.vm, platform.VMGone)
+	}
+	w.fake.ReleaseDelayed()
+	for range 3 {
+		w.duties()
+	}
+	w.check()
+	w.compare()
+}
+
+func (w *world) compare() {
+	state := w.status(studio)
+	var acked, tried int64
+	for _, tokens := range w.acked {
+		acked += tokens
+	}
+	for _, tokens := range w.tried {
+		tried += tokens
+	}
+	if state.Billed < acked || state.Billed > tried {
+		w.fault("billed %d, but %d were acknowledged and %d tried", state.Billed, acked, tried)
+	}
+	if w.consumed > state.Billed+state.LostTokens() {
+		w.fault("consumed %d, but billed %d and lost %v", w.consumed, state.Billed, state.Lost)
+	}
+	for _, prefix := range []string{ledger.FoldPrefix, ledger.HeldPrefix, ledger.LifePrefix, ledger.SegmentPrefix, ledger.AdoptedPrefix} {
+		if rows := w.fake.Dump(prefix); len(rows) > 0 {
+			w.fault("left behind: %s", rows[0].Key)
+		}
+	}
+	if len(state.Holders) > 0 {
+		w.fault("holders left: %v", state.Holders)
+	}
+}
+
+// TestRandomSchedules: whatever happens to routers, the table and the answers,
+// in whatever order, engines never consume more than was purchased, the books
+// add up at every step, every acknowledged bill is in them once, and in the end
+// every token is billed, lost or free.
+func TestRandomSchedules(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		weight := rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(rt, "refusal weight")
+		schedule := rapid.SliceOfN(rapid.Custom(drawEvent), 1, 40).Draw(rt, "schedule")
+		var faults []string
+		synctest.Test(t, func(t *testing.T) { faults = runWorld(t, weight, schedule) })
+		if len(faults) > 0 {
+			rt.Fatalf("%s", faults[0])
+		}
+	})
+}
--- a/journal/commit.go
+++ b/journal/commit.go
@@ -65,8 +65,6 @@
 }
 
 func (w *Writer) readLife(ctx context.Context) (platform.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	rows, err := w.table.Read(ctx, ledger.LifeKey(w.holder))
 	if err != nil {
 		return platform.Row{}, eris.Wrapf(err, "read life of %s", w.holder)
@@ -163,8 +161,6 @@
 // before: it is there, or it is folded. If it is neither, the journal was
 // sealed.
 func (w *Writer) readBackSegment(ctx context.Context, key string) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	rows, err := w.table.Read(ctx, key, ledger.FoldKey(w.holder))
 	if err != nil {
 		return eris.Wrapf(err, "read back %s", key)
@@ -263,8 +259,6 @@
 }
 
 func (w *Writer) commit(ctx context.Context, txn platform.Txn) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	version, err := w.table.Commit(ctx, txn)
 	return version, eris.Wrapf(err, "journal of %s", w.holder)
 }
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -21,9 +21,6 @@
 	DefaultInterval = 40 * time.Millisecond
 	// maxInterval bounds the interval after refusals.
 	maxInterval = time.Second
-	// callTimeout bounds one call to the table; a call that takes longer has an
-	// unknown outcome and is resolved.
-	callTimeout = 2 * time.Second
 )
 
 // Item is one entry on its way to the table.
@@ -76,7 +73,7 @@
 		interval = DefaultInterval
 	}
 	return &Writer{
-		table: table, holder: holder, interval: interval, nonce: rand.Text(),
+		table: ledger.Bounded(table), holder: holder, interval: interval, nonce: rand.Text(),
 		kick: make(chan struct{}, 1), ready: make(chan struct{}), dead: make(chan struct{}),
 	}
 }
@@ -260,13 +257,20 @@
 }
 
 func (w *Writer) stopped(err error) error {
-	if errors.Is(err, ErrSealed) || errors.Is(err, ErrTaken) {
-		w.MarkSealed(err)
+	if !errors.Is(err, ErrSealed) && !errors.Is(err, ErrTaken) {
+		return err
 	}
+	w.MarkSealed(err)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	fail(w.inFlight)
+	w.inFlight = nil
 	return err
 }
 
-// MarkSealed ends the writer after its life row was found changed: every entry that is not durable never will be.
+// MarkSealed ends the writer after its life row was found changed: entries that
+// were not sent never will be durable. What is in flight may have come before
+// the seal; only Run, which sent it, can tell.
 func (w *Writer) MarkSealed(cause error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -274,16 +278,18 @@
 		return
 	}
 	klog.InfoS("journal sealed", "holder", w.holder, "pending", len(w.queue)+len(w.inFlight), "cause", cause)
-	for _, items := range [][]*Item{w.inFlight, w.queue} {
-		for _, item := range items {
-			item.err = ErrSealed
-			close(item.done)
-		}
-	}
-	w.inFlight, w.queue = nil, nil
+	fail(w.queue)
+	w.queue = nil
 	close(w.dead)
 }
 
+func fail(items []*Item) {
+	for _, item := range items {
+		item.err = ErrSealed
+		close(item.done)
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) error {
 	if d <= 0 {
 		return ctx.Err()
