--- a/budget/acquire.go
+++ b/budget/acquire.go
@@ -141,8 +141,8 @@
 	return change{delta: delta, exposure: k.planExposure(acc, delta, limits)}
 }
 
-// planExposure returns the exposure after a grant: twice the recent peak, which
-// healthy group commits need, or the policy's share of what is held. It never
+// planExposure returns the exposure after a grant: the recent peak, which healthy
+// group commits need, or the policy's share of what is held. It never
 // falls below what is uncommitted, and until the operation is certain the lower
 // of the old and the new value is in force. The caller holds acc.mu.
 func (k *Keeper) planExposure(acc *account, delta int64, limits limits) int64 {
@@ -150,7 +150,7 @@
 	for _, w := range acc.waiters {
 		acc.wish = max(acc.wish, w.reservation.ceiling)
 	}
-	exposure := max(2*acc.wish, int64(float64(held)*limits.exposed))
+	exposure := max(acc.wish, int64(float64(held)*limits.exposed))
 	exposure = max(min(exposure, held), acc.uncommitted)
 	acc.wish = acc.uncommitted
 	acc.exposure = min(acc.exposure, exposure)
--- a/budget/keeper_test.go
+++ b/budget/keeper_test.go
@@ -96,13 +96,13 @@
 }
 
 // status returns a budget after an audit of all.
-func (f *fleet) status(id budget.ID) budget.State {
+func (f *fleet) status(id budget.ID) *budget.State {
 	f.audit()
 	state, err := budget.Status(f.t.Context(), f.table, id)
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	return state
+	return &state
 }
 
 func (f *fleet) audit() {
@@ -119,12 +119,48 @@
 	}
 }
 
-func TestReserveBillRelease(t *testing.T) {
+// story runs a test in virtual time on a fleet whose studio bought tokens.
+func story(t *testing.T, tokens int64, tell func(t *testing.T, is *is.I, f *fleet)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
 		f := newFleet(t)
 		defer f.stop()
-		f.topUp(studio, "order-1", 1000)
+		f.topUp(studio, "order-1", tokens)
+		tell(t, is.New(t), f)
+	})
+}
+
+// reserve asks one router for tokens of the studio.
+func (f *fleet) reserve(k *budget.Keeper, key string, ceiling int64) (*budget.Reservation, error) {
+	return k.Reserve(f.t.Context(), budget.Request{Budget: studio, RequestKey: key, Ceiling: ceiling})
+}
+
+// must is reserve for requests that have to succeed.
+func (f *fleet) must(k *budget.Keeper, key string, ceiling int64) *budget.Reservation {
+	f.t.Helper()
+	r, err := f.reserve(k, key, ceiling)
+	if err != nil {
+		f.t.Fatal(key, err)
+	}
+	return r
+}
+
+// gone has the platform declare a VM gone, and waits until duties acted on it.
+func (f *fleet) gone(vm string) {
+	if err := f.fake.SetVMState(vm, platform.VMGone); err != nil {
+		f.t.Fatal(err)
+	}
+	f.duties()
+}
+
+// faults sets what is wrong with the platform.
+func (f *fleet) faults(faults platform.Faults) {
+	faults.Latency = 2 * time.Millisecond
+	f.fake.SetFaults(faults)
+}
+
+func TestReserveBillRelease(t *testing.T) {
+	story(t, 1000, func(t *testing.T, is *is.I, f *fleet) {
 		k := f.start("vm-1", "1")
 
 		first, err := k.Reserve(t.Context(), budget.Request{Budget: studio, RequestKey: "a", Ceiling: 400})
--- /dev/null
+++ b/budget/steps_test.go
@@ -0,0 +1,122 @@
+package budget_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/budget"
+	"buckthornridge/budget/ledger"
+	"buckthornridge/journal"
+	"buckthornridge/platform"
+)
+
+// step names a kind of write by the prefix of one of its rows.
+type step struct {
+	name    string
+	matches func(platform.Txn) bool
+}
+
+func writes(prefix string, deletes bool) func(platform.Txn) bool {
+	return func(txn platform.Txn) bool {
+		for _, w := range txn.Writes {
+			if strings.HasPrefix(w.Key, prefix) && w.Delete == deletes {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func conditioned(prefix string, match func(platform.Txn) bool) func(platform.Txn) bool {
+	return func(txn platform.Txn) bool {
+		for _, c := range txn.Conditions {
+			if strings.HasPrefix(c.Key, prefix) && match(txn) {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+var steps = []step{
+	{"create", func(txn platform.Txn) bool {
+		return writes(ledger.LifePrefix, false)(txn)
+	}},
+	{"grant and return", conditioned(ledger.LifePrefix, writes(ledger.BudgetPrefix, false))},
+	{"append", writes(ledger.SegmentPrefix, false)},
+	{"seal", writes(ledger.LifePrefix, true)},
+	{"fold", writes(ledger.SegmentPrefix, true)},
+	{"reclaim", conditioned(ledger.FoldPrefix, writes(ledger.HeldPrefix, true))},
+	{"remove holder", writes(ledger.FoldPrefix, true)},
+	{"top-up", writes(ledger.TopUpPrefix, false)},
+}
+
+// A write takes effect and its answer is lost; or it takes effect only after its
+// sender has looked and sent it again; or it never does. The sender cannot tell
+// these apart. Each is brought about for the first three writes of every kind in
+// a small history, from top-up over grants, bills and returns to a death, the
+// fold and the reclaim; every token must end up where it belongs, once.
+func TestLostAnswerAtEveryStep(t *testing.T) {
+	fates := map[string]platform.Faults{
+		"lost":            {LoseNext: 1},
+		"delayed":         {DelayNext: 1, Delay: 3 * time.Second},
+		"delayed forever": {DelayNext: 1},
+	}
+	for _, s := range steps {
+		for name, fate := range fates {
+			t.Run(s.name+" "+name, func(t *testing.T) { testLostAnswer(t, s, fate) })
+		}
+	}
+}
+
+func testLostAnswer(t *testing.T, s step, fate platform.Faults) {
+	story(t, 1000, func(t *testing.T, is *is.I, f *fleet) {
+		hits := 0
+		f.fake.SetHooks(platform.Hooks{Before: func(c platform.Call) {
+			if c.Step == platform.StepCommit && s.matches(c.Txn) && hits < 3 {
+				hits++
+				f.fake.UpdateFaults(func(faults *platform.Faults) {
+					faults.LoseNext, faults.DelayNext, faults.Delay = fate.LoseNext, fate.DelayNext, fate.Delay
+				})
+			}
+		}})
+		f.topUp(studio, "order-2", 1000)
+		k, doomed := f.start("vm-1", "1"), f.start("vm-2", "1")
+		is.NoErr(f.must(k, "one", 300).Bill(t.Context(), 200))
+		f.must(k, "two", 400).Lose(100, budget.CauseAbandoned)
+		is.NoErr(f.must(doomed, "three", 500).Bill(t.Context(), 50))
+		open := f.must(doomed, "four", 400)
+		time.Sleep(10 * time.Second)
+		f.retryingDuties()
+		time.Sleep(time.Minute) // the sweep returns idle grants
+		is.NoErr(k.Drain(t.Context()))
+		_ = doomed.Stop()
+		_ = f.fake.SetVMState("vm-2", platform.VMGone)
+		for range 6 {
+			f.retryingDuties()
+			time.Sleep(5 * time.Second)
+		}
+		// A creation that comes after its journal was removed leaves an empty
+		// journal until its VM is gone.
+		f.fake.ReleaseDelayed()
+		f.gone("vm-1")
+		state := f.status(studio)
+		is.True(hits > 0) // the step happened
+		is.Equal(state.Purchased, int64(2000))
+		is.Equal(state.Billed, int64(250))
+		is.Equal(state.Lost[budget.CauseAbandoned], int64(100))
+		is.True(state.Lost[budget.CauseHolderGone] >= open.Ceiling())
+		is.Equal(len(state.Holders), 0)
+		is.Equal(len(f.fake.Dump(ledger.FoldPrefix))+len(f.fake.Dump(ledger.SegmentPrefix)), 0)
+	})
+}
+
+// retryingDuties makes a pass whose lost answers the next pass resolves.
+func (f *fleet) retryingDuties() {
+	_, _ = journal.Folder{Table: f.table}.Run(f.t.Context())
+	_, _ = budget.Reclaimer{Table: f.table, VMs: f.fake.As("operator").VMs}.Run(f.t.Context())
+	f.audit()
+}
