Budgets: the grant experiment, and short pauses after lost races

Cause: all holders answer a recall at once, lose races on one row and back off exponentially from 20 ms, past the recall's 300 ms. A lost race means that another holder made progress, so the pause after it is now 1 ms plus up to 4 ms per lost race; a recall that finds nothing idle writes nothing.

--- a/budget/acquire.go
+++ b/budget/acquire.go
@@ -127,6 +127,24 @@
 	return &op.row, op.change.delta, nil
 }
 
+// Supply is what the size of a grant depends on.
+type Supply struct {
+	Rest    int64         // tokens that stay free after what is needed now
+	Holders int           // holders of the budget, this one included
+	Rate    float64       // this holder's recent demand in tokens per second
+	Horizon time.Duration // the time that the policy wants a grant to last
+}
+
+// shareDivisor keeps this share of a budget free: all holders together take at
+// most one part in so many ahead of demand.
+const shareDivisor = 2
+
+// AheadOfDemand covers the horizon while the budget is full, and ever less near
+// its end.
+func AheadOfDemand(s Supply) int64 {
+	return min(int64(s.Rate*s.Horizon.Seconds()), s.Rest/int64(shareDivisor*s.Holders))
+}
+
 // planGrant decides the size of a grant and the exposure.
 func (k *Keeper) planGrant(acc *account, row *ledger.Budget, limits limits) change {
 	acc.mu.Lock()
@@ -135,9 +153,11 @@
 	if need <= 0 || need > row.Free {
 		return change{skip: true}
 	}
-	ahead := int64(acc.demand.rate(time.Now()) * limits.horizon.Seconds())
-	ahead = min(ahead, (row.Free-need)/int64(2*(1+len(row.Holders))))
-	delta := need + max(0, ahead)
+	ahead := k.cfg.Ahead(Supply{
+		Rest: row.Free - need, Holders: len(row.Holders) + 1,
+		Rate: acc.demand.rate(time.Now()), Horizon: limits.horizon,
+	})
+	delta := need + min(max(0, ahead), row.Free-need)
 	return change{delta: delta, exposure: k.planExposure(acc, delta, limits)}
 }
 
--- /dev/null
+++ b/budget/experiment_test.go
@@ -0,0 +1,292 @@
+package budget_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/budget"
+	"buckthornridge/config"
+	"buckthornridge/journal"
+	"buckthornridge/platform"
+)
+
+var experimentSeeds = flag.Int("experiment", 0, "seeds of the grant experiment; 0 runs only the bars")
+
+// The experiment: ten workspaces, three of them large, on nine routers; each
+// budget lasts for a good part of the time.
+const (
+	expRouters  = 9
+	expDuration = 90 * time.Second
+	expFaultAt  = 40 * time.Second
+)
+
+// way is one way to grant.
+type way struct {
+	name   string
+	ahead  func(budget.Supply) int64
+	recall bool
+	wait   time.Duration // bound on a reservation; 0 leaves it to the policy
+}
+
+var ways = []way{
+	{name: "fixed slice", ahead: func(budget.Supply) int64 { return 10_000 }, wait: 40 * time.Millisecond},
+	{name: "demand", wait: 40 * time.Millisecond},
+	{name: "demand+recall+wait", recall: true},
+}
+
+// arrival is one request of the experiment.
+type arrival struct {
+	at       time.Duration
+	budget   int
+	key      string
+	ceiling  int64
+	used     int64
+	lasts    time.Duration
+	draw     uint64
+	admitted bool // by the perfect counter
+}
+
+// arrivals draws requests in order of time and what one perfect counter, that
+// reserves the same ceilings, admits.
+func arrivals(seed uint64, purchased []int64) []arrival {
+	random := rand.New(rand.NewPCG(seed, 1))
+	var all []arrival
+	for at := time.Duration(0); at < expDuration; {
+		at += time.Duration(random.ExpFloat64() * float64(time.Second) / 67)
+		a := arrival{at: at, budget: random.IntN(3), key: fmt.Sprint(len(all)), draw: random.Uint64()}
+		if random.IntN(67) < 7 {
+			a.budget = 3 + random.IntN(7)
+		}
+		a.ceiling = 100 + random.Int64N(900)
+		a.used = a.ceiling * (20 + random.Int64N(71)) / 100
+		a.lasts = time.Duration(300+random.IntN(3000)) * time.Millisecond
+		all = append(all, a)
+	}
+	left := append([]int64(nil), purchased...)
+	type settlement struct {
+		at     time.Duration
+		budget int
+		tokens int64
+	}
+	var settling []settlement
+	for i := range all {
+		a := &all[i]
+		rest := settling[:0]
+		for _, s := range settling {
+			if s.at <= a.at {
+				left[s.budget] += s.tokens
+			} else {
+				rest = append(rest, s)
+			}
+		}
+		settling = rest
+		if a.admitted = left[a.budget] >= a.ceiling; a.admitted {
+			left[a.budget] -= a.ceiling
+			settling = append(settling, settlement{a.at + a.lasts, a.budget, a.ceiling - a.used})
+		}
+	}
+	return all
+}
+
+// outcome sums up one run.
+type outcome struct {
+	requests, refused, falseRefusals int
+	// avoidable counts refusals at a moment when purchased less what was really
+	// consumed or running covered the request.
+	avoidable int
+	overspend int64
+	stranded  int64 // held, neither consumed nor running, at the end
+	commits   float64
+	reads     float64
+	conflicts float64
+}
+
+// trial is one run of the experiment.
+type trial struct {
+	*fleet
+	way     way
+	fault   string // "", "cut" or "frozen": a third of the routers
+	keepers []*budget.Keeper
+
+	mu        sync.Mutex
+	purchased []int64
+	consumed  []int64
+	running   []int64
+	result    outcome
+}
+
+func expBudget(i int) budget.ID { return budget.ID{Workspace: fmt.Sprint("w", i), Name: "b"} }
+
+func runTrial(t *testing.T, seed uint64, w way, fault string, weight float64) outcome {
+	x := &trial{fleet: newFleet(t), way: w, fault: fault, consumed: make([]int64, 10), running: make([]int64, 10)}
+	x.weight = weight
+	for i := range 10 {
+		tokens := int64(600_000) // lasts about 80 s
+		if i >= 3 {
+			tokens = 20_000
+		}
+		x.purchased = append(x.purchased, tokens)
+		x.topUp(expBudget(i), "order-1", tokens)
+	}
+	for i := range expRouters {
+		x.keepers = append(x.keepers, x.startWay(fmt.Sprint("vm-", i)))
+	}
+	all := arrivals(seed, x.purchased)
+	began := time.Now()
+	before := x.fake.Counters()
+	var clients sync.WaitGroup
+	faulty := false
+	for _, a := range all {
+		time.Sleep(time.Until(began.Add(a.at)))
+		if !faulty && a.at >= expFaultAt {
+			faulty = true
+			x.breakThird()
+		}
+		clients.Go(func() { x.request(a, x.pick(a, faulty)) })
+	}
+	clients.Wait()
+	after := x.fake.Counters()
+	x.finish(before, after)
+	for _, k := range x.keepers {
+		_ = k.Stop()
+	}
+	return x.result
+}
+
+func (x *trial) startWay(vm string) *budget.Keeper {
+	holder := budget.HolderName(vm, "1")
+	cfg := budget.KeeperConfig{Table: x.fake.As(vm).Table, Holder: holder, Ahead: x.way.ahead,
+		Policy: func() config.BudgetPolicy { return config.BudgetPolicy{RefusalWeight: x.weight} }}
+	if x.way.recall {
+		cfg.Recaller = x.fleet
+	}
+	k := budget.NewKeeper(cfg)
+	x.fleet.keepers[holder] = k
+	_ = k.Start(x.t.Context())
+	<-k.Ready()
+	return k
+}
+
+func (x *trial) breakThird() {
+	if x.fault == "" {
+		return
+	}
+	var cut []string
+	for i := range expRouters / 3 {
+		cut = append(cut, fmt.Sprint("vm-", i))
+		x.cut[budget.HolderName(cut[i], "1")] = true
+	}
+	x.faults(platform.Faults{Cut: cut, Silent: true})
+}
+
+// pick chooses the router: the balancer sends nothing to frozen ones.
+func (x *trial) pick(a arrival, faulty bool) int {
+	if faulty && x.fault == "frozen" {
+		return expRouters/3 + int(a.draw%(expRouters-expRouters/3))
+	}
+	return int(a.draw % expRouters)
+}
+
+func (x *trial) request(a arrival, router int) {
+	ctx := x.t.Context()
+	if x.way.wait > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, x.way.wait)
+		defer cancel()
+	}
+	covered := x.covered(a)
+	reservation, err := x.keepers[router].Reserve(ctx, budget.Request{Budget: expBudget(a.budget), RequestKey: a.key, Ceiling: a.ceiling})
+	x.mu.Lock()
+	x.result.requests++
+	if err != nil {
+		x.result.refused++
+		if a.admitted {
+			x.result.falseRefusals++
+		}
+		if a.admitted && x.fault == "" && x.way.recall {
+			r := err.(*budget.Refusal)
+			fmt.Printf("  at %v b%d ceil %d certain %v free %d waited? avoid %v left %d running %d retry %v\n", a.at, a.budget, a.ceiling, r.Certain, r.Free, covered, x.purchased[a.budget]-x.consumed[a.budget]-x.running[a.budget], x.running[a.budget], r.RetryAfter)
+		}
+		if covered && x.purchased[a.budget]-x.consumed[a.budget]-x.running[a.budget] >= a.ceiling {
+			x.result.avoidable++
+		}
+		x.mu.Unlock()
+		return
+	}
+	if !a.admitted && x.fault == "" && x.way.recall {
+		fmt.Printf("  extra at %v b%d ceil %d\n", a.at, a.budget, a.ceiling)
+	}
+	x.running[a.budget] += a.ceiling
+	over := x.consumed[a.budget] + x.running[a.budget] - x.purchased[a.budget]
+	x.result.overspend = max(x.result.overspend, over)
+	x.mu.Unlock()
+	time.Sleep(a.lasts)
+	x.mu.Lock()
+	x.running[a.budget] -= a.ceiling
+	x.consumed[a.budget] += a.used
+	x.mu.Unlock()
+	if err := reservation.Bill(x.t.Context(), a.used); err != nil && !errors.Is(err, budget.ErrBillPending) {
+		x.t.Error(err)
+	}
+}
+
+func (x *trial) covered(a arrival) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.purchased[a.budget]-x.consumed[a.budget]-x.running[a.budget] >= a.ceiling
+}
+
+func (x *trial) finish(before, after platform.Counters) {
+	seconds := expDuration.Seconds()
+	x.result.commits = float64(after.Commits-before.Commits) / seconds
+	x.result.reads = float64(after.Reads-before.Reads) / seconds
+	x.result.conflicts = float64(after.ConditionsFailed-before.ConditionsFailed) / seconds
+	x.fake.SetFaults(platform.Faults{})
+	if _, err := (journal.Folder{Table: x.table}).Run(x.t.Context()); err != nil {
+		x.t.Error(err)
+	}
+	for i := range 10 {
+		held := x.status(expBudget(i)).HeldTokens()
+		x.result.stranded += held
+	}
+}
+
+// TestFalseRefusals runs the experiment for one seed and holds it to the bars:
+// no overspend, and at most 0.1% of requests refused while the tokens were
+// there, 1% with a third of the routers frozen. With -experiment N it prints
+// all ways over N seeds.
+func TestFalseRefusals(t *testing.T) {
+	is := is.New(t)
+	for seed := range max(1, *experimentSeeds) {
+		for _, fault := range []string{"", "frozen", "cut"} {
+			for _, w := range ways {
+				for _, weight := range []float64{0, 1} {
+					if *experimentSeeds == 0 && (!w.recall || fault == "cut") {
+						continue
+					}
+					var got outcome
+					synctest.Test(t, func(t *testing.T) { got = runTrial(t, uint64(seed+1), w, fault, weight) })
+					is.Equal(got.overspend, int64(0))
+					if *experimentSeeds > 0 {
+						fmt.Printf("seed %d fault %-6s weight %.0f %-20s %+v\n", seed+1, fault, weight, w.name, got)
+						continue
+					}
+					bar := 0.001
+					if fault != "" {
+						bar = 0.01
+					}
+					is.True(float64(got.falseRefusals) <= bar*float64(got.requests))
+				}
+			}
+		}
+	}
+}
--- a/budget/giveback.go
+++ b/budget/giveback.go
@@ -25,10 +25,24 @@
 	if err := acc.hold(ctx); err != nil {
 		return RecallReply{Reserved: acc.outstanding()}, eris.Wrapf(err, "recall %s from %s", id, k.cfg.Holder)
 	}
+	if acc.nothingIdle() {
+		return RecallReply{Reserved: acc.outstanding()}, nil
+	}
 	given, err := k.giveBack(ctx, want, acc)
 	return RecallReply{Given: given, Reserved: acc.outstanding()}, err
 }
 
+// nothingIdle ends the busy state of an account that has nothing to give back.
+func (acc *account) nothingIdle() bool {
+	acc.mu.Lock()
+	defer acc.mu.Unlock()
+	if acc.idle > 0 {
+		return false
+	}
+	acc.end()
+	return true
+}
+
 // outstanding returns what this holder's requests may still use.
 func (acc *account) outstanding() int64 {
 	acc.mu.Lock()
--- a/budget/keeper.go
+++ b/budget/keeper.go
@@ -44,6 +44,9 @@
 	Policy func() config.BudgetPolicy
 	// Recaller reaches the other holders; nil if there is no way to.
 	Recaller Recaller
+	// Ahead decides what a grant takes beyond what waiting requests need; nil
+	// means AheadOfDemand.
+	Ahead func(Supply) int64
 	// CommitInterval is the least time between two journal commits; 0 means
 	// journal.DefaultInterval.
 	CommitInterval time.Duration
@@ -68,6 +71,9 @@
 // NewKeeper returns a keeper that holds nothing. Start begins its work.
 func NewKeeper(cfg KeeperConfig) *Keeper {
 	ctx, cancel := context.WithCancel(context.Background())
+	if cfg.Ahead == nil {
+		cfg.Ahead = AheadOfDemand
+	}
 	cfg.Table = ledger.Bounded(cfg.Table)
 	return &Keeper{
 		cfg:      cfg,
--- a/budget/transfer.go
+++ b/budget/transfer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -63,7 +64,8 @@
 // planned.
 func (k *Keeper) transferAll(ctx context.Context, ops ...*transfer) error {
 	b := &batch{keeper: k, ops: ops}
-	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
+	backoff, conflicts := minBackoff, 0
+	for {
 		err := b.attempt(ctx)
 		if err == nil {
 			return nil
@@ -72,18 +74,30 @@
 			k.journal.MarkSealed(err)
 			return err
 		}
+		wait := backoff
 		if errors.Is(err, platform.ErrConditionFailed) {
-			count.conflicts.Add(1)
+			conflicts++
+			wait = conflictPause(conflicts)
 		} else if b.unresolved == nil {
 			return err
+		} else {
+			backoff = min(2*backoff, maxBackoff)
 		}
 		ctx = k.ctx // once sent, it must be resolved, whoever asked for it
-		if pause(k.ctx, backoff) != nil {
+		if pause(k.ctx, wait) != nil {
 			return err
 		}
 	}
 }
 
+// conflictPause is the wait after a lost race: another holder made progress on
+// the row, so that the next look is due soon, and spread over more time the more
+// races were lost.
+func conflictPause(conflicts int) time.Duration {
+	count.conflicts.Add(1)
+	return time.Millisecond + rand.N(time.Duration(min(conflicts, 8))*4*time.Millisecond)
+}
+
 func (b *batch) attempt(ctx context.Context) error {
 	if err := b.read(ctx); err != nil {
 		return err
