--- /dev/null
+++ b/loadtool/caller/balancer.go
@@ -0,0 +1,89 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Checked is a Balancer that asks each router's /readyz, as the platform's
+// balancer does, and gives the ready ones in turn.
+type Checked struct {
+	routers []Router
+	checks  []string // URLs of /readyz
+	client  *http.Client
+	turn    atomic.Uint64
+
+	mu    sync.Mutex
+	ready []bool
+}
+
+// Times of the checks.
+const (
+	checkInterval = 250 * time.Millisecond
+	checkTimeout  = 500 * time.Millisecond
+)
+
+// NewChecked returns a balancer over routers and their admin addresses, all
+// taken as ready until they are checked.
+func NewChecked(routers []Router, admin []string) *Checked {
+	b := &Checked{routers: routers, client: &http.Client{Timeout: checkTimeout}, ready: make([]bool, len(routers))}
+	for i := range routers {
+		b.checks = append(b.checks, "http://"+admin[i]+"/readyz")
+		b.ready[i] = true
+	}
+	return b
+}
+
+// Run checks all routers until ctx ends.
+func (b *Checked) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	for i := range b.routers {
+		group.Go(func() { b.follow(ctx, i) })
+	}
+	group.Wait()
+	b.client.CloseIdleConnections()
+}
+
+func (b *Checked) follow(ctx context.Context, i int) {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		response, err := b.client.Get(b.checks[i])
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		b.mu.Lock()
+		b.ready[i] = err == nil && response.StatusCode == http.StatusOK
+		b.mu.Unlock()
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Next implements Balancer. Without a ready router it gives any.
+func (b *Checked) Next(avoid string) Router {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	first := int(b.turn.Add(1) % uint64(len(b.routers)))
+	choice := -1
+	for i := range b.routers {
+		at := (first + i) % len(b.routers)
+		if !b.ready[at] {
+			continue
+		}
+		if b.routers[at].VM != avoid {
+			return b.routers[at]
+		}
+		choice = at
+	}
+	if choice < 0 {
+		choice = first
+	}
+	return b.routers[choice]
+}
--- /dev/null
+++ b/loadtool/fault/fault.go
@@ -0,0 +1,149 @@
+// Package fault brings faults about at their times. It starts and signals no
+// process: what is due for a process is written as one line, "VERB NAME", to a
+// pipe whose reader owns the processes.
+package fault
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Kind says what a fault acts on.
+type Kind string
+
+// The kinds of fault.
+const (
+	// Process asks for a signal to, or a start of, the process Target.
+	Process Kind = "process"
+	// Platform sends Body to the platform stand-in's /debug/faults.
+	Platform Kind = "platform"
+	// State sets the state that the platform says the VM Target has.
+	State Kind = "state"
+	// Upstream sends Body to /debug/faults of the upstream Target.
+	Upstream Kind = "upstream"
+	// TopUp buys Share of the planned spend of every budget.
+	TopUp Kind = "top_up"
+)
+
+// Verb is what is asked for a process.
+type Verb string
+
+// The verbs; Restart is a planned stop and a start.
+const (
+	Kill    Verb = "kill"
+	Stop    Verb = "stop"
+	Cont    Verb = "cont"
+	Term    Verb = "term"
+	Start   Verb = "start"
+	Restart Verb = "restart"
+)
+
+// Fault is one thing that happens to a fleet.
+type Fault struct {
+	At     time.Duration `json:"at_ns"`
+	Kind   Kind          `json:"kind"`
+	Target string        `json:"target,omitempty"`
+	Verb   Verb          `json:"verb,omitempty"`
+	Body   string        `json:"body,omitempty"`
+	Share  float64       `json:"share,omitempty"`
+}
+
+// String describes the fault for progress lines.
+func (f Fault) String() string {
+	return strings.TrimSpace(strings.Join([]string{string(f.Kind), string(f.Verb), f.Target, f.Body}, " "))
+}
+
+// Done is a fault and when it was brought about.
+type Done struct {
+	Fault
+	When time.Time `json:"when"`
+}
+
+// Executor brings faults about.
+type Executor struct {
+	PlatformAddress string
+	// Upstreams are addresses by upstream id.
+	Upstreams map[string]string
+	// Resolve gives the id that a target of the table, such as "engine/1",
+	// stands for in this fleet.
+	Resolve func(target string) string
+	// Requests takes the lines for processes; nil if nobody reads them.
+	Requests io.Writer
+	// TopUp buys a share of the planned spend.
+	TopUp  func(ctx context.Context, share float64) error
+	Client *http.Client
+}
+
+// Run brings about all faults, each at its time after begun.
+func (e *Executor) Run(ctx context.Context, begun time.Time, faults []Fault, report func(Done, error)) {
+	for _, f := range faults {
+		timer := time.NewTimer(time.Until(begun.Add(f.At)))
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+		if e.Resolve != nil {
+			f.Target = e.Resolve(f.Target)
+		}
+		done := Done{Fault: f, When: time.Now()}
+		report(done, e.Do(ctx, f))
+	}
+}
+
+// Do brings one fault about now.
+func (e *Executor) Do(ctx context.Context, f Fault) error {
+	switch f.Kind {
+	case Process:
+		return e.request(f)
+	case Platform:
+		return e.post(ctx, "http://"+e.PlatformAddress+"/debug/faults", f.Body)
+	case State:
+		body, _ := json.Marshal(stateChange{ID: f.Target, State: f.Body}) // plain strings
+		return e.post(ctx, "http://"+e.PlatformAddress+"/debug/vms", string(body))
+	case Upstream:
+		return e.post(ctx, "http://"+e.Upstreams[f.Target]+"/debug/faults", f.Body)
+	case TopUp:
+		return e.TopUp(ctx, f.Share)
+	}
+	return eris.Errorf("unknown kind of fault %q", f.Kind)
+}
+
+type stateChange struct {
+	ID    string `json:"id"`
+	State string `json:"state"`
+}
+
+func (e *Executor) request(f Fault) error {
+	if e.Requests == nil {
+		return eris.Errorf("fault %s: nobody reads requests for processes (see the setting requests)", f)
+	}
+	_, err := fmt.Fprintf(e.Requests, "%s %s\n", f.Verb, f.Target)
+	return eris.Wrapf(err, "fault %s", f)
+}
+
+func (e *Executor) post(ctx context.Context, url, body string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return eris.Wrapf(err, "post %s", url)
+	}
+	response, err := e.Client.Do(request)
+	if err != nil {
+		return eris.Wrapf(err, "post %s", url)
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		text, _ := io.ReadAll(io.LimitReader(response.Body, 1<<10))
+		return eris.Errorf("post %s: %s: %s", url, response.Status, text)
+	}
+	return nil
+}
--- /dev/null
+++ b/loadtool/run/collect.go
@@ -0,0 +1,115 @@
+package run
+
+import (
+	"context"
+	"time"
+
+	"buckthornridge/budget/ledger"
+	"buckthornridge/config"
+	"buckthornridge/loadtool/audit"
+	"buckthornridge/loadtool/caller"
+	"buckthornridge/loadtool/report"
+	"buckthornridge/standin/engine"
+	"buckthornridge/standin/service"
+)
+
+func (e *experiment) callerOptions() caller.Options {
+	deadlines := map[string]time.Duration{}
+	for name, kind := range e.fleet.document.Kinds {
+		deadlines[name] = time.Duration(kind.DeadlineMS) * time.Millisecond
+	}
+	var routers []caller.Router
+	var admin []string
+	for _, vm := range e.Settings.VMs {
+		routers = append(routers, caller.Router{VM: vm.ID, Address: vm.Router})
+		admin = append(admin, vm.RouterAdmin)
+	}
+	e.balancer = caller.NewChecked(routers, admin)
+	return caller.Options{
+		Balancer:  e.balancer,
+		Keys:      e.Settings.Keys,
+		Deadlines: deadlines,
+		Tries:     callerTries,
+	}
+}
+
+// auditInput collects the accounts. An upstream that can't be asked, because it
+// died, is left out: its record died with it.
+func (e *experiment) auditInput(ctx context.Context) (audit.Input, error) {
+	rows, err := e.fleet.table(ctx, "")
+	if err != nil {
+		return audit.Input{}, err
+	}
+	in := audit.Input{
+		Rows:       rows,
+		Before:     e.before,
+		Runs:       map[string]engine.RunReport{},
+		Executions: map[string]service.Report{},
+		Purchased:  map[ledger.ID]int64{},
+	}
+	for _, id := range e.fleet.upstreams(config.UpstreamEngine) {
+		if runs, err := e.fleet.runs(ctx, id); err == nil {
+			in.Runs[id] = runs
+		}
+	}
+	for _, id := range e.fleet.upstreams(config.UpstreamService) {
+		if executions, err := e.fleet.executions(ctx, id); err == nil {
+			in.Executions[id] = executions
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	in.Results = append(in.Results, e.results...)
+	for _, p := range e.purchases {
+		in.Purchased[ledger.ID{Workspace: p.Workspace, Name: p.Budget}] += p.Tokens
+	}
+	return in, nil
+}
+
+// progress prints a line and samples the budgets now and then.
+func (e *experiment) progress(ctx context.Context) {
+	ticker := time.NewTicker(progressInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		point, err := e.sample(ctx)
+		if err != nil {
+			continue
+		}
+		e.mu.Lock()
+		e.spend = append(e.spend, point)
+		done, completed := len(e.results), 0
+		for _, r := range e.results {
+			if r.Completed {
+				completed++
+			}
+		}
+		e.mu.Unlock()
+		e.say("%d of %d requests ended, %d complete, %d open; billed %d, held %d, lost %d of %d tokens",
+			done, len(e.arrivals), completed, e.caller.Open.Load(), point.Billed, point.Held, point.Lost, point.Purchased)
+	}
+}
+
+// sample sums all budget rows.
+func (e *experiment) sample(ctx context.Context) (report.Point, error) {
+	p := report.Point{Second: time.Since(e.begun).Seconds()}
+	rows, err := e.fleet.table(ctx, ledger.BudgetPrefix)
+	if err != nil {
+		return p, err
+	}
+	for _, row := range rows {
+		var b ledger.Budget
+		if err := ledger.Decode(row.Key, row.Value, &b); err != nil {
+			return p, err
+		}
+		p.Purchased += b.Purchased
+		p.Billed += b.Billed
+		p.Held += b.HeldTokens()
+		p.Lost += b.LostTokens()
+	}
+	return p, nil
+}
--- /dev/null
+++ b/loadtool/run/fleet.go
@@ -0,0 +1,135 @@
+package run
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/admin"
+	"buckthornridge/config"
+	"buckthornridge/platform"
+	"buckthornridge/platform/wire"
+	"buckthornridge/standin/engine"
+	"buckthornridge/standin/service"
+)
+
+// fleet is the fleet as the tool reaches it.
+type fleet struct {
+	settings Settings
+	client   *http.Client
+	document config.Document
+}
+
+// Bounds of the tool's own calls.
+const (
+	debugTimeout  = 10 * time.Second
+	adminPatience = 20 * time.Second
+)
+
+func openFleet(ctx context.Context, s Settings) (*fleet, error) {
+	f := &fleet{settings: s, client: &http.Client{Timeout: debugTimeout}}
+	accepted, err := f.api(0).Config(ctx, 0)
+	if err != nil {
+		return nil, eris.Wrap(err, "read the accepted configuration")
+	}
+	f.document = accepted.Document
+	return f, nil
+}
+
+// api returns a client of the administration API of the i-th VM, in turn.
+func (f *fleet) api(i int) *admin.Client {
+	return &admin.Client{
+		Base:     "http://" + f.settings.VMs[i%len(f.settings.VMs)].API,
+		Token:    f.settings.Token,
+		HTTP:     f.client,
+		Patience: adminPatience,
+	}
+}
+
+// getJSON reads a /debug page.
+func (f *fleet) getJSON(ctx context.Context, address, path string, into any) error {
+	where := "http://" + address + path
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, where, nil)
+	if err != nil {
+		return eris.Wrapf(err, "get %s", where)
+	}
+	response, err := f.client.Do(request)
+	if err != nil {
+		return eris.Wrapf(err, "get %s", where)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return eris.Errorf("get %s: %s", where, response.Status)
+	}
+	return eris.Wrapf(json.NewDecoder(response.Body).Decode(into), "decode %s", where)
+}
+
+// table dumps rows of the platform stand-in, past its faults.
+func (f *fleet) table(ctx context.Context, prefix string) ([]platform.Row, error) {
+	var answer wire.RowsAnswer
+	err := f.getJSON(ctx, f.settings.Platform, "/debug/table?prefix="+url.QueryEscape(prefix), &answer)
+	return answer.Rows, err
+}
+
+func (f *fleet) counters(ctx context.Context) (platform.Counters, error) {
+	var c platform.Counters
+	err := f.getJSON(ctx, f.settings.Platform, "/debug/counters", &c)
+	return c, err
+}
+
+// upstreams lists the ids of one kind in order.
+func (f *fleet) upstreams(kind config.UpstreamKind) []string {
+	var ids []string
+	for id, u := range f.document.Upstreams {
+		if u.Kind == kind {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (f *fleet) runs(ctx context.Context, id string) (engine.RunReport, error) {
+	var report engine.RunReport
+	err := f.getJSON(ctx, f.document.Upstreams[id].Address, engine.PathRuns, &report)
+	return report, err
+}
+
+func (f *fleet) executions(ctx context.Context, id string) (service.Report, error) {
+	var report service.Report
+	err := f.getJSON(ctx, f.document.Upstreams[id].Address, service.PathExecutions, &report)
+	return report, err
+}
+
+// resolve turns a target such as "engine/1" into an upstream's id.
+func (f *fleet) resolve(target string) string {
+	kind, number, found := strings.Cut(target, "/")
+	if !found {
+		return target
+	}
+	ids := f.upstreams(config.UpstreamKind(kind))
+	at, err := strconv.Atoi(number)
+	if err != nil || at >= len(ids) {
+		return target
+	}
+	return ids[at]
+}
+
+// status is what a router says of itself at /debug/status.
+type status struct {
+	Version     config.Version `json:"version"`
+	Incarnation string         `json:"incarnation"`
+}
+
+func (f *fleet) status(ctx context.Context, vm VM) (status, error) {
+	var s status
+	err := f.getJSON(ctx, vm.RouterAdmin, "/debug/status", &s)
+	return s, err
+}
--- /dev/null
+++ b/loadtool/run/judge.go
@@ -0,0 +1,135 @@
+package run
+
+import (
+	"context"
+	"time"
+
+	"buckthornridge/loadtool/audit"
+	"buckthornridge/loadtool/oracle"
+	"buckthornridge/loadtool/record"
+	"buckthornridge/loadtool/report"
+)
+
+// judge compares what happened with what must hold and with a perfect system.
+func (e *experiment) judge(ctx context.Context) (*report.Report, error) {
+	in, err := e.auditInput(ctx)
+	if err != nil {
+		return nil, err
+	}
+	findings, err := audit.Run(in)
+	if err != nil {
+		return nil, err
+	}
+	span := e.span()
+	r := &report.Report{
+		Scenario: e.Scenario.Name, Seed: e.Seed, Fleet: e.fleet.document.Fleet.Name, VMs: len(e.Settings.VMs),
+		Seconds: span.Seconds(), Rate: e.Scenario.Rate, Requests: len(e.arrivals),
+		Faults: e.faults, FaultErrors: append(e.faultErrors, e.race.errors...), Spend: e.spend,
+	}
+	e.judgeAccounts(r, findings)
+	e.judgeAnswers(r)
+	e.judgeAgainstPerfect(r, span)
+	e.judgeOperations(ctx, r, in)
+	e.judgeCost(ctx, r)
+	r.Judge()
+	return r, nil
+}
+
+// span is the time from the first arrival to the last answer.
+func (e *experiment) span() time.Duration {
+	longest := e.Scenario.Duration
+	for _, r := range e.results {
+		longest = max(longest, r.Last().Ended.Sub(e.begun))
+	}
+	return longest
+}
+
+func (e *experiment) judgeAccounts(r *report.Report, f *audit.Findings) {
+	r.OverspendTokens = f.OverspendTokens
+	r.BilledTokens, r.ConsumedTokens, r.UnaccountedTokens = f.BilledTokens, f.ConsumedTokens, f.UnaccountedTokens
+	r.LostTokens = map[string]int64{}
+	var lost int64
+	for cause, tokens := range f.LostTokens {
+		r.LostTokens[string(cause)] = tokens
+		lost += tokens
+	}
+	if spent := f.BilledTokens + lost; spent > 0 {
+		r.LostShare = float64(lost) / float64(spent)
+	}
+	r.BillsMissing, r.BillsDouble = f.BillsMissing, f.BillsDouble
+	r.RunsDoubleNonrepeatable, r.NotRunButRan = f.RunsDouble, f.NotRunButRan
+	r.AnswersWrong, r.AnswersTruncated = f.AnswersWrong, f.AnswersTruncated
+	r.LedgerViolations, r.RecordsOmitted, r.UnfoldedSegments = f.LedgerViolations, f.RecordsOmitted, f.UnfoldedSegments
+	r.Examples = f.Examples
+}
+
+func (e *experiment) judgeAnswers(r *report.Report) {
+	first, gaps := report.NewHistogram(), report.NewHistogram()
+	r.Refusals, r.Problems = map[string]int{}, map[string]int{}
+	for _, result := range e.results {
+		r.Tries += len(result.Tries)
+		if result.Completed {
+			r.Completed++
+		} else if result.Last().Ending != record.Refused {
+			r.Unanswered++
+		}
+		for _, t := range result.Tries {
+			switch {
+			case t.Ending == record.Complete:
+			case t.Ending == record.Refused && t.RunState == record.NotRun:
+				r.Refusals[t.Problem]++
+			case t.Problem != "":
+				r.Problems[string(t.Ending)+" "+t.Problem+" "+t.RunState]++
+			default:
+				r.Problems[string(t.Ending)]++
+			}
+		}
+		if result.Completed && result.Ask != nil && result.Ask.Stream {
+			first.Add(result.FirstToken)
+		}
+		for _, gap := range result.Gaps {
+			gaps.Add(gap)
+		}
+	}
+	r.TTFT, r.ITL = first.Times(), gaps.Times()
+}
+
+func (e *experiment) judgeAgainstPerfect(r *report.Report, span time.Duration) {
+	ceilings := oracle.JudgeRefusals(e.results, e.purchases, e.begun, oracle.Ceilings)
+	lengths := oracle.JudgeRefusals(e.results, e.purchases, e.begun, oracle.Lengths)
+	r.BudgetAsked = ceilings.Asked
+	r.FalseRefusals, r.FalseRefusalRate = ceilings.False, ceilings.Rate()
+	r.FalseRefusalsClairvoyant, r.FalseRefusalRateClairvoyant = lengths.False, lengths.Rate()
+	affordable := oracle.Affordable(e.results, e.purchases, e.begun)
+	slow := max(e.Scenario.SlowEngines, 1)
+	goodput := oracle.JudgeGoodput(e.results, e.fleet.document, affordable, slow, span)
+	r.Goodput, r.GoodputInTime, r.GoodputPossible = goodput.Share(), goodput.InTime, goodput.Possible
+}
+
+func (e *experiment) judgeOperations(ctx context.Context, r *report.Report, in audit.Input) {
+	r.DrainCutRequests = audit.DrainCut(e.results, e.faults)
+	r.WorkAfterLeaving = audit.AfterLeaving(in, e.faults).Seconds()
+	r.ConfigInForce = e.versions.slowest(e.race.accepted, e.Settings.VMs).Seconds()
+	r.ConfigVersions, r.ConfigConflicts = len(e.race.accepted), e.race.conflicts
+	r.ConfigReverts = len(e.versions.reverts)
+	r.Examples = append(r.Examples, e.versions.reverts...)
+	final, err := e.fleet.api(0).Config(ctx, 0)
+	if err != nil {
+		r.FaultErrors = append(r.FaultErrors, "read the configuration in the end: "+err.Error())
+		return
+	}
+	r.ConfigLostUpdates = e.race.lostUpdates(final.Document)
+}
+
+func (e *experiment) judgeCost(ctx context.Context, r *report.Report) {
+	span := time.Since(e.begun.Add(-leadTime))
+	r.Control = controls(e.Settings.VMs, e.usageBefore, readUsages(e.Settings.VMs), span)
+	after, err := e.fleet.counters(ctx)
+	if err != nil {
+		r.FaultErrors = append(r.FaultErrors, "read the table's counters: "+err.Error())
+		return
+	}
+	reads := after.Reads + after.Scans - e.tableBefore.Reads - e.tableBefore.Scans
+	r.TableReadsPerS = float64(reads) / span.Seconds()
+	r.TableWritesPerS = float64(after.Commits-e.tableBefore.Commits) / span.Seconds()
+}
--- /dev/null
+++ b/loadtool/run/proc.go
@@ -0,0 +1,103 @@
+package run
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"buckthornridge/loadtool/report"
+)
+
+// usage is what a process used so far, by /proc.
+type usage struct {
+	pid   string
+	ticks int64 // of processor time
+	bytes int64 // read and written, sockets and files
+	rssKB int64
+}
+
+// Units of /proc on Linux: clock ticks are 1/100 s for user space everywhere.
+const (
+	ticksPerSecond = 100
+	kilo           = 1024
+	percent        = 100
+)
+
+// Fields of /proc/PID/stat after the program's name, from 0.
+const (
+	statUserTicks   = 11
+	statSystemTicks = 12
+)
+
+// readUsage reads a process's usage; ok is false if it can't be read.
+func readUsage(pidFile string) (u usage, ok bool) {
+	text, err := os.ReadFile(pidFile)
+	if err != nil {
+		return u, false
+	}
+	u.pid = strings.TrimSpace(string(text))
+	dir := filepath.Join("/proc", u.pid)
+	stat, err := os.ReadFile(filepath.Join(dir, "stat"))
+	if err != nil {
+		return u, false
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	if len(fields) <= statSystemTicks {
+		return u, false
+	}
+	u.ticks = number(fields[statUserTicks]) + number(fields[statSystemTicks])
+	io := keyed(filepath.Join(dir, "io"))
+	u.bytes = io["rchar"] + io["wchar"]
+	u.rssKB = keyed(filepath.Join(dir, "status"))["VmRSS"]
+	return u, true
+}
+
+func number(text string) int64 {
+	value, _ := strconv.ParseInt(text, 10, 64) // 0 for what is no number
+	return value
+}
+
+// keyed reads lines "Name: number".
+func keyed(path string) map[string]int64 {
+	text, _ := os.ReadFile(path) // an unreadable file has no lines
+	values := map[string]int64{}
+	for line := range strings.Lines(string(text)) {
+		name, rest, _ := strings.Cut(line, ":")
+		if fields := strings.Fields(rest); len(fields) > 0 {
+			values[name] = number(fields[0])
+		}
+	}
+	return values
+}
+
+// controls measures the control processes between two readings. One that was
+// restarted in between is left out: its second reading is of another process.
+func controls(vms []VM, before, after map[string]usage, span time.Duration) []report.Control {
+	all := []report.Control{}
+	for _, vm := range vms {
+		a, knownBefore := before[vm.ID]
+		b, knownAfter := after[vm.ID]
+		if !knownBefore || !knownAfter || a.pid != b.pid {
+			continue
+		}
+		all = append(all, report.Control{
+			Process:    vm.ID + "/control",
+			CPUCorePct: percent * float64(b.ticks-a.ticks) / ticksPerSecond / span.Seconds(),
+			RSSMB:      float64(b.rssKB) / kilo,
+			KBPerS:     float64(b.bytes-a.bytes) / kilo / span.Seconds(),
+		})
+	}
+	return all
+}
+
+func readUsages(vms []VM) map[string]usage {
+	all := map[string]usage{}
+	for _, vm := range vms {
+		if u, ok := readUsage(vm.ControlPID); ok && vm.ControlPID != "" {
+			all[vm.ID] = u
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/loadtool/run/run.go
@@ -0,0 +1,285 @@
+package run
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/admin"
+	"buckthornridge/budget/ledger"
+	"buckthornridge/config"
+	"buckthornridge/loadtool/audit"
+	"buckthornridge/loadtool/caller"
+	"buckthornridge/loadtool/fault"
+	"buckthornridge/loadtool/oracle"
+	"buckthornridge/loadtool/record"
+	"buckthornridge/loadtool/report"
+	"buckthornridge/loadtool/scenario"
+	"buckthornridge/loadtool/workload"
+	"buckthornridge/platform"
+)
+
+// Options of one run.
+type Options struct {
+	Settings Settings
+	Scenario scenario.Scenario
+	Seed     uint64
+	// Prefix starts request ids and payment ids; a fleet that is used again
+	// needs another one each time.
+	Prefix string
+	// Progress takes one line now and then.
+	Progress func(line string)
+}
+
+// Bounds of a run.
+const (
+	callerTries      = 8
+	leadTime         = 500 * time.Millisecond // before the first arrival
+	progressInterval = 2 * time.Second
+	settleLimit      = 15 * time.Second // for bills and folds after the last answer
+	settleInterval   = 300 * time.Millisecond
+	minPurchase      = 2000 // tokens
+)
+
+// experiment is a run in progress.
+type experiment struct {
+	Options
+	fleet    *fleet
+	arrivals []record.Arrival
+	planned  map[ledger.ID]int64 // spend of all answers
+	begun    time.Time
+	caller   *caller.Caller
+	balancer *caller.Checked
+	race     *race
+	versions *versions
+
+	before      []platform.Row
+	usageBefore map[string]usage
+	tableBefore platform.Counters
+
+	mu          sync.Mutex // guards all below
+	purchases   []oracle.Purchase
+	faults      []fault.Done
+	faultErrors []string
+	results     []*record.Result
+	spend       []report.Point
+}
+
+// Do runs a scenario and judges it.
+func Do(ctx context.Context, o Options) (*report.Report, error) {
+	f, err := openFleet(ctx, o.Settings)
+	if err != nil {
+		return nil, err
+	}
+	defer f.client.CloseIdleConnections()
+	e := &experiment{Options: o, fleet: f, planned: map[ledger.ID]int64{}, race: newRace(f), versions: newVersions()}
+	if err := e.prepare(ctx); err != nil {
+		return nil, err
+	}
+	e.run(ctx)
+	if err := ctx.Err(); err != nil {
+		return nil, eris.Wrap(err, "interrupted")
+	}
+	return e.judge(ctx)
+}
+
+// prepare plans the arrivals and buys what the scenario says.
+func (e *experiment) prepare(ctx context.Context) error {
+	d := e.fleet.document
+	mix := scenario.Mix(d.Fleet.Name)
+	if mix == nil {
+		return eris.Errorf("there is no mix of requests for a fleet called %q", d.Fleet.Name)
+	}
+	shares := map[string]float64{}
+	for name, w := range d.Workspaces {
+		if _, known := e.Settings.Keys[name]; known {
+			shares[name] = max(w.Share, 1)
+		}
+	}
+	e.arrivals = workload.Arrivals(workload.Plan{
+		Prefix: e.Prefix, Seed: e.Seed, Rate: e.Scenario.Rate, Duration: e.Scenario.Duration, Shares: shares, Mix: mix,
+	}, d)
+	for _, a := range e.arrivals {
+		e.planned[ledger.ID{Workspace: a.Workspace, Name: a.Budget}] += a.Spend()
+	}
+	var err error
+	if e.before, err = e.fleet.table(ctx, ""); err != nil {
+		return err
+	}
+	if err := e.slowEngines(ctx); err != nil {
+		return err
+	}
+	return e.buy(ctx, e.Scenario.Fund, "first")
+}
+
+func (e *experiment) slowEngines(ctx context.Context) error {
+	if e.Scenario.SlowEngines == 0 {
+		return nil
+	}
+	x := e.executor(nil)
+	for _, id := range e.fleet.upstreams(config.UpstreamEngine) {
+		body := fmt.Sprintf(`{"slow_factor": %g}`, e.Scenario.SlowEngines)
+		if err := x.Do(ctx, fault.Fault{Kind: fault.Upstream, Target: id, Body: body}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// buy buys a share of the planned spend for every budget, through the
+// administration API.
+func (e *experiment) buy(ctx context.Context, share float64, payment string) error {
+	for id, planned := range e.planned {
+		tokens := max(int64(share*float64(planned)), minPurchase)
+		request := admin.TopUpRequest{ID: e.Prefix + "-" + payment, Tokens: tokens}
+		reply, err := e.fleet.api(0).TopUp(ctx, id, request)
+		if err != nil {
+			return eris.Wrapf(err, "top-up of %s", id)
+		}
+		if !reply.Applied {
+			return eris.Errorf("top-up %s of %s was applied by an earlier run: use another prefix", request.ID, id)
+		}
+		e.mu.Lock()
+		e.purchases = append(e.purchases, oracle.Purchase{Workspace: id.Workspace, Budget: id.Name, At: time.Now(), Tokens: tokens})
+		e.mu.Unlock()
+	}
+	return nil
+}
+
+func (e *experiment) executor(requests *os.File) *fault.Executor {
+	x := &fault.Executor{
+		PlatformAddress: e.Settings.Platform,
+		Upstreams:       map[string]string{},
+		Resolve:         e.fleet.resolve,
+		Client:          &http.Client{Timeout: debugTimeout},
+		TopUp: func(ctx context.Context, share float64) error {
+			return e.buy(ctx, share, fmt.Sprintf("later-%d", time.Now().UnixMilli()))
+		},
+	}
+	for id, u := range e.fleet.document.Upstreams {
+		x.Upstreams[id] = u.Address
+	}
+	if requests != nil {
+		x.Requests = requests
+	}
+	return x
+}
+
+// run makes all requests and brings about all faults.
+func (e *experiment) run(ctx context.Context) {
+	e.begun = time.Now().Add(leadTime)
+	e.caller = caller.New(e.callerOptions(), e.begun)
+	defer e.caller.Close()
+	e.usageBefore = readUsages(e.Settings.VMs)
+	e.tableBefore, _ = e.fleet.counters(ctx) // judged again at the end, where an error counts
+
+	background, stop := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	group.Go(func() { e.balancer.Run(background) })
+	group.Go(func() { e.versions.watch(background, e.fleet) })
+	group.Go(func() { e.progress(background) })
+	faults, stopFaults := context.WithCancel(ctx)
+	var faulty sync.WaitGroup
+	faulty.Go(func() { e.bringAbout(faults) })
+	e.operate(faults, &faulty)
+
+	e.request(ctx)
+	time.Sleep(time.Until(e.begun.Add(e.Scenario.Duration)))
+	stopFaults()
+	faulty.Wait()
+	e.settle(ctx)
+	stop()
+	group.Wait()
+}
+
+func (e *experiment) operate(ctx context.Context, group *sync.WaitGroup) {
+	if !e.Scenario.Operators {
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, e.begun.Add(e.Scenario.Duration))
+	group.Go(func() {
+		defer cancel()
+		e.race.run(ctx, e.Prefix)
+	})
+}
+
+func (e *experiment) bringAbout(ctx context.Context) {
+	var requests *os.File
+	if e.Settings.Requests != "" {
+		// Opened for both ways, a pipe can be opened before its reader is there.
+		file, err := os.OpenFile(e.Settings.Requests, os.O_RDWR, 0)
+		if err != nil {
+			e.fault(fault.Done{}, err)
+			return
+		}
+		defer file.Close()
+		requests = file
+	}
+	x := e.executor(requests)
+	defer x.Client.CloseIdleConnections()
+	x.Run(ctx, e.begun, e.Scenario.Faults, e.fault)
+}
+
+// fault records a fault that was brought about.
+func (e *experiment) fault(d fault.Done, err error) {
+	e.mu.Lock()
+	e.faults = append(e.faults, d)
+	if err != nil {
+		e.faultErrors = append(e.faultErrors, err.Error())
+	}
+	e.mu.Unlock()
+	e.say("fault: %s", d.Fault)
+	if err != nil {
+		e.say("fault not brought about: %v", err)
+	}
+}
+
+func (e *experiment) say(format string, args ...any) {
+	e.Progress(fmt.Sprintf("%6.1fs  ", time.Since(e.begun).Seconds()) + fmt.Sprintf(format, args...))
+}
+
+// request sends every request at its time, whatever became of the others.
+func (e *experiment) request(ctx context.Context) {
+	var group sync.WaitGroup
+	for _, a := range e.arrivals {
+		time.Sleep(time.Until(e.begun.Add(a.At)))
+		if ctx.Err() != nil {
+			break
+		}
+		group.Go(func() {
+			result := e.caller.Run(ctx, a)
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.results = append(e.results, result)
+		})
+	}
+	group.Wait()
+}
+
+// settle waits until the bills of all answers are in the table and folded, so
+// that the accounts can be compared; what is not by then is judged as it is.
+func (e *experiment) settle(ctx context.Context) {
+	end := time.Now().Add(settleLimit)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		findings, err := e.audit(ctx)
+		if err == nil && findings.UnfoldedSegments == 0 && findings.BillsMissing == 0 {
+			return
+		}
+		time.Sleep(settleInterval)
+	}
+	e.say("bills were not all folded %s after the last answer", settleLimit)
+}
+
+// audit compares the accounts as they are now.
+func (e *experiment) audit(ctx context.Context) (*audit.Findings, error) {
+	in, err := e.auditInput(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return audit.Run(in)
+}
--- /dev/null
+++ b/loadtool/scenario/scenario.go
@@ -0,0 +1,206 @@
+// Package scenario is the table of experiments: one row each, over one engine.
+package scenario
+
+import (
+	"time"
+
+	"buckthornridge/loadtool/fault"
+	"buckthornridge/loadtool/workload"
+)
+
+// Scenario is one experiment.
+type Scenario struct {
+	Name  string
+	About string
+	// Duration of the arrivals; answers may take longer.
+	Duration time.Duration
+	// Rate of requests a second.
+	Rate float64
+	// Fund is what is bought at first, as a share of what all answers of the
+	// plan would cost together, per budget.
+	Fund float64
+	// SlowEngines multiplies the time of all engines' steps; 0 means 1.
+	SlowEngines float64
+	// Operators race each other with changes of the configuration.
+	Operators bool
+	// Faults, in the order of their times.
+	Faults []fault.Fault
+}
+
+const (
+	usualDuration = 20 * time.Second
+	usualRate     = 40
+	// ample is bought where the budget is not what the scenario is about.
+	ample = 40
+)
+
+func at(seconds float64, kind fault.Kind, target string) fault.Fault {
+	return fault.Fault{At: time.Duration(seconds * float64(time.Second)), Kind: kind, Target: target}
+}
+
+func process(seconds float64, verb fault.Verb, name string) fault.Fault {
+	f := at(seconds, fault.Process, name)
+	f.Verb = verb
+	return f
+}
+
+func platform(seconds float64, body string) fault.Fault {
+	f := at(seconds, fault.Platform, "")
+	f.Body = body
+	return f
+}
+
+func state(seconds float64, vm, to string) fault.Fault {
+	f := at(seconds, fault.State, vm)
+	f.Body = to
+	return f
+}
+
+func topUp(seconds, share float64) fault.Fault {
+	f := at(seconds, fault.TopUp, "")
+	f.Share = share
+	return f
+}
+
+// Table holds all scenarios. Targets "engine/N" and "service/N" stand for the
+// N-th engine or server of the folder, from 0.
+var Table = []Scenario{
+	{
+		Name: "steady", About: "no fault",
+		Duration: usualDuration, Rate: usualRate, Fund: ample,
+	},
+	{
+		Name: "budget-edge", About: "many callers race for the last tokens of every budget",
+		Duration: usualDuration, Rate: usualRate, Fund: 0.6,
+	},
+	{
+		Name: "router-kill", About: "two routers die with streams open; the platform confirms one of them gone",
+		Duration: usualDuration, Rate: usualRate, Fund: ample,
+		Faults: []fault.Fault{
+			process(5, fault.Kill, "router-2"),
+			state(7, "vm-2", "gone"),
+			process(10, fault.Start, "router-2"),
+			process(13, fault.Kill, "router-1"),
+			process(15, fault.Start, "router-1"),
+		},
+	},
+	{
+		Name: "store-outage", About: "the platform answers nothing for 10 s",
+		Duration: usualDuration, Rate: usualRate, Fund: ample,
+		Faults: []fault.Fault{platform(5, `{"down": true}`), platform(15, `{"down": false}`)},
+	},
+	{
+		Name: "rolling-restart", About: "each VM in turn is stopped as planned and started again",
+		Duration: 24 * time.Second, Rate: usualRate, Fund: ample,
+		Faults: []fault.Fault{
+			process(2, fault.Restart, "router-1"), process(2, fault.Restart, "control-1"),
+			process(9, fault.Restart, "router-2"), process(9, fault.Restart, "control-2"),
+			process(16, fault.Restart, "router-3"), process(16, fault.Restart, "control-3"),
+		},
+	},
+	{
+		Name: "operator-race", About: "two operators change the configuration at the same time, again and again",
+		Duration: usualDuration, Rate: usualRate, Fund: ample, Operators: true,
+	},
+	{
+		Name: "topup", About: "budgets run out and are topped up with requests in flight",
+		Duration: usualDuration, Rate: usualRate, Fund: 0.3,
+		Faults: []fault.Fault{topUp(8, 0.3), topUp(13, 0.3), topUp(17, 4)},
+	},
+	{
+		Name: "router-freeze", About: "a router is paused, declared gone and wakes; another is paused for a short time",
+		Duration: usualDuration, Rate: usualRate, Fund: ample,
+		Faults: []fault.Fault{
+			process(4, fault.Stop, "router-2"),
+			state(7, "vm-2", "gone"),
+			process(11, fault.Cont, "router-2"),
+			process(12, fault.Stop, "router-3"),
+			process(13, fault.Restart, "router-2"),
+			process(14, fault.Cont, "router-3"),
+		},
+	},
+	{
+		Name: "lost-answers", About: "answers of the table are lost after the write, or the write comes late",
+		Duration: usualDuration, Rate: usualRate, Fund: ample,
+		Faults: []fault.Fault{
+			platform(3, `{"lose_rate": 0.3, "delay_rate": 0.1, "delay": "500ms"}`),
+			platform(17, `{"lose_rate": 0, "delay_rate": 0}`),
+		},
+	},
+	{
+		Name: "upstream-leaving", About: "an engine and a server leave, which the platform's lagging list tells",
+		Duration: usualDuration, Rate: usualRate, Fund: ample,
+		Faults: []fault.Fault{state(6, "engine/0", "leaving"), state(8, "service/0", "leaving")},
+	},
+	{
+		Name: "upstream-kill", About: "an engine and a server die and come back",
+		Duration: usualDuration, Rate: usualRate, Fund: ample,
+		Faults: []fault.Fault{
+			process(5, fault.Kill, "engine/2"), process(7, fault.Kill, "service/1"),
+			process(12, fault.Start, "engine/2"), process(13, fault.Start, "service/1"),
+		},
+	},
+	{
+		Name: "overload", About: "twice the requests that the engines can answer",
+		Duration: 15 * time.Second, Rate: 150, Fund: ample, SlowEngines: 4,
+	},
+	{
+		Name: "store-slow", About: "every call of the platform takes 400 ms for 10 s",
+		Duration: usualDuration, Rate: usualRate, Fund: ample,
+		Faults: []fault.Fault{platform(5, `{"latency": "400ms"}`), platform(15, `{"latency": "0s"}`)},
+	},
+	{
+		Name: "partition", About: "the platform is cut off from one VM for 10 s, without a word",
+		Duration: usualDuration, Rate: usualRate, Fund: ample,
+		Faults: []fault.Fault{platform(5, `{"cut": ["vm-2"], "silent": true}`), platform(15, `{"cut": [], "silent": false}`)},
+	},
+	{
+		Name: "scale-small", About: "a deployment of today: 8 VMs, all workspaces, no fault",
+		Duration: usualDuration, Rate: 100, Fund: ample,
+	},
+	{
+		Name: "kill-in-outage", About: "a router dies while the platform answers nothing",
+		Duration: usualDuration, Rate: usualRate, Fund: ample,
+		Faults: []fault.Fault{
+			platform(4, `{"down": true}`), process(8, fault.Kill, "router-2"),
+			platform(11, `{"down": false}`), state(12, "vm-2", "gone"), process(13, fault.Start, "router-2"),
+		},
+	},
+	{
+		Name: "edge-kill", About: "a router dies while callers race for the last tokens",
+		Duration: usualDuration, Rate: usualRate, Fund: 0.6,
+		Faults: []fault.Fault{
+			process(8, fault.Kill, "router-2"), state(9, "vm-2", "gone"), process(11, fault.Start, "router-2"),
+		},
+	},
+}
+
+// Find returns the scenario of a name.
+func Find(name string) (Scenario, bool) {
+	for _, s := range Table {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Scenario{}, false
+}
+
+// mixes are what callers ask for, by the fleet's name.
+var mixes = map[string][]workload.Part{
+	"lankawrap": {
+		{Kind: "caption", Share: 50, Model: "panel-small", Prompt: 150, MinOutput: 12, MaxOutput: 40, MaxTokens: 64},
+		{Kind: "panel_note", Share: 18, Model: "panel-small", Prompt: 400, MinOutput: 40, MaxOutput: 100, MaxTokens: 160, Whole: true},
+		{Kind: "full_brief", Share: 7, Model: "livery-large", Prompt: 1200, MinOutput: 120, MaxOutput: 260, MaxTokens: 400},
+		{Kind: "confirmation", Share: 15, Service: "orders", Operation: "POST /confirmations"},
+		{Kind: "lookup", Share: 10, Service: "orders", Operation: "GET /jobs/"},
+	},
+	"preiswarte": {
+		{Kind: "form_help", Share: 45, Model: "survey-small", Prompt: 200, MinOutput: 15, MaxOutput: 60, MaxTokens: 96},
+		{Kind: "movement_note", Share: 10, Model: "survey-large", Prompt: 1000, MinOutput: 100, MaxOutput: 240, MaxTokens: 400},
+		{Kind: "submission", Share: 25, Service: "records", Operation: "POST /submissions"},
+		{Kind: "status", Share: 20, Service: "records", Operation: "GET /submissions/"},
+	},
+}
+
+// Mix returns what callers of a fleet ask for; nil for an unknown fleet.
+func Mix(fleet string) []workload.Part { return mixes[fleet] }
--- /dev/null
+++ b/loadtool/workload/workload.go
@@ -0,0 +1,142 @@
+// Package workload plans the requests of a run: seeded arrivals at a rate that
+// does not depend on the answers (open loop).
+package workload
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"buckthornridge/config"
+	"buckthornridge/loadtool/record"
+	"buckthornridge/upstream"
+)
+
+// Plan says what to ask for.
+type Plan struct {
+	// Prefix starts all request ids, so that runs do not share keys.
+	Prefix   string
+	Seed     uint64
+	Rate     float64 // requests a second
+	Duration time.Duration
+	// Shares weighs workspaces; one that is missing gets no requests.
+	Shares map[string]float64
+	Mix    []Part
+}
+
+// Part is one kind of request and its share of all.
+type Part struct {
+	Kind  string
+	Share float64
+	// Shape of model work.
+	Model     string
+	Prompt    int   // bytes of the prompt's varying part
+	MinOutput int64 // tokens of the answer
+	MaxOutput int64
+	MaxTokens int64
+	Whole     bool // not streamed
+	// Service, Operation of a plain service, as in the folder.
+	Service   string
+	Operation string
+}
+
+// Arrivals returns the plan's requests in the order of their times: the same on
+// every call with one plan and document.
+func Arrivals(p Plan, d config.Document) []record.Arrival {
+	random := rand.New(rand.NewPCG(p.Seed, 0x6275636b74686f72))
+	names := workspaces(p, d)
+	var all []record.Arrival
+	at := time.Duration(0)
+	for {
+		at += time.Duration(random.ExpFloat64() / p.Rate * float64(time.Second))
+		if at >= p.Duration || len(names) == 0 {
+			return all
+		}
+		part := draw(random, p.Mix, func(m Part) float64 { return m.Share })
+		workspace := draw(random, names, func(name string) float64 { return p.Shares[name] })
+		id := fmt.Sprintf("%s-%d-%d", p.Prefix, p.Seed, len(all))
+		all = append(all, arrival(random, part, d, record.Arrival{
+			ID: id, At: at, Workspace: workspace, Budget: firstBudget(d.Workspaces[workspace]), Kind: part.Kind,
+		}))
+	}
+}
+
+func workspaces(p Plan, d config.Document) []string {
+	var names []string
+	for name, share := range p.Shares {
+		if _, known := d.Workspaces[name]; known && share > 0 {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func firstBudget(w config.Workspace) string {
+	var names []string
+	for name := range w.Budgets {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	if len(names) == 0 {
+		return ""
+	}
+	return names[0]
+}
+
+// draw picks an element by weight.
+func draw[T any](random *rand.Rand, from []T, weight func(T) float64) T {
+	sum := 0.0
+	for _, one := range from {
+		sum += weight(one)
+	}
+	left := random.Float64() * sum
+	for _, one := range from {
+		if left -= weight(one); left < 0 {
+			return one
+		}
+	}
+	return from[len(from)-1]
+}
+
+func arrival(random *rand.Rand, part Part, d config.Document, a record.Arrival) record.Arrival {
+	if part.Service != "" {
+		a.Call = call(part, d, a)
+		return a
+	}
+	length := part.MinOutput + random.Int64N(part.MaxOutput-part.MinOutput+1)
+	a.Ask = ask(part, a, length)
+	return a
+}
+
+func ask(part Part, a record.Arrival, length int64) *record.Ask {
+	// Requests of one kind and workspace share the start of their prompts, as
+	// those with one brand book do.
+	shared := strings.Repeat(a.Workspace+" "+a.Kind+" ", part.Prompt/(len(a.Workspace)+len(a.Kind)+2)+1)
+	content := fmt.Sprintf("%s %s [[tokens=%d]]", shared, a.ID, length)
+	return &record.Ask{
+		Model:     part.Model,
+		Content:   content,
+		Prompt:    upstream.FlattenPrompt([]upstream.Message{{Role: "user", Content: content}}),
+		MaxTokens: part.MaxTokens,
+		Stream:    !part.Whole,
+	}
+}
+
+func call(part Part, d config.Document, a record.Arrival) *record.Call {
+	operation := d.Services[part.Service].Operations[part.Operation]
+	method, path, _ := strings.Cut(part.Operation, " ")
+	if strings.HasSuffix(path, "/") {
+		path += a.ID
+	}
+	c := &record.Call{
+		Service: part.Service, Method: method, Path: path,
+		Repeatable: operation.Repeatable, Tokens: operation.Tokens,
+	}
+	if method != "GET" {
+		c.Body = fmt.Appendf(nil, `{"order":%q,"workspace":%q}`, a.ID, a.Workspace)
+	}
+	return c
+}
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -106,6 +106,25 @@
 # fleet_signal SIGNAL NAME sends a signal to one process of this run.
 fleet_signal() { kill "-$1" "$(cat "$RUN/pid/$2")" 2>/dev/null; }
 
+# fleet_alive NAME tells whether the process runs; one that ended and was not
+# waited for does not.
+fleet_alive() {
+	local state
+	state=$(sed 's/.*) //' "/proc/$(cat "$RUN/pid/$1")/stat" 2>/dev/null) || return 1
+	[ -n "$state" ] && [ "${state%% *}" != Z ]
+}
+
+# fleet_restart NAME is a planned stop and a start.
+fleet_restart() {
+	local try
+	fleet_signal TERM "$1"
+	for try in $(seq 1 $((${RESTART_SECONDS:-40} * 10))); do
+		fleet_alive "$1" || break
+		sleep 0.1
+	done
+	fleet_start "$1"
+}
+
 # fleet_wait_http HOST:PORT PATH waits until the address answers 200.
 fleet_wait_http() {
 	local try
@@ -168,6 +187,6 @@
 
 fleet_any_alive() {
 	local file
-	for file in "$RUN"/pid/*; do kill -0 "$(cat "$file")" 2>/dev/null && return 0; done
+	for file in "$RUN"/pid/*; do fleet_alive "$(basename "$file")" && return 0; done
 	return 1
 }
