One span per hop: api, forward, run, upstream

Cause: operators must see where a request spent its time, on whichever router. Ruled out: a span per token (5,600 a second and node). Conclusion: the trace travels in the request message.

--- a/api/api.go
+++ b/api/api.go
@@ -17,6 +17,7 @@
 
 	"buckthornridge/config"
 	"buckthornridge/request"
+	"buckthornridge/telemetry"
 )
 
 // Headers of the callers' interface.
@@ -74,7 +75,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		countRequests.Add(1)
 		w.Header().Set(headerVM, s.VM)
-		mux.ServeHTTP(w, r)
+		ctx, span := telemetry.Hop(telemetry.FromHeader(r.Context(), r.Header), "api "+r.Method)
+		defer telemetry.Done(span, nil)
+		mux.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
--- a/request/call.go
+++ b/request/call.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"buckthornridge/budget"
+	"buckthornridge/telemetry"
 	"buckthornridge/upstream"
 )
 
@@ -100,8 +101,10 @@
 		return upstream.Reply{}, "", err
 	}
 	target := choice.Upstream()
+	ctx, span := telemetry.Hop(ctx, "upstream.call", telemetry.Attr("upstream", target))
 	began := time.Now()
 	reply, err := e.sendTo(ctx, run, r, target)
+	telemetry.Done(span, err)
 	choice.Done(AttemptResult{Err: err, FirstToken: time.Since(began)})
 	return reply, target, err
 }
--- a/request/executor.go
+++ b/request/executor.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"buckthornridge/platform"
+	"buckthornridge/telemetry"
 )
 
 // Settings bounds what the executor waits for and keeps.
@@ -88,6 +89,9 @@
 // every update to emit. The returned error is the context's or emit's own; how
 // the request itself ended is in the outcome.
 func (e *Executor) Do(ctx context.Context, r *Request, emit func(Update) error) (Outcome, error) {
+	if trace := telemetry.ToText(ctx); trace != "" {
+		r.Trace = trace
+	}
 	run, begun, problem := e.find(r)
 	if problem != nil {
 		return Outcome{Problem: problem}, nil
@@ -156,6 +160,8 @@
 func (e *Executor) execute(run *Run, r *Request) {
 	ctx, cancel := context.WithTimeout(e.base, e.runLimit(r))
 	defer cancel()
+	ctx, span := telemetry.Hop(telemetry.FromText(ctx, r.Trace), "request.run", telemetry.Attr("request", r.Key.String()))
+	defer func() { telemetry.Done(span, run.problem()) }()
 	if r.Call != nil {
 		e.call(ctx, run, r)
 	} else {
--- a/request/forward.go
+++ b/request/forward.go
@@ -11,6 +11,7 @@
 
 	"buckthornridge/membership"
 	"buckthornridge/peer"
+	"buckthornridge/telemetry"
 )
 
 // methodRun is the peer method by which a router hands a request to its home.
@@ -73,6 +74,15 @@
 // forward hands the request to another router and relays its updates.
 func (f *Frontend) forward(ctx context.Context, home membership.Member, r *Request, relay *relay) (Outcome, error) {
 	relay.rewind()
+	ctx, span := telemetry.Hop(ctx, "request.forward", telemetry.Attr("home", home.ID))
+	outcome, err := f.relayFrom(ctx, home, r, relay)
+	telemetry.Done(span, err)
+	return outcome, err
+}
+
+// relayFrom reads the home's updates to the end.
+func (f *Frontend) relayFrom(ctx context.Context, home membership.Member, r *Request, relay *relay) (Outcome, error) {
+	r.Trace = telemetry.ToText(ctx)
 	stream, err := f.Peers.Open(ctx, home.PeerAddress, methodRun, r)
 	if err != nil {
 		return Outcome{}, err
@@ -105,7 +115,7 @@
 		if (r.Generate == nil) == (r.Call == nil) {
 			return nil, eris.Wrap(peer.ErrMalformed, "request.run: neither or both of generate and call")
 		}
-		return f.Executor.Do(ctx, &r, func(u Update) error { return send(u) })
+		return f.Executor.Do(telemetry.FromText(ctx, r.Trace), &r, func(u Update) error { return send(u) })
 	})
 }
 
--- a/request/generate.go
+++ b/request/generate.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"buckthornridge/budget"
+	"buckthornridge/telemetry"
 	"buckthornridge/upstream"
 )
 
@@ -137,10 +138,12 @@
 		return upstream.Usage{}, err
 	}
 	a.choice, a.target = choice, choice.Upstream()
+	ctx, span := telemetry.Hop(ctx, "upstream.generate", telemetry.Attr("upstream", a.target))
 	result := AttemptResult{}
 	usage, err := a.start(ctx, &result)
 	result.Err, result.Usage = err, usage
 	choice.Done(result)
+	telemetry.Done(span, err)
 	return usage, err
 }
 
--- a/request/run.go
+++ b/request/run.go
@@ -225,6 +225,16 @@
 	return len(r.followers) == 0 && time.Since(r.leftAt) >= grace
 }
 
+// problem returns the problem that an ended run has, as an error.
+func (r *Run) problem() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.outcome == nil || r.outcome.Problem == nil {
+		return nil
+	}
+	return r.outcome.Problem
+}
+
 // expired reports whether an ended run is older than the retention.
 func (r *Run) expired(now time.Time, retention time.Duration) bool {
 	r.mu.Lock()
