--- a/router/router_test.go
+++ b/router/router_test.go
@@ -11,6 +11,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -22,6 +23,7 @@
 	"buckthornridge/config"
 	"buckthornridge/journal"
 	"buckthornridge/platform"
+	"buckthornridge/request"
 	"buckthornridge/settings"
 	"buckthornridge/standin/answer"
 	"buckthornridge/standin/engine"
@@ -41,7 +43,7 @@
 // fleet is a platform, one engine, one plain service and some routers, all real
 // servers on loopback in one process.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	fake    *platform.Fake
 	table   platform.Table
 	engine  *engine.Engine
@@ -63,7 +65,7 @@
 	fmt.Fprintf(w, "done %s", body)
 }
 
-func startFleet(t *testing.T, routers int, tokens int64) *fleet {
+func startFleet(t testing.TB, routers int, tokens int64) *fleet {
 	t.Helper()
 	p := standin.NewServer(standin.DefaultSettings())
 	platformServer := httptest.NewServer(p)
@@ -146,6 +148,16 @@
 	return r
 }
 
+// home returns the router at which the test's budget meets, notHome another.
+func (f *fleet) home() *Router    { return f.routers[f.homeIndex()] }
+func (f *fleet) notHome() *Router { return f.routers[(f.homeIndex()+1)%len(f.routers)] }
+
+func (f *fleet) homeIndex() int {
+	r := &request.Request{Key: request.Key{Workspace: f.budget.Workspace}, Budget: f.budget.Name}
+	first := request.Homes(f.routers[0].members.view.Load(), "r", r, false)[0].ID
+	return slices.IndexFunc(f.routers, func(r *Router) bool { return r.settings.VM == first })
+}
+
 func (f *fleet) await(what string, ok func() bool) {
 	f.t.Helper()
 	for range 1000 {
