--- a/request/call.go
+++ b/request/call.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"buckthornridge/budget"
+	"buckthornridge/telemetry"
 	"buckthornridge/upstream"
 )
 
@@ -45,7 +46,7 @@
 	row, mine, err := e.claims.take(early, r.Key, r.Digest)
 	if err != nil {
 		reservation.Release()
-		go e.revoke(r.Key, row)
+		e.spawn(func() { e.revoke(r.Key, row) })
 		run.end(Refused, failed(ProblemPlatformUnavailable, NotRun, 2*time.Second,
 			"the platform's table did not record the request, so it was not run"))
 		return
@@ -100,8 +101,10 @@
 		return upstream.Reply{}, "", err
 	}
 	target := choice.Upstream()
+	ctx, span := telemetry.Hop(ctx, "upstream.call", telemetry.Attr("upstream", target))
 	began := time.Now()
 	reply, err := e.sendTo(ctx, run, r, target)
+	telemetry.Done(span, err)
 	choice.Done(AttemptResult{Err: err, FirstToken: time.Since(began)})
 	return reply, target, err
 }
@@ -170,7 +173,7 @@
 // effect, so that a later ask with the key is not told "unknown" for a call that
 // never left this process.
 func (e *Executor) revoke(k Key, undecided claimRow) {
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Retention)
+	ctx, cancel := context.WithTimeout(e.base, e.settings.Retention)
 	defer cancel()
 	e.claims.revoke(ctx, k, undecided)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -18,6 +18,7 @@
 	"buckthornridge/admission"
 	"buckthornridge/api"
 	"buckthornridge/budget"
+	"buckthornridge/certs"
 	"buckthornridge/config"
 	"buckthornridge/peer"
 	"buckthornridge/platform"
@@ -48,8 +49,7 @@
 	services    platform.Services
 	client      *httpclient.Client
 
-	snapshots *config.Holder
-	store     *config.Store
+	watcher   *config.Watcher
 	members   *members
 	table     *routing.Table
 	pool      *pool
@@ -61,15 +61,22 @@
 	peerSrv   *peer.Server
 	routes    *routing.Router
 
-	callers *http.Server
-	admin   *http.Server
+	listeners listeners
+	callers   *http.Server
+	admin     *http.Server
 
-	leaving atomic.Bool
-	cancel  context.CancelFunc
-	tasks   sync.WaitGroup
+	callerTLS *certs.Store // nil without TLS
+	peerTLS   *certs.Store // nil without TLS
+
+	leaving   atomic.Bool
+	stopAsked chan struct{} // closed when an operator asked for a planned stop
+	askOnce   sync.Once
+	cancel    context.CancelFunc
+	tasks     sync.WaitGroup
 }
 
-// New builds a router from checked settings. Start begins its work.
+// New builds a router from checked settings and takes its addresses. Start
+// begins its work.
 func New(s Settings) (*Router, error) {
 	client := httpclient.New(httpclient.Options{Address: s.Platform, VM: s.VM})
 	r := &Router{
@@ -77,17 +84,22 @@
 		incarnation: strconv.FormatInt(time.Now().UnixNano(), 10),
 		client:      client,
 		services:    client.Services(),
-		snapshots:   new(config.Holder),
-		peers:       peer.NewClient(nil),
 		peerSrv:     peer.NewServer(),
 		table:       routing.NewTable(),
+		stopAsked:   make(chan struct{}),
+	}
+	if err := r.openCerts(); err != nil {
+		return nil, err
+	}
+	if err := r.listen(); err != nil {
+		return nil, err
 	}
-	r.store = config.NewStore(r.services.Table)
 	r.members = newMembers(r.services.VMs, s.MemberInterval.D())
 	r.pool = newPool(r.table, s.LoadInterval.D())
 	if err := r.buildDecisions(); err != nil {
 		return nil, err
 	}
+	r.buildConfig()
 	r.buildFrontend()
 	r.buildServers()
 	return r, nil
@@ -112,7 +124,7 @@
 }
 
 func (r *Router) budgetPolicy() config.BudgetPolicy {
-	if s := r.snapshots.Load(); s != nil {
+	if s := r.snapshot(); s != nil {
 		return s.Policy.Budget
 	}
 	return config.BudgetPolicy{}
@@ -143,12 +155,12 @@
 
 // busy reports whether the configuration marks the request's budget as busy.
 func (r *Router) busy(q *request.Request) bool {
-	s := r.snapshots.Load()
+	s := r.snapshot()
 	return s != nil && s.Workspaces[q.Key.Workspace].Budgets[q.Budget].Busy
 }
 
 func (r *Router) buildServers() {
-	server := &api.Server{VM: r.settings.VM, Snapshots: r.snapshots, Requests: r.frontend}
+	server := &api.Server{VM: r.settings.VM, Snapshots: &r.watcher.Holder, Requests: r.frontend}
 	r.callers = &http.Server{
 		Handler:           server.Handler(),
 		ReadHeaderTimeout: headerTimeout,
@@ -162,42 +174,47 @@
 // Start listens and begins all work. It returns once callers can connect;
 // /readyz tells when they are served.
 func (r *Router) Start(ctx context.Context) error {
-	listeners, err := r.listen()
-	if err != nil {
-		return err
-	}
 	ctx, r.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	if err := r.keeper.Start(ctx); err != nil {
 		return err
 	}
 	r.spawn(func() { r.announceUntilDone(ctx) })
-	r.spawn(func() { r.followConfig(ctx) })
+	if err := r.watcher.Start(ctx); err != nil {
+		return err
+	}
 	r.spawn(func() { r.members.run(ctx) })
 	r.spawn(func() { r.pool.run(ctx) })
 	r.spawn(func() { r.sweep(ctx) })
-	r.spawn(func() { logEnd("peer", r.peerSrv.Serve(listeners.peer)) })
-	r.spawn(func() { logEnd("admin", r.admin.Serve(listeners.admin)) })
-	r.spawn(func() { logEnd("callers", r.callers.Serve(listeners.callers)) })
+	r.spawn(func() { logEnd("peer", r.peerSrv.Serve(r.listeners.peer)) })
+	r.spawn(func() { logEnd("admin", r.admin.Serve(r.listeners.admin)) })
+	r.spawn(func() { logEnd("callers", r.callers.Serve(r.listeners.callers)) })
 	klog.Infof("router %s (%s) serves callers on %s", r.settings.VM, r.incarnation, r.settings.Listen)
 	return nil
 }
 
+// listeners are the router's three sockets.
 type listeners struct{ callers, peer, admin net.Listener }
 
-func (r *Router) listen() (l listeners, err error) {
+// listen takes the addresses of the settings; where a port is 0, the settings
+// get the one that was given.
+func (r *Router) listen() error {
 	for _, one := range []struct {
-		address string
+		address *string
 		into    *net.Listener
 	}{
-		{r.settings.Listen, &l.callers},
-		{r.settings.PeerListen, &l.peer},
-		{r.settings.AdminListen, &l.admin},
+		{&r.settings.Listen, &r.listeners.callers},
+		{&r.settings.PeerListen, &r.listeners.peer},
+		{&r.settings.AdminListen, &r.listeners.admin},
 	} {
-		if *one.into, err = net.Listen("tcp", one.address); err != nil {
-			return l, eris.Wrapf(err, "listen on %s", one.address)
+		l, err := net.Listen("tcp", *one.address)
+		if err != nil {
+			return eris.Wrapf(err, "listen on %s", *one.address)
 		}
+		*one.into, *one.address = l, l.Addr().String()
 	}
-	return l, nil
+	r.listeners.callers = secure(r.listeners.callers, r.callerTLS)
+	r.listeners.peer = secure(r.listeners.peer, r.peerTLS)
+	return nil
 }
 
 func (r *Router) spawn(task func()) {
@@ -257,14 +274,3 @@
 		}
 	}
 }
-
-// install takes a new snapshot into force.
-func (r *Router) install(s *config.Snapshot) {
-	if !r.snapshots.Advance(s) {
-		return
-	}
-	r.table.Update(s)
-	r.pool.update(s)
-	r.admission.Update(s)
-	klog.Infof("configuration %d is in force", s.Version)
-}
--- a/upstream/engine_fault_test.go
+++ b/upstream/engine_fault_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"buckthornridge/settings"
 	"buckthornridge/standin/answer"
 	"buckthornridge/standin/engine"
 	"buckthornridge/upstream"
@@ -62,7 +63,7 @@
 func TestResumeAfterABrokenConnection(t *testing.T) {
 	const prompt = "[[tokens=30]]"
 	whole, _ := answer.Tokens("small", prompt, 50)
-	for _, after := range []int64{0, 1, 29} {
+	for _, after := range []int64{0, 1, 29, 30} {
 		is := is.New(t)
 		f := start(t, quick())
 		is.NoErr(f.SetFaults(engine.Faults{Wire: engine.WireFault{Kind: engine.WireKill, After: after, Connections: 1}}))
@@ -134,7 +135,7 @@
 func TestEnginePastTheMaximumIsCutAndCancelled(t *testing.T) {
 	is := is.New(t)
 	s := quick()
-	s.StepBaseMS = 5
+	s.StepBase = settings.Duration(5 * time.Millisecond)
 	f := start(t, s)
 	is.NoErr(f.SetFaults(engine.Faults{Overrun: 1_000_000}))
 	const prompt = "[[tokens=500]]"
@@ -144,7 +145,9 @@
 	is.Equal(err, io.EOF)
 	want, _ := answer.Tokens("small", prompt, 12)
 	is.Equal(texts, want)
-	is.Equal(stream.Usage(), upstream.Usage{OutputTokens: 12, FinishReason: upstream.FinishLength, Overrun: true})
+	is.Equal(stream.Usage(), upstream.Usage{
+		PromptTokens: int64(len(prompt)), OutputTokens: 12, FinishReason: upstream.FinishLength, Overrun: true,
+	})
 	is.True(f.run(t, "w/over/1").Cancelled) // the cancellation came before the end
 }
 
