request: the next home knows from a note where a stream runs

Cause: when a home dies together with its caller's connection, the retry ran the request again and the engine generated the answer twice. Ruled out: asking engines which has the stream (2,000 for one model). Conclusion: one small message per dispatch; a lost one costs a second run.

--- a/request/executor.go
+++ b/request/executor.go
@@ -54,6 +54,9 @@
 	budgets   Budgets
 	router    Router
 	claims    *claims
+	notes     *notes
+	// onDispatch is told where a model's run was dispatched.
+	onDispatch func(*Request, Hint)
 
 	base  context.Context // ends with Stop
 	stop  context.CancelFunc
@@ -80,6 +83,7 @@
 		budgets:   b,
 		router:    r,
 		claims:    newClaims(holder, t),
+		notes:     newNotes(),
 		runs:      map[Key]*Run{},
 		idle:      make(chan struct{}),
 	}
--- a/request/forward.go
+++ b/request/forward.go
@@ -104,9 +104,12 @@
 	}
 }
 
-// Register adds the methods that other routers call. A request that came from
+// Register adds the methods that other routers call, and tells them in turn
+// where this router's runs are dispatched. A request that came from
 // another router is always executed here, so none travels in circles.
 func (f *Frontend) Register(s *peer.Server) {
+	f.Executor.onDispatch = f.tell
+	f.registerNotes(s)
 	s.Handle(methodRun, func(ctx context.Context, decode func(any) error, send peer.Sender) (any, error) {
 		var r Request
 		if err := decode(&r); err != nil {
--- a/request/forward_test.go
+++ b/request/forward_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -21,16 +22,35 @@
 // before or in the middle of a call.
 type network struct {
 	routers map[string]*Executor
+	mu      sync.Mutex
 	down    map[string]bool
 	cutAt   map[string]int // breaks the stream of this router after so many updates
 }
 
 func (n *network) Call(context.Context, string, string, any, any) error { return peer.ErrUnreachable }
-func (n *network) Push(context.Context, string, string, any) error      { return peer.ErrUnreachable }
+
+func (n *network) isDown(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.down[address]
+}
+
+// Push delivers notes, the only pushed message.
+func (n *network) Push(_ context.Context, address, _ string, message any) error {
+	if n.isDown(address) {
+		return peer.ErrUnreachable
+	}
+	var note Note
+	if err := repack(message, &note); err != nil {
+		return err
+	}
+	n.routers[address].notes.put(note)
+	return nil
+}
 
 // Open implements peer.Caller; messages are packed as on the wire.
 func (n *network) Open(ctx context.Context, address, _ string, message any) (peer.Stream, error) {
-	if n.down[address] {
+	if n.isDown(address) {
 		return nil, peer.ErrUnreachable
 	}
 	var r Request
@@ -109,6 +129,7 @@
 			Busy:    func(*Request) bool { return false },
 			Suspect: func(string, error) {},
 		}
+		e.onDispatch = all[name].tell
 	}
 	return all
 }
@@ -159,8 +180,32 @@
 	})
 }
 
-// As before, but the engine lost the stream and another one answers otherwise:
-// the caller gets an error, never two halves of different answers.
+// The home dies together with the caller's connection, for the caller had
+// entered there. Its retry reaches the next home, which knows from a note where
+// the stream runs: nothing is generated twice.
+func TestRetryAfterTheHomeDied(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		engine := w.engine("e1")
+		n := &network{down: map[string]bool{}}
+		all := w.frontends(n, "a", "b", "c")
+		places := homes(all["a"], chat("k", 100))
+		ctx, die := context.WithCancel(t.Context())
+		go func() { ask(ctx, all[places[0]].Do, chat("k", 100)) }()
+		time.Sleep(500 * time.Millisecond)
+		die()
+		n.mu.Lock()
+		n.down[places[0]] = true
+		n.mu.Unlock()
+		got := ask(t.Context(), all[places[2]].Do, chat("k", 100))
+		is.Equal(got.text, whole(100))
+		is.Equal(engine.generated, 1)
+	})
+}
+
+// The home dies in the middle, the engine lost the stream, and another run answers
+// otherwise: the caller gets an error, never two halves of different answers.
 func TestNextHomeAnswersOtherwise(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		is := is.New(t)
--- a/request/generate.go
+++ b/request/generate.go
@@ -128,8 +128,8 @@
 
 // do dispatches to one engine and reads the answer into the run.
 func (a *attempt) do(ctx context.Context, tried []string) (upstream.Usage, error) {
-	if a.number == 1 && a.request.Hint != nil {
-		if usage, adopted, err := a.adopt(ctx, *a.request.Hint); adopted {
+	if h := a.hint(); h != nil {
+		if usage, adopted, err := a.adopt(ctx, *h); adopted {
 			return usage, err
 		}
 	}
@@ -147,6 +147,18 @@
 	return usage, err
 }
 
+// hint returns where an earlier router left the request's stream, for the first
+// attempt: from the router that handed the request over, or from a note.
+func (a *attempt) hint() *Hint {
+	if a.number > 1 {
+		return nil
+	}
+	if a.request.Hint != nil {
+		return a.request.Hint
+	}
+	return a.executor.notes.hint(a.request)
+}
+
 // start opens a stream of its own on the target and reads it.
 func (a *attempt) start(ctx context.Context, result *AttemptResult) (upstream.Usage, error) {
 	engine, err := a.executor.router.Engine(a.target)
@@ -179,6 +191,7 @@
 	defer w.stop()
 	stream, err := engine.Resume(w.ctx, h.StreamID, 0)
 	if err != nil {
+		_ = a.abandon(engine, h.StreamID)
 		return usage, false, err
 	}
 	a.target, a.streamID, a.ran = h.Upstream, h.StreamID, true
@@ -199,9 +212,13 @@
 		return &Problem{Name: ProblemDraining, RetryAfter: time.Second,
 			Detail: "this router was replaced while it was paused"}
 	}
-	if !a.run.dispatch(Hint{Upstream: a.target, StreamID: a.streamID}) {
+	h := Hint{Upstream: a.target, StreamID: a.streamID}
+	if !a.run.dispatch(h) {
 		return &Problem{Name: ProblemDeadline, RetryAfter: time.Second, Detail: "the caller gave up"}
 	}
+	if a.executor.onDispatch != nil {
+		a.executor.onDispatch(a.request, h)
+	}
 	return nil
 }
 
@@ -325,14 +342,20 @@
 	if err != nil {
 		return ceiling
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-	defer cancel()
-	if err := engine.Cancel(ctx, a.streamID); err != nil && !errors.Is(err, upstream.ErrNoStream) {
+	if err := a.abandon(engine, a.streamID); err != nil && !errors.Is(err, upstream.ErrNoStream) {
 		return ceiling
 	}
 	return min(ceiling, int64(len(a.request.Generate.Prompt))+a.read)
 }
 
+// abandon cancels a stream that nobody will read, so that it costs the engine
+// nothing more.
+func (a *attempt) abandon(engine upstream.Engine, streamID string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	return engine.Cancel(ctx, streamID)
+}
+
 // giveUp ends a run after its last attempt. A reservation that is left covers
 // nothing: the attempt that held it did not run.
 func giveUp(run *Run, unused Reservation, p Problem, mayHaveRun bool) {
