--- a/loadtool/caller/caller.go
+++ b/loadtool/caller/caller.go
@@ -59,6 +59,8 @@
 	lateBy      = 3 * time.Second // past its deadline a caller still reads the end
 	dialTimeout = time.Second
 	idlePerHost = 512
+	// budgetTries is how often a caller asks who hears that the budget is used up.
+	budgetTries = 3
 )
 
 // New returns a caller whose planned times count from begun.
@@ -86,7 +88,7 @@
 	for n := 1; ; n++ {
 		try := c.try(ctx, result, c.options.Balancer.Next(avoid))
 		result.Tries = append(result.Tries, try)
-		if !again(a, try) || n >= c.options.Tries {
+		if !again(a, try) || n >= c.options.Tries || refusedByBudget(result) >= budgetTries {
 			return result
 		}
 		avoid = try.VM
@@ -110,6 +112,19 @@
 	return t.RetryAfter > 0
 }
 
+// refusedByBudget counts the refusals for want of budget.
+func refusedByBudget(r *record.Result) int {
+	count := 0
+	for _, t := range r.Tries {
+		if t.Problem == problemBudget {
+			count++
+		}
+	}
+	return count
+}
+
+const problemBudget = "budget-exhausted"
+
 // problemUnknown ends a call whose outcome will not be known any better.
 const problemUnknown = "outcome-unknown"
 
--- a/loadtool/oracle/budget.go
+++ b/loadtool/oracle/budget.go
@@ -34,14 +34,17 @@
 	Lengths
 )
 
-// Refusals counts refusals for want of budget.
+// Refusals counts requests that were refused for want of budget. A request
+// counts once, however often it was tried again: the perfect counter would have
+// granted its first try and seen no other.
 type Refusals struct {
-	Asked   int // tries that came as far as the budget
-	Refused int
-	False   int // that the perfect counter would have granted
+	Asked   int // that came as far as the budget
+	Refused int // at least once
+	False   int // refused after the perfect counter would have granted it
+	Final   int // of these, never answered
 }
 
-// Rate is the share of false refusals among the tries that asked.
+// Rate is the share of false refusals among the requests that asked.
 func (r Refusals) Rate() float64 {
 	if r.Asked == 0 {
 		return 0
@@ -53,6 +56,7 @@
 func JudgeRefusals(results []*record.Result, purchases []Purchase, begun time.Time, sight Foresight) Refusals {
 	counters := map[budgetID]*counter{}
 	usual := usualDurations(results)
+	asked, refused, falsely := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	var sum Refusals
 	for _, e := range events(results, purchases) {
 		c := counters[e.budget]
@@ -64,16 +68,20 @@
 			c.free += e.purchase
 			continue
 		}
-		sum.Asked++
+		asked[e.result.ID] = true
 		granted := c.ask(e.at, e.result)
 		if e.try.Problem != ProblemBudget {
 			continue
 		}
-		sum.Refused++
-		if granted {
-			sum.False++
+		refused[e.result.ID] = true
+		if granted && !falsely[e.result.ID] {
+			falsely[e.result.ID] = true
+			if !e.result.Completed {
+				sum.Final++
+			}
 		}
 	}
+	sum.Asked, sum.Refused, sum.False = len(asked), len(refused), len(falsely)
 	return sum
 }
 
--- a/loadtool/report/report.go
+++ b/loadtool/report/report.go
@@ -48,9 +48,10 @@
 	FalseRefusalRate            float64        `json:"false_refusal_rate"`
 	FalseRefusalsClairvoyant    int            `json:"false_refusals_clairvoyant"`
 	FalseRefusalRateClairvoyant float64        `json:"false_refusal_rate_clairvoyant"`
-	BudgetAsked                 int            `json:"budget_asked"`
-	Refusals                    map[string]int `json:"refusals"` // answers, by problem
-	Problems                    map[string]int `json:"problems"` // other errors, by ending and problem
+	BudgetAsked                 int            `json:"budget_asked"`         // requests
+	FalseRefusalsFinal          int            `json:"false_refusals_final"` // never answered, for all their retries
+	Refusals                    map[string]int `json:"refusals"`             // answers, by problem
+	Problems                    map[string]int `json:"problems"`             // other errors, by ending and problem
 
 	Goodput         float64 `json:"goodput"`
 	GoodputInTime   float64 `json:"goodput_in_time"`
--- a/loadtool/report/text.go
+++ b/loadtool/report/text.go
@@ -24,7 +24,7 @@
 	lines = append(lines,
 		line{"lost_tokens", fmt.Sprintf("%s (%.4f of spend)", sorted(r.LostTokens), r.LostShare)},
 		line{"billed / consumed / unaccounted tokens", fmt.Sprintf("%d / %d / %d", r.BilledTokens, r.ConsumedTokens, r.UnaccountedTokens)},
-		line{"false_refusals (rate)", fmt.Sprintf("%d of %d (%.4f)", r.FalseRefusals, r.BudgetAsked, r.FalseRefusalRate)},
+		line{"false_refusals (rate)", fmt.Sprintf("%d of %d (%.4f), %d never answered", r.FalseRefusals, r.BudgetAsked, r.FalseRefusalRate, r.FalseRefusalsFinal)},
 		line{"false_refusals_clairvoyant (rate)", fmt.Sprintf("%d (%.4f)", r.FalseRefusalsClairvoyant, r.FalseRefusalRateClairvoyant)},
 		line{"refusals", sorted(r.Refusals)},
 		line{"problems", sorted(r.Problems)},
--- a/loadtool/run/run.go
+++ b/loadtool/run/run.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -32,6 +33,9 @@
 	// Prefix starts request ids and payment ids; a fleet that is used again
 	// needs another one each time.
 	Prefix string
+	// Settle bounds the wait for bills and folds after the last answer; 0 for
+	// the default.
+	Settle time.Duration
 	// Progress takes one line now and then.
 	Progress func(line string)
 }
@@ -41,7 +45,7 @@
 	callerTries      = 8
 	leadTime         = 500 * time.Millisecond // before the first arrival
 	progressInterval = 2 * time.Second
-	settleLimit      = 15 * time.Second // for bills and folds after the last answer
+	settleLimit      = 15 * time.Second
 	settleInterval   = 300 * time.Millisecond
 	minPurchase      = 2000 // tokens
 )
@@ -264,7 +268,8 @@
 // settle waits until the bills of all answers are in the table and folded, so
 // that the accounts can be compared; what is not by then is judged as it is.
 func (e *experiment) settle(ctx context.Context) {
-	end := time.Now().Add(settleLimit)
+	limit := cmp.Or(e.Settle, settleLimit)
+	end := time.Now().Add(limit)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		findings, err := e.audit(ctx)
 		if err == nil && findings.UnfoldedSegments == 0 && findings.BillsMissing == 0 {
@@ -272,7 +277,7 @@
 		}
 		time.Sleep(settleInterval)
 	}
-	e.say("bills were not all folded %s after the last answer", settleLimit)
+	e.say("bills were not all folded %s after the last answer", limit)
 }
 
 // audit compares the accounts as they are now.
