membership: a tracker, heartbeats by gossip, pauses

Cause: routers knew each other only from the lagging VM list, and a failed call counted for a fixed 5 s whatever the member did since.

Tracker merges the list, heartbeats, failed calls, a member's own word and the operators' orders without I/O and publishes immutable views. Per incarnation: gone only from the platform's list and for good, leaving never back to live, a suspicion and a death by silence end only with a higher heartbeat. Heartbeats still in flight when a call fails don't clear the suspicion.

Gossip pushes each second to 3 of log2(n) neighbours on a ring of hashed ids, so that connections stay few; news (births, leavings) goes out at once to 5. A dead neighbour is tried each round: without it TestHealedCut fails, two sides of a healed cut stay apart.

A pause of this process shows to the first that asks, before any timer; what OnWake asks for runs before Awake is true again, and again if another pause came in between.

--- /dev/null
+++ b/membership/gossip.go
@@ -0,0 +1,201 @@
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/peer"
+)
+
+// Methods of the peer protocol.
+const (
+	methodGossip   = "membership.gossip"
+	methodExchange = "membership.exchange"
+)
+
+// Shape of the gossip.
+const (
+	fanOut       = 3
+	urgentFanOut = 5
+	// urgentPause collects news that comes in a burst.
+	urgentPause = 20 * time.Millisecond
+	// jitter is the part of a period by which rounds vary, so that processes
+	// started together do not push together.
+	jitter = 0.2
+	// exchangeRounds is after how many rounds, in the mean, all that is known is
+	// compared with a peer; it repairs whatever pushes missed. firstExchange lets
+	// a new process look at the list first.
+	exchangeRounds = 30
+	firstExchange  = 2
+	looksPerPause  = 5
+	maxPushes      = 2 * (fanOut + urgentFanOut + 2)
+)
+
+// Gossip exchanges heartbeats and news with peers. It is the I/O around a
+// Tracker.
+type Gossip struct {
+	tracker *Tracker
+	caller  peer.Caller
+	pushes  chan struct{} // one place for each push in progress
+	tasks   sync.WaitGroup
+}
+
+// NewGossip returns the gossip of a tracker; Run begins it.
+func NewGossip(t *Tracker, caller peer.Caller) *Gossip {
+	return &Gossip{tracker: t, caller: caller, pushes: make(chan struct{}, maxPushes)}
+}
+
+// Serve registers the methods that peers call.
+func (g *Gossip) Serve(s *peer.Server) {
+	for method, handler := range g.handlers() {
+		s.Handle(method, handler)
+	}
+}
+
+func (g *Gossip) handlers() map[string]peer.Handler {
+	return map[string]peer.Handler{
+		methodGossip: func(_ context.Context, decode func(any) error, _ peer.Sender) (any, error) {
+			var m Message
+			if err := decode(&m); err != nil {
+				g.tracker.Counters.Malformed.Add(1)
+				return nil, err
+			}
+			g.tracker.Receive(m)
+			return nil, nil
+		},
+		methodExchange: func(_ context.Context, decode func(any) error, _ peer.Sender) (any, error) {
+			var q Question
+			if err := decode(&q); err != nil {
+				g.tracker.Counters.Malformed.Add(1)
+				return nil, err
+			}
+			return g.tracker.Tell(q), nil
+		},
+	}
+}
+
+// Run gossips until the context ends and waits for its goroutines. It also runs
+// what OnWake asked for.
+func (g *Gossip) Run(ctx context.Context) {
+	g.tasks.Go(func() { g.look(ctx) })
+	g.tasks.Go(func() { g.settle(ctx) })
+	g.tasks.Go(func() { g.hurry(ctx) })
+	g.rounds(ctx)
+	g.tasks.Wait()
+}
+
+func (g *Gossip) rounds(ctx context.Context) {
+	period := g.tracker.options.Limits.Period
+	next := firstExchange
+	for round := 0; ; round++ {
+		g.tracker.Tick()
+		g.pushTo(ctx, fanOut, g.tracker.Round())
+		if round == next {
+			g.exchange(ctx)
+			next += exchangeRounds/2 + rand.IntN(exchangeRounds)
+		}
+		spread := 1 + jitter*(2*rand.Float64()-1)
+		if !pauseFor(ctx, time.Duration(spread*float64(period))) {
+			return
+		}
+	}
+}
+
+// hurry pushes news as soon as there is any.
+func (g *Gossip) hurry(ctx context.Context) {
+	for {
+		select {
+		case <-g.tracker.Urgent():
+		case <-ctx.Done():
+			return
+		}
+		if !pauseFor(ctx, urgentPause) {
+			return
+		}
+		if m := g.tracker.Urgents(); len(m.News) > 0 {
+			g.pushTo(ctx, urgentFanOut, m)
+		}
+	}
+}
+
+// look lets the tracker notice pauses.
+func (g *Gossip) look(ctx context.Context) {
+	limit := g.tracker.options.Limits.Pause
+	if limit == 0 {
+		return
+	}
+	for pauseFor(ctx, limit/looksPerPause) {
+		g.tracker.Look()
+	}
+}
+
+func (g *Gossip) settle(ctx context.Context) {
+	for {
+		select {
+		case <-g.tracker.wake:
+			g.tracker.settle()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// pushTo sends a message to n neighbours. A peer that hangs must not hold up the
+// next round, so pushes run on their own, and none begins while maxPushes hang.
+func (g *Gossip) pushTo(ctx context.Context, n int, m Message) {
+	for _, member := range g.tracker.Neighbours(n) {
+		g.begin(ctx, member, func(ctx context.Context) error {
+			return g.caller.Push(ctx, member.PeerAddress, methodGossip, m)
+		})
+	}
+}
+
+// exchange compares all that is known with one neighbour.
+func (g *Gossip) exchange(ctx context.Context) {
+	for _, member := range g.tracker.Neighbours(1) {
+		g.begin(ctx, member, func(ctx context.Context) error {
+			var a Answer
+			err := g.caller.Call(ctx, member.PeerAddress, methodExchange, g.tracker.Ask(), &a)
+			if err == nil {
+				g.tracker.Told(a)
+			}
+			return err
+		})
+	}
+}
+
+// begin runs one call to a member; its failure is evidence against the member.
+func (g *Gossip) begin(ctx context.Context, member Member, call func(context.Context) error) {
+	select {
+	case g.pushes <- struct{}{}:
+	default:
+		g.tracker.Counters.Failed.Add(1)
+		return
+	}
+	g.tasks.Go(func() {
+		defer func() { <-g.pushes }()
+		limited, cancel := context.WithTimeout(ctx, g.tracker.options.Limits.Period)
+		defer cancel()
+		g.tracker.Counters.Sent.Add(1)
+		if err := call(limited); err != nil && ctx.Err() == nil {
+			g.tracker.Counters.Failed.Add(1)
+			g.tracker.Suspect(member.ID, eris.Wrapf(err, "gossip %s", member.ID))
+		}
+	})
+}
+
+// pauseFor waits and reports whether the context still runs.
+func pauseFor(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/membership/gossip_test.go
@@ -0,0 +1,156 @@
+package membership
+
+import (
+	"flag"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/platform"
+)
+
+// measure asks for the figures of docs/design/membership.md, which take minutes.
+var measure = flag.Bool("measure", false, "measure gossip with 9, 100 and 340 processes")
+
+// cost is what a fleet of one size showed in virtual time.
+type cost struct {
+	sentMean, sentMost float64 // bytes a second of one process
+	leaving, born      time.Duration
+	suspected, dead    time.Duration
+	falselySuspected   int // looks at a live process that showed it suspected or worse
+	looks              int
+}
+
+// run measures a fleet: quiet time, then one leaves, one is born, one dies.
+func run(t *testing.T, size int, quiet time.Duration) (c cost) {
+	f := newFleet(t)
+	defer f.stopAll()
+	nodes := f.startAll(size)
+	time.Sleep(10 * time.Second)
+	before := make([]int64, size)
+	for i, n := range nodes {
+		before[i] = n.sent.Load()
+	}
+	for range int(quiet / time.Second) {
+		time.Sleep(time.Second)
+		c.look(nodes)
+	}
+	for i, n := range nodes {
+		rate := float64(n.sent.Load()-before[i]) / quiet.Seconds()
+		c.sentMean += rate / float64(size)
+		c.sentMost = max(c.sentMost, rate)
+	}
+	const limit = time.Minute
+	nodes[1].tracker.Leave()
+	c.leaving = delay(nodes, limit, func(n *node) bool { return n.state("vm-001") == Leaving })
+	f.start(vmOf(size), vmsOf(size))
+	c.born = delay(nodes, limit, func(n *node) bool { return n.state(vmOf(size).ID) == Live && n.knows(vmOf(size).ID) })
+	nodes[2].kill()
+	c.suspected = delay(nodes, limit, func(n *node) bool { return n.state("vm-002") >= Suspected })
+	c.dead = c.suspected + delay(nodes, limit, func(n *node) bool { return n.state("vm-002") == Dead })
+	return c
+}
+
+func (n *node) knows(id string) bool {
+	_, known := n.tracker.View().Load().Members[id]
+	return known
+}
+
+func (c *cost) look(nodes []*node) {
+	for _, n := range nodes {
+		for _, member := range n.tracker.View().Load().Members {
+			c.looks++
+			if member.State != Live {
+				c.falselySuspected++
+			}
+		}
+	}
+}
+
+// A process that leaves gets requests for as long as one router has not heard of
+// it; one that died costs each caller a failed try. The VM list lags too much to
+// tell either in time.
+func TestFleetHearsOfEachOther(t *testing.T) {
+	for _, size := range []int{2, 9, 40} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := run(t, max(size, 3), 10*time.Second)
+			is.True(c.leaving < 2*time.Second)
+			is.True(c.born < 2*time.Second)
+			is.True(c.dead < 12*time.Second)
+			is.Equal(c.falselySuspected, 0)
+			is.True(c.sentMost < 30_000)
+		})
+	}
+}
+
+// withFleet runs a test on a fleet in virtual time.
+func withFleet(t *testing.T, test func(*is.I, *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.stopAll()
+		test(is.New(t), f)
+	})
+}
+
+// Two data centres lose each other for a minute. Each side calls the other dead
+// and goes on alone; nobody tells them when the cut has healed. If the sides only
+// pushed to those they hold alive, they would stay apart for good.
+func TestHealedCut(t *testing.T) {
+	withFleet(t, func(is *is.I, f *fleet) {
+		nodes := f.startAll(6)
+		time.Sleep(5 * time.Second)
+		f.divide(nodes[:3], nodes[3:], true)
+		time.Sleep(time.Minute)
+		is.Equal(nodes[0].state("vm-005"), Dead)
+		is.Equal(nodes[5].state("vm-000"), Dead)
+		is.Equal(nodes[0].state("vm-001"), Live)
+		f.divide(nodes[:3], nodes[3:], false)
+		all := func(n *node) bool { return n.count(Live) == 6 }
+		is.True(delay(nodes, 20*time.Second, all) < 20*time.Second)
+	})
+}
+
+// The platform's store is down when a VM is replaced: the list that the new
+// process got is old and names one process that still runs.
+func TestFreshProcessWithAnOldList(t *testing.T) {
+	withFleet(t, func(is *is.I, f *fleet) {
+		nodes := f.startAll(9)
+		nodes[4].tracker.Leave()
+		time.Sleep(10 * time.Second)
+		fresh := f.start(vmOf(9), []platform.VM{vmOf(0)})
+		is.True(delay([]*node{fresh}, 20*time.Second, func(n *node) bool { return n.count(Live) == 9 }) < 5*time.Second)
+		is.Equal(fresh.state("vm-004"), Leaving)
+		is.True(delay(nodes, 20*time.Second, func(n *node) bool { return n.count(Live) == 9 }) < 5*time.Second)
+	})
+}
+
+// One process does not get the gossip of a peer whose calls to it fail. The rest
+// of the fleet can reach that peer, and its heartbeats arrive over them.
+func TestOneBrokenLinkMakesNobodyDead(t *testing.T) {
+	withFleet(t, func(is *is.I, f *fleet) {
+		nodes := f.startAll(5)
+		time.Sleep(5 * time.Second)
+		f.setCut(nodes[0], nodes[1], true)
+		for range 60 {
+			time.Sleep(time.Second)
+			is.True(nodes[0].state("vm-001") < Dead)
+			is.True(nodes[1].state("vm-000") < Dead)
+		}
+	})
+}
+
+func TestMeasureGossip(t *testing.T) {
+	if !*measure {
+		t.Skip("only with -measure")
+	}
+	for _, size := range []int{9, 100, 340} {
+		synctest.Test(t, func(t *testing.T) {
+			c := run(t, size, time.Minute)
+			t.Logf("%3d processes: sent %.0f B/s mean, %.0f most; leaving %v, born %v, suspected %v, dead %v; false suspicions %d of %d",
+				size, c.sentMean, c.sentMost, c.leaving, c.born, c.suspected, c.dead, c.falselySuspected, c.looks)
+		})
+	}
+}
--- /dev/null
+++ b/membership/message.go
@@ -0,0 +1,283 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"buckthornridge/platform"
+)
+
+// Bounds of one message.
+const (
+	maxBeats = 384
+	keyBytes = 8
+	maxNews  = 16
+	maxTold  = 1024 // members in the answer of an exchange
+	// newsRounds is in how many messages' rounds a piece of news is passed on.
+	newsRounds = 4
+)
+
+// Beat is a heartbeat: the incarnation's key and its sequence.
+type Beat struct {
+	Key      uint64
+	Sequence uint64
+}
+
+// Beats travel as one byte string of 9 to 11 bytes each: the key, then the
+// sequence as a varint. They are nearly all of what gossip costs.
+type Beats []Beat
+
+var (
+	_ msgpack.CustomEncoder = Beats(nil)
+	_ msgpack.CustomDecoder = (*Beats)(nil)
+)
+
+// EncodeMsgpack implements msgpack.CustomEncoder.
+func (b Beats) EncodeMsgpack(e *msgpack.Encoder) error {
+	packed := make([]byte, 0, len(b)*11)
+	for _, beat := range b {
+		packed = binary.BigEndian.AppendUint64(packed, beat.Key)
+		packed = binary.AppendUvarint(packed, beat.Sequence)
+	}
+	return e.EncodeBytes(packed)
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder. It refuses more than maxBeats.
+func (b *Beats) DecodeMsgpack(d *msgpack.Decoder) error {
+	packed, err := d.DecodeBytes()
+	if err != nil {
+		return err
+	}
+	*b = nil
+	for len(packed) > 0 {
+		if len(packed) < keyBytes || len(*b) == maxBeats {
+			return eris.New("membership: malformed heartbeats")
+		}
+		key := binary.BigEndian.Uint64(packed)
+		sequence, n := binary.Uvarint(packed[keyBytes:])
+		if n <= 0 {
+			return eris.New("membership: malformed heartbeat")
+		}
+		*b = append(*b, Beat{Key: key, Sequence: sequence})
+		packed = packed[keyBytes+n:]
+	}
+	return nil
+}
+
+// News tells of a member whole: a new incarnation, or one that is leaving.
+type News struct {
+	Member   Member `msgpack:"m"` // its State is Live or Leaving
+	Sequence uint64 `msgpack:"s"`
+}
+
+// Message is what a process pushes to some peers each round.
+type Message struct {
+	From  uint64 `msgpack:"f"` // key of the sender
+	Beats Beats  `msgpack:"b"`
+	News  []News `msgpack:"n,omitempty"`
+}
+
+// Question asks a peer for all it knows if it knows something else.
+type Question struct {
+	Self   News   `msgpack:"s"`
+	Digest uint64 `msgpack:"d"`
+}
+
+// Answer tells of all members that are not dead, or of none if the digests agree.
+type Answer struct {
+	Members []News `msgpack:"m,omitempty"`
+}
+
+// rumour is a piece of news that is still being passed on.
+type rumour struct {
+	key    uint64
+	rounds int
+}
+
+// spread begins to pass on news, at once.
+func (t *Tracker) spread(r *record) {
+	t.rumours = slices.DeleteFunc(t.rumours, func(known rumour) bool { return known.key == r.key })
+	t.rumours = append(t.rumours, rumour{key: r.key})
+	signal(t.urgent)
+}
+
+// Round returns the next message. It holds this process's heartbeat and those
+// passed on least, so that in a large fleet each is passed on about as often.
+func (t *Tracker) Round() Message {
+	t.enter()
+	defer t.mu.Unlock()
+	m := Message{From: keyOf(t.self.ID, t.self.Incarnation), News: t.takeNews()}
+	if own := t.own(); own != nil {
+		m.Beats = append(m.Beats, Beat{Key: own.key, Sequence: own.sequence})
+	}
+	fresh := t.freshest()
+	for _, r := range fresh[:min(len(fresh), maxBeats-1)] {
+		m.Beats = append(m.Beats, Beat{Key: r.key, Sequence: r.sequence})
+		r.sends++
+	}
+	return m
+}
+
+// freshest orders the others' heartbeats that are worth passing on.
+func (t *Tracker) freshest() []*record {
+	own := t.own()
+	var fresh []*record
+	for _, r := range t.records {
+		if r != own && r.sequence > 0 && r.member.State < Dead {
+			fresh = append(fresh, r)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(a.sends, b.sends), b.advanced.Compare(a.advanced))
+	})
+	return fresh
+}
+
+// Urgents returns a message with the news alone, to push at once.
+func (t *Tracker) Urgents() Message {
+	t.enter()
+	defer t.mu.Unlock()
+	return Message{From: keyOf(t.self.ID, t.self.Incarnation), News: t.takeNews()}
+}
+
+// takeNews returns the news to pass on, the newest first, and drops what was
+// passed on often enough.
+func (t *Tracker) takeNews() []News {
+	var out []News
+	for i := len(t.rumours) - 1; i >= 0 && len(out) < maxNews; i-- {
+		t.rumours[i].rounds++
+		if r := t.byKey[t.rumours[i].key]; r != nil && r.member.State < Dead {
+			out = append(out, news(r))
+		}
+	}
+	t.rumours = slices.DeleteFunc(t.rumours, func(known rumour) bool { return known.rounds >= newsRounds })
+	return out
+}
+
+func news(r *record) News {
+	n := News{Member: r.member, Sequence: r.sequence}
+	n.Member.State = Live
+	if r.leaving || !r.saidLeaving.IsZero() {
+		n.Member.State = Leaving
+	}
+	return n
+}
+
+// Receive takes a peer's message.
+func (t *Tracker) Receive(m Message) {
+	now := t.enter()
+	defer t.mu.Unlock()
+	if len(m.Beats) > maxBeats || len(m.News) > maxNews {
+		t.Counters.Malformed.Add(1)
+		return
+	}
+	for _, n := range m.News {
+		t.learn(n, true, now)
+	}
+	for _, b := range m.Beats {
+		t.hear(b, b.Key == m.From, now)
+	}
+	t.publish(now)
+}
+
+// hear takes one heartbeat. A key that is not known yet is of a member that the
+// list or an exchange will tell of.
+func (t *Tracker) hear(b Beat, direct bool, now time.Time) {
+	r := t.byKey[b.Key]
+	if r == nil || r == t.own() {
+		return
+	}
+	if r.advance(b.Sequence, direct, now) {
+		t.Counters.Beats.Add(1)
+	}
+}
+
+// learn takes what a peer tells of a member. Only the platform's list may say
+// gone, and only silence makes anyone dead, so neither is ever told.
+func (t *Tracker) learn(n News, passOn bool, now time.Time) {
+	if !n.valid() {
+		t.Counters.Malformed.Add(1)
+		return
+	}
+	r := t.records[n.Member.ID]
+	changed := false
+	switch {
+	case r == nil || n.Member.Incarnation != "" && platform.OlderIncarnation(r.member.Incarnation, n.Member.Incarnation):
+		if r == nil && len(t.records) >= maxMembers {
+			return
+		}
+		r = t.replace(r, n.Member, now)
+		changed = true
+	case n.Member.Incarnation != "" && n.Member.Incarnation != r.member.Incarnation:
+		return // an older incarnation
+	}
+	if r != t.own() {
+		r.advance(n.Sequence, false, now)
+	}
+	if n.Member.State == Leaving {
+		changed = t.markLeaving(r, n.Member.Incarnation, now) || changed
+	}
+	if changed {
+		t.Counters.News.Add(1)
+		if passOn {
+			t.spread(r)
+		}
+	}
+}
+
+func (n News) valid() bool {
+	m := n.Member
+	for _, text := range []string{m.ID, m.Incarnation, m.Role, m.DataCentre, m.Region, m.Address, m.PeerAddress} {
+		if len(text) > maxText {
+			return false
+		}
+	}
+	return m.ID != "" && (m.State == Live || m.State == Leaving)
+}
+
+// Ask returns the question of an exchange.
+func (t *Tracker) Ask() Question {
+	t.enter()
+	defer t.mu.Unlock()
+	q := Question{Digest: t.digest}
+	if own := t.own(); own != nil {
+		q.Self = news(own)
+	}
+	return q
+}
+
+// Tell answers a peer's question, and learns of the peer.
+func (t *Tracker) Tell(q Question) Answer {
+	now := t.enter()
+	defer t.mu.Unlock()
+	if q.Self.Member.ID != "" {
+		t.learn(q.Self, true, now)
+		t.publish(now)
+	}
+	if q.Digest == t.digest {
+		return Answer{}
+	}
+	var a Answer
+	for _, r := range t.records {
+		if r.member.State < Dead && len(a.Members) < maxTold {
+			a.Members = append(a.Members, news(r))
+		}
+	}
+	return a
+}
+
+// Told takes the answer of an exchange. It is not passed on: each process asks
+// for itself.
+func (t *Tracker) Told(a Answer) {
+	now := t.enter()
+	defer t.mu.Unlock()
+	for _, n := range a.Members {
+		t.learn(n, n.Member.State == Leaving, now)
+	}
+	t.publish(now)
+}
--- /dev/null
+++ b/membership/neighbours.go
@@ -0,0 +1,59 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Neighbours returns up to n peers to push to, drawn at random from a bounded
+// set, so that a process holds few connections. The set is on a ring of the ids'
+// hashes, at the distances 1, 2, 4 and so on: each process is then in as many
+// sets as its own is large, and news crosses the fleet in logarithmically many
+// steps. Dead processes are left out of the ring; one of them, drawn at random,
+// is added, or two sides of a healed cut would never speak again.
+func (t *Tracker) Neighbours(n int) []Member {
+	t.enter()
+	defer t.mu.Unlock()
+	alive, dead := t.peers()
+	set := ringSet(alive, t.self.ID)
+	t.random.Shuffle(len(set), func(i, j int) { set[i], set[j] = set[j], set[i] })
+	set = set[:min(n, len(set))]
+	if len(dead) > 0 {
+		set = append(set, dead[t.random.IntN(len(dead))])
+	}
+	return set
+}
+
+// peers returns the processes that heartbeats can be sent to.
+func (t *Tracker) peers() (alive, dead []Member) {
+	for id, r := range t.records {
+		switch {
+		case id == t.self.ID, !r.beats, r.member.PeerAddress == "", r.member.State == Gone:
+		case r.member.State == Dead:
+			dead = append(dead, r.member)
+		default:
+			alive = append(alive, r.member)
+		}
+	}
+	byID := func(a, b Member) int { return strings.Compare(a.ID, b.ID) }
+	slices.SortFunc(alive, byID)
+	slices.SortFunc(dead, byID)
+	return alive, dead
+}
+
+// ringSet returns the members at distances 1, 2, 4, ... after self.
+func ringSet(members []Member, self string) []Member {
+	place := func(id string) uint64 { return xxhash.Sum64String(id) - xxhash.Sum64String(self) }
+	ring := slices.Clone(members)
+	slices.SortFunc(ring, func(a, b Member) int {
+		return cmp.Compare(place(a.ID), place(b.ID))
+	})
+	var set []Member
+	for distance := 1; distance <= len(ring); distance *= 2 {
+		set = append(set, ring[distance-1])
+	}
+	return set
+}
--- /dev/null
+++ b/membership/record.go
@@ -0,0 +1,115 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// record is all that is known about the newest known incarnation of one id.
+// Evidence about older incarnations is dropped on arrival, so what was said of
+// them can never come back.
+type record struct {
+	member Member // its State is the one last published
+	key    uint64 // names the incarnation in heartbeats
+	beats  bool   // its role sends heartbeats
+
+	// sequence is the highest heartbeat known; 0 if none was ever heard.
+	sequence uint64
+	// advanced is when the sequence last rose or the record began.
+	advanced time.Time
+	// clears is the sequence that ends a suspicion; 0 without a suspicion.
+	clears uint64
+	// suspectedAt is when the last failed call was reported.
+	suspectedAt time.Time
+	// leaving and gone are never taken back for an incarnation.
+	leaving bool
+	gone    bool
+	// ordered is the operators' wish for no new work, which they may take back.
+	ordered bool
+	// saidLeaving is when an upstream of unknown incarnation said it leaves.
+	saidLeaving time.Time
+	// seen is when any source last named the record, for forgetting it.
+	seen time.Time
+	// sends counts how often the present sequence was passed on.
+	sends int
+}
+
+// keyOf names an incarnation in heartbeats with 8 bytes. Two of 10,000 share a
+// key with a chance of 1 in 10^11; they would keep each other looking alive.
+func keyOf(id, incarnation string) uint64 {
+	return xxhash.Sum64String(id + "\x00" + incarnation)
+}
+
+// state weighs the evidence: the worst that is known counts.
+func (r *record) state(now time.Time, limits Limits) State {
+	if r.gone {
+		return Gone
+	}
+	state := r.silence(now, limits)
+	if r.suspected(now, limits) {
+		state = max(state, Suspected)
+	}
+	if r.isLeaving(now, limits) {
+		state = max(state, Leaving)
+	}
+	return state
+}
+
+// silence judges by the heartbeats. A process that was never heard may run
+// without heartbeats or be cut off from everyone, so the list's word stands and
+// it is only tried last.
+func (r *record) silence(now time.Time, limits Limits) State {
+	if !r.beats || limits.Dead == 0 {
+		return Live
+	}
+	silent := now.Sub(r.advanced)
+	switch {
+	case r.sequence == 0 && silent < limits.Dead, silent < limits.Suspected:
+		return Live
+	case r.sequence == 0, silent < limits.Dead:
+		return Suspected
+	}
+	return Dead
+}
+
+// suspected reports whether failed calls still count. Without heartbeats nothing
+// but time can end a suspicion.
+func (r *record) suspected(now time.Time, limits Limits) bool {
+	if r.clears == 0 {
+		return false
+	}
+	return r.sequence > 0 || now.Sub(r.suspectedAt) < limits.Evidence
+}
+
+func (r *record) isLeaving(now time.Time, limits Limits) bool {
+	said := !r.saidLeaving.IsZero() && now.Sub(r.saidLeaving) < limits.Said
+	return r.leaving || r.ordered || said
+}
+
+// suspect notes a failed call.
+//
+// Heartbeats that the member sent before it died may still be on their way over
+// other members and would clear the suspicion. So it ends only with a sequence
+// that the member cannot have reached before the call failed: what it must have
+// reached by now, and what gossip may have in flight.
+func (r *record) suspect(now time.Time, limits Limits) {
+	r.suspectedAt = now
+	elapsed := uint64(now.Sub(r.advanced)/limits.Period) + 1
+	r.clears = r.sequence + elapsed + beatsInFlight
+}
+
+// advance takes a heartbeat and reports whether it was news. A direct one came
+// from the member itself.
+func (r *record) advance(sequence uint64, direct bool, now time.Time) bool {
+	if sequence <= r.sequence {
+		return false
+	}
+	r.sequence = sequence
+	r.advanced, r.seen = now, now
+	r.sends = 0
+	if direct || sequence >= r.clears {
+		r.clears = 0
+	}
+	return true
+}
--- /dev/null
+++ b/membership/tracker.go
@@ -0,0 +1,370 @@
+package membership
+
+import (
+	"expvar"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"buckthornridge/platform"
+)
+
+// Limits are the times by which a Tracker judges.
+type Limits struct {
+	// Period is the time between two heartbeats of a process.
+	Period time.Duration
+	// Suspected and Dead are how long a process may be silent before it is
+	// called so. A Dead of 0 judges nobody by silence.
+	Suspected time.Duration
+	Dead      time.Duration
+	// Evidence is how long a failed call counts against a member without
+	// heartbeats.
+	Evidence time.Duration
+	// Said is how long the word "leaving" of an upstream counts whose
+	// incarnation is not known.
+	Said time.Duration
+	// Forget is how long nothing may be heard of a dead or gone member before
+	// its record is dropped.
+	Forget time.Duration
+	// Pause is from what length a gap in this process's own running is noticed;
+	// 0 notices none.
+	Pause time.Duration
+}
+
+// DefaultLimits returns limits for heartbeats each second in fleets of up to 340
+// processes; docs/design/membership.md has the measured delays behind them.
+func DefaultLimits() Limits {
+	return Limits{
+		Period:    time.Second,
+		Suspected: 4 * time.Second,
+		Dead:      6 * time.Second,
+		Evidence:  5 * time.Second,
+		Said:      time.Minute,
+		Forget:    24 * time.Hour,
+		Pause:     time.Second,
+	}
+}
+
+const (
+	// beatsInFlight is how many newer heartbeats of a member gossip may still
+	// have under way.
+	beatsInFlight = 3
+	// maxMembers bounds the records, so that a broken peer can't fill the memory.
+	maxMembers = 8192
+	// maxText bounds the texts of a member that a peer tells of, in bytes.
+	maxText = 256
+)
+
+// Options sets up a Tracker.
+type Options struct {
+	// Self is this process; its State is ignored.
+	Self Member
+	// Beats says which roles send heartbeats.
+	Beats map[string]bool
+	// Limits to judge by; DefaultLimits if zero.
+	Limits Limits
+	// Seed makes the random choices repeatable; 0 draws a seed.
+	Seed uint64
+}
+
+// Counters count what a Tracker learned.
+type Counters struct {
+	Beats     expvar.Int // heartbeats that were news
+	News      expvar.Int // births and leavings that were news
+	Suspicion expvar.Int // failed calls reported
+	Malformed expvar.Int // messages or entries refused
+	Wakes     expvar.Int // pauses of this process
+	Sent      expvar.Int // messages
+	Failed    expvar.Int // messages that did not leave
+}
+
+// Map returns the counters under their published names.
+func (c *Counters) Map() *expvar.Map {
+	m := new(expvar.Map).Init()
+	m.Set("beats", &c.Beats)
+	m.Set("news", &c.News)
+	m.Set("suspicions", &c.Suspicion)
+	m.Set("malformed", &c.Malformed)
+	m.Set("wakes", &c.Wakes)
+	m.Set("sent", &c.Sent)
+	m.Set("failed", &c.Failed)
+	return m
+}
+
+// Tracker decides how each member is, from all sources. It does no I/O. Methods
+// are safe for concurrent use; readers of the view take no lock.
+//
+// What holds for one incarnation, whatever arrives in whatever order: gone comes
+// only from the platform's list and stays; leaving never turns back to live; a
+// suspicion and a death by silence end only with a higher heartbeat. A newer
+// incarnation starts afresh, an older one is ignored.
+type Tracker struct {
+	Counters Counters
+	view     Holder
+	pause    pause
+	self     Member
+	options  Options
+	changed  chan struct{}
+	urgent   chan struct{}
+	wake     chan struct{} // has a value while OnWake's functions are to run
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	records map[string]*record // by id
+	byKey   map[uint64]*record
+	rumours []rumour
+	onWake  []func()
+	ordered map[string]bool
+	digest  uint64
+}
+
+// NewTracker returns a tracker that knows only this process.
+func NewTracker(o Options) *Tracker {
+	if o.Limits == (Limits{}) {
+		o.Limits = DefaultLimits()
+	}
+	if o.Seed == 0 {
+		o.Seed = rand.Uint64()
+	}
+	t := &Tracker{
+		self:    o.Self,
+		options: o,
+		changed: make(chan struct{}, 1),
+		urgent:  make(chan struct{}, 1),
+		wake:    make(chan struct{}, 1),
+		random:  rand.New(rand.NewPCG(o.Seed, 0)),
+		records: map[string]*record{},
+		byKey:   map[uint64]*record{},
+	}
+	t.pause.seen(time.Now())
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	own := t.replace(nil, o.Self, time.Now())
+	own.sequence = 1
+	t.spread(own)
+	t.publish(time.Now())
+	return t
+}
+
+// View returns the holder of the published views.
+func (t *Tracker) View() *Holder { return &t.view }
+
+// Changed has a value after the view changed.
+func (t *Tracker) Changed() <-chan struct{} { return t.changed }
+
+// Urgent has a value when there is news that peers should hear at once.
+func (t *Tracker) Urgent() <-chan struct{} { return t.urgent }
+
+// Tick is called once a period: it counts this process's heartbeat and judges
+// silence. After a pause of this process nobody's silence is held against them,
+// since it was this process that did not listen.
+func (t *Tracker) Tick() {
+	now := t.enter()
+	defer t.mu.Unlock()
+	if own := t.own(); own != nil {
+		own.advance(own.sequence+1, true, now)
+	}
+	t.forget(now)
+	t.publish(now)
+}
+
+// own returns the record of this incarnation, or nil once a newer one is known.
+func (t *Tracker) own() *record {
+	if r := t.records[t.self.ID]; r != nil && r.member.Incarnation == t.self.Incarnation {
+		return r
+	}
+	return nil
+}
+
+// List takes the platform's list, the only source that says gone. Lists may come
+// late or out of order: nothing in one takes back what another source knows.
+func (t *Tracker) List(vms []platform.VM) {
+	now := t.enter()
+	defer t.mu.Unlock()
+	for _, vm := range vms {
+		t.listed(vm, now)
+	}
+	t.publish(now)
+}
+
+func (t *Tracker) listed(vm platform.VM, now time.Time) {
+	r := t.records[vm.ID]
+	first := r == nil || platform.OlderIncarnation(r.member.Incarnation, vm.Incarnation)
+	switch {
+	case first && len(t.records) >= maxMembers && r == nil:
+		return
+	case first:
+		r = t.replace(r, memberOf(vm), now)
+	case r.member.Incarnation != vm.Incarnation:
+		return // an older incarnation
+	}
+	r.seen = now
+	r.gone = r.gone || vm.State == platform.VMGone
+	if vm.State == platform.VMLeaving && !r.leaving {
+		r.leaving = true
+		if !first {
+			t.spread(r)
+		}
+	}
+}
+
+func memberOf(vm platform.VM) Member {
+	return Member{
+		ID:          vm.ID,
+		Incarnation: vm.Incarnation,
+		Role:        vm.Role,
+		DataCentre:  vm.DataCentre,
+		Region:      vm.Region,
+		Address:     vm.Address,
+		PeerAddress: vm.PeerAddress,
+	}
+}
+
+// replace begins the record of a new id or a newer incarnation.
+func (t *Tracker) replace(old *record, member Member, now time.Time) *record {
+	if old != nil {
+		delete(t.byKey, old.key)
+	}
+	member.State = Live
+	r := &record{
+		member:   member,
+		key:      keyOf(member.ID, member.Incarnation),
+		beats:    t.options.Beats[member.Role],
+		advanced: now,
+		seen:     now,
+		ordered:  t.ordered[member.ID],
+	}
+	t.records[member.ID] = r
+	t.byKey[r.key] = r
+	return r
+}
+
+// Suspect takes direct evidence that a member does not answer.
+func (t *Tracker) Suspect(id string, cause error) {
+	now := t.enter()
+	defer t.mu.Unlock()
+	r := t.records[id]
+	if r == nil || r == t.own() {
+		return
+	}
+	t.Counters.Suspicion.Add(1)
+	if r.clears == 0 {
+		klog.Warningf("member %s is suspected: %v", id, cause)
+	}
+	r.suspect(now, t.options.Limits)
+	t.publish(now)
+}
+
+// Leave takes this process's own word that it is leaving and tells the peers.
+func (t *Tracker) Leave() {
+	now := t.enter()
+	defer t.mu.Unlock()
+	if own := t.own(); own != nil && !own.leaving {
+		own.leaving = true
+		own.sequence++
+		t.spread(own)
+		t.publish(now)
+	}
+}
+
+// SaidLeaving takes the word of an upstream itself that it is leaving, and tells
+// the peers. An upstream that no list has named has no known incarnation, so the
+// word lapses after Limits.Said unless it is said again.
+func (t *Tracker) SaidLeaving(id, role string) {
+	now := t.enter()
+	defer t.mu.Unlock()
+	r := t.records[id]
+	if r == nil {
+		r = t.replace(nil, Member{ID: id, Role: role}, now)
+	}
+	if t.markLeaving(r, r.member.Incarnation, now) {
+		t.spread(r)
+		t.publish(now)
+	}
+}
+
+// markLeaving takes the word that an incarnation is leaving and reports whether
+// it was news. A word about an unknown incarnation, "", lapses.
+func (t *Tracker) markLeaving(r *record, incarnation string, now time.Time) bool {
+	saidBefore := !r.saidLeaving.IsZero() && now.Sub(r.saidLeaving) < t.options.Limits.Said/2
+	if r.leaving || incarnation == "" && saidBefore {
+		return false
+	}
+	r.seen = now
+	if incarnation == "" {
+		r.saidLeaving = now
+	} else {
+		r.leaving = true
+	}
+	return true
+}
+
+// Order takes the ids of the upstreams that the configuration marks as leaving.
+// Operators may take that back, and each VM has the configuration, so it is not
+// told to peers.
+func (t *Tracker) Order(leaving map[string]bool) {
+	now := t.enter()
+	defer t.mu.Unlock()
+	t.ordered = maps.Clone(leaving)
+	for id, r := range t.records {
+		r.ordered = t.ordered[id]
+	}
+	t.publish(now)
+}
+
+// forget drops records that nobody has named for long, so that ids that never
+// come back do not pile up.
+func (t *Tracker) forget(now time.Time) {
+	for id, r := range t.records {
+		over := r.member.State >= Dead || r.member.Incarnation == ""
+		if over && id != t.self.ID && now.Sub(r.seen) > t.options.Limits.Forget {
+			delete(t.records, id)
+			delete(t.byKey, r.key)
+		}
+	}
+}
+
+// publish stores a new view if anything in it changed. Callers hold the lock.
+func (t *Tracker) publish(now time.Time) {
+	old := t.view.Load()
+	same := len(old.Members) == len(t.records)
+	t.digest = 0
+	for id, r := range t.records {
+		t.judge(r, now)
+		same = same && old.Members[id] == r.member
+		if r.member.State < Dead {
+			t.digest ^= r.key + uint64(r.member.State&Leaving)
+		}
+	}
+	if same {
+		return
+	}
+	view := &View{Members: make(map[string]Member, len(t.records))}
+	for id, r := range t.records {
+		view.Members[id] = r.member
+	}
+	t.view.Store(view)
+	signal(t.changed)
+}
+
+func (t *Tracker) judge(r *record, now time.Time) {
+	state := r.state(now, t.options.Limits)
+	if r == t.own() && (state == Suspected || state == Dead) {
+		state = Live // a process does not judge itself by silence
+	}
+	if state != r.member.State {
+		klog.V(1).Infof("member %s (%s) was %s, is %s", r.member.ID, r.member.Incarnation, r.member.State, state)
+		r.member.State = state
+	}
+}
+
+// signal notes an event for a receiver that looks at the state itself.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/membership/tracker_test.go
@@ -0,0 +1,235 @@
+package membership
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/platform"
+)
+
+var errNoAnswer = errors.New("no answer")
+
+// pair is a tracker of vm-000 that knows vm-001 from the list.
+func pair() *Tracker {
+	t := NewTracker(Options{Self: memberOf(vmOf(0)), Beats: routersBeat, Seed: 1})
+	t.List(vmsOf(2))
+	return t
+}
+
+const other = "vm-001"
+
+func (t *Tracker) stateOf(id string) State { return t.View().Load().Members[id].State }
+
+// beat is a message of vm-001 itself, or of somebody who passes it on.
+func beat(sequence uint64, direct bool) Message {
+	key := keyOf(other, vmOf(1).Incarnation)
+	m := Message{Beats: Beats{{Key: key, Sequence: sequence}}}
+	if direct {
+		m.From = key
+	}
+	return m
+}
+
+func told(vm platform.VM, state State, sequence uint64) Message {
+	n := News{Member: memberOf(vm), Sequence: sequence}
+	n.Member.State = state
+	return Message{News: []News{n}}
+}
+
+func listed(vm platform.VM, state platform.VMState) []platform.VM {
+	vm.State = state
+	return []platform.VM{vm}
+}
+
+func reborn(vm platform.VM) platform.VM {
+	vm.Incarnation = "1764720000000000002"
+	return vm
+}
+
+// live runs a tracker's own upkeep for a time in which nothing is heard.
+func live(t *Tracker, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(250 * time.Millisecond)
+		t.Tick()
+	}
+}
+
+func TestEvidence(t *testing.T) {
+	late := vmsOf(2)
+	cases := map[string]struct {
+		happens func(*Tracker)
+		want    State
+	}{
+		"listed":                 {func(*Tracker) {}, Live},
+		"a call failed":          {func(k *Tracker) { k.Suspect(other, errNoAnswer) }, Suspected},
+		"the list says leaving":  {func(k *Tracker) { k.List(listed(vmOf(1), platform.VMLeaving)); k.List(late) }, Leaving},
+		"its own word":           {func(k *Tracker) { k.Receive(told(vmOf(1), Leaving, 1)); k.List(late) }, Leaving},
+		"the list says gone":     {func(k *Tracker) { k.List(listed(vmOf(1), platform.VMGone)); k.List(late) }, Gone},
+		"gone, then a heartbeat": {func(k *Tracker) { k.List(listed(vmOf(1), platform.VMGone)); k.Receive(beat(9, true)) }, Gone},
+		"a peer says gone":       {func(k *Tracker) { k.Receive(told(vmOf(1), Gone, 1)) }, Live},
+		"a peer says dead":       {func(k *Tracker) { k.Receive(told(vmOf(1), Dead, 1)) }, Live},
+		"reborn after gone":      {func(k *Tracker) { k.List(listed(vmOf(1), platform.VMGone)); k.Receive(told(reborn(vmOf(1)), Live, 1)) }, Live},
+		"reborn after leaving": {func(k *Tracker) {
+			k.Receive(told(vmOf(1), Leaving, 1))
+			k.List(listed(reborn(vmOf(1)), platform.VMLive))
+		}, Live},
+		"last words of the old one": {func(k *Tracker) {
+			k.List(listed(reborn(vmOf(1)), platform.VMLive))
+			k.Receive(told(vmOf(1), Leaving, 7))
+		}, Live},
+		"the old one is gone": {func(k *Tracker) {
+			k.List(listed(reborn(vmOf(1)), platform.VMLive))
+			k.List(listed(vmOf(1), platform.VMGone))
+		}, Live},
+		"silent for long":          {func(k *Tracker) { k.Receive(beat(1, true)); live(k, 5*time.Second) }, Suspected},
+		"silent for longer":        {func(k *Tracker) { k.Receive(beat(1, true)); live(k, 9*time.Second) }, Dead},
+		"dead, the list says live": {func(k *Tracker) { k.Receive(beat(5, true)); live(k, 9*time.Second); k.List(late) }, Dead},
+		"dead, an old heartbeat":   {func(k *Tracker) { k.Receive(beat(5, true)); live(k, 9*time.Second); k.Receive(beat(5, true)) }, Dead},
+		"dead, an older heartbeat": {func(k *Tracker) { k.Receive(beat(5, true)); live(k, 9*time.Second); k.Receive(beat(4, true)) }, Dead},
+		"dead, a new heartbeat":    {func(k *Tracker) { k.Receive(beat(5, true)); live(k, 9*time.Second); k.Receive(beat(6, true)) }, Live},
+		"leaving and silent":       {func(k *Tracker) { k.Receive(told(vmOf(1), Leaving, 5)); live(k, 9*time.Second) }, Dead},
+		"leaving, dead, back": {func(k *Tracker) {
+			k.Receive(told(vmOf(1), Leaving, 5))
+			live(k, 9*time.Second)
+			k.Receive(beat(6, true))
+		}, Leaving},
+		"never heard":                 {func(k *Tracker) { live(k, time.Minute) }, Suspected},
+		"suspected, the list":         {func(k *Tracker) { k.Receive(beat(5, true)); k.Suspect(other, errNoAnswer); k.List(late) }, Suspected},
+		"suspected, its next word":    {func(k *Tracker) { k.Receive(beat(5, true)); k.Suspect(other, errNoAnswer); k.Receive(beat(6, true)) }, Live},
+		"suspected, a word in flight": {func(k *Tracker) { k.Receive(beat(5, true)); k.Suspect(other, errNoAnswer); k.Receive(beat(8, false)) }, Suspected},
+		"suspected, many words on":    {func(k *Tracker) { k.Receive(beat(5, true)); k.Suspect(other, errNoAnswer); k.Receive(beat(9, false)) }, Live},
+		"operators order it":          {func(k *Tracker) { k.Order(map[string]bool{other: true}) }, Leaving},
+		"operators take it back":      {func(k *Tracker) { k.Order(map[string]bool{other: true}); k.Order(nil) }, Live},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				k := pair()
+				c.happens(k)
+				is.New(t).Equal(k.stateOf(other), c.want)
+			})
+		})
+	}
+}
+
+// An engine that leaves refuses a request at one router. The VM list is frozen
+// and will say "live" for minutes. Every other router must stop sending to it,
+// and go on once the engine is back under a new incarnation.
+func TestUpstreamThatSaidLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engine := platform.VM{ID: "design-1", Incarnation: "1", Role: "engine", State: platform.VMLive}
+		here, there := pair(), pair()
+		here.List([]platform.VM{engine})
+		there.List([]platform.VM{engine})
+		here.SaidLeaving("design-1", "engine")
+		<-here.Urgent()
+		there.Receive(here.Urgents())
+		here.List([]platform.VM{engine})
+		there.List([]platform.VM{engine})
+		is.Equal(here.stateOf("design-1"), Leaving)
+		is.Equal(there.stateOf("design-1"), Leaving)
+		engine.Incarnation = "2"
+		there.List([]platform.VM{engine})
+		is.Equal(there.stateOf("design-1"), Live)
+	})
+}
+
+// The same with an engine that no list has named: nobody can tell it from its
+// successor, so the word must not take it out for good.
+func TestUnlistedUpstreamThatSaidLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		here, there := pair(), pair()
+		here.SaidLeaving("design-1", "engine")
+		there.Receive(here.Urgents())
+		is.Equal(here.stateOf("design-1"), Leaving)
+		is.Equal(there.stateOf("design-1"), Leaving)
+		live(there, DefaultLimits().Said+time.Second)
+		is.Equal(there.stateOf("design-1"), Live)
+	})
+}
+
+// A VM is stopped for a minute in the middle of a step. When it goes on, its
+// timers have not fired yet, so the first to ask must already hear of the gap;
+// the others' silence meanwhile was its own and must make nobody dead.
+func TestPausedProcessWakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		k := pair()
+		k.Receive(beat(1, true))
+		checked := 0
+		k.OnWake(func() {
+			is.True(!k.Awake())
+			checked++
+		})
+		is.True(k.Awake())
+		time.Sleep(time.Minute)
+		is.True(!k.Awake()) // before any timer
+		k.Tick()
+		is.True(!k.Awake()) // until the platform was asked
+		is.Equal(k.stateOf(other), Live)
+		<-k.wake
+		k.settle()
+		is.True(k.Awake())
+		is.Equal(checked, 1)
+		is.Equal(k.Counters.Wakes.Value(), int64(1))
+	})
+}
+
+// The VM is paused a second time while it asks the platform about the first
+// pause. The answer may be from before the second one and says nothing about it.
+func TestPausedAgainWhileChecking(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		k := pair()
+		checked := 0
+		k.OnWake(func() {
+			if checked++; checked == 1 {
+				time.Sleep(time.Minute)
+			}
+		})
+		time.Sleep(time.Minute)
+		k.Look()
+		k.settle()
+		is.True(k.Awake())
+		is.Equal(checked, 2)
+	})
+}
+
+// A dead process is not revived by our own pause.
+func TestPauseRevivesNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		k := pair()
+		k.Receive(beat(1, true))
+		live(k, 9*time.Second)
+		is.Equal(k.stateOf(other), Dead)
+		time.Sleep(time.Minute)
+		k.Tick()
+		is.Equal(k.stateOf(other), Dead)
+	})
+}
+
+func TestMalformedMessages(t *testing.T) {
+	k := pair()
+	is := is.New(t)
+	long := vmOf(5)
+	long.Address = string(make([]byte, maxText+1))
+	for _, m := range []Message{
+		{Beats: make(Beats, maxBeats+1)},
+		{News: make([]News, maxNews+1)},
+		told(platform.VM{}, Live, 1),
+		told(long, Live, 1),
+		told(vmOf(1), State(77), 1),
+	} {
+		before := k.Counters.Malformed.Value()
+		k.Receive(m)
+		is.Equal(k.Counters.Malformed.Value(), before+1)
+	}
+	is.Equal(len(k.View().Load().Members), 2)
+}
