--- a/request/generate.go
+++ b/request/generate.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"buckthornridge/budget"
+	"buckthornridge/telemetry"
 	"buckthornridge/upstream"
 )
 
@@ -123,7 +124,6 @@
 	streamID string
 	ran      bool  // a byte may have reached the engine
 	read     int64 // tokens received in this attempt
-	prompt   int64 // prompt tokens, once the engine said
 }
 
 // do dispatches to one engine and reads the answer into the run.
@@ -138,10 +138,12 @@
 		return upstream.Usage{}, err
 	}
 	a.choice, a.target = choice, choice.Upstream()
+	ctx, span := telemetry.Hop(ctx, "upstream.generate", telemetry.Attr("upstream", a.target))
 	result := AttemptResult{}
 	usage, err := a.start(ctx, &result)
 	result.Err, result.Usage = err, usage
 	choice.Done(result)
+	telemetry.Done(span, err)
 	return usage, err
 }
 
@@ -157,15 +159,7 @@
 	}
 	w := newWatch(ctx, a.executor.settings)
 	defer w.stop()
-	g := a.request.Generate
-	stream, err := engine.Generate(w.ctx, upstream.Generate{
-		StreamID:  a.streamID,
-		Model:     g.Model,
-		Adapter:   g.Adapter,
-		Prompt:    g.Prompt,
-		MaxTokens: g.MaxTokens,
-		Priority:  g.Priority,
-	})
+	stream, err := engine.Generate(w.ctx, a.wanted())
 	a.ran = !provesNotRun(err)
 	if err != nil {
 		return upstream.Usage{}, w.explain(err)
@@ -188,6 +182,7 @@
 		return usage, false, err
 	}
 	a.target, a.streamID, a.ran = h.Upstream, h.StreamID, true
+	stream = upstream.Limit(w.ctx, engine, stream, a.wanted())
 	if problem := a.dispatch(); problem != nil {
 		stream.Close()
 		return usage, true, problem
@@ -230,10 +225,9 @@
 	for {
 		token, err := stream.Next()
 		if err == io.EOF {
-			return a.checkUsage(stream.Usage()), io.EOF
+			return stream.Usage(), io.EOF
 		}
 		if err != nil {
-			a.prompt = max(a.prompt, stream.Usage().PromptTokens)
 			return upstream.Usage{}, err
 		}
 		if a.read == 0 && a.choice != nil {
@@ -269,12 +263,17 @@
 	return nil
 }
 
-// checkUsage keeps a wrong report from billing more than the ceiling or fewer
-// tokens than were received.
-func (a *attempt) checkUsage(u upstream.Usage) upstream.Usage {
-	u.OutputTokens = a.read
-	u.PromptTokens = min(max(u.PromptTokens, 0), int64(len(a.request.Generate.Prompt)))
-	return u
+// wanted is what the engine is asked for; it also limits a resumed stream.
+func (a *attempt) wanted() upstream.Generate {
+	g := a.request.Generate
+	return upstream.Generate{
+		StreamID:  a.streamID,
+		Model:     g.Model,
+		Adapter:   g.Adapter,
+		Prompt:    g.Prompt,
+		MaxTokens: g.MaxTokens,
+		Priority:  g.Priority,
+	}
 }
 
 // grace is how long the run goes on for callers that left: only those who chose
@@ -294,7 +293,7 @@
 	for range resumeTries {
 		stream, err := engine.Resume(w.ctx, a.streamID, a.read)
 		if err == nil {
-			return stream, nil
+			return upstream.Limit(w.ctx, engine, stream, a.wanted()), nil
 		}
 	}
 	return nil, cause
@@ -318,7 +317,7 @@
 }
 
 // stop cancels the engine's stream and returns what the attempt consumed: the
-// tokens read and the prompt if the engine confirmed, the whole ceiling if it
+// tokens read and the prompt's ceiling if the engine confirmed, the whole ceiling if it
 // may still be generating.
 func (a *attempt) stop() int64 {
 	ceiling := a.request.Ceiling()
@@ -331,11 +330,7 @@
 	if err := engine.Cancel(ctx, a.streamID); err != nil && !errors.Is(err, upstream.ErrNoStream) {
 		return ceiling
 	}
-	prompt := a.prompt
-	if prompt == 0 {
-		prompt = int64(len(a.request.Generate.Prompt))
-	}
-	return min(ceiling, prompt+a.read)
+	return min(ceiling, int64(len(a.request.Generate.Prompt))+a.read)
 }
 
 // giveUp ends a run after its last attempt. A reservation that is left covers
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -9,9 +9,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -23,6 +23,7 @@
 	"buckthornridge/config"
 	"buckthornridge/journal"
 	"buckthornridge/platform"
+	"buckthornridge/request"
 	"buckthornridge/settings"
 	"buckthornridge/standin/answer"
 	"buckthornridge/standin/engine"
@@ -34,12 +35,15 @@
 	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("k8s.io/klog/v2.(*flushDaemon).run.func1"))
 }
 
+// anyPort lets the system choose a port.
+const anyPort = "127.0.0.1:0"
+
 const testKey = "test-key"
 
 // fleet is a platform, one engine, one plain service and some routers, all real
 // servers on loopback in one process.
 type fleet struct {
-	t       *testing.T
+	t       testing.TB
 	fake    *platform.Fake
 	table   platform.Table
 	engine  *engine.Engine
@@ -61,12 +65,15 @@
 	fmt.Fprintf(w, "done %s", body)
 }
 
-func startFleet(t *testing.T, routers int, tokens int64) *fleet {
+func startFleet(t testing.TB, routers int, tokens int64) *fleet {
 	t.Helper()
 	p := standin.NewServer(standin.DefaultSettings())
 	platformServer := httptest.NewServer(p)
 	t.Cleanup(platformServer.Close)
-	e, err := engine.New("design-1", engine.Settings{Models: []string{"livery"}, StepBaseMS: 1})
+	shape := engine.DefaultSettings()
+	shape.Models = []string{"livery"}
+	shape.StepBase = settings.Duration(time.Millisecond)
+	e, err := engine.New("design-1", shape)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -127,7 +134,7 @@
 	f.t.Helper()
 	s := DefaultSettings()
 	s.VM, s.DataCentre, s.Region, s.Platform = vm, "a", "r", platformAddress
-	s.Listen, s.PeerListen, s.AdminListen = freeAddress(f.t), freeAddress(f.t), freeAddress(f.t)
+	s.Listen, s.PeerListen, s.AdminListen = anyPort, anyPort, anyPort
 	s.MemberInterval, s.LoadInterval = settings.Duration(20*time.Millisecond), settings.Duration(20*time.Millisecond)
 	s.LeaveNotice = settings.Duration(50 * time.Millisecond)
 	r, err := New(s)
@@ -141,13 +148,14 @@
 	return r
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
+// home returns the router at which the test's budget meets, notHome another.
+func (f *fleet) home() *Router    { return f.routers[f.homeIndex()] }
+func (f *fleet) notHome() *Router { return f.routers[(f.homeIndex()+1)%len(f.routers)] }
+
+func (f *fleet) homeIndex() int {
+	r := &request.Request{Key: request.Key{Workspace: f.budget.Workspace}, Budget: f.budget.Name}
+	first := request.Homes(f.routers[0].members.view.Load(), "r", r, false)[0].ID
+	return slices.IndexFunc(f.routers, func(r *Router) bool { return r.settings.VM == first })
 }
 
 func (f *fleet) await(what string, ok func() bool) {
