budget: a witness decides how much a dead router's grant writes off

The exposure must be large to ride out an hour's outage and small to lose little at a death, and cannot be raised once the table is down.

Ruled out: a smaller share for all (refusals in every outage); a lapse of time (a paused router may wake); asking engines for a holder's runs (they need not know). Each grant now names another router in the budget's row; beyond its small exposure a holder goes only after that router acknowledged, and the reclaimer asks it. The witness holds one bit and decides nothing that a budget rests on.

Figures, in the stories: written off after a death with the table up: the small exposure (before: the whole share). Riding: at least what was spent. Conclusion: the trade-off is gone for single deaths; a router that dies in an outage, or together with its witness, is written off as before.

--- a/budget/account.go
+++ b/budget/account.go
@@ -15,6 +15,10 @@
 	reserved int64 // ceilings of open reservations
 	// exposure is the durable bound of uncommitted. A crash loses that much.
 	exposure int64
+	// outage takes its place once the witness knows that a table outage is
+	// ridden out; see witness.go.
+	outage  int64
+	witness string
 	// uncommitted counts dispatched tokens that the journal does not tell of.
 	uncommitted int64
 	// wish is the highest uncommitted that requests asked for lately.
--- a/budget/acquire.go
+++ b/budget/acquire.go
@@ -16,6 +16,9 @@
 	recallTimeout = 300 * time.Millisecond
 	// recallFanOut bounds the holders that are asked at once.
 	recallFanOut = 16
+	// healthyWindow is the demand that the small exposure covers: several group
+	// commits, so that no dispatch waits for one.
+	healthyWindow = 250 * time.Millisecond
 )
 
 // startAcquire starts the account's acquire loop unless one runs. The caller
@@ -121,7 +124,7 @@
 	}
 	acc.listed = true
 	acc.idle += op.change.delta
-	acc.exposure = op.change.exposure
+	acc.exposure, acc.outage, acc.witness = op.change.exposure, op.change.outage, op.change.witness
 	acc.view = view{at: acc.view.at, free: op.row.Free, others: othersHeld(&op.row, k.cfg.Holder)}
 	acc.serve()
 	return &op.row, op.change.delta, nil
@@ -158,23 +161,39 @@
 		Rate: acc.demand.rate(time.Now()), Horizon: limits.horizon,
 	})
 	delta := need + min(max(0, ahead), row.Free-need)
-	return change{delta: delta, exposure: k.planExposure(acc, delta, limits)}
+	c := change{delta: delta}
+	k.planExposure(acc, &c, limits)
+	return c
 }
 
-// planExposure returns the exposure after a grant: the recent peak, which healthy
-// group commits need, or the policy's share of what is held. It never
-// falls below what is uncommitted, and until the operation is certain the lower
-// of the old and the new value is in force. The caller holds acc.mu.
-func (k *Keeper) planExposure(acc *account, delta int64, limits limits) int64 {
-	held := acc.idle + acc.reserved + delta
+// planExposure sets the exposures after a grant. The small one is what healthy
+// group commits need: the recent peak, or the demand of a few of them. The one
+// for an outage is the policy's share of what is held. Without a witness that
+// share is in force always.
+//
+// An exposure never falls below what is uncommitted, and until the operation is
+// certain the lower of the old and the new value is in force, with no witness
+// if it changes. The caller holds acc.mu.
+func (k *Keeper) planExposure(acc *account, c *change, limits limits) {
+	held := acc.idle + acc.reserved + c.delta
 	for _, w := range acc.waiters {
 		acc.wish = max(acc.wish, w.reservation.ceiling)
 	}
-	exposure := max(acc.wish, int64(float64(held)*limits.exposed))
-	exposure = max(min(exposure, held), acc.uncommitted)
+	healthy := int64(acc.demand.rate(time.Now()) * healthyWindow.Seconds())
+	c.exposure = max(min(max(acc.wish, healthy), held), acc.uncommitted)
+	c.outage = max(min(int64(float64(held)*limits.exposed), held), c.exposure)
+	if k.cfg.Witnesses != nil {
+		c.witness = k.cfg.Witnesses.Choose(acc.witness)
+	}
+	if c.witness == "" {
+		c.exposure, c.outage = c.outage, 0
+	}
 	acc.wish = acc.uncommitted
-	acc.exposure = min(acc.exposure, exposure)
-	return exposure
+	acc.exposure = min(acc.exposure, c.exposure)
+	acc.outage = min(acc.outage, c.outage)
+	if acc.witness != c.witness {
+		acc.witness = ""
+	}
 }
 
 // recall asks the other holders of the row for idle tokens. complete says that
--- a/budget/giveback.go
+++ b/budget/giveback.go
@@ -103,10 +103,13 @@
 		return change{skip: true}
 	}
 	if done {
-		acc.exposure = 0
+		acc.exposure, acc.outage = 0, 0
 		return change{delta: -tokens, close: true}
 	}
-	return change{delta: -tokens, exposure: max(acc.exposure, acc.uncommitted)}
+	return change{
+		delta: -tokens, exposure: max(acc.exposure, acc.uncommitted),
+		outage: acc.outage, witness: acc.witness,
+	}
 }
 
 // gaveBack takes over the outcome.
--- a/budget/keeper.go
+++ b/budget/keeper.go
@@ -47,6 +47,9 @@
 	// Ahead decides what a grant takes beyond what waiting requests need; nil
 	// means AheadOfDemand.
 	Ahead func(Supply) int64
+	// Witnesses reaches the routers that know of a ridden-out outage; nil if
+	// there is no way to.
+	Witnesses Witnesses
 	// CommitInterval is the least time between two journal commits; 0 means
 	// journal.DefaultInterval.
 	CommitInterval time.Duration
@@ -56,6 +59,7 @@
 type Keeper struct {
 	cfg     KeeperConfig
 	journal *journal.Writer
+	rides   *rides
 
 	numbers  atomic.Uint64 // of reservations and of table operations
 	draining atomic.Bool
@@ -81,6 +85,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		accounts: map[ID]*account{},
+		rides:    newRides(),
 	}
 }
 
@@ -89,6 +94,9 @@
 func (k *Keeper) Start(context.Context) error {
 	k.spawn(func() { _ = k.journal.Run(k.ctx) })
 	k.spawn(k.sweepLoop)
+	if k.cfg.Witnesses != nil {
+		k.spawn(k.leaveLoop)
+	}
 	return nil
 }
 
--- a/budget/keeper_test.go
+++ b/budget/keeper_test.go
@@ -26,6 +26,9 @@
 	weight  float64
 	keepers map[string]*budget.Keeper
 	cut     map[string]bool // routers that recalls do not reach
+	// witnesses and questions are nil where routers know of no other.
+	witnesses budget.Witnesses
+	questions budget.Questions
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -69,7 +72,7 @@
 	holder := budget.HolderName(vm, incarnation)
 	k := budget.NewKeeper(budget.KeeperConfig{
 		Table: services.Table, Holder: holder, Recaller: f,
-		Policy: f.policy,
+		Policy: f.policy, Witnesses: f.witnesses,
 	})
 	f.keepers[holder] = k
 	_ = k.Start(f.t.Context())
@@ -90,7 +93,7 @@
 	if _, err := (journal.Folder{Table: f.table}).Run(f.t.Context()); err != nil {
 		f.t.Error("fold:", err)
 	}
-	if _, err := (budget.Reclaimer{Table: f.table, VMs: f.fake.As("operator").VMs}).Run(f.t.Context()); err != nil {
+	if _, err := (budget.Reclaimer{Table: f.table, VMs: f.fake.As("operator").VMs, Questions: f.questions}).Run(f.t.Context()); err != nil {
 		f.t.Error("reclaim:", err)
 	}
 }
--- a/budget/ledger/ledger.go
+++ b/budget/ledger/ledger.go
@@ -53,6 +53,11 @@
 	// Exposure bounds what the holder may dispatch before its journal tells of
 	// it; if the holder dies, that much of Held is lost.
 	Exposure int64 `msgpack:"x" json:"exposure"`
+	// Outage takes the place of Exposure once the witness knows that the holder
+	// rides out an outage of the table.
+	Outage int64 `msgpack:"u,omitempty" json:"outage,omitempty"`
+	// Witness is the other router, a holder's name, that knows; empty for none.
+	Witness string `msgpack:"w,omitempty" json:"witness,omitempty"`
 	// Op numbers the holder's last grant or return, and Delta is what it moved
 	// to the holder. A holder whose answer was lost finds its outcome here.
 	Op    uint64 `msgpack:"o" json:"op"`
@@ -114,8 +119,8 @@
 		}
 	}
 	for name, h := range b.Holders {
-		if h.Held < 0 || h.Exposure < 0 {
-			return eris.Errorf("holder %s: negative held %d or exposure %d", name, h.Held, h.Exposure)
+		if h.Held < 0 || h.Exposure < 0 || h.Outage < 0 {
+			return eris.Errorf("holder %s: negative held %d or exposure %d, %d", name, h.Held, h.Exposure, h.Outage)
 		}
 	}
 	return nil
@@ -174,10 +179,15 @@
 
 // Reclaim removes a holder that is gone and whose journal is sealed and folded.
 // Of what it held, unsettled tokens (the ceilings its journal left open) and
-// its exposure are lost, and the rest is free again. It returns the loss.
-func (b *Budget) Reclaim(holder string, unsettled int64) int64 {
+// its exposure are lost, and the rest is free again; outage says that its
+// witness does not deny that it rode out an outage. It returns the loss.
+func (b *Budget) Reclaim(holder string, unsettled int64, outage bool) int64 {
 	h := b.Holders[holder]
-	lost := min(h.Held, unsettled+h.Exposure)
+	exposure := h.Exposure
+	if outage {
+		exposure = max(h.Exposure, h.Outage)
+	}
+	lost := min(h.Held, unsettled+exposure)
 	if lost > 0 {
 		b.addLost(CauseHolderGone, lost)
 	}
--- a/budget/limits.go
+++ b/budget/limits.go
@@ -52,6 +52,7 @@
 var count = struct {
 	refused, openWaits, billsPending, clamped *expvar.Int
 	grants, returns, conflicts, recalls       *expvar.Int
+	witnessRefused                            *expvar.Int
 }{}
 
 func init() {
@@ -69,4 +70,5 @@
 	count.returns = counter("returns")
 	count.conflicts = counter("conflicts")
 	count.recalls = counter("recalls")
+	count.witnessRefused = counter("witness_refused") // a witness did not answer, or knows this holder as gone
 }
--- a/budget/reclaim.go
+++ b/budget/reclaim.go
@@ -35,6 +35,9 @@
 type Reclaimer struct {
 	Table platform.Table
 	VMs   platform.VMList
+	// Questions reaches the witnesses; with nil every holder counts as having
+	// ridden out an outage.
+	Questions Questions
 }
 
 // ReclaimStats counts what a pass did.
@@ -60,7 +63,7 @@
 	}
 	var all error
 	for _, holder := range holders {
-		if err := r.reclaimHolder(ctx, holder, isGone(vms, holder), &stats); err != nil {
+		if err := r.reclaimHolder(ctx, holder, vms, &stats); err != nil {
 			all = errors.Join(all, eris.Wrapf(err, "reclaim %s", holder))
 		}
 	}
@@ -88,8 +91,8 @@
 
 // reclaimHolder seals the journal of a holder that is gone, and frees the grants
 // of one whose journal is sealed, by whomever, and folded whole.
-func (r Reclaimer) reclaimHolder(ctx context.Context, holder string, gone bool, stats *ReclaimStats) error {
-	sealed, err := r.seal(ctx, holder, gone, stats)
+func (r Reclaimer) reclaimHolder(ctx context.Context, holder string, vms []platform.VM, stats *ReclaimStats) error {
+	sealed, err := r.seal(ctx, holder, isGone(vms, holder), stats)
 	if err != nil || !sealed {
 		return err
 	}
@@ -98,7 +101,7 @@
 		return err
 	}
 	for retries := 1; ; retries++ {
-		more, err := r.free(ctx, holder, stats)
+		more, err := r.free(ctx, holder, vms, stats)
 		if err == nil && !more {
 			return nil
 		}
@@ -142,7 +145,7 @@
 // free reclaims some of the holder's budgets in one transaction, or removes the
 // holder once there are none. The condition on the fold row makes sure that the
 // open reservations are those of the whole journal.
-func (r Reclaimer) free(ctx context.Context, holder string, stats *ReclaimStats) (more bool, err error) {
+func (r Reclaimer) free(ctx context.Context, holder string, vms []platform.VM, stats *ReclaimStats) (more bool, err error) {
 	foldKey := ledger.FoldKey(holder)
 	rows, err := r.Table.Read(ctx, foldKey)
 	if err != nil || rows[0].Version == 0 {
@@ -161,7 +164,7 @@
 	if len(listed) == 0 {
 		return r.remove(ctx, holder, txn, stats)
 	}
-	one, err := r.planFree(ctx, holder, state, listed, &txn)
+	one, err := r.planFree(ctx, holder, vms, state, listed, &txn)
 	if err != nil {
 		return false, err
 	}
@@ -195,7 +198,24 @@
 	return len(stray) > 0, eris.Wrapf(err, "remove holder")
 }
 
-func (r Reclaimer) planFree(ctx context.Context, holder string, state journal.State, listed []platform.Row, txn *platform.Txn) (ReclaimStats, error) {
+// rodeOutage reports whether a holder may have gone beyond its small exposure.
+// Its journal is sealed, so that what the witness says stands. A witness that
+// lives but does not answer leaves the holder for the next pass; one that is
+// gone cannot deny it.
+func (r Reclaimer) rodeOutage(ctx context.Context, holder, witness string, vms []platform.VM) (bool, error) {
+	if witness == "" {
+		return false, nil // the exposure in force is the only one
+	}
+	if r.Questions == nil || isGone(vms, witness) {
+		return true, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, witnessLimit)
+	defer cancel()
+	entered, err := r.Questions.Ask(ctx, witness, holder)
+	return entered, eris.Wrapf(err, "ask witness %s", witness)
+}
+
+func (r Reclaimer) planFree(ctx context.Context, holder string, vms []platform.VM, state journal.State, listed []platform.Row, txn *platform.Txn) (ReclaimStats, error) {
 	var stats ReclaimStats
 	ids := make([]ID, len(listed))
 	keys := make([]string, len(listed))
@@ -220,8 +240,12 @@
 		if err := ledger.Decode(row.Key, row.Value, &budget); err != nil {
 			return stats, err
 		}
+		outage, err := r.rodeOutage(ctx, holder, budget.Holders[holder].Witness, vms)
+		if err != nil {
+			return stats, err
+		}
 		held := budget.Holders[holder].Held
-		lost := budget.Reclaim(holder, unsettled[ids[i]])
+		lost := budget.Reclaim(holder, unsettled[ids[i]], outage)
 		stats.Budgets++
 		stats.Lost += lost
 		stats.Freed += held - lost
--- a/budget/reserve.go
+++ b/budget/reserve.go
@@ -98,13 +98,22 @@
 	acc.reserved += r.ceiling
 	acc.wish = max(acc.wish, acc.uncommitted+r.ceiling)
 	r.taken = time.Now()
-	if acc.uncommitted+r.ceiling <= acc.exposure {
-		acc.uncommitted += r.ceiling
-		r.counted = r.ceiling
-	}
+	r.cover()
 	r.item = r.keeper.journal.Add(r.entry(journal.KindOpen, r.ceiling, ""), r.durable)
 }
 
+// cover counts the ceiling as uncommitted if the exposure allows. The caller
+// holds account.mu.
+func (r *Reservation) cover() bool {
+	acc := r.account
+	if acc.uncommitted+r.ceiling > r.keeper.bound(acc) {
+		return false
+	}
+	acc.uncommitted += r.ceiling
+	r.counted = r.ceiling
+	return true
+}
+
 // durable runs when the journal tells of all that was dispatched under this
 // reservation so far.
 func (r *Reservation) durable() {
@@ -134,19 +143,35 @@
 		return r, nil
 	}
 	count.openWaits.Add(1)
-	timer := time.NewTimer(r.keeper.limits().wait)
+	if r.openDurable(ctx, item, outageAfter) || r.rideOut(ctx) || r.openDurable(ctx, item, r.keeper.limits().wait) {
+		return r, nil
+	}
+	r.Release()
+	count.refused.Add(1)
+	return nil, &Refusal{Budget: acc.id, Ceiling: r.ceiling, RetryAfter: retryUncertain}
+}
+
+// openDurable waits for the opening entry, at most for the given time.
+func (r *Reservation) openDurable(ctx context.Context, item *journal.Item, limit time.Duration) bool {
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case <-item.Done():
-		if item.Err() == nil {
-			return r, nil
-		}
+		return item.Err() == nil
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	r.Release()
-	count.refused.Add(1)
-	return nil, &Refusal{Budget: acc.id, Ceiling: r.ceiling, RetryAfter: retryUncertain}
+	return false
+}
+
+// rideOut dispatches under the outage exposure, if the witness knows.
+func (r *Reservation) rideOut(ctx context.Context) bool {
+	if !r.keeper.enterOutage(ctx, r.account) {
+		return false
+	}
+	r.account.mu.Lock()
+	defer r.account.mu.Unlock()
+	return r.cover()
 }
 
 // await waits until the waiter is served or refused, or its time is over.
--- /dev/null
+++ b/budget/rpc.go
@@ -0,0 +1,82 @@
+package budget
+
+import (
+	"context"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/peer"
+	"buckthornridge/platform"
+)
+
+// Peer methods by which a router is a witness.
+const (
+	MethodEnter = "budget.enter"
+	MethodLeave = "budget.leave"
+	MethodAsk   = "budget.ask"
+)
+
+// WitnessMessage is the request of all three methods.
+type WitnessMessage struct {
+	// Witness is the incarnation that is meant; another one knows nothing and
+	// must not answer for it.
+	Witness string `msgpack:"w"`
+	Holder  string `msgpack:"h"`
+	Number  uint64 `msgpack:"n"`
+}
+
+// AskReply is the answer of MethodAsk.
+type AskReply struct {
+	Entered bool `msgpack:"e"`
+}
+
+// ServeWitness answers as the witness of others, under this process's own
+// holder name.
+func ServeWitness(s *peer.Server, self string, t *Testimony) {
+	serve := func(method string, answer func(WitnessMessage) (any, error)) {
+		s.Handle(method, func(_ context.Context, decode func(any) error, _ peer.Sender) (any, error) {
+			var m WitnessMessage
+			if err := decode(&m); err != nil {
+				return nil, err
+			}
+			if m.Witness != self || m.Holder == "" {
+				return nil, eris.Wrapf(ErrNoWitness, "%s was asked as %s", self, m.Witness)
+			}
+			return answer(m)
+		})
+	}
+	serve(MethodEnter, func(m WitnessMessage) (any, error) { return nil, t.Enter(m.Holder, m.Number) })
+	serve(MethodLeave, func(m WitnessMessage) (any, error) {
+		t.Leave(m.Holder, m.Number)
+		return nil, nil
+	})
+	serve(MethodAsk, func(m WitnessMessage) (any, error) { return AskReply{Entered: t.Ask(m.Holder)}, nil })
+}
+
+// PeerQuestions asks witnesses over the peer protocol, at the addresses that the
+// platform's VM list gives.
+type PeerQuestions struct {
+	Peers peer.Caller
+	VMs   platform.VMList
+}
+
+var _ Questions = PeerQuestions{}
+
+// Ask implements Questions.
+func (q PeerQuestions) Ask(ctx context.Context, witness, holder string) (bool, error) {
+	vms, _, err := q.VMs.List(ctx)
+	if err != nil {
+		return false, eris.Wrap(err, "list VMs")
+	}
+	id, incarnation, _ := strings.Cut(witness, holderSeparator)
+	for _, vm := range vms {
+		if vm.ID != id || vm.Incarnation != incarnation {
+			continue
+		}
+		var reply AskReply
+		err := q.Peers.Call(ctx, vm.PeerAddress, MethodAsk, WitnessMessage{Witness: witness, Holder: holder}, &reply)
+		return reply.Entered, err
+	}
+	return false, eris.Wrapf(ErrNoWitness, "%s is not listed", witness)
+}
--- a/budget/transfer.go
+++ b/budget/transfer.go
@@ -27,7 +27,9 @@
 	skip     bool  // leave the row as it is
 	delta    int64 // tokens to this holder; negative: back to free
 	exposure int64
-	close    bool // the holder wants nothing more of the budget
+	outage   int64  // exposure while a table outage is ridden out
+	witness  string // who knows of that; empty for nobody
+	close    bool   // the holder wants nothing more of the budget
 }
 
 // transfer is one numbered operation on one budget row.
@@ -194,7 +196,8 @@
 	holder := b.keeper.cfg.Holder
 	_, listed := op.row.Holders[holder]
 	err := op.row.Transfer(holder, ledger.Holding{
-		Op: op.op, Delta: op.change.delta, Exposure: op.change.exposure, Closed: op.change.close,
+		Op: op.op, Delta: op.change.delta, Closed: op.change.close,
+		Exposure: op.change.exposure, Outage: op.change.outage, Witness: op.change.witness,
 	})
 	if err != nil {
 		return eris.Wrapf(err, "transfer in %s", op.acc.id)
--- /dev/null
+++ b/budget/witness_test.go
@@ -0,0 +1,235 @@
+package budget_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/budget"
+	"buckthornridge/platform"
+)
+
+// bench is a set of witnesses that tests reach directly.
+type bench struct {
+	testimony map[string]*budget.Testimony // by holder name
+	order     []string                     // which one Choose prefers
+	silent    map[string]bool              // does not answer
+}
+
+func newBench(names ...string) *bench {
+	b := &bench{testimony: map[string]*budget.Testimony{}, order: names, silent: map[string]bool{}}
+	for _, name := range names {
+		b.testimony[name] = budget.NewTestimony()
+	}
+	return b
+}
+
+func (b *bench) Choose(present string) string {
+	for _, name := range b.order {
+		if name == present {
+			return present
+		}
+	}
+	return b.order[0]
+}
+
+func (b *bench) reach(witness string) (*budget.Testimony, error) {
+	if b.silent[witness] || b.testimony[witness] == nil {
+		return nil, budget.ErrNoWitness
+	}
+	return b.testimony[witness], nil
+}
+
+func (b *bench) Enter(_ context.Context, witness, holder string, number uint64) error {
+	t, err := b.reach(witness)
+	if err != nil {
+		return err
+	}
+	return t.Enter(holder, number)
+}
+
+func (b *bench) Leave(_ context.Context, witness, holder string, number uint64) error {
+	t, err := b.reach(witness)
+	if err == nil {
+		t.Leave(holder, number)
+	}
+	return err
+}
+
+func (b *bench) Ask(_ context.Context, witness, holder string) (bool, error) {
+	t, err := b.reach(witness)
+	if err != nil {
+		return false, err
+	}
+	return t.Ask(holder), nil
+}
+
+// witnessed tells a story in which vm-1 leans wholly to few refusals, holds a
+// large grant and is witnessed by vm-2, which is live.
+func witnessed(t *testing.T, tell func(t *testing.T, is *is.I, f *fleet, b *bench, k *budget.Keeper)) {
+	t.Helper()
+	story(t, 1_000_000, func(t *testing.T, is *is.I, f *fleet) {
+		b := newBench("vm-2#1")
+		f.weight, f.witnesses, f.questions = 1, b, b
+		f.start("vm-2", "1")
+		k := f.start("vm-1", "1")
+		for i := range 50 {
+			is.NoErr(f.must(k, fmt.Sprint("before-", i), 500).Bill(t.Context(), 500))
+			time.Sleep(100 * time.Millisecond)
+		}
+		for !grown(f) {
+			is.NoErr(f.must(k, fmt.Sprint("until ", time.Now()), 500).Bill(t.Context(), 500))
+			time.Sleep(100 * time.Millisecond)
+		}
+		f.duties()
+		tell(t, is, f, b, k)
+	})
+}
+
+// grown reports whether vm-1 holds much more than its requests need at once.
+func grown(f *fleet) bool {
+	f.duties()
+	h := f.status(studio).Holders["vm-1#1"]
+	return h.Held > 50_000 && h.Outage > 10*h.Exposure
+}
+
+// spendAll bills requests of 500 tokens until one is refused.
+func (f *fleet) spendAll(k *budget.Keeper) (spent int64) {
+	for i := 0; ; i++ {
+		r, err := f.reserve(k, fmt.Sprint("outage-", i), 500)
+		if err != nil {
+			return spent
+		}
+		_ = r.Bill(f.t.Context(), 500)
+		spent += 500
+	}
+}
+
+// A router dies while the table is up. All that it held used to be written off
+// where operators lean to few refusals, 82 % of a run's spend. Its witness says
+// that it never went beyond the small exposure, and the rest comes back.
+func TestDeathWithTheTableUpWritesOffLittle(t *testing.T) {
+	witnessed(t, func(t *testing.T, is *is.I, f *fleet, _ *bench, k *budget.Keeper) {
+		before := f.status(studio).Holders["vm-1#1"]
+		_ = k.Stop()
+		f.gone("vm-1")
+		state := f.status(studio)
+		is.Equal(state.Lost[budget.CauseHolderGone], before.Exposure)
+		is.Equal(state.Free, 1_000_000-state.Billed-before.Exposure)
+	})
+}
+
+// The table goes down. The router's witness acknowledges, and callers are served
+// from the whole grant; then the router dies. What it spent is in no journal:
+// the witness knows that it was riding, and the outage exposure is written off.
+// Had the small one been, spent tokens would be sold again.
+func TestDeathWhileRidingOutAnOutage(t *testing.T) {
+	witnessed(t, func(t *testing.T, is *is.I, f *fleet, _ *bench, k *budget.Keeper) {
+		before := f.status(studio).Holders["vm-1#1"]
+		f.faults(platform.Faults{Down: true})
+		spent := f.spendAll(k)
+		is.True(spent > before.Exposure)
+		is.True(spent <= before.Outage)
+		_ = k.Stop()
+		f.faults(platform.Faults{})
+		f.gone("vm-1")
+		state := f.status(studio)
+		is.True(state.Lost[budget.CauseHolderGone] >= spent)
+		is.True(state.Free+state.Billed+spent <= 1_000_000)
+	})
+}
+
+// As before, and the witness dies as well, taking what it knew with it.
+func TestWitnessDiesToo(t *testing.T) {
+	witnessed(t, func(t *testing.T, is *is.I, f *fleet, b *bench, k *budget.Keeper) {
+		f.faults(platform.Faults{Down: true})
+		spent := f.spendAll(k)
+		_ = k.Stop()
+		f.faults(platform.Faults{})
+		delete(b.testimony, "vm-2#1")
+		is.NoErr(f.fake.SetVMState("vm-2", platform.VMGone))
+		f.gone("vm-1")
+		is.True(f.status(studio).Lost[budget.CauseHolderGone] >= spent)
+	})
+}
+
+// The witness lives but does not answer the reclaimer. Nothing is freed on a
+// guess; the grant comes back once it answers.
+func TestReclaimWaitsForTheWitness(t *testing.T) {
+	witnessed(t, func(t *testing.T, is *is.I, f *fleet, b *bench, k *budget.Keeper) {
+		before := f.status(studio).Holders["vm-1#1"]
+		_ = k.Stop()
+		b.silent["vm-2#1"] = true
+		is.NoErr(f.fake.SetVMState("vm-1", platform.VMGone))
+		_, err := budget.Reclaimer{Table: f.table, VMs: f.fake.As("operator").VMs, Questions: b}.Run(t.Context())
+		is.True(errors.Is(err, budget.ErrNoWitness))
+		is.Equal(f.status(studio).Holders["vm-1#1"], before)
+		b.silent["vm-2#1"] = false
+		f.duties()
+		is.Equal(f.status(studio).Lost[budget.CauseHolderGone], before.Exposure)
+	})
+}
+
+// The platform is wrong: it declares a router gone that is only cut off from the
+// table, and its grant is freed. When it then asks its witness to ride out what
+// it takes for an outage, it must be refused: the tokens are others' by now.
+func TestFencedHolderCannotRide(t *testing.T) {
+	witnessed(t, func(t *testing.T, is *is.I, f *fleet, _ *bench, k *budget.Keeper) {
+		f.faults(platform.Faults{Cut: []string{"vm-1"}})
+		f.gone("vm-1")
+		lost := f.status(studio).Lost[budget.CauseHolderGone]
+		is.True(f.spendAll(k) <= lost)
+	})
+}
+
+// The outage ends and the router dies later. It told its witness that its
+// journal tells of everything again, so little is written off.
+func TestRecoveredHolderLeavesItsWitness(t *testing.T) {
+	witnessed(t, func(t *testing.T, is *is.I, f *fleet, _ *bench, k *budget.Keeper) {
+		billed := f.status(studio).Billed
+		f.faults(platform.Faults{Down: true})
+		spent := f.spendAll(k)
+		time.Sleep(time.Hour)
+		f.faults(platform.Faults{})
+		time.Sleep(10 * time.Second)
+		f.duties()
+		is.Equal(f.status(studio).Billed, billed+spent)
+		for !grown(f) {
+			is.NoErr(f.must(k, fmt.Sprint("after ", time.Now()), 500).Bill(t.Context(), 500))
+			time.Sleep(100 * time.Millisecond)
+		}
+		before := f.status(studio).Holders["vm-1#1"]
+		_ = k.Stop()
+		f.gone("vm-1")
+		is.Equal(f.status(studio).Lost[budget.CauseHolderGone], before.Exposure)
+	})
+}
+
+// No witness answers during an outage: the router serves from its small exposure
+// and then refuses, but not with certainty.
+func TestNoWitnessNoRide(t *testing.T) {
+	witnessed(t, func(t *testing.T, is *is.I, f *fleet, b *bench, k *budget.Keeper) {
+		before := f.status(studio).Holders["vm-1#1"]
+		b.silent["vm-2#1"] = true
+		f.faults(platform.Faults{Down: true})
+		is.True(f.spendAll(k) <= before.Exposure)
+	})
+}
+
+// A Leave is delayed in the network until after the next Enter. It must not make
+// the witness forget that one.
+func TestLateLeaveSaysNothingOfALaterEnter(t *testing.T) {
+	is := is.New(t)
+	w := budget.NewTestimony()
+	is.NoErr(w.Enter("vm-1#1", 3))
+	is.NoErr(w.Enter("vm-1#1", 5))
+	w.Leave("vm-1#1", 4)
+	is.True(w.Ask("vm-1#1"))
+	w.Leave("vm-1#1", 6) // fenced: what was said to the reclaimer stands
+	is.True(w.Ask("vm-1#1"))
+	is.True(errors.Is(w.Enter("vm-1#1", 7), budget.ErrFenced))
+}
--- a/control/control.go
+++ b/control/control.go
@@ -125,6 +125,7 @@
 		Holder:   c.id() + "#" + c.incarnation,
 		Duties:   registered,
 		Platform: c.services,
+		Peers:    c.peers,
 		Store:    config.NewStore(c.services.Table),
 		Config:   &c.watcher.Holder,
 		TTL:      c.settings.LeaseTTL.D(),
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -15,6 +15,7 @@
 
 	"buckthornridge/config"
 	"buckthornridge/kernel"
+	"buckthornridge/peer"
 	"buckthornridge/platform"
 )
 
@@ -33,6 +34,7 @@
 // Env is what a pass works with.
 type Env struct {
 	Platform platform.Services
+	Peers    peer.Caller // reaches the system's other processes
 	Store    *config.Store
 	// Config is the configuration in force; nil if there is none yet.
 	Config *config.Snapshot
--- a/duty/manager.go
+++ b/duty/manager.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"buckthornridge/config"
+	"buckthornridge/peer"
 	"buckthornridge/platform"
 )
 
@@ -33,9 +34,11 @@
 	Holder   string
 	Duties   map[string]Duty
 	Platform platform.Services
-	Store    *config.Store
-	Config   *config.Holder
-	TTL      time.Duration // 0 for DefaultTTL
+	// Peers reaches the system's other processes.
+	Peers  peer.Caller
+	Store  *config.Store
+	Config *config.Holder
+	TTL    time.Duration // 0 for DefaultTTL
 }
 
 // Manager takes the leases of duties and runs those it holds.
@@ -211,7 +214,7 @@
 	defer m.wg.Done()
 	defer close(done)
 	for ctx.Err() == nil {
-		env := Env{Platform: m.options.Platform, Store: m.options.Store, Config: m.options.Config.Load(), Fence: fence}
+		env := Env{Platform: m.options.Platform, Peers: m.options.Peers, Store: m.options.Store, Config: m.options.Config.Load(), Fence: fence}
 		m.Counters.Passes.Add(name, 1)
 		if err := duty.Run(ctx, env); err != nil && ctx.Err() == nil {
 			m.Counters.Failures.Add(name, 1)
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -187,6 +187,30 @@
 	w.wake()
 }
 
+// Settled waits until every entry that was added before is durable, the journal
+// is sealed, or ctx ends. Entries become durable in the order of Add.
+func (w *Writer) Settled(ctx context.Context) error {
+	w.mu.Lock()
+	var last *Item
+	for _, items := range [][]*Item{w.inFlight, w.queue} {
+		if len(items) > 0 {
+			last = items[len(items)-1]
+		}
+	}
+	w.mu.Unlock()
+	if last == nil {
+		return nil
+	}
+	select {
+	case <-last.Done():
+		return last.Err()
+	case <-w.dead:
+		return ErrSealed
+	case <-ctx.Done():
+		return eris.Wrapf(ctx.Err(), "journal of %s", w.holder)
+	}
+}
+
 // Flush waits until everything that is pending now is durable, the journal is
 // sealed, or ctx ends.
 func (w *Writer) Flush(ctx context.Context) error {
--- a/router/recall.go
+++ b/router/recall.go
@@ -30,7 +30,7 @@
 
 // Recall implements budget.Recaller.
 func (r *recaller) Recall(ctx context.Context, holder string, id budget.ID, want int64) (budget.RecallReply, error) {
-	address, err := r.address(holder)
+	address, err := addressOf(r.view.Load(), holder)
 	if err != nil {
 		return budget.RecallReply{}, err
 	}
@@ -39,16 +39,6 @@
 	return reply, err
 }
 
-// address finds the live incarnation that is the holder.
-func (r *recaller) address(holder string) (string, error) {
-	for _, m := range r.view.Load().Members {
-		if m.Role == roleRouter && budget.HolderName(m.ID, m.Incarnation) == holder {
-			return m.PeerAddress, nil
-		}
-	}
-	return "", eris.Wrapf(peer.ErrUnreachable, "recall: holder %s is not in the view", holder)
-}
-
 // registerRecall serves recalls from this router's grants.
 func registerRecall(s *peer.Server, keeper *budget.Keeper) {
 	s.Handle(methodRecall, func(ctx context.Context, decode func(any) error, _ peer.Sender) (any, error) {
--- a/router/router.go
+++ b/router/router.go
@@ -115,11 +115,13 @@
 	}
 	r.table.OnRoom(r.admission.Wake)
 	r.keeper = budget.NewKeeper(budget.KeeperConfig{
-		Table:    r.services.Table,
-		Holder:   budget.HolderName(r.settings.VM, r.incarnation),
-		Policy:   r.budgetPolicy,
-		Recaller: &recaller{peers: r.peers, view: r.members.view},
+		Table:     r.services.Table,
+		Holder:    budget.HolderName(r.settings.VM, r.incarnation),
+		Policy:    r.budgetPolicy,
+		Recaller:  &recaller{peers: r.peers, view: r.members.view},
+		Witnesses: &witnesses{peers: r.peers, view: r.members.view, self: r.settings.VM},
 	})
+	budget.ServeWitness(r.peerSrv, budget.HolderName(r.settings.VM, r.incarnation), budget.NewTestimony())
 	return nil
 }
 
