Budgets: grants take a share of the rest, near the end ever less

Grants ahead of demand took up to half of what was left, so that a frozen third kept a sixth of a budget near its end. The share is now 1/16 at refusal weight 0 and 1/8 at weight 1.

--- a/budget/acquire.go
+++ b/budget/acquire.go
@@ -12,7 +12,7 @@
 // Timing of the acquire loop.
 const (
 	minPoll       = 20 * time.Millisecond // between two looks at the table
-	maxPoll       = 250 * time.Millisecond
+	maxPoll       = 100 * time.Millisecond
 	recallTimeout = 300 * time.Millisecond
 	// recallFanOut bounds the holders that are asked at once.
 	recallFanOut = 16
@@ -133,16 +133,16 @@
 	Holders int           // holders of the budget, this one included
 	Rate    float64       // this holder's recent demand in tokens per second
 	Horizon time.Duration // the time that the policy wants a grant to last
+	// Share is the part of Rest that the policy lets all holders together take
+	// ahead of demand.
+	Share float64
 }
 
-// shareDivisor keeps this share of a budget free: all holders together take at
-// most one part in so many ahead of demand.
-const shareDivisor = 2
-
 // AheadOfDemand covers the horizon while the budget is full, and ever less near
 // its end.
 func AheadOfDemand(s Supply) int64 {
-	return min(int64(s.Rate*s.Horizon.Seconds()), s.Rest/int64(shareDivisor*s.Holders))
+	horizon := s.Rate * s.Horizon.Seconds()
+	return int64(min(horizon, float64(s.Rest)*s.Share/float64(s.Holders)))
 }
 
 // planGrant decides the size of a grant and the exposure.
@@ -155,7 +155,7 @@
 	}
 	ahead := k.cfg.Ahead(Supply{
 		Rest: row.Free - need, Holders: len(row.Holders) + 1,
-		Rate: acc.demand.rate(time.Now()), Horizon: limits.horizon,
+		Rate: acc.demand.rate(time.Now()), Horizon: limits.horizon, Share: limits.share,
 	})
 	delta := need + min(max(0, ahead), row.Free-need)
 	return change{delta: delta, exposure: k.planExposure(acc, delta, limits)}
--- a/budget/experiment_test.go
+++ b/budget/experiment_test.go
@@ -151,7 +151,8 @@
 			faulty = true
 			x.breakThird()
 		}
-		clients.Go(func() { x.request(a, x.pick(a, faulty)) })
+		router := x.pick(a, faulty)
+		clients.Go(func() { x.request(a, router) })
 	}
 	clients.Wait()
 	after := x.fake.Counters()
@@ -212,19 +213,12 @@
 		if a.admitted {
 			x.result.falseRefusals++
 		}
-		if a.admitted && x.fault == "" && x.way.recall {
-			r := err.(*budget.Refusal)
-			fmt.Printf("  at %v b%d ceil %d certain %v free %d waited? avoid %v left %d running %d retry %v\n", a.at, a.budget, a.ceiling, r.Certain, r.Free, covered, x.purchased[a.budget]-x.consumed[a.budget]-x.running[a.budget], x.running[a.budget], r.RetryAfter)
-		}
 		if covered && x.purchased[a.budget]-x.consumed[a.budget]-x.running[a.budget] >= a.ceiling {
 			x.result.avoidable++
 		}
 		x.mu.Unlock()
 		return
 	}
-	if !a.admitted && x.fault == "" && x.way.recall {
-		fmt.Printf("  extra at %v b%d ceil %d\n", a.at, a.budget, a.ceiling)
-	}
 	x.running[a.budget] += a.ceiling
 	over := x.consumed[a.budget] + x.running[a.budget] - x.purchased[a.budget]
 	x.result.overspend = max(x.result.overspend, over)
--- a/budget/limits.go
+++ b/budget/limits.go
@@ -25,6 +25,8 @@
 	billWait time.Duration
 	// horizon is the demand that a grant should cover.
 	horizon time.Duration
+	// share is the part of a budget's rest that grants ahead of demand may take.
+	share float64
 	// exposed is the share of a grant that may be spent while the table is down.
 	// It is also the share that a crash can lose.
 	exposed float64
@@ -33,15 +35,16 @@
 }
 
 // limits interpolates between few stranded and lost tokens (weight 0) and few
-// refusals (weight 1); the horizon and the waits geometrically.
+// refusals (weight 1); the times and shares geometrically.
 func (k *Keeper) limits() limits {
 	weight := min(max(k.cfg.Policy().RefusalWeight, 0), 1)
 	between := func(low, high time.Duration) time.Duration {
 		return time.Duration(float64(low) * math.Pow(float64(high)/float64(low), weight))
 	}
 	return limits{
-		wait:     between(250*time.Millisecond, 2*time.Second),
+		wait:     250 * time.Millisecond,
 		billWait: 2 * time.Second,
+		share:    math.Pow(2, weight) / 16,
 		horizon:  between(10*time.Second, time.Hour),
 		exposed:  weight * weight,
 		idle:     between(15*time.Second, 5*time.Minute),
--- a/budget/stories_test.go
+++ b/budget/stories_test.go
@@ -27,8 +27,11 @@
 			story(t, 1000, func(t *testing.T, is *is.I, f *fleet) {
 				var granted, refused atomic.Int64
 				var clients sync.WaitGroup
+				var keepers []*budget.Keeper
 				for i := range routers {
-					k := f.start(fmt.Sprint("vm-", i), "1")
+					keepers = append(keepers, f.start(fmt.Sprint("vm-", i), "1"))
+				}
+				for i, k := range keepers {
 					for j := range 6 {
 						clients.Go(func() {
 							if _, err := f.reserve(k, fmt.Sprintf("r-%d-%d", i, j), 100); err == nil {
