Budgets: renew a grant when half of it is used

A router that is cut off at any moment had on average half a grant, since a new one was asked for only when a request found the old one empty; and that request waited for the table. Near the end nothing changes: the share of the rest is the bound there.

--- a/budget/account.go
+++ b/budget/account.go
@@ -21,6 +21,10 @@
 	wish    int64
 	demand  meter
 	waiters []*waiter
+	// lowWater is the idle amount below which the grant is renewed before a
+	// request has to wait for it.
+	lowWater int64
+	refill   bool // the acquire loop should renew the grant
 	// acquiring says that an acquire loop runs; changed tells it of settlements.
 	acquiring bool
 	changed   chan struct{}
--- a/budget/acquire.go
+++ b/budget/acquire.go
@@ -14,6 +14,9 @@
 	minPoll       = 20 * time.Millisecond // between two looks at the table
 	maxPoll       = 100 * time.Millisecond
 	recallTimeout = 300 * time.Millisecond
+	// renewRequests is the least size of a grant, in requests, that is renewed
+	// before it is used up.
+	renewRequests = 8
 	// recallFanOut bounds the holders that are asked at once.
 	recallFanOut = 16
 )
@@ -45,7 +48,7 @@
 func (k *Keeper) wanted(acc *account) bool {
 	acc.mu.Lock()
 	defer acc.mu.Unlock()
-	if len(acc.waiters) > 0 && k.ctx.Err() == nil {
+	if (len(acc.waiters) > 0 || acc.refill) && k.ctx.Err() == nil {
 		return true
 	}
 	acc.acquiring = false
@@ -56,6 +59,9 @@
 // acquireOnce reports whether it got tokens.
 func (k *Keeper) acquireOnce(acc *account) bool {
 	asked := time.Now()
+	acc.mu.Lock()
+	acc.refill = false
+	acc.mu.Unlock()
 	row, granted, err := k.grant(acc)
 	if err != nil {
 		return false
@@ -150,17 +156,35 @@
 	acc.mu.Lock()
 	defer acc.mu.Unlock()
 	need := acc.fitting(row.Free)
-	if need <= 0 || need > row.Free {
+	if (need <= 0 && len(acc.waiters) > 0) || need > row.Free {
 		return change{skip: true}
 	}
 	ahead := k.cfg.Ahead(Supply{
 		Rest: row.Free - need, Holders: len(row.Holders) + 1,
 		Rate: acc.demand.rate(time.Now()), Horizon: limits.horizon, Share: limits.share,
 	})
-	delta := need + min(max(0, ahead), row.Free-need)
+	ahead = min(max(0, ahead), row.Free-need)
+	if len(acc.waiters) == 0 {
+		ahead -= acc.idle // renew what was used of an earlier grant
+	}
+	if need+ahead <= 0 {
+		return change{skip: true}
+	}
+	delta := need + ahead
+	acc.lowWater = acc.renewAt(acc.idle + ahead)
 	return change{delta: delta, exposure: k.planExposure(acc, delta, limits)}
 }
 
+// renewAt returns the low-water mark of a grant: half of it, or none if that is
+// less than a few requests, so that a budget near its end is not divided into
+// ever smaller grants.
+func (acc *account) renewAt(grant int64) int64 {
+	if grant < renewRequests*acc.wish {
+		return 0
+	}
+	return grant / 2
+}
+
 // planExposure returns the exposure after a grant: the recent peak, which healthy
 // group commits need, or the policy's share of what is held. It never
 // falls below what is uncommitted, and until the operation is certain the lower
--- a/budget/reserve.go
+++ b/budget/reserve.go
@@ -65,6 +65,10 @@
 	acc.demand.add(now, req.Ceiling)
 	if acc.idle >= req.Ceiling {
 		r.take()
+		if acc.idle < acc.lowWater {
+			acc.lowWater, acc.refill = 0, true
+			k.startAcquire(acc)
+		}
 		acc.mu.Unlock()
 		return r.awaitOpen(ctx)
 	}
