--- /dev/null
+++ b/budget/cost_test.go
@@ -0,0 +1,151 @@
+package budget_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"buckthornridge/budget"
+	"buckthornridge/budget/ledger"
+	"buckthornridge/config"
+	"buckthornridge/platform"
+)
+
+// TestTableWrites prints, with -experiment, table commits against requests and
+// against routers, and what one row per bill costs instead of journals.
+func TestTableWrites(t *testing.T) {
+	if *experimentSeeds == 0 {
+		return // prints figures; the bars are TestFalseRefusals
+	}
+	for _, rate := range []float64{10, 30, 67, 200, 600} {
+		s := setup{size: 0.3, rate: rate, routers: 9, plenty: 100, weight: 0.5}
+		t.Logf("rate %.0f routers 9: %s", rate, runTrialIn(t, 1, s, ways[2]))
+	}
+	for _, routers := range []int{3, 9, 27, 60} {
+		s := setup{size: 0.3, rate: 200, routers: routers, plenty: 100, weight: 0.5}
+		t.Logf("rate 200 routers %d: %s", routers, runTrialIn(t, 1, s, ways[2]))
+	}
+	for _, rate := range []float64{10, 67, 200, 600} {
+		synctest.Test(t, func(t *testing.T) { rowPerBill(t, rate) })
+	}
+}
+
+// rowPerBill writes every bill as a row of its own and moves the tokens in the
+// budget row in the same transaction.
+func rowPerBill(t *testing.T, rate float64) {
+	f := newFleet(t)
+	s := setup{size: 0.3, rate: rate}
+	purchased := make([]int64, 10)
+	for i := range purchased {
+		purchased[i] = 1 << 40
+		f.topUp(expBudget(i), "order-1", purchased[i])
+	}
+	before, began := f.fake.Counters(), time.Now()
+	var bills sync.WaitGroup
+	for _, a := range arrivals(1, s, purchased) {
+		time.Sleep(time.Until(began.Add(a.at)))
+		bills.Go(func() { f.billByRow(t, a) })
+	}
+	bills.Wait()
+	after, seconds := f.fake.Counters(), s.size.duration().Seconds()
+	t.Logf("row per bill, rate %.0f: commits/s %.1f conflicts/s %.1f reads/s %.1f", rate,
+		float64(after.Commits-before.Commits)/seconds, float64(after.ConditionsFailed-before.ConditionsFailed)/seconds,
+		float64(after.Reads-before.Reads)/seconds)
+}
+
+func (f *fleet) billByRow(t *testing.T, a arrival) {
+	key := ledger.BudgetKey(expBudget(a.budget))
+	for {
+		rows, err := f.table.Read(t.Context(), key)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		var row ledger.Budget
+		_ = ledger.Decode(key, rows[0].Value, &row)
+		row.Free -= a.used
+		row.Billed += a.used
+		billKey := "bill/" + a.key
+		_, err = f.table.Commit(t.Context(), platform.Txn{
+			Conditions: []platform.Condition{{Key: key, Version: rows[0].Version}, {Key: billKey}},
+			Writes:     []platform.Write{{Key: key, Value: ledger.Encode(&row)}, {Key: billKey}},
+		})
+		if !errors.Is(err, platform.ErrConditionFailed) {
+			return
+		}
+	}
+}
+
+// benchKeeper is a keeper on a table without faults or latency.
+func benchKeeper(b *testing.B) (*budget.Keeper, platform.Table) {
+	table := platform.NewFake(platform.FakeOptions{}).As("vm-1").Table
+	k := budget.NewKeeper(budget.KeeperConfig{Table: table, Holder: "vm-1#1",
+		Policy: func() config.BudgetPolicy { return config.BudgetPolicy{RefusalWeight: 1} }})
+	_ = k.Start(context.Background())
+	<-k.Ready()
+	b.Cleanup(func() { _ = k.Stop() })
+	return k, table
+}
+
+// BenchmarkReserve reserves and releases out of a local grant: the budget's part
+// of a request's path.
+func BenchmarkReserve(b *testing.B) {
+	k, table := benchKeeper(b)
+	if _, err := budget.TopUp(b.Context(), table, studio, "order-1", 1<<50); err != nil {
+		b.Fatal(err)
+	}
+	request := budget.Request{Budget: studio, RequestKey: "r", Ceiling: 100}
+	for b.Loop() {
+		r, err := k.Reserve(b.Context(), request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Release()
+	}
+}
+
+// BenchmarkMemoryPerBudget reports the heap that an active budget (with a grant)
+// and an idle one (returned by Drain) cost in a router.
+func BenchmarkMemoryPerBudget(b *testing.B) {
+	const budgets = 20_000
+	for b.Loop() {
+		k, table := benchKeeper(b)
+		for i := range budgets {
+			id := budget.ID{Workspace: fmt.Sprint("workspace-", i/100), Name: fmt.Sprint("member-", i)}
+			if _, err := budget.TopUp(b.Context(), table, id, "order-1", 10_000); err != nil {
+				b.Fatal(err)
+			}
+		}
+		empty := heap()
+		var group sync.WaitGroup
+		gate := make(chan struct{}, 64)
+		for i := range budgets {
+			id := budget.ID{Workspace: fmt.Sprint("workspace-", i/100), Name: fmt.Sprint("member-", i)}
+			gate <- struct{}{}
+			group.Go(func() {
+				defer func() { <-gate }()
+				if r, err := k.Reserve(b.Context(), budget.Request{Budget: id, RequestKey: "r", Ceiling: 1000}); err == nil {
+					r.Release()
+				}
+			})
+		}
+		group.Wait()
+		b.ReportMetric(float64(heap()-empty)/budgets, "B/active")
+		if err := k.Drain(b.Context()); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(heap()-empty)/budgets, "B/idle")
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/budget/experiment_test.go
+++ b/budget/experiment_test.go
@@ -24,9 +24,8 @@
 // The experiment: ten workspaces, three of them large, on nine routers; each
 // budget lasts for a good part of the time.
 const (
-	expRouters = 9
-	expLarge   = 600_000 // tokens of a large budget, about 80 s of its demand
-	expSmall   = 20_000
+	expLarge = 600_000 // tokens of a large budget, about 80 s of its demand
+	expSmall = 20_000
 )
 
 // size scales the experiment: 1 lasts 90 s.
@@ -36,6 +35,20 @@
 func (s size) duration() time.Duration          { return s.of(90 * time.Second) }
 func (s size) faultAt() time.Duration           { return s.of(40 * time.Second) }
 
+// setup is what trials vary.
+type setup struct {
+	size    size
+	rate    float64 // requests per second, all routers together
+	routers int
+	plenty  int64  // times the tokens that end shortly before the trial does
+	fault   string // "", "cut" or "frozen": a third of the routers
+	weight  float64
+}
+
+func usual(scale size, fault string, weight float64) setup {
+	return setup{size: scale, rate: 67, routers: 9, plenty: 1, fault: fault, weight: weight}
+}
+
 // way is one way to grant.
 type way struct {
 	name   string
@@ -64,11 +77,11 @@
 
 // arrivals draws requests in order of time and what one perfect counter, that
 // reserves the same ceilings, admits.
-func arrivals(seed uint64, duration time.Duration, purchased []int64) []arrival {
+func arrivals(seed uint64, s setup, purchased []int64) []arrival {
 	random := rand.New(rand.NewPCG(seed, 1))
 	var all []arrival
-	for at := time.Duration(0); at < duration; {
-		at += time.Duration(random.ExpFloat64() * float64(time.Second) / 67)
+	for at := time.Duration(0); at < s.size.duration(); {
+		at += time.Duration(random.ExpFloat64() * float64(time.Second) / s.rate)
 		a := arrival{at: at, budget: random.IntN(3), key: fmt.Sprint(len(all)), draw: random.Uint64()}
 		if random.IntN(67) < 7 {
 			a.budget = 3 + random.IntN(7)
@@ -120,9 +133,8 @@
 // trial is one run of the experiment.
 type trial struct {
 	*fleet
-	size    size
+	setup
 	way     way
-	fault   string // "", "cut" or "frozen": a third of the routers
 	keepers []*budget.Keeper
 
 	mu        sync.Mutex
@@ -134,28 +146,27 @@
 
 func expBudget(i int) budget.ID { return budget.ID{Workspace: fmt.Sprint("w", i), Name: "b"} }
 
-func runTrial(t *testing.T, seed uint64, scale size, w way, fault string, weight float64) outcome {
-	x := &trial{fleet: newFleet(t), size: scale, way: w, fault: fault, consumed: make([]int64, 10), running: make([]int64, 10)}
-	x.weight = weight
+func runTrial(t *testing.T, seed uint64, s setup, w way) outcome {
+	x := &trial{fleet: newFleet(t), setup: s, way: w, consumed: make([]int64, 10), running: make([]int64, 10)}
 	for i := range 10 {
-		tokens := int64(expLarge * scale)
+		tokens := s.plenty * int64(expLarge*s.size)
 		if i >= 3 {
-			tokens = int64(expSmall * scale)
+			tokens = s.plenty * int64(expSmall*s.size)
 		}
 		x.purchased = append(x.purchased, tokens)
 		x.topUp(expBudget(i), "order-1", tokens)
 	}
-	for i := range expRouters {
+	for i := range s.routers {
 		x.keepers = append(x.keepers, x.startWay(fmt.Sprint("vm-", i)))
 	}
-	all := arrivals(seed, scale.duration(), x.purchased)
+	all := arrivals(seed, s, x.purchased)
 	began := time.Now()
 	before := x.fake.Counters()
 	var clients sync.WaitGroup
 	faulty := false
 	for _, a := range all {
 		time.Sleep(time.Until(began.Add(a.at)))
-		if !faulty && a.at >= scale.faultAt() {
+		if !faulty && a.at >= s.size.faultAt() {
 			faulty = true
 			x.breakThird()
 		}
@@ -174,7 +185,7 @@
 func (x *trial) startWay(vm string) *budget.Keeper {
 	holder := budget.HolderName(vm, "1")
 	cfg := budget.KeeperConfig{Table: x.fake.As(vm).Table, Holder: holder, Ahead: x.way.ahead,
-		Policy: func() config.BudgetPolicy { return config.BudgetPolicy{RefusalWeight: x.weight} }}
+		Policy: func() config.BudgetPolicy { return config.BudgetPolicy{RefusalWeight: x.setup.weight} }}
 	if x.way.recall {
 		cfg.Recaller = x.fleet
 	}
@@ -190,7 +201,7 @@
 		return
 	}
 	var cut []string
-	for i := range expRouters / 3 {
+	for i := range x.routers / 3 {
 		cut = append(cut, fmt.Sprint("vm-", i))
 		x.cut[budget.HolderName(cut[i], "1")] = true
 	}
@@ -200,9 +211,9 @@
 // pick chooses the router: the balancer sends nothing to frozen ones.
 func (x *trial) pick(a arrival, faulty bool) int {
 	if faulty && x.fault == "frozen" {
-		return expRouters/3 + int(a.draw%(expRouters-expRouters/3))
+		return x.routers/3 + int(a.draw%uint64(x.routers-x.routers/3))
 	}
-	return int(a.draw % expRouters)
+	return int(a.draw % uint64(x.routers))
 }
 
 func (x *trial) request(a arrival, router int) {
@@ -271,25 +282,25 @@
 		for _, fault := range []string{"", "frozen", "cut"} {
 			for _, w := range ways {
 				for _, weight := range []float64{0, 1} {
-					got := runTrialIn(t, uint64(seed+1), 1, w, fault, weight)
+					got := runTrialIn(t, uint64(seed+1), usual(1, fault, weight), w)
 					t.Logf("seed %d fault %-6s weight %.0f %-20s %s", seed+1, fault, weight, w.name, got)
 				}
 			}
 		}
 	}
 	is := is.New(t)
-	healthy := runTrialIn(t, 1, 1, ways[2], "", 0.5)
+	healthy := runTrialIn(t, 1, usual(1, "", 0.5), ways[2])
 	is.Equal(healthy.avoidable, 0)
 	is.True(float64(healthy.falseRefusals) <= 0.001*float64(healthy.requests))
-	frozen := runTrialIn(t, 1, 0.4, ways[2], "frozen", 0.5)
+	frozen := runTrialIn(t, 1, usual(0.4, "frozen", 0.5), ways[2])
 	is.True(float64(frozen.falseRefusals) <= 0.01*float64(frozen.requests))
 }
 
 // runTrialIn runs a trial in a bubble of its own.
-func runTrialIn(t *testing.T, seed uint64, scale size, w way, fault string, weight float64) outcome {
+func runTrialIn(t *testing.T, seed uint64, s setup, w way) outcome {
 	t.Helper()
 	var got outcome
-	synctest.Test(t, func(t *testing.T) { got = runTrial(t, seed, scale, w, fault, weight) })
+	synctest.Test(t, func(t *testing.T) { got = runTrial(t, seed, s, w) })
 	is.New(t).Equal(got.overspend, int64(0))
 	return got
 }
