--- a/budget/acquire.go
+++ b/budget/acquire.go
@@ -12,8 +12,11 @@
 // Timing of the acquire loop.
 const (
 	minPoll       = 20 * time.Millisecond // between two looks at the table
-	maxPoll       = 250 * time.Millisecond
+	maxPoll       = 100 * time.Millisecond
 	recallTimeout = 300 * time.Millisecond
+	// renewRequests is the least size of a grant, in requests, that is renewed
+	// before it is used up.
+	renewRequests = 8
 	// recallFanOut bounds the holders that are asked at once.
 	recallFanOut = 16
 	// healthyWindow is the demand that the small exposure covers: several group
@@ -48,7 +51,7 @@
 func (k *Keeper) wanted(acc *account) bool {
 	acc.mu.Lock()
 	defer acc.mu.Unlock()
-	if len(acc.waiters) > 0 && k.ctx.Err() == nil {
+	if (len(acc.waiters) > 0 || acc.refill) && k.ctx.Err() == nil {
 		return true
 	}
 	acc.acquiring = false
@@ -59,6 +62,9 @@
 // acquireOnce reports whether it got tokens.
 func (k *Keeper) acquireOnce(acc *account) bool {
 	asked := time.Now()
+	acc.mu.Lock()
+	acc.refill = false
+	acc.mu.Unlock()
 	row, granted, err := k.grant(acc)
 	if err != nil {
 		return false
@@ -136,16 +142,16 @@
 	Holders int           // holders of the budget, this one included
 	Rate    float64       // this holder's recent demand in tokens per second
 	Horizon time.Duration // the time that the policy wants a grant to last
+	// Share is the part of Rest that the policy lets all holders together take
+	// ahead of demand.
+	Share float64
 }
 
-// shareDivisor keeps this share of a budget free: all holders together take at
-// most one part in so many ahead of demand.
-const shareDivisor = 2
-
 // AheadOfDemand covers the horizon while the budget is full, and ever less near
 // its end.
 func AheadOfDemand(s Supply) int64 {
-	return min(int64(s.Rate*s.Horizon.Seconds()), s.Rest/int64(shareDivisor*s.Holders))
+	horizon := s.Rate * s.Horizon.Seconds()
+	return int64(min(horizon, float64(s.Rest)*s.Share/float64(s.Holders)))
 }
 
 // planGrant decides the size of a grant and the exposure.
@@ -153,19 +159,37 @@
 	acc.mu.Lock()
 	defer acc.mu.Unlock()
 	need := acc.fitting(row.Free)
-	if need <= 0 || need > row.Free {
+	if (need <= 0 && len(acc.waiters) > 0) || need > row.Free {
 		return change{skip: true}
 	}
 	ahead := k.cfg.Ahead(Supply{
 		Rest: row.Free - need, Holders: len(row.Holders) + 1,
-		Rate: acc.demand.rate(time.Now()), Horizon: limits.horizon,
+		Rate: acc.demand.rate(time.Now()), Horizon: limits.horizon, Share: limits.share,
 	})
-	delta := need + min(max(0, ahead), row.Free-need)
+	ahead = min(max(0, ahead), row.Free-need)
+	if len(acc.waiters) == 0 {
+		ahead -= acc.idle // renew what was used of an earlier grant
+	}
+	if need+ahead <= 0 {
+		return change{skip: true}
+	}
+	delta := need + ahead
+	acc.lowWater = acc.renewAt(acc.idle + ahead)
 	c := change{delta: delta}
 	k.planExposure(acc, &c, limits)
 	return c
 }
 
+// renewAt returns the low-water mark of a grant: half of it, or none if that is
+// less than a few requests, so that a budget near its end is not divided into
+// ever smaller grants.
+func (acc *account) renewAt(grant int64) int64 {
+	if grant < renewRequests*acc.wish {
+		return 0
+	}
+	return grant / 2
+}
+
 // planExposure sets the exposures after a grant. The small one is what healthy
 // group commits need: the recent peak, or the demand of a few of them. The one
 // for an outage is the policy's share of what is held. Without a witness that
