--- a/loadtool/run/operators.go
+++ b/loadtool/run/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -10,8 +11,6 @@
 
 	"buckthornridge/admin"
 	"buckthornridge/config"
-
-	"encoding/json"
 )
 
 // Times of the race of operators and of watching versions.
@@ -80,10 +79,7 @@
 		w := base.Document.Workspaces[workspace]
 		w.Share = share
 		base.Document.Workspaces[workspace] = w
-		text, err := json.Marshal(base.Document)
-		if err != nil {
-			panic(err) // plain data
-		}
+		text := documentText(base.Document)
 		reply, err := client.Apply(ctx, base.Version, fmt.Sprintf("%s-%d", id, try), text)
 		if err == nil {
 			r.note(nil)
@@ -100,6 +96,38 @@
 	}
 }
 
+// documentText encodes a document without the nulls that absent maps become,
+// which the API refuses as it refuses them in a folder.
+func documentText(d config.Document) []byte {
+	text, err := json.Marshal(d)
+	var tree any
+	if err == nil {
+		err = json.Unmarshal(text, &tree)
+	}
+	if err == nil {
+		text, err = json.Marshal(withoutNulls(tree))
+	}
+	if err != nil {
+		panic(err) // plain data
+	}
+	return text
+}
+
+func withoutNulls(value any) any {
+	object, ok := value.(map[string]any)
+	if !ok {
+		return value
+	}
+	for name, member := range object {
+		if member == nil {
+			delete(object, name)
+			continue
+		}
+		object[name] = withoutNulls(member)
+	}
+	return object
+}
+
 func isConflict(err error) bool {
 	var p *admin.Problem
 	return errors.As(err, &p) && p.Name() == admin.ProblemConflict
