loadtool: an answer that began and ends in not run is a lie; problems are listed with their tries

Not run under a later try, after one that broke, is counted apart: that router can't know. Two table cases fail on the former check.

--- a/loadtool/audit/audit.go
+++ b/loadtool/audit/audit.go
@@ -33,15 +33,18 @@
 // Findings are the differences. Counts are of requests and answers unless they
 // are called tokens.
 type Findings struct {
-	OverspendTokens    int64
-	LostTokens         map[ledger.Cause]int64
-	BilledTokens       int64
-	ConsumedTokens     int64 // that engines and services say they gave
-	UnaccountedTokens  int64 // consumed, but neither billed, lost nor held
-	BillsMissing       int
-	BillsDouble        int
-	RunsDouble         int
-	NotRunButRan       int
+	OverspendTokens   int64
+	LostTokens        map[ledger.Cause]int64
+	BilledTokens      int64
+	ConsumedTokens    int64 // that engines and services say they gave
+	UnaccountedTokens int64 // consumed, but neither billed, lost nor held
+	BillsMissing      int
+	BillsDouble       int
+	RunsDouble        int
+	NotRunButRan      int
+	// NotRunAfterBroken counts requests that ran under a try that broke and whose
+	// last word was "not run", by a router that could not know.
+	NotRunAfterBroken  int
 	AnswersWrong       int
 	AnswersTruncated   int
 	LedgerViolations   int
@@ -179,10 +182,11 @@
 	}
 }
 
-// notRun finds requests whose caller was told "not run" although they ran. A try
-// with another ending before that one explains any run, so only answers before
-// the first such try count; a run belongs to an answer if it began before the
-// caller asked again.
+// notRun finds requests whose caller was told "not run" although they ran. A run
+// belongs to the answer if it began before the caller asked again. A try with
+// another ending before it explains any run: the router that answered later can't
+// know of it, so such cases are counted apart. No try explains "not run" at the
+// end of an answer that had begun.
 func (f *Findings) notRun(results []*record.Result, runs map[requestKey][]time.Time) {
 	for _, r := range results {
 		key := requestKey{r.Workspace, r.ID}
@@ -190,13 +194,23 @@
 		for _, e := range f.executionsByResult[key] {
 			began = append(began, time.UnixMilli(e.StartedUnixMS))
 		}
-		if until, told := toldNotRun(r); told && slices.ContainsFunc(began, until.after) {
+		until, told := toldNotRun(r)
+		switch {
+		case slices.ContainsFunc(r.Tries, begunAndNotRun):
+			f.NotRunButRan++
+			f.example("request %s was told not run after a part of its answer", r.ID)
+		case told && slices.ContainsFunc(began, until.after):
 			f.NotRunButRan++
 			f.example("request %s was told not run and ran", r.ID)
+		case !told && len(began) > 0 && r.Last().RunState == record.NotRun:
+			f.NotRunAfterBroken++
+			f.example("request %s ran under a try that broke, and a later try was told not run", r.ID)
 		}
 	}
 }
 
+func begunAndNotRun(t record.Try) bool { return t.Begun && t.RunState == record.NotRun }
+
 // bound is a point in time, or never.
 type bound struct {
 	at    time.Time
@@ -217,7 +231,7 @@
 		switch {
 		case t.Ending == record.NotReached:
 			continue
-		case t.Ending == record.Refused && t.RunState == record.NotRun:
+		case t.RunState == record.NotRun:
 			told = true
 			until = bound{never: true}
 			continue
--- a/loadtool/audit/audit_test.go
+++ b/loadtool/audit/audit_test.go
@@ -50,12 +50,16 @@
 // relied on it: until it asked again.
 func TestNotRunButRan(t *testing.T) {
 	refused, broken := record.Refused, record.Broken
+	begunThenNotRun := try(10, 15, record.Failed, record.NotRun)
+	begunThenNotRun.Begun = true
 	for _, tt := range []struct {
 		name  string
 		tries []record.Try
 		ran   []int64
 		want  int
 	}{
+		{"part of an answer, then not run", []record.Try{begunThenNotRun}, []int64{12}, 1},
+		{"the same after a try that broke", []record.Try{try(0, 5, broken, ""), begunThenNotRun}, []int64{3}, 1},
 		{"not run", []record.Try{try(0, 5, refused, record.NotRun)}, nil, 0},
 		{"ran before it was said", []record.Try{try(0, 5, refused, record.NotRun)}, []int64{3}, 1},
 		{"ran after it was said", []record.Try{try(0, 5, refused, record.NotRun)}, []int64{900}, 1},
--- a/loadtool/report/report.go
+++ b/loadtool/report/report.go
@@ -40,6 +40,7 @@
 	BillsDouble             int `json:"bills_double"`
 	RunsDoubleNonrepeatable int `json:"runs_double_nonrepeatable"`
 	NotRunButRan            int `json:"not_run_but_ran"`
+	NotRunAfterBroken       int `json:"not_run_after_broken_try"` // reported, no bar
 	AnswersWrong            int `json:"answers_wrong"`
 	AnswersTruncated        int `json:"answers_truncated_as_complete"`
 	LedgerViolations        int `json:"ledger_violations"`
--- a/loadtool/report/text.go
+++ b/loadtool/report/text.go
@@ -26,6 +26,7 @@
 		line{"billed / consumed / unaccounted tokens", fmt.Sprintf("%d / %d / %d", r.BilledTokens, r.ConsumedTokens, r.UnaccountedTokens)},
 		line{"false_refusals (rate)", fmt.Sprintf("%d of %d (%.4f), %d never answered", r.FalseRefusals, r.BudgetAsked, r.FalseRefusalRate, r.FalseRefusalsFinal)},
 		line{"false_refusals_clairvoyant (rate)", fmt.Sprintf("%d (%.4f)", r.FalseRefusalsClairvoyant, r.FalseRefusalRateClairvoyant)},
+		line{"not_run_after_broken_try", fmt.Sprint(r.NotRunAfterBroken)},
 		line{"refusals", sorted(r.Refusals)},
 		line{"problems", sorted(r.Problems)},
 		line{"goodput", fmt.Sprintf("%.4f (%.1f of %.1f)", r.Goodput, r.GoodputInTime, r.GoodputPossible)},
--- a/loadtool/run/judge.go
+++ b/loadtool/run/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"buckthornridge/loadtool/audit"
@@ -57,7 +58,7 @@
 		r.LostShare = float64(lost) / float64(spent)
 	}
 	r.BillsMissing, r.BillsDouble = f.BillsMissing, f.BillsDouble
-	r.RunsDoubleNonrepeatable, r.NotRunButRan = f.RunsDouble, f.NotRunButRan
+	r.RunsDoubleNonrepeatable, r.NotRunButRan, r.NotRunAfterBroken = f.RunsDouble, f.NotRunButRan, f.NotRunAfterBroken
 	r.AnswersWrong, r.AnswersTruncated = f.AnswersWrong, f.AnswersTruncated
 	r.LedgerViolations, r.RecordsOmitted, r.UnfoldedSegments = f.LedgerViolations, f.RecordsOmitted, f.UnfoldedSegments
 	r.Examples = f.Examples
@@ -79,6 +80,8 @@
 			case t.Ending == record.Refused && t.RunState == record.NotRun:
 				r.Refusals[t.Problem]++
 			case t.Problem != "":
+				r.Examples = append(r.Examples, fmt.Sprintf("%s by %s at %.1f s: %s %s %s %s",
+					result.ID, t.VM, t.Ended.Sub(e.begun).Seconds(), t.Ending, t.Problem, t.RunState, result.Kind))
 				r.Problems[string(t.Ending)+" "+t.Problem+" "+t.RunState]++
 			default:
 				r.Problems[string(t.Ending)]++
