loadtool: segments that a late write brought back after their fold are counted apart

The folders had taken them before: a delayed write of a segment holds again once the fold has deleted the row, and nothing removes the copy. The audit read these as bills still to come. Conclusion: they are counted as stale_segments; the leftover rows are reported.

--- a/loadtool/audit/audit.go
+++ b/loadtool/audit/audit.go
@@ -50,6 +50,7 @@
 	LedgerViolations   int
 	RecordsOmitted     int64 // by the stand-ins; an audit needs 0
 	UnfoldedSegments   int
+	StaleSegments      int      // folded, brought back by a late write, never removed
 	Examples           []string // of what is wrong, bounded
 	consumedByBudget   map[ledger.ID]int64
 	requestsByKey      map[requestKey]*record.Result
@@ -86,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f.UnfoldedSegments = books.unfolded
+	f.UnfoldedSegments, f.StaleSegments = books.unfolded, books.stale
 	f.answers(in.Results)
 	runs := f.engines(in)
 	f.services(in)
--- a/loadtool/audit/audit_test.go
+++ b/loadtool/audit/audit_test.go
@@ -89,6 +89,8 @@
 		index = binary.BigEndian.AppendUint64(index, xxhash.Sum64String(request))
 	}
 	return []platform.Row{
+		{Key: ledger.FoldKey("holder"), Value: ledger.Encode(journal.State{Next: 1})},
+		{Key: ledger.SegmentKey("holder", 0), Value: ledger.Encode(journal.Segment{Entries: []journal.Entry{bill("stale")}})},
 		{Key: ledger.SegmentKey("holder", 1), Value: ledger.Encode(journal.Segment{Entries: waiting})},
 		{Key: ledger.BudgetKey(budget), Value: ledger.Encode(row)},
 		{Key: ledger.IndexKey(budget, 1), Value: index},
@@ -125,6 +127,8 @@
 				Executions: map[string]service.Report{"s": ran("a", 1)}, Purchased: map[ledger.ID]int64{budget: 100},
 			})
 			is.NoErr(err)
+			is.Equal(f.StaleSegments, 1)
+			is.Equal(f.UnfoldedSegments, 1)
 			is.Equal(f.BillsMissing, tt.missing)
 			is.Equal(f.BillsDouble, tt.double)
 			is.Equal(f.LedgerViolations, 0)
--- a/loadtool/audit/books.go
+++ b/loadtool/audit/books.go
@@ -24,6 +24,11 @@
 	// waitingLost are losses that are not folded yet.
 	waitingLost map[ledger.Cause]int64
 	unfolded    int
+	// stale counts segments that a late write brought back after they had been
+	// folded: no folder reads them again, and nothing removes them.
+	stale int
+	// next is the first segment of each journal that is not folded.
+	next map[string]uint64
 }
 
 const hashBytes = 8
@@ -34,6 +39,7 @@
 		billed:      map[ledger.ID]map[uint64]int{},
 		waiting:     map[ledger.ID]map[uint64]int64{},
 		waitingLost: map[ledger.Cause]int64{},
+		next:        map[string]uint64{},
 	}
 	for _, row := range rows {
 		var err error
@@ -42,13 +48,21 @@
 			err = b.readBudget(row)
 		case strings.HasPrefix(row.Key, ledger.IndexPrefix):
 			err = b.readIndex(row)
+		case strings.HasPrefix(row.Key, ledger.FoldPrefix):
+			err = b.readFold(row)
 		}
 		if err != nil {
 			return nil, err
 		}
 	}
 	for _, row := range rows {
-		if strings.HasPrefix(row.Key, ledger.SegmentPrefix) || strings.HasPrefix(row.Key, ledger.AdoptedPrefix) {
+		waits := strings.HasPrefix(row.Key, ledger.AdoptedPrefix)
+		if strings.HasPrefix(row.Key, ledger.SegmentPrefix) {
+			if waits = !b.isFolded(row.Key); !waits {
+				b.stale++
+			}
+		}
+		if waits {
 			if err := b.readSegment(row); err != nil {
 				return nil, err
 			}
@@ -57,6 +71,28 @@
 	return b, nil
 }
 
+func (b *books) readFold(row platform.Row) error {
+	holder, err := ledger.ParseHolder(ledger.FoldPrefix, row.Key)
+	if err != nil {
+		return err
+	}
+	var state journal.State
+	err = ledger.Decode(row.Key, row.Value, &state)
+	b.next[holder] = state.Next
+	return err
+}
+
+// isFolded tells whether a segment's journal is folded beyond it, or reclaimed
+// for good.
+func (b *books) isFolded(key string) bool {
+	holder, err := ledger.ParseHolder(ledger.SegmentPrefix, key)
+	if err != nil {
+		return false
+	}
+	next, known := b.next[holder]
+	return !known || key < ledger.SegmentKey(holder, next)
+}
+
 func (b *books) readBudget(row platform.Row) error {
 	id, err := ledger.ParseID(ledger.BudgetPrefix, row.Key)
 	if err != nil {
--- a/loadtool/report/report.go
+++ b/loadtool/report/report.go
@@ -75,6 +75,7 @@
 
 	RecordsOmitted   int64        `json:"records_omitted"`
 	UnfoldedSegments int          `json:"unfolded_segments"`
+	StaleSegments    int          `json:"stale_segments"` // folded rows that a late write brought back
 	Faults           []fault.Done `json:"faults"`
 	FaultErrors      []string     `json:"fault_errors,omitempty"`
 	Spend            []Point      `json:"spend"`
--- a/loadtool/report/text.go
+++ b/loadtool/report/text.go
@@ -35,7 +35,7 @@
 		line{"work_after_leaving_s", fmt.Sprintf("%.2f", r.WorkAfterLeaving)},
 		line{"config_in_force_s", fmt.Sprintf("%.2f (%d versions, %d conflicts)", r.ConfigInForce, r.ConfigVersions, r.ConfigConflicts)},
 		line{"table writes / reads a second", fmt.Sprintf("%.1f / %.1f", r.TableWritesPerS, r.TableReadsPerS)},
-		line{"unfolded_segments", fmt.Sprint(r.UnfoldedSegments)},
+		line{"unfolded / stale segments", fmt.Sprintf("%d / %d", r.UnfoldedSegments, r.StaleSegments)},
 	)
 	for _, c := range r.Control {
 		lines = append(lines, line{"control " + c.Process, fmt.Sprintf("%.2f%% of a core, %.1f MB, %.1f KB/s", c.CPUCorePct, c.RSSMB, c.KBPerS)})
--- a/loadtool/run/judge.go
+++ b/loadtool/run/judge.go
@@ -60,7 +60,8 @@
 	r.BillsMissing, r.BillsDouble = f.BillsMissing, f.BillsDouble
 	r.RunsDoubleNonrepeatable, r.NotRunButRan, r.NotRunAfterBroken = f.RunsDouble, f.NotRunButRan, f.NotRunAfterBroken
 	r.AnswersWrong, r.AnswersTruncated = f.AnswersWrong, f.AnswersTruncated
-	r.LedgerViolations, r.RecordsOmitted, r.UnfoldedSegments = f.LedgerViolations, f.RecordsOmitted, f.UnfoldedSegments
+	r.LedgerViolations, r.RecordsOmitted = f.LedgerViolations, f.RecordsOmitted
+	r.UnfoldedSegments, r.StaleSegments = f.UnfoldedSegments, f.StaleSegments
 	r.Examples = f.Examples
 }
 
