router: membership by gossip, leaving passed on, a check after each pause

Cause: routers knew each other from the VM list alone, routing never heard what the list says of upstreams, and a router that was paused past its replacement went on with the dispatch it was in until its next commit failed.

- The router runs the tracker and its gossip; routing gets each change of an upstream's state.
What one router hears from an engine (a refusal or a load report that says leaving) reaches the others without the list.
- A planned stop tells the peers before the VM list, which may not answer.
- Before each dispatch the router asks whether it was paused.

Ruled out: to refuse at once while the check runs; the read takes milliseconds, and the request would be refused for nothing.

Not closed: a pause between this check and the first byte on the wire. Only the upstream could refuse that.

--- a/cmd/buckthorn-router/main.go
+++ b/cmd/buckthorn-router/main.go
@@ -34,6 +34,7 @@
 	if err != nil {
 		return err
 	}
+	r.Publish()
 	if err := r.Start(ctx); err != nil {
 		return err
 	}
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -63,10 +63,11 @@
 
 var routersBeat = map[string]bool{"router": true}
 
-func (f *fleet) start(vm platform.VM, known []platform.VM) *node {
+func (f *fleet) start(vm platform.VM, known []platform.VM, seeds ...string) *node {
 	n := &node{fleet: f, address: vm.PeerAddress, done: make(chan struct{})}
 	n.tracker = NewTracker(Options{Self: memberOf(vm), Beats: routersBeat})
 	g := NewGossip(n.tracker, n)
+	g.Seeds = seeds
 	n.handlers = g.handlers()
 	f.mu.Lock()
 	f.nodes[n.address] = n
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -38,6 +38,8 @@
 // Gossip exchanges heartbeats and news with peers. It is the I/O around a
 // Tracker.
 type Gossip struct {
+	// Seeds are addresses of processes to ask while the tracker knows nobody.
+	Seeds   []string
 	tracker *Tracker
 	caller  peer.Caller
 	pushes  chan struct{} // one place for each push in progress
@@ -98,6 +100,7 @@
 			g.exchange(ctx)
 			next += exchangeRounds/2 + rand.IntN(exchangeRounds)
 		}
+		g.askSeed(ctx)
 		spread := 1 + jitter*(2*rand.Float64()-1)
 		if !pauseFor(ctx, time.Duration(spread*float64(period))) {
 			return
@@ -157,17 +160,29 @@
 // exchange compares all that is known with one neighbour.
 func (g *Gossip) exchange(ctx context.Context) {
 	for _, member := range g.tracker.Neighbours(1) {
-		g.begin(ctx, member, func(ctx context.Context) error {
-			var a Answer
-			err := g.caller.Call(ctx, member.PeerAddress, methodExchange, g.tracker.Ask(), &a)
-			if err == nil {
-				g.tracker.Told(a)
-			}
-			return err
-		})
+		g.ask(ctx, member)
+	}
+}
+
+// askSeed asks an address of the settings while no peer is known: the list of a
+// fresh VM may be empty because the platform does not answer.
+func (g *Gossip) askSeed(ctx context.Context) {
+	if len(g.Seeds) > 0 && len(g.tracker.Neighbours(1)) == 0 {
+		g.ask(ctx, Member{PeerAddress: g.Seeds[rand.IntN(len(g.Seeds))]})
 	}
 }
 
+func (g *Gossip) ask(ctx context.Context, member Member) {
+	g.begin(ctx, member, func(ctx context.Context) error {
+		var a Answer
+		err := g.caller.Call(ctx, member.PeerAddress, methodExchange, g.tracker.Ask(), &a)
+		if err == nil {
+			g.tracker.Told(a)
+		}
+		return err
+	})
+}
+
 // begin runs one call to a member; its failure is evidence against the member.
 func (g *Gossip) begin(ctx context.Context, member Member, call func(context.Context) error) {
 	select {
--- a/membership/gossip_test.go
+++ b/membership/gossip_test.go
@@ -113,17 +113,22 @@
 	})
 }
 
-// The platform's store is down when a VM is replaced: the list that the new
-// process got is old and names one process that still runs.
-func TestFreshProcessWithAnOldList(t *testing.T) {
+// The platform is down when a VM is replaced: the new process got an old list,
+// which names one process that still runs, or none but has one in its settings.
+func TestFreshProcessInAnOutage(t *testing.T) {
 	withFleet(t, func(is *is.I, f *fleet) {
 		nodes := f.startAll(9)
 		nodes[4].tracker.Leave()
 		time.Sleep(10 * time.Second)
-		fresh := f.start(vmOf(9), []platform.VM{vmOf(0)})
-		is.True(delay([]*node{fresh}, 20*time.Second, func(n *node) bool { return n.count(Live) == 9 }) < 5*time.Second)
-		is.Equal(fresh.state("vm-004"), Leaving)
-		is.True(delay(nodes, 20*time.Second, func(n *node) bool { return n.count(Live) == 9 }) < 5*time.Second)
+		f.start(vmOf(9), []platform.VM{vmOf(0)})
+		f.start(vmOf(10), nil, vmOf(3).PeerAddress)
+		for _, n := range f.nodes {
+			nodes = append(nodes, n)
+		}
+		is.True(delay(nodes, 20*time.Second, func(n *node) bool { return n.count(Live) == 10 }) < 5*time.Second)
+		for _, n := range nodes {
+			is.Equal(n.state("vm-004"), Leaving)
+		}
 	})
 }
 
--- a/membership/pause.go
+++ b/membership/pause.go
@@ -23,9 +23,12 @@
 // clock is asked too, since a suspended machine's monotonic clock may stand
 // still; a wall clock that is set forward costs one needless check.
 func (p *pause) late(now time.Time, limit time.Duration) bool {
+	return limit > 0 && p.gap(now) > limit
+}
+
+func (p *pause) gap(now time.Time) time.Duration {
 	last := p.last.Load()
-	wall := now.Round(0).Sub(last.Round(0))
-	return limit > 0 && max(now.Sub(*last), wall) > limit
+	return max(now.Sub(*last), now.Round(0).Sub(last.Round(0)))
 }
 
 // Awake reports whether this process ran without a gap and what OnWake asked for
@@ -35,10 +38,10 @@
 	return !t.pause.asleep.Load() && !t.pause.late(time.Now(), t.options.Limits.Pause)
 }
 
-// OnWake adds a function to run after each pause, before Awake turns true again.
-// It should ask the platform whether this incarnation still stands, and bound
-// its own time.
-func (t *Tracker) OnWake(f func()) {
+// OnWake adds a function to run after each pause, before Awake turns true again,
+// with the length of the pause. It should ask the platform whether this
+// incarnation still stands, and bound its own time.
+func (t *Tracker) OnWake(f func(gap time.Duration)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.onWake = append(t.onWake, f)
@@ -68,6 +71,7 @@
 	t.pause.asleep.Store(true)
 	t.pause.wakes.Add(1)
 	t.Counters.Wakes.Add(1)
+	t.gap = max(t.gap, t.pause.gap(now))
 	gap := now.Sub(*t.pause.last.Load())
 	for _, r := range t.records {
 		r.advanced = r.advanced.Add(gap)
@@ -81,10 +85,10 @@
 	for {
 		wakes := t.pause.wakes.Load()
 		t.mu.Lock()
-		hooks := t.onWake
+		hooks, gap := t.onWake, t.gap
 		t.mu.Unlock()
 		for _, hook := range hooks {
-			hook()
+			hook(gap)
 		}
 		if t.settled(wakes) {
 			return
@@ -100,6 +104,7 @@
 	if t.pause.wakes.Load() != wakes {
 		return false
 	}
+	t.gap = 0
 	t.pause.asleep.Store(false)
 	return true
 }
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -116,7 +116,8 @@
 	records map[string]*record // by id
 	byKey   map[uint64]*record
 	rumours []rumour
-	onWake  []func()
+	onWake  []func(time.Duration)
+	gap     time.Duration // the longest pause since OnWake's functions last ended
 	ordered map[string]bool
 	digest  uint64
 }
--- a/membership/tracker_test.go
+++ b/membership/tracker_test.go
@@ -163,8 +163,9 @@
 		k := pair()
 		k.Receive(beat(1, true))
 		checked := 0
-		k.OnWake(func() {
+		k.OnWake(func(gap time.Duration) {
 			is.True(!k.Awake())
+			is.Equal(gap, time.Minute)
 			checked++
 		})
 		is.True(k.Awake())
@@ -188,7 +189,7 @@
 		is := is.New(t)
 		k := pair()
 		checked := 0
-		k.OnWake(func() {
+		k.OnWake(func(time.Duration) {
 			if checked++; checked == 1 {
 				time.Sleep(time.Minute)
 			}
--- a/router/admin.go
+++ b/router/admin.go
@@ -22,6 +22,13 @@
 	return mux
 }
 
+// Publish puts the counters of this process into expvar; a program calls it
+// once.
+func (r *Router) Publish() {
+	expvar.Publish("config", r.watcher.Counters.Map())
+	expvar.Publish("membership", r.members.tracker.Counters.Map())
+}
+
 // readyz answers 200 when callers are served, and else says why not.
 func (r *Router) readyz(w http.ResponseWriter, _ *http.Request) {
 	if why := r.notReady(); why != "" {
--- a/router/config.go
+++ b/router/config.go
@@ -71,6 +71,7 @@
 	r.table.Update(s)
 	r.pool.update(s)
 	r.admission.Update(s)
+	r.members.order(s)
 }
 
 // askStop asks for a planned stop.
--- a/router/members.go
+++ b/router/members.go
@@ -2,130 +2,116 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"buckthornridge/config"
 	"buckthornridge/membership"
+	"buckthornridge/peer"
 	"buckthornridge/platform"
+	"buckthornridge/routing"
 )
 
-// suspectFor is how long direct evidence against a member lasts unless it is
-// renewed; the VM list lags, so it cannot clear the member sooner.
-const suspectFor = 5 * time.Second
+const (
+	// listTimeout bounds one look at the VM list.
+	listTimeout = 2 * time.Second
+	// applyInterval is after how long routing is told of all upstreams again: a
+	// new configuration may have brought some that were known here before.
+	applyInterval = time.Second
+)
 
-// members keeps the router's view of the fleet from the VM list and from calls
-// that failed.
+// members keeps the router's view of the fleet from the VM list, heartbeats and
+// calls that failed, and tells routing what it says of upstreams.
 type members struct {
 	list     platform.VMList
 	interval time.Duration
+	tracker  *membership.Tracker
+	gossip   *membership.Gossip
+	table    *routing.Table
 	view     *membership.Holder
-
-	mu       sync.Mutex
-	listed   map[string]membership.Member
-	suspects map[string]time.Time // until when
-
-	self      string // set once this VM is leaving
-	selfState membership.State
 }
 
-func newMembers(list platform.VMList, interval time.Duration) *members {
+func newMembers(s Settings, self membership.Member, list platform.VMList, peers peer.Caller, table *routing.Table) *members {
+	tracker := membership.NewTracker(membership.Options{
+		Self:  self,
+		Beats: map[string]bool{roleRouter: true},
+	})
+	gossip := membership.NewGossip(tracker, peers)
+	gossip.Seeds = s.Peers
 	return &members{
 		list:     list,
-		interval: interval,
-		view:     new(membership.Holder),
-		listed:   map[string]membership.Member{},
-		suspects: map[string]time.Time{},
+		interval: s.MemberInterval.D(),
+		tracker:  tracker,
+		gossip:   gossip,
+		table:    table,
+		view:     tracker.View(),
 	}
 }
 
-// run looks at the VM list until the context ends.
+// run keeps the view until the context ends.
 func (m *members) run(ctx context.Context) {
+	var tasks sync.WaitGroup
+	tasks.Go(func() { m.gossip.Run(ctx) })
+	tasks.Go(func() { m.apply(ctx) })
 	ticker := time.NewTicker(m.interval)
 	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
 		m.refresh(ctx)
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return
 		}
 	}
+	tasks.Wait()
 }
 
-// refresh takes the VM list; while it does not answer the last one stands.
+// refresh takes the VM list; while it does not answer, what is known stands.
 func (m *members) refresh(ctx context.Context) {
-	vms, _, err := m.list.List(ctx)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if err == nil {
-		m.listed = membersOf(vms)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	if vms, _, err := m.list.List(ctx); err == nil {
+		m.tracker.List(vms)
 	}
-	m.publish()
 }
 
-// membersOf keeps the present incarnation of each VM.
-func membersOf(vms []platform.VM) map[string]membership.Member {
-	listed := make(map[string]membership.Member, len(vms))
-	for _, vm := range vms {
-		if vm.State == platform.VMGone {
-			continue
+// apply tells routing how upstreams are, as soon as that changes.
+func (m *members) apply(ctx context.Context) {
+	ticker := time.NewTicker(applyInterval)
+	defer ticker.Stop()
+	for {
+		for id, member := range m.view.Load().Members {
+			if member.Role != roleRouter {
+				m.table.SetState(id, member.State)
+			}
 		}
-		listed[vm.ID] = membership.Member{
-			ID:          vm.ID,
-			Incarnation: vm.Incarnation,
-			Role:        vm.Role,
-			DataCentre:  vm.DataCentre,
-			Region:      vm.Region,
-			Address:     vm.Address,
-			PeerAddress: vm.PeerAddress,
-			State:       stateOf(vm.State),
+		select {
+		case <-m.tracker.Changed():
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
 		}
 	}
-	return listed
-}
-
-func stateOf(s platform.VMState) membership.State {
-	if s == platform.VMLeaving {
-		return membership.Leaving
-	}
-	return membership.Live
 }
 
 // suspect takes direct evidence that a member does not answer.
-func (m *members) suspect(id string, cause error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if _, already := m.suspects[id]; !already {
-		klog.Warningf("member %s is suspected: %v", id, cause)
-	}
-	m.suspects[id] = time.Now().Add(suspectFor)
-	m.publish()
+func (m *members) suspect(id string, cause error) { m.tracker.Suspect(id, cause) }
+
+// saidLeaving takes an upstream's own word that it is leaving.
+func (m *members) saidLeaving(id string, kind config.UpstreamKind) {
+	m.tracker.SaidLeaving(id, string(kind))
 }
 
-// publish stores the view of the listed members with the evidence against them.
-// The caller holds mu.
-func (m *members) publish() {
-	view := &membership.View{Members: maps.Clone(m.listed)}
-	now := time.Now()
-	for id, until := range m.suspects {
-		if now.After(until) {
-			delete(m.suspects, id)
-			klog.Infof("member %s is no longer suspected", id)
-			continue
+// order takes from the configuration which upstreams shall get no new work.
+func (m *members) order(s *config.Snapshot) {
+	leaving := map[string]bool{}
+	for id, u := range s.Upstreams {
+		if u.Leaving {
+			leaving[id] = true
 		}
-		if member, listed := view.Members[id]; listed && member.State == membership.Live {
-			member.State = membership.Suspected
-			view.Members[id] = member
-		}
-	}
-	if own, listed := view.Members[m.self]; listed {
-		own.State = m.selfState
-		view.Members[m.self] = own
 	}
-	m.view.Store(view)
+	m.tracker.Order(leaving)
 }
 
 // routers returns how many routers take work.
@@ -139,10 +125,8 @@
 	return n
 }
 
-// setSelf overrides the list for this VM, which knows its own state first.
-func (m *members) setSelf(id string, state membership.State) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.self, m.selfState = id, state
-	m.publish()
+// leave tells the other routers that this one is leaving.
+func (m *members) leave() {
+	klog.V(1).Info("telling the other routers that this one is leaving")
+	m.tracker.Leave()
 }
--- a/router/pool.go
+++ b/router/pool.go
@@ -24,6 +24,8 @@
 	table     *routing.Table
 	interval  time.Duration
 	clients   atomic.Pointer[clientSet]
+	// leaving is told of upstreams that say they are leaving.
+	leaving func(id string, kind config.UpstreamKind)
 }
 
 // clientSet is immutable.
@@ -99,6 +101,9 @@
 	defer cancel()
 	if load, err := engine.Load(ctx); err == nil {
 		p.table.Report(id, load)
+		if load.Leaving {
+			p.leaving(id, config.UpstreamEngine)
+		}
 	}
 	index := p.table.Index()
 	if events, err := engine.CacheEvents(ctx, index.LastEvent(id)); err == nil {
--- a/router/ports.go
+++ b/router/ports.go
@@ -10,6 +10,7 @@
 
 	"buckthornridge/admission"
 	"buckthornridge/budget"
+	"buckthornridge/config"
 	"buckthornridge/request"
 	"buckthornridge/routing"
 	"buckthornridge/upstream"
@@ -69,7 +70,10 @@
 }
 
 // budgetPort reserves from this router's grants.
-type budgetPort struct{ keeper *budget.Keeper }
+type budgetPort struct {
+	keeper *budget.Keeper
+	wake   wakeCheck
+}
 
 var _ request.Budgets = budgetPort{}
 
@@ -87,7 +91,7 @@
 }
 
 // Alive implements request.Budgets.
-func (p budgetPort) Alive() bool { return p.keeper.Alive() }
+func (p budgetPort) Alive() bool { return p.wake.passed() && p.keeper.Alive() }
 
 // routingPort picks upstreams and finds their clients.
 type routingPort struct {
@@ -109,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return routingChoice{choice: choice, began: time.Now()}, nil
+	return routingChoice{choice: choice, began: time.Now(), leaving: p.pool.leaving}, nil
 }
 
 func (p routingPort) translate(r *request.Request, exclude []string) routing.Request {
@@ -141,8 +145,9 @@
 
 // routingChoice reports an attempt's result to routing.
 type routingChoice struct {
-	choice *routing.Choice
-	began  time.Time
+	choice  *routing.Choice
+	began   time.Time
+	leaving func(id string, kind config.UpstreamKind)
 }
 
 // Upstream implements request.Choice.
@@ -153,8 +158,12 @@
 
 // Done implements request.Choice.
 func (c routingChoice) Done(result request.AttemptResult) {
+	kind := outcomeKind(result.Err)
+	if kind == routing.OutcomeLeaving {
+		c.leaving(c.choice.UpstreamID, config.UpstreamEngine) // a plain service can't say so
+	}
 	c.choice.Done(routing.Outcome{
-		Kind:         outcomeKind(result.Err),
+		Kind:         kind,
 		FirstToken:   result.FirstToken,
 		Total:        time.Since(c.began),
 		PromptTokens: result.Usage.PromptTokens,
--- a/router/router.go
+++ b/router/router.go
@@ -20,6 +20,7 @@
 	"buckthornridge/budget"
 	"buckthornridge/certs"
 	"buckthornridge/config"
+	"buckthornridge/membership"
 	"buckthornridge/peer"
 	"buckthornridge/platform"
 	"buckthornridge/platform/httpclient"
@@ -51,6 +52,7 @@
 
 	watcher   *config.Watcher
 	members   *members
+	wake      wakeCheck
 	table     *routing.Table
 	pool      *pool
 	admission *admission.Controller
@@ -94,8 +96,9 @@
 	if err := r.listen(); err != nil {
 		return nil, err
 	}
-	r.members = newMembers(r.services.VMs, s.MemberInterval.D())
+	r.members = newMembers(r.settings, r.self(), r.services.VMs, r.peers, r.table)
 	r.pool = newPool(r.table, s.LoadInterval.D())
+	r.pool.leaving = r.members.saidLeaving
 	if err := r.buildDecisions(); err != nil {
 		return nil, err
 	}
@@ -120,6 +123,7 @@
 		Policy:   r.budgetPolicy,
 		Recaller: &recaller{peers: r.peers, view: r.members.view},
 	})
+	r.wake = wakeCheck{table: r.services.Table, writer: r.keeper.Journal(), tracker: r.members.tracker}
 	return nil
 }
 
@@ -135,7 +139,7 @@
 		budget.HolderName(r.settings.VM, r.incarnation),
 		request.DefaultSettings(),
 		admissionPort{controller: r.admission, dataCentre: r.settings.DataCentre},
-		budgetPort{keeper: r.keeper},
+		budgetPort{keeper: r.keeper, wake: r.wake},
 		routingPort{router: r.routes, pool: r.pool, dataCentre: r.settings.DataCentre},
 		r.services.Table,
 	)
@@ -149,6 +153,7 @@
 		Suspect:  r.members.suspect,
 	}
 	r.frontend.Register(r.peerSrv)
+	r.members.gossip.Serve(r.peerSrv)
 	registerRecall(r.peerSrv, r.keeper)
 	registerAdopt(r.peerSrv, r.keeper)
 }
@@ -182,6 +187,7 @@
 	if err := r.watcher.Start(ctx); err != nil {
 		return err
 	}
+	r.members.tracker.OnWake(func(gap time.Duration) { r.wake.run(ctx, gap) })
 	r.spawn(func() { r.members.run(ctx) })
 	r.spawn(func() { r.pool.run(ctx) })
 	r.spawn(func() { r.sweep(ctx) })
@@ -248,7 +254,22 @@
 }
 
 func (r *Router) announce(ctx context.Context, state platform.VMState) error {
+	self := r.self()
 	return r.services.VMs.Announce(ctx, platform.VM{
+		ID:          self.ID,
+		Incarnation: self.Incarnation,
+		Role:        self.Role,
+		DataCentre:  self.DataCentre,
+		Region:      self.Region,
+		Address:     self.Address,
+		PeerAddress: self.PeerAddress,
+		State:       state,
+	})
+}
+
+// self is this process as the others know it, once its addresses are taken.
+func (r *Router) self() membership.Member {
+	return membership.Member{
 		ID:          r.settings.VM,
 		Incarnation: r.incarnation,
 		Role:        roleRouter,
@@ -256,8 +277,7 @@
 		Region:      r.settings.Region,
 		Address:     r.settings.Listen,
 		PeerAddress: r.settings.PeerListen,
-		State:       state,
-	})
+	}
 }
 
 // sweep forgets old outcomes.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -130,13 +130,16 @@
 	}
 }
 
-func (f *fleet) startRouter(vm, platformAddress string) *Router {
+func (f *fleet) startRouter(vm, platformAddress string, changes ...func(*Settings)) *Router {
 	f.t.Helper()
 	s := DefaultSettings()
 	s.VM, s.DataCentre, s.Region, s.Platform = vm, "a", "r", platformAddress
 	s.Listen, s.PeerListen, s.AdminListen = anyPort, anyPort, anyPort
 	s.MemberInterval, s.LoadInterval = settings.Duration(20*time.Millisecond), settings.Duration(20*time.Millisecond)
 	s.LeaveNotice = settings.Duration(50 * time.Millisecond)
+	for _, change := range changes {
+		change(&s)
+	}
 	r, err := New(s)
 	if err != nil {
 		f.t.Fatal(err)
--- a/router/stop.go
+++ b/router/stop.go
@@ -8,7 +8,6 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
-	"buckthornridge/membership"
 	"buckthornridge/platform"
 )
 
@@ -19,9 +18,9 @@
 func (r *Router) Drain(ctx context.Context) error {
 	r.leaving.Store(true)
 	klog.Infof("router %s is leaving", r.settings.VM)
+	r.members.leave()
 	r.tellLeaving(ctx)
 	r.wait(ctx, r.settings.LeaveNotice.D())
-	r.members.setSelf(r.settings.VM, membership.Leaving)
 
 	executed := make(chan error, 1)
 	go func() { executed <- r.executor.Drain(ctx) }()
@@ -31,7 +30,7 @@
 }
 
 // tellLeaving puts this VM on the list as leaving; without the platform the
-// other routers learn it from refused requests.
+// other routers have it from gossip.
 func (r *Router) tellLeaving(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, announceLimit)
 	defer cancel()
