request: no 'not run' after a home that may have run it; frozen homes passed over

The home broke after dispatch, the next one refused for want of budget, and its own 'not run' was passed on. And requests whose home was frozen waited for the connection's silence limit, first token p99 7 s.

Ruled out: 'ran' after a mere dispatch (nobody knows); a shorter silence limit alone (a busy home has requests in its queue). A home now acknowledges at once, and one that does not within 500 ms is passed over. The run is given 100 ms less than the caller's deadline, so that the router that knows answers first.

Silence limit 3 s to 2 s, pings each 500 ms.

--- a/api/chat.go
+++ b/api/chat.go
@@ -35,7 +35,7 @@
 		writeProblem(w, problem)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), req.Timeout)
+	ctx, cancel := withDeadline(r.Context(), req)
 	defer cancel()
 	var a answer = &wholeAnswer{model: body.Model}
 	if body.Stream {
@@ -48,6 +48,21 @@
 	a.end(w, c.id, resolve(outcome, err))
 }
 
+// withDeadline bounds the whole request, and gives it a little less time than
+// that: what gives it up first is then the router that runs it, which knows
+// whether it ran, and its final answer still arrives in time.
+func withDeadline(ctx context.Context, r *request.Request) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
+	r.Timeout -= min(answerMargin, r.Timeout/answerShare)
+	return ctx, cancel
+}
+
+// The time that a final answer may take on its way back.
+const (
+	answerMargin = 100 * time.Millisecond
+	answerShare  = 10 // at most one part in so many of the whole
+)
+
 // resolve turns an error on the way of the answer into an outcome. Whatever it
 // is, the request may have run.
 func resolve(outcome request.Outcome, err error) request.Outcome {
--- a/api/service.go
+++ b/api/service.go
@@ -1,7 +1,6 @@
 package api
 
 import (
-	"context"
 	"crypto/sha256"
 	"net/http"
 	"strings"
@@ -27,7 +26,7 @@
 		writeProblem(w, problem)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), req.Timeout)
+	ctx, cancel := withDeadline(r.Context(), req)
 	defer cancel()
 	outcome, err := s.Requests.Do(ctx, req, func(request.Update) error { return nil })
 	if r.Context().Err() != nil {
--- a/peer/client.go
+++ b/peer/client.go
@@ -15,12 +15,12 @@
 // Timing of the client's side of a connection.
 const (
 	dialTimeout  = time.Second
-	pingInterval = time.Second
+	pingInterval = 500 * time.Millisecond
 	// silenceLimit is how long a peer with calls in progress may send nothing,
 	// not even a pong, before its calls fail with ErrBroken. It guards against
 	// a paused or cut-off VM: its socket stays open, and callers would wait for
 	// the whole of their deadline.
-	silenceLimit = 3 * time.Second
+	silenceLimit = 2 * time.Second
 )
 
 // Client calls the system's other processes. It is safe for concurrent use.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -221,6 +222,28 @@
 	is.True(!errors.Is(err, ErrUnreachable))
 }
 
+// A VM is paused: its socket stays open and takes bytes, and nothing comes back.
+// The call must fail as one that may have been acted on, in seconds, although its
+// caller would wait for a minute.
+func TestSilentPeerBreaksTheCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		client := NewClient(nil)
+		client.DialContext = func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, far) }()
+			return near, nil
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		began := time.Now()
+		err := client.Call(ctx, "paused:1", "any", nil, nil)
+		is.True(errors.Is(err, ErrBroken))
+		is.True(time.Since(began) <= silenceLimit+2*pingInterval)
+		is.NoErr(client.Close())
+	})
+}
+
 // A slow reader on one call must not hold up another call on the same
 // connection: the first one's handler waits for its window, not the link.
 func TestSlowReaderDoesNotBlockOthers(t *testing.T) {
--- a/request/forward.go
+++ b/request/forward.go
@@ -40,6 +40,7 @@
 	relay := &relay{emit: emit}
 	deadline := time.Now().Add(r.Timeout)
 	tried := 0
+	sent := false // a home that broke may have run the request, or may yet
 	for _, home := range Homes(f.View(), f.Region, r, f.Busy(r)) {
 		if home.ID == f.Self || tried == maxHomes {
 			break
@@ -47,14 +48,15 @@
 		tried++
 		outcome, err := f.forward(ctx, home, r, relay)
 		if !f.goOn(ctx, home, relay, outcome, err) {
-			return outcome, relay.explain(err)
+			return relay.honest(outcome, sent), relay.explain(err)
 		}
+		sent = sent || err != nil && !errors.Is(err, peer.ErrUnreachable)
 		r.Hint = relay.hint
 		r.Timeout = time.Until(deadline)
 	}
 	relay.rewind()
 	outcome, err := f.Executor.Do(ctx, r, relay.pass)
-	return outcome, relay.explain(err)
+	return relay.honest(outcome, sent), relay.explain(err)
 }
 
 // goOn reports whether the next home is to be tried. It is after a connection
@@ -82,6 +84,8 @@
 
 // relayFrom reads the home's updates to the end.
 func (f *Frontend) relayFrom(ctx context.Context, home membership.Member, r *Request, relay *relay) (Outcome, error) {
+	ctx, accepted, cancel := untilAccepted(ctx)
+	defer cancel()
 	r.Trace = telemetry.ToText(ctx)
 	stream, err := f.Peers.Open(ctx, home.PeerAddress, methodRun, r)
 	if err != nil {
@@ -96,8 +100,9 @@
 		case err == io.EOF:
 			return outcome, nil
 		case err != nil:
-			return Outcome{}, err
+			return Outcome{}, explainSilence(ctx, err)
 		}
+		accepted()
 		if err := relay.pass(update); err != nil {
 			return Outcome{}, err
 		}
@@ -118,10 +123,43 @@
 		if (r.Generate == nil) == (r.Call == nil) {
 			return nil, eris.Wrap(peer.ErrMalformed, "request.run: neither or both of generate and call")
 		}
-		return f.Executor.Do(telemetry.FromText(ctx, r.Trace), &r, func(u Update) error { return send(u) })
+		return f.Executor.serve(telemetry.FromText(ctx, r.Trace), &r, send)
 	})
 }
 
+// serve runs another router's request. It acknowledges at once, so that the
+// other router can tell a frozen home from one that has the request in a queue.
+func (e *Executor) serve(ctx context.Context, r *Request, send peer.Sender) (Outcome, error) {
+	if err := send(Update{Accepted: true}); err != nil {
+		return Outcome{}, err
+	}
+	return e.Do(ctx, r, func(u Update) error { return send(u) })
+}
+
+// acceptLimit is how long a home may take to acknowledge a request. Beyond it
+// the next home is tried: the socket of a frozen VM stays open, and its silence
+// would show only after seconds.
+const acceptLimit = 500 * time.Millisecond
+
+// errNotAccepted reports a home that did not acknowledge in time.
+var errNotAccepted = eris.New("request: the home did not acknowledge the request")
+
+// untilAccepted returns a context that ends at acceptLimit unless accepted is
+// called before.
+func untilAccepted(parent context.Context) (ctx context.Context, accepted func(), cancel func()) {
+	ctx, stop := context.WithCancelCause(parent)
+	timer := time.AfterFunc(acceptLimit, func() { stop(errNotAccepted) })
+	return ctx, func() { timer.Stop() }, func() { timer.Stop(); stop(nil) }
+}
+
+// explainSilence returns the reason in place of the error that it caused.
+func explainSilence(ctx context.Context, err error) error {
+	if context.Cause(ctx) == errNotAccepted {
+		return errNotAccepted
+	}
+	return err
+}
+
 // errMismatch reports that two homes gave different answers to one request.
 var errMismatch = eris.New("request: another router gave a different answer after part of the first was sent")
 
@@ -142,6 +180,9 @@
 func (r *relay) rewind() { r.at, r.replay = 0, 0 }
 
 func (r *relay) pass(u Update) error {
+	if u.Accepted {
+		return nil
+	}
 	if u.Hint != nil {
 		r.hint = u.Hint
 		return nil
@@ -165,6 +206,21 @@
 	return r.broken
 }
 
+// honest corrects a refusal of a later home. It says "not run" for itself; but a
+// home before it, that broke after the request was sent, may have run it.
+func (r *relay) honest(o Outcome, sent bool) Outcome {
+	if o.Problem == nil || o.Problem.RunState != NotRun || !sent {
+		return o
+	}
+	p := *o.Problem
+	p.RunState = Unknown
+	if r.sent > 0 {
+		p.RunState = Ran
+	}
+	o.Problem = &p
+	return o
+}
+
 // explain prefers the relay's own error over what followed from it.
 func (r *relay) explain(err error) error {
 	if r.broken != nil && err != nil && !errors.Is(err, r.broken) {
--- a/request/run.go
+++ b/request/run.go
@@ -27,11 +27,13 @@
 // follower is woken when the run changed; the signal is merged.
 type follower struct{ wake chan struct{} }
 
-// Update is what a follower learns: the next token, or where the stream runs.
+// Update is what a follower learns: the next token, where the stream runs, or,
+// from another router, that it has the request.
 type Update struct {
+	Accepted bool   `msgpack:"a,omitempty"`
 	Position int64  `msgpack:"p"`
 	Text     string `msgpack:"t"`
-	Hint     *Hint  `msgpack:"h"`
+	Hint     *Hint  `msgpack:"h,omitempty"`
 }
 
 func newRun(key Key, digest Digest) *Run {
