--- a/budget/experiment_test.go
+++ b/budget/experiment_test.go
@@ -288,12 +288,18 @@
 			}
 		}
 	}
-	is := is.New(t)
-	healthy := runTrialIn(t, 1, usual(1, "", 0.5), ways[2])
-	is.Equal(healthy.avoidable, 0)
-	is.True(float64(healthy.falseRefusals) <= 0.001*float64(healthy.requests))
-	frozen := runTrialIn(t, 1, usual(0.4, "frozen", 0.5), ways[2])
-	is.True(float64(frozen.falseRefusals) <= 0.01*float64(frozen.requests))
+	t.Run("healthy", func(t *testing.T) {
+		t.Parallel()
+		is := is.New(t)
+		got := runTrialIn(t, 1, usual(1, "", 0.5), ways[2])
+		is.Equal(got.avoidable, 0)
+		is.True(float64(got.falseRefusals) <= 0.001*float64(got.requests))
+	})
+	t.Run("a third frozen", func(t *testing.T) {
+		t.Parallel()
+		got := runTrialIn(t, 1, usual(1, "frozen", 0.5), ways[2])
+		is.New(t).True(float64(got.falseRefusals) <= 0.01*float64(got.requests))
+	})
 }
 
 // runTrialIn runs a trial in a bubble of its own.
--- a/budget/reserve.go
+++ b/budget/reserve.go
@@ -102,11 +102,14 @@
 	acc.reserved += r.ceiling
 	acc.wish = max(acc.wish, acc.uncommitted+r.ceiling)
 	r.taken = time.Now()
-	if acc.uncommitted+r.ceiling <= acc.exposure {
-		acc.uncommitted += r.ceiling
-		r.counted = r.ceiling
+	opening := r.entry(journal.KindOpen, r.ceiling, "")
+	if acc.uncommitted+r.ceiling > acc.exposure {
+		r.item = r.keeper.journal.Add(opening, r.durable)
+		return
 	}
-	r.item = r.keeper.journal.Add(r.entry(journal.KindOpen, r.ceiling, ""), r.durable)
+	acc.uncommitted += r.ceiling
+	r.counted = r.ceiling
+	r.item = r.keeper.journal.AddLazy(opening, r.durable)
 }
 
 // durable runs when the journal tells of all that was dispatched under this
--- a/journal/commit.go
+++ b/journal/commit.go
@@ -88,7 +88,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.empty() {
-		w.wake()
+		w.scheduleRest()
 	} else if w.idle != nil {
 		close(w.idle)
 		w.idle = nil
@@ -106,6 +106,7 @@
 		item.taken = true
 	}
 	w.queue = append([]*Item(nil), w.queue[count:]...)
+	w.lazyArmed = false
 	w.inFlight = batch
 	return batch
 }
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -21,12 +21,15 @@
 	DefaultInterval = 40 * time.Millisecond
 	// maxInterval bounds the interval after refusals.
 	maxInterval = time.Second
+	// lazyDelay bounds how long a lazy entry waits for company.
+	lazyDelay = 300 * time.Millisecond
 )
 
 // Item is one entry on its way to the table.
 type Item struct {
 	entry  Entry
 	taken  bool // is part of the batch that is being written
+	lazy   bool // nobody waits for it
 	notify func()
 	done   chan struct{}
 	err    error // valid once done is closed
@@ -59,6 +62,8 @@
 	idle     chan struct{} // closed and replaced when nothing is pending
 	next     uint64        // sequence number of the next segment
 	adopts   uint64
+	// lazyArmed says that a timer will start a group commit.
+	lazyArmed bool
 }
 
 type adoption struct {
@@ -103,7 +108,17 @@
 // Add queues an entry for the next group commit. notify, if not nil, runs once
 // the entry is durable, before Done is closed.
 func (w *Writer) Add(e Entry, notify func()) *Item {
-	item := &Item{entry: e, notify: notify, done: make(chan struct{})}
+	return w.add(&Item{entry: e, notify: notify, done: make(chan struct{})})
+}
+
+// AddLazy queues an entry that nobody waits for: it goes with the next group
+// commit, and makes one happen only after a while. An opening entry whose
+// request is covered by the exposure is of that kind.
+func (w *Writer) AddLazy(e Entry, notify func()) *Item {
+	return w.add(&Item{entry: e, notify: notify, done: make(chan struct{}), lazy: true})
+}
+
+func (w *Writer) add(item *Item) *Item {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.sealed.Load() {
@@ -112,10 +127,32 @@
 		return item
 	}
 	w.queue = append(w.queue, item)
-	w.wake()
+	w.schedule(item.lazy)
 	return item
 }
 
+// schedule makes a group commit happen, at once or after lazyDelay. The caller
+// holds w.mu.
+func (w *Writer) schedule(lazy bool) {
+	if !lazy {
+		w.wake()
+		return
+	}
+	if !w.lazyArmed {
+		w.lazyArmed = true
+		time.AfterFunc(lazyDelay, w.wake)
+	}
+}
+
+// scheduleRest schedules what a batch left in the queue. The caller holds w.mu.
+func (w *Writer) scheduleRest() {
+	lazy := len(w.adopted) == 0
+	for _, item := range w.queue {
+		lazy = lazy && item.lazy
+	}
+	w.schedule(lazy)
+}
+
 // Replace swaps the entry of an item that no batch has taken yet, so that a
 // request that opens and closes between two commits needs one entry. It reports
 // whether it did.
@@ -125,7 +162,8 @@
 	if item.taken || w.sealed.Load() {
 		return false
 	}
-	item.entry, item.notify = e, notify
+	item.entry, item.notify, item.lazy = e, notify, false
+	w.wake()
 	return true
 }
 
@@ -201,6 +239,7 @@
 		if empty {
 			return nil
 		}
+		w.wake()
 		select {
 		case <-idle:
 		case <-w.dead:
