Budgets: stories for a lowered exposure and racing folders

The story of the lowered exposure did not fail without its guard, because the request that asked for the grant raised the exposure again; told anew, it does. The fold row's condition is covered twice: every segment names a budget, whose row is a condition too, so that trials without it do not fail.

--- a/budget/keeper_test.go
+++ b/budget/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,7 @@
 	t       *testing.T
 	fake    *platform.Fake
 	table   platform.Table // of an operator, who is never cut off
+	mu      sync.Mutex     // guards weight
 	weight  float64
 	keepers map[string]*budget.Keeper
 	cut     map[string]bool // routers that recalls do not reach
@@ -77,7 +79,18 @@
 	return k
 }
 
-func (f *fleet) policy() config.BudgetPolicy { return config.BudgetPolicy{RefusalWeight: f.weight} }
+func (f *fleet) policy() config.BudgetPolicy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return config.BudgetPolicy{RefusalWeight: f.weight}
+}
+
+// lean changes the refusal weight of a fleet that runs.
+func (f *fleet) lean(weight float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.weight = weight
+}
 
 func (f *fleet) topUp(id budget.ID, topUp string, tokens int64) {
 	if _, err := budget.TopUp(f.t.Context(), f.table, id, topUp, tokens); err != nil {
--- a/budget/stories_test.go
+++ b/budget/stories_test.go
@@ -290,29 +290,67 @@
 // is slow; the router dispatches meanwhile, and dies. What it dispatched beyond
 // the new exposure would be sold a second time.
 func TestExposureIsLoweredBeforeTheTableKnows(t *testing.T) {
-	story(t, 1000, func(t *testing.T, is *is.I, f *fleet) {
+	story(t, 10_000, func(t *testing.T, is *is.I, f *fleet) {
 		f.weight = 1
 		k := f.start("vm-1", "1")
-		f.must(k, "first", 10).Release()
-		f.must(k, "second", 500).Release()
+		f.must(k, "in the journal", 100)
 		time.Sleep(time.Second)
-		f.weight = 0
+		idle := f.status(studio).Holders["vm-1#1"].Held - 100
+		dispatched := 100 + idle - 60
 		f.holdAppends()
+		f.must(k, "young", idle-60)
+		f.lean(0)
+		f.fake.UpdateFaults(func(faults *platform.Faults) { faults.Latency = 400 * time.Millisecond })
 		var clients sync.WaitGroup
-		var dispatched atomic.Int64
-		clients.Go(func() { _, _ = f.reserve(k, "grows", 600) })
-		time.Sleep(10 * time.Millisecond)
-		for i := range 25 {
-			clients.Go(func() {
-				if _, err := f.reserve(k, fmt.Sprint("young-", i), 20); err == nil {
-					dispatched.Add(20)
-				}
-			})
-		}
+		var late atomic.Int64
+		clients.Go(func() { _, _ = f.reserve(k, "asks for the grant", 100) })
+		time.Sleep(600 * time.Millisecond) // the grant is on its way
+		clients.Go(func() {
+			if _, err := f.reserve(k, "meanwhile", 60); err == nil {
+				late.Add(60)
+			}
+		})
 		clients.Wait()
 		_ = k.Stop()
+		f.fake.SetHooks(platform.Hooks{})
+		f.faults(platform.Faults{})
+		f.gone("vm-1")
+		is.True(f.status(studio).LostTokens() >= dispatched+late.Load())
+	})
+}
+
+// Three control processes fold one journal at once, again and again, while a
+// router opens requests and bills some. A folder that wrote back what it had
+// read before another one would forget open requests, or fold a segment twice.
+func TestFoldersRace(t *testing.T) {
+	story(t, 100_000, func(t *testing.T, is *is.I, f *fleet) {
+		f.weight = 0
+		k := f.start("vm-1", "1")
+		var open, billed int64
+		for i := range 30 {
+			var folders sync.WaitGroup
+			for j := range 3 {
+				folders.Go(func() {
+					time.Sleep(time.Duration(i*j) * time.Millisecond)
+					_, _ = journal.Folder{Table: f.table}.Run(t.Context())
+				})
+			}
+			r := f.must(k, fmt.Sprint("r-", i), 100)
+			time.Sleep(50 * time.Millisecond)
+			if i%5 == 0 {
+				is.NoErr(r.Bill(t.Context(), 10))
+				billed += 10
+			} else {
+				open += 100
+			}
+			folders.Wait()
+			f.audit()
+		}
+		_ = k.Stop()
 		f.gone("vm-1")
-		is.True(f.status(studio).LostTokens() >= dispatched.Load())
+		is.Equal(f.status(studio).Billed, billed)
+		is.True(f.status(studio).LostTokens() >= open)
+		is.Equal(len(f.status(studio).Holders), 0)
 	})
 }
 
