--- a/budget/reserve.go
+++ b/budget/reserve.go
@@ -102,8 +102,12 @@
 	acc.reserved += r.ceiling
 	acc.wish = max(acc.wish, acc.uncommitted+r.ceiling)
 	r.taken = time.Now()
-	r.cover()
-	r.item = r.keeper.journal.Add(r.entry(journal.KindOpen, r.ceiling, ""), r.durable)
+	opening := r.entry(journal.KindOpen, r.ceiling, "")
+	if r.cover() {
+		r.item = r.keeper.journal.AddLazy(opening, r.durable)
+		return
+	}
+	r.item = r.keeper.journal.Add(opening, r.durable)
 }
 
 // cover counts the ceiling as uncommitted if the exposure allows. The caller
