--- a/budget/keeper_test.go
+++ b/budget/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,9 +24,13 @@
 	t       *testing.T
 	fake    *platform.Fake
 	table   platform.Table // of an operator, who is never cut off
+	mu      sync.Mutex     // guards weight
 	weight  float64
 	keepers map[string]*budget.Keeper
 	cut     map[string]bool // routers that recalls do not reach
+	// witnesses and questions are nil where routers know of no other.
+	witnesses budget.Witnesses
+	questions budget.Questions
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -69,7 +74,7 @@
 	holder := budget.HolderName(vm, incarnation)
 	k := budget.NewKeeper(budget.KeeperConfig{
 		Table: services.Table, Holder: holder, Recaller: f,
-		Policy: f.policy,
+		Policy: f.policy, Witnesses: f.witnesses,
 	})
 	f.keepers[holder] = k
 	_ = k.Start(f.t.Context())
@@ -77,7 +82,18 @@
 	return k
 }
 
-func (f *fleet) policy() config.BudgetPolicy { return config.BudgetPolicy{RefusalWeight: f.weight} }
+func (f *fleet) policy() config.BudgetPolicy {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return config.BudgetPolicy{RefusalWeight: f.weight}
+}
+
+// lean changes the refusal weight of a fleet that runs.
+func (f *fleet) lean(weight float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.weight = weight
+}
 
 func (f *fleet) topUp(id budget.ID, topUp string, tokens int64) {
 	if _, err := budget.TopUp(f.t.Context(), f.table, id, topUp, tokens); err != nil {
@@ -90,7 +106,7 @@
 	if _, err := (journal.Folder{Table: f.table}).Run(f.t.Context()); err != nil {
 		f.t.Error("fold:", err)
 	}
-	if _, err := (budget.Reclaimer{Table: f.table, VMs: f.fake.As("operator").VMs}).Run(f.t.Context()); err != nil {
+	if _, err := (budget.Reclaimer{Table: f.table, VMs: f.fake.As("operator").VMs, Questions: f.questions}).Run(f.t.Context()); err != nil {
 		f.t.Error("reclaim:", err)
 	}
 }
--- a/loadtool/report/report.go
+++ b/loadtool/report/report.go
@@ -40,6 +40,7 @@
 	BillsDouble             int `json:"bills_double"`
 	RunsDoubleNonrepeatable int `json:"runs_double_nonrepeatable"`
 	NotRunButRan            int `json:"not_run_but_ran"`
+	NotRunAfterBroken       int `json:"not_run_after_broken_try"` // reported, no bar
 	AnswersWrong            int `json:"answers_wrong"`
 	AnswersTruncated        int `json:"answers_truncated_as_complete"`
 	LedgerViolations        int `json:"ledger_violations"`
@@ -48,9 +49,10 @@
 	FalseRefusalRate            float64        `json:"false_refusal_rate"`
 	FalseRefusalsClairvoyant    int            `json:"false_refusals_clairvoyant"`
 	FalseRefusalRateClairvoyant float64        `json:"false_refusal_rate_clairvoyant"`
-	BudgetAsked                 int            `json:"budget_asked"`
-	Refusals                    map[string]int `json:"refusals"` // answers, by problem
-	Problems                    map[string]int `json:"problems"` // other errors, by ending and problem
+	BudgetAsked                 int            `json:"budget_asked"`         // requests
+	FalseRefusalsFinal          int            `json:"false_refusals_final"` // never answered, for all their retries
+	Refusals                    map[string]int `json:"refusals"`             // answers, by problem
+	Problems                    map[string]int `json:"problems"`             // other errors, by ending and problem
 
 	Goodput         float64 `json:"goodput"`
 	GoodputInTime   float64 `json:"goodput_in_time"`
@@ -73,6 +75,7 @@
 
 	RecordsOmitted   int64        `json:"records_omitted"`
 	UnfoldedSegments int          `json:"unfolded_segments"`
+	StaleSegments    int          `json:"stale_segments"` // folded rows that a late write brought back
 	Faults           []fault.Done `json:"faults"`
 	FaultErrors      []string     `json:"fault_errors,omitempty"`
 	Spend            []Point      `json:"spend"`
--- a/loadtool/report/text.go
+++ b/loadtool/report/text.go
@@ -24,8 +24,9 @@
 	lines = append(lines,
 		line{"lost_tokens", fmt.Sprintf("%s (%.4f of spend)", sorted(r.LostTokens), r.LostShare)},
 		line{"billed / consumed / unaccounted tokens", fmt.Sprintf("%d / %d / %d", r.BilledTokens, r.ConsumedTokens, r.UnaccountedTokens)},
-		line{"false_refusals (rate)", fmt.Sprintf("%d of %d (%.4f)", r.FalseRefusals, r.BudgetAsked, r.FalseRefusalRate)},
+		line{"false_refusals (rate)", fmt.Sprintf("%d of %d (%.4f), %d never answered", r.FalseRefusals, r.BudgetAsked, r.FalseRefusalRate, r.FalseRefusalsFinal)},
 		line{"false_refusals_clairvoyant (rate)", fmt.Sprintf("%d (%.4f)", r.FalseRefusalsClairvoyant, r.FalseRefusalRateClairvoyant)},
+		line{"not_run_after_broken_try", fmt.Sprint(r.NotRunAfterBroken)},
 		line{"refusals", sorted(r.Refusals)},
 		line{"problems", sorted(r.Problems)},
 		line{"goodput", fmt.Sprintf("%.4f (%.1f of %.1f)", r.Goodput, r.GoodputInTime, r.GoodputPossible)},
@@ -34,7 +35,7 @@
 		line{"work_after_leaving_s", fmt.Sprintf("%.2f", r.WorkAfterLeaving)},
 		line{"config_in_force_s", fmt.Sprintf("%.2f (%d versions, %d conflicts)", r.ConfigInForce, r.ConfigVersions, r.ConfigConflicts)},
 		line{"table writes / reads a second", fmt.Sprintf("%.1f / %.1f", r.TableWritesPerS, r.TableReadsPerS)},
-		line{"unfolded_segments", fmt.Sprint(r.UnfoldedSegments)},
+		line{"unfolded / stale segments", fmt.Sprintf("%d / %d", r.UnfoldedSegments, r.StaleSegments)},
 	)
 	for _, c := range r.Control {
 		lines = append(lines, line{"control " + c.Process, fmt.Sprintf("%.2f%% of a core, %.1f MB, %.1f KB/s", c.CPUCorePct, c.RSSMB, c.KBPerS)})
--- a/loadtool/run/judge.go
+++ b/loadtool/run/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"buckthornridge/loadtool/audit"
@@ -57,9 +58,10 @@
 		r.LostShare = float64(lost) / float64(spent)
 	}
 	r.BillsMissing, r.BillsDouble = f.BillsMissing, f.BillsDouble
-	r.RunsDoubleNonrepeatable, r.NotRunButRan = f.RunsDouble, f.NotRunButRan
+	r.RunsDoubleNonrepeatable, r.NotRunButRan, r.NotRunAfterBroken = f.RunsDouble, f.NotRunButRan, f.NotRunAfterBroken
 	r.AnswersWrong, r.AnswersTruncated = f.AnswersWrong, f.AnswersTruncated
-	r.LedgerViolations, r.RecordsOmitted, r.UnfoldedSegments = f.LedgerViolations, f.RecordsOmitted, f.UnfoldedSegments
+	r.LedgerViolations, r.RecordsOmitted = f.LedgerViolations, f.RecordsOmitted
+	r.UnfoldedSegments, r.StaleSegments = f.UnfoldedSegments, f.StaleSegments
 	r.Examples = f.Examples
 }
 
@@ -79,6 +81,8 @@
 			case t.Ending == record.Refused && t.RunState == record.NotRun:
 				r.Refusals[t.Problem]++
 			case t.Problem != "":
+				r.Examples = append(r.Examples, fmt.Sprintf("%s by %s at %.1f s: %s %s %s %s",
+					result.ID, t.VM, t.Ended.Sub(e.begun).Seconds(), t.Ending, t.Problem, t.RunState, result.Kind))
 				r.Problems[string(t.Ending)+" "+t.Problem+" "+t.RunState]++
 			default:
 				r.Problems[string(t.Ending)]++
@@ -97,12 +101,11 @@
 func (e *experiment) judgeAgainstPerfect(r *report.Report, span time.Duration) {
 	ceilings := oracle.JudgeRefusals(e.results, e.purchases, e.begun, oracle.Ceilings)
 	lengths := oracle.JudgeRefusals(e.results, e.purchases, e.begun, oracle.Lengths)
-	r.BudgetAsked = ceilings.Asked
+	r.BudgetAsked, r.FalseRefusalsFinal = ceilings.Asked, ceilings.Final
 	r.FalseRefusals, r.FalseRefusalRate = ceilings.False, ceilings.Rate()
 	r.FalseRefusalsClairvoyant, r.FalseRefusalRateClairvoyant = lengths.False, lengths.Rate()
-	affordable := oracle.Affordable(e.results, e.purchases, e.begun)
 	slow := max(e.Scenario.SlowEngines, 1)
-	goodput := oracle.JudgeGoodput(e.results, e.fleet.document, affordable, slow, span)
+	goodput := oracle.JudgeGoodput(e.results, e.purchases, e.fleet.document, slow, span)
 	r.Goodput, r.GoodputInTime, r.GoodputPossible = goodput.Share(), goodput.InTime, goodput.Possible
 }
 
--- a/request/forward_test.go
+++ b/request/forward_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 
+	"buckthornridge/budget"
 	"buckthornridge/membership"
 	"buckthornridge/peer"
 	"buckthornridge/upstream"
@@ -20,17 +22,37 @@
 // network connects the frontends of a test without sockets. A link can be cut
 // before or in the middle of a call.
 type network struct {
-	routers map[string]*Executor
+	routers map[string]*Frontend
+	mu      sync.Mutex
 	down    map[string]bool
+	frozen  map[string]bool
 	cutAt   map[string]int // breaks the stream of this router after so many updates
 }
 
 func (n *network) Call(context.Context, string, string, any, any) error { return peer.ErrUnreachable }
-func (n *network) Push(context.Context, string, string, any) error      { return peer.ErrUnreachable }
+
+func (n *network) isDown(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.down[address]
+}
+
+// Push delivers notes, the only pushed message.
+func (n *network) Push(_ context.Context, address, _ string, message any) error {
+	if n.isDown(address) {
+		return peer.ErrUnreachable
+	}
+	var note Note
+	if err := repack(message, &note); err != nil {
+		return err
+	}
+	n.routers[address].Executor.notes.put(note)
+	return nil
+}
 
 // Open implements peer.Caller; messages are packed as on the wire.
 func (n *network) Open(ctx context.Context, address, _ string, message any) (peer.Stream, error) {
-	if n.down[address] {
+	if n.isDown(address) {
 		return nil, peer.ErrUnreachable
 	}
 	var r Request
@@ -42,10 +64,14 @@
 	if at, cut := n.cutAt[address]; cut {
 		s.left = at
 	}
+	s.ctx = ctx
+	if n.frozen[address] {
+		return s, nil
+	}
 	go func() {
-		outcome, err := n.routers[address].Do(ctx, &r, func(u Update) error {
+		outcome, err := n.routers[address].Executor.serve(ctx, &r, func(u any) error {
 			select {
-			case s.updates <- u:
+			case s.updates <- u.(Update):
 				return nil
 			case <-ctx.Done():
 				return ctx.Err()
@@ -67,6 +93,7 @@
 }
 
 type netStream struct {
+	ctx     context.Context
 	updates chan Update
 	outcome chan Outcome
 	cancel  context.CancelFunc
@@ -86,6 +113,8 @@
 			return err
 		}
 		return io.EOF
+	case <-s.ctx.Done():
+		return s.ctx.Err()
 	}
 }
 
@@ -98,17 +127,18 @@
 func (w *world) frontends(n *network, names ...string) map[string]*Frontend {
 	view := &membership.View{Members: map[string]membership.Member{}}
 	all := map[string]*Frontend{}
-	n.routers = map[string]*Executor{}
+	n.routers = map[string]*Frontend{}
 	for _, name := range names {
 		view.Members[name] = membership.Member{ID: name, Role: RoleRouter, Region: "r", PeerAddress: name}
 		e, _ := w.executor(name)
-		n.routers[name] = e
 		all[name] = &Frontend{
 			Self: name, Region: "r", Executor: e, Peers: n,
 			View:    func() *membership.View { return view },
 			Busy:    func(*Request) bool { return false },
 			Suspect: func(string, error) {},
 		}
+		n.routers[name] = all[name]
+		e.onDispatch = all[name].tell
 	}
 	return all
 }
@@ -159,8 +189,32 @@
 	})
 }
 
-// As before, but the engine lost the stream and another one answers otherwise:
-// the caller gets an error, never two halves of different answers.
+// The home dies together with the caller's connection, for the caller had
+// entered there. Its retry reaches the next home, which knows from a note where
+// the stream runs: nothing is generated twice.
+func TestRetryAfterTheHomeDied(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		engine := w.engine("e1")
+		n := &network{down: map[string]bool{}}
+		all := w.frontends(n, "a", "b", "c")
+		places := homes(all["a"], chat("k", 100))
+		ctx, die := context.WithCancel(t.Context())
+		go func() { ask(ctx, all[places[0]].Do, chat("k", 100)) }()
+		time.Sleep(500 * time.Millisecond)
+		die()
+		n.mu.Lock()
+		n.down[places[0]] = true
+		n.mu.Unlock()
+		got := ask(t.Context(), all[places[2]].Do, chat("k", 100))
+		is.Equal(got.text, whole(100))
+		is.Equal(engine.generated, 1)
+	})
+}
+
+// The home dies in the middle, the engine lost the stream, and another run answers
+// otherwise: the caller gets an error, never two halves of different answers.
 func TestNextHomeAnswersOtherwise(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		is := is.New(t)
@@ -188,7 +242,7 @@
 		n := &network{}
 		all := w.frontends(n, "a", "b", "c")
 		places := homes(all["a"], order("k"))
-		n.cutAt = map[string]int{places[0]: 1} // breaks after the dispatch is known
+		n.cutAt = map[string]int{places[0]: 2} // breaks after the dispatch is known
 		got := ask(t.Context(), all[places[2]].Do, order("k"))
 		is.Equal(got.outcome.Problem.RunState, Unknown)
 		n.cutAt = nil
@@ -200,6 +254,77 @@
 	})
 }
 
+// The home dispatches and breaks; the next one refuses, for want of budget. The
+// refusal is that router's "not run", but the request may have run at the first:
+// a caller that was told so once got part of an answer before it.
+func TestRefusalAfterABrokenHomeIsNotNotRun(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		cutAt int // updates that arrive from the first home
+		want  RunState
+	}{
+		{"nothing heard", 0, Unknown},
+		{"accepted", 1, Unknown},
+		{"dispatched", 2, Unknown},
+		{"tokens", 10, Ran},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t)
+				w.engine("e1")
+				n := &network{}
+				all := w.frontends(n, "a", "b", "c")
+				places := homes(all["a"], chat("k", 100))
+				n.cutAt = map[string]int{places[0]: c.cutAt}
+				for _, other := range places[1:] {
+					all[other].Executor.budgets.(*fakeBudgets).refuse = &budget.Refusal{Certain: true}
+				}
+				got := ask(t.Context(), all[places[2]].Do, chat("k", 100))
+				is.Equal(got.outcome.Problem.Name, ProblemBudgetExhausted)
+				is.Equal(got.outcome.Problem.RunState, c.want)
+			})
+		})
+	}
+}
+
+// The home cannot be reached at all, and the others refuse: nothing was sent
+// anywhere, and the caller is told so.
+func TestRefusalAfterAnUnreachableHomeIsNotRun(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		n := &network{}
+		all := w.frontends(n, "a", "b", "c")
+		places := homes(all["a"], chat("k", 100))
+		n.down = map[string]bool{places[0]: true}
+		for _, other := range places[1:] {
+			all[other].Executor.budgets.(*fakeBudgets).refuse = &budget.Refusal{Certain: true}
+		}
+		got := ask(t.Context(), all[places[2]].Do, chat("k", 100))
+		is.Equal(got.outcome.Problem.RunState, NotRun)
+	})
+}
+
+// The home is frozen: its connection stays open and nothing comes. The caller
+// must not wait for the connection's silence limit; the home has to acknowledge
+// at once.
+func TestFrozenHomeIsPassedOverSoon(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		w.engine("e1")
+		n := &network{frozen: map[string]bool{}}
+		all := w.frontends(n, "a", "b", "c")
+		places := homes(all["a"], chat("k", 10))
+		n.frozen[places[0]] = true
+		began := time.Now()
+		got := ask(t.Context(), all[places[2]].Do, chat("k", 10))
+		is.Equal(got.text, whole(10))
+		is.True(time.Since(began) < acceptLimit+500*time.Millisecond)
+	})
+}
+
 // No other router answers: the entry router serves the request itself.
 func TestEntryServesAlone(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
@@ -223,7 +348,7 @@
 		n := &network{}
 		all := w.frontends(n, "a", "b", "c")
 		order := homes(all["a"], chat("k", 10))
-		is.NoErr(n.routers[order[0]].Drain(t.Context()))
+		is.NoErr(n.routers[order[0]].Executor.Drain(t.Context()))
 		is.Equal(ask(t.Context(), all[order[2]].Do, chat("k", 10)).text, whole(10))
 	})
 }
