request: outages do not hold answers back; claims are numbered

A claim was tried until the caller's deadline, each answer waited 2 s for a bill that could not be written, and a reply that was known waited 5 s for its claim row. And a test showed one order run twice: a claim was told from another by its time, and two had the same.

Ruled out: answering before the bill is tried at all (the first one in an outage still waits); keeping an unknown outcome for the retention (the row may know).

Conclusion: callers get final answers at once, and numbers, not times, tell claims apart.

--- a/budget/reserve.go
+++ b/budget/reserve.go
@@ -225,7 +225,11 @@
 	if err != nil {
 		return err
 	}
-	timer := time.NewTimer(r.keeper.limits().billWait)
+	wait := r.keeper.limits().billWait
+	if r.keeper.journal.Stuck(wait) {
+		wait = 0 // an earlier bill found out that the table does not answer
+	}
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-item.Done():
--- a/journal/commit.go
+++ b/journal/commit.go
@@ -108,6 +108,7 @@
 	w.queue = append([]*Item(nil), w.queue[count:]...)
 	w.lazyArmed = false
 	w.inFlight = batch
+	w.begun = time.Now()
 	return batch
 }
 
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -58,6 +58,7 @@
 	mu       sync.Mutex
 	queue    []*Item
 	inFlight []*Item
+	begun    time.Time // when the batch in flight was first sent
 	adopted  []adoption
 	idle     chan struct{} // closed and replaced when nothing is pending
 	next     uint64        // sequence number of the next segment
@@ -225,6 +226,14 @@
 	w.wake()
 }
 
+// Stuck reports whether the batch in flight has waited for the table for longer
+// than the limit, so that nobody needs to find that out again by waiting.
+func (w *Writer) Stuck(limit time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.inFlight) > 0 && time.Since(w.begun) > limit
+}
+
 // Settled waits until every entry that was added before is durable, the journal
 // is sealed, or ctx ends. Entries become durable in the order of Add.
 func (w *Writer) Settled(ctx context.Context) error {
--- a/request/call.go
+++ b/request/call.go
@@ -12,10 +12,6 @@
 	"buckthornridge/upstream"
 )
 
-// recordTimeout bounds writing a call's end into its claim row after the answer
-// to the caller is known.
-const recordTimeout = 5 * time.Second
-
 // call runs a plain service's call.
 func (e *Executor) call(ctx context.Context, run *Run, r *Request) {
 	early, cancel := context.WithTimeout(ctx, r.Timeout)
@@ -43,7 +39,9 @@
 // callOnce runs a call that may not be repeated, under a claim. early ends at
 // the caller's deadline: no claim is taken after it.
 func (e *Executor) callOnce(ctx, early context.Context, run *Run, r *Request, reservation Reservation) {
-	row, mine, err := e.claims.take(early, r.Key, r.Digest)
+	deciding, cancel := context.WithTimeout(early, e.settings.ClaimWait)
+	defer cancel()
+	row, mine, err := e.claims.take(deciding, r.Key, r.Digest)
 	if err != nil {
 		reservation.Release()
 		e.spawn(func() { e.revoke(r.Key, row) })
@@ -132,16 +130,12 @@
 
 // endClaimed records how a claimed call ended, bills it and publishes it.
 func (e *Executor) endClaimed(run *Run, r *Request, row claimRow, reservation Reservation, reply upstream.Reply, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-	defer cancel()
 	var problem *Problem
 	switch {
 	case err == nil:
 		run.enter(Answered)
 		e.bill(run, r, reservation)
-		// The reply is published even when the row could not be written: the
-		// caller has its answer, and the row still bars a second run.
-		_ = e.claims.finish(ctx, r.Key, row, claimDone, &reply)
+		e.record(r.Key, row, claimDone, &reply)
 		run.end(Completed, Outcome{Reply: &reply})
 	case errors.As(err, &problem), provesNotRun(err):
 		reservation.Release()
@@ -149,15 +143,34 @@
 			problem = &Problem{Name: ProblemUpstreamFailed, RetryAfter: time.Second, Detail: err.Error()}
 		}
 		problem.RunState = NotRun
-		_ = e.claims.finish(ctx, r.Key, row, claimFree, nil)
+		e.record(r.Key, row, claimFree, nil)
 		run.end(Refused, Outcome{Problem: problem})
 	default:
 		reservation.Lose(r.Ceiling(), budget.CauseFailed)
-		_ = e.claims.finish(ctx, r.Key, row, claimUnknown, nil)
+		e.record(r.Key, row, claimUnknown, nil)
 		run.end(Lost, failed(ProblemOutcomeUnknown, Unknown, 0, err.Error()))
 	}
 }
 
+// record writes how a call ended into its claim row. It waits a short time for
+// that; a caller whose reply is known must not lose it to a table that is down.
+// Until the row is written other routers say "unknown", and none runs the call.
+func (e *Executor) record(k Key, row claimRow, state claimState, reply *upstream.Reply) {
+	written := make(chan struct{})
+	e.spawn(func() {
+		defer close(written)
+		ctx, cancel := context.WithTimeout(e.base, e.settings.Retention)
+		defer cancel()
+		_ = e.claims.finish(ctx, k, row, state, reply)
+	})
+	timer := time.NewTimer(e.settings.ClaimWait)
+	defer timer.Stop()
+	select {
+	case <-written:
+	case <-timer.C:
+	}
+}
+
 // bill makes the bill of an answered call durable within BillWait, or leaves it
 // pending; either way it is accounted for before the answer goes out.
 func (e *Executor) bill(run *Run, r *Request, reservation Reservation) {
--- a/request/call_test.go
+++ b/request/call_test.go
@@ -71,7 +71,7 @@
 }
 
 // The table is down when an order comes: the caller is told "not run", which is
-// true, at once after its deadline, and the next try is served.
+// true, long before its deadline, and the next try is served.
 func TestOrderDuringAnOutageIsNotRun(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		is := is.New(t)
@@ -79,8 +79,10 @@
 		service := w.service("s1")
 		e, budgets := w.executor("vm-1")
 		w.fake.SetFaults(platform.Faults{Down: true})
+		began := time.Now()
 		got := ask(t.Context(), e.Do, order("k"))
 		is.Equal(got.outcome.Problem.RunState, NotRun)
+		is.Equal(time.Since(began), e.settings.ClaimWait)
 		is.True(got.outcome.Problem.RetryAfter > 0)
 		synctest.Wait()
 		is.Equal(service.runs, 0)
@@ -119,6 +121,28 @@
 	})
 }
 
+// The table goes down while an order runs. The reply is known, and the caller
+// must get it before its deadline, although the row cannot be written; it is
+// written once the table is back, and other routers learn the outcome.
+func TestReplyIsNotLostToAnOutage(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		service := w.service("s1")
+		service.delay = time.Second
+		e, _ := w.executor("vm-1")
+		time.AfterFunc(500*time.Millisecond, func() { w.fake.SetFaults(platform.Faults{Down: true}) })
+		got := ask(t.Context(), e.Do, order("k"))
+		is.Equal(got.outcome.Problem, nil)
+		other, _ := w.executor("vm-2")
+		w.fake.SetFaults(platform.Faults{})
+		is.Equal(ask(t.Context(), other.Do, order("k")).outcome.Problem.RunState, Unknown)
+		time.Sleep(2 * time.Second)
+		is.Equal(ask(t.Context(), other.Do, order("k")).outcome.Problem, nil)
+		is.Equal(service.runs, 1)
+	})
+}
+
 // The service dies after it read the order. Whether it ran is unknown; it is
 // said so, and no router sends it again.
 func TestServiceDiesAfterReading(t *testing.T) {
--- a/request/claim.go
+++ b/request/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -33,8 +34,9 @@
 	Digest Digest     `json:"digest"`
 	State  claimState `json:"state"`
 	Holder string     `json:"holder"` // incarnation
-	// Try distinguishes claims of one holder, so that a claim whose answer was
-	// lost is recognised on reading back.
+	// Try numbers the claims of one holder, so that a claim whose answer was lost
+	// is recognised on reading back, and no other. A number, since two claims
+	// may see the same time.
 	Try   int64           `json:"try"`
 	Reply *upstream.Reply `json:"reply,omitempty"`
 	// ClaimedAt is for operators and for removing old rows, not for decisions.
@@ -50,6 +52,7 @@
 type claims struct {
 	holder string
 	table  platform.Table
+	tries  atomic.Int64
 }
 
 func newClaims(holder string, t platform.Table) *claims { return &claims{holder: holder, table: t} }
@@ -90,12 +93,12 @@
 // row then carries this holder and try. A write that may still be on its way is
 // harmless, since it is conditional on the version that the next write changes.
 func (c *claims) take(ctx context.Context, k Key, d Digest) (row claimRow, mine bool, err error) {
-	want := claimRow{Digest: d, State: claimHeld, Holder: c.holder, Try: time.Now().UnixNano(), ClaimedAt: time.Now().UTC()}
+	want := claimRow{Digest: d, State: claimHeld, Holder: c.holder, Try: c.tries.Add(1), ClaimedAt: time.Now().UTC()}
 	for {
 		row, version, err := c.read(ctx, k)
 		switch {
 		case err != nil:
-		case row.sameTry(want):
+		case row.sameTry(want) && row.State == claimHeld:
 			return row, true, nil
 		case version != 0 && row.State != claimFree:
 			return row, false, nil
--- a/request/executor.go
+++ b/request/executor.go
@@ -28,6 +28,9 @@
 	// ServiceWait is how long a plain service's answer is awaited after its
 	// caller's deadline, so that a later ask can learn the outcome.
 	ServiceWait time.Duration
+	// ClaimWait bounds the tries to claim a call that may not be repeated. Beyond
+	// it the table is taken to be down, and the caller is told so at once.
+	ClaimWait time.Duration
 	// Attempts bounds the attempts of one request.
 	Attempts int
 }
@@ -42,6 +45,7 @@
 		FirstTokenLimit: 5 * time.Second,
 		BillWait:        2 * time.Second,
 		ServiceWait:     30 * time.Second,
+		ClaimWait:       time.Second,
 		Attempts:        3,
 	}
 }
@@ -133,7 +137,7 @@
 func (e *Executor) find(r *Request) (run *Run, begun bool, problem *Problem) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if run := e.runs[r.Key]; run != nil && !e.restartable(run) {
+	if run := e.runs[r.Key]; run != nil && !restartable(run, r) {
 		if run.digest != r.Digest {
 			return nil, false, &Problem{
 				Name: ProblemKeyReused, RunState: NotRun,
@@ -154,10 +158,18 @@
 	return run, true, nil
 }
 
-// restartable reports whether a run ended without running, so that the next ask
-// with its key starts afresh instead of repeating an old refusal.
-func (e *Executor) restartable(run *Run) bool {
-	return run.State() == Refused || run.isAbandoned()
+// restartable reports whether the next ask with the run's key starts afresh
+// instead of getting an outcome that may be outdated: after a refusal, nothing
+// ran; after an unknown outcome, the claim row may know by now; after a failure,
+// work that may be repeated is tried again, and billed by the run that succeeds.
+func restartable(run *Run, r *Request) bool {
+	switch run.State() {
+	case Refused, Lost:
+		return true
+	case Failed:
+		return r.Call == nil || r.Call.Repeatable
+	}
+	return run.isAbandoned()
 }
 
 // execute takes a run to its end and accounts for it.
--- a/request/generate_test.go
+++ b/request/generate_test.go
@@ -129,6 +129,22 @@
 	})
 }
 
+// The request failed after it ran in part. Its caller asks again with the same
+// key: work that may be repeated runs again, and is billed by that run alone.
+func TestFailedRequestCanBeAskedAgain(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		engine := w.engine("e1")
+		engine.breakAt, engine.noResume = 40, true
+		e, budgets := w.executor("vm-1")
+		is.Equal(ask(t.Context(), e.Do, chat("k", 100)).outcome.Problem.RunState, Ran)
+		engine.breakAt = 0
+		is.Equal(ask(t.Context(), e.Do, chat("k", 100)).text, whole(100))
+		is.Equal(budgets.billed, []int64{103})
+	})
+}
+
 // Every engine dies before its first token. The first attempt may have run, so
 // the final answer must not say "not run", even though the last attempt was
 // refused before it was sent.
