--- /dev/null
+++ b/standin/engine/weights.go
@@ -0,0 +1,59 @@
+package engine
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/settings"
+)
+
+// simulatedWeights takes the time that reading so many bytes would take.
+type simulatedWeights struct{ duration time.Duration }
+
+// Load implements WeightSource.
+func (w simulatedWeights) Load(ctx context.Context, _ string) error {
+	sleep(ctx, w.duration)
+	return ctx.Err()
+}
+
+// storedWeights reads the bytes of the platform's weight store, which limits
+// their rate, and throws them away.
+type storedWeights struct {
+	address string // of the platform, host:port
+	vm      string
+}
+
+// Load implements WeightSource.
+func (w storedWeights) Load(ctx context.Context, model string) error {
+	from := "http://" + w.address + "/v1/weights/" + url.PathEscape(model)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, from, nil)
+	if err != nil {
+		return eris.Wrapf(err, "weights %s", w.address)
+	}
+	req.Header.Set("X-Vm", w.vm)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return eris.Wrapf(err, "weights %s", w.address)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return eris.Errorf("weights %s: status %d", w.address, resp.StatusCode)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return eris.Wrapf(err, "weights %s", w.address)
+	}
+	return nil
+}
+
+func newWeightSource(s Settings, vm string) WeightSource {
+	if s.WeightStore != "" {
+		return storedWeights{address: s.WeightStore, vm: vm}
+	}
+	seconds := float64(s.WeightBytes) / float64(s.WeightBytesPerSecond)
+	return simulatedWeights{duration: s.scaled(settings.Duration(seconds * float64(time.Second)))}
+}
