--- a/budget/limits.go
+++ b/budget/limits.go
@@ -10,7 +10,7 @@
 const (
 	retryUncertain = time.Second            // the table did not answer
 	retryMin       = 200 * time.Millisecond // the next settlement is near
-	retryTopUp     = 5 * time.Second        // only a top-up can help
+	retryTopUp     = 2 * time.Second        // only a top-up can help
 )
 
 // maxPending bounds the entries that are kept in memory while the table is down.
--- a/journal/adopted.go
+++ b/journal/adopted.go
@@ -72,7 +72,7 @@
 func (f Folder) recoverBills(ctx context.Context, row platform.Row, segment Segment) (FoldStats, error) {
 	var stats FoldStats
 	work := foldWork{segments: []Segment{segment}}
-	if err := work.books.read(ctx, f.Table, work.budgets()); err != nil {
+	if err := work.books.read(ctx, f.Table, f.Index, work.budgets()); err != nil {
 		return stats, err
 	}
 	for _, e := range segment.Entries {
--- a/journal/books.go
+++ b/journal/books.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/binary"
 	"slices"
 	"time"
 
@@ -21,9 +20,9 @@
 	// count as two requests.
 	Retention = 3 * time.Hour
 	// generationAge and generationKeys end a generation.
-	generationAge  = Retention / 6
-	generationKeys = 32 << 10
-	keyBytes       = 8
+	generationAge = Retention / 6
+	maxGeneration = 4096
+	keyBytes      = 8
 )
 
 // book is one budget in a fold transaction: its row, and the keys of requests
@@ -32,9 +31,9 @@
 	id      ledger.ID
 	row     ledger.Budget
 	version int64
-	billed  map[uint64]bool
-	current []byte   // keys of the youngest generation
-	added   []uint64 // by this transaction
+	// generations are the index of billed requests, oldest first.
+	generations []*keySet
+	added       []uint64 // by this transaction
 }
 
 // books are the budgets of one fold transaction.
@@ -57,8 +56,11 @@
 // read loads budget rows and after them their index. The index needs no
 // conditions of its own: whoever changes it also changes the budget row, on
 // whose version the transaction depends, and it is read after that row.
-func (b *books) read(ctx context.Context, table platform.Table, ids []ledger.ID) error {
+func (b *books) read(ctx context.Context, table platform.Table, index *Index, ids []ledger.ID) error {
 	b.byID = map[ledger.ID]*book{}
+	if len(ids) == 0 {
+		return nil
+	}
 	keys := make([]string, len(ids))
 	for i, id := range ids {
 		keys[i] = ledger.BudgetKey(id)
@@ -68,36 +70,24 @@
 		return eris.Wrapf(err, "read budgets")
 	}
 	for i, row := range rows {
-		one := &book{id: ids[i], version: row.Version, billed: map[uint64]bool{}}
+		one := &book{id: ids[i], version: row.Version}
 		if err := ledger.Decode(row.Key, row.Value, &one.row); err != nil {
 			return err
 		}
 		b.byID[one.id] = one
-		if err := one.readIndex(ctx, table); err != nil {
+		if err := one.readIndex(ctx, table, index); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (b *book) readIndex(ctx context.Context, table platform.Table) error {
-	if len(b.row.Index) == 0 {
-		return nil
-	}
-	keys := make([]string, len(b.row.Index))
-	for i, generation := range b.row.Index {
-		keys[i] = ledger.IndexKey(b.id, generation.Number)
-	}
-	rows, err := table.Read(ctx, keys...)
+func (b *book) readIndex(ctx context.Context, table platform.Table, index *Index) error {
+	all, err := index.load(ctx, table, b.id, b.row.Index)
 	if err != nil {
 		return eris.Wrapf(err, "read index of %s", b.id)
 	}
-	for _, row := range rows {
-		for at := 0; at+keyBytes <= len(row.Value); at += keyBytes {
-			b.billed[binary.BigEndian.Uint64(row.Value[at:])] = true
-		}
-	}
-	b.current = rows[len(rows)-1].Value
+	b.generations = all
 	return nil
 }
 
@@ -106,10 +96,14 @@
 // as lost instead of billed, so that a caller gains nothing by it.
 func (b *book) firstBill(request string) bool {
 	key := xxhash.Sum64String(request)
-	if b.billed[key] {
+	if slices.Contains(b.added, key) {
 		return false
 	}
-	b.billed[key] = true
+	for _, generation := range b.generations {
+		if generation.has(key) {
+			return false
+		}
+	}
 	b.added = append(b.added, key)
 	return true
 }
@@ -132,28 +126,37 @@
 func (b *book) writeIndex(txn *platform.Txn, now time.Time) {
 	index := b.row.Index
 	last := len(index) - 1
-	if last < 0 || index[last].Keys >= generationKeys || age(now, index[last]) >= generationAge {
+	if last < 0 || index[last].Keys >= maxGeneration || age(now, index[last]) >= generationAge {
 		next := ledger.Generation{Started: now.UnixMilli(), Number: 1}
 		if last >= 0 {
 			next.Number = index[last].Number + 1
 		}
 		index = append(index, next)
+		b.generations = append(b.generations, &keySet{})
 		last++
-		b.current = nil
-	}
-	for _, key := range b.added {
-		b.current = binary.BigEndian.AppendUint64(b.current, key)
 	}
+	b.generations[last] = b.generations[last].with(b.added)
 	index[last].Keys += len(b.added)
 	for len(index) > 1 && age(now, index[1]) > Retention {
 		txn.Writes = append(txn.Writes, platform.Write{Key: ledger.IndexKey(b.id, index[0].Number), Delete: true})
-		index = index[1:]
+		index, b.generations = index[1:], b.generations[1:]
 	}
 	b.row.Index = index
-	youngest := index[len(index)-1]
-	txn.Writes = append(txn.Writes, platform.Write{Key: ledger.IndexKey(b.id, youngest.Number), Value: b.current})
+	youngest := len(index) - 1
+	txn.Writes = append(txn.Writes, platform.Write{
+		Key: ledger.IndexKey(b.id, index[youngest].Number), Value: b.generations[youngest].raw,
+	})
 }
 
 func age(now time.Time, g ledger.Generation) time.Duration {
 	return now.Sub(time.UnixMilli(g.Started))
 }
+
+// remember keeps the index rows that a transaction wrote.
+func (b *books) remember(index *Index) {
+	for _, one := range b.byID {
+		if youngest := len(one.row.Index) - 1; youngest >= 0 {
+			index.put(indexKey{one.id, one.row.Index[youngest].Number}, one.generations[youngest])
+		}
+	}
+}
--- a/journal/fold.go
+++ b/journal/fold.go
@@ -25,6 +25,9 @@
 // once whatever happens to answers.
 type Folder struct {
 	Table platform.Table
+	// Index remembers, from pass to pass, which requests were billed; nil reads
+	// that from the table each time.
+	Index *Index
 }
 
 // FoldStats counts what a pass did.
@@ -128,10 +131,10 @@
 // step folds the next segments of a journal in one transaction.
 func (f Folder) step(ctx context.Context, holder string) (stats FoldStats, more bool, err error) {
 	work, err := f.load(ctx, holder)
-	if err != nil || len(work.segments) == 0 {
+	if err != nil || len(work.keys) == 0 {
 		return stats, false, err
 	}
-	if err := work.books.read(ctx, f.Table, work.budgets()); err != nil {
+	if err := work.books.read(ctx, f.Table, f.Index, work.budgets()); err != nil {
 		return stats, false, err
 	}
 	for _, segment := range work.segments {
@@ -144,6 +147,7 @@
 	if _, err := f.Table.Commit(ctx, work.txn()); err != nil {
 		return stats, false, eris.Wrapf(err, "commit fold")
 	}
+	work.books.remember(f.Index)
 	work.stats.Txns, work.stats.Segments = 1, len(work.segments)
 	return work.stats, true, nil
 }
@@ -154,7 +158,7 @@
 	state    State
 	version  int64 // of the fold row
 	segments []Segment
-	keys     []string // of the segments
+	keys     []string // of the segments, and of stray copies of earlier ones
 	books    books
 	stats    FoldStats
 }
@@ -175,11 +179,7 @@
 	if work.state.Open == nil {
 		work.state.Open = map[uint64]OpenEntry{}
 	}
-	after := ledger.SegmentsPrefix(holder)
-	if work.state.Next > 0 {
-		after = ledger.SegmentKey(holder, work.state.Next-1)
-	}
-	found, err := f.Table.Scan(ctx, ledger.SegmentsPrefix(holder), after, foldSegments)
+	found, err := f.Table.Scan(ctx, ledger.SegmentsPrefix(holder), "", foldSegments)
 	if err != nil {
 		return nil, eris.Wrapf(err, "scan segments")
 	}
@@ -190,6 +190,12 @@
 func (w *foldWork) choose(found []platform.Row) error {
 	budgets := map[ledger.ID]bool{}
 	for _, row := range found {
+		if row.Key < ledger.SegmentKey(w.holder, w.state.Next) {
+			// Sent again after a lost answer, it arrived when the first copy was
+			// folded and deleted.
+			w.keys = append(w.keys, row.Key)
+			continue
+		}
 		if row.Key != ledger.SegmentKey(w.holder, w.state.Next+uint64(len(w.segments))) {
 			return nil // another folder was here since the state was read
 		}
--- /dev/null
+++ b/journal/journal_test.go
@@ -0,0 +1,202 @@
+package journal_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+	"k8s.io/klog/v2"
+	"pgregory.net/rapid"
+
+	"buckthornridge/budget/ledger"
+	"buckthornridge/journal"
+	"buckthornridge/platform"
+)
+
+func TestMain(m *testing.M) {
+	klog.LogToStderr(false)
+	klog.SetOutput(io.Discard)
+	goleak.VerifyTestMain(m)
+}
+
+var studio = ledger.ID{Workspace: "lankawrap", Name: "studio-1"}
+
+// held puts a budget in the table of which a holder has all tokens.
+func held(t *testing.T, table platform.Table, holder string, tokens int64) {
+	t.Helper()
+	row := ledger.Budget{Purchased: tokens, Holders: map[string]ledger.Holding{holder: {Held: tokens}}}
+	txn := platform.Txn{Writes: []platform.Write{{Key: ledger.BudgetKey(studio), Value: ledger.Encode(&row)}}}
+	if _, err := table.Commit(t.Context(), txn); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func studioRow(fake *platform.Fake) *ledger.Budget {
+	var row ledger.Budget
+	_ = ledger.Decode("", fake.Dump(ledger.BudgetKey(studio))[0].Value, &row)
+	return &row
+}
+
+// writing runs a writer until the returned function.
+func writing(t *testing.T, fake *platform.Fake) (*journal.Writer, func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	w := journal.NewWriter(fake.As("vm-1").Table, "vm-1#1", 0)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = w.Run(ctx)
+	}()
+	<-w.Ready()
+	return w, func() {
+		cancel()
+		<-done
+	}
+}
+
+func bill(number uint64, request string, tokens int64) journal.Entry {
+	return journal.Entry{Kind: journal.KindBill, Reservation: number, Budget: studio, Request: request, Tokens: tokens}
+}
+
+// A router rides out an outage and waits for its journal to catch up. The last
+// request of its queue is taken back unused. Waiting for that entry, the router
+// would ride for ever; passing it over, it would take the ones before for
+// durable.
+func TestSettledPassesOverEntriesTakenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fake := platform.NewFake(platform.FakeOptions{})
+		w, stop := writing(t, fake)
+		defer stop()
+		fake.SetFaults(platform.Faults{Down: true})
+		first := w.Add(bill(1, "a", 1), nil)
+		time.Sleep(time.Second) // in flight
+		last := w.Add(bill(2, "b", 1), nil)
+		settled := make(chan error, 1)
+		go func() {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
+			settled <- w.Settled(ctx)
+		}()
+		time.Sleep(time.Second)
+		is.True(w.Remove(last))
+		time.Sleep(time.Second)
+		is.Equal(len(settled), 0) // the first entry is not durable
+		fake.SetFaults(platform.Faults{})
+		is.NoErr(<-settled)
+		<-first.Done()
+	})
+}
+
+// A segment's answer is lost; it is sent again, and while that is on its way the
+// first copy is folded and deleted. The second copy stays in the table for as
+// long as the router lives, unless the next fold takes it away.
+func TestStrayCopyOfASegmentIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fake := platform.NewFake(platform.FakeOptions{})
+		held(t, fake.As("operator").Table, "vm-1#1", 100)
+		w, stop := writing(t, fake)
+		defer stop()
+		folder := journal.Folder{Table: fake.As("operator").Table, Index: journal.NewIndex()}
+		folded := false
+		fake.SetHooks(platform.Hooks{After: func(c platform.Call, _ error) {
+			if c.Step == platform.StepCommit && c.VM == "vm-1" && !folded {
+				folded = true
+				_, err := folder.Run(t.Context())
+				is.NoErr(err)
+			}
+		}})
+		fake.UpdateFaults(func(f *platform.Faults) { f.LoseNext = 1 })
+		<-w.Add(bill(1, "a", 10), nil).Done()
+		is.Equal(len(fake.Dump(ledger.SegmentPrefix)), 1) // the stray
+		_, err := folder.Run(t.Context())
+		is.NoErr(err)
+		is.Equal(len(fake.Dump(ledger.SegmentPrefix)), 0)
+		is.Equal(studioRow(fake).Billed, int64(10))
+	})
+}
+
+// TestEachRequestIsBilledOnce: two folders, each with what it remembers of the
+// index, take turns at random over hours; a request that was billed within the
+// retention is never billed again, and nothing else is refused.
+func TestEachRequestIsBilledOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		keys := rapid.SliceOfN(rapid.IntRange(0, 30), 1, 60).Draw(rt, "requests")
+		turns := rapid.SliceOfN(rapid.IntRange(0, 3), len(keys), len(keys)).Draw(rt, "turns")
+		pauses := rapid.SliceOfN(rapid.IntRange(0, 100), len(keys), len(keys)).Draw(rt, "minutes")
+		var fault string
+		synctest.Test(t, func(t *testing.T) { fault = billOnce(t, keys, turns, pauses) })
+		if fault != "" {
+			rt.Fatal(fault)
+		}
+	})
+}
+
+func billOnce(t *testing.T, keys, turns, pauses []int) string {
+	fake := platform.NewFake(platform.FakeOptions{})
+	table := fake.As("operator").Table
+	held(t, table, "vm-1#1", 1000)
+	w, stop := writing(t, fake)
+	defer stop()
+	folders := []journal.Folder{{Table: table, Index: journal.NewIndex()}, {Table: table, Index: journal.NewIndex()}, {Table: table}}
+	billedAt := map[int]time.Time{}
+	var billed, duplicates int64
+	for i, key := range keys {
+		<-w.Add(bill(uint64(i), fmt.Sprint("request-", key), 1), nil).Done()
+		if turns[i] < len(folders) {
+			if _, err := folders[turns[i]].Run(t.Context()); err != nil {
+				return err.Error()
+			}
+		} else if _, err := (journal.Folder{Table: table}).Run(t.Context()); err != nil {
+			return err.Error()
+		}
+		row := studioRow(fake)
+		first, before := billedAt[key]
+		switch {
+		case row.Billed == billed+1 && before && time.Since(first) < journal.Retention:
+			return fmt.Sprintf("request %d billed again after %v", key, time.Since(first))
+		case row.Billed == billed && !before:
+			return fmt.Sprintf("request %d taken for a duplicate", key)
+		}
+		if row.Billed > billed {
+			billedAt[key] = time.Now()
+		}
+		billed, duplicates = row.Billed, row.Lost[ledger.CauseDuplicate]
+		time.Sleep(time.Duration(pauses[i]) * time.Minute)
+	}
+	if billed+duplicates != int64(len(keys)) {
+		return fmt.Sprintf("%d billed, %d duplicates of %d", billed, duplicates, len(keys))
+	}
+	return ""
+}
+
+// TestIndexIsReadOnce: a folder that goes on reads no index row that it wrote.
+func TestIndexIsReadOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fake := platform.NewFake(platform.FakeOptions{})
+		held(t, fake.As("operator").Table, "vm-1#1", 1000)
+		w, stop := writing(t, fake)
+		defer stop()
+		reads := 0
+		fake.SetHooks(platform.Hooks{Before: func(c platform.Call) {
+			if c.Step == platform.StepRead && strings.HasPrefix(c.Keys[0], ledger.IndexPrefix) {
+				reads++
+			}
+		}})
+		folder := journal.Folder{Table: fake.As("operator").Table, Index: journal.NewIndex()}
+		for i := range uint64(20) {
+			<-w.Add(bill(i, fmt.Sprint(i), 1), nil).Done()
+			_, err := folder.Run(t.Context())
+			is.NoErr(err)
+		}
+		is.Equal(reads, 0)
+		is.Equal(studioRow(fake).Billed, int64(20))
+	})
+}
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -177,7 +178,8 @@
 	}
 	for at, queued := range w.queue {
 		if queued == item {
-			w.queue = append(w.queue[:at], w.queue[at+1:]...)
+			w.queue = slices.Delete(w.queue, at, at+1)
+			close(item.done) // nothing is left to wait for
 			return true
 		}
 	}
@@ -225,28 +227,26 @@
 	w.wake()
 }
 
-// Settled waits until every entry that was added before is durable, the journal
-// is sealed, or ctx ends. Entries become durable in the order of Add.
+// Settled waits until every entry that was added before is durable or was taken
+// back, the journal is sealed, or ctx ends.
 func (w *Writer) Settled(ctx context.Context) error {
 	w.mu.Lock()
-	var last *Item
-	for _, items := range [][]*Item{w.inFlight, w.queue} {
-		if len(items) > 0 {
-			last = items[len(items)-1]
-		}
-	}
+	pending := slices.Concat(w.inFlight, w.queue)
+	w.wake()
 	w.mu.Unlock()
-	if last == nil {
-		return nil
-	}
-	select {
-	case <-last.Done():
-		return last.Err()
-	case <-w.dead:
-		return ErrSealed
-	case <-ctx.Done():
-		return eris.Wrapf(ctx.Err(), "journal of %s", w.holder)
+	for _, item := range pending {
+		select {
+		case <-item.Done():
+			if item.Err() != nil {
+				return item.Err()
+			}
+		case <-w.dead:
+			return ErrSealed
+		case <-ctx.Done():
+			return eris.Wrapf(ctx.Err(), "journal of %s", w.holder)
+		}
 	}
+	return nil
 }
 
 // Flush waits until everything that is pending now is durable, the journal is
