--- a/budget/acquire.go
+++ b/budget/acquire.go
@@ -19,9 +19,10 @@
 	renewRequests = 8
 	// recallFanOut bounds the holders that are asked at once.
 	recallFanOut = 16
-	// healthyWindow is the demand that the small exposure covers: several group
-	// commits, so that no dispatch waits for one.
-	healthyWindow = 250 * time.Millisecond
+	// healthyWindow is the demand that the small exposure covers: as long as an
+	// opening entry waits for company and a group commit takes, so that no
+	// dispatch waits for one.
+	healthyWindow = 500 * time.Millisecond
 )
 
 // startAcquire starts the account's acquire loop unless one runs. The caller
--- a/budget/reserve.go
+++ b/budget/reserve.go
@@ -105,9 +105,9 @@
 	opening := r.entry(journal.KindOpen, r.ceiling, "")
 	if r.cover() {
 		r.item = r.keeper.journal.AddLazy(opening, r.durable)
-	} else {
-		r.item = r.keeper.journal.Add(opening, r.durable)
+		return
 	}
+	r.item = r.keeper.journal.Add(opening, r.durable)
 }
 
 // cover counts the ceiling as uncommitted if the exposure allows. The caller
--- a/budget/witness.go
+++ b/budget/witness.go
@@ -32,6 +32,9 @@
 	// leaveInterval is the time between two looks whether the table is back.
 	leaveInterval = 2 * time.Second
 	witnessLimit  = 500 * time.Millisecond
+	// settleLimit is in what time a healthy table takes all entries, also those
+	// that wait for company.
+	settleLimit = time.Second
 )
 
 // ErrFenced reports that a witness was told that the holder is gone.
@@ -176,7 +179,7 @@
 			continue
 		}
 		// If what waits now becomes durable in time, the table is back.
-		ctx, cancel := context.WithTimeout(k.ctx, outageAfter)
+		ctx, cancel := context.WithTimeout(k.ctx, settleLimit)
 		err := k.journal.Settled(ctx)
 		cancel()
 		if err == nil {
