Budgets: a run that another router resumes is not written off

A dead router's open reservations are lost with their whole ceilings, although a caller's retry mostly has another router resume the same engine stream and bill it whole. Reservation.Dispatch(run, resumed) now names the run in the opening entry, and in the bill of a resumed one. If that bill is folded first, the reclaim leaves the run out; if the reclaim is first, it keeps the run as an orphan in the budget's row (64 at the most, for an hour) and the bill frees it. A run that was run anew, or whose second bill is a duplicate, stays written off. Nothing is credited where the loss was cut to what the holder had, for then it cannot be told whose it was.

--- a/budget/ledger/ledger.go
+++ b/budget/ledger/ledger.go
@@ -11,6 +11,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
@@ -73,6 +75,20 @@
 	Keys    int    `msgpack:"k" json:"keys"`
 }
 
+// Orphan is a run of a holder that is gone, whose ceiling is lost unless another
+// holder bills the same run.
+type Orphan struct {
+	Run    uint64 `msgpack:"r" json:"run"` // hash of the run's name
+	Tokens int64  `msgpack:"t" json:"tokens"`
+	Lost   int64  `msgpack:"l" json:"lost_ms"` // Unix time in milliseconds
+}
+
+// Orphans are kept for a while, and not more than so many per budget.
+const (
+	orphanAge  = int64(time.Hour / time.Millisecond)
+	maxOrphans = 64
+)
+
 // Budget is the row of one budget. All counts are tokens.
 type Budget struct {
 	Purchased int64              `msgpack:"p" json:"purchased"`
@@ -80,6 +96,8 @@
 	Lost      map[Cause]int64    `msgpack:"l" json:"lost"`
 	Free      int64              `msgpack:"f" json:"free"`
 	Holders   map[string]Holding `msgpack:"g" json:"holders"`
+	// Orphans are runs of holders that are gone, counted as lost; see Restore.
+	Orphans []Orphan `msgpack:"q,omitempty" json:"orphans,omitempty"`
 	// Index lists the rows that remember billed requests, oldest first.
 	Index []Generation `msgpack:"i,omitempty" json:"-"`
 }
@@ -180,14 +198,21 @@
 // Reclaim removes a holder that is gone and whose journal is sealed and folded.
 // Of what it held, unsettled tokens (the ceilings its journal left open) and
 // its exposure are lost, and the rest is free again; outage says that its
-// witness does not deny that it rode out an outage. It returns the loss.
-func (b *Budget) Reclaim(holder string, unsettled int64, outage bool) int64 {
+// witness does not deny that it rode out an outage. open are those of the
+// unsettled runs that another holder may have resumed. It returns the loss.
+func (b *Budget) Reclaim(holder string, open []Orphan, unsettled int64, outage bool) int64 {
 	h := b.Holders[holder]
 	exposure := h.Exposure
 	if outage {
 		exposure = max(h.Exposure, h.Outage)
 	}
 	lost := min(h.Held, unsettled+exposure)
+	if lost < unsettled+exposure {
+		// Then the loss of one run cannot be told from that of another.
+		open = nil
+	}
+	b.Orphans = append(b.Orphans, open...)
+	b.Orphans = b.Orphans[max(0, len(b.Orphans)-maxOrphans):]
 	if lost > 0 {
 		b.addLost(CauseHolderGone, lost)
 	}
@@ -196,6 +221,32 @@
 	return lost
 }
 
+// Restore frees what was lost with holders that are gone for a run that another
+// holder resumed and has billed whole: its tokens were consumed once. It returns
+// the tokens.
+func (b *Budget) Restore(run uint64) int64 {
+	var tokens int64
+	rest := b.Orphans[:0]
+	for _, o := range b.Orphans {
+		if o.Run != run {
+			rest = append(rest, o)
+			continue
+		}
+		tokens += o.Tokens
+	}
+	if tokens > 0 {
+		b.Orphans = rest
+		b.Lost[CauseHolderGone] -= tokens
+		b.Free += tokens
+	}
+	return tokens
+}
+
+// Forget drops orphans that nobody resumed for long.
+func (b *Budget) Forget(now time.Time) {
+	b.Orphans = slices.DeleteFunc(b.Orphans, func(o Orphan) bool { return now.UnixMilli()-o.Lost > orphanAge })
+}
+
 // Settle removes a holder that closed its account once nothing is held. It
 // reports whether it did.
 func (b *Budget) Settle(holder string) bool {
--- a/budget/reclaim.go
+++ b/budget/reclaim.go
@@ -231,9 +231,9 @@
 	if err != nil {
 		return stats, eris.Wrapf(err, "read budgets")
 	}
-	unsettled := map[ID]int64{}
-	for _, open := range state.Open {
-		unsettled[open.Budget] += open.Ceiling
+	open := map[ID][]journal.OpenEntry{}
+	for _, entry := range state.Open {
+		open[entry.Budget] = append(open[entry.Budget], entry)
 	}
 	for i, row := range rows {
 		var budget ledger.Budget
@@ -244,8 +244,12 @@
 		if err != nil {
 			return stats, err
 		}
+		unsettled, orphans, err := r.unsettled(ctx, ids[i], &budget, open[ids[i]])
+		if err != nil {
+			return stats, err
+		}
 		held := budget.Holders[holder].Held
-		lost := budget.Reclaim(holder, unsettled[ids[i]], outage)
+		lost := budget.Reclaim(holder, orphans, unsettled, outage)
 		stats.Budgets++
 		stats.Lost += lost
 		stats.Freed += held - lost
@@ -254,3 +258,33 @@
 	}
 	return stats, nil
 }
+
+// unsettled sums the ceilings of open reservations, but for runs that another
+// holder resumed and has billed whole, and lists the runs that one may yet
+// resume. Who bills a resumed run changes the budget's row, on whose version the
+// reclaim depends.
+func (r Reclaimer) unsettled(ctx context.Context, id ID, budget *ledger.Budget, open []journal.OpenEntry) (int64, []ledger.Orphan, error) {
+	var runs []string
+	for _, entry := range open {
+		if entry.Run != "" {
+			runs = append(runs, entry.Run)
+		}
+	}
+	billed, err := journal.BilledRuns(ctx, r.Table, id, budget, runs)
+	if err != nil {
+		return 0, nil, err
+	}
+	var tokens int64
+	var orphans []ledger.Orphan
+	for _, entry := range open {
+		if billed[entry.Run] {
+			continue
+		}
+		tokens += entry.Ceiling
+		if entry.Run != "" {
+			orphan := ledger.Orphan{Run: journal.RunHash(entry.Run), Tokens: entry.Ceiling, Lost: time.Now().UnixMilli()}
+			orphans = append(orphans, orphan)
+		}
+	}
+	return tokens, orphans, nil
+}
--- a/budget/reserve.go
+++ b/budget/reserve.go
@@ -41,6 +41,8 @@
 	counted int64 // of account.uncommitted
 	taken   time.Time
 	closed  bool
+	run     string // that was dispatched
+	resumed bool   // the run was another holder's
 }
 
 // Ceiling returns the tokens that were reserved.
@@ -136,9 +138,30 @@
 	if kind == journal.KindBill {
 		e.Request = r.request
 	}
+	if kind == journal.KindOpen || (kind == journal.KindBill && r.resumed) {
+		e.Run = r.run
+	}
 	return e
 }
 
+// Dispatch names the upstream's run that this reservation covers, before it is
+// dispatched. resumed says that the run is one that another router dispatched
+// and that this one resumes from its start: its bill will cover the whole run.
+// If that router died, what was written off for the run is free again then. A
+// run's name must be unique among all runs, not only among requests.
+func (r *Reservation) Dispatch(run string, resumed bool) {
+	r.account.mu.Lock()
+	defer r.account.mu.Unlock()
+	if r.closed {
+		return
+	}
+	r.run, r.resumed = run, resumed
+	opening := r.entry(journal.KindOpen, r.ceiling, "")
+	if !r.keeper.journal.Replace(r.item, opening, r.durable) {
+		r.keeper.journal.AddLazy(opening, nil)
+	}
+}
+
 // awaitOpen lets a reservation beyond the exposure go only when its opening
 // entry is durable: a crash after it then loses its ceiling, not less.
 func (r *Reservation) awaitOpen(ctx context.Context) (*Reservation, error) {
--- /dev/null
+++ b/budget/resumed_test.go
@@ -0,0 +1,88 @@
+package budget_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/budget"
+)
+
+// A router dies with a stream open; the caller's retry finds it through another
+// router, which resumes the engine's stream from its start and bills it whole.
+// The run was consumed once. Whether the bill or the reclaim comes first, the
+// dead router's ceiling for it must not stay written off; that of a stream that
+// nobody resumed must.
+func TestResumedRunIsNotWrittenOff(t *testing.T) {
+	for _, reclaimFirst := range []bool{false, true} {
+		story(t, 100_000, func(t *testing.T, is *is.I, f *fleet) {
+			doomed, other := f.start("vm-1", "1"), f.start("vm-2", "1")
+			f.must(doomed, "retried", 900).Dispatch("run-1", false)
+			f.must(doomed, "left", 700).Dispatch("run-2", false)
+			time.Sleep(time.Second)
+			_ = doomed.Stop()
+			exposure := f.status(studio).Holders["vm-1#1"].Exposure
+			if reclaimFirst {
+				f.gone("vm-1")
+				is.Equal(f.status(studio).Lost[budget.CauseHolderGone], 1600+exposure)
+			}
+			r := f.must(other, "retried", 900)
+			r.Dispatch("run-1", true)
+			is.NoErr(r.Bill(t.Context(), 400))
+			f.duties()
+			f.gone("vm-1")
+			f.duties()
+			state := f.status(studio)
+			is.Equal(state.Billed, int64(400))
+			is.Equal(state.Lost[budget.CauseHolderGone], 700+exposure)
+			is.Equal(state.Free+state.HeldTokens(), 100_000-400-700-exposure)
+		})
+	}
+}
+
+// As before, but the second router runs the request anew: what the first run
+// consumed stays written off. So it does if the second router resumed the run,
+// but the first one's bill had become durable, so that the second is a duplicate.
+func TestRunThatWasNotResumedStaysWrittenOff(t *testing.T) {
+	story(t, 100_000, func(t *testing.T, is *is.I, f *fleet) {
+		doomed, other := f.start("vm-1", "1"), f.start("vm-2", "1")
+		f.must(doomed, "retried", 900).Dispatch("run-1", false)
+		billed := f.must(doomed, "billed", 500)
+		billed.Dispatch("run-2", false)
+		is.NoErr(billed.Bill(t.Context(), 300))
+		time.Sleep(time.Second)
+		_ = doomed.Stop()
+		again := f.must(other, "retried", 900)
+		again.Dispatch("run-3", false)
+		is.NoErr(again.Bill(t.Context(), 400))
+		resumed := f.must(other, "billed", 500)
+		resumed.Dispatch("run-2", true)
+		is.NoErr(resumed.Bill(t.Context(), 300))
+		exposure := f.status(studio).Holders["vm-1#1"].Exposure
+		f.gone("vm-1")
+		f.duties()
+		state := f.status(studio)
+		is.Equal(state.Billed, int64(700))
+		is.Equal(state.Lost[budget.CauseHolderGone], 900+exposure)
+		is.Equal(state.Lost[budget.CauseDuplicate], int64(300))
+	})
+}
+
+// Orphans that nobody resumes do not fill the budget's row for ever.
+func TestOrphansAreForgotten(t *testing.T) {
+	story(t, 1_000_000, func(t *testing.T, is *is.I, f *fleet) {
+		doomed, other := f.start("vm-1", "1"), f.start("vm-2", "1")
+		for i := range 100 {
+			f.must(doomed, string(rune('a'+i)), 100).Dispatch(string(rune('a'+i)), false)
+		}
+		time.Sleep(time.Second)
+		_ = doomed.Stop()
+		f.gone("vm-1")
+		is.Equal(len(f.status(studio).Orphans), 64)
+		time.Sleep(2 * time.Hour)
+		is.NoErr(f.must(other, "later", 10).Bill(t.Context(), 1))
+		f.duties()
+		is.Equal(len(f.status(studio).Orphans), 0)
+	})
+}
--- a/journal/books.go
+++ b/journal/books.go
@@ -96,16 +96,53 @@
 // as lost instead of billed, so that a caller gains nothing by it.
 func (b *book) firstBill(request string) bool {
 	key := xxhash.Sum64String(request)
-	if slices.Contains(b.added, key) {
+	if b.has(key) {
 		return false
 	}
+	b.added = append(b.added, key)
+	return true
+}
+
+func (b *book) has(key uint64) bool {
+	if slices.Contains(b.added, key) {
+		return true
+	}
 	for _, generation := range b.generations {
 		if generation.has(key) {
-			return false
+			return true
 		}
 	}
-	b.added = append(b.added, key)
-	return true
+	return false
+}
+
+// RunHash is how a run is remembered in a budget's row and index.
+func RunHash(run string) uint64 { return xxhash.Sum64String("run\x00" + run) }
+
+// billedRun remembers that a resumed run was billed whole, so that a holder that
+// is gone and had it open loses nothing by it, and frees what was lost before.
+func (b *book) billedRun(run string) int64 {
+	if run == "" {
+		return 0
+	}
+	b.added = append(b.added, RunHash(run))
+	return b.row.Restore(RunHash(run))
+}
+
+// BilledRuns tells which runs another holder resumed and billed, as of a version
+// of the budget's row.
+func BilledRuns(ctx context.Context, table platform.Table, id ledger.ID, row *ledger.Budget, runs []string) (map[string]bool, error) {
+	billed := map[string]bool{}
+	if len(runs) == 0 {
+		return billed, nil
+	}
+	book := &book{id: id, row: *row}
+	if err := book.readIndex(ctx, table, nil); err != nil {
+		return nil, err
+	}
+	for _, run := range runs {
+		billed[run] = book.has(RunHash(run))
+	}
+	return billed, nil
 }
 
 // write adds the rows, their conditions and the index to a transaction.
@@ -115,6 +152,7 @@
 		if len(one.added) > 0 {
 			one.writeIndex(txn, now)
 		}
+		one.row.Forget(now)
 		key := ledger.BudgetKey(id)
 		txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Version: one.version})
 		txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: ledger.Encode(&one.row)})
--- a/journal/entry.go
+++ b/journal/entry.go
@@ -46,6 +46,10 @@
 	Request string       `msgpack:"q,omitempty"`
 	Tokens  int64        `msgpack:"t"`
 	Cause   ledger.Cause `msgpack:"c,omitempty"`
+	// Run names the upstream's run that the reservation covers: in an opening
+	// entry, that it was dispatched to; in a bill, that it resumed from another
+	// holder and bills whole.
+	Run string `msgpack:"u,omitempty"`
 }
 
 // Segment is one group commit.
@@ -79,4 +83,5 @@
 type OpenEntry struct {
 	Budget  ledger.ID `msgpack:"b"`
 	Ceiling int64     `msgpack:"c"`
+	Run     string    `msgpack:"u,omitempty"`
 }
--- a/journal/fold.go
+++ b/journal/fold.go
@@ -39,6 +39,7 @@
 	Duplicates int   `json:"duplicates"` // bills of requests that were billed before
 	Billed     int64 `json:"billed_tokens"`
 	Lost       int64 `json:"lost_tokens"`
+	Restored   int64 `json:"restored_tokens"` // lost before, of runs that were resumed
 }
 
 func (s *FoldStats) add(o FoldStats) {
@@ -48,6 +49,7 @@
 	s.Duplicates += o.Duplicates
 	s.Billed += o.Billed
 	s.Lost += o.Lost
+	s.Restored += o.Restored
 }
 
 // Run makes one bounded pass over all journals and handed-over bills. It goes on
@@ -233,7 +235,7 @@
 // another attempt, is lost.
 func (w *foldWork) apply(e Entry) error {
 	if e.Kind == KindOpen {
-		w.state.Open[e.Reservation] = OpenEntry{Budget: e.Budget, Ceiling: e.Tokens}
+		w.state.Open[e.Reservation] = OpenEntry{Budget: e.Budget, Ceiling: e.Tokens, Run: e.Run}
 		return nil
 	}
 	delete(w.state.Open, e.Reservation)
@@ -241,6 +243,7 @@
 	if e.Kind == KindBill && book.firstBill(e.Request) {
 		w.stats.Bills++
 		w.stats.Billed += e.Tokens
+		w.stats.Restored += book.billedRun(e.Run)
 		return book.row.Bill(w.holder, e.Tokens)
 	}
 	cause := e.Cause
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -163,8 +163,9 @@
 	if item.taken || w.sealed.Load() {
 		return false
 	}
-	item.entry, item.notify, item.lazy = e, notify, false
-	w.wake()
+	item.entry, item.notify = e, notify
+	item.lazy = item.lazy && e.Kind == KindOpen
+	w.schedule(item.lazy)
 	return true
 }
 
