--- /dev/null
+++ b/budget/engine_test.go
@@ -0,0 +1,61 @@
+package budget_test
+
+import (
+	"fmt"
+
+	"buckthornridge/budget"
+	"buckthornridge/budget/ledger"
+)
+
+// engineRun is what an engine does for one or more attempts of a request. It
+// consumes what the schedule says, or, as far as anybody knows, its ceiling
+// until an attempt saw its end.
+type engineRun struct {
+	ceiling, used int64
+	seen          bool
+}
+
+// dispatch starts a run, or resumes the first one of the request.
+func (w *world) dispatch(r *budget.Reservation, e event, used int64) *engineRun {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	name := fmt.Sprint("run-", e.Number)
+	run, resumed := w.runs[name], e.Resumed
+	if run == nil || !resumed {
+		resumed = false
+		if run != nil {
+			name = fmt.Sprint(name, "-", len(w.runs))
+		}
+		run = &engineRun{ceiling: e.Ceiling, used: used}
+		w.runs[name] = run
+	}
+	r.Dispatch(name, resumed)
+	var row ledger.Budget
+	_ = ledger.Decode("", w.fake.Dump(ledger.BudgetKey(studio))[0].Value, &row)
+	if consumed := w.consumed(); consumed > row.Purchased {
+		w.fault("overspend: %d consumed or running, %d purchased", consumed, row.Purchased)
+	}
+	return run
+}
+
+// consumed sums up the runs as far as anybody knows. The caller holds w.mu.
+func (w *world) consumed() int64 {
+	var sum int64
+	for _, r := range w.runs {
+		if r.seen {
+			sum += r.used
+		} else {
+			sum += r.ceiling
+		}
+	}
+	return sum
+}
+
+// seen sums up what the runs really consumed.
+func (w *world) seen() int64 {
+	var sum int64
+	for _, r := range w.runs {
+		sum += r.used
+	}
+	return sum
+}
--- a/budget/world_test.go
+++ b/budget/world_test.go
@@ -52,6 +52,7 @@
 	Used    int64 // share of the ceiling in percent
 	Lasts   time.Duration
 	Number  int
+	Resumed bool // a retry that resumes the run instead of starting another
 }
 
 const worldRouters = 3
@@ -78,13 +79,12 @@
 	number  int
 	last    event
 
-	mu       sync.Mutex
-	consumed int64            // by ended runs
-	running  int64            // ceilings of running ones
-	acked    map[string]int64 // bills that Bill called durable, by request key
-	tried    map[string]int64 // bills that were tried
-	faults   []string
-	paused   map[string]chan struct{}
+	mu     sync.Mutex
+	runs   map[string]*engineRun
+	acked  map[string]int64 // bills that Bill called durable, by request key
+	tried  map[string]int64 // bills that were tried
+	faults []string
+	paused map[string]chan struct{}
 }
 
 type worldRouter struct {
@@ -95,7 +95,7 @@
 }
 
 func runWorld(t *testing.T, weight float64, schedule []event) []string {
-	w := &world{fleet: newFleet(t), acked: map[string]int64{}, tried: map[string]int64{}, paused: map[string]chan struct{}{}}
+	w := &world{fleet: newFleet(t), runs: map[string]*engineRun{}, acked: map[string]int64{}, tried: map[string]int64{}, paused: map[string]chan struct{}{}}
 	w.weight = weight
 	w.ctx = t.Context()
 	w.fake.SetHooks(platform.Hooks{Before: w.beforeCall})
@@ -167,7 +167,9 @@
 		w.client(r, e)
 	case eventRetry:
 		if w.last.Number > 0 {
-			w.client(r, w.last)
+			again := w.last
+			again.Resumed, again.Lasts = e.Number%2 == 0, e.Lasts
+			w.client(r, again)
 		}
 	case eventTopUp:
 		w.buy(e.Ceiling)
@@ -296,15 +298,16 @@
 		if err != nil || isClosed(dead) {
 			return
 		}
-		w.dispatched(e.Ceiling)
+		used := e.Ceiling * e.Used / 100
+		run := w.dispatch(reservation, e, used)
 		select {
 		case <-time.After(e.Lasts):
 		case <-dead:
-			w.ran(e.Ceiling, e.Ceiling) // nobody stops the engine
-			return
+			return // nobody here sees the run's end
 		}
-		used := e.Ceiling * e.Used / 100
-		w.ran(e.Ceiling, used)
+		w.mu.Lock()
+		run.seen = true
+		w.mu.Unlock()
 		switch e.Number % 5 {
 		case 4:
 			reservation.Lose(used, budget.CauseFailed)
@@ -314,24 +317,6 @@
 	})
 }
 
-func (w *world) dispatched(ceiling int64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.running += ceiling
-	var row ledger.Budget
-	_ = ledger.Decode("", w.fake.Dump(ledger.BudgetKey(studio))[0].Value, &row)
-	if w.consumed+w.running > row.Purchased {
-		w.fault("overspend: %d consumed, %d running, %d purchased", w.consumed, w.running, row.Purchased)
-	}
-}
-
-func (w *world) ran(ceiling, used int64) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.running -= ceiling
-	w.consumed += used
-}
-
 func (w *world) bill(r *budget.Reservation, key string, used int64, dead chan struct{}) {
 	w.mu.Lock()
 	w.tried[key] = used
@@ -398,8 +383,8 @@
 	if state.Billed < acked || state.Billed > tried {
 		w.fault("billed %d, but %d were acknowledged and %d tried", state.Billed, acked, tried)
 	}
-	if w.consumed > state.Billed+state.LostTokens() {
-		w.fault("consumed %d, but billed %d and lost %v", w.consumed, state.Billed, state.Lost)
+	if seen := w.seen(); seen > state.Billed+state.LostTokens() {
+		w.fault("consumed %d, but billed %d and lost %v", seen, state.Billed, state.Lost)
 	}
 	for _, prefix := range []string{ledger.FoldPrefix, ledger.HeldPrefix, ledger.LifePrefix, ledger.SegmentPrefix, ledger.AdoptedPrefix} {
 		if rows := w.fake.Dump(prefix); len(rows) > 0 {
