--- a/budget/resumed_test.go
+++ b/budget/resumed_test.go
@@ -1,12 +1,14 @@
 package budget_test
 
 import (
+	"errors"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"buckthornridge/budget"
+	"buckthornridge/platform"
 )
 
 // A router dies with a stream open; the caller's retry finds it through another
@@ -86,3 +88,29 @@
 		is.Equal(len(f.status(studio).Orphans), 0)
 	})
 }
+
+// A router has answered a request and reuses what is left of its ceiling, all
+// before its journal tells of the bill; then it dies. Another router resumes the
+// first run and bills it. Were the whole ceiling given back, what was reused
+// would be sold a second time.
+func TestReusedRestOfAResumedRunStaysWrittenOff(t *testing.T) {
+	story(t, 1000, func(t *testing.T, is *is.I, f *fleet) {
+		doomed, other := f.start("vm-1", "1"), f.start("vm-2", "1")
+		answered := f.must(doomed, "answered", 900)
+		answered.Dispatch("run-1", false)
+		time.Sleep(time.Second)
+		f.holdAppends()
+		is.True(errors.Is(answered.Bill(t.Context(), 10), budget.ErrBillPending))
+		f.must(doomed, "young", 890).Dispatch("run-2", false)
+		_ = doomed.Stop()
+		f.fake.SetHooks(platform.Hooks{})
+		f.faults(platform.Faults{})
+		f.topUp(studio, "order-2", 1000)
+		f.gone("vm-1")
+		resumed := f.must(other, "answered", 900)
+		resumed.Dispatch("run-1", true)
+		is.NoErr(resumed.Bill(t.Context(), 10))
+		f.duties()
+		is.True(f.status(studio).Lost[budget.CauseHolderGone] >= 890)
+	})
+}
