--- a/loadtool/scenario/scenario.go
+++ b/loadtool/scenario/scenario.go
@@ -133,11 +133,13 @@
 		Faults: []fault.Fault{state(6, "engine/0", "leaving"), state(8, "service/0", "leaving")},
 	},
 	{
-		Name: "upstream-kill", About: "an engine and a server die and come back",
+		Name: "upstream-kill", About: "three engines and a server die and come back",
 		Duration: usualDuration, Rate: usualRate, Fund: ample,
 		Faults: []fault.Fault{
-			process(5, fault.Kill, "engine/2"), process(7, fault.Kill, "service/1"),
-			process(12, fault.Start, "engine/2"), process(13, fault.Start, "service/1"),
+			process(5, fault.Kill, "engine/2"), process(6, fault.Kill, "engine/5"),
+			process(7, fault.Kill, "service/1"), process(7.5, fault.Kill, "engine/8"),
+			process(12, fault.Start, "engine/2"), process(12.5, fault.Start, "engine/5"),
+			process(13, fault.Start, "service/1"), process(13.5, fault.Start, "engine/8"),
 		},
 	},
 	{
