loadtool: tests of its readings; fleet_down stops the platform last

Cause: routers wait for the table in a planned stop, so a fleet whose platform stopped at the same time was killed after 5 s.

--- a/loadtool/report/report.go
+++ b/loadtool/report/report.go
@@ -180,7 +180,7 @@
 	{"config_reverts", count(func(r *Report) int { return r.ConfigReverts })},
 	{"config_lost_updates", count(func(r *Report) int { return r.ConfigLostUpdates })},
 	{"ledger_violations", count(func(r *Report) int { return r.LedgerViolations })},
-	{"completed", count(func(r *Report) int {
+	{"nothing_completed", count(func(r *Report) int {
 		if r.Completed == 0 {
 			return 1 // a fleet that answers nothing shows no fault either
 		}
--- a/loadtool/run/run_test.go
+++ b/loadtool/run/run_test.go
@@ -63,7 +63,7 @@
 		{lie: cutsOnStop, want: "drain_cut_requests", pipe: true, faults: []fault.Fault{stop}},
 		{lie: reverts, want: "config_reverts"},
 		{lie: forgetsChanges, want: "config_lost_updates", operators: true},
-		{lie: refusesAll, want: "completed"},
+		{lie: refusesAll, want: "nothing_completed"},
 		{lie: honest, want: "records_omitted", maxRuns: 1},
 		{lie: honest, want: "fault_errors", faults: []fault.Fault{stop}},
 	} {
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -168,25 +168,39 @@
 	done
 }
 
-# fleet_down stops every process of this run: TERM, and KILL for what is left
-# after STOP_SECONDS. CONT lets a stopped process see the signal.
+# fleet_down stops every process of this run: TERM, the platform last because a
+# planned stop hands over through it, and KILL for what is left after
+# STOP_SECONDS. CONT lets a stopped process see the signal.
 fleet_down() {
-	local file tries=$((${STOP_SECONDS:-5} * 10))
+	local file
 	for file in "$RUN"/pid/*; do
+		[ "$(basename "$file")" = platform ] && continue
 		kill -CONT "$(cat "$file")" 2>/dev/null
 		kill -TERM "$(cat "$file")" 2>/dev/null
 	done
-	while [ "$tries" -gt 0 ] && fleet_any_alive; do
-		sleep 0.1
-		tries=$((tries - 1))
-	done
+	fleet_wait_ended platform
+	[ -f "$RUN/pid/platform" ] && fleet_signal TERM platform
+	fleet_wait_ended ""
 	for file in "$RUN"/pid/*; do kill -KILL "$(cat "$file")" 2>/dev/null; done
 	wait 2>/dev/null
 	return 0
 }
 
+# fleet_wait_ended NAME waits until all processes but this one ended.
+fleet_wait_ended() {
+	local tries=$((${STOP_SECONDS:-8} * 10))
+	while [ "$tries" -gt 0 ] && fleet_any_alive "$1"; do
+		sleep 0.1
+		tries=$((tries - 1))
+	done
+}
+
+# fleet_any_alive BUT tells whether any process but this one runs.
 fleet_any_alive() {
-	local file
-	for file in "$RUN"/pid/*; do fleet_alive "$(basename "$file")" && return 0; done
+	local file name
+	for file in "$RUN"/pid/*; do
+		name=$(basename "$file")
+		[ "$name" != "$1" ] && fleet_alive "$name" && return 0
+	done
 	return 1
 }
