--- a/loadtool/run/fleet.go
+++ b/loadtool/run/fleet.go
@@ -124,8 +124,7 @@
 
 // status is what a router says of itself at /debug/status.
 type status struct {
-	Version     config.Version `json:"version"`
-	Incarnation string         `json:"incarnation"`
+	Version config.Version `json:"version"`
 }
 
 func (f *fleet) status(ctx context.Context, vm VM) (status, error) {
--- a/loadtool/run/operators.go
+++ b/loadtool/run/operators.go
@@ -168,17 +168,12 @@
 	mu sync.Mutex
 	// seen holds, by VM, when each version was first seen to be in force.
 	seen    map[string]map[config.Version]time.Time
-	highest map[string]seenVersion
+	highest map[string]config.Version
 	reverts []string
 }
 
-type seenVersion struct {
-	incarnation string
-	version     config.Version
-}
-
 func newVersions() *versions {
-	return &versions{seen: map[string]map[config.Version]time.Time{}, highest: map[string]seenVersion{}}
+	return &versions{seen: map[string]map[config.Version]time.Time{}, highest: map[string]config.Version{}}
 }
 
 // watch polls all routers until ctx ends.
@@ -209,10 +204,10 @@
 		return // a fresh process that has none and serves nobody
 	}
 	before := v.highest[vm]
-	if s.Version < before.version {
-		v.reverts = append(v.reverts, fmt.Sprintf("%s went from version %d to %d", vm, before.version, s.Version))
+	if s.Version < before {
+		v.reverts = append(v.reverts, fmt.Sprintf("%s went from version %d to %d", vm, before, s.Version))
 	}
-	v.highest[vm] = seenVersion{s.Incarnation, max(s.Version, before.version)}
+	v.highest[vm] = max(s.Version, before)
 	if v.seen[vm] == nil {
 		v.seen[vm] = map[config.Version]time.Time{}
 	}
