--- a/loadtool/oracle/budget.go
+++ b/loadtool/oracle/budget.go
@@ -42,6 +42,10 @@
 	Refused int // at least once
 	False   int // refused after the perfect counter would have granted it
 	Final   int // of these, never answered
+	// Grants are the requests that the perfect counter would have granted in
+	// all. Where tokens are short it grants other ones than the system did, so
+	// False is more than the difference to what was answered.
+	Grants int
 }
 
 // Rate is the share of false refusals among the requests that asked.
@@ -82,6 +86,9 @@
 		}
 	}
 	sum.Asked, sum.Refused, sum.False = len(asked), len(refused), len(falsely)
+	for _, c := range counters {
+		sum.Grants += len(c.granted)
+	}
 	return sum
 }
 
--- a/loadtool/oracle/oracle_test.go
+++ b/loadtool/oracle/oracle_test.go
@@ -43,13 +43,13 @@
 		purchases []Purchase
 		want      Refusals
 	}{
-		{"enough and refused", []*record.Result{call("a", refused, 1)}, []Purchase{buys(0, 10)}, Refusals{1, 1, 1, 1}},
-		{"one token short", []*record.Result{call("a", refused, 1)}, []Purchase{buys(0, 9)}, Refusals{1, 1, 0, 0}},
-		{"counted once", []*record.Result{call("a", refused, 1, 2, 3)}, []Purchase{buys(0, 10)}, Refusals{1, 1, 1, 1}},
-		{"answered in the end", []*record.Result{call("a", refused, 1, 4)}, []Purchase{buys(0, 10)}, Refusals{1, 1, 1, 0}},
-		{"spent by another", []*record.Result{call("a", nil, 0.5), call("b", refused, 1)}, []Purchase{buys(0, 10)}, Refusals{2, 1, 0, 0}},
-		{"bought between tries", []*record.Result{call("a", refused, 1, 2)}, []Purchase{buys(1.5, 10)}, Refusals{1, 1, 1, 1}},
-		{"bought after", []*record.Result{call("a", refused, 1)}, []Purchase{buys(1.5, 10)}, Refusals{1, 1, 0, 0}},
+		{"enough and refused", []*record.Result{call("a", refused, 1)}, []Purchase{buys(0, 10)}, Refusals{1, 1, 1, 1, 1}},
+		{"one token short", []*record.Result{call("a", refused, 1)}, []Purchase{buys(0, 9)}, Refusals{1, 1, 0, 0, 0}},
+		{"counted once", []*record.Result{call("a", refused, 1, 2, 3)}, []Purchase{buys(0, 10)}, Refusals{1, 1, 1, 1, 1}},
+		{"answered in the end", []*record.Result{call("a", refused, 1, 4)}, []Purchase{buys(0, 10)}, Refusals{1, 1, 1, 0, 1}},
+		{"spent by another", []*record.Result{call("a", nil, 0.5), call("b", refused, 1)}, []Purchase{buys(0, 10)}, Refusals{2, 1, 0, 0, 1}},
+		{"bought between tries", []*record.Result{call("a", refused, 1, 2)}, []Purchase{buys(1.5, 10)}, Refusals{1, 1, 1, 1, 1}},
+		{"bought after", []*record.Result{call("a", refused, 1)}, []Purchase{buys(1.5, 10)}, Refusals{1, 1, 0, 0, 0}},
 		{"other causes", []*record.Result{call("a", map[float64]string{1: "overloaded"}, 1)}, []Purchase{buys(0, 10)}, Refusals{}},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/loadtool/report/report.go
+++ b/loadtool/report/report.go
@@ -51,6 +51,7 @@
 	FalseRefusalRateClairvoyant float64        `json:"false_refusal_rate_clairvoyant"`
 	BudgetAsked                 int            `json:"budget_asked"`         // requests
 	FalseRefusalsFinal          int            `json:"false_refusals_final"` // never answered, for all their retries
+	PerfectGrants               int            `json:"perfect_grants"`       // requests that the perfect counter would have granted
 	Refusals                    map[string]int `json:"refusals"`             // answers, by problem
 	Problems                    map[string]int `json:"problems"`             // other errors, by ending and problem
 
--- a/loadtool/run/judge.go
+++ b/loadtool/run/judge.go
@@ -101,7 +101,7 @@
 func (e *experiment) judgeAgainstPerfect(r *report.Report, span time.Duration) {
 	ceilings := oracle.JudgeRefusals(e.results, e.purchases, e.begun, oracle.Ceilings)
 	lengths := oracle.JudgeRefusals(e.results, e.purchases, e.begun, oracle.Lengths)
-	r.BudgetAsked, r.FalseRefusalsFinal = ceilings.Asked, ceilings.Final
+	r.BudgetAsked, r.FalseRefusalsFinal, r.PerfectGrants = ceilings.Asked, ceilings.Final, ceilings.Grants
 	r.FalseRefusals, r.FalseRefusalRate = ceilings.False, ceilings.Rate()
 	r.FalseRefusalsClairvoyant, r.FalseRefusalRateClairvoyant = lengths.False, lengths.Rate()
 	slow := max(e.Scenario.SlowEngines, 1)
