--- a/loadtool/run/operators.go
+++ b/loadtool/run/operators.go
@@ -42,6 +42,8 @@
 // run lets all operators change until ctx ends.
 func (r *race) run(ctx context.Context, prefix string) {
 	names := sortedWorkspaces(r.fleet.document)
+	// All change at the same moments, or the first conflict would set them apart.
+	begun := time.Now()
 	var group sync.WaitGroup
 	for i := range min(operators, len(names)) {
 		group.Go(func() {
@@ -50,7 +52,7 @@
 				r.change(context.WithoutCancel(ctx), i, names[i], fmt.Sprintf("%s-operator-%d-%d", prefix, i, n), float64(n+1))
 				select {
 				case <-ctx.Done():
-				case <-time.After(operatorPause):
+				case <-time.After(time.Until(begun.Add(time.Duration(n) * operatorPause))):
 				}
 			}
 		})
