--- a/loadtool/report/report.go
+++ b/loadtool/report/report.go
@@ -22,6 +22,8 @@
 	VMs      int     `json:"vms"`
 	Seconds  float64 `json:"seconds"` // from the first arrival to the last answer
 	Rate     float64 `json:"rate_per_s"`
+	// ToolPaused is the longest time in which the tool itself did not run.
+	ToolPaused float64 `json:"tool_paused_s"`
 
 	Requests  int `json:"requests"`
 	Completed int `json:"completed"`
@@ -204,6 +206,7 @@
 	mostControlCPU    = 3.5
 	mostControlRSS    = 32.0
 	mostControlKB     = 30.0
+	mostPaused        = 1.0
 )
 
 // Judge fills in the bars that were missed.
@@ -225,6 +228,7 @@
 		{"lost_share", r.LostShare > mostLostShare},
 		{"false_refusal_rate", r.FalseRefusalRate > mostFalseRefusals},
 		{"goodput", r.Goodput < goodput},
+		{"tool_paused_s", r.ToolPaused > mostPaused},
 		{"work_after_leaving_s", r.WorkAfterLeaving > mostAfterLeaving},
 		{"config_in_force_s", r.ConfigInForce > mostInForce},
 		{"control.cpu_core_pct", r.anyControl(func(c Control) bool { return c.CPUCorePct > mostControlCPU })},
--- a/loadtool/report/report_test.go
+++ b/loadtool/report/report_test.go
@@ -18,6 +18,7 @@
 		{"lost_share", func(r *Report) { r.LostShare = 0.0011 }},
 		{"false_refusal_rate", func(r *Report) { r.FalseRefusalRate = 0.0011 }},
 		{"goodput", func(r *Report) { r.Goodput = 0.94 }},
+		{"tool_paused_s", func(r *Report) { r.ToolPaused = 1.1 }},
 		{"work_after_leaving_s", func(r *Report) { r.WorkAfterLeaving = 3.1 }},
 		{"config_in_force_s", func(r *Report) { r.ConfigInForce = 5.1 }},
 		{"control.cpu_core_pct", func(r *Report) { r.Control = []Control{{}, {CPUCorePct: 3.6}} }},
--- a/loadtool/report/text.go
+++ b/loadtool/report/text.go
@@ -33,6 +33,7 @@
 		line{"goodput", fmt.Sprintf("%.4f (%.1f of %.1f)", r.Goodput, r.GoodputInTime, r.GoodputPossible)},
 		line{"ttft_ms p50/p95/p99", r.TTFT.text()},
 		line{"itl_ms p50/p95/p99", r.ITL.text()},
+		line{"tool_paused_s", fmt.Sprintf("%.2f", r.ToolPaused)},
 		line{"work_after_leaving_s", fmt.Sprintf("%.2f", r.WorkAfterLeaving)},
 		line{"config_in_force_s", fmt.Sprintf("%.2f (%d versions, %d conflicts)", r.ConfigInForce, r.ConfigVersions, r.ConfigConflicts)},
 		line{"table writes / reads a second", fmt.Sprintf("%.1f / %.1f", r.TableWritesPerS, r.TableReadsPerS)},
--- a/loadtool/run/collect.go
+++ b/loadtool/run/collect.go
@@ -94,6 +94,28 @@
 	}
 }
 
+// watchPauses notes the longest time in which the tool itself did not run. A
+// machine that stops for a while makes all times of a run worthless, and shows
+// as requests that time out all at once.
+func (e *experiment) watchPauses(ctx context.Context) {
+	ticker := time.NewTicker(pauseInterval)
+	defer ticker.Stop()
+	for before := time.Now(); ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		e.mu.Lock()
+		e.paused = max(e.paused, now.Sub(before)-pauseInterval)
+		e.mu.Unlock()
+		before = now
+	}
+}
+
+const pauseInterval = 50 * time.Millisecond
+
 // sample sums all budget rows.
 func (e *experiment) sample(ctx context.Context) (report.Point, error) {
 	p := report.Point{Second: time.Since(e.begun).Seconds()}
--- a/loadtool/run/judge.go
+++ b/loadtool/run/judge.go
@@ -26,6 +26,7 @@
 		Scenario: e.Scenario.Name, Seed: e.Seed, Fleet: e.fleet.document.Fleet.Name, VMs: len(e.Settings.VMs),
 		Seconds: span.Seconds(), Rate: e.Scenario.Rate, Requests: len(e.arrivals),
 		Faults: e.faults, FaultErrors: append(e.faultErrors, e.race.errors...), Spend: e.spend,
+		ToolPaused: e.paused.Seconds(),
 	}
 	e.judgeAccounts(r, findings)
 	e.judgeAnswers(r)
--- a/loadtool/run/run.go
+++ b/loadtool/run/run.go
@@ -72,6 +72,7 @@
 	faultErrors []string
 	results     []*record.Result
 	spend       []report.Point
+	paused      time.Duration
 }
 
 // Do runs a scenario and judges it.
@@ -187,6 +188,7 @@
 	group.Go(func() { e.balancer.Run(background) })
 	group.Go(func() { e.versions.watch(background, e.fleet) })
 	group.Go(func() { e.progress(background) })
+	group.Go(func() { e.watchPauses(background) })
 	faults, stopFaults := context.WithCancel(ctx)
 	var faulty sync.WaitGroup
 	faulty.Go(func() { e.bringAbout(faults) })
