membership: shared looks at the VM list, neighbours in turn

Cause: with 340 routers and as many controls the list is 128,081 bytes of JSON; a router that looks each second spends more on it than on all else together. And TestFleetHearsOfEachOther failed in 4 of 40 runs: neighbours drawn at random leave one out for long now and then, and a live process was suspected.

- The wait for the next look grows with the number of routers (3 looks of the whole fleet per interval, at most 30 intervals); what one reads, gossip tells the others: leavings and new incarnations.
Seen failing: a router that looked late kept a restarted engine out until its own look.
- Neighbours are taken in turn.

--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -27,6 +27,7 @@
 	mu    sync.Mutex
 	nodes map[string]*node // by peer address
 	cut   map[[2]string]bool
+	list  []platform.VM // what the platform's list says
 }
 
 // node is one process; it is also its own caller.
@@ -40,6 +41,7 @@
 	down     atomic.Bool
 	sent     atomic.Int64 // bytes with frames
 	received atomic.Int64
+	looks    atomic.Int64 // at the list
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -78,11 +80,29 @@
 	go func() {
 		defer close(n.done)
 		time.Sleep(time.Duration(rand.Int64N(int64(time.Second))))
+		go n.readList(ctx)
 		g.Run(ctx)
 	}()
 	return n
 }
 
+// readList looks at the platform's list as routers do.
+func (n *node) readList(ctx context.Context) {
+	for pauseFor(ctx, ListInterval(time.Second, n.count(Live))) {
+		n.fleet.mu.Lock()
+		list := n.fleet.list
+		n.fleet.mu.Unlock()
+		n.tracker.List(list)
+		n.looks.Add(1)
+	}
+}
+
+func (f *fleet) setList(list []platform.VM) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list = list
+}
+
 func (f *fleet) startAll(n int) (nodes []*node) {
 	known := vmsOf(n)
 	for _, vm := range known {
--- a/membership/neighbours.go
+++ b/membership/neighbours.go
@@ -8,8 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Neighbours returns up to n peers to push to, drawn at random from a bounded
-// set, so that a process holds few connections. The set is on a ring of the ids'
+// Neighbours returns up to n peers to push to, in turn from a bounded set, so that
+// a process holds few connections and forgets none of them for long. The set is on a ring of the ids'
 // hashes, at the distances 1, 2, 4 and so on: each process is then in as many
 // sets as its own is large, and news crosses the fleet in logarithmically many
 // steps. Dead processes are left out of the ring; one of them, drawn at random,
@@ -18,13 +18,16 @@
 	t.enter()
 	defer t.mu.Unlock()
 	alive, dead := t.peers()
-	set := ringSet(alive, t.self.ID)
-	t.random.Shuffle(len(set), func(i, j int) { set[i], set[j] = set[j], set[i] })
-	set = set[:min(n, len(set))]
+	ring := ringSet(alive, t.self.ID)
+	var chosen []Member
+	for range min(n, len(ring)) {
+		chosen = append(chosen, ring[t.turn%len(ring)])
+		t.turn++
+	}
 	if len(dead) > 0 {
-		set = append(set, dead[t.random.IntN(len(dead))])
+		chosen = append(chosen, dead[t.random.IntN(len(dead))])
 	}
-	return set
+	return chosen
 }
 
 // peers returns the processes that heartbeats can be sent to.
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -119,6 +119,7 @@
 	onWake  []func(time.Duration)
 	gap     time.Duration // the longest pause since OnWake's functions last ended
 	ordered map[string]bool
+	turn    int // in the set of neighbours
 	digest  uint64
 }
 
@@ -145,6 +146,7 @@
 	defer t.mu.Unlock()
 	own := t.replace(nil, o.Self, time.Now())
 	own.sequence = 1
+	t.turn = t.random.IntN(maxMembers)
 	t.spread(own)
 	t.publish(time.Now())
 	return t
@@ -193,9 +195,10 @@
 
 func (t *Tracker) listed(vm platform.VM, now time.Time) {
 	r := t.records[vm.ID]
-	first := r == nil || platform.OlderIncarnation(r.member.Incarnation, vm.Incarnation)
+	reborn := r != nil && platform.OlderIncarnation(r.member.Incarnation, vm.Incarnation)
+	first := r == nil || reborn
 	switch {
-	case first && len(t.records) >= maxMembers && r == nil:
+	case r == nil && len(t.records) >= maxMembers:
 		return
 	case first:
 		r = t.replace(r, memberOf(vm), now)
@@ -204,11 +207,12 @@
 	}
 	r.seen = now
 	r.gone = r.gone || vm.State == platform.VMGone
-	if vm.State == platform.VMLeaving && !r.leaving {
-		r.leaving = true
-		if !first {
-			t.spread(r)
-		}
+	left := vm.State == platform.VMLeaving && !r.leaving
+	r.leaving = r.leaving || left
+	// Others may look much later. What is seen for the first time is no news: at
+	// a start that is the whole fleet.
+	if reborn || left && !first {
+		t.spread(r)
 	}
 }
 
--- a/router/members.go
+++ b/router/members.go
@@ -55,12 +55,10 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { m.gossip.Run(ctx) })
 	tasks.Go(func() { m.apply(ctx) })
-	ticker := time.NewTicker(m.interval)
-	defer ticker.Stop()
 	for ctx.Err() == nil {
 		m.refresh(ctx)
 		select {
-		case <-ticker.C:
+		case <-time.After(membership.ListInterval(m.interval, m.routers())):
 		case <-ctx.Done():
 		}
 	}
--- a/router/settings.go
+++ b/router/settings.go
@@ -31,7 +31,8 @@
 	LeaveNotice settings.Duration `json:"leave_notice"`
 	// LoadInterval is the time between two load reports taken of an upstream.
 	LoadInterval settings.Duration `json:"load_interval"`
-	// MemberInterval is the time between two looks at the VM list.
+	// MemberInterval is the time in which a few routers of the fleet look at the
+	// VM list; each of them looks the less often the more there are.
 	MemberInterval settings.Duration `json:"member_interval"`
 	// TLS secures the callers' listener, PeerTLS the connections between the
 	// system's own processes, both ways.
