--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -18,7 +18,7 @@
 
 // frameOverhead is what the peer protocol adds to a body: length, kind, call
 // number, method and time limit.
-const frameOverhead = 45
+const frameOverhead = 54
 
 // fleet is processes with real gossip over a transport in memory, for use in a
 // synctest bubble.
--- a/membership/message.go
+++ b/membership/message.go
@@ -2,20 +2,15 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"slices"
 	"time"
 
-	"github.com/rotisserie/eris"
-	"github.com/vmihailenco/msgpack/v5"
-
 	"buckthornridge/platform"
 )
 
 // Bounds of one message.
 const (
 	maxBeats = 384
-	keyBytes = 8
 	maxNews  = 16
 	maxTold  = 1024 // members in the answer of an exchange
 	// newsRounds is in how many messages' rounds a piece of news is passed on.
@@ -28,47 +23,6 @@
 	Sequence uint64
 }
 
-// Beats travel as one byte string of 9 to 11 bytes each: the key, then the
-// sequence as a varint. They are nearly all of what gossip costs.
-type Beats []Beat
-
-var (
-	_ msgpack.CustomEncoder = Beats(nil)
-	_ msgpack.CustomDecoder = (*Beats)(nil)
-)
-
-// EncodeMsgpack implements msgpack.CustomEncoder.
-func (b Beats) EncodeMsgpack(e *msgpack.Encoder) error {
-	packed := make([]byte, 0, len(b)*11)
-	for _, beat := range b {
-		packed = binary.BigEndian.AppendUint64(packed, beat.Key)
-		packed = binary.AppendUvarint(packed, beat.Sequence)
-	}
-	return e.EncodeBytes(packed)
-}
-
-// DecodeMsgpack implements msgpack.CustomDecoder. It refuses more than maxBeats.
-func (b *Beats) DecodeMsgpack(d *msgpack.Decoder) error {
-	packed, err := d.DecodeBytes()
-	if err != nil {
-		return err
-	}
-	*b = nil
-	for len(packed) > 0 {
-		if len(packed) < keyBytes || len(*b) == maxBeats {
-			return eris.New("membership: malformed heartbeats")
-		}
-		key := binary.BigEndian.Uint64(packed)
-		sequence, n := binary.Uvarint(packed[keyBytes:])
-		if n <= 0 {
-			return eris.New("membership: malformed heartbeat")
-		}
-		*b = append(*b, Beat{Key: key, Sequence: sequence})
-		packed = packed[keyBytes+n:]
-	}
-	return nil
-}
-
 // News tells of a member whole: a new incarnation, or one that is leaving.
 type News struct {
 	Member   Member `msgpack:"m"` // its State is Live or Leaving
@@ -79,7 +33,7 @@
 type Message struct {
 	From  uint64 `msgpack:"f"` // key of the sender
 	Beats Beats  `msgpack:"b"`
-	News  []News `msgpack:"n,omitempty"`
+	News  Told   `msgpack:"n,omitempty"`
 }
 
 // Question asks a peer for all it knows if it knows something else.
@@ -90,7 +44,7 @@
 
 // Answer tells of all members that are not dead, or of none if the digests agree.
 type Answer struct {
-	Members []News `msgpack:"m,omitempty"`
+	Members Told `msgpack:"m,omitempty"`
 }
 
 // rumour is a piece of news that is still being passed on.
@@ -147,8 +101,8 @@
 
 // takeNews returns the news to pass on, the newest first, and drops what was
 // passed on often enough.
-func (t *Tracker) takeNews() []News {
-	var out []News
+func (t *Tracker) takeNews() Told {
+	var out Told
 	for i := len(t.rumours) - 1; i >= 0 && len(out) < maxNews; i-- {
 		t.rumours[i].rounds++
 		if r := t.byKey[t.rumours[i].key]; r != nil && r.member.State < Dead {
--- /dev/null
+++ b/membership/socket_test.go
@@ -0,0 +1,130 @@
+package membership
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"buckthornridge/peer"
+)
+
+// countingConn counts what a client writes.
+type countingConn struct {
+	net.Conn
+	written *atomic.Int64
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	c.written.Add(int64(len(b)))
+	return c.Conn.Write(b)
+}
+
+// The figures of the fleets in memory count frameOverhead for each message; on a
+// real connection it is no more.
+func TestMessageOnTheWire(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	there := pair()
+	server := peer.NewServer()
+	NewGossip(there, nil).Serve(server)
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	var written atomic.Int64
+	client := peer.NewClient(nil)
+	client.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, address)
+		return countingConn{Conn: conn, written: &written}, err
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	m := beat(7, true)
+	m.News = told(vmOf(9), Leaving, 3).News
+	is.NoErr(client.Push(ctx, listener.Addr().String(), methodGossip, m))
+	for ctx.Err() == nil && there.stateOf("vm-009") != Leaving {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(there.Counters.Beats.Value(), int64(1))
+	body, err := msgpack.Marshal(m)
+	is.NoErr(err)
+	is.True(written.Load() > int64(len(body)))
+	is.True(written.Load() <= int64(len(body)+frameOverhead))
+	is.NoErr(client.Close())
+	is.NoErr(server.Close())
+	<-served
+}
+
+// A broken or hostile peer announces 808 million members in a message of ten
+// bytes. The library takes memory for all of them before it reads the first, and
+// the process ended.
+func TestAnnouncedLengthTakesNoMemory(t *testing.T) {
+	is := is.New(t)
+	for _, body := range []string{
+		"\x83\xa1n\xdd00\x90000\x9b",            // news
+		"\x81\xa1m\xdd00\x90000\x9b",            // the answer of an exchange
+		"\x81\xa1b\xc6\x7f\xff\xff\xff\x00\x00", // heartbeats
+	} {
+		var m Message
+		var a Answer
+		is.True(msgpack.Unmarshal([]byte(body), &m) != nil || body[2] == 'm')
+		is.True(msgpack.Unmarshal([]byte(body), &a) != nil || body[2] != 'm')
+	}
+}
+
+func FuzzMessage(f *testing.F) {
+	for _, m := range []Message{beat(7, true), told(vmOf(9), Leaving, 3), {}} {
+		b, err := msgpack.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m Message
+		if msgpack.Unmarshal(b, &m) != nil {
+			return
+		}
+		k := pair()
+		k.Receive(m)
+		for id, member := range k.View().Load().Members {
+			if member.State == Gone || id == "" {
+				t.Fatalf("%v after %v", member, m)
+			}
+		}
+	})
+}
+
+// BenchmarkReceive is one round of a process among 340: three messages in, one
+// out.
+func BenchmarkReceive(b *testing.B) {
+	k := NewTracker(Options{Self: memberOf(vmOf(0)), Beats: routersBeat})
+	k.List(vmsOf(340))
+	var m Message
+	for _, vm := range vmsOf(340) {
+		m.Beats = append(m.Beats, Beat{Key: keyOf(vm.ID, vm.Incarnation)})
+	}
+	for n := 0; b.Loop(); n++ {
+		for range 3 {
+			for i := range m.Beats {
+				m.Beats[i].Sequence++
+			}
+			body, err := msgpack.Marshal(m)
+			if err != nil {
+				b.Fatal(err)
+			}
+			var in Message
+			if err := msgpack.Unmarshal(body, &in); err != nil {
+				b.Fatal(err)
+			}
+			k.Receive(in)
+		}
+		k.Tick()
+		k.Round()
+		k.Neighbours(fanOut)
+	}
+}
