--- a/duty/work.go
+++ b/duty/work.go
@@ -11,9 +11,10 @@
 )
 
 // Pauses between the passes of the built-in duties. A pass of reclaim reads the
-// whole VM list, which at 340 VMs is 60 KB.
+// whole VM list, which at 340 VMs is 60 KB; one of fold reads what each
+// busy budget has billed lately, whole.
 const (
-	foldInterval    = time.Second
+	foldInterval    = 3 * time.Second
 	reclaimInterval = 10 * time.Second
 	pruneInterval   = time.Hour
 )
@@ -42,7 +43,11 @@
 func (reclaim) Interval() time.Duration { return reclaimInterval }
 
 func (reclaim) Run(ctx context.Context, env Env) error {
-	_, err := budget.Reclaimer{Table: env.Platform.Table, VMs: env.Platform.VMs}.Run(ctx)
+	_, err := budget.Reclaimer{
+		Table:     env.Platform.Table,
+		VMs:       env.Platform.VMs,
+		Questions: budget.PeerQuestions{Peers: env.Peers, VMs: env.Platform.VMs},
+	}.Run(ctx)
 	return err
 }
 
--- a/loadtool/audit/audit_test.go
+++ b/loadtool/audit/audit_test.go
@@ -50,12 +50,16 @@
 // relied on it: until it asked again.
 func TestNotRunButRan(t *testing.T) {
 	refused, broken := record.Refused, record.Broken
+	begunThenNotRun := try(10, 15, record.Failed, record.NotRun)
+	begunThenNotRun.Begun = true
 	for _, tt := range []struct {
 		name  string
 		tries []record.Try
 		ran   []int64
 		want  int
 	}{
+		{"part of an answer, then not run", []record.Try{begunThenNotRun}, []int64{12}, 1},
+		{"the same after a try that broke", []record.Try{try(0, 5, broken, ""), begunThenNotRun}, []int64{3}, 1},
 		{"not run", []record.Try{try(0, 5, refused, record.NotRun)}, nil, 0},
 		{"ran before it was said", []record.Try{try(0, 5, refused, record.NotRun)}, []int64{3}, 1},
 		{"ran after it was said", []record.Try{try(0, 5, refused, record.NotRun)}, []int64{900}, 1},
@@ -85,6 +89,8 @@
 		index = binary.BigEndian.AppendUint64(index, xxhash.Sum64String(request))
 	}
 	return []platform.Row{
+		{Key: ledger.FoldKey("holder"), Value: ledger.Encode(journal.State{Next: 1})},
+		{Key: ledger.SegmentKey("holder", 0), Value: ledger.Encode(journal.Segment{Entries: []journal.Entry{bill("stale")}})},
 		{Key: ledger.SegmentKey("holder", 1), Value: ledger.Encode(journal.Segment{Entries: waiting})},
 		{Key: ledger.BudgetKey(budget), Value: ledger.Encode(row)},
 		{Key: ledger.IndexKey(budget, 1), Value: index},
@@ -121,6 +127,8 @@
 				Executions: map[string]service.Report{"s": ran("a", 1)}, Purchased: map[ledger.ID]int64{budget: 100},
 			})
 			is.NoErr(err)
+			is.Equal(f.StaleSegments, 1)
+			is.Equal(f.UnfoldedSegments, 1)
 			is.Equal(f.BillsMissing, tt.missing)
 			is.Equal(f.BillsDouble, tt.double)
 			is.Equal(f.LedgerViolations, 0)
--- a/router/router.go
+++ b/router/router.go
@@ -118,11 +118,13 @@
 	}
 	r.table.OnRoom(r.admission.Wake)
 	r.keeper = budget.NewKeeper(budget.KeeperConfig{
-		Table:    r.services.Table,
-		Holder:   budget.HolderName(r.settings.VM, r.incarnation),
-		Policy:   r.budgetPolicy,
-		Recaller: &recaller{peers: r.peers, view: r.members.view},
+		Table:     r.services.Table,
+		Holder:    budget.HolderName(r.settings.VM, r.incarnation),
+		Policy:    r.budgetPolicy,
+		Recaller:  &recaller{peers: r.peers, view: r.members.view},
+		Witnesses: &witnesses{peers: r.peers, view: r.members.view, self: r.settings.VM},
 	})
+	budget.ServeWitness(r.peerSrv, budget.HolderName(r.settings.VM, r.incarnation), budget.NewTestimony())
 	r.wake = wakeCheck{table: r.services.Table, writer: r.keeper.Journal(), tracker: r.members.tracker}
 	return nil
 }
