--- a/loadtool/run/judge.go
+++ b/loadtool/run/judge.go
@@ -26,6 +26,7 @@
 		Scenario: e.Scenario.Name, Seed: e.Seed, Fleet: e.fleet.document.Fleet.Name, VMs: len(e.Settings.VMs),
 		Seconds: span.Seconds(), Rate: e.Scenario.Rate, Requests: len(e.arrivals),
 		Faults: e.faults, FaultErrors: append(e.faultErrors, e.race.errors...), Spend: e.spend,
+		ToolPaused: e.paused.Seconds(),
 	}
 	e.judgeAccounts(r, findings)
 	e.judgeAnswers(r)
@@ -101,7 +102,7 @@
 func (e *experiment) judgeAgainstPerfect(r *report.Report, span time.Duration) {
 	ceilings := oracle.JudgeRefusals(e.results, e.purchases, e.begun, oracle.Ceilings)
 	lengths := oracle.JudgeRefusals(e.results, e.purchases, e.begun, oracle.Lengths)
-	r.BudgetAsked, r.FalseRefusalsFinal = ceilings.Asked, ceilings.Final
+	r.BudgetAsked, r.FalseRefusalsFinal, r.PerfectGrants = ceilings.Asked, ceilings.Final, ceilings.Grants
 	r.FalseRefusals, r.FalseRefusalRate = ceilings.False, ceilings.Rate()
 	r.FalseRefusalsClairvoyant, r.FalseRefusalRateClairvoyant = lengths.False, lengths.Rate()
 	slow := max(e.Scenario.SlowEngines, 1)
