settings: nesting and the number of values are bounded

The parser works by recursion: 8 MiB of brackets, within the API's bound for a configuration, ended the process with 'goroutine stack exceeds-byte limit', which can't be recovered. Brackets outside strings and comments are counted before it. Many small values are bounded too, at a million: they took 597 MiB to read and hold 250 MiB, measured once; a configuration of 6,100 workspaces has about a tenth of that. A fuzz test found no panic and no fault without a place in 917,650 texts (20 s).

--- /dev/null
+++ b/settings/depth.go
@@ -0,0 +1,69 @@
+package settings
+
+import "fmt"
+
+// Bounds of a text, which may come from anybody with a token.
+const (
+	// maxDepth bounds the nesting of objects and lists. The parser works by
+	// recursion, and a stack that grows too large ends the process.
+	maxDepth = 100
+	// maxValues bounds the values and keys. Each takes a few hundred bytes once
+	// it is read, many times its text; 6,100 workspaces have about 100,000.
+	maxValues = 1_000_000
+)
+
+// overBounds returns the place and the bound that a text exceeds, or -1. It skips
+// strings and comments; what is no JSON is left to the parser.
+func overBounds(data []byte) (offset int, bound string) {
+	depth, values := 0, 0
+	for i := 0; i < len(data); i++ {
+		switch data[i] {
+		case '"':
+			i = endOfString(data, i)
+		case '/':
+			i = endOfComment(data, i)
+		case '[', '{':
+			depth++
+			values++
+		case ',', ':':
+			values++
+		case ']', '}':
+			depth--
+		}
+		if depth > maxDepth {
+			return i, fmt.Sprintf("nested deeper than %d", maxDepth)
+		}
+		if values > maxValues {
+			return i, fmt.Sprintf("more than %d keys and values", maxValues)
+		}
+	}
+	return -1, ""
+}
+
+// endOfString returns the offset of the quote that ends the string begun at i.
+func endOfString(data []byte, i int) int {
+	for i++; i < len(data) && data[i] != '"'; i++ {
+		if data[i] == '\\' {
+			i++
+		}
+	}
+	return i
+}
+
+// endOfComment returns the offset of the last byte of the comment begun at i, or
+// i if there is none.
+func endOfComment(data []byte, i int) int {
+	if i+1 >= len(data) {
+		return i
+	}
+	switch data[i+1] {
+	case '/':
+		for i < len(data) && data[i] != '\n' {
+			i++
+		}
+	case '*':
+		for i += 3; i < len(data) && (data[i-1] != '*' || data[i] != '/'); i++ {
+		}
+	}
+	return i
+}
--- /dev/null
+++ b/settings/fuzz_test.go
@@ -0,0 +1,22 @@
+package settings
+
+import "testing"
+
+// FuzzDecode looks for texts that panic, and for faults without a place.
+func FuzzDecode(f *testing.F) {
+	for _, text := range []string{`{"vm": "a"}`, "{\n\"on\": 1}", `"\`, `/*`, `/**/[`, `{"peers": {"a": {"timeout": "1s"}}, "names": [1,]}`, "//"} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var into program
+		err := Decode("f", data, &into)
+		if err == nil {
+			return
+		}
+		for _, fault := range err.(Errors) {
+			if fault.At.File != "f" || fault.At.Line < 1 || fault.At.Column < 1 {
+				t.Fatalf("fault without a place: %v", fault)
+			}
+		}
+	})
+}
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -11,13 +11,18 @@
 )
 
 // Parse reads one JSON-with-comments value. A faulty text gives all faults that
-// it can tell apart: one syntax error, or every doubled key.
+// it can tell apart: one syntax error, or every doubled key. Nesting and the
+// number of values are bounded.
 func Parse(name string, data []byte) (*Node, Errors) {
+	p := parser{file: name, lines: lineStarts(data)}
+	if offset, bound := overBounds(data); offset >= 0 {
+		p.faults.Add(p.at(offset), "%s", bound)
+		return nil, p.faults
+	}
 	value, err := hujson.Parse(data)
 	if err != nil {
 		return nil, Errors{syntaxError(name, err)}
 	}
-	p := parser{file: name, lines: lineStarts(data)}
 	root := p.node(&value)
 	if len(p.faults) > 0 {
 		return nil, p.faults
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -90,3 +91,32 @@
 	is.Equal(Load(path, &into).Error(), path+":1:8: want a string, found a number")
 	is.True(Load(path+"x", &into) != nil)
 }
+
+// A body of nothing but brackets arrives. Read by recursion, each bracket takes
+// stack, and a stack that is too large ends the process: no error, no recovery.
+func TestDeepNestingIsRefused(t *testing.T) {
+	is := is.New(t)
+	var into any
+	for _, text := range []string{
+		strings.Repeat("[", 8<<20),
+		strings.Repeat(`{"a":`, 1<<20),
+		`"]" // [[` + strings.Repeat("\n[", maxDepth+1),
+	} {
+		err := Decode("f", []byte(text), &into)
+		is.True(err != nil)
+		is.True(strings.Contains(err.Error(), "nested deeper than"))
+	}
+	brackets := "/*" + strings.Repeat("[", 200) + "*/ {\"a\": \"" + strings.Repeat(`[\"`, 200) + "\"} //" + strings.Repeat("[", 200) + "\n"
+	_, faults := Parse("f", []byte(brackets))
+	is.Equal(len(faults), 0)
+	_, faults = Parse("f", []byte(strings.Repeat("[", maxDepth)+strings.Repeat("]", maxDepth)))
+	is.Equal(len(faults), 0)
+	_, faults = Parse("f", []byte(strings.Repeat("[],", 200)))
+	is.True(!strings.Contains(faults.Error(), "nested"))
+}
+
+func TestTooManyValuesAreRefused(t *testing.T) {
+	is := is.New(t)
+	_, faults := Parse("f", []byte("["+strings.Repeat("1,", maxValues)+"1]"))
+	is.Equal(faults.Error(), "f:1:2000001: more than 1000000 keys and values")
+}
