peer: announced lengths are checked; request: engine streams are named once

Cause: a body of ten bytes that announces 800 million list elements made the decoder take memory for them, and the process ended out of memory; found by fuzzing the membership messages. And a run that was asked for again after a failure named its engine stream like the first one.

Ruled out: a smaller frame limit (ten bytes are enough); own decoders for each message. One scan over each frame bounds what is announced by what was sent.

Conclusion: reservations also learn their stream, so that what a dead router had reserved for a resumed run is not written off.

--- a/peer/frame.go
+++ b/peer/frame.go
@@ -92,6 +92,9 @@
 }
 
 func decodeFrame(body []byte) (*frame, error) {
+	if err := scan(body); err != nil {
+		return nil, err
+	}
 	var f frame
 	if err := msgpack.Unmarshal(body, &f); err != nil {
 		return nil, eris.Wrapf(ErrMalformed, "%v", err)
--- a/request/executor.go
+++ b/request/executor.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"buckthornridge/platform"
@@ -59,6 +60,7 @@
 	router    Router
 	claims    *claims
 	notes     *notes
+	streams   atomic.Uint64 // numbers engine streams; a name is never used twice
 	// onDispatch is told where a model's run was dispatched.
 	onDispatch func(*Request, Hint)
 
--- a/request/forward_test.go
+++ b/request/forward_test.go
@@ -210,6 +210,9 @@
 		got := ask(t.Context(), all[places[2]].Do, chat("k", 100))
 		is.Equal(got.text, whole(100))
 		is.Equal(engine.generated, 1)
+		stream := "studio/k/" + places[0] + ".1"
+		is.Equal(n.routers[places[0]].Executor.budgets.(*fakeBudgets).dispatched, []dispatched{{stream, false}})
+		is.Equal(n.routers[places[1]].Executor.budgets.(*fakeBudgets).dispatched, []dispatched{{stream, true}})
 	})
 }
 
--- a/request/generate.go
+++ b/request/generate.go
@@ -165,8 +165,8 @@
 	if err != nil {
 		return upstream.Usage{}, err
 	}
-	a.streamID = fmt.Sprintf("%s/%s/%s.%d", a.request.Key.Workspace, a.request.Key.ID, a.executor.holder, a.number)
-	if problem := a.dispatch(); problem != nil {
+	a.streamID = fmt.Sprintf("%s/%s/%s.%d", a.request.Key.Workspace, a.request.Key.ID, a.executor.holder, a.executor.streams.Add(1))
+	if problem := a.dispatch(false); problem != nil {
 		return upstream.Usage{}, problem
 	}
 	w := newWatch(ctx, a.executor.settings)
@@ -196,7 +196,7 @@
 	}
 	a.target, a.streamID, a.ran = h.Upstream, h.StreamID, true
 	stream = upstream.Limit(w.ctx, engine, stream, a.wanted())
-	if problem := a.dispatch(); problem != nil {
+	if problem := a.dispatch(true); problem != nil {
 		stream.Close()
 		return usage, true, problem
 	}
@@ -207,7 +207,7 @@
 // dispatch marks the run as possibly running before the first byte is sent.
 // It refuses when this process may no longer spend its grants, or when the run
 // was given up.
-func (a *attempt) dispatch() error {
+func (a *attempt) dispatch(resumed bool) error {
 	if !a.executor.budgets.Alive() {
 		return &Problem{Name: ProblemDraining, RetryAfter: time.Second,
 			Detail: "this router was replaced while it was paused"}
@@ -216,6 +216,7 @@
 	if !a.run.dispatch(h) {
 		return &Problem{Name: ProblemDeadline, RetryAfter: time.Second, Detail: "the caller gave up"}
 	}
+	a.reservation.Dispatch(a.streamID, resumed)
 	if a.executor.onDispatch != nil {
 		a.executor.onDispatch(a.request, h)
 	}
--- a/request/harness_test.go
+++ b/request/harness_test.go
@@ -66,6 +66,12 @@
 
 func (open) Admit(context.Context, *Request) (func(), error) { return func() {}, nil }
 
+// dispatched is one call of Reservation.Dispatch.
+type dispatched struct {
+	stream  string
+	resumed bool
+}
+
 // fakeBudgets counts what becomes of reservations.
 type fakeBudgets struct {
 	mu       sync.Mutex
@@ -76,7 +82,9 @@
 	billed   []int64
 	lost     []int64
 	released int
-	open     int
+	// dispatched lists the streams that reservations were told of.
+	dispatched []dispatched
+	open       int
 }
 
 func (b *fakeBudgets) Alive() bool {
@@ -109,6 +117,12 @@
 	r.budgets.open--
 }
 
+func (r *fakeReservation) Dispatch(stream string, resumed bool) {
+	r.budgets.mu.Lock()
+	defer r.budgets.mu.Unlock()
+	r.budgets.dispatched = append(r.budgets.dispatched, dispatched{stream, resumed})
+}
+
 func (r *fakeReservation) Bill(_ context.Context, tokens int64) error {
 	r.budgets.mu.Lock()
 	defer r.budgets.mu.Unlock()
--- a/request/ports.go
+++ b/request/ports.go
@@ -17,6 +17,10 @@
 
 // Reservation is a part of a grant set aside for one attempt.
 type Reservation interface {
+	// Dispatch names the engine's stream before its first byte is sent. resumed
+	// says that an earlier router began it: the bill covers the whole stream,
+	// so that what that router had reserved for it is not written off.
+	Dispatch(stream string, resumed bool)
 	// Bill makes the bill durable. budget.ErrBillPending means that it is kept
 	// for later because the table does not answer.
 	Bill(ctx context.Context, tokens int64) error
