--- a/admin/scope.go
+++ b/admin/scope.go
@@ -57,6 +57,9 @@
 		if current, exists := head.Workspaces[name]; exists && current.Team != who.team {
 			return problem(ProblemForbidden, fmt.Sprintf("the name of workspace %q is taken", name))
 		}
+		if !mayShare(head, name, workspace.Share) {
+			return problem(ProblemForbidden, fmt.Sprintf("workspace %q: only teams with fleet may change share", name))
+		}
 	}
 	if p := checkTeamScope(head, sent, who); p != nil {
 		return p
@@ -64,6 +67,20 @@
 	return checkForeignDigests(head, sent, who)
 }
 
+// mayShare reports whether a team may send a share: the one that stands, or the
+// default for a new workspace. Shares weigh workspaces of all teams against each
+// other, so a team that set its own could take the fleet from the others.
+func mayShare(head config.Document, name string, share float64) bool {
+	current, exists := head.Workspaces[name]
+	if !exists {
+		return share <= defaultShare
+	}
+	return share == current.Share
+}
+
+// defaultShare is what a share of 0 counts as.
+const defaultShare = 1
+
 // onlyOwnSections reports whether a document holds nothing but workspaces and
 // teams.
 func onlyOwnSections(doc config.Document) bool {
