--- a/budget/cost_test.go
+++ b/budget/cost_test.go
@@ -16,9 +16,10 @@
 	"buckthornridge/platform"
 )
 
-// TestTableWrites prints, with -experiment, table commits against requests and
-// against routers, and what one row per bill costs instead of journals.
-func TestTableWrites(t *testing.T) {
+// TestCosts prints, with -experiment, table commits against requests and against
+// routers, what one row per bill costs instead of journals, and what a cut and a
+// death cost with witnesses.
+func TestCosts(t *testing.T) {
 	if *experimentSeeds == 0 {
 		return // prints figures; the bars are TestFalseRefusals
 	}
@@ -30,6 +31,15 @@
 		s := setup{size: 0.3, rate: 200, routers: routers, plenty: 100, weight: 0.5}
 		t.Logf("rate 200 routers %d: %s", routers, runTrialIn(t, 1, s, ways[2]))
 	}
+	for _, weight := range []float64{0, 0.5, 1} {
+		for _, islands := range []bool{false, true} {
+			s := setup{size: 1, rate: 67, routers: 9, plenty: 10, fault: "cut", weight: weight, witnessed: true, islands: islands}
+			t.Logf("plenty, cut, weight %.1f, islands %t: %s", weight, islands, runTrialIn(t, 1, s, ways[2]))
+		}
+		s := usual(1, "killed", weight)
+		s.witnessed = true
+		t.Logf("killed, weight %.1f: %s", weight, runTrialIn(t, 1, s, ways[2]))
+	}
 	for _, rate := range []float64{10, 67, 200, 600} {
 		synctest.Test(t, func(t *testing.T) { rowPerBill(t, rate) })
 	}
--- a/budget/experiment_test.go
+++ b/budget/experiment_test.go
@@ -43,6 +43,9 @@
 	plenty  int64  // times the tokens that end shortly before the trial does
 	fault   string // "", "cut" or "frozen": a third of the routers; "killed": one
 	weight  float64
+	// witnessed gives each router a neighbour as witness; islands says that those
+	// of "cut" do not reach it either.
+	witnessed, islands bool
 }
 
 func usual(scale size, fault string, weight float64) setup {
@@ -140,6 +143,7 @@
 	setup
 	way     way
 	keepers []*budget.Keeper
+	bench   *bench
 
 	mu        sync.Mutex
 	purchased []int64
@@ -151,7 +155,7 @@
 func expBudget(i int) budget.ID { return budget.ID{Workspace: fmt.Sprint("w", i), Name: "b"} }
 
 func runTrial(t *testing.T, seed uint64, s setup, w way) outcome {
-	x := &trial{fleet: newFleet(t), setup: s, way: w, consumed: make([]int64, 10), running: make([]int64, 10)}
+	x := &trial{fleet: newFleet(t), setup: s, way: w, bench: newBench(), consumed: make([]int64, 10), running: make([]int64, 10)}
 	for i := range 10 {
 		tokens := s.plenty * int64(expLarge*s.size)
 		if i >= 3 {
@@ -193,6 +197,10 @@
 	if x.way.recall {
 		cfg.Recaller = x.fleet
 	}
+	if x.witnessed {
+		x.bench.testimony[holder] = budget.NewTestimony()
+		cfg.Witnesses = neighbour{x, holder}
+	}
 	k := budget.NewKeeper(cfg)
 	x.fleet.keepers[holder] = k
 	_ = k.Start(x.t.Context())
@@ -200,6 +208,29 @@
 	return k
 }
 
+// neighbour has the next router as witness.
+type neighbour struct {
+	x      *trial
+	holder string
+}
+
+func (n neighbour) Choose(string) string {
+	var at int
+	_, _ = fmt.Sscanf(n.holder, "vm-%d#", &at)
+	return budget.HolderName(fmt.Sprint("vm-", (at+1)%n.x.routers), "1")
+}
+
+func (n neighbour) Enter(ctx context.Context, witness, holder string, number uint64) error {
+	if n.x.islands && n.x.cut[holder] {
+		return budget.ErrNoWitness
+	}
+	return n.x.bench.Enter(ctx, witness, holder, number)
+}
+
+func (n neighbour) Leave(ctx context.Context, witness, holder string, number uint64) error {
+	return n.x.bench.Leave(ctx, witness, holder, number)
+}
+
 func (x *trial) breakThird() {
 	switch x.fault {
 	case "":
@@ -223,9 +254,17 @@
 		x.result.heldByDead += x.status(expBudget(i)).Holders["vm-0#1"].Held
 	}
 	_ = x.fake.As("operator").VMs.Announce(x.t.Context(), platform.VM{ID: "vm-0", Incarnation: "2", Role: "router", Address: "127.0.0.1:1", State: platform.VMLive})
+	x.fleet.questions = x.questions()
 	x.duties()
 }
 
+func (x *trial) questions() budget.Questions {
+	if x.witnessed {
+		return x.bench
+	}
+	return nil
+}
+
 // pick chooses the router: the balancer sends nothing to frozen ones.
 func (x *trial) pick(a arrival, faulty bool) int {
 	if faulty && x.fault == "killed" {
