Budgets: the outage exposure is the refusal weight's share of a grant

With witnesses the outage exposure costs tokens only when a router dies in an outage, so it need not shrink with the square of the weight.

--- a/budget/limits.go
+++ b/budget/limits.go
@@ -46,7 +46,7 @@
 		billWait: 2 * time.Second,
 		share:    math.Pow(2, weight) / 16,
 		horizon:  between(10*time.Second, time.Hour),
-		exposed:  weight * weight,
+		exposed:  weight,
 		idle:     between(15*time.Second, 5*time.Minute),
 	}
 }
