loadtool: the record of an upstream that is killed is read just before

Cause: a server that ran a confirmation twice and died took the evidence with it. The test fails without the saved record (no double run found).

--- a/loadtool/fault/fault.go
+++ b/loadtool/fault/fault.go
@@ -77,6 +77,8 @@
 	Resolve func(target string) string
 	// Requests takes the lines for processes; nil if nobody reads them.
 	Requests io.Writer
+	// Before, if set, is called just before each fault.
+	Before func(ctx context.Context, f Fault)
 	// TopUp buys a share of the planned spend.
 	TopUp  func(ctx context.Context, share float64) error
 	Client *http.Client
@@ -95,6 +97,9 @@
 		if e.Resolve != nil {
 			f.Target = e.Resolve(f.Target)
 		}
+		if e.Before != nil {
+			e.Before(ctx, f)
+		}
 		done := Done{Fault: f, When: time.Now()}
 		report(done, e.Do(ctx, f))
 	}
--- a/loadtool/run/bench_test.go
+++ b/loadtool/run/bench_test.go
@@ -68,6 +68,7 @@
 	doc      config.Document
 
 	mu      sync.Mutex
+	killed  *upstreamServer // closed when the tool asks for a kill
 	version config.Version
 	asked   int // of /debug/status
 	count   int // of requests
@@ -162,9 +163,10 @@
 		if err := os.WriteFile(settings.Requests, nil, 0o600); err != nil {
 			t.Fatal(err)
 		}
+		defer b.serveKill(settings.Requests)()
 	}
 	r, err := Do(t.Context(), Options{
-		Settings: settings, Scenario: s, Seed: 7, Prefix: "test", Settle: time.Millisecond, Progress: func(line string) { t.Log(line) },
+		Settings: settings, Scenario: s, Seed: 7, Prefix: "test", Settle: time.Millisecond, Tries: 3, Progress: func(line string) { t.Log(line) },
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -172,6 +174,27 @@
 	return r
 }
 
+// serveKill closes b.killed once the tool asks for a kill; the function that it
+// returns ends that.
+func (b *bench) serveKill(requests string) (end func()) {
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			if text, _ := os.ReadFile(requests); b.killed != nil && strings.HasPrefix(string(text), "kill") {
+				b.killed.Close()
+				return
+			}
+			select {
+			case <-done:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	}()
+	return func() { close(done); <-ended }
+}
+
 func (b *bench) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/chat/completions", b.chat)
--- a/loadtool/run/collect.go
+++ b/loadtool/run/collect.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -8,6 +9,7 @@
 	"buckthornridge/config"
 	"buckthornridge/loadtool/audit"
 	"buckthornridge/loadtool/caller"
+	"buckthornridge/loadtool/fault"
 	"buckthornridge/loadtool/report"
 	"buckthornridge/standin/engine"
 	"buckthornridge/standin/service"
@@ -29,12 +31,34 @@
 		Balancer:  e.balancer,
 		Keys:      e.Settings.Keys,
 		Deadlines: deadlines,
-		Tries:     callerTries,
+		Tries:     cmp.Or(e.Tries, callerTries),
+	}
+}
+
+// saveRecords reads the record of an upstream that is about to be killed, which
+// dies with it. What it does between this and its death stays unseen.
+func (e *experiment) saveRecords(ctx context.Context, f fault.Fault) {
+	if f.Kind != fault.Process || f.Verb != fault.Kill {
+		return
+	}
+	switch e.fleet.document.Upstreams[f.Target].Kind {
+	case config.UpstreamEngine:
+		if runs, err := e.fleet.runs(ctx, f.Target); err == nil {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.savedRuns[f.Target] = append(e.savedRuns[f.Target], runs.Runs...)
+		}
+	case config.UpstreamService:
+		if executions, err := e.fleet.executions(ctx, f.Target); err == nil {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.savedExecutions[f.Target] = append(e.savedExecutions[f.Target], executions.Executions...)
+		}
 	}
 }
 
 // auditInput collects the accounts. An upstream that can't be asked, because it
-// died, is left out: its record died with it.
+// died, has only the record that was saved before.
 func (e *experiment) auditInput(ctx context.Context) (audit.Input, error) {
 	rows, err := e.fleet.table(ctx, "")
 	if err != nil {
@@ -59,6 +83,16 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	for id, saved := range e.savedRuns {
+		report := in.Runs[id]
+		report.Runs = append(report.Runs, saved...)
+		in.Runs[id] = report
+	}
+	for id, saved := range e.savedExecutions {
+		report := in.Executions[id]
+		report.Executions = append(report.Executions, saved...)
+		in.Executions[id] = report
+	}
 	in.Results = append(in.Results, e.results...)
 	for _, p := range e.purchases {
 		in.Purchased[ledger.ID{Workspace: p.Workspace, Name: p.Budget}] += p.Tokens
--- a/loadtool/run/router_test.go
+++ b/loadtool/run/router_test.go
@@ -155,7 +155,7 @@
 		reply, err = b.calls.Do(r.Context(), call)
 	}
 	if err != nil {
-		panic(err)
+		panic(http.ErrAbortHandler)
 	}
 	b.bill(id, key, price, nth)
 	_, _ = w.Write(reply.Body)
--- a/loadtool/run/run.go
+++ b/loadtool/run/run.go
@@ -23,6 +23,8 @@
 	"buckthornridge/loadtool/scenario"
 	"buckthornridge/loadtool/workload"
 	"buckthornridge/platform"
+	"buckthornridge/standin/engine"
+	"buckthornridge/standin/service"
 )
 
 // Options of one run.
@@ -36,6 +38,8 @@
 	// Settle bounds the wait for bills and folds after the last answer; 0 for
 	// the default.
 	Settle time.Duration
+	// Tries is how often a caller sends a request at most; 0 for the default.
+	Tries int
 	// Progress takes one line now and then.
 	Progress func(line string)
 }
@@ -73,6 +77,9 @@
 	results     []*record.Result
 	spend       []report.Point
 	paused      time.Duration
+	// Records of upstreams that were killed, from just before.
+	savedRuns       map[string][]engine.Run
+	savedExecutions map[string][]service.Execution
 }
 
 // Do runs a scenario and judges it.
@@ -82,7 +89,10 @@
 		return nil, err
 	}
 	defer f.client.CloseIdleConnections()
-	e := &experiment{Options: o, fleet: f, planned: map[ledger.ID]int64{}, race: newRace(f), versions: newVersions()}
+	e := &experiment{
+		Options: o, fleet: f, planned: map[ledger.ID]int64{}, race: newRace(f), versions: newVersions(),
+		savedRuns: map[string][]engine.Run{}, savedExecutions: map[string][]service.Execution{},
+	}
 	if err := e.prepare(ctx); err != nil {
 		return nil, err
 	}
@@ -227,6 +237,7 @@
 		requests = file
 	}
 	x := e.executor(requests)
+	x.Before = e.saveRecords
 	defer x.Client.CloseIdleConnections()
 	x.Run(ctx, e.begun, e.Scenario.Faults, e.fault)
 }
--- a/loadtool/run/run_test.go
+++ b/loadtool/run/run_test.go
@@ -105,3 +105,16 @@
 		})
 	}
 }
+
+// A server runs a confirmation twice and is killed before anybody asks it.
+func TestRecordsOfKilledUpstreamsCount(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := short()
+	s.Faults = []fault.Fault{{At: 900 * time.Millisecond, Kind: fault.Process, Verb: fault.Kill, Target: "service/0"}}
+	b := newBench(t, runsTwice, 0)
+	b.killed = b.service
+	r := b.run(t, s, true)
+	is.True(r.RunsDoubleNonrepeatable > 0)
+	is.True(r.ConsumedTokens > 0)
+}
