--- a/budget/account.go
+++ b/budget/account.go
@@ -23,6 +23,7 @@
 	uncommitted int64
 	// wish is the highest uncommitted that requests asked for lately.
 	wish    int64
+	largest int64 // highest ceiling since the account was opened
 	demand  meter
 	waiters []*waiter
 	// lowWater is the idle amount below which the grant is renewed before a
--- a/budget/acquire.go
+++ b/budget/acquire.go
@@ -19,10 +19,11 @@
 	renewRequests = 8
 	// recallFanOut bounds the holders that are asked at once.
 	recallFanOut = 16
-	// healthyWindow is the demand that the small exposure covers: as long as an
-	// opening entry waits for company and a group commit takes, so that no
-	// dispatch waits for one.
-	healthyWindow = 500 * time.Millisecond
+	// The small exposure covers the demand of healthyWindow, several times what an
+	// opening entry waits for its group commit, and a burst of healthyBurst of
+	// the largest requests, so that as a rule no dispatch waits for a commit.
+	healthyWindow = time.Second
+	healthyBurst  = 4
 )
 
 // startAcquire starts the account's acquire loop unless one runs. The caller
@@ -203,9 +204,11 @@
 	held := acc.idle + acc.reserved + c.delta
 	for _, w := range acc.waiters {
 		acc.wish = max(acc.wish, w.reservation.ceiling)
+		acc.largest = max(acc.largest, w.reservation.ceiling)
 	}
-	healthy := int64(acc.demand.rate(time.Now()) * healthyWindow.Seconds())
-	c.exposure = max(min(max(acc.wish, healthy), held), acc.uncommitted)
+	window := int64(acc.demand.rate(time.Now()) * healthyWindow.Seconds())
+	healthy := max(acc.wish, window, healthyBurst*acc.largest)
+	c.exposure = max(min(healthy, held), acc.uncommitted)
 	c.outage = max(min(int64(float64(held)*limits.exposed), held), c.exposure)
 	if k.cfg.Witnesses != nil {
 		c.witness = k.cfg.Witnesses.Choose(acc.witness)
--- a/budget/reserve.go
+++ b/budget/reserve.go
@@ -103,6 +103,7 @@
 	acc.idle -= r.ceiling
 	acc.reserved += r.ceiling
 	acc.wish = max(acc.wish, acc.uncommitted+r.ceiling)
+	acc.largest = max(acc.largest, r.ceiling)
 	r.taken = time.Now()
 	opening := r.entry(journal.KindOpen, r.ceiling, "")
 	if r.cover() {
@@ -249,8 +250,8 @@
 		return err
 	}
 	wait := r.keeper.limits().billWait
-	if r.keeper.journal.Stuck(wait) {
-		wait = 0 // an earlier bill found out that the table does not answer
+	if r.keeper.journal.Stuck(wait / 2) {
+		wait = 0 // earlier entries found out that the table does not answer
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -23,7 +23,7 @@
 	// maxInterval bounds the interval after refusals.
 	maxInterval = time.Second
 	// lazyDelay bounds how long a lazy entry waits for company.
-	lazyDelay = 300 * time.Millisecond
+	lazyDelay = 100 * time.Millisecond
 )
 
 // Item is one entry on its way to the table.
--- a/peer/scan.go
+++ b/peer/scan.go
@@ -6,8 +6,12 @@
 	"github.com/rotisserie/eris"
 )
 
-// maxItems bounds the values of one frame, nested ones included.
-const maxItems = 1 << 20
+// Bounds of one frame: its values, nested ones included, and how deep they nest.
+// The decoder recurses, and a stack that overflows ends the process.
+const (
+	maxItems = 1 << 20
+	maxDepth = 64
+)
 
 // scan walks over the msgpack values of a frame and refuses one whose lists or
 // maps announce more elements than bytes follow. It guards against a body of ten
@@ -16,9 +20,13 @@
 // at least one byte, so that what is announced is bounded by what was sent.
 func scan(frame []byte) error {
 	items, due, at := 0, 1, 0
+	var open []int // values due when the lists and maps around are complete
 	for due > 0 {
-		if at >= len(frame) || items > maxItems {
-			return eris.Wrapf(ErrMalformed, "value %d of a frame of %d bytes", items, len(frame))
+		if at >= len(frame) || items > maxItems || len(open) > maxDepth {
+			return eris.Wrapf(ErrMalformed, "value %d of a frame of %d bytes, %d deep", items, len(frame), len(open))
+		}
+		for len(open) > 0 && open[len(open)-1] == due {
+			open = open[:len(open)-1]
 		}
 		skip, elements := shape(frame[at:])
 		if skip == 0 || skip > len(frame)-at {
@@ -26,6 +34,9 @@
 		}
 		at += skip
 		items++
+		if elements > 0 {
+			open = append(open, due-1)
+		}
 		due += elements - 1
 		if due > len(frame)-at {
 			return eris.Wrapf(ErrMalformed, "%d values announced, %d bytes left", due, len(frame)-at)
