--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -51,7 +51,7 @@
 	post "$router" "$confirm" demo-order '{"order": 17}' | tail -n 1
 	echo
 done
-sleep 2 # the journals are folded once a second
+sleep 6 # the journals are folded each 5 s
 echo "== budget after"
 fleet_ctl budget "$workspace/main"
 echo "== every budget checked from the table alone"
