--- a/duty/manager.go
+++ b/duty/manager.go
@@ -213,13 +213,15 @@
 func (m *Manager) work(ctx context.Context, name string, duty Duty, fence uint64, done chan struct{}) {
 	defer m.wg.Done()
 	defer close(done)
+	failing := false
 	for ctx.Err() == nil {
 		env := Env{Platform: m.options.Platform, Peers: m.options.Peers, Store: m.options.Store, Config: m.options.Config.Load(), Fence: fence}
 		m.Counters.Passes.Add(name, 1)
-		if err := duty.Run(ctx, env); err != nil && ctx.Err() == nil {
-			m.Counters.Failures.Add(name, 1)
-			klog.V(1).InfoS("duty failed", "duty", name, "err", err)
+		err := duty.Run(ctx, env)
+		if ctx.Err() != nil {
+			return // what it says of a lost lease is no failure
 		}
+		failing = m.note(name, err, failing)
 		select {
 		case <-ctx.Done():
 		case <-time.After(duty.Interval()):
@@ -227,6 +229,20 @@
 	}
 }
 
+// note counts a pass that failed, and logs when passes begin or cease to fail.
+func (m *Manager) note(name string, err error, failing bool) bool {
+	switch {
+	case err != nil && !failing:
+		klog.ErrorS(err, "duty fails", "duty", name)
+	case err == nil && failing:
+		klog.InfoS("duty works again", "duty", name)
+	}
+	if err != nil {
+		m.Counters.Failures.Add(name, 1)
+	}
+	return err != nil
+}
+
 func (m *Manager) drop(l *lease, why string) {
 	if l.pass != nil {
 		m.Counters.Held.Add(l.name, -1)
--- a/duty/manager_test.go
+++ b/duty/manager_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -267,3 +269,28 @@
 		is.True(duties[name].Interval() > 0)
 	}
 }
+
+// failing is a duty that fails for a while.
+type failing struct{ left atomic.Int64 }
+
+func (*failing) Interval() time.Duration { return time.Second }
+
+func (f *failing) Run(context.Context, Env) error {
+	if f.left.Add(-1) >= 0 {
+		return errors.New("no")
+	}
+	return nil
+}
+
+func TestFailedPassesAreCountedAndTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		duty := new(failing)
+		duty.left.Store(5)
+		m := manager(platform.NewFake(platform.FakeOptions{}), "a", map[string]Duty{"failing": duty})
+		time.Sleep(time.Minute - time.Second/2)
+		is.NoErr(m.Stop())
+		is.Equal(m.Counters.Failures.Get("failing").String(), "5")
+		is.Equal(m.Counters.Passes.Get("failing").String(), "60")
+	})
+}
