--- a/admin/problem.go
+++ b/admin/problem.go
@@ -121,7 +121,7 @@
 func conflictProblem(e *config.ConflictError) *Problem {
 	p := problem(ProblemConflict, e.Error()+"; nothing was changed")
 	p.Base, p.Head = e.Base, e.Head.Version
-	if e.Begun {
+	if e.BaseKept {
 		p.Changes = e.Theirs.Describe(e.Before)
 	}
 	return p
--- a/config/apply.go
+++ b/config/apply.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		return err
 	}
-	e.Begun, e.Before, e.Theirs = true, before.Image, Diff(before.Image, theirs.Image)
+	e.BaseKept, e.Before, e.Theirs = true, before.Image, Diff(before.Image, theirs.Image)
 	return e
 }
 
--- a/config/store.go
+++ b/config/store.go
@@ -32,11 +32,11 @@
 type ConflictError struct {
 	Base Version
 	Head Head
-	// Theirs is what was accepted between the base and the head. Begun says
+	// Theirs is what was accepted between the base and the head. BaseKept says
 	// whether the base could still be loaded to tell.
-	Theirs Delta
-	Begun  bool
-	// Before is the image at the base, to show old values; empty unless Begun.
+	Theirs   Delta
+	BaseKept bool
+	// Before is the image at the base, to show old values; empty unless BaseKept.
 	Before Image
 }
 
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -115,7 +115,7 @@
 	var conflict *ConflictError
 	is.True(errors.As(err, &conflict))
 	is.Equal(conflict.Head.Version, Version(2))
-	is.True(conflict.Begun)
+	is.True(conflict.BaseKept)
 	is.Equal(len(conflict.Theirs.Changes), 1)
 	is.Equal(conflict.Theirs.Changes[0].String(), "workspaces.studio-kandy")
 	head, err := ben.Head(ctx)
--- a/duty/manager_test.go
+++ b/duty/manager_test.go
@@ -17,8 +17,8 @@
 	"buckthornridge/platform"
 )
 
-// journalOf records who made passes, and when.
-type journalOf struct {
+// passLog records who made passes, and when.
+type passLog struct {
 	mu     sync.Mutex
 	passes []pass
 	inside map[string]bool
@@ -33,7 +33,7 @@
 // tracked is a duty that records its passes.
 type tracked struct {
 	vm  string
-	log *journalOf
+	log *passLog
 }
 
 func (tracked) Interval() time.Duration { return time.Second }
@@ -55,20 +55,20 @@
 }
 
 // last returns the latest pass.
-func (j *journalOf) last() pass {
+func (j *passLog) last() pass {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.passes[len(j.passes)-1]
 }
 
 // overlapped reports whether two holders were ever inside a pass at once.
-func (j *journalOf) overlapped() bool {
+func (j *passLog) overlapped() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.both
 }
 
-func (j *journalOf) all() []pass {
+func (j *passLog) all() []pass {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return slices.Clone(j.passes)
@@ -83,8 +83,8 @@
 }
 
 // trackedFleet starts three managers of one tracked duty, a first.
-func trackedFleet(fake *platform.Fake) (map[string]*Manager, *journalOf) {
-	log := &journalOf{inside: map[string]bool{}}
+func trackedFleet(fake *platform.Fake) (map[string]*Manager, *passLog) {
+	log := &passLog{inside: map[string]bool{}}
 	managers := map[string]*Manager{}
 	for _, vm := range []string{"a", "b", "c"} {
 		managers[vm] = manager(fake, vm, map[string]Duty{"tracked": tracked{vm, log}})
