--- a/loadtool/run/router_test.go
+++ b/loadtool/run/router_test.go
@@ -72,7 +72,7 @@
 	a := answered{model: ask.Model, id: key, tokens: tokens, usage: usage}
 	b.spoil(&a, ask.Stream, nth)
 	if ask.Stream {
-		a.stream(w, b.lie == cutsOnStop && nth%20 == 0)
+		a.stream(w, b.lie == cutsOnStop && nth%5 == 0)
 		return
 	}
 	a.whole(w)
