Admission: a workspace within its share is not refused for another's flood

Cause: the wait was predicted by priority alone. Now the wait is the lesser of that and of the workspace's turn by share.

One lookup now reads the clock once and candidates are allocated once.

--- a/admission/fair.go
+++ b/admission/fair.go
@@ -21,7 +21,7 @@
 const (
 	// burst is the service that a workspace may get ahead of its share before
 	// its requests lose their priority, in tokens per unit of share.
-	burst = 2000
+	burst = 500
 	// keptFlows bounds the idle flows that are remembered.
 	keptFlows = 1024
 )
@@ -171,24 +171,37 @@
 	return 0
 }
 
-// ahead counts the more urgent requests and, of the equally urgent, those that
-// get their turn before this workspace's next one.
-func (q *fairPriority) ahead(workspace string, share float64, priority int) int {
-	total := 0
+// ahead counts what would be served before a new request: by priority all that
+// is more urgent or came before, and by share what the others may get before
+// this workspace's turn, which is later the further it is ahead of its share.
+func (q *fairPriority) ahead(t *ticket, share float64) (byPriority, byShare int) {
 	for _, p := range q.priorities {
-		if p > priority {
+		if p > t.priority {
 			break
 		}
-		total += q.levels[p].tickets
+		byPriority += q.levels[p].tickets
 	}
-	own, active := 0.0, q.activeShare
-	if f := q.flows[workspace]; f != nil && f.waiting > 0 {
-		own = float64(f.waiting)
-	} else {
+	own, lead, active := 0, 0.0, q.activeShare
+	f := q.flows[t.workspace]
+	if f == nil || f.waiting == 0 {
 		active += share
 	}
-	turn := int((own + 1) * active / share)
-	return min(total, turn)
+	if f != nil {
+		own = f.waitingBefore(t.priority)
+		lead = max(f.tag-q.virtual-burst, 0) / t.cost
+	}
+	return byPriority, int((float64(own+1)/share+lead)*active) - 1
+}
+
+// waitingBefore counts the flow's requests that go before a new one.
+func (f *flow) waitingBefore(priority int) int {
+	n := 0
+	for p, lf := range f.levels {
+		if p <= priority {
+			n += lf.tickets.Len()
+		}
+	}
+	return n
 }
 
 func (q *fairPriority) displace(workspace string, priority int) *ticket {
--- a/admission/fifo.go
+++ b/admission/fifo.go
@@ -38,8 +38,11 @@
 	}
 }
 
-func (q *fifo) len() int                         { return q.tickets.Len() }
-func (q *fifo) ahead(string, float64, int) int   { return q.tickets.Len() }
+func (q *fifo) len() int { return q.tickets.Len() }
+func (q *fifo) ahead(*ticket, float64) (byPriority, byShare int) {
+	return q.tickets.Len(), q.tickets.Len()
+}
+
 func (q *fifo) ofWorkspace(workspace string) int { return q.counts[workspace] }
 func (q *fifo) displace(string, int) *ticket     { return nil }
 func (q *fifo) served(string, float64, float64)  {}
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -191,10 +191,19 @@
 	if p.drained.perSecond(now) == 0 {
 		return 0
 	}
-	ahead := p.queue.ahead(t.workspace, share, t.priority)
-	return seconds(float64(ahead+1) / p.pace(t.priority, limit, now))
+	byPriority, byShare := p.queue.ahead(t, share)
+	urgent := float64(byPriority+1) / p.pace(t.priority, limit, now)
+	fair := fairCaution * float64(byShare+1) / p.pace(mostUrgent, limit, now)
+	return seconds(min(urgent, fair))
 }
 
+// fairCaution lengthens the wait by share: among the workspaces within their
+// share the more urgent requests still go first.
+const fairCaution = 2
+
+// mostUrgent is the priority that no other goes before.
+const mostUrgent = 0
+
 // minPaceShare is the least part of the pace that is assumed to reach a priority.
 const minPaceShare = 0.02
 
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -32,10 +32,10 @@
 	// pop removes the next ticket, or returns nil.
 	pop() *ticket
 	remove(t *ticket)
-	// len counts all tickets, and those that would be served before a new one
-	// of this workspace and priority.
 	len() int
-	ahead(workspace string, share float64, priority int) int
+	// ahead counts the tickets that would be served before a new one: by the
+	// order of priorities, and by the workspace's share of all service.
+	ahead(t *ticket, share float64) (byPriority, byShare int)
 	// ofWorkspace counts a workspace's tickets.
 	ofWorkspace(workspace string) int
 	// displace removes the newest of a workspace's least urgent tickets if that
--- /dev/null
+++ b/routing/bench_test.go
@@ -0,0 +1,92 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"buckthornridge/kernel"
+	"buckthornridge/membership"
+	"buckthornridge/upstream"
+)
+
+// benchRouter returns a router over n engines that have reported, with prefixes
+// known at many of them.
+func benchRouter(b *testing.B, n int, policy string) (*Router, []Request) {
+	r := newRouter(b, n, policy)
+	r.Seed(1)
+	requests := make([]Request, 256)
+	for i := range requests {
+		prompt := fmt.Sprintf("%04000d", i%64) + fmt.Sprintf("%0600d", i)
+		requests[i] = Request{
+			ID: fmt.Sprint(i), Workspace: "w", Target: model, DataCentre: "a",
+			Prefix: upstream.PrefixChain("m", "", prompt), PromptTokens: 1150, MaxTokens: 100,
+		}
+	}
+	for i := range n {
+		id := fmt.Sprint("e", i)
+		r.table.Report(id, upstream.Load{Running: i % 8, Models: []string{"m"}})
+		for _, hash := range requests[i%64].Prefix {
+			r.table.index.put(r.table.index.feed(id), hash)
+		}
+	}
+	return r, requests
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, policy := range kernel.Names(Namespace) {
+		for _, n := range []int{12, 600, 6000} {
+			b.Run(fmt.Sprint(policy, "/", n), func(b *testing.B) {
+				r, requests := benchRouter(b, n, policy)
+				b.ReportAllocs()
+				b.ResetTimer()
+				for i := range b.N {
+					c, err := r.Pick(requests[i%len(requests)])
+					if err != nil {
+						b.Fatal(err)
+					}
+					c.Done(Outcome{Kind: OutcomeCancelled})
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkAnswered adds what a complete answer teaches: the whole prompt goes
+// into the prefix index.
+func BenchmarkAnswered(b *testing.B) {
+	r, requests := benchRouter(b, 6000, "")
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		c, err := r.Pick(requests[i%len(requests)])
+		if err != nil {
+			b.Fatal(err)
+		}
+		c.Done(Outcome{Kind: OutcomeOK, FirstToken: time.Millisecond, PromptTokens: 1150})
+	}
+}
+
+func BenchmarkPickParallel(b *testing.B) {
+	r, requests := benchRouter(b, 6000, "")
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for i := 0; pb.Next(); i++ {
+			c, err := r.Pick(requests[i%len(requests)])
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			c.Done(Outcome{Kind: OutcomeCancelled})
+		}
+	})
+}
+
+// BenchmarkStateChange is what one change of an upstream's state costs.
+func BenchmarkStateChange(b *testing.B) {
+	r, _ := benchRouter(b, 6000, "")
+	b.ReportAllocs()
+	for i := range b.N {
+		r.table.SetState("e7", membership.State(i%2))
+	}
+}
--- a/routing/explain.go
+++ b/routing/explain.go
@@ -76,6 +76,9 @@
 
 // note keeps a candidate for the explanation.
 func (v *view) note(e *entry, est estimate) {
+	if v.examined == nil {
+		v.examined = make([]Candidate, 0, maxExamined)
+	}
 	if len(v.examined) < maxExamined {
 		v.examined = append(v.examined, Candidate{
 			Upstream: e.id, Cost: est.cost, FirstToken: est.firstToken,
--- a/routing/lookup.go
+++ b/routing/lookup.go
@@ -32,16 +32,16 @@
 // find returns the holders of the longest known prefixes.
 func (x *PrefixIndex) find(prefix []uint64) hits {
 	var h hits
+	now := time.Since(x.start)
 	stride := max(1, (len(prefix)+maxLookups-1)/maxLookups)
 	for i := len(prefix) - 1; i >= 0 && h.n < maxHolders; i -= stride {
-		x.holders(prefix[i], int64(i+1), &h)
+		x.holders(prefix[i], int64(i+1), now, &h)
 	}
 	return h
 }
 
 // holders adds the upstreams that hold a prefix and are not in h yet.
-func (x *PrefixIndex) holders(prefix uint64, blocks int64, h *hits) {
-	now := time.Since(x.start)
+func (x *PrefixIndex) holders(prefix uint64, blocks int64, now time.Duration, h *hits) {
 	bucket, lock := x.bucket(prefix)
 	lock.Lock()
 	defer lock.Unlock()
