--- a/loadtool/report/report.go
+++ b/loadtool/report/report.go
@@ -22,6 +22,8 @@
 	VMs      int     `json:"vms"`
 	Seconds  float64 `json:"seconds"` // from the first arrival to the last answer
 	Rate     float64 `json:"rate_per_s"`
+	// ToolPaused is the longest time in which the tool itself did not run.
+	ToolPaused float64 `json:"tool_paused_s"`
 
 	Requests  int `json:"requests"`
 	Completed int `json:"completed"`
@@ -51,6 +53,7 @@
 	FalseRefusalRateClairvoyant float64        `json:"false_refusal_rate_clairvoyant"`
 	BudgetAsked                 int            `json:"budget_asked"`         // requests
 	FalseRefusalsFinal          int            `json:"false_refusals_final"` // never answered, for all their retries
+	PerfectGrants               int            `json:"perfect_grants"`       // requests that the perfect counter would have granted
 	Refusals                    map[string]int `json:"refusals"`             // answers, by problem
 	Problems                    map[string]int `json:"problems"`             // other errors, by ending and problem
 
@@ -180,7 +183,7 @@
 	{"config_reverts", count(func(r *Report) int { return r.ConfigReverts })},
 	{"config_lost_updates", count(func(r *Report) int { return r.ConfigLostUpdates })},
 	{"ledger_violations", count(func(r *Report) int { return r.LedgerViolations })},
-	{"completed", count(func(r *Report) int {
+	{"nothing_completed", count(func(r *Report) int {
 		if r.Completed == 0 {
 			return 1 // a fleet that answers nothing shows no fault either
 		}
@@ -203,6 +206,7 @@
 	mostControlCPU    = 3.5
 	mostControlRSS    = 32.0
 	mostControlKB     = 30.0
+	mostPaused        = 1.0
 )
 
 // Judge fills in the bars that were missed.
@@ -224,6 +228,7 @@
 		{"lost_share", r.LostShare > mostLostShare},
 		{"false_refusal_rate", r.FalseRefusalRate > mostFalseRefusals},
 		{"goodput", r.Goodput < goodput},
+		{"tool_paused_s", r.ToolPaused > mostPaused},
 		{"work_after_leaving_s", r.WorkAfterLeaving > mostAfterLeaving},
 		{"config_in_force_s", r.ConfigInForce > mostInForce},
 		{"control.cpu_core_pct", r.anyControl(func(c Control) bool { return c.CPUCorePct > mostControlCPU })},
