--- /dev/null
+++ b/placement/plan_test.go
@@ -0,0 +1,129 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func enginesOf(n, maxModels int, held ...string) []Engine {
+	engines := make([]Engine, n)
+	for i := range engines {
+		engines[i] = Engine{
+			ID: fmt.Sprintf("e%02d", i), DataCentre: fmt.Sprint("dc", i%4), Slots: 16, MaxModels: maxModels,
+		}
+		if len(held) > 0 {
+			engines[i].Models = []string{held[i%len(held)]}
+		}
+	}
+	return engines
+}
+
+func holders(p Plan, model string) int {
+	n := 0
+	for _, target := range p.Targets {
+		if slices.Contains(target, model) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestCaptionsDoubleInAMinute(t *testing.T) {
+	// A launch day: captions need twice the slots within a minute while briefs
+	// need less. The weight store lets one load through per ten seconds. Users
+	// of briefs must not lose their last engines to it.
+	is := is.New(t)
+	engines := enginesOf(12, 1, "caption", "brief", "brief")
+	var forecast Forecast
+	start := time.Unix(0, 0)
+	var previous map[string][]string
+	enough := time.Duration(-1)
+	for second := 0; second <= 120; second += 10 {
+		demand := 40 * (1 + min(float64(second)/60, 1))
+		forecast.Observe(start.Add(time.Duration(second)*time.Second), demand)
+		plan := Make(Input{
+			Models: []Model{
+				{Name: "caption", Bytes: 10, Replicas: 2, Demand: forecast.In(10 * time.Second)},
+				{Name: "brief", Bytes: 10, Replicas: 2, Demand: 60},
+			},
+			Engines: engines, Previous: previous, LoadBytes: 10,
+		})
+		loads := 0
+		for i := range engines {
+			if !slices.Equal(engines[i].Models, plan.Targets[engines[i].ID]) {
+				loads++
+			}
+			engines[i].Models = plan.Targets[engines[i].ID] // loaded by the next round
+		}
+		is.True(loads <= 1)                  // the weight store's rate
+		is.True(holders(plan, "brief") >= 5) // 60 slots with headroom
+		if enough < 0 && float64(16*holders(plan, "caption")) >= 80 {
+			enough = time.Duration(second) * time.Second
+		}
+		previous = plan.Targets
+	}
+	t.Log("captions had the slots of their doubled demand after", enough)
+	is.True(enough >= 0 && enough <= time.Minute)
+}
+
+func TestPlanKeepsWhatIsWellPlaced(t *testing.T) {
+	is := is.New(t)
+	in := Input{
+		Models:    []Model{{Name: "a", Bytes: 1, Replicas: 1, Demand: 20}, {Name: "b", Bytes: 1, Replicas: 1, Demand: 20}},
+		Engines:   enginesOf(6, 1, "a", "b"),
+		LoadBytes: 100,
+	}
+	plan := Make(in)
+	for _, e := range in.Engines {
+		is.Equal(plan.Targets[e.ID], e.Models)
+	}
+}
+
+func TestPlanProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := Input{LoadBytes: rapid.Int64Range(0, 30).Draw(t, "bytes")}
+		names := []string{"a", "b", "c"}
+		for _, name := range names {
+			in.Models = append(in.Models, Model{
+				Name: name, Bytes: 10, Replicas: rapid.IntRange(0, 2).Draw(t, "replicas"),
+				Demand: rapid.Float64Range(0, 100).Draw(t, "demand"),
+			})
+		}
+		in.Engines = enginesOf(rapid.IntRange(1, 8).Draw(t, "engines"), rapid.IntRange(1, 2).Draw(t, "max"))
+		for i := range in.Engines {
+			in.Engines[i].Models = []string{rapid.SampledFrom(names).Draw(t, "held")}
+		}
+		plan := Make(in)
+		loads := 0
+		for _, e := range in.Engines {
+			target := plan.Targets[e.ID]
+			if len(target) > e.MaxModels {
+				t.Fatalf("%s: %v is more than fits", e.ID, target)
+			}
+			for _, name := range target {
+				if !slices.Contains(e.Models, name) {
+					loads++
+				}
+			}
+		}
+		if int64(loads*10) > in.LoadBytes {
+			t.Fatalf("%d loads over the bound %d", loads, in.LoadBytes)
+		}
+		for _, m := range in.Models {
+			before := 0
+			for _, e := range in.Engines {
+				if slices.Contains(e.Models, m.Name) {
+					before++
+				}
+			}
+			if before > 0 && holders(plan, m.Name) == 0 {
+				t.Fatalf("%s lost its last replica", m.Name)
+			}
+		}
+	})
+}
