--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -84,3 +84,53 @@
 		is.Equal(time.Since(began), time.Duration(0))
 	})
 }
+
+func TestRefusedDoNotComeBackTogether(t *testing.T) {
+	// A pool loses its engines and a hundred callers are refused at once. Told
+	// the same Retry-After they would all be back in the same instant.
+	is := is.New(t)
+	c := newController(t, &fixed{limit: 0})
+	seen := map[time.Duration]bool{}
+	for range 100 {
+		_, err := c.Admit(t.Context(), Request{Workspace: "w", Model: "m"})
+		var refusal *Refusal
+		is.True(errors.As(err, &refusal))
+		is.Equal(refusal.Cause, CauseOverload)
+		seen[refusal.RetryAfter.Round(time.Millisecond)] = true
+	}
+	is.True(len(seen) > 20)
+}
+
+func TestUrgentRequestTakesThePlaceOfALessUrgentOne(t *testing.T) {
+	// A workspace's queue is full of its own briefs. A caption at the counter
+	// must not be refused for them: the newest brief is, at once.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newController(t, &fixed{limit: 1})
+		s := *c.snapshot.Load()
+		s.Policy.Load.QueuePerWorkspace = 1
+		c.Update(&s)
+		release, err := c.Admit(t.Context(), Request{Workspace: "w", Model: "m", Kind: "brief"})
+		is.NoErr(err)
+		brief := make(chan error)
+		go func() {
+			_, err := c.Admit(t.Context(), Request{Workspace: "w", Model: "m", Kind: "brief"})
+			brief <- err
+		}()
+		synctest.Wait()
+		caption := make(chan error)
+		go func() {
+			_, err := c.Admit(t.Context(), Request{ID: "c", Workspace: "w", Model: "m", Kind: "caption"})
+			caption <- err
+		}()
+		var refusal *Refusal
+		is.True(errors.As(<-brief, &refusal))
+		is.Equal(refusal.Cause, CauseOverload)
+		_, err = c.Admit(t.Context(), Request{Workspace: "w", Model: "m", Kind: "brief"})
+		is.True(errors.As(err, &refusal))
+		is.Equal(refusal.Cause, CauseQueueFull)
+		release()
+		is.NoErr(<-caption)
+		is.True(c.Explain("c")[0].Admitted)
+	})
+}
--- /dev/null
+++ b/routing/health_test.go
@@ -0,0 +1,120 @@
+package routing
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/membership"
+)
+
+// fail lets the next attempts at an upstream fail.
+func fail(t *testing.T, r *Router, id string, times int) {
+	t.Helper()
+	for range times {
+		r.table.Observe(id, Outcome{Kind: OutcomeUnreachable})
+	}
+}
+
+func TestEjectedUpstreamComesBackByOneProbe(t *testing.T) {
+	// An engine refuses connections for a while. After the ejection one user's
+	// request tries it; if ten did at once, ten would wait.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRouter(t, 4, "")
+		r.Seed(1)
+		fail(t, r, "e0", failuresToEject)
+		var probes []*Choice
+		pick := func(times int) {
+			for range times {
+				c, err := r.Pick(Request{Target: model})
+				is.NoErr(err)
+				if c.UpstreamID == "e0" {
+					is.Equal(c.Why, ReasonProbe)
+					probes = append(probes, c)
+					continue
+				}
+				c.Done(Outcome{Kind: OutcomeCancelled})
+			}
+		}
+		pick(100)
+		is.Equal(len(probes), 0) // ejected
+		time.Sleep(firstEjection)
+		pick(100)
+		is.Equal(len(probes), 1)
+		probes[0].Done(Outcome{Kind: OutcomeUnreachable})
+		time.Sleep(firstEjection)
+		pick(100)
+		is.Equal(len(probes), 1) // the second ejection is longer
+		time.Sleep(firstEjection)
+		pick(100)
+		is.Equal(len(probes), 2)
+		probes[1].Done(Outcome{Kind: OutcomeOK, FirstToken: time.Millisecond})
+		is.True(!r.table.current.Load().entries["e0"].health.ejected())
+	})
+}
+
+func TestEjectionLeavesHalfOfThePool(t *testing.T) {
+	// A fault of the router's own network makes every engine look broken. If it
+	// ejected them all, a moment's fault would turn into an outage.
+	is := is.New(t)
+	r := newRouter(t, 4, "")
+	for _, id := range []string{"e0", "e1", "e2", "e3"} {
+		fail(t, r, id, 2*failuresToEject)
+	}
+	ejected := 0
+	for _, e := range r.table.current.Load().entries {
+		if e.health.ejected() {
+			ejected++
+		}
+	}
+	is.Equal(ejected, 2)
+	_, err := r.Pick(Request{Target: model})
+	is.NoErr(err)
+}
+
+func TestSuspectedUpstreamsAreTriedLast(t *testing.T) {
+	is := is.New(t)
+	r := newRouter(t, 2, "")
+	r.table.SetState("e0", membership.Suspected)
+	for range 50 {
+		c, err := r.Pick(Request{Target: model})
+		is.NoErr(err)
+		is.Equal(c.UpstreamID, "e1")
+	}
+	c, err := r.Pick(Request{Target: model, Exclude: []string{"e1"}})
+	is.NoErr(err)
+	is.Equal(c.UpstreamID, "e0")
+	is.Equal(c.Why, ReasonSpare)
+}
+
+func TestRetriesAreAShareOfRequests(t *testing.T) {
+	// Every engine fails every request. Each caller's attempt is followed by
+	// retries only as long as the budget lasts, so that the load on what is left
+	// grows by a fifth at the most and not by a factor.
+	is := is.New(t)
+	r := newRouter(t, 50, "")
+	first, retries := 0, 0
+	for range 1000 {
+		for attempt := range 3 {
+			c, err := r.Pick(Request{Workspace: "w", Target: model, Attempt: attempt})
+			if err != nil {
+				var none *NoUpstreamError
+				is.True(errors.As(err, &none))
+				break
+			}
+			if attempt == 0 {
+				first++
+			} else {
+				retries++
+			}
+			c.Done(Outcome{Kind: OutcomeFull})
+		}
+	}
+	is.Equal(first, 1000)
+	is.True(retries <= 1000*workspaceRetryShare*1.2+workspaceRetryBurst)
+	is.True(retries >= workspaceRetryBurst)
+}
