duty: folding is shared among the control processes

Ruled out: folding less often alone (the bytes of the bills stay).

Conclusion: bytes follow a VM's own bills.

--- a/control/control.go
+++ b/control/control.go
@@ -106,7 +106,7 @@
 }
 
 func (c *Control) buildConfig() {
-	c.members = &members{list: c.services.VMs, seeds: c.settings.Peers}
+	c.members = &members{list: c.services.VMs, seeds: c.settings.Peers, self: c.id()}
 	c.watcher = config.NewWatcher(config.WatcherOptions{
 		Table: config.NewStore(c.services.Table),
 		Peers: config.RemotePeers(c.peers, c.settings.PeerListen, c.members.addresses),
@@ -126,6 +126,7 @@
 		Duties:   registered,
 		Platform: c.services,
 		Peers:    c.peers,
+		Mine:     c.members.mine,
 		Store:    config.NewStore(c.services.Table),
 		Config:   &c.watcher.Holder,
 		TTL:      c.settings.LeaseTTL.D(),
--- a/control/members.go
+++ b/control/members.go
@@ -29,6 +29,15 @@
 	list  platform.VMList
 	seeds []string
 	known atomic.Pointer[[]string]
+	self  string // id of this process
+	share atomic.Pointer[share]
+}
+
+// mine reports whether shared work on a holder's journal is this process's;
+// before there is a list all of it is.
+func (m *members) mine(holder string) bool {
+	s := m.share.Load()
+	return s == nil || s.mine(holder)
 }
 
 func (m *members) refresh(ctx context.Context) {
@@ -46,6 +55,7 @@
 		}
 	}
 	m.known.Store(&addresses)
+	m.share.Store(newShare(m.self, vms))
 }
 
 // interval returns the time to the next look.
--- a/duty/manager.go
+++ b/duty/manager.go
@@ -35,7 +35,9 @@
 	Duties   map[string]Duty
 	Platform platform.Services
 	// Peers reaches the system's other processes.
-	Peers  peer.Caller
+	Peers peer.Caller
+	// Mine tells this process's part of shared duties; nil for all.
+	Mine   func(key string) bool
 	Store  *config.Store
 	Config *config.Holder
 	TTL    time.Duration // 0 for DefaultTTL
@@ -83,7 +85,14 @@
 		options.TTL = DefaultTTL
 	}
 	m := &Manager{options: options, drained: make(chan struct{})}
+	if options.Mine == nil {
+		options.Mine = func(string) bool { return true }
+	}
+	m.options = options
 	for name, duty := range options.Duties {
+		if _, shared := duty.(Shared); shared {
+			continue
+		}
 		l := &lease{name: name, duty: duty}
 		m.leases = append(m.leases, l)
 		m.keys = append(m.keys, l.key())
@@ -96,9 +105,30 @@
 func (m *Manager) Start(context.Context) error {
 	m.wg.Add(1)
 	go m.loop()
+	m.startShared()
 	return nil
 }
 
+// startShared begins the shared duties, which end with the drain or the stop.
+func (m *Manager) startShared() {
+	ctx, cancel := context.WithCancel(m.run)
+	m.wg.Add(1)
+	go func() {
+		defer m.wg.Done()
+		defer cancel()
+		select {
+		case <-m.drained:
+		case <-ctx.Done():
+		}
+	}()
+	for name, duty := range m.options.Duties {
+		if _, shared := duty.(Shared); shared {
+			m.wg.Add(1)
+			go m.work(ctx, name, duty, 0, make(chan struct{}))
+		}
+	}
+}
+
 // Drain implements kernel.Drainer: it ends the passes and releases the leases,
 // so that others need not wait for their lapse.
 func (m *Manager) Drain(ctx context.Context) error {
@@ -215,7 +245,7 @@
 	defer close(done)
 	failing := false
 	for ctx.Err() == nil {
-		env := Env{Platform: m.options.Platform, Peers: m.options.Peers, Store: m.options.Store, Config: m.options.Config.Load(), Fence: fence}
+		env := Env{Platform: m.options.Platform, Peers: m.options.Peers, Store: m.options.Store, Config: m.options.Config.Load(), Fence: fence, Mine: m.options.Mine}
 		m.Counters.Passes.Add(name, 1)
 		err := duty.Run(ctx, env)
 		if ctx.Err() != nil {
--- a/duty/work.go
+++ b/duty/work.go
@@ -35,10 +35,13 @@
 
 func newFold() fold { return fold{index: journal.NewIndex()} }
 
+// Shared implements Shared: the bytes of folding follow the requests.
+func (fold) Shared() {}
+
 func (fold) Interval() time.Duration { return foldInterval }
 
 func (f fold) Run(ctx context.Context, env Env) error {
-	_, err := journal.Folder{Table: env.Platform.Table, Index: f.index}.Run(ctx)
+	_, err := journal.Folder{Table: env.Platform.Table, Index: f.index, Mine: env.Mine}.Run(ctx)
 	return err
 }
 
--- a/peer/scan.go
+++ b/peer/scan.go
@@ -67,7 +67,7 @@
 
 // forms are those of the first bytes 0xc4 to 0xdf.
 var forms = [...]form{
-	0xc4 - 0xc4: {size: 1, sized: true}, {size: 2, sized: true}, {size: 4, sized: true}, // bin
+	{size: 1, sized: true}, {size: 2, sized: true}, {size: 4, sized: true}, // bin
 	0xc7 - 0xc4: {size: 1, sized: true, extra: 1}, {size: 2, sized: true, extra: 1}, {size: 4, sized: true, extra: 1}, // ext
 	0xca - 0xc4: {size: 4}, {size: 8}, // float
 	0xcc - 0xc4: {size: 1}, {size: 2}, {size: 4}, {size: 8}, // uint
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -175,14 +175,14 @@
 	local file
 	for file in "$RUN"/pid/*; do
 		[ "$(basename "$file")" = platform ] && continue
-		kill -CONT "$(cat "$file")" 2>/dev/null
-		kill -TERM "$(cat "$file")" 2>/dev/null
+		kill -CONT "$(cat "$file")" 2>/dev/null || true
+		kill -TERM "$(cat "$file")" 2>/dev/null || true
 	done
 	fleet_wait_ended platform
-	[ -f "$RUN/pid/platform" ] && fleet_signal TERM platform
+	fleet_signal TERM platform || true
 	fleet_wait_ended ""
-	for file in "$RUN"/pid/*; do kill -KILL "$(cat "$file")" 2>/dev/null; done
-	wait 2>/dev/null
+	for file in "$RUN"/pid/*; do kill -KILL "$(cat "$file")" 2>/dev/null || true; done
+	wait 2>/dev/null || true
 	return 0
 }
 
