--- a/loadtool/run/run_test.go
+++ b/loadtool/run/run_test.go
@@ -63,7 +63,7 @@
 		{lie: cutsOnStop, want: "drain_cut_requests", pipe: true, faults: []fault.Fault{stop}},
 		{lie: reverts, want: "config_reverts"},
 		{lie: forgetsChanges, want: "config_lost_updates", operators: true},
-		{lie: refusesAll, want: "completed"},
+		{lie: refusesAll, want: "nothing_completed"},
 		{lie: honest, want: "records_omitted", maxRuns: 1},
 		{lie: honest, want: "fault_errors", faults: []fault.Fault{stop}},
 	} {
@@ -105,3 +105,16 @@
 		})
 	}
 }
+
+// A server runs a confirmation twice and is killed before anybody asks it.
+func TestRecordsOfKilledUpstreamsCount(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := short()
+	s.Faults = []fault.Fault{{At: 900 * time.Millisecond, Kind: fault.Process, Verb: fault.Kill, Target: "service/0"}}
+	b := newBench(t, runsTwice, 0)
+	b.killed = b.service
+	r := b.run(t, s, true)
+	is.True(r.RunsDoubleNonrepeatable > 0)
+	is.True(r.ConsumedTokens > 0)
+}
