--- /dev/null
+++ b/admission/bench_test.go
@@ -0,0 +1,41 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkAdmit is what admission costs a request that finds room, and what a
+// refused one costs beside full queues of many workspaces.
+func BenchmarkAdmit(b *testing.B) {
+	b.Run("room", func(b *testing.B) {
+		c, err := NewController(&fixed{limit: 1000}, "")
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportAllocs()
+		for b.Loop() {
+			release, err := c.Admit(b.Context(), Request{Workspace: "w", Model: "m"})
+			if err != nil {
+				b.Fatal(err)
+			}
+			release()
+		}
+	})
+	for _, workspaces := range []int{10, 6100} {
+		b.Run(fmt.Sprint("queues/", workspaces), func(b *testing.B) {
+			q := newFairPriority()
+			tickets := make([]*ticket, workspaces)
+			for i := range tickets {
+				tickets[i] = &ticket{workspace: fmt.Sprint("w", i), priority: i % 3, cost: 100}
+				q.push(tickets[i], 1)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				t := q.pop()
+				q.served(t.workspace, 1, t.cost)
+				q.push(t, 1)
+			}
+		})
+	}
+}
--- a/routing/bench_test.go
+++ b/routing/bench_test.go
@@ -90,3 +90,32 @@
 		r.table.SetState("e7", membership.State(i%2))
 	}
 }
+
+// BenchmarkIndexMemory reports the fixed size of an index of the default capacity.
+func BenchmarkIndexMemory(b *testing.B) {
+	b.ReportAllocs()
+	for range b.N {
+		index := NewPrefixIndex(DefaultPrefixPairs)
+		index.Restarted("e0")
+	}
+}
+
+// BenchmarkReport is what one load report costs at 6,000 upstreams.
+func BenchmarkReport(b *testing.B) {
+	r, _ := benchRouter(b, 6000, "")
+	load := upstream.Load{Running: 3, PrefillTokens: 100, Models: []string{"m"}}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.table.Report("e7", load)
+	}
+}
+
+// BenchmarkLimit is what admission's question for room costs, with the sum over
+// the pool taken anew as often as it is in use.
+func BenchmarkLimit(b *testing.B) {
+	r, _ := benchRouter(b, 6000, "")
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Limit(model)
+	}
+}
--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -8,7 +8,7 @@
 	"buckthornridge/upstream"
 )
 
-// DefaultPrefixPairs is the default capacity of a PrefixIndex: 2^18 pairs of 24
+// DefaultPrefixPairs is the default capacity of a PrefixIndex: 2^18 pairs of 32
 // bytes.
 const DefaultPrefixPairs = 1 << 18
 
@@ -29,6 +29,10 @@
 // PrefixIndex remembers which upstreams probably hold which prompt prefixes. It
 // is a hash table of fixed size: a new pair takes the place of the oldest one
 // in its bucket. A wrong answer costs time and nothing else.
+//
+// Buckets are guarded by a few short locks rather than by copies: every answer
+// writes all prefixes of its prompt, and a copy of a bucket each would be
+// garbage at the rate of prompt blocks.
 type PrefixIndex struct {
 	start   time.Time
 	buckets []prefixBucket
