Routing: services that reply without tokens, engines that come back empty

Now a complete reply counts as its first token. An engine that came back counts its cache events from 1 with an empty cache; the index kept the old number and the old pairs. Now both go when a probe succeeds or membership brings it back from dead or gone.

--- a/routing/choice.go
+++ b/routing/choice.go
@@ -74,6 +74,11 @@
 	if !c.done.CompareAndSwap(false, true) {
 		return
 	}
+	if outcome.FirstToken == 0 && outcome.Kind == OutcomeOK {
+		// A plain service gives one reply and no tokens: without this its server
+		// would seem to accept calls in silence.
+		outcome.FirstToken = outcome.Total
+	}
 	if outcome.FirstToken > 0 {
 		c.FirstToken(outcome.FirstToken)
 	}
@@ -111,7 +116,7 @@
 	case outcome.Kind == OutcomeLeaving:
 		t.MarkLeaving(e.id)
 	case outcome.Kind == OutcomeOK:
-		e.health.succeeded()
+		t.recovered(e)
 	case outcome.Kind.Failed():
 		if e.health.failed() {
 			t.eject(e)
@@ -121,6 +126,16 @@
 	}
 }
 
+// recovered ends an ejection. What comes back is likely a new process, whose cache
+// is empty and whose events count from 1: waiting for the old number to be passed
+// would leave its cache unknown for long.
+func (t *Table) recovered(e *entry) {
+	if e.health.ejected() {
+		t.index.Restarted(e.id)
+	}
+	e.health.succeeded()
+}
+
 // eject takes an upstream out unless one of its pools would be left with too
 // few: a wrong verdict on many at once, as after a fault of the router's own
 // network, must not turn into an outage of the pool.
--- a/routing/health_test.go
+++ b/routing/health_test.go
@@ -8,7 +8,9 @@
 
 	"github.com/matryer/is"
 
+	"buckthornridge/config"
 	"buckthornridge/membership"
+	"buckthornridge/upstream"
 )
 
 // fail lets the next attempts at an upstream fail.
@@ -26,6 +28,7 @@
 		is := is.New(t)
 		r := newRouter(t, 4, "")
 		r.Seed(1)
+		r.table.index.Apply("e0", []upstream.CacheEvent{stored(900, 7)})
 		fail(t, r, "e0", failuresToEject)
 		var probes []*Choice
 		pick := func(times int) {
@@ -54,6 +57,7 @@
 		is.Equal(len(probes), 2)
 		probes[1].Done(Outcome{Kind: OutcomeOK, FirstToken: time.Millisecond})
 		is.True(!r.table.current.Load().entries["e0"].health.ejected())
+		is.Equal(r.table.index.LastEvent("e0"), int64(0)) // a new process counts anew
 	})
 }
 
@@ -118,3 +122,56 @@
 	is.True(retries <= 1000*workspaceRetryShare*1.2+workspaceRetryBurst)
 	is.True(retries >= workspaceRetryBurst)
 }
+
+func TestBusyServiceIsNotTakenForStalled(t *testing.T) {
+	// A plain service gives no tokens, only replies. Its servers always have
+	// some call waiting; counted as silent since the first one, all of them are
+	// avoided after seconds and calls go to whichever comes first.
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := snapshotOf(0)
+		s.Upstreams["s0"] = config.Upstream{Kind: config.UpstreamService, Address: "s0", Service: "orders"}
+		r := newRouter(t, 0, "")
+		r.table.Update(s)
+		var open []*Choice
+		for range 100 {
+			c, err := r.Pick(Request{Target: Target{Service: "orders"}})
+			is.NoErr(err)
+			is.Equal(c.Why, ReasonPolicy)
+			open = append(open, c)
+			time.Sleep(100 * time.Millisecond)
+			if len(open) > 4 { // calls overlap: never none is waiting
+				open[0].Done(Outcome{Kind: OutcomeOK, Total: 500 * time.Millisecond})
+				open = open[1:]
+			}
+		}
+	})
+}
+
+func TestNearUpstreamsGoFirstUntilTheyAreBusy(t *testing.T) {
+	// Engines stand near and 40 ms away. A caller should get the near ones as
+	// long as they have room, and the far one rather than a queue of seconds.
+	is := is.New(t)
+	s := snapshotOf(2)
+	s.Upstreams["far"] = config.Upstream{
+		Kind: config.UpstreamEngine, Address: "far", DataCentre: "far", Models: []string{"m"}, Slots: 8,
+	}
+	r := newRouter(t, 0, "")
+	r.table.Update(s)
+	count := func() (far int) {
+		for range 48 {
+			c, err := r.Pick(Request{Target: model, DataCentre: "a"})
+			is.NoErr(err)
+			if c.UpstreamID == "far" {
+				far++
+			}
+		}
+		return far
+	}
+	is.Equal(s.Upstreams["e0"].DataCentre, "a")
+	c, err := r.Pick(Request{Target: model, DataCentre: "a"})
+	is.NoErr(err)
+	is.True(c.UpstreamID != "far")
+	far := count()
+	is.True(far > 4 && far < 24)
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -88,7 +88,11 @@
 // SetState takes what membership says about an upstream.
 func (t *Table) SetState(id string, state membership.State) {
 	t.change(id, func(e *entry) bool {
-		return e.state.Swap(uint32(state)) != uint32(state)
+		old := membership.State(e.state.Swap(uint32(state)))
+		if old >= membership.Dead && state < old {
+			t.index.Restarted(id)
+		}
+		return old != state
 	})
 }
 
