Routing: status of every upstream and the demand for a target

Cause: operators ask why requests go where they go, and placement needs the demand; both rest on what the table knows already.

--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -115,3 +115,24 @@
 		is.NoErr(err) // it changed its mind
 	})
 }
+
+func TestStatusTellsWhatTheRouterKnows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRouter(t, 3, "")
+		r.table.SetState("e1", membership.Suspected)
+		r.table.MarkLeaving("e2")
+		r.table.Report("e0", upstream.Load{Running: 3, Queued: 2, Models: []string{"m"}, AgeMillis: 1000})
+		_, err := r.Pick(Request{Target: model})
+		is.NoErr(err)
+		all := r.table.Status()
+		is.Equal(len(all), 3)
+		is.Equal(all[0].Others, int64(5))
+		is.Equal(all[0].InFlight, int64(1))
+		is.Equal(all[0].ReportAge, time.Second)
+		is.Equal(all[0].DataCentre, "a")
+		is.Equal(all[1].State, "suspected")
+		is.Equal(all[2].State, "leaving")
+		is.Equal(r.table.Demand(model), 6.0)
+	})
+}
