--- /dev/null
+++ b/request/bench_test.go
@@ -0,0 +1,76 @@
+package request
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+
+	"buckthornridge/membership"
+)
+
+// BenchmarkRetained reports the heap of one ended run kept for retries, against
+// the number of runs kept and of tokens in each answer.
+//
+//	go test ./request -run '^$' -bench Retained -benchtime 1x
+func BenchmarkRetained(b *testing.B) {
+	for _, runs := range []int{500, 1_500, 5_000} {
+		for _, tokens := range []int{0, 100, 432} {
+			b.Run(fmt.Sprintf("runs=%d/tokens=%d", runs, tokens), func(b *testing.B) {
+				for b.Loop() {
+					e := NewExecutor("vm-1#1", DefaultSettings(), open{}, nil, nil, nil)
+					before := heapInUse()
+					for i := range runs {
+						e.retire(completed(e, i, tokens))
+					}
+					b.ReportMetric(float64(heapInUse()-before)/float64(runs), "B/run")
+					runtime.KeepAlive(e)
+				}
+			})
+		}
+	}
+}
+
+// completed is a run that went the way of a streamed answer.
+func completed(e *Executor, i, tokens int) *Run {
+	key := Key{Workspace: fmt.Sprint("workspace-", i%50), ID: fmt.Sprintf("request-%032d", i)}
+	run, _, _ := e.find(&Request{Key: key})
+	run.enter(Admitted)
+	run.enter(Reserved)
+	run.dispatch(Hint{})
+	for range tokens {
+		run.add(strings.Clone("token "))
+	}
+	run.enter(Answered)
+	run.enter(Billed)
+	run.end(Completed, Outcome{})
+	return run
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// BenchmarkHomes ranks the routers of one of three regions, against the members
+// of the fleet.
+func BenchmarkHomes(b *testing.B) {
+	for _, nodes := range []int{9, 100, 340} {
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			view := &membership.View{Members: map[string]membership.Member{}}
+			for i := range nodes {
+				for _, role := range []string{RoleRouter, "control"} {
+					id := fmt.Sprintf("%s-%d", role, i)
+					view.Members[id] = membership.Member{ID: id, Role: role, Region: fmt.Sprint("r", i%3)}
+				}
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				r := &Request{Key: Key{Workspace: "w", ID: "k"}, Budget: fmt.Sprint(i % 100)}
+				Homes(view, "r1", r, false)
+			}
+		})
+	}
+}
