--- /dev/null
+++ b/membership/list_bench_test.go
@@ -0,0 +1,34 @@
+package membership
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"buckthornridge/platform"
+)
+
+// BenchmarkVMList reads one VM list of a fleet with its upstreams, as the platform
+// sends it, and tells the tracker.
+//
+//	go test ./membership -run '^$' -bench VMList
+func BenchmarkVMList(b *testing.B) {
+	for _, entries := range []int{18, 680, 6_680} {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) {
+			body, err := json.Marshal(vmsOf(entries))
+			if err != nil {
+				b.Fatal(err)
+			}
+			k := NewTracker(Options{Self: memberOf(vmOf(0)), Beats: routersBeat})
+			b.ReportAllocs()
+			for b.Loop() {
+				var vms []platform.VM
+				if err := json.Unmarshal(body, &vms); err != nil {
+					b.Fatal(err)
+				}
+				k.List(vms)
+			}
+			b.ReportMetric(float64(len(body)), "B/list")
+		})
+	}
+}
--- /dev/null
+++ b/scripts/measure-router.sh
@@ -0,0 +1,112 @@
+#!/usr/bin/env bash
+# Measures routers as processes on loopback, for docs/CAPACITY.md. Needs curl.
+#
+#   scripts/measure-router.sh cpu VMS          processor time and table calls per
+#                                              request, for answers of 1 to 400 tokens
+#   scripts/measure-router.sh streams VMS      memory with 250, 500, 1000 open streams
+#   scripts/measure-router.sh connections VMS  memory of router 1 with 2500, 5000 and
+#                                              10000 idle connections
+#
+# VMS is the number of VMs. Runs at once need BASE_PORTs that are 1000 apart.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+[ $# -eq 2 ] || { sed -n '2,11p' "$0" >&2; exit 2; }
+mode=$1 VMS=$2
+export BASE_PORT=${BASE_PORT:-40000}
+RUN=$(mktemp -d)
+mkdir "$RUN/lankawrap"
+cp examples/lankawrap/*.jsonc "$RUN/lankawrap"
+slots=16 step=10ms
+[ "$mode" = streams ] && slots=128 step=400ms
+sed -i -E "s/\"slots\": 16/\"slots\": $slots/" "$RUN"/lankawrap/*.jsonc
+FOLDER=$RUN/lankawrap
+. scripts/fleet.sh
+# The engines' own settings are the fleet's, but for the time of a step.
+eval "plain_$(declare -f fleet_settings_upstreams)"
+fleet_settings_upstreams() {
+	plain_fleet_settings_upstreams
+	sed -i "s/\"engine\": {/&\"step_base\": \"$step\", /" "$RUN"/settings/design-*.jsonc
+}
+trap 'fleet_down; rm -rf "$RUN"' EXIT
+fleet_up >"$RUN/up" 2>&1 || { cat "$RUN/up" >&2; exit 1; }
+fleet_top_up 100000000 >"$RUN/up" 2>&1
+
+# routers_cpu prints the processor time of all routers together, in ms.
+routers_cpu() {
+	local i
+	for i in $(seq "$VMS"); do cat "/proc/$(cat "$RUN/pid/router-$i")/stat"; done |
+		awk '{ms += ($14 + $15) * 10} END {print ms}'
+}
+# routers_rss prints the resident memory of routers FIRST to LAST together, in KiB.
+routers_rss() {
+	local i
+	for i in $(seq "$1" "$2"); do cat "/proc/$(cat "$RUN/pid/router-$i")/status"; done |
+		awk '/^VmRSS/ {kib += $2} END {print kib}'
+}
+# table prints the reads and scans, transactions and rows written so far.
+table() {
+	http_get "$(fleet_platform)" /debug/counters | tr ',{}' '\n' | awk -F: '
+		/"reads"|"scans"/ {reads += $2} /"txns"/ {txns = $2} /"rows_written"/ {rows = $2}
+		END {print reads, txns, rows}'
+}
+# ask COUNT TOKENS TOGETHER sends streamed requests, so many at once, through all
+# routers in turn, and leaves one line per answer with its HTTP status.
+ask() {
+	local i workspaces
+	mapfile -t workspaces < <(fleet_workspaces)
+	for i in $(seq "$1"); do
+		[ "$i" -gt 1 ] && echo next
+		echo "url = http://$(fleet_router $((i % VMS + 1)))/v1/chat/completions"
+		echo "header = \"Authorization: Bearer $(fleet_prefix)-${workspaces[i % ${#workspaces[@]}]}-example\""
+		echo "data = \"{\\\"model\\\":\\\"livery-large\\\",\\\"stream\\\":true,\\\"max_tokens\\\":$2,\\\"metadata\\\":{\\\"kind\\\":\\\"full_brief\\\"},\\\"messages\\\":[{\\\"role\\\":\\\"user\\\",\\\"content\\\":\\\"a wrap $i of $RANDOM [[tokens=$2]]\\\"}]}\""
+		echo "output = /dev/null"
+		echo 'write-out = "%{http_code}\n"'
+	done >"$RUN/ask-$1-$2-$4"
+	curl -sN --parallel --parallel-immediate --parallel-max "$3" -K "$RUN/ask-$1-$2-$4" >"$RUN/answers-$4" 2>/dev/null
+}
+load() { cut -d' ' -f1 /proc/loadavg; }
+
+measure_cpu() {
+	local tokens cpu cpu2 t0 t1 a b
+	cpu=$(routers_cpu) a=$(table)
+	sleep 10
+	echo "idle: $(($(routers_cpu) - cpu)) ms of all routers in 10 s; reads, transactions, rows before: $a; after: $(table); load $(load)"
+	for tokens in 1 100 400; do
+		cpu=$(routers_cpu) a=$(table) t0=$(date +%s%N)
+		ask 600 "$tokens" 60 "$tokens"
+		t1=$(date +%s%N) cpu2=$(routers_cpu) b=$(table)
+		echo "600 requests of $tokens tokens: $(((t1 - t0) / 1000000)) ms, routers' processor time $((cpu2 - cpu)) ms;" \
+			"reads, transactions, rows before: $a; after: $b; statuses: $(sort "$RUN/answers-$tokens" | uniq -c | tr -s '\n ' ' '); load $(load)"
+	done
+}
+
+measure_streams() {
+	local open part before during
+	for open in 250 500 1000; do
+		sleep 3
+		before=$(routers_rss 1 "$VMS")
+		for part in $(seq $((open / 250))); do ask 250 80 250 "$open-$part" & done
+		sleep 20
+		during=$(routers_rss 1 "$VMS")
+		echo "$open streams: RSS of all routers $before KiB before, $during KiB after 20 s; active:" \
+			"$(for i in $(seq "$VMS"); do http_get "$(fleet_router_admin "$i")" /debug/vars | grep -i '"[a-z_.]*active[a-z_]*"' | tr -d '\n'; done); load $(load)"
+		sleep 35
+		cat "$RUN"/answers-"$open"-* | sort | uniq -c
+	done
+}
+
+measure_connections() {
+	local fd n before
+	before=$(routers_rss 1 1)
+	for n in $(seq 10000); do
+		exec {fd}<>"/dev/tcp/127.0.0.1/$(fleet_port 401)"
+		printf 'GET /none HTTP/1.1\r\nHost: router\r\n\r\n' >&"$fd"
+		case $n in 2500 | 5000 | 10000)
+			sleep 1
+			echo "$n idle connections: RSS $before KiB before, $(routers_rss 1 1) KiB; open sockets $(ls "/proc/$(cat "$RUN/pid/router-1")/fd" | wc -l); load $(load)"
+			;;
+		esac
+	done
+}
+
+"measure_$mode"
