--- a/config/check_parts.go
+++ b/config/check_parts.go
@@ -63,6 +63,7 @@
 		addresses[upstream.Address] = name
 		reference(c, at.with("data_centre"), "data centre", upstream.DataCentre, c.doc.Fleet.DataCentres)
 		notNegative(c, at.with("slots"), upstream.Slots)
+		notNegative(c, at.with("max_models"), upstream.MaxModels)
 		c.upstreamKind(at, upstream)
 	}
 }
@@ -161,6 +162,9 @@
 	at := keyPath{"policy"}
 	c.module(at.with("routing"), routingNamespace, policy.Routing)
 	c.module(at.with("admission"), admissionNamespace, policy.Admission)
+	if policy.Placement != "" && policy.Placement != PlacementDemand {
+		c.fault(at.with("placement"), "want %q or nothing, found %q", PlacementDemand, policy.Placement)
+	}
 	if w := policy.Budget.RefusalWeight; w < 0 || w > 1 {
 		c.fault(at.with("budget", "refusal_weight"), "want 0 to 1, found %v", w)
 	}
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -86,6 +86,9 @@
 	Fencing bool `json:"fencing,omitempty"`
 	// Slots is how many requests the upstream runs at once.
 	Slots int `json:"slots,omitempty"`
+	// MaxModels is how many models an engine can hold at once; at least as many
+	// as Models lists.
+	MaxModels int `json:"max_models,omitempty"`
 	// Leaving asks for no new work on this upstream.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -136,12 +139,17 @@
 
 // Policy selects and tunes the decision modules.
 type Policy struct {
-	Routing   string          `json:"routing"`   // a routing.policy module
-	Admission string          `json:"admission"` // an admission.policy module
+	Routing   string `json:"routing"`   // a routing.policy module
+	Admission string `json:"admission"` // an admission.policy module
+	// Placement is PlacementDemand, or empty to leave engines as they are.
+	Placement string          `json:"placement"`
 	Budget    BudgetPolicy    `json:"budget"`
 	Load      AdmissionPolicy `json:"load"`
 }
 
+// PlacementDemand lets engines be ordered to hold what demand asks for.
+const PlacementDemand = "demand"
+
 // BudgetPolicy tunes grants. No value of it can cause overspend.
 type BudgetPolicy struct {
 	// RefusalWeight from 0 to 1 says how much a false refusal counts against
--- a/router/admin.go
+++ b/router/admin.go
@@ -62,7 +62,7 @@
 
 func (r *Router) explain(w http.ResponseWriter, q *http.Request) {
 	id := q.PathValue("id")
-	writeJSON(w, Explanation{Admission: r.admission.Explain(id), Routing: r.routes.Explain(id)})
+	writeJSON(w, Explanation{Admission: r.gate.load().Explain(id), Routing: r.routes.Explain(id)})
 }
 
 // Status is what a router says of itself.
--- a/router/config.go
+++ b/router/config.go
@@ -4,6 +4,8 @@
 	"crypto/tls"
 	"net"
 
+	"k8s.io/klog/v2"
+
 	"buckthornridge/admin"
 	"buckthornridge/certs"
 	"buckthornridge/config"
@@ -70,7 +72,12 @@
 func (r *Router) install(s *config.Snapshot) {
 	r.table.Update(s)
 	r.pool.update(s)
-	r.admission.Update(s)
+	if err := r.routes.Use(s.Policy.Routing); err != nil {
+		klog.Errorf("routing policy of version %d: %v", s.Version, err)
+	}
+	if err := r.gate.update(s); err != nil {
+		klog.Errorf("admission policy of version %d: %v", s.Version, err)
+	}
 	r.members.order(s)
 }
 
--- /dev/null
+++ b/router/policy_test.go
@@ -0,0 +1,34 @@
+package router
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/config"
+)
+
+// An operator changes the policies. They are in force for the next request, and
+// a name that nobody registered leaves the present ones.
+func TestPoliciesChangeWhileRunning(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 1, 100_000)
+	r := f.routers[0]
+	before := r.gate.load()
+	doc := r.snapshot().Document
+	doc.Policy.Routing, doc.Policy.Admission = "round_robin", "fifo"
+	version, err := config.NewStore(f.table).Apply(t.Context(), 1, doc, "second", "test")
+	is.NoErr(err)
+	f.await("the new version", func() bool { return r.snapshot().Version == version && r.gate.current.Load().policy == "fifo" })
+	is.True(r.gate.load() != before)
+	status, _ := f.post(r, "/v1/chat/completions", "", caption(false))
+	is.Equal(status, http.StatusOK)
+
+	kept := r.gate.load()
+	s, err := config.Compile(version+1, config.Document{Policy: config.Policy{Routing: "none", Admission: "none"}})
+	is.NoErr(err)
+	is.True(r.routes.Use(s.Policy.Routing) != nil)
+	is.True(r.gate.update(s) != nil)
+	is.Equal(r.gate.load(), kept)
+}
--- a/router/ports.go
+++ b/router/ports.go
@@ -20,9 +20,9 @@
 // time only; what is reserved is the ceiling.
 const bytesPerToken = 4
 
-// admissionPort lets requests pass through admission.
+// admissionPort lets requests pass through the admission controller in force.
 type admissionPort struct {
-	controller *admission.Controller
+	gate       *gate
 	dataCentre string
 }
 
@@ -30,7 +30,7 @@
 
 // Admit implements request.Admission.
 func (p admissionPort) Admit(ctx context.Context, r *request.Request) (func(), error) {
-	release, err := p.controller.Admit(ctx, p.translate(r))
+	release, err := p.gate.load().Admit(ctx, p.translate(r))
 	var refusal *admission.Refusal
 	if errors.As(err, &refusal) {
 		return nil, refused(refusal)
--- a/router/router.go
+++ b/router/router.go
@@ -15,7 +15,6 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
-	"buckthornridge/admission"
 	"buckthornridge/api"
 	"buckthornridge/budget"
 	"buckthornridge/certs"
@@ -50,18 +49,18 @@
 	services    platform.Services
 	client      *httpclient.Client
 
-	watcher   *config.Watcher
-	members   *members
-	wake      wakeCheck
-	table     *routing.Table
-	pool      *pool
-	admission *admission.Controller
-	keeper    *budget.Keeper
-	executor  *request.Executor
-	frontend  *request.Frontend
-	peers     *peer.Client
-	peerSrv   *peer.Server
-	routes    *routing.Router
+	watcher  *config.Watcher
+	members  *members
+	wake     wakeCheck
+	table    *routing.Table
+	pool     *pool
+	gate     *gate
+	keeper   *budget.Keeper
+	executor *request.Executor
+	frontend *request.Frontend
+	peers    *peer.Client
+	peerSrv  *peer.Server
+	routes   *routing.Router
 
 	listeners listeners
 	callers   *http.Server
@@ -113,10 +112,10 @@
 	if r.routes, err = routing.NewRouter(r.table, ""); err != nil {
 		return err
 	}
-	if r.admission, err = admission.NewController(r.routes, ""); err != nil {
+	if r.gate, err = newGate(r.routes); err != nil {
 		return err
 	}
-	r.table.OnRoom(r.admission.Wake)
+	r.table.OnRoom(r.gate.wake)
 	r.keeper = budget.NewKeeper(budget.KeeperConfig{
 		Table:     r.services.Table,
 		Holder:    budget.HolderName(r.settings.VM, r.incarnation),
@@ -140,7 +139,7 @@
 	r.executor = request.NewExecutor(
 		budget.HolderName(r.settings.VM, r.incarnation),
 		request.DefaultSettings(),
-		admissionPort{controller: r.admission, dataCentre: r.settings.DataCentre},
+		admissionPort{gate: r.gate, dataCentre: r.settings.DataCentre},
 		budgetPort{keeper: r.keeper, wake: r.wake},
 		routingPort{router: r.routes, pool: r.pool, dataCentre: r.settings.DataCentre},
 		r.services.Table,
--- a/routing/router.go
+++ b/routing/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"buckthornridge/kernel"
@@ -10,7 +11,7 @@
 // Router picks upstreams from a table by a policy.
 type Router struct {
 	table   *Table
-	policy  Policy
+	policy  atomic.Pointer[Policy]
 	explain *Ring[Record]
 	// workspaces holds a *TokenBucket of retries per workspace.
 	workspaces sync.Map
@@ -20,16 +21,23 @@
 // NewRouter returns a router over the table that uses the named policy module,
 // or DefaultPolicy for an empty name.
 func NewRouter(table *Table, policy string) (*Router, error) {
+	r := &Router{table: table, explain: NewRing[Record](defaultExplains)}
+	r.random.seedAnew()
+	return r, r.Use(policy)
+}
+
+// Use changes to the named policy module, or to DefaultPolicy for an empty name.
+// What the table has learned stays.
+func (r *Router) Use(policy string) error {
 	if policy == "" {
 		policy = DefaultPolicy
 	}
 	module, err := kernel.New[Policy](Namespace, policy)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	r := &Router{table: table, policy: module, explain: NewRing[Record](defaultExplains)}
-	r.random.seedAnew()
-	return r, nil
+	r.policy.Store(&module)
+	return nil
 }
 
 // Seed makes the router's random choices repeatable.
@@ -82,7 +90,7 @@
 		v.why = ReasonProbe
 		return e
 	}
-	if e := r.policy.choose(v); e != nil {
+	if e := (*r.policy.Load()).choose(v); e != nil {
 		return e
 	}
 	if e := v.anyOf(v.pool.live); e != nil {
