--- a/placement/actor.go
+++ b/placement/actor.go
@@ -161,7 +161,7 @@
 	now := time.Now()
 	for _, e := range engines {
 		target, planned := a.plan.Targets[e.ID]
-		if !planned || same(e.Models, target) {
+		if !planned || e.Silent || same(e.Models, target) {
 			continue
 		}
 		if last, told := a.ordered[e.ID]; told && now.Sub(last) < orderAgain {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,6 +31,9 @@
 	MaxModels int
 	// Models lists what the engine reported to hold.
 	Models []string
+	// Silent engines did not answer of late: they keep their target, and get
+	// neither orders nor another model.
+	Silent bool
 	// Leaving engines get no orders and count for nothing.
 	Leaving bool
 }
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -58,7 +58,7 @@
 		}
 		target := p.knownModels(base)
 		for _, name := range target {
-			if !slices.Contains(e.Models, name) {
+			if !e.Silent && !slices.Contains(e.Models, name) {
 				p.bytes -= p.models[name].Bytes // still on its way
 			}
 		}
@@ -178,7 +178,7 @@
 // room reports whether the model fits on the engine, and which model would have
 // to go for it.
 func (p *planner) room(e *planned, m *Model) (drop string, fits bool) {
-	if slices.Contains(e.target, m.Name) {
+	if e.Silent || slices.Contains(e.target, m.Name) {
 		return "", false
 	}
 	held := float64(len(e.target))
