--- a/cmd/buckthorn-control/main.go
+++ b/cmd/buckthorn-control/main.go
@@ -14,6 +14,8 @@
 	// The policies register themselves, so that a folder's names are checked.
 	_ "buckthornridge/admission"
 	"buckthornridge/control"
+	// The duty of placement registers itself.
+	_ "buckthornridge/placement/placer"
 	"buckthornridge/program"
 	_ "buckthornridge/routing"
 )
--- a/placement/placer/placer.go
+++ b/placement/placer/placer.go
@@ -64,9 +64,10 @@
 // Interval implements duty.Duty.
 func (*Placer) Interval() time.Duration { return interval }
 
-// Run implements duty.Duty: one plan and its orders.
+// Run implements duty.Duty: one plan and its orders. Without the policy engines
+// are left as they are: a fleet that was never told so must not move models.
 func (p *Placer) Run(ctx context.Context, env duty.Env) error {
-	if env.Config == nil {
+	if env.Config == nil || env.Config.Policy.Placement != config.PlacementDemand {
 		return nil
 	}
 	if p.actor == nil {
@@ -143,7 +144,7 @@
 	}
 	s.Engines = append(s.Engines, placement.Engine{
 		ID: id, DataCentre: u.DataCentre, Slots: max(u.Slots, 1), Models: load.Models, Silent: !ok,
-		MaxModels: max(len(u.Models), len(load.Models), 1),
+		MaxModels: max(u.MaxModels, len(u.Models), len(load.Models), 1),
 		Leaving:   load.Leaving || u.Leaving,
 	})
 }
--- a/placement/placer/placer_test.go
+++ b/placement/placer/placer_test.go
@@ -53,6 +53,7 @@
 func newWorld() *world {
 	w := &world{engines: map[string]*engineFake{}}
 	c := &config.Snapshot{}
+	c.Policy.Placement = config.PlacementDemand
 	c.Models = map[string]config.Model{"caption": {Replicas: 1}, "brief": {Replicas: 1}}
 	c.Upstreams = map[string]config.Upstream{}
 	for i, id := range []string{"e0", "e1", "e2", "e3"} {
@@ -137,3 +138,22 @@
 		is.Equal(w.holders("brief")+w.holders("caption"), 4)
 	})
 }
+
+// A folder that does not ask for placement leaves every engine as it is, whatever
+// the demand.
+func TestNoPlacementWithoutThePolicy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		w.env.Config.Policy.Placement = ""
+		w.engines["e0"].load.Running = 8
+		p := w.placer()
+		for range 5 {
+			is.NoErr(p.Run(t.Context(), w.env))
+			time.Sleep(interval)
+		}
+		for _, e := range w.engines {
+			is.Equal(e.orders, 0)
+		}
+	})
+}
