scripts/fleet.sh: a fleet whose ports are taken does not start

Cause: a second run on the same BASE_PORT found the other run's platform ready and sent its configuration there (refused: the token was not that platform's).

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -146,6 +146,8 @@
 	fleet_write_settings
 	fleet_start platform
 	fleet_wait_http "$(fleet_platform)" /healthz || return 1
+	# Another run on the same ports would answer for this one.
+	fleet_alive platform || { echo "ports from $BASE_PORT are in use" >&2; return 1; }
 	while read -r name; do fleet_start "$name"; done <"$RUN/upstreams"
 	for i in $(seq 1 "$VMS"); do fleet_start "control-$i"; done
 	for i in $(seq 1 "$VMS"); do fleet_wait_http "$(fleet_api "$i")" /healthz || return 1; done
