--- a/upstream/counters.go
+++ b/upstream/counters.go
@@ -18,6 +18,14 @@
 	countAdjusted = "usages_adjusted" // usage reports that could not be true
 )
 
+// All names are there from the start: an alarm on a counter that appears with
+// its first count can't be told from one that is misspelt.
+func init() {
+	for _, name := range []string{countNotSent, countRefused, countBroken, countProtocol, countOverrun, countAdjusted} {
+		counters.Add(name, 0)
+	}
+}
+
 func countFailure(kind error) {
 	for _, c := range []struct {
 		kind error
