budget: pending bills are kept at a second router

Ruled out: holding complete answers back until the table is there (an hour); copies at all routers (an outage's bills times the fleet).

Conclusion: two VMs must die in one outage to leave an answer unbilled; what no router takes is counted as bill_alone.

--- a/budget/keeper.go
+++ b/budget/keeper.go
@@ -34,6 +34,13 @@
 	Reserved int64 `msgpack:"r"`
 }
 
+// Copies gives a bill that is pending to another router, whose journal adopts it:
+// a crash of this router in an outage would leave a complete answer unbilled. To
+// bill it twice does no harm, since the first entry of a request wins.
+type Copies interface {
+	Copy(ctx context.Context, bill journal.Entry) error
+}
+
 // KeeperConfig wires a Keeper.
 type KeeperConfig struct {
 	Table platform.Table
@@ -50,6 +57,9 @@
 	// Witnesses reaches the routers that know of a ridden-out outage; nil if
 	// there is no way to.
 	Witnesses Witnesses
+	// Copies keeps bills that the table does not take at another router as well;
+	// nil if there is no way to.
+	Copies Copies
 	// CommitInterval is the least time between two journal commits; 0 means
 	// journal.DefaultInterval.
 	CommitInterval time.Duration
--- a/budget/keeper_test.go
+++ b/budget/keeper_test.go
@@ -30,6 +30,7 @@
 	cut     map[string]bool // routers that recalls do not reach
 	// witnesses and questions are nil where routers know of no other.
 	witnesses budget.Witnesses
+	copies    budget.Copies
 	questions budget.Questions
 }
 
@@ -74,7 +75,7 @@
 	holder := budget.HolderName(vm, incarnation)
 	k := budget.NewKeeper(budget.KeeperConfig{
 		Table: services.Table, Holder: holder, Recaller: f,
-		Policy: f.policy, Witnesses: f.witnesses,
+		Policy: f.policy, Witnesses: f.witnesses, Copies: f.copies,
 	})
 	f.keepers[holder] = k
 	_ = k.Start(f.t.Context())
--- a/budget/limits.go
+++ b/budget/limits.go
@@ -55,7 +55,7 @@
 var count = struct {
 	refused, openWaits, billsPending, clamped *expvar.Int
 	grants, returns, conflicts, recalls       *expvar.Int
-	witnessRefused                            *expvar.Int
+	witnessRefused, billsAlone                *expvar.Int
 }{}
 
 func init() {
@@ -73,5 +73,6 @@
 	count.returns = counter("returns")
 	count.conflicts = counter("conflicts")
 	count.recalls = counter("recalls")
+	count.billsAlone = counter("bill_alone")          // pending bills that no other router keeps as well
 	count.witnessRefused = counter("witness_refused") // a witness did not answer, or knows this holder as gone
 }
--- a/budget/reserve.go
+++ b/budget/reserve.go
@@ -262,6 +262,7 @@
 	case <-ctx.Done():
 	}
 	count.billsPending.Add(1)
+	r.keeper.copyBill(item)
 	return eris.Wrapf(ErrBillPending, "bill in %s", r.account.id)
 }
 
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -36,6 +36,9 @@
 	err    error // valid once done is closed
 }
 
+// Entry returns what is on its way, for a copy at another router.
+func (i *Item) Entry() Entry { return i.entry }
+
 // Done is closed when the entry is durable or never will be; see Err.
 func (i *Item) Done() <-chan struct{} { return i.done }
 
--- a/request/call_test.go
+++ b/request/call_test.go
@@ -135,8 +135,9 @@
 		got := ask(t.Context(), e.Do, order("k"))
 		is.Equal(got.outcome.Problem, nil)
 		other, _ := w.executor("vm-2")
-		w.fake.SetFaults(platform.Faults{})
+		w.fake.SetFaults(platform.Faults{Cut: []string{"vm-1"}}) // its row still cannot be written
 		is.Equal(ask(t.Context(), other.Do, order("k")).outcome.Problem.RunState, Unknown)
+		w.fake.SetFaults(platform.Faults{})
 		time.Sleep(2 * time.Second)
 		is.Equal(ask(t.Context(), other.Do, order("k")).outcome.Problem, nil)
 		is.Equal(service.runs, 1)
--- a/router/router.go
+++ b/router/router.go
@@ -122,6 +122,10 @@
 		Policy:    r.budgetPolicy,
 		Recaller:  &recaller{peers: r.peers, view: r.members.view},
 		Witnesses: &witnesses{peers: r.peers, view: r.members.view, self: r.settings.VM},
+		Copies: &copies{
+			peers: r.peers, view: r.members.view, self: r.settings.VM,
+			holder: budget.HolderName(r.settings.VM, r.incarnation),
+		},
 	})
 	budget.ServeWitness(r.peerSrv, budget.HolderName(r.settings.VM, r.incarnation), budget.NewTestimony())
 	r.wake = wakeCheck{table: r.services.Table, writer: r.keeper.Journal(), tracker: r.members.tracker}
