scripts: measure-router.sh; budget: memory per budget at three sizes

measure-router.sh measures routers as processes: processor time and table calls against the tokens of an answer, memory against open streams and against idle connections. It refuses a port where a platform answers already: the first trial took another run's platform for its own. Its ports lie below those that the system takes for outgoing connections; with 44000 the platform did not start.

--- a/budget/cost_test.go
+++ b/budget/cost_test.go
@@ -122,7 +122,12 @@
 // BenchmarkMemoryPerBudget reports the heap that an active budget (with a grant)
 // and an idle one (returned by Drain) cost in a router.
 func BenchmarkMemoryPerBudget(b *testing.B) {
-	const budgets = 20_000
+	for _, budgets := range []int{2_000, 20_000, 60_000} {
+		b.Run(fmt.Sprint(budgets), func(b *testing.B) { memoryPerBudget(b, budgets) })
+	}
+}
+
+func memoryPerBudget(b *testing.B, budgets int) {
 	for b.Loop() {
 		k, table := benchKeeper(b)
 		for i := range budgets {
@@ -145,11 +150,11 @@
 			})
 		}
 		group.Wait()
-		b.ReportMetric(float64(heap()-empty)/budgets, "B/active")
+		b.ReportMetric(float64(heap()-empty)/float64(budgets), "B/active")
 		if err := k.Drain(b.Context()); err != nil {
 			b.Fatal(err)
 		}
-		b.ReportMetric(float64(heap()-empty)/budgets, "B/idle")
+		b.ReportMetric(float64(heap()-empty)/float64(budgets), "B/idle")
 	}
 }
 
--- a/scripts/measure-router.sh
+++ b/scripts/measure-router.sh
@@ -12,7 +12,7 @@
 cd "$(dirname "$0")/.."
 [ $# -eq 2 ] || { sed -n '2,11p' "$0" >&2; exit 2; }
 mode=$1 VMS=$2
-export BASE_PORT=${BASE_PORT:-40000}
+export BASE_PORT=${BASE_PORT:-28000}
 RUN=$(mktemp -d)
 mkdir "$RUN/lankawrap"
 cp examples/lankawrap/*.jsonc "$RUN/lankawrap"
@@ -27,6 +27,11 @@
 	plain_fleet_settings_upstreams
 	sed -i "s/\"engine\": {/&\"step_base\": \"$step\", /" "$RUN"/settings/design-*.jsonc
 }
+# Another run's platform would take this run's processes for its own.
+if (http_get "$(fleet_platform)" /healthz) >/dev/null 2>&1; then
+	echo "port $BASE_PORT is in use" >&2
+	exit 1
+fi
 trap 'fleet_down; rm -rf "$RUN"' EXIT
 fleet_up >"$RUN/up" 2>&1 || { cat "$RUN/up" >&2; exit 1; }
 fleet_top_up 100000000 >"$RUN/up" 2>&1
@@ -64,19 +69,32 @@
 	done >"$RUN/ask-$1-$2-$4"
 	curl -sN --parallel --parallel-immediate --parallel-max "$3" -K "$RUN/ask-$1-$2-$4" >"$RUN/answers-$4" 2>/dev/null
 }
+# controls prints processor time in ms, bytes read and written, and resident KiB
+# of all control processes together.
+controls() {
+	local i pid
+	for i in $(seq "$VMS"); do
+		pid=$(cat "$RUN/pid/control-$i")
+		cat "/proc/$pid/stat" "/proc/$pid/io" "/proc/$pid/status"
+	done | awk '/^[0-9]/ {ms += ($14 + $15) * 10} /^rchar|^wchar/ {bytes += $2} /^VmRSS/ {kib += $2}
+		END {printf "%d ms, %d B, %d KiB", ms, bytes, kib}'
+}
 load() { cut -d' ' -f1 /proc/loadavg; }
 
 measure_cpu() {
 	local tokens cpu cpu2 t0 t1 a b
+	sleep 5
+	echo "controls before: $(controls)"
 	cpu=$(routers_cpu) a=$(table)
 	sleep 10
 	echo "idle: $(($(routers_cpu) - cpu)) ms of all routers in 10 s; reads, transactions, rows before: $a; after: $(table); load $(load)"
+	echo "controls after: $(controls)"
 	for tokens in 1 100 400; do
 		cpu=$(routers_cpu) a=$(table) t0=$(date +%s%N)
 		ask 600 "$tokens" 60 "$tokens"
 		t1=$(date +%s%N) cpu2=$(routers_cpu) b=$(table)
 		echo "600 requests of $tokens tokens: $(((t1 - t0) / 1000000)) ms, routers' processor time $((cpu2 - cpu)) ms;" \
-			"reads, transactions, rows before: $a; after: $b; statuses: $(sort "$RUN/answers-$tokens" | uniq -c | tr -s '\n ' ' '); load $(load)"
+			"reads, transactions, rows before: $a; after: $b; statuses: $(sort "$RUN/answers-$tokens" | uniq -c | tr -s '\n ' ' '); controls $(controls); load $(load)"
 	done
 }
 
