--- a/scripts/measure-router.sh
+++ b/scripts/measure-router.sh
@@ -3,6 +3,8 @@
 #
 #   scripts/measure-router.sh cpu VMS          processor time and table calls per
 #                                              request, for answers of 1 to 400 tokens
+#   scripts/measure-router.sh idle VMS         table calls, and what control processes
+#                                              cost, in a fleet without requests
 #   scripts/measure-router.sh streams VMS      memory with 250, 500, 1000 open streams
 #   scripts/measure-router.sh connections VMS  memory of router 1 with 2500, 5000 and
 #                                              10000 idle connections
@@ -10,7 +12,7 @@
 # VMS is the number of VMs. Runs at once need BASE_PORTs that are 1000 apart.
 set -uo pipefail
 cd "$(dirname "$0")/.."
-[ $# -eq 2 ] || { sed -n '2,11p' "$0" >&2; exit 2; }
+[ $# -eq 2 ] || { sed -n '2,13p' "$0" >&2; exit 2; }
 mode=$1 VMS=$2
 export BASE_PORT=${BASE_PORT:-28000}
 RUN=$(mktemp -d)
@@ -30,6 +32,7 @@
 # Another run's platform would take this run's processes for its own.
 if (http_get "$(fleet_platform)" /healthz) >/dev/null 2>&1; then
 	echo "port $BASE_PORT is in use" >&2
+	rm -rf "$RUN"
 	exit 1
 fi
 trap 'fleet_down; rm -rf "$RUN"' EXIT
@@ -81,14 +84,21 @@
 }
 load() { cut -d' ' -f1 /proc/loadavg; }
 
-measure_cpu() {
-	local tokens cpu cpu2 t0 t1 a b
-	sleep 5
+# measure_idle SETTLE SECONDS: control processes share the journals by a list that
+# they look at each 30 s, so a fleet has settled only after that.
+measure_idle() {
+	local cpu a
+	sleep "$1"
 	echo "controls before: $(controls)"
 	cpu=$(routers_cpu) a=$(table)
-	sleep 10
-	echo "idle: $(($(routers_cpu) - cpu)) ms of all routers in 10 s; reads, transactions, rows before: $a; after: $(table); load $(load)"
+	sleep "$2"
+	echo "idle: $(($(routers_cpu) - cpu)) ms of all routers in $2 s; reads, transactions, rows before: $a; after: $(table); load $(load)"
 	echo "controls after: $(controls)"
+}
+
+measure_cpu() {
+	local tokens cpu cpu2 t0 t1 a b
+	measure_idle 5 10
 	for tokens in 1 100 400; do
 		cpu=$(routers_cpu) a=$(table) t0=$(date +%s%N)
 		ask 600 "$tokens" 60 "$tokens"
@@ -127,4 +137,7 @@
 	done
 }
 
-"measure_$mode"
+case "$mode" in
+idle) measure_idle 45 20 ;;
+*) "measure_$mode" ;;
+esac
