budget: copies of pending bills are released, not written

Ruled out: dropping copies after a time (a holder may be cut off for long).

Conclusion: the table sees a copy only of a bill whose router is gone.

--- a/budget/copy.go
+++ b/budget/copy.go
@@ -2,14 +2,32 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/budget/ledger"
 	"buckthornridge/journal"
+	"buckthornridge/platform"
 )
 
-// copyLimit bounds handing a pending bill to another router; the caller's answer
-// waits for it.
-const copyLimit = 300 * time.Millisecond
+// Timing of copies.
+const (
+	// copyLimit bounds handing a pending bill to another router; the caller's
+	// answer waits for it.
+	copyLimit    = 300 * time.Millisecond
+	copyInterval = 2 * time.Second // between two looks at what is kept for others
+)
+
+// Copies gives a bill that is pending to another router, which keeps it in memory:
+// a crash of this router in an outage would leave a complete answer unbilled.
+type Copies interface {
+	// Copy returns nil once another router keeps the bill.
+	Copy(ctx context.Context, number uint64, bill journal.Entry) error
+	// Release tells that the bills up to a number are durable.
+	Release(ctx context.Context, upTo uint64) error
+}
 
 // copyBill puts a pending bill into the memory of a second VM. If no router takes
 // it, the bill is in this one's memory alone until the table is back, and a crash
@@ -22,7 +40,120 @@
 	}
 	ctx, cancel := context.WithTimeout(k.ctx, copyLimit)
 	defer cancel()
-	if err := k.cfg.Copies.Copy(ctx, item.Entry()); err != nil {
+	number := k.numbers.Add(1)
+	if err := k.cfg.Copies.Copy(ctx, number, item.Entry()); err != nil {
 		count.billsAlone.Add(1)
+		return
+	}
+	k.copied.Store(number)
+}
+
+// releaseCopies lets other routers forget copies once the bills are durable. What
+// is copied meanwhile has a higher number and stays.
+func (k *Keeper) releaseCopies(ctx context.Context) {
+	upTo := k.copied.Load()
+	if upTo == 0 || k.journal.Settled(ctx) != nil {
+		return
+	}
+	if k.cfg.Copies.Release(ctx, upTo) == nil {
+		k.copied.CompareAndSwap(upTo, 0)
+	}
+}
+
+// copyLoop releases copies as soon as the table takes entries again.
+func (k *Keeper) copyLoop() {
+	for pause(k.ctx, copyInterval) == nil {
+		ctx, cancel := context.WithTimeout(k.ctx, settleLimit)
+		k.releaseCopies(ctx)
+		cancel()
+	}
+}
+
+// CopyBook keeps bills for other routers that the table does not take. A bill
+// leaves it when its holder says that it is durable, or, when the holder's journal
+// was sealed before, into this router's own journal, as handed over.
+type CopyBook struct {
+	mu    sync.Mutex
+	bills map[string][]numbered // by holder, in the order of arrival
+}
+
+type numbered struct {
+	number uint64
+	bill   journal.Entry
+}
+
+// NewCopyBook returns an empty book.
+func NewCopyBook() *CopyBook { return &CopyBook{bills: map[string][]numbered{}} }
+
+// Add keeps a bill of a holder.
+func (b *CopyBook) Add(holder string, number uint64, bill journal.Entry) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.bills[holder]) >= maxPending {
+		return eris.Errorf("budget: %d copies are kept for %s already", maxPending, holder)
+	}
+	b.bills[holder] = append(b.bills[holder], numbered{number, bill})
+	return nil
+}
+
+// Release forgets a holder's bills up to a number.
+func (b *CopyBook) Release(holder string, upTo uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var rest []numbered
+	for _, n := range b.bills[holder] {
+		if n.number > upTo {
+			rest = append(rest, n)
+		}
+	}
+	b.put(holder, rest)
+}
+
+// put replaces a holder's bills. The caller holds mu.
+func (b *CopyBook) put(holder string, bills []numbered) {
+	if len(bills) == 0 {
+		delete(b.bills, holder)
+		return
+	}
+	b.bills[holder] = bills
+}
+
+// Run hands bills of holders whose journals are sealed to this router's journal.
+func (b *CopyBook) Run(ctx context.Context, table platform.Table, w *journal.Writer) {
+	for pause(ctx, copyInterval) == nil {
+		for _, holder := range b.holders() {
+			if sealed(ctx, table, holder) {
+				b.handOver(holder, w)
+			}
+		}
+	}
+}
+
+func (b *CopyBook) holders() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var all []string
+	for holder := range b.bills {
+		all = append(all, holder)
+	}
+	return all
+}
+
+// sealed reports whether a holder's journal is known to be sealed. While the
+// table does not answer it is not: the holder may yet write its bills itself.
+func sealed(ctx context.Context, table platform.Table, holder string) bool {
+	rows, err := table.Read(ctx, ledger.LifeKey(holder))
+	return err == nil && rows[0].Version == 0
+}
+
+func (b *CopyBook) handOver(holder string, w *journal.Writer) {
+	b.mu.Lock()
+	kept := b.bills[holder]
+	delete(b.bills, holder)
+	b.mu.Unlock()
+	entries := make([]journal.Entry, len(kept))
+	for i, n := range kept {
+		entries[i] = n.bill
 	}
+	w.Adopt(holder, entries)
 }
--- a/budget/keeper.go
+++ b/budget/keeper.go
@@ -34,13 +34,6 @@
 	Reserved int64 `msgpack:"r"`
 }
 
-// Copies gives a bill that is pending to another router, whose journal adopts it:
-// a crash of this router in an outage would leave a complete answer unbilled. To
-// bill it twice does no harm, since the first entry of a request wins.
-type Copies interface {
-	Copy(ctx context.Context, bill journal.Entry) error
-}
-
 // KeeperConfig wires a Keeper.
 type KeeperConfig struct {
 	Table platform.Table
@@ -70,6 +63,7 @@
 	cfg     KeeperConfig
 	journal *journal.Writer
 	rides   *rides
+	copied  atomic.Uint64 // number of the last copied bill that was not released
 
 	numbers  atomic.Uint64 // of reservations and of table operations
 	draining atomic.Bool
@@ -107,6 +101,9 @@
 	if k.cfg.Witnesses != nil {
 		k.spawn(k.leaveLoop)
 	}
+	if k.cfg.Copies != nil {
+		k.spawn(k.copyLoop)
+	}
 	return nil
 }
 
--- a/budget/outage_test.go
+++ b/budget/outage_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"buckthornridge/budget"
+	"buckthornridge/budget/ledger"
 	"buckthornridge/journal"
 	"buckthornridge/platform"
 )
@@ -39,25 +40,32 @@
 	})
 }
 
-// adoptedBy gives copies of a holder's bills to another router.
-type adoptedBy struct {
-	keeper *budget.Keeper
+// keeping keeps copies of a holder's bills in the book of another router.
+type keeping struct {
+	book   *budget.CopyBook
 	holder string
 }
 
-func (a adoptedBy) Copy(_ context.Context, bill journal.Entry) error {
-	a.keeper.Journal().Adopt(a.holder, []journal.Entry{bill})
+func (n keeping) Copy(_ context.Context, number uint64, bill journal.Entry) error {
+	return n.book.Add(n.holder, number, bill)
+}
+
+func (n keeping) Release(_ context.Context, upTo uint64) error {
+	n.book.Release(n.holder, upTo)
 	return nil
 }
 
-// A router answers whole requests during an outage and is killed before the table
-// is back. Its callers have complete answers; the bills were in its memory alone
-// and are never written. With a copy at another router each is billed, once.
-func TestKilledInAnOutageLeavesNoAnswerUnbilled(t *testing.T) {
+// outageWithCopies tells a story in which vm-1 answers five requests of 400 tokens
+// during an outage and vm-2 keeps copies of the bills.
+func outageWithCopies(t *testing.T, tell func(t *testing.T, is *is.I, f *fleet, k *budget.Keeper)) {
 	story(t, 1_000_000, func(t *testing.T, is *is.I, f *fleet) {
 		f.weight = 1
 		other := f.start("vm-2", "1")
-		f.copies = adoptedBy{keeper: other, holder: "vm-1#1"}
+		book := budget.NewCopyBook()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go book.Run(ctx, f.fake.As("vm-2").Table, other.Journal())
+		f.copies = keeping{book: book, holder: "vm-1#1"}
 		k := f.start("vm-1", "1")
 		is.NoErr(f.must(k, "before", 500).Bill(t.Context(), 500))
 		f.faults(platform.Faults{Down: true})
@@ -65,37 +73,55 @@
 			r := f.must(k, fmt.Sprint("during-", i), 500)
 			is.True(errors.Is(r.Bill(t.Context(), 400), budget.ErrBillPending))
 		}
+		time.Sleep(time.Minute) // the neighbour must not take silence for an end
+		tell(t, is, f, k)
+		is.Equal(len(f.fake.Dump(ledger.AdoptedPrefix)), 0)
+	})
+}
+
+// A router answers whole requests during an outage and is killed before the table
+// is back. Its callers have complete answers; the bills were in its memory alone
+// and were never written. With a copy at another router each is billed, once.
+func TestKilledInAnOutageLeavesNoAnswerUnbilled(t *testing.T) {
+	outageWithCopies(t, func(_ *testing.T, is *is.I, f *fleet, k *budget.Keeper) {
 		_ = k.Stop()
 		f.faults(platform.Faults{})
 		f.gone("vm-1")
 		time.Sleep(5 * time.Second)
 		f.duties()
-		f.duties()
 		is.Equal(f.status(studio).Billed, int64(500+5*400))
 	})
 }
 
-// The router is not killed and writes its bills itself: the copies bill nothing
-// a second time.
+// The router lives and writes its bills itself: the copies bill nothing a second
+// time, and no row of them stays in the table for as long as the router lives.
 func TestCopiedBillsAreBilledOnce(t *testing.T) {
-	story(t, 1_000_000, func(t *testing.T, is *is.I, f *fleet) {
-		f.weight = 1
-		other := f.start("vm-2", "1")
-		f.copies = adoptedBy{keeper: other, holder: "vm-1#1"}
-		k := f.start("vm-1", "1")
-		is.NoErr(f.must(k, "before", 500).Bill(t.Context(), 500))
-		f.faults(platform.Faults{Down: true})
-		for i := range 5 {
-			_ = f.must(k, fmt.Sprint("during-", i), 500).Bill(t.Context(), 400)
-		}
+	outageWithCopies(t, func(_ *testing.T, is *is.I, f *fleet, _ *budget.Keeper) {
 		f.faults(platform.Faults{})
-		time.Sleep(5 * time.Second)
-		f.duties()
-		is.NoErr(k.Drain(t.Context()))
-		f.duties()
+		time.Sleep(10 * time.Second)
 		f.duties()
 		state := f.status(studio)
 		is.Equal(state.Billed, int64(500+5*400))
 		is.Equal(state.LostTokens(), int64(0))
+		// What the neighbour still kept would be handed over now.
+		is.NoErr(f.keepers["vm-1#1"].Drain(f.t.Context()))
+		time.Sleep(10 * time.Second)
+		is.Equal(len(f.fake.Dump(ledger.AdoptedPrefix)), 0)
+	})
+}
+
+// The router lives through the outage, writes its bills, and dies later without
+// having told its neighbour of all: the copies are handed over and bill nothing.
+func TestForgottenCopiesBillNothing(t *testing.T) {
+	outageWithCopies(t, func(t *testing.T, is *is.I, f *fleet, k *budget.Keeper) {
+		forgotten := journal.Entry{Kind: journal.KindBill, Budget: studio, Request: "before", Tokens: 500}
+		is.NoErr(f.copies.Copy(t.Context(), 1<<40, forgotten))
+		f.faults(platform.Faults{})
+		time.Sleep(10 * time.Second)
+		_ = k.Stop()
+		f.gone("vm-1")
+		time.Sleep(5 * time.Second)
+		f.duties()
+		is.Equal(f.status(studio).Billed, int64(500+5*400))
 	})
 }
--- a/router/copies.go
+++ b/router/copies.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"sync"
 
 	"github.com/rotisserie/eris"
 
@@ -11,27 +13,99 @@
 	"buckthornridge/peer"
 )
 
+// Peer methods by which routers keep pending bills for one another.
+const (
+	methodCopy    = "budget.copy"
+	methodRelease = "budget.release"
+)
+
+// copyRequest is the message of methodCopy.
+type copyRequest struct {
+	Holder string        `msgpack:"h"`
+	Number uint64        `msgpack:"n"`
+	Bill   journal.Entry `msgpack:"b"`
+}
+
+// releaseRequest is the message of methodRelease.
+type releaseRequest struct {
+	Holder string `msgpack:"h"`
+	UpTo   uint64 `msgpack:"n"`
+}
+
 // copies gives pending bills to another router.
 type copies struct {
 	peers  peer.Caller
 	view   *membership.Holder
 	self   string // VM id
 	holder string
+
+	mu   sync.Mutex
+	kept map[string]bool // peer addresses of the routers that keep some
 }
 
 var _ budget.Copies = (*copies)(nil)
 
 // Copy implements budget.Copies: the first live router that answers keeps it.
-func (c *copies) Copy(ctx context.Context, bill journal.Entry) error {
-	message := adoptRequest{Holder: c.holder, Entries: []journal.Entry{bill}}
-	var last error = peer.ErrUnreachable
+func (c *copies) Copy(ctx context.Context, number uint64, bill journal.Entry) error {
+	message := copyRequest{Holder: c.holder, Number: number, Bill: bill}
+	last := peer.ErrUnreachable
 	for _, m := range c.view.Load().Members {
 		if m.Role != roleRouter || m.ID == c.self || m.State != membership.Live {
 			continue
 		}
-		if last = c.peers.Call(ctx, m.PeerAddress, methodAdopt, message, nil); last == nil {
+		if last = c.peers.Call(ctx, m.PeerAddress, methodCopy, message, nil); last == nil {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.kept[m.PeerAddress] = true
 			return nil
 		}
 	}
 	return eris.Wrap(last, "copy a pending bill")
 }
+
+// Release implements budget.Copies. A router that cannot be told keeps its copies
+// until this one's journal is sealed, which does no harm.
+func (c *copies) Release(ctx context.Context, upTo uint64) error {
+	c.mu.Lock()
+	var addresses []string
+	for address := range c.kept {
+		addresses = append(addresses, address)
+	}
+	c.mu.Unlock()
+	var all error
+	for _, address := range addresses {
+		err := c.peers.Call(ctx, address, methodRelease, releaseRequest{Holder: c.holder, UpTo: upTo}, nil)
+		if errors.Is(err, peer.ErrUnreachable) {
+			err = nil // it is gone, and its copies with it
+		}
+		all = errors.Join(all, err)
+	}
+	if all == nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		clear(c.kept)
+	}
+	return all
+}
+
+// registerCopies keeps bills for other routers.
+func registerCopies(s *peer.Server, book *budget.CopyBook) {
+	s.Handle(methodCopy, func(_ context.Context, decode func(any) error, _ peer.Sender) (any, error) {
+		var q copyRequest
+		if err := decode(&q); err != nil {
+			return nil, err
+		}
+		if q.Holder == "" || q.Bill.Kind != journal.KindBill {
+			return nil, eris.Wrap(peer.ErrMalformed, "budget.copy: no holder or no bill")
+		}
+		return nil, book.Add(q.Holder, q.Number, q.Bill)
+	})
+	s.Handle(methodRelease, func(_ context.Context, decode func(any) error, _ peer.Sender) (any, error) {
+		var q releaseRequest
+		if err := decode(&q); err != nil {
+			return nil, err
+		}
+		book.Release(q.Holder, q.UpTo)
+		return nil, nil
+	})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -31,7 +31,7 @@
 
 // Timing of a router's own upkeep.
 const (
-	sweepInterval = 5 * time.Second
+	sweepInterval = time.Second
 	// headerTimeout and idleTimeout bound callers that send slowly or nothing.
 	headerTimeout = 10 * time.Second
 	bodyTimeout   = 30 * time.Second
@@ -56,6 +56,7 @@
 	pool     *pool
 	gate     *gate
 	keeper   *budget.Keeper
+	copyBook *budget.CopyBook // pending bills that this router keeps for others
 	executor *request.Executor
 	frontend *request.Frontend
 	peers    *peer.Client
@@ -87,6 +88,7 @@
 		services:    client.Services(),
 		peerSrv:     peer.NewServer(),
 		table:       routing.NewTable(),
+		copyBook:    budget.NewCopyBook(),
 		stopAsked:   make(chan struct{}),
 	}
 	if err := r.openCerts(); err != nil {
@@ -124,7 +126,7 @@
 		Witnesses: &witnesses{peers: r.peers, view: r.members.view, self: r.settings.VM},
 		Copies: &copies{
 			peers: r.peers, view: r.members.view, self: r.settings.VM,
-			holder: budget.HolderName(r.settings.VM, r.incarnation),
+			holder: budget.HolderName(r.settings.VM, r.incarnation), kept: map[string]bool{},
 		},
 	})
 	budget.ServeWitness(r.peerSrv, budget.HolderName(r.settings.VM, r.incarnation), budget.NewTestimony())
@@ -161,6 +163,7 @@
 	r.members.gossip.Serve(r.peerSrv)
 	registerRecall(r.peerSrv, r.keeper)
 	registerAdopt(r.peerSrv, r.keeper)
+	registerCopies(r.peerSrv, r.copyBook)
 }
 
 // busy reports whether the configuration marks the request's budget as busy.
@@ -196,6 +199,7 @@
 	r.spawn(func() { r.members.run(ctx) })
 	r.spawn(func() { r.pool.run(ctx) })
 	r.spawn(func() { r.sweep(ctx) })
+	r.spawn(func() { r.copyBook.Run(ctx, r.services.Table, r.keeper.Journal()) })
 	r.spawn(func() { logEnd("peer", r.peerSrv.Serve(r.listeners.peer)) })
 	r.spawn(func() { logEnd("admin", r.admin.Serve(r.listeners.admin)) })
 	r.spawn(func() { logEnd("callers", r.callers.Serve(r.listeners.callers)) })
@@ -290,10 +294,12 @@
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
+		// The engines' room is divided among the routers: one that takes itself
+		// for the only one fills them alone, and overload collapses.
+		r.table.SetRouters(r.members.routers())
+		r.executor.Sweep()
 		select {
 		case <-ticker.C:
-			r.executor.Sweep()
-			r.table.SetRouters(r.members.routers())
 		case <-ctx.Done():
 			return
 		}
