--- a/duty/manager_test.go
+++ b/duty/manager_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,8 +17,8 @@
 	"buckthornridge/platform"
 )
 
-// journalOf records who made passes, and when.
-type journalOf struct {
+// passLog records who made passes, and when.
+type passLog struct {
 	mu     sync.Mutex
 	passes []pass
 	inside map[string]bool
@@ -31,7 +33,7 @@
 // tracked is a duty that records its passes.
 type tracked struct {
 	vm  string
-	log *journalOf
+	log *passLog
 }
 
 func (tracked) Interval() time.Duration { return time.Second }
@@ -53,20 +55,20 @@
 }
 
 // last returns the latest pass.
-func (j *journalOf) last() pass {
+func (j *passLog) last() pass {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.passes[len(j.passes)-1]
 }
 
 // overlapped reports whether two holders were ever inside a pass at once.
-func (j *journalOf) overlapped() bool {
+func (j *passLog) overlapped() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.both
 }
 
-func (j *journalOf) all() []pass {
+func (j *passLog) all() []pass {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return slices.Clone(j.passes)
@@ -81,8 +83,8 @@
 }
 
 // trackedFleet starts three managers of one tracked duty, a first.
-func trackedFleet(fake *platform.Fake) (map[string]*Manager, *journalOf) {
-	log := &journalOf{inside: map[string]bool{}}
+func trackedFleet(fake *platform.Fake) (map[string]*Manager, *passLog) {
+	log := &passLog{inside: map[string]bool{}}
 	managers := map[string]*Manager{}
 	for _, vm := range []string{"a", "b", "c"} {
 		managers[vm] = manager(fake, vm, map[string]Duty{"tracked": tracked{vm, log}})
@@ -201,9 +203,9 @@
 			return true
 		}}
 		fake.SetHooks(platform.Hooks{Before: s.hook})
-		managers := map[string]*Manager{"a": manager(fake, "a", map[string]Duty{"fold": fold{}})}
+		managers := map[string]*Manager{"a": manager(fake, "a", map[string]Duty{"fold": leased{newFold()}})}
 		time.Sleep(time.Second)
-		managers["b"] = manager(fake, "b", map[string]Duty{"fold": fold{}})
+		managers["b"] = manager(fake, "b", map[string]Duty{"fold": leased{newFold()}})
 		for i := range 5 {
 			bill(i, 10)
 		}
@@ -224,6 +226,15 @@
 		is.Equal(report.Billed, int64(57))
 		is.Equal(len(report.Violations), 0)
 		is.Equal(managers["a"].Counters.Held.Get("fold").String(), "0")
+
+		is.NoErr(managers["b"].Drain(t.Context())) // a folds again, with an index that is behind
+		bill(10, 3)
+		time.Sleep(3 * DefaultTTL)
+		report, err = budget.Audit(t.Context(), operator)
+		is.NoErr(err)
+		is.Equal(managers["a"].Counters.Held.Get("fold").String(), "1")
+		is.Equal(report.Billed, int64(60))
+		is.Equal(len(report.Violations), 0)
 		stopAll(t, managers)
 	})
 }
@@ -258,3 +269,31 @@
 		is.True(duties[name].Interval() > 0)
 	}
 }
+
+// failing is a duty that fails for a while.
+type failing struct{ left atomic.Int64 }
+
+func (*failing) Interval() time.Duration { return time.Second }
+
+func (f *failing) Run(context.Context, Env) error {
+	if f.left.Add(-1) >= 0 {
+		return errors.New("no")
+	}
+	return nil
+}
+
+func TestFailedPassesAreCountedAndTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		duty := new(failing)
+		duty.left.Store(5)
+		m := manager(platform.NewFake(platform.FakeOptions{}), "a", map[string]Duty{"failing": duty})
+		time.Sleep(time.Minute - time.Second/2)
+		is.NoErr(m.Stop())
+		is.Equal(m.Counters.Failures.Get("failing").String(), "5")
+		is.Equal(m.Counters.Passes.Get("failing").String(), "60")
+	})
+}
+
+// leased hides that a duty is shared, so that it is run under a lease.
+type leased struct{ Duty }
--- a/loadtool/run/router_test.go
+++ b/loadtool/run/router_test.go
@@ -72,7 +72,7 @@
 	a := answered{model: ask.Model, id: key, tokens: tokens, usage: usage}
 	b.spoil(&a, ask.Stream, nth)
 	if ask.Stream {
-		a.stream(w, b.lie == cutsOnStop && nth%20 == 0)
+		a.stream(w, b.lie == cutsOnStop && nth%5 == 0)
 		return
 	}
 	a.whole(w)
@@ -155,7 +155,7 @@
 		reply, err = b.calls.Do(r.Context(), call)
 	}
 	if err != nil {
-		panic(err)
+		panic(http.ErrAbortHandler)
 	}
 	b.bill(id, key, price, nth)
 	_, _ = w.Write(reply.Body)
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -146,6 +146,8 @@
 	fleet_write_settings
 	fleet_start platform
 	fleet_wait_http "$(fleet_platform)" /healthz || return 1
+	# Another run on the same ports would answer for this one.
+	fleet_alive platform || { echo "ports from $BASE_PORT are in use" >&2; return 1; }
 	while read -r name; do fleet_start "$name"; done <"$RUN/upstreams"
 	for i in $(seq 1 "$VMS"); do fleet_start "control-$i"; done
 	for i in $(seq 1 "$VMS"); do fleet_wait_http "$(fleet_api "$i")" /healthz || return 1; done
@@ -175,14 +177,14 @@
 	local file
 	for file in "$RUN"/pid/*; do
 		[ "$(basename "$file")" = platform ] && continue
-		kill -CONT "$(cat "$file")" 2>/dev/null
-		kill -TERM "$(cat "$file")" 2>/dev/null
+		kill -CONT "$(cat "$file")" 2>/dev/null || true
+		kill -TERM "$(cat "$file")" 2>/dev/null || true
 	done
 	fleet_wait_ended platform
-	[ -f "$RUN/pid/platform" ] && fleet_signal TERM platform
+	fleet_signal TERM platform || true
 	fleet_wait_ended ""
-	for file in "$RUN"/pid/*; do kill -KILL "$(cat "$file")" 2>/dev/null; done
-	wait 2>/dev/null
+	for file in "$RUN"/pid/*; do kill -KILL "$(cat "$file")" 2>/dev/null || true; done
+	wait 2>/dev/null || true
 	return 0
 }
 
