--- a/budget/acquire.go
+++ b/budget/acquire.go
@@ -130,6 +130,7 @@
 	if op.change.skip {
 		return &op.row, 0, nil
 	}
+	count.grants.Add(1)
 	acc.listed = true
 	acc.idle += op.change.delta
 	acc.exposure, acc.outage, acc.witness = op.change.exposure, op.change.outage, op.change.witness
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -48,5 +48,4 @@
 	CauseDuplicate  = ledger.CauseDuplicate
 	CauseFailed     = ledger.CauseFailed
 	CauseHolderGone = ledger.CauseHolderGone
-	CauseLate       = ledger.CauseLate
 )
--- a/budget/giveback.go
+++ b/budget/giveback.go
@@ -126,6 +126,7 @@
 	if err != nil || op.change.skip {
 		return 0
 	}
+	count.returns.Add(1)
 	acc.listed = !op.change.close
 	return taken
 }
--- a/budget/ledger/ledger.go
+++ b/budget/ledger/ledger.go
@@ -43,9 +43,6 @@
 	CauseFailed Cause = "failed"
 	// CauseHolderGone: the holder died; its journal does not account for them.
 	CauseHolderGone Cause = "holder_gone"
-	// CauseLate: the bill became durable after the duplicate index may have
-	// forgotten an earlier bill of the same request.
-	CauseLate Cause = "late"
 )
 
 // Holding is what one holder, a router's incarnation, has of a budget.
