--- a/budget/outage_test.go
+++ b/budget/outage_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"buckthornridge/budget"
+	"buckthornridge/budget/ledger"
 	"buckthornridge/journal"
 	"buckthornridge/platform"
 )
@@ -99,3 +100,34 @@
 		is.Equal(state.LostTokens(), int64(0))
 	})
 }
+
+// As before; then the router goes on for hours, with other requests, until the
+// index has forgotten the bills of the outage. It dies with a stream open. A copy
+// that still waited for its end would be billed a second time, out of what the
+// death wrote off.
+func TestCopyDoesNotOutliveTheIndex(t *testing.T) {
+	story(t, 1_000_000, func(t *testing.T, is *is.I, f *fleet) {
+		f.weight = 1
+		other := f.start("vm-2", "1")
+		f.copies = adoptedBy{keeper: other, holder: "vm-1#1"}
+		k := f.start("vm-1", "1")
+		is.NoErr(f.must(k, "before", 500).Bill(t.Context(), 500))
+		f.faults(platform.Faults{Down: true})
+		is.True(errors.Is(f.must(k, "during", 500).Bill(t.Context(), 400), budget.ErrBillPending))
+		f.faults(platform.Faults{})
+		billed := int64(900)
+		for i := range 12 {
+			time.Sleep(40 * time.Minute)
+			is.NoErr(f.must(k, fmt.Sprint("later-", i), 10).Bill(t.Context(), 10))
+			billed += 10
+			f.duties()
+		}
+		f.must(k, "open", 5000)
+		time.Sleep(time.Second)
+		_ = k.Stop()
+		f.gone("vm-1")
+		f.duties()
+		is.Equal(f.status(studio).Billed, billed)
+		is.Equal(len(f.fake.Dump(ledger.AdoptedPrefix)), 0)
+	})
+}
--- a/journal/adopted.go
+++ b/journal/adopted.go
@@ -48,9 +48,12 @@
 		return stats, err
 	}
 	state, err := f.Table.Read(ctx, ledger.FoldKey(holder))
-	if err != nil || state[0].Version != 0 {
+	if err != nil {
 		return stats, eris.Wrapf(err, "read fold state of %s", holder)
 	}
+	if state[0].Version != 0 {
+		return stats, f.dropBilled(ctx, row, segment)
+	}
 	for retries := 1; ; retries++ {
 		stats, err = f.recoverBills(ctx, row, segment)
 		if err == nil || retries > foldRetries || !retryable(err) || f.isGone(ctx, row.Key) {
@@ -62,6 +65,29 @@
 	}
 }
 
+// dropBilled deletes a copy whose bills the holder wrote itself meanwhile. Kept
+// until the holder is gone, which may be days, a copy would outlive what the
+// index remembers, and be billed a second time.
+func (f Folder) dropBilled(ctx context.Context, row platform.Row, segment Segment) error {
+	work := foldWork{segments: []Segment{segment}}
+	if err := work.books.read(ctx, f.Table, f.Index, work.budgets()); err != nil {
+		return err
+	}
+	for _, e := range segment.Entries {
+		if e.Kind == KindBill && !work.books.of(e.Budget).billed(e.Request) {
+			return nil
+		}
+	}
+	_, err := f.Table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: row.Key, Version: row.Version}},
+		Writes:     []platform.Write{{Key: row.Key, Delete: true}},
+	})
+	if retryable(err) {
+		return nil // the next pass looks again
+	}
+	return eris.Wrapf(err, "drop %s", row.Key)
+}
+
 // isGone tells whether a row is gone, for another folder, or a transaction whose
 // answer was lost, took it.
 func (f Folder) isGone(ctx context.Context, key string) bool {
--- a/journal/books.go
+++ b/journal/books.go
@@ -103,6 +103,9 @@
 	return true
 }
 
+// billed reports whether the request was billed.
+func (b *book) billed(request string) bool { return b.has(xxhash.Sum64String(request)) }
+
 func (b *book) has(key uint64) bool {
 	if slices.Contains(b.added, key) {
 		return true
