membership: rounds wait for answers, so that a paused process is doubted

Cause: a paused VM takes what is pushed into its sockets' buffers, so no call to it failed and it counted as live until its whole silence had passed.

Rounds are calls now, bounded by a period. No answer in time is a doubt; no connection is evidence of its own as before; an error that the peer returns is neither, since the peer runs.

--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -39,6 +39,7 @@
 	stop     context.CancelFunc
 	done     chan struct{}
 	down     atomic.Bool
+	hung     atomic.Bool  // takes messages and answers none
 	sent     atomic.Int64 // bytes with frames
 	received atomic.Int64
 	looks    atomic.Int64 // at the list
@@ -118,6 +119,13 @@
 	<-n.done
 }
 
+// hang stops a process as a paused VM is: its sockets stay open.
+func (n *node) hang() {
+	n.hung.Store(true)
+	n.stop()
+	<-n.done
+}
+
 func (f *fleet) stopAll() {
 	for _, n := range f.nodes {
 		n.kill()
@@ -171,15 +179,27 @@
 		return err
 	}
 	body := n.carry(to, request)
+	if to.hung.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	answer, err := to.handlers[method](ctx, func(into any) error { return msgpack.Unmarshal(body, into) }, nil)
-	if err != nil || answer == nil {
+	if err != nil {
 		return err
 	}
-	return msgpack.Unmarshal(to.carry(n, answer), reply)
+	back := to.carry(n, answer)
+	if reply == nil {
+		return nil
+	}
+	return msgpack.Unmarshal(back, reply)
 }
 
 // Push implements peer.Caller.
 func (n *node) Push(ctx context.Context, address, method string, message any) error {
+	to, err := n.fleet.find(n, address)
+	if err != nil || to.hung.Load() {
+		return err
+	}
 	return n.Call(ctx, address, method, message, nil)
 }
 
@@ -206,7 +226,7 @@
 	for time.Since(began) < limit {
 		missing := false
 		for _, n := range nodes {
-			missing = missing || !n.down.Load() && !holds(n)
+			missing = missing || !n.down.Load() && !n.hung.Load() && !holds(n)
 		}
 		if !missing {
 			break
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -95,7 +96,7 @@
 	next := firstExchange
 	for round := 0; ; round++ {
 		g.tracker.Tick()
-		g.pushTo(ctx, fanOut, g.tracker.Round())
+		g.pushTo(ctx, fanOut, g.tracker.Round(), g.tell)
 		if round == next {
 			g.exchange(ctx)
 			next += exchangeRounds/2 + rand.IntN(exchangeRounds)
@@ -120,7 +121,7 @@
 			return
 		}
 		if m := g.tracker.Urgents(); len(m.News)+len(m.Doubts) > 0 {
-			g.pushTo(ctx, urgentFanOut, m)
+			g.pushTo(ctx, urgentFanOut, m, g.push)
 		}
 	}
 }
@@ -147,12 +148,25 @@
 	}
 }
 
+// sender sends a message to a peer.
+type sender func(ctx context.Context, address, method string, message any) error
+
+// tell sends a message and waits for the answer: a process that hangs still takes
+// what is pushed, into the buffers of its sockets.
+func (g *Gossip) tell(ctx context.Context, address, method string, message any) error {
+	return g.caller.Call(ctx, address, method, message, nil)
+}
+
+func (g *Gossip) push(ctx context.Context, address, method string, message any) error {
+	return g.caller.Push(ctx, address, method, message)
+}
+
 // pushTo sends a message to n neighbours. A peer that hangs must not hold up the
 // next round, so pushes run on their own, and none begins while maxPushes hang.
-func (g *Gossip) pushTo(ctx context.Context, n int, m Message) {
+func (g *Gossip) pushTo(ctx context.Context, n int, m Message, send sender) {
 	for _, member := range g.tracker.Neighbours(n) {
 		g.begin(ctx, member, func(ctx context.Context) error {
-			return g.caller.Push(ctx, member.PeerAddress, methodGossip, m)
+			return send(ctx, member.PeerAddress, methodGossip, m)
 		})
 	}
 }
@@ -183,7 +197,7 @@
 	})
 }
 
-// begin runs one call to a member; its failure is evidence against the member.
+// begin runs one call to a member, for a period at most.
 func (g *Gossip) begin(ctx context.Context, member Member, call func(context.Context) error) {
 	select {
 	case g.pushes <- struct{}{}:
@@ -197,12 +211,25 @@
 		defer cancel()
 		g.tracker.Counters.Sent.Add(1)
 		if err := call(limited); err != nil && ctx.Err() == nil {
-			g.tracker.Counters.Failed.Add(1)
-			g.tracker.Suspect(member.ID, eris.Wrapf(err, "gossip %s", member.ID))
+			g.failed(member, err)
 		}
 	})
 }
 
+// failed weighs a failed call. An error that the member itself returned says that
+// it runs.
+func (g *Gossip) failed(member Member, err error) {
+	g.tracker.Counters.Failed.Add(1)
+	var remote *peer.RemoteError
+	switch {
+	case errors.As(err, &remote):
+	case errors.Is(err, peer.ErrUnreachable), errors.Is(err, peer.ErrBroken):
+		g.tracker.Suspect(member.ID, eris.Wrapf(err, "gossip %s", member.ID))
+	default:
+		g.tracker.Doubt(member.ID)
+	}
+}
+
 // pauseFor waits and reports whether the context still runs.
 func pauseFor(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
--- a/membership/gossip_test.go
+++ b/membership/gossip_test.go
@@ -21,7 +21,8 @@
 	looksMean          float64       // at the list, a second, of one process
 	leaving, born      time.Duration
 	suspected, dead    time.Duration
-	falselySuspected   int // looks at a live process that showed it suspected or worse
+	hung               time.Duration // until one that hangs is dead everywhere
+	falselySuspected   int           // looks at a live process that showed it suspected or worse
 	falselyDead        int
 	looks              int
 }
@@ -47,6 +48,8 @@
 	nodes[2].kill()
 	c.suspected = delay(nodes, limit, func(n *node) bool { return n.state("vm-002") >= Suspected })
 	c.dead = c.suspected + delay(nodes, limit, func(n *node) bool { return n.state("vm-002") == Dead })
+	nodes[0].hang()
+	c.hung = delay(nodes, limit, func(n *node) bool { return n.state("vm-000") == Dead })
 	return c
 }
 
@@ -113,6 +116,9 @@
 			is.True(c.leaving < 2*time.Second)
 			is.True(c.born < 2*time.Second)
 			is.True(c.dead < 12*time.Second)
+			is.True(c.hung < 12*time.Second)
+			// By silence alone it would take all of Limits.Dead.
+			is.True(size > 9 || c.hung < DefaultLimits().Dead)
 			is.Equal(c.falselySuspected, 0)
 			is.True(c.sentMost < 30_000)
 		})
@@ -187,8 +193,8 @@
 	for _, size := range []int{9, 100, 340} {
 		synctest.Test(t, func(t *testing.T) {
 			c := run(t, size, time.Minute)
-			t.Logf("%3d processes: sent %.0f B/s mean, %.0f most; upstream listed as leaving %v with %.3f looks/s; leaving %v, born %v, suspected %v, dead %v; false suspicions %d of %d",
-				size, c.sentMean, c.sentMost, c.listed, c.looksMean, c.leaving, c.born, c.suspected, c.dead, c.falselySuspected, c.looks)
+			t.Logf("%3d processes: sent %.0f B/s mean, %.0f most; upstream listed as leaving %v with %.3f looks/s; leaving %v, born %v, suspected %v, dead %v; hung dead %v; false suspicions %d of %d",
+				size, c.sentMean, c.sentMost, c.listed, c.looksMean, c.leaving, c.born, c.suspected, c.dead, c.hung, c.falselySuspected, c.looks)
 		})
 		synctest.Test(t, func(t *testing.T) {
 			c := brokenLink(t, size, time.Minute)
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -265,6 +265,18 @@
 	t.publish(now)
 }
 
+// Doubt notes that a member did not answer in time. It may be paused, or this
+// process or the way to it may be slow: it makes the member's silence count
+// faster, here and elsewhere.
+func (t *Tracker) Doubt(id string) {
+	now := t.enter()
+	defer t.mu.Unlock()
+	if r := t.records[id]; r != nil && r != t.own() {
+		t.doubt(r)
+		t.publish(now)
+	}
+}
+
 // Leave takes this process's own word that it is leaving and tells the peers.
 func (t *Tracker) Leave() {
 	now := t.enter()
