ctl: drain says which process stops; no violations are a list

The tests failed before: drain printed 'vm-1 router live -', the audit 'null'. Left as it is: apply and topup name the id to send again even when the last try says that nothing was changed, since an earlier try of the same call may have taken effect.

--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/pem"
+	"errors"
 	"fmt"
 	"net/http/httptest"
 	"net/http/httputil"
@@ -37,6 +38,18 @@
 	w    *config.Watcher
 }
 
+// processes are a fleet in which one process does not answer.
+type processes struct{ admin.Processes }
+
+const silentPeer = "127.0.0.1:2"
+
+func (processes) Drain(_ context.Context, address string) error {
+	if address == silentPeer {
+		return errors.New("no route")
+	}
+	return nil
+}
+
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, dir: t.TempDir(), fake: platform.NewFake(platform.FakeOptions{})}
 	if err := os.CopyFS(b.dir, os.DirFS("../examples/lankawrap")); err != nil {
@@ -49,7 +62,7 @@
 		t.Fatal(err)
 	}
 	server := httptest.NewServer(admin.NewServer(admin.Options{Store: store, Watcher: b.w, Table: services.Table,
-		VMs: services.VMs, Budgets: admin.NewBudgets(services.Table),
+		VMs: services.VMs, Budgets: admin.NewBudgets(services.Table), Processes: processes{},
 		Bootstrap: fmt.Sprintf("%x", sha256.Sum256([]byte(firstToken))), Timeout: time.Second}))
 	b.url = server.URL
 	t.Cleanup(func() {
@@ -204,10 +217,25 @@
 	b.want(ExitOK, studiosToken, []string{"topup", kandy, "500", "--id", "p1"}, "nothing was added")
 	b.want(ExitOK, studiosToken, []string{"budget", kandy}, "purchased 500", "free 500")
 	b.want(ExitFailed, studiosToken, []string{"budget", "counter-kandy/main"}, "not found")
-	b.want(ExitOK, ownerToken, []string{"audit", "--budgets"}, `"purchased": 500`)
+	b.want(ExitOK, ownerToken, []string{"audit", "--budgets"}, `"purchased": 500`, `"violations": []`)
 	b.want(ExitFailed, ownerToken, []string{"drain", "vm-7"}, "no process on a VM vm-7")
 }
 
+// An operator drains a VM on which one process hangs. The tool must say which
+// one goes on, and not show both as live.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	b := applied(t)
+	list := b.fake.As("vm-1").VMs
+	router := platform.VM{ID: "vm-1", Incarnation: "1", Role: "router", State: platform.VMLive, PeerAddress: "127.0.0.1:1"}
+	is.NoErr(list.Announce(t.Context(), router))
+	b.want(ExitOK, ownerToken, []string{"drain", "vm-1"}, "router vm-1 begins its planned stop")
+	silent := platform.VM{ID: "vm-1/control", Incarnation: "1", Role: "control", State: platform.VMLive, PeerAddress: silentPeer}
+	is.NoErr(list.Announce(t.Context(), silent))
+	b.want(ExitFailed, ownerToken, []string{"drain", "vm-1"}, "router vm-1 begins its planned stop",
+		"control vm-1/control did not answer: no route", "1 of 2 processes")
+}
+
 func TestTLS(t *testing.T) {
 	is := is.New(t)
 	b := applied(t)
--- a/ctl/remote.go
+++ b/ctl/remote.go
@@ -152,6 +152,9 @@
 	if err != nil {
 		return err
 	}
+	if report.Violations == nil {
+		report.Violations = []budget.Violation{} // "null" reads as if nothing was checked
+	}
 	if err := s.printJSON(report); err != nil {
 		return err
 	}
@@ -170,13 +173,18 @@
 	if err != nil {
 		return err
 	}
-	if err := s.processes(reply.Processes); err != nil {
-		return err
-	}
+	failed := 0
 	for _, p := range reply.Processes {
 		if p.Error != "" {
-			return eris.Errorf("%s on %s did not take the order", p.Role, p.VM)
+			failed++
+			s.printf("%s %s did not answer: %s\n", p.Role, p.VM, p.Error)
+			continue
 		}
+		s.printf("%s %s begins its planned stop\n", p.Role, p.VM)
+	}
+	if failed > 0 {
+		return eris.Errorf("%d of %d processes were not reached; a process that still runs there can be stopped with SIGTERM",
+			failed, len(reply.Processes))
 	}
 	return nil
 }
