--- a/budget/outage_test.go
+++ b/budget/outage_test.go
@@ -126,8 +126,22 @@
 	})
 }
 
-// As before; then the router goes on for hours, with other requests, until the
-// index has forgotten the bills of the outage. It dies with a stream open. A copy
+// adoptedBy hands every copy to another router's journal at once, as a neighbour
+// does that takes a holder's journal for sealed.
+type adoptedBy struct {
+	keeper *budget.Keeper
+	holder string
+}
+
+func (a adoptedBy) Copy(_ context.Context, _ uint64, bill journal.Entry) error {
+	a.keeper.Journal().Adopt(a.holder, []journal.Entry{bill})
+	return nil
+}
+
+func (adoptedBy) Release(context.Context, uint64) error { return nil }
+
+// A copy of a bill is in the table although its holder lives. The holder goes on
+// for hours, with other requests, until the index has forgotten the bills of the outage. It dies with a stream open. A copy
 // that still waited for its end would be billed a second time, out of what the
 // death wrote off.
 func TestCopyDoesNotOutliveTheIndex(t *testing.T) {
