--- a/router/router.go
+++ b/router/router.go
@@ -15,7 +15,6 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
-	"buckthornridge/admission"
 	"buckthornridge/api"
 	"buckthornridge/budget"
 	"buckthornridge/certs"
@@ -50,18 +49,18 @@
 	services    platform.Services
 	client      *httpclient.Client
 
-	watcher   *config.Watcher
-	members   *members
-	wake      wakeCheck
-	table     *routing.Table
-	pool      *pool
-	admission *admission.Controller
-	keeper    *budget.Keeper
-	executor  *request.Executor
-	frontend  *request.Frontend
-	peers     *peer.Client
-	peerSrv   *peer.Server
-	routes    *routing.Router
+	watcher  *config.Watcher
+	members  *members
+	wake     wakeCheck
+	table    *routing.Table
+	pool     *pool
+	gate     *gate
+	keeper   *budget.Keeper
+	executor *request.Executor
+	frontend *request.Frontend
+	peers    *peer.Client
+	peerSrv  *peer.Server
+	routes   *routing.Router
 
 	listeners listeners
 	callers   *http.Server
@@ -113,16 +112,20 @@
 	if r.routes, err = routing.NewRouter(r.table, ""); err != nil {
 		return err
 	}
-	if r.admission, err = admission.NewController(r.routes, ""); err != nil {
+	if r.gate, err = newGate(r.routes); err != nil {
 		return err
 	}
-	r.table.OnRoom(r.admission.Wake)
+	r.table.OnRoom(r.gate.wake)
 	r.keeper = budget.NewKeeper(budget.KeeperConfig{
 		Table:     r.services.Table,
 		Holder:    budget.HolderName(r.settings.VM, r.incarnation),
 		Policy:    r.budgetPolicy,
 		Recaller:  &recaller{peers: r.peers, view: r.members.view},
 		Witnesses: &witnesses{peers: r.peers, view: r.members.view, self: r.settings.VM},
+		Copies: &copies{
+			peers: r.peers, view: r.members.view, self: r.settings.VM,
+			holder: budget.HolderName(r.settings.VM, r.incarnation),
+		},
 	})
 	budget.ServeWitness(r.peerSrv, budget.HolderName(r.settings.VM, r.incarnation), budget.NewTestimony())
 	r.wake = wakeCheck{table: r.services.Table, writer: r.keeper.Journal(), tracker: r.members.tracker}
@@ -140,7 +143,7 @@
 	r.executor = request.NewExecutor(
 		budget.HolderName(r.settings.VM, r.incarnation),
 		request.DefaultSettings(),
-		admissionPort{controller: r.admission, dataCentre: r.settings.DataCentre},
+		admissionPort{gate: r.gate, dataCentre: r.settings.DataCentre},
 		budgetPort{keeper: r.keeper, wake: r.wake},
 		routingPort{router: r.routes, pool: r.pool, dataCentre: r.settings.DataCentre},
 		r.services.Table,
