--- a/budget/outage_test.go
+++ b/budget/outage_test.go
@@ -141,9 +141,9 @@
 func (adoptedBy) Release(context.Context, uint64) error { return nil }
 
 // A copy of a bill is in the table although its holder lives. The holder goes on
-// for hours, with other requests, until the index has forgotten the bills of the outage. It dies with a stream open. A copy
-// that still waited for its end would be billed a second time, out of what the
-// death wrote off.
+// for hours, with other requests, until the index has forgotten the bills of the
+// outage. It dies with a stream open. A copy that still waited for its end would
+// be billed a second time, out of what the death wrote off.
 func TestCopyDoesNotOutliveTheIndex(t *testing.T) {
 	story(t, 1_000_000, func(t *testing.T, is *is.I, f *fleet) {
 		f.weight = 1
