--- /dev/null
+++ b/budget/tail_test.go
@@ -0,0 +1,91 @@
+package budget_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"buckthornridge/budget"
+	"buckthornridge/config"
+	"buckthornridge/journal"
+	"buckthornridge/platform"
+)
+
+// One router's share of the letter's load.
+const (
+	tailRate   = 12.9 // requests a second
+	tailTokens = 432
+	tailOpen   = 17_700 * time.Millisecond // from dispatch to bill
+	tailTime   = 5 * time.Minute
+)
+
+// TestTail prints, with -experiment, what one router at the letter's load asks of
+// the table while its requests are spread over ever more budgets: journal, grants
+// and folding together.
+func TestTail(t *testing.T) {
+	if *experimentSeeds == 0 {
+		return // prints figures; the bars are TestFalseRefusals
+	}
+	for _, budgets := range []int{1, 10, 100, 1_000, 2_400} {
+		for _, weight := range []float64{0, 1} {
+			synctest.Test(t, func(t *testing.T) { spreadOver(t, budgets, weight) })
+		}
+	}
+}
+
+func spreadOver(t *testing.T, budgets int, weight float64) {
+	fake := platform.NewFake(platform.FakeOptions{})
+	fake.SetFaults(platform.Faults{Latency: 5 * time.Millisecond})
+	table := fake.As("vm-1").Table
+	id := func(i int) budget.ID { return budget.ID{Workspace: fmt.Sprint("w-", i/100), Name: fmt.Sprint("m-", i)} }
+	for i := range budgets {
+		if _, err := budget.TopUp(t.Context(), table, id(i), "order-1", 1<<40/int64(budgets)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	k := budget.NewKeeper(budget.KeeperConfig{Table: table, Holder: "vm-1#1",
+		Policy: func() config.BudgetPolicy { return config.BudgetPolicy{RefusalWeight: weight} }})
+	_ = k.Start(t.Context())
+	<-k.Ready()
+	ctx, cancel := context.WithCancel(t.Context())
+	var tasks sync.WaitGroup
+	tasks.Go(func() {
+		folder := journal.Folder{Table: table, Index: journal.NewIndex()}
+		for ctx.Err() == nil {
+			time.Sleep(5 * time.Second)
+			_, _ = folder.Run(t.Context())
+		}
+	})
+	random := rand.New(rand.NewPCG(1, 1))
+	before := fake.Counters()
+	var refused atomic.Int64
+	var requests sync.WaitGroup
+	for n := range int(tailRate * tailTime.Seconds()) {
+		time.Sleep(time.Duration(random.ExpFloat64() / tailRate * float64(time.Second)))
+		which := id(random.IntN(budgets))
+		requests.Go(func() {
+			r, err := k.Reserve(t.Context(), budget.Request{Budget: which, RequestKey: fmt.Sprint(n), Ceiling: 2 * tailTokens})
+			if err != nil {
+				refused.Add(1)
+				return
+			}
+			r.Dispatch(fmt.Sprint(n), false)
+			time.Sleep(tailOpen)
+			_ = r.Bill(t.Context(), tailTokens)
+		})
+	}
+	after := fake.Counters()
+	requests.Wait()
+	cancel()
+	tasks.Wait()
+	_ = k.Stop()
+	per := func(after, before int64) float64 { return float64(after-before) / tailTime.Seconds() }
+	t.Logf("budgets %d, weight %.0f: transactions/s %.1f rows/s %.1f reads/s %.1f refused %d", budgets, weight,
+		per(after.Txns, before.Txns), per(after.RowsWritten, before.RowsWritten),
+		per(after.Reads+after.Scans, before.Reads+before.Scans), refused.Load())
+}
