--- a/scripts/measure-router.sh
+++ b/scripts/measure-router.sh
@@ -19,7 +19,7 @@
 mkdir "$RUN/lankawrap"
 cp examples/lankawrap/*.jsonc "$RUN/lankawrap"
 slots=16 step=10ms
-[ "$mode" = streams ] && slots=128 step=400ms
+[ "$mode" = streams ] && slots=256 step=400ms
 sed -i -E "s/\"slots\": 16/\"slots\": $slots/" "$RUN"/lankawrap/*.jsonc
 FOLDER=$RUN/lankawrap
 . scripts/fleet.sh
