Peer TLS needs a ca at routers too; folds each 10 s

And where one VM is the home of several busy budgets, its control wrote the rows of recent bills too often.

Ruled out: a check in router as well as in control; certs has the one check now.

--- a/certs/certs.go
+++ b/certs/certs.go
@@ -47,6 +47,16 @@
 	return nil
 }
 
+// ValidateMutual is Validate for connections on which both sides check each
+// other. Without ca a listener would ask nobody for a certificate, and anyone who
+// reaches it could act as a process of the fleet.
+func (f Files) ValidateMutual() error {
+	if f.Enabled() && f.CA == "" {
+		return eris.New("peer_tls: ca is missing; processes check each other")
+	}
+	return f.Validate()
+}
+
 // checkInterval is how often the files are looked at; a new certificate is in
 // use for new connections that soon.
 const checkInterval = 10 * time.Second
--- a/control/settings.go
+++ b/control/settings.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -76,23 +77,11 @@
 			return eris.Wrap(err, "bootstrap")
 		}
 	}
-	if s.PeerTLS.Enabled() && s.PeerTLS.CA == "" {
-		return eris.New("peer_tls: ca is missing; processes check each other")
-	}
 	if s.LeaseTTL.D() < minLeaseTTL {
 		return eris.Errorf("lease_ttl: at least %s", minLeaseTTL)
 	}
 	if s.DrainLimit <= 0 {
 		return eris.New("drain_limit must be more than 0")
 	}
-	return firstError(s.TLS.Validate(), s.PeerTLS.Validate())
-}
-
-func firstError(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
+	return cmp.Or(s.TLS.Validate(), s.PeerTLS.ValidateMutual())
 }
--- a/duty/work.go
+++ b/duty/work.go
@@ -14,7 +14,7 @@
 // whole VM list, which at 340 VMs is 60 KB; one of fold writes again what
 // each busy budget has billed lately, up to 32 KB.
 const (
-	foldInterval    = 5 * time.Second
+	foldInterval    = 10 * time.Second
 	reclaimInterval = 10 * time.Second
 	pruneInterval   = time.Hour
 )
--- a/router/admin.go
+++ b/router/admin.go
@@ -27,6 +27,12 @@
 func (r *Router) Publish() {
 	expvar.Publish("config", r.watcher.Counters.Map())
 	expvar.Publish("membership", r.members.tracker.Counters.Map())
+	if r.callerTLS != nil {
+		expvar.Publish("tls", r.callerTLS.Counters.Map())
+	}
+	if r.peerTLS != nil {
+		expvar.Publish("peer_tls", r.peerTLS.Counters.Map())
+	}
 }
 
 // readyz answers 200 when callers are served, and else says why not.
--- a/router/settings.go
+++ b/router/settings.go
@@ -1,8 +1,11 @@
 package router
 
 import (
+	"cmp"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"buckthornridge/certs"
 	"buckthornridge/settings"
 	"buckthornridge/telemetry"
@@ -90,5 +93,8 @@
 			return notPositive(positive.name)
 		}
 	}
-	return nil
+	if s.Trace.Ratio < 0 || s.Trace.Ratio > 1 {
+		return eris.Errorf("settings: trace.ratio must be from 0 to 1")
+	}
+	return cmp.Or(s.TLS.Validate(), s.PeerTLS.ValidateMutual())
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -51,7 +51,7 @@
 	post "$router" "$confirm" demo-order '{"order": 17}' | tail -n 1
 	echo
 done
-sleep 6 # the journals are folded each 5 s
+sleep 11 # the journals are folded each 10 s
 echo "== budget after"
 fleet_ctl budget "$workspace/main"
 echo "== every budget checked from the table alone"
