--- /dev/null
+++ b/budget/percall/percall.go
@@ -0,0 +1,153 @@
+// Package percall is the baseline that the budgets of this project are compared
+// with: one global counter row per budget, one table write to reserve and one to
+// settle each request. It holds no grants and writes no journal. It is never the
+// better choice and is kept for measurements only (router setting "baseline").
+package percall
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/budget"
+	"buckthornridge/budget/ledger"
+	"buckthornridge/platform"
+	"buckthornridge/request"
+)
+
+const (
+	retryPause    = 5 * time.Millisecond // between tries at a row, spread
+	settleTimeout = 30 * time.Second
+	retryAfter    = time.Second
+)
+
+// Counter implements request.Budgets.
+type Counter struct {
+	table  platform.Table
+	holder string
+	ops    atomic.Uint64
+}
+
+var _ request.Budgets = (*Counter)(nil)
+
+// New returns a counter that writes under a holder's name.
+func New(table platform.Table, holder string) *Counter {
+	return &Counter{table: table, holder: holder}
+}
+
+// Alive implements request.Budgets; nothing is held that could be void.
+func (*Counter) Alive() bool { return true }
+
+// Reserve implements request.Budgets.
+func (c *Counter) Reserve(ctx context.Context, r *request.Request) (request.Reservation, error) {
+	id, ceiling := r.BudgetID(), r.Ceiling()
+	err := c.change(ctx, id, func(row *ledger.Budget, op uint64) error {
+		if row.Free < ceiling {
+			return &budget.Refusal{Budget: id, Ceiling: ceiling, Free: row.Free, Certain: true, RetryAfter: retryAfter}
+		}
+		return row.Transfer(c.holder, ledger.Holding{Op: op, Delta: ceiling})
+	})
+	var refused *budget.Refusal
+	if err != nil && !errors.As(err, &refused) {
+		err = &budget.Refusal{Budget: id, Ceiling: ceiling, RetryAfter: retryAfter}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &reservation{counter: c, id: id, ceiling: ceiling}, nil
+}
+
+// change applies one numbered change to a row, and again after a lost race or
+// answer, until it is certain or ctx ends.
+func (c *Counter) change(ctx context.Context, id budget.ID, apply func(*ledger.Budget, uint64) error) error {
+	op := c.ops.Add(1)
+	for sent := false; ; {
+		rows, err := c.table.Read(ctx, ledger.BudgetKey(id))
+		if err == nil {
+			var row ledger.Budget
+			if err := ledger.Decode(rows[0].Key, rows[0].Value, &row); err != nil {
+				return err
+			}
+			if sent && row.Holders[c.holder].Op == op {
+				return nil
+			}
+			if err := apply(&row, op); err != nil {
+				return err
+			}
+			sent = true
+			if err = c.commit(ctx, rows[0], &row); err == nil {
+				return nil
+			}
+		}
+		if !pause(ctx, retryPause/2+rand.N(retryPause)) {
+			return eris.Wrapf(err, "change %s", id)
+		}
+	}
+}
+
+func (c *Counter) commit(ctx context.Context, read platform.Row, row *ledger.Budget) error {
+	_, err := c.table.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: read.Key, Version: read.Version}},
+		Writes:     []platform.Write{{Key: read.Key, Value: ledger.Encode(row)}},
+	})
+	return err
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// reservation is a request's ceiling in the counter row.
+type reservation struct {
+	counter *Counter
+	id      budget.ID
+	ceiling int64
+}
+
+// Dispatch implements request.Reservation; the row knows no streams.
+func (*reservation) Dispatch(string, bool) {}
+
+// Bill implements request.Reservation. It waits for the table as long as ctx.
+func (r *reservation) Bill(ctx context.Context, tokens int64) error {
+	return r.settle(ctx, min(tokens, r.ceiling), (*ledger.Budget).Bill)
+}
+
+// Lose implements request.Reservation.
+func (r *reservation) Lose(tokens int64, cause budget.Cause) {
+	r.later(min(tokens, r.ceiling), func(row *ledger.Budget, holder string, tokens int64) error {
+		return row.Lose(holder, tokens, cause)
+	})
+}
+
+// Release implements request.Reservation.
+func (r *reservation) Release() { r.later(0, (*ledger.Budget).Bill) }
+
+// later settles in the background, for callers that do not wait.
+func (r *reservation) later(tokens int64, book func(*ledger.Budget, string, int64) error) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+		defer cancel()
+		_ = r.settle(ctx, tokens, book) // what stays held shows in the row
+	}()
+}
+
+// settle books what was used and frees the rest, in one write.
+func (r *reservation) settle(ctx context.Context, tokens int64, book func(*ledger.Budget, string, int64) error) error {
+	return r.counter.change(ctx, r.id, func(row *ledger.Budget, op uint64) error {
+		if err := book(row, r.counter.holder, tokens); err != nil {
+			return err
+		}
+		return row.Transfer(r.counter.holder, ledger.Holding{Op: op, Delta: tokens - r.ceiling})
+	})
+}
--- /dev/null
+++ b/budget/percall/percall_test.go
@@ -0,0 +1,63 @@
+package percall
+
+import (
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/budget"
+	"buckthornridge/platform"
+	"buckthornridge/request"
+)
+
+// Nine routers race for a budget by the baseline: it must hold as well, and an
+// answer that is lost after the write must not settle a request twice.
+func TestBaselineHoldsTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fake := platform.NewFake(platform.FakeOptions{Seed: 1, Faults: platform.Faults{LoseRate: 0.2}})
+		table := fake.As("operator").Table
+		id := budget.ID{Workspace: "w", Name: "main"}
+		for {
+			if _, err := budget.TopUp(t.Context(), table, id, "one", 1000); err == nil {
+				break
+			}
+		}
+		r := &request.Request{
+			Key: request.Key{Workspace: "w", ID: "r"}, Budget: "main",
+			Call: &request.Call{Tokens: 100},
+		}
+		var all sync.WaitGroup
+		var mu sync.Mutex
+		granted, refused := 0, 0
+		for _, vm := range []string{"1", "2", "3", "4", "5", "6", "7", "8", "9"} {
+			c := New(table, vm)
+			for range 3 {
+				all.Go(func() {
+					held, err := c.Reserve(t.Context(), r)
+					var refusal *budget.Refusal
+					mu.Lock()
+					defer mu.Unlock()
+					if errors.As(err, &refusal) {
+						refused++
+						return
+					}
+					granted++
+					mu.Unlock()
+					is.NoErr(held.Bill(t.Context(), 100))
+					mu.Lock()
+				})
+			}
+		}
+		all.Wait()
+		is.Equal(granted, 10)
+		is.Equal(refused, 17)
+		state, err := budget.Status(t.Context(), table, id)
+		is.NoErr(err)
+		is.Equal(state.Billed, int64(1000))
+		is.NoErr(state.Check())
+	})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -17,6 +17,7 @@
 
 	"buckthornridge/api"
 	"buckthornridge/budget"
+	"buckthornridge/budget/percall"
 	"buckthornridge/certs"
 	"buckthornridge/config"
 	"buckthornridge/membership"
@@ -146,7 +147,7 @@
 		budget.HolderName(r.settings.VM, r.incarnation),
 		request.DefaultSettings(),
 		admissionPort{gate: r.gate, dataCentre: r.settings.DataCentre},
-		budgetPort{keeper: r.keeper, wake: r.wake},
+		r.budgets(),
 		routingPort{router: r.routes, pool: r.pool, dataCentre: r.settings.DataCentre},
 		r.services.Table,
 	)
@@ -166,6 +167,14 @@
 	registerCopies(r.peerSrv, r.copyBook)
 }
 
+// budgets returns what requests draw on: this router's grants, or the baseline.
+func (r *Router) budgets() request.Budgets {
+	if r.settings.Baseline {
+		return percall.New(r.services.Table, budget.HolderName(r.settings.VM, r.incarnation))
+	}
+	return budgetPort{keeper: r.keeper, wake: r.wake}
+}
+
 // busy reports whether the configuration marks the request's budget as busy.
 func (r *Router) busy(q *request.Request) bool {
 	s := r.snapshot()
--- a/router/settings.go
+++ b/router/settings.go
@@ -44,6 +44,9 @@
 	// Peers are addresses of other processes to ask for the configuration while
 	// the platform's VM list was never reached.
 	Peers []string `json:"peers"`
+	// Baseline replaces grants by a table write for each reservation and each
+	// bill, to measure what grants are worth. Never set it for callers.
+	Baseline bool `json:"baseline"`
 	// Trace says where spans go.
 	Trace telemetry.Trace `json:"trace"`
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -5,6 +5,7 @@
 #   RUN        directory of this run: settings, logs, pids
 #   FOLDER     operators' folder with upstreams on 127.0.0.1:7xxx
 #   BASE_PORT  first port of this run (7000); runs at once need 1000 ports each
+#   BASELINE   true: routers write the table for each request (false)
 #   VMS        number of VMs, each a router and a control process (3)
 #   BIN        where the programs are (bin)
 
@@ -75,7 +76,7 @@
 	local place="\"vm\": \"vm-$i\", \"data_centre\": \"$dc\", \"region\": \"$FLEET_REGION\", \"platform\": \"$(fleet_platform)\""
 	cat >"$RUN/settings/router-$i.jsonc" <<-END
 		{$place, "listen": "$(fleet_router "$i")", "admin_listen": "$(fleet_router_admin "$i")",
-		"peer_listen": "127.0.0.1:$(fleet_port $((500 + i)))", "drain_limit": "30s"}
+		"peer_listen": "127.0.0.1:$(fleet_port $((500 + i)))", "drain_limit": "30s", "baseline": ${BASELINE:-false}}
 	END
 	cat >"$RUN/settings/control-$i.jsonc" <<-END
 		{$place, "admin_listen": "$(fleet_api "$i")", "peer_listen": "127.0.0.1:$(fleet_port $((350 + i)))",
