--- a/router/settings.go
+++ b/router/settings.go
@@ -1,8 +1,11 @@
 package router
 
 import (
+	"cmp"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"buckthornridge/certs"
 	"buckthornridge/settings"
 	"buckthornridge/telemetry"
@@ -41,6 +44,9 @@
 	// Peers are addresses of other processes to ask for the configuration while
 	// the platform's VM list was never reached.
 	Peers []string `json:"peers"`
+	// Baseline replaces grants by a table write for each reservation and each
+	// bill, to measure what grants are worth. Never set it for callers.
+	Baseline bool `json:"baseline"`
 	// Trace says where spans go.
 	Trace telemetry.Trace `json:"trace"`
 }
@@ -90,5 +96,8 @@
 			return notPositive(positive.name)
 		}
 	}
-	return nil
+	if s.Trace.Ratio < 0 || s.Trace.Ratio > 1 {
+		return eris.Errorf("settings: trace.ratio must be from 0 to 1")
+	}
+	return cmp.Or(s.TLS.Validate(), s.PeerTLS.ValidateMutual())
 }
