--- a/api/body.go
+++ b/api/body.go
@@ -11,6 +11,22 @@
 	"buckthornridge/request"
 )
 
+// begin authorises a caller and reads its body. It answers itself, and reports
+// false, when either fails.
+func (s *Server) begin(w http.ResponseWriter, r *http.Request) (caller, []byte, bool) {
+	c, problem := s.authorise(w, r)
+	if problem != nil {
+		writeProblem(w, problem)
+		return c, nil, false
+	}
+	body, problem := readBody(w, r)
+	if problem != nil {
+		writeProblem(w, problem)
+		return c, nil, false
+	}
+	return c, body, true
+}
+
 // readBody reads a caller's body up to MaxBodyBytes.
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *request.Problem) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
--- a/api/chat.go
+++ b/api/chat.go
@@ -15,14 +15,8 @@
 
 // chat serves POST /v1/chat/completions.
 func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
-	c, problem := s.authorise(w, r)
-	if problem != nil {
-		writeProblem(w, problem)
-		return
-	}
-	raw, problem := readBody(w, r)
-	if problem != nil {
-		writeProblem(w, problem)
+	c, raw, ok := s.begin(w, r)
+	if !ok {
 		return
 	}
 	body, problem := decodeChat(raw)
--- a/api/service.go
+++ b/api/service.go
@@ -11,14 +11,8 @@
 
 // service serves calls of plain services.
 func (s *Server) service(w http.ResponseWriter, r *http.Request) {
-	c, problem := s.authorise(w, r)
-	if problem != nil {
-		writeProblem(w, problem)
-		return
-	}
-	body, problem := readBody(w, r)
-	if problem != nil {
-		writeProblem(w, problem)
+	c, body, ok := s.begin(w, r)
+	if !ok {
 		return
 	}
 	req, problem := c.call(r, body)
--- a/settings/parse.go
+++ b/settings/parse.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"regexp"
+	"slices"
 	"sort"
 	"strconv"
 
@@ -19,7 +20,7 @@
 		p.faults.Add(p.at(offset), "%s", bound)
 		return nil, p.faults
 	}
-	value, err := hujson.Parse(data)
+	value, err := hujson.Parse(withLineEnd(data))
 	if err != nil {
 		return nil, Errors{syntaxError(name, err)}
 	}
@@ -102,3 +103,7 @@
 		n.Members = append(n.Members, Member{Name: name, At: at, Value: p.node(&member.Value)})
 	}
 }
+
+// withLineEnd returns the text with a line feed at its end. Editors that leave the
+// last one out are common, and the library refuses a comment that ends the file.
+func withLineEnd(data []byte) []byte { return append(slices.Clip(data), '\n') }
