--- a/settings/parse.go
+++ b/settings/parse.go
@@ -20,7 +20,7 @@
 		p.faults.Add(p.at(offset), "%s", bound)
 		return nil, p.faults
 	}
-	value, err := hujson.Parse(withLineEnd(data))
+	value, err := parseText(data)
 	if err != nil {
 		return nil, Errors{syntaxError(name, err)}
 	}
@@ -104,6 +104,16 @@
 	}
 }
 
-// withLineEnd returns the text with a line feed at its end. Editors that leave the
-// last one out are common, and the library refuses a comment that ends the file.
-func withLineEnd(data []byte) []byte { return append(slices.Clip(data), '\n') }
+// parseText reads a text. Editors that leave out the last line feed are common,
+// and the library refuses a comment that ends the file without one; any other fault
+// keeps its place.
+func parseText(data []byte) (hujson.Value, error) {
+	value, err := hujson.Parse(data)
+	if err == nil {
+		return value, nil
+	}
+	if ended, retry := hujson.Parse(append(slices.Clip(data), '\n')); retry == nil {
+		return ended, nil
+	}
+	return value, err
+}
