--- a/telemetry/span.go
+++ b/telemetry/span.go
@@ -25,6 +25,15 @@
 	return otel.Tracer(tracerName).Start(ctx, name, trace.WithAttributes(attributes...))
 }
 
+// HopWithin is Hop for work that also runs outside of requests, such as polling:
+// without a trace around it there is no span.
+func HopWithin(ctx context.Context, name string) (context.Context, trace.Span) {
+	if !trace.SpanContextFromContext(ctx).IsValid() {
+		return ctx, trace.SpanFromContext(ctx)
+	}
+	return Hop(ctx, name)
+}
+
 // Done ends a span, with its error if there is one.
 func Done(span trace.Span, err error) {
 	if err != nil {
--- /dev/null
+++ b/telemetry/telemetry_test.go
@@ -0,0 +1,100 @@
+package telemetry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+// traced runs two hops of one trace, as two processes would.
+func traced(t *testing.T, to Trace) {
+	t.Helper()
+	t.Cleanup(func() { otel.SetTracerProvider(noop.NewTracerProvider()) })
+	flush, err := Start(t.Context(), "test", "vm-1", to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, first := Hop(t.Context(), "first", Attr("key", "value"))
+	header := http.Header{}
+	ToHeader(ctx, header)
+	next, second := Hop(FromHeader(context.Background(), header), "second")
+	if ToText(next)[:35] != ToText(ctx)[:35] { // version and trace id
+		t.Error("the second hop began a trace of its own")
+	}
+	Done(second, io.ErrUnexpectedEOF)
+	Done(first, nil)
+	if err := flush(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestSpansGoToAFile(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "spans")
+	traced(t, Trace{File: path, Ratio: 1})
+	spans, err := os.ReadFile(path)
+	is.NoErr(err)
+	for _, want := range []string{`"first"`, `"second"`, "unexpected EOF", "vm-1"} {
+		is.True(strings.Contains(string(spans), want))
+	}
+}
+
+func TestSpansGoToACollector(t *testing.T) {
+	is := is.New(t)
+	var got atomic.Int64
+	collector := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if r.URL.Path == "/v1/traces" && strings.Contains(string(body), "second") {
+			got.Add(1)
+		}
+	}))
+	defer collector.Close()
+	traced(t, Trace{OTLP: strings.TrimPrefix(collector.URL, "http://"), Ratio: 1})
+	is.Equal(got.Load(), int64(1))
+}
+
+// A poll outside of any request leaves no span; a platform call of a request does.
+func TestHopWithinNeedsATrace(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "spans")
+	t.Cleanup(func() { otel.SetTracerProvider(noop.NewTracerProvider()) })
+	flush, err := Start(t.Context(), "test", "vm-1", Trace{File: path, Ratio: 1})
+	is.NoErr(err)
+	_, poll := HopWithin(t.Context(), "poll")
+	Done(poll, nil)
+	ctx, request := Hop(t.Context(), "request")
+	_, call := HopWithin(ctx, "call")
+	Done(call, nil)
+	Done(request, nil)
+	is.NoErr(flush(context.Background()))
+	spans, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.True(strings.Contains(string(spans), `"call"`))
+	is.True(!strings.Contains(string(spans), `"poll"`))
+}
+
+// Without an exporter hops cost nothing and carry no trace.
+func TestNoTraceWithoutAnExporter(t *testing.T) {
+	is := is.New(t)
+	flush, err := Start(t.Context(), "test", "vm-1", Trace{})
+	is.NoErr(err)
+	ctx, span := Hop(t.Context(), "hop")
+	is.Equal(ToText(ctx), "")
+	Done(span, nil)
+	is.NoErr(flush(t.Context()))
+}
+
+func TestUnwritableSpanFileIsTold(t *testing.T) {
+	_, err := Start(t.Context(), "test", "vm-1", Trace{File: filepath.Join(t.TempDir(), "no", "such")})
+	is.New(t).True(err != nil)
+}
