duty: reclaim by a holder that was paused across its lapse

Cause: only the fold had a test of two holders at once. Ruled out: a story without a change in between (it passed with all conditions of the commit taken out, since the late write repeated the row as it stood). Figures: with both conditions taken out the test fails; each alone suffices. Conclusion: reclaim is safe with two holders by either condition.

--- a/duty/manager_test.go
+++ b/duty/manager_test.go
@@ -14,6 +14,7 @@
 
 	"buckthornridge/budget"
 	"buckthornridge/config"
+	"buckthornridge/journal"
 	"buckthornridge/platform"
 )
 
@@ -260,6 +261,61 @@
 	}
 }
 
+// The VM that reclaims is paused with the commit that frees a dead router's grant
+// half out of the door. Another reclaims the same grant, and the budget is topped
+// up; then the first one wakes and its commit goes on. It must neither free the
+// tokens again nor undo the payment.
+func TestReclaimByAHolderPausedAcrossItsLapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fake := platform.NewFake(platform.FakeOptions{})
+		id := budget.ID{Workspace: "w", Name: "main"}
+		operator := fake.As("operator").Table
+		_, err := budget.TopUp(t.Context(), operator, id, "pay", 1000)
+		is.NoErr(err)
+		is.NoErr(fake.As("router").VMs.Announce(t.Context(), platform.VM{
+			ID: "router", Incarnation: "1", Role: "router", Address: "127.0.0.1:1", State: platform.VMLive}))
+		billingRouter(t, fake, id)(1, 100)
+		_, err = journal.Folder{Table: operator}.Run(t.Context()) // so that only the grant is left
+		is.NoErr(err)
+		held, err := budget.Status(t.Context(), operator, id)
+		is.NoErr(err)
+		is.True(held.HeldTokens() > 0)
+
+		var frees atomic.Int64
+		s := &stall{vm: "a", wake: make(chan struct{}), match: func(call platform.Call) bool {
+			if call.Step != platform.StepCommit || len(call.Txn.Writes) < 2 {
+				return false // a lease, a seal or a fold of nothing
+			}
+			return frees.Add(1) == 1
+		}}
+		fake.SetHooks(platform.Hooks{Before: s.hook})
+		is.NoErr(fake.SetVMState("router", platform.VMGone))
+		managers := map[string]*Manager{"a": manager(fake, "a", map[string]Duty{"reclaim": reclaim{}})}
+		time.Sleep(time.Second)
+		managers["b"] = manager(fake, "b", map[string]Duty{"reclaim": reclaim{}})
+		time.Sleep(3 * DefaultTTL)
+		freed, err := budget.Status(t.Context(), operator, id)
+		is.NoErr(err)
+		is.Equal(freed.HeldTokens(), int64(0))
+		_, err = budget.TopUp(t.Context(), operator, id, "meanwhile", 500) // the row goes on
+		is.NoErr(err)
+		before, err := budget.Status(t.Context(), operator, id)
+		is.NoErr(err)
+
+		close(s.wake)
+		time.Sleep(3 * DefaultTTL)
+		after, err := budget.Status(t.Context(), operator, id)
+		is.NoErr(err)
+		is.Equal(after, before)
+		is.True(frees.Load() > 0) // a was paused in the middle of its work
+		report, err := budget.Audit(t.Context(), operator)
+		is.NoErr(err)
+		is.Equal(len(report.Violations), 0)
+		stopAll(t, managers)
+	})
+}
+
 func TestEveryDutyIsRegistered(t *testing.T) {
 	is := is.New(t)
 	duties, err := Registered()
