--- a/request/generate_test.go
+++ b/request/generate_test.go
@@ -328,3 +328,20 @@
 		is.Equal(e.bytes, 0)
 	})
 }
+
+// An engine's usage is not trusted past the request's ceiling, also on a stream
+// that was resumed.
+func TestResumedStreamKeepsItsCeiling(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		engine := w.engine("e1")
+		engine.breakAt = 5
+		engine.overrun = 1000
+		e, budgets := w.executor("vm-1")
+		got := ask(t.Context(), e.Do, chat("k", 10))
+		is.Equal(got.text, whole(10))
+		is.Equal(got.outcome.Usage.FinishReason, upstream.FinishLength)
+		is.True(budgets.billed[0] <= chat("k", 10).Ceiling())
+	})
+}
--- /dev/null
+++ b/request/home_test.go
@@ -0,0 +1,31 @@
+package request
+
+import (
+	"strconv"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"buckthornridge/membership"
+)
+
+// Removing one router moves only the requests that it was the home of.
+func TestHomesMoveLittle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		view := &membership.View{Members: map[string]membership.Member{}}
+		for i := range rapid.IntRange(2, 40).Draw(t, "routers") {
+			id := "vm-" + strconv.Itoa(i)
+			view.Members[id] = membership.Member{ID: id, Role: RoleRouter, Region: "r"}
+		}
+		r := chat(rapid.StringMatching(`[a-z]{1,8}`).Draw(t, "id"), 1)
+		r.Budget = rapid.StringMatching(`[a-z]{1,8}`).Draw(t, "budget")
+		busy := rapid.Bool().Draw(t, "busy")
+		before := Homes(view, "r", r, busy)
+		gone := rapid.SampledFrom(before).Draw(t, "gone").ID
+		delete(view.Members, gone)
+		after := Homes(view, "r", r, busy)
+		if before[0].ID != gone && after[0].ID != before[0].ID {
+			t.Fatalf("home moved from %s to %s when %s left", before[0].ID, after[0].ID, gone)
+		}
+	})
+}
