--- a/program/program.go
+++ b/program/program.go
@@ -3,7 +3,6 @@
 package program
 
 import (
-	"errors"
 	"fmt"
 	"os"
 	"runtime/debug"
@@ -75,13 +74,10 @@
 
 // Exit ends a program with its error, if there is one.
 func Exit(err error) {
-	if err != nil && !errors.Is(err, ErrStopped) {
+	if err != nil {
 		klog.Errorf("ended: %v", err)
 		klog.Flush()
 		os.Exit(1)
 	}
 	klog.Flush()
 }
-
-// ErrStopped reports a planned stop.
-var ErrStopped = errors.New("stopped")
