--- a/router/router.go
+++ b/router/router.go
@@ -183,14 +183,21 @@
 
 func (r *Router) buildServers() {
 	server := &api.Server{VM: r.settings.VM, Snapshots: &r.watcher.Holder, Requests: r.frontend}
-	r.callers = &http.Server{
-		Handler:           server.Handler(),
+	r.callers = callerServer(server.Handler())
+	r.admin = &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: headerTimeout}
+}
+
+// callerServer returns the server towards callers. Its limits guard against those
+// that open connections and send slowly or nothing: each would hold memory and a
+// descriptor for as long as it likes.
+func callerServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	r.admin = &http.Server{Handler: r.adminHandler(), ReadHeaderTimeout: headerTimeout}
 }
 
 // Start listens and begins all work. It returns once callers can connect;
