--- a/router/slow_test.go
+++ b/router/slow_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -62,11 +63,13 @@
 				near, far := net.Pipe()
 				listener.conns <- far
 				began := time.Now()
-				go trickle(near, c.first, c.trickle)
+				var sender sync.WaitGroup
+				sender.Go(func() { trickle(near, c.first, c.trickle) })
 				answer, _ := io.ReadAll(near) // ends when the server closes
 				is.True(strings.HasPrefix(string(answer), c.answer))
 				is.True(time.Since(began) <= c.limit+time.Second)
 				near.Close()
+				sender.Wait()
 				is.NoErr(server.Close())
 			})
 		})
