plot: first token and goodput have axes of their own

Cause: milliseconds and percent shared one axis, on which the goodput could not be read (seen on the picture). Conclusion: two panels, one below the other.

--- a/loadtool/plot/plot.go
+++ b/loadtool/plot/plot.go
@@ -3,13 +3,18 @@
 
 import (
 	"cmp"
+	"errors"
+	"os"
+	"path/filepath"
 	"slices"
+	"strings"
 
 	"github.com/rotisserie/eris"
 	gonum "gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
 
 	"buckthornridge/loadtool/report"
 )
@@ -24,8 +29,8 @@
 
 // Kinds of picture.
 const (
-	// Load draws the first token's p95 in ms and the goodput in percent against
-	// the rate of requests.
+	// Load draws the first token's p95 in ms, and below it the goodput in percent,
+	// against the rate of requests.
 	Load = "load"
 	// Spend draws each report's budgets against time.
 	Spend = "spend"
@@ -35,22 +40,45 @@
 
 // Draw writes a picture of reports; the file's ending selects SVG or PNG.
 func Draw(kind string, reports []*report.Report, path string) error {
-	p := gonum.New()
-	var err error
-	switch kind {
-	case Load:
-		err = drawLoad(p, reports)
-	case Spend:
-		err = drawSpend(p, reports)
-	case Config:
-		err = drawConfig(p, reports)
-	default:
+	panels, known := map[string][]panel{
+		Load:   {drawFirstToken, drawGoodput},
+		Spend:  {drawSpend},
+		Config: {drawConfig},
+	}[kind]
+	if !known {
 		return eris.Errorf("there is no picture %q", kind)
 	}
+	var column [][]*gonum.Plot
+	for _, fill := range panels {
+		p := gonum.New()
+		p.Legend.Top, p.Legend.Left = true, true
+		if err := fill(p, reports); err != nil {
+			return eris.Wrapf(err, "draw %s", kind)
+		}
+		column = append(column, []*gonum.Plot{p})
+	}
+	return eris.Wrapf(save(column, path), "write %s", path)
+}
+
+// panel draws one of the plots of a picture.
+type panel func(*gonum.Plot, []*report.Report) error
+
+// save writes plots one below the other, with their axes aligned.
+func save(column [][]*gonum.Plot, path string) error {
+	canvas, err := draw.NewFormattedCanvas(width, height, strings.TrimPrefix(filepath.Ext(path), "."))
 	if err != nil {
-		return eris.Wrapf(err, "draw %s", kind)
+		return err
+	}
+	tiles := draw.Tiles{Rows: len(column), Cols: 1, PadY: vg.Points(10), PadRight: vg.Points(10)}
+	for row, area := range gonum.Align(column, tiles, draw.New(canvas)) {
+		column[row][0].Draw(area[0])
 	}
-	return eris.Wrapf(p.Save(width, height, path), "write %s", path)
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	_, err = canvas.WriteTo(file)
+	return errors.Join(err, file.Close())
 }
 
 func points(reports []*report.Report, at func(*report.Report) plotter.XY) plotter.XYs {
@@ -62,14 +90,24 @@
 	return all
 }
 
-func drawLoad(p *gonum.Plot, reports []*report.Report) error {
+func drawFirstToken(p *gonum.Plot, reports []*report.Report) error {
 	p.Title.Text = "First token and goodput against load"
 	p.X.Label.Text = "requests a second"
-	p.Y.Label.Text = "ms, percent"
-	return plotutil.AddLinePoints(p,
-		"first token p95, ms", points(reports, func(r *report.Report) plotter.XY { return plotter.XY{X: r.Rate, Y: r.TTFT.P95} }),
-		"goodput, percent", points(reports, func(r *report.Report) plotter.XY { return plotter.XY{X: r.Rate, Y: r.Goodput * percent} }),
-	)
+	p.Y.Label.Text = "first token p95, ms"
+	p.Y.Min = 0
+	return plotutil.AddLinePoints(p, points(reports, func(r *report.Report) plotter.XY {
+		return plotter.XY{X: r.Rate, Y: r.TTFT.P95}
+	}))
+}
+
+func drawGoodput(p *gonum.Plot, reports []*report.Report) error {
+	p.X.Label.Text = "requests a second"
+	p.Y.Label.Text = "goodput, percent"
+	err := plotutil.AddLinePoints(p, points(reports, func(r *report.Report) plotter.XY {
+		return plotter.XY{X: r.Rate, Y: r.Goodput * percent}
+	}))
+	p.Y.Min, p.Y.Max = 0, percent
+	return err
 }
 
 func drawSpend(p *gonum.Plot, reports []*report.Report) error {
