request: two panics, and 'not run' after a dead home, found by reading

Cause: a stream that a dead router left was taken over although its caller had given up: the run went from reserved to failed, which the state table forbids, and the router ended with all its streams. The same for an order whose server a new configuration took away between choice and call (claimed to claimed). And a home that knows by hint or note that another router dispatched a request said 'not run' when it refused the retry.

Ruled out: allowing the transitions (a run that was never dispatched must not end as failed). Every other path was walked against the table.

Conclusion: notes make 'not run' truer too.

--- a/request/call.go
+++ b/request/call.go
@@ -88,7 +88,7 @@
 			return reply, err
 		}
 		tried = append(tried, target)
-		run.enter(Claimed)
+		run.back(Claimed)
 	}
 }
 
@@ -137,7 +137,7 @@
 		e.bill(run, r, reservation)
 		e.record(r.Key, row, claimDone, &reply)
 		run.end(Completed, Outcome{Reply: &reply})
-	case errors.As(err, &problem), provesNotRun(err):
+	case errors.As(err, &problem), provesNotRun(err), !run.State().MayHaveRun():
 		reservation.Release()
 		if problem == nil {
 			problem = &Problem{Name: ProblemUpstreamFailed, RetryAfter: time.Second, Detail: err.Error()}
--- a/request/call_test.go
+++ b/request/call_test.go
@@ -207,6 +207,24 @@
 	})
 }
 
+// A new configuration takes a server away between its choice and the call. The
+// next one gets the order; the router used to end in a panic.
+func TestServerRemovedWhileAnOrderIsRouted(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		w.service("s1")
+		healthy := w.service("s2")
+		w.removed = "s1"
+		e, _ := w.executor("vm-1")
+		is.Equal(ask(t.Context(), e.Do, order("k")).outcome.Problem, nil)
+		lookUp := order("l")
+		lookUp.Call.Repeatable = true
+		is.Equal(ask(t.Context(), e.Do, lookUp).outcome.Problem, nil)
+		is.Equal(healthy.runs, 2)
+	})
+}
+
 // No server can be reached: "not run" is true, and a later ask, at any router,
 // may run the order.
 func TestUnreachableServiceFreesTheClaim(t *testing.T) {
--- a/request/executor.go
+++ b/request/executor.go
@@ -104,16 +104,31 @@
 	}
 	run, begun, problem := e.find(r)
 	if problem != nil {
-		return Outcome{Problem: problem}, nil
+		return e.honest(r, Outcome{Problem: problem}), nil
 	}
 	if begun {
 		e.spawn(func() { e.execute(run, r) })
 	}
 	outcome, err := run.Follow(ctx, emit)
 	if errors.Is(err, context.DeadlineExceeded) {
-		return givenUp(run), nil
+		outcome, err = givenUp(run), nil
 	}
-	return outcome, err
+	return e.honest(r, outcome), err
+}
+
+// honest corrects a refusal of a request that an earlier router is known to have
+// dispatched: this router did not run it, but that one may have.
+func (e *Executor) honest(r *Request, o Outcome) Outcome {
+	if o.Problem == nil || o.Problem.RunState != NotRun {
+		return o
+	}
+	if r.Hint == nil && e.notes.hint(r) == nil {
+		return o
+	}
+	p := *o.Problem
+	p.RunState = Unknown
+	o.Problem = &p
+	return o
 }
 
 // givenUp is the final answer at a caller's deadline, sent at once. "Not run" is
--- a/request/forward.go
+++ b/request/forward.go
@@ -209,7 +209,7 @@
 // honest corrects a refusal of a later home. It says "not run" for itself; but a
 // home before it, that broke after the request was sent, may have run it.
 func (r *relay) honest(o Outcome, sent bool) Outcome {
-	if o.Problem == nil || o.Problem.RunState != NotRun || !sent {
+	if o.Problem == nil || o.Problem.RunState == Ran || !sent {
 		return o
 	}
 	p := *o.Problem
--- a/request/generate.go
+++ b/request/generate.go
@@ -194,12 +194,13 @@
 		_ = a.abandon(engine, h.StreamID)
 		return usage, false, err
 	}
-	a.target, a.streamID, a.ran = h.Upstream, h.StreamID, true
+	a.target, a.streamID = h.Upstream, h.StreamID
 	stream = upstream.Limit(w.ctx, engine, stream, a.wanted())
 	if problem := a.dispatch(true); problem != nil {
 		stream.Close()
 		return usage, true, problem
 	}
+	a.ran = true
 	usage, err = a.follow(w, engine, stream, &AttemptResult{})
 	return usage, true, err
 }
--- a/request/generate_test.go
+++ b/request/generate_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"buckthornridge/budget"
 	"buckthornridge/upstream"
 )
 
@@ -285,6 +286,43 @@
 	})
 }
 
+// A retry comes with a hint of the stream that a dead router left, and its caller
+// gives up before this router has its reservation. The stream must not be taken
+// over then; the router used to end in a panic, with all of its streams. And since
+// the dead router may have run the request, "not run" cannot be said.
+func TestGivenUpBeforeAStreamIsTakenOver(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		engine := w.engine("e1")
+		engine.kept["left behind"] = 10
+		e, budgets := w.executor("vm-1")
+		e.settings.ServiceWait = time.Hour
+		budgets.slow = time.Minute
+		r := chat("k", 10)
+		r.Hint = &Hint{Upstream: "e1", StreamID: "left behind"}
+		is.Equal(ask(t.Context(), e.Do, r).outcome.Problem.RunState, Unknown)
+		time.Sleep(2 * time.Minute)
+		synctest.Wait()
+		is.Equal(budgets.open, 0)
+		is.Equal(len(budgets.lost), 0)
+	})
+}
+
+// The home of a request died, and the caller's retry is refused at the next one for
+// want of budget. A note says that the request was dispatched: it may have run.
+func TestRefusalOfANotedRequestIsNotNotRun(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(t)
+		e, budgets := w.executor("vm-2")
+		budgets.refuse = &budget.Refusal{Certain: true}
+		is.Equal(ask(t.Context(), e.Do, chat("k", 10)).outcome.Problem.RunState, NotRun)
+		e.notes.put(Note{Key: chat("k", 10).Key, Digest: chat("k", 10).Digest, Hint: Hint{Upstream: "e1", StreamID: "s"}})
+		is.Equal(ask(t.Context(), e.Do, chat("k", 10)).outcome.Problem.RunState, Unknown)
+	})
+}
+
 // A planned stop: the running answer ends whole, new requests are refused as
 // "not run" and belong elsewhere.
 func TestDrainCutsNothing(t *testing.T) {
--- a/request/harness_test.go
+++ b/request/harness_test.go
@@ -27,6 +27,7 @@
 	engines  map[string]*fakeEngine
 	services map[string]*fakeService
 	order    []string // upstreams in the order of Pick
+	removed  string   // an upstream that a new configuration no longer has
 }
 
 func newWorld(t *testing.T) *world {
@@ -164,8 +165,13 @@
 	return nil, &Problem{Name: ProblemOverloaded, RetryAfter: time.Second, Detail: "no upstream"}
 }
 
-func (f *fakeRouter) Engine(id string) (upstream.Engine, error)   { return f.world.engines[id], nil }
-func (f *fakeRouter) Service(id string) (upstream.Service, error) { return f.world.services[id], nil }
+func (f *fakeRouter) Engine(id string) (upstream.Engine, error) { return f.world.engines[id], nil }
+func (f *fakeRouter) Service(id string) (upstream.Service, error) {
+	if f.world.removed == id {
+		return nil, upstream.ErrNotSent
+	}
+	return f.world.services[id], nil
+}
 
 // fakeEngine answers "t0 t1 ..." and can break in the ways of its fields. It
 // keeps streams for a resume, as engines do.
--- a/request/run.go
+++ b/request/run.go
@@ -100,14 +100,19 @@
 
 // again prepares another attempt after one that ended without an answer.
 func (r *Run) again(mayHaveRun bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	to := Reserved
 	if mayHaveRun {
-		to = Retrying
+		r.back(Retrying)
+		return
 	}
+	r.back(Reserved)
+}
+
+// back returns to a state before dispatch, unless the attempt ended there.
+func (r *Run) back(to State) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.state == to {
-		return // the attempt ended before dispatch
+		return
 	}
 	mustAllow(r.state, to)
 	r.state = to
