--- a/request/call_test.go
+++ b/request/call_test.go
@@ -13,9 +13,7 @@
 )
 
 func TestOrderRunsOnceHoweverOftenAsked(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		service := w.service("s1")
 		one, _ := w.executor("vm-1")
 		two, _ := w.executor("vm-2")
@@ -31,9 +29,7 @@
 // Two routers that do not see each other get the same order at the same moment,
 // as when a caller retries during a partition. One claim wins.
 func TestTwoRoutersRaceForOneOrder(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		service := w.service("s1")
 		service.delay = time.Second
 		w.fake.SetFaults(platform.Faults{Latency: 10 * time.Millisecond})
@@ -59,9 +55,7 @@
 // The claim's write takes effect and its answer is lost. Read back, it is this
 // router's own: the order is served, once.
 func TestLostAnswerOfAClaim(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		service := w.service("s1")
 		e, _ := w.executor("vm-1")
 		w.fake.SetFaults(platform.Faults{LoseNext: 1})
@@ -74,9 +68,7 @@
 // The table is down when an order comes: the caller is told "not run", which is
 // true, long before its deadline, and the next try is served.
 func TestOrderDuringAnOutageIsNotRun(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		service := w.service("s1")
 		e, budgets := w.executor("vm-1")
 		w.fake.SetFaults(platform.Faults{Down: true})
@@ -99,9 +91,7 @@
 // run" after ClaimWait, with when to come back, and none runs; the same keys are
 // served as soon as the table is back. The figures stand in docs/design/requests.md.
 func TestOrdersOfAnHoursOutage(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		service := w.service("s1")
 		e, _ := w.executor("vm-1")
 		w.fake.SetFaults(platform.Faults{Down: true})
@@ -127,9 +117,7 @@
 // "not run". Had it taken effect then, the next ask at another router would be
 // told "unknown" for a call that never left; revoke bars it.
 func TestDelayedClaimDoesNotStandAfterNotRun(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		service := w.service("s1")
 		e, _ := w.executor("vm-1")
 		w.fake.SetFaults(platform.Faults{DelayNext: 1, Delay: 0})
@@ -154,9 +142,7 @@
 // must get it before its deadline, although the row cannot be written; it is
 // written once the table is back, and other routers learn the outcome.
 func TestReplyIsNotLostToAnOutage(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		service := w.service("s1")
 		service.delay = time.Second
 		e, _ := w.executor("vm-1")
@@ -176,9 +162,7 @@
 // The service dies after it read the order. Whether it ran is unknown; it is
 // said so, and no router sends it again.
 func TestServiceDiesAfterReading(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		dying, healthy := w.service("s1"), w.service("s2")
 		dying.err = upstream.ErrBroken
 		e, budgets := w.executor("vm-1")
@@ -196,9 +180,7 @@
 
 // A refused connection proves that nothing ran: the next server gets the order.
 func TestRefusedConnectionTriesAnotherServer(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		w.service("s1").err = upstream.ErrNotSent
 		healthy := w.service("s2")
 		e, _ := w.executor("vm-1")
@@ -210,9 +192,7 @@
 // A new configuration takes a server away between its choice and the call. The
 // next one gets the order; the router used to end in a panic.
 func TestServerRemovedWhileAnOrderIsRouted(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		w.service("s1")
 		healthy := w.service("s2")
 		w.removed = "s1"
@@ -228,9 +208,7 @@
 // No server can be reached: "not run" is true, and a later ask, at any router,
 // may run the order.
 func TestUnreachableServiceFreesTheClaim(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		service := w.service("s1")
 		service.err = upstream.ErrNotSent
 		e, budgets := w.executor("vm-1")
@@ -246,9 +224,7 @@
 // The service answers after the caller's deadline. The caller has its final
 // answer, "unknown", at the deadline; a later ask learns that it was done.
 func TestAnswerAfterTheDeadlineIsLearnedLater(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		service := w.service("s1")
 		service.delay = 8 * time.Second
 		e, _ := w.executor("vm-1")
@@ -267,9 +243,7 @@
 }
 
 func TestOrderWithOtherContentIsRefusedAtAnyRouter(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		w.service("s1")
 		one, _ := w.executor("vm-1")
 		two, _ := w.executor("vm-2")
@@ -285,9 +259,7 @@
 
 // A repeatable look-up may be tried again after a broken answer.
 func TestLookupIsRepeated(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		w.service("s1").err = upstream.ErrBroken
 		healthy := w.service("s2")
 		e, budgets := w.executor("vm-1")
--- a/request/forward_test.go
+++ b/request/forward_test.go
@@ -151,9 +151,7 @@
 
 // Retries of one request enter at every router: they meet at its home.
 func TestRetriesAtAllRoutersMeet(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		engine := w.engine("e1")
 		all := w.frontends(&network{}, "a", "b", "c")
 		got := make(chan answered, 3)
@@ -170,9 +168,7 @@
 // The home dies in the middle of a stream. The entry router goes to the next
 // home, which resumes the engine's stream; the caller sees each token once.
 func TestHomeDiesInTheMiddle(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		engine := w.engine("e1")
 		n := &network{}
 		all := w.frontends(n, "a", "b", "c")
@@ -190,9 +186,7 @@
 // entered there. Its retry reaches the next home, which knows from a note where
 // the stream runs: nothing is generated twice.
 func TestRetryAfterTheHomeDied(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		engine := w.engine("e1")
 		n := &network{down: map[string]bool{}}
 		all := w.frontends(n, "a", "b", "c")
@@ -216,9 +210,7 @@
 // The home dies in the middle, the engine lost the stream, and another run answers
 // otherwise: the caller gets an error, never two halves of different answers.
 func TestNextHomeAnswersOtherwise(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		engine := w.engine("e1")
 		engine.noResume, engine.fickle = true, true
 		n := &network{}
@@ -234,9 +226,7 @@
 // The home of an order is cut off after it was handed over. The next home finds
 // the claim and must not run the order again.
 func TestCutOffHomeOfAnOrder(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		service := w.service("s1")
 		service.delay = time.Second
 		n := &network{}
@@ -269,9 +259,7 @@
 		{"tokens", 10, Ran},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			inBubble(t, func(t *testing.T) {
-				is := is.New(t)
-				w := newWorld(t)
+			story(t, func(t *testing.T, is *is.I, w *world) {
 				w.engine("e1")
 				n := &network{}
 				all := w.frontends(n, "a", "b", "c")
@@ -291,9 +279,7 @@
 // The home cannot be reached at all, and the others refuse: nothing was sent
 // anywhere, and the caller is told so.
 func TestRefusalAfterAnUnreachableHomeIsNotRun(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		n := &network{}
 		all := w.frontends(n, "a", "b", "c")
 		places := homes(all["a"], chat("k", 100))
@@ -310,9 +296,7 @@
 // must not wait for the connection's silence limit; the home has to acknowledge
 // at once.
 func TestFrozenHomeIsPassedOverSoon(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		w.engine("e1")
 		n := &network{frozen: map[string]bool{}}
 		all := w.frontends(n, "a", "b", "c")
@@ -327,9 +311,7 @@
 
 // No other router answers: the entry router serves the request itself.
 func TestEntryServesAlone(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		w.engine("e1")
 		n := &network{}
 		all := w.frontends(n, "a", "b", "c")
@@ -341,9 +323,7 @@
 
 // A home that is stopping refuses; the next one serves.
 func TestStoppingHomeIsPassedOver(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		w.engine("e1")
 		n := &network{}
 		all := w.frontends(n, "a", "b", "c")
--- a/request/generate_test.go
+++ b/request/generate_test.go
@@ -15,9 +15,7 @@
 // A caller's connection drops and it asks again with the same key while the
 // first run still streams. A second run would be billed twice.
 func TestRetryJoinsTheRunningRequest(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		engine := w.engine("e1")
 		e, budgets := w.executor("vm-1")
 		first := make(chan answered, 1)
@@ -32,9 +30,7 @@
 }
 
 func TestRetryAfterTheEndGetsTheSameAnswer(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		engine := w.engine("e1")
 		e, _ := w.executor("vm-1")
 		is.Equal(ask(t.Context(), e.Do, chat("k", 5)).text, whole(5))
@@ -47,9 +43,7 @@
 }
 
 func TestKeyWithOtherContentIsRefused(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		w.engine("e1")
 		e, _ := w.executor("vm-1")
 		ask(t.Context(), e.Do, chat("k", 5))
@@ -62,9 +56,7 @@
 }
 
 func TestKeysOfTwoWorkspacesNeverMeet(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		engine := w.engine("e1")
 		e, _ := w.executor("vm-1")
 		ask(t.Context(), e.Do, chat("k", 5))
@@ -79,9 +71,7 @@
 // The connection to the engine breaks in the middle. The engine still has the
 // stream: it is resumed where it stopped, and nothing is generated twice.
 func TestBrokenStreamIsResumed(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		engine := w.engine("e1")
 		engine.breakAt = 40
 		e, budgets := w.executor("vm-1")
@@ -97,9 +87,7 @@
 // The engine dies in the middle. Another one runs the request; what the first
 // one consumed stays accounted for as lost, and the caller sees one answer.
 func TestAnotherEngineReplaysTheAnswer(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		first, second := w.engine("e1"), w.engine("e2")
 		first.breakAt, first.noResume = 40, true
 		e, budgets := w.executor("vm-1")
@@ -115,9 +103,7 @@
 // The second engine gives another answer. Its rest must not be glued to what the
 // caller has: the answer ends with an error, never marked complete.
 func TestDifferentReplayEndsWithAnError(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		first, second := w.engine("e1"), w.engine("e2")
 		first.breakAt, first.noResume, second.salt = 40, true, "x"
 		e, budgets := w.executor("vm-1")
@@ -133,9 +119,7 @@
 // The request failed after it ran in part. Its caller asks again with the same
 // key: work that may be repeated runs again, and is billed by that run alone.
 func TestFailedRequestCanBeAskedAgain(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		engine := w.engine("e1")
 		engine.breakAt, engine.noResume = 40, true
 		e, budgets := w.executor("vm-1")
@@ -150,9 +134,7 @@
 // the final answer must not say "not run", even though the last attempt was
 // refused before it was sent.
 func TestNotRunIsNotSaidAfterAnAttemptThatMayHaveRun(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		first, second := w.engine("e1"), w.engine("e2")
 		first.breakAt, first.noResume, first.stallAt = 0, true, 1
 		first.gap = time.Minute // no first token either
@@ -164,9 +146,7 @@
 }
 
 func TestRefusedEverywhereIsNotRun(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		for _, id := range []string{"e1", "e2"} {
 			w.engine(id).refuse = &upstream.RefusedError{Reason: upstream.RefusedFull}
 		}
@@ -181,9 +161,7 @@
 // An engine accepts the request and then sends nothing. The attempt is given up
 // after the first-token limit, long before the caller's deadline.
 func TestStalledEngineIsLeft(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		stalled := w.engine("e1")
 		w.engine("e2")
 		stalled.stallAt, stalled.noResume = 3, true
@@ -207,9 +185,7 @@
 		{"own key", true, DefaultSettings().DesertedGrace + 100*time.Millisecond},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			inBubble(t, func(t *testing.T) {
-				is := is.New(t)
-				w := newWorld(t)
+			story(t, func(t *testing.T, is *is.I, w *world) {
 				engine := w.engine("e1")
 				e, budgets := w.executor("vm-1")
 				ctx, leave := context.WithCancel(t.Context())
@@ -232,9 +208,7 @@
 
 // A caller that left comes back within the grace: it joins its run.
 func TestCallerThatLeftCanComeBack(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		engine := w.engine("e1")
 		e, budgets := w.executor("vm-1")
 		ctx, leave := context.WithCancel(t.Context())
@@ -252,9 +226,7 @@
 // A router is paused, the platform declares it gone, its journal is sealed. It
 // wakes with a reservation in hand and must not dispatch.
 func TestSealedRouterDispatchesNothing(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		engine := w.engine("e1")
 		e, budgets := w.executor("vm-1")
 		budgets.dead = true
@@ -267,9 +239,7 @@
 // A reservation comes back after the caller's deadline. The caller was told "not
 // run" at the deadline, so the request must not be dispatched any more.
 func TestGivenUpBeforeDispatchStaysNotRun(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		engine, service := w.engine("e1"), w.service("s1")
 		e, budgets := w.executor("vm-1")
 		e.settings.ServiceWait = time.Hour
@@ -291,9 +261,7 @@
 // over then; the router used to end in a panic, with all of its streams. And since
 // the dead router may have run the request, "not run" cannot be said.
 func TestGivenUpBeforeAStreamIsTakenOver(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		engine := w.engine("e1")
 		engine.kept["left behind"] = 10
 		e, budgets := w.executor("vm-1")
@@ -312,9 +280,7 @@
 // The home of a request died, and the caller's retry is refused at the next one for
 // want of budget. A note says that the request was dispatched: it may have run.
 func TestRefusalOfANotedRequestIsNotNotRun(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		e, budgets := w.executor("vm-2")
 		budgets.refuse = &budget.Refusal{Certain: true}
 		is.Equal(ask(t.Context(), e.Do, chat("k", 10)).outcome.Problem.RunState, NotRun)
@@ -326,9 +292,7 @@
 // A planned stop: the running answer ends whole, new requests are refused as
 // "not run" and belong elsewhere.
 func TestDrainCutsNothing(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		w.engine("e1")
 		e, _ := w.executor("vm-1")
 		running := make(chan answered, 1)
@@ -348,9 +312,7 @@
 }
 
 func TestRetainedAnswersAreBounded(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		w.engine("e1").gap = 0
 		e, _ := w.executor("vm-1")
 		e.settings.RetainedBytes = 10 * len(whole(100))
@@ -370,9 +332,7 @@
 // An engine's usage is not trusted past the request's ceiling, also on a stream
 // that was resumed.
 func TestResumedStreamKeepsItsCeiling(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld(t)
+	story(t, func(t *testing.T, is *is.I, w *world) {
 		engine := w.engine("e1")
 		engine.breakAt = 5
 		engine.overrun = 1000
--- a/request/harness_test.go
+++ b/request/harness_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
 	"buckthornridge/budget"
@@ -325,10 +326,12 @@
 	return b.String()
 }
 
-// inBubble runs a test in virtual time and waits for all of its goroutines.
-func inBubble(t *testing.T, f func(t *testing.T)) {
+// story tells a test in virtual time, in a world of its own, and waits for all of its
+// goroutines.
+func story(t *testing.T, tell func(t *testing.T, is *is.I, w *world)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f(t)
+		tell(t, is.New(t), newWorld(t))
 		synctest.Wait()
 	})
 }
