--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -16,7 +16,7 @@
 
 	"buckthornridge/budget"
 	"buckthornridge/config"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 func digestOf(token string) string {
@@ -140,7 +140,7 @@
 	_, err := b.client(operator).Apply(t.Context(), 1, "a", changed)
 	is.NoErr(err)
 	b.await(2)
-	_, err = b.fake.As("restore").Table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: old[0].Key, Value: old[0].Value}}})
+	_, err = b.fake.As("restore").Table.Commit(t.Context(), store.Txn{Writes: []store.Write{{Key: old[0].Key, Value: old[0].Value}}})
 	is.NoErr(err)
 	client := b.client(operator)
 	client.Patience = 0
@@ -199,7 +199,7 @@
 	is := is.New(t)
 	b := newBench(t)
 	id := budget.ID{Workspace: "studio-kandy", Name: "main"}
-	b.fake.SetFaults(platform.Faults{LoseRate: 0.2})
+	b.fake.SetFaults(store.Faults{LoseRate: 0.2})
 	var wg sync.WaitGroup
 	for range 8 {
 		wg.Go(func() {
@@ -208,7 +208,7 @@
 		})
 	}
 	wg.Wait()
-	b.fake.SetFaults(platform.Faults{})
+	b.fake.SetFaults(store.Faults{})
 	reply, err := b.client(studios).TopUp(t.Context(), id, TopUpRequest{ID: "pay-1", Tokens: 1000})
 	is.NoErr(err)
 	is.Equal(reply, TopUpReply{Applied: true, Before: true})
@@ -238,10 +238,10 @@
 	client.Patience = 0
 	id := budget.ID{Workspace: "studio-kandy", Name: "main"}
 	commits := 0
-	b.fake.SetHooks(platform.Hooks{After: func(call platform.Call, _ error) {
-		if call.Step == platform.StepCommit {
+	b.fake.SetHooks(store.Hooks{After: func(call store.Call, _ error) {
+		if call.Step == store.StepCommit {
 			commits++
-			b.fake.UpdateFaults(func(f *platform.Faults) { f.Down = true })
+			b.fake.UpdateFaults(func(f *store.Faults) { f.Down = true })
 		}
 	}})
 	_, err := client.TopUp(t.Context(), id, TopUpRequest{ID: "pay-1", Tokens: 1000})
@@ -251,8 +251,8 @@
 	p := refused(t, err, ProblemUnavailable)
 	is.True(strings.Contains(p.Detail, "the audit can't be written"))
 	is.Equal(b.server.Counters.AuditLate.Value(), int64(1))
-	b.fake.SetHooks(platform.Hooks{})
-	b.fake.SetFaults(platform.Faults{})
+	b.fake.SetHooks(store.Hooks{})
+	b.fake.SetFaults(store.Faults{})
 	is.Equal(b.records()[0].Outcome, OutcomeBegun)
 	is.Equal(b.records()[0].Detail, "1000 tokens, top-up pay-1")
 }
@@ -262,7 +262,7 @@
 func TestALateRecordDoesNotCoverTheOutcome(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t)
-	b.fake.SetFaults(platform.Faults{DelayNext: 1})
+	b.fake.SetFaults(store.Faults{DelayNext: 1})
 	_, err := b.client(studios).TopUp(t.Context(), budget.ID{Workspace: "studio-kandy", Name: "main"}, TopUpRequest{ID: "p", Tokens: 1})
 	is.NoErr(err)
 	b.fake.ReleaseDelayed()
@@ -273,11 +273,11 @@
 	is := is.New(t)
 	b := newBench(t)
 	b.fleet.versions = map[string]config.Version{"router:1": 1, "control:1": 1}
-	for _, vm := range []platform.VM{
-		{ID: "vm-1", Incarnation: "1", Role: "router", PeerAddress: "router:1", State: platform.VMLive},
-		{ID: ControlID("vm-1"), Incarnation: "1", Role: "control", PeerAddress: "control:1", State: platform.VMLive},
-		{ID: "vm-2", Incarnation: "1", Role: "router", PeerAddress: "router:2", State: platform.VMLive},
-		{ID: "engine-1", Incarnation: "1", Role: "engine", State: platform.VMLive},
+	for _, vm := range []store.VM{
+		{ID: "vm-1", Incarnation: "1", Role: "router", PeerAddress: "router:1", State: store.VMLive},
+		{ID: ControlID("vm-1"), Incarnation: "1", Role: "control", PeerAddress: "control:1", State: store.VMLive},
+		{ID: "vm-2", Incarnation: "1", Role: "router", PeerAddress: "router:2", State: store.VMLive},
+		{ID: "engine-1", Incarnation: "1", Role: "engine", State: store.VMLive},
 	} {
 		is.NoErr(b.fake.As(vm.ID).VMs.Announce(t.Context(), vm))
 	}
--- a/admin/audit.go
+++ b/admin/audit.go
@@ -11,7 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // idPattern is what the ids of applies and top-ups look like.
@@ -41,7 +41,7 @@
 )
 
 // auditLog keeps records in the platform's table.
-type auditLog struct{ table platform.Table }
+type auditLog struct{ table store.Table }
 
 func (c call) record(action Action, target, detail string) AuditRecord {
 	return AuditRecord{At: time.Now().UTC(), ID: c.id, Team: c.who.team, Role: c.who.role, Token: c.who.token,
@@ -76,7 +76,7 @@
 	switch {
 	case err == nil:
 		return OutcomeDone
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, store.ErrOutcomeUnknown):
 		return OutcomeUnknown
 	}
 	return OutcomeRefused
@@ -91,13 +91,13 @@
 		return eris.Wrap(err, "encode audit record")
 	}
 	all, team := auditAllPrefix+record.suffix(), auditTeam(record.Team)+record.suffix()
-	txn := platform.Txn{Writes: []platform.Write{{Key: all, Value: text}, {Key: team, Value: text}}}
+	txn := store.Txn{Writes: []store.Write{{Key: all, Value: text}, {Key: team, Value: text}}}
 	if record.Outcome == OutcomeBegun {
-		txn.Conditions = []platform.Condition{{Key: all}}
+		txn.Conditions = []store.Condition{{Key: all}}
 	}
 	for try := 1; ; try++ {
 		_, err = a.table.Commit(ctx, txn)
-		if errors.Is(err, platform.ErrConditionFailed) {
+		if errors.Is(err, store.ErrConditionFailed) {
 			return nil // an earlier try was written; ids are never reused
 		}
 		if err == nil || try == auditTries || ctx.Err() != nil {
--- a/admin/budgets.go
+++ b/admin/budgets.go
@@ -5,13 +5,13 @@
 	"fmt"
 
 	"buckthornridge/budget"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // NewBudgets returns the Budgets that are kept in a table.
-func NewBudgets(table platform.Table) Budgets { return tableBudgets{table} }
+func NewBudgets(table store.Table) Budgets { return tableBudgets{table} }
 
-type tableBudgets struct{ table platform.Table }
+type tableBudgets struct{ table store.Table }
 
 func (b tableBudgets) TopUp(ctx context.Context, id budget.ID, topUpID string, tokens int64) (bool, error) {
 	return budget.TopUp(ctx, b.table, id, topUpID, tokens)
--- a/admin/harness_test.go
+++ b/admin/harness_test.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"buckthornridge/config"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Tokens of the example folder.
@@ -32,7 +32,7 @@
 // bench is the API over a fake platform.
 type bench struct {
 	t       *testing.T
-	fake    *platform.Fake
+	fake    *store.Fake
 	watcher *config.Watcher
 	server  *Server
 	http    *httptest.Server
@@ -41,7 +41,7 @@
 }
 
 func newEmptyBench(t *testing.T) *bench {
-	fake := platform.NewFake(platform.FakeOptions{})
+	fake := store.NewFake(store.FakeOptions{})
 	b := &bench{t: t, fake: fake, fleet: &fakeProcesses{versions: map[string]config.Version{}}}
 	services := fake.As("vm-1")
 	store := config.NewStore(services.Table)
--- a/admin/problem.go
+++ b/admin/problem.go
@@ -8,8 +8,8 @@
 
 	"buckthornridge/budget"
 	"buckthornridge/config"
-	"buckthornridge/platform"
 	"buckthornridge/settings"
+	"buckthornridge/store"
 )
 
 // ProblemName is the last part of a problem's type.
@@ -100,11 +100,11 @@
 		return problem(ProblemIDReused, err.Error())
 	case errors.Is(err, config.ErrPruned):
 		return problem(ProblemNotFound, err.Error())
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, store.ErrTooLarge):
 		return problem(ProblemTooLarge, err.Error())
-	case errors.Is(err, platform.ErrInvalid):
+	case errors.Is(err, store.ErrInvalid):
 		return problem(ProblemMalformed, err.Error())
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, store.ErrOutcomeUnknown):
 		return problem(ProblemOutcomeUnknown, "send the same request again, with the same id: "+err.Error())
 	}
 	return problem(ProblemUnavailable, err.Error())
--- a/admin/server.go
+++ b/admin/server.go
@@ -8,7 +8,7 @@
 
 	"buckthornridge/budget"
 	"buckthornridge/config"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Budgets is what the API needs of prepaid budgets; NewBudgets implements it
@@ -35,8 +35,8 @@
 type Options struct {
 	Store     *config.Store
 	Watcher   *config.Watcher
-	Table     platform.Table // for the audit
-	VMs       platform.VMList
+	Table     store.Table // for the audit
+	VMs       store.VMList
 	Budgets   Budgets
 	Processes Processes
 	// Bootstrap is the SHA-256 digest in hex of the token that may apply the
--- a/admin/status.go
+++ b/admin/status.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Bounds of asking the fleet's processes.
@@ -38,7 +38,7 @@
 		return nil, err
 	}
 	reply.AsOf = asOf
-	reply.Processes = ask(c.Context(), vms, func(ctx context.Context, vm platform.VM, status *ProcessStatus) error {
+	reply.Processes = ask(c.Context(), vms, func(ctx context.Context, vm store.VM, status *ProcessStatus) error {
 		head, err := s.Processes.Source(vm.PeerAddress).Head(ctx)
 		status.Version = head.Version
 		return err
@@ -47,11 +47,11 @@
 }
 
 // processes returns the system's own processes that may still run.
-func (s *Server) processes(ctx context.Context) ([]platform.VM, time.Time, error) {
+func (s *Server) processes(ctx context.Context) ([]store.VM, time.Time, error) {
 	vms, asOf, err := s.VMs.List(ctx)
-	var own []platform.VM
+	var own []store.VM
 	for _, vm := range vms {
-		if vm.State != platform.VMGone && (vm.Role == roleRouter || vm.Role == roleControl) {
+		if vm.State != store.VMGone && (vm.Role == roleRouter || vm.Role == roleControl) {
 			own = append(own, vm)
 		}
 	}
@@ -59,7 +59,7 @@
 }
 
 // ask puts a question to processes, some at a time, and keeps their order.
-func ask(ctx context.Context, vms []platform.VM, question func(context.Context, platform.VM, *ProcessStatus) error) []ProcessStatus {
+func ask(ctx context.Context, vms []store.VM, question func(context.Context, store.VM, *ProcessStatus) error) []ProcessStatus {
 	replies := make([]ProcessStatus, len(vms))
 	turn := make(chan struct{}, askAtOnce)
 	var wg sync.WaitGroup
@@ -90,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var named []platform.VM
+	var named []store.VM
 	for _, vm := range vms {
 		if vm.ID == name || vm.ID == ControlID(name) {
 			named = append(named, vm)
@@ -100,7 +100,7 @@
 		return nil, problem(ProblemNotFound, "no process on a VM "+name+" is listed")
 	}
 	return audited(c.Context(), s, c.record(ActionDrain, name, "planned stop"), func(ctx context.Context) (DrainReply, error) {
-		return DrainReply{Processes: ask(ctx, named, func(ctx context.Context, vm platform.VM, _ *ProcessStatus) error {
+		return DrainReply{Processes: ask(ctx, named, func(ctx context.Context, vm store.VM, _ *ProcessStatus) error {
 			return s.Processes.Drain(ctx, vm.PeerAddress)
 		})}, nil
 	})
--- a/budget/copy.go
+++ b/budget/copy.go
@@ -7,9 +7,9 @@
 
 	"github.com/rotisserie/eris"
 
+	"buckthornridge/budget/journal"
 	"buckthornridge/budget/ledger"
-	"buckthornridge/journal"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Timing of copies.
@@ -119,7 +119,7 @@
 }
 
 // Run hands bills of holders whose journals are sealed to this router's journal.
-func (b *CopyBook) Run(ctx context.Context, table platform.Table, w *journal.Writer) {
+func (b *CopyBook) Run(ctx context.Context, table store.Table, w *journal.Writer) {
 	for pause(ctx, copyInterval) == nil {
 		for _, holder := range b.holders() {
 			if sealed(ctx, table, holder) {
@@ -141,7 +141,7 @@
 
 // sealed reports whether a holder's journal is known to be sealed. While the
 // table does not answer it is not: the holder may yet write its bills itself.
-func sealed(ctx context.Context, table platform.Table, holder string) bool {
+func sealed(ctx context.Context, table store.Table, holder string) bool {
 	rows, err := table.Read(ctx, ledger.LifeKey(holder))
 	return err == nil && rows[0].Version == 0
 }
--- a/budget/cost_test.go
+++ b/budget/cost_test.go
@@ -13,7 +13,7 @@
 	"buckthornridge/budget"
 	"buckthornridge/budget/ledger"
 	"buckthornridge/config"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // TestCosts prints, with -experiment, table commits against requests and against
@@ -81,19 +81,19 @@
 		row.Free -= a.used
 		row.Billed += a.used
 		billKey := "bill/" + a.key
-		_, err = f.table.Commit(t.Context(), platform.Txn{
-			Conditions: []platform.Condition{{Key: key, Version: rows[0].Version}, {Key: billKey}},
-			Writes:     []platform.Write{{Key: key, Value: ledger.Encode(&row)}, {Key: billKey}},
+		_, err = f.table.Commit(t.Context(), store.Txn{
+			Conditions: []store.Condition{{Key: key, Version: rows[0].Version}, {Key: billKey}},
+			Writes:     []store.Write{{Key: key, Value: ledger.Encode(&row)}, {Key: billKey}},
 		})
-		if !errors.Is(err, platform.ErrConditionFailed) {
+		if !errors.Is(err, store.ErrConditionFailed) {
 			return
 		}
 	}
 }
 
 // benchKeeper is a keeper on a table without faults or latency.
-func benchKeeper(b *testing.B) (*budget.Keeper, platform.Table) {
-	table := platform.NewFake(platform.FakeOptions{}).As("vm-1").Table
+func benchKeeper(b *testing.B) (*budget.Keeper, store.Table) {
+	table := store.NewFake(store.FakeOptions{}).As("vm-1").Table
 	k := budget.NewKeeper(budget.KeeperConfig{Table: table, Holder: "vm-1#1",
 		Policy: func() config.BudgetPolicy { return config.BudgetPolicy{RefusalWeight: 1} }})
 	_ = k.Start(context.Background())
--- a/budget/experiment_test.go
+++ b/budget/experiment_test.go
@@ -14,9 +14,9 @@
 	"github.com/matryer/is"
 
 	"buckthornridge/budget"
+	"buckthornridge/budget/journal"
 	"buckthornridge/config"
-	"buckthornridge/journal"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 var experimentSeeds = flag.Int("experiment", 0, "seeds of the grant experiment; 0 runs only the bars")
@@ -244,7 +244,7 @@
 		cut = append(cut, fmt.Sprint("vm-", i))
 		x.cut[budget.HolderName(cut[i], "1")] = true
 	}
-	x.faults(platform.Faults{Cut: cut, Silent: true})
+	x.faults(store.Faults{Cut: cut, Silent: true})
 }
 
 // killFirst kills one router; the platform notices, and the duties run.
@@ -253,7 +253,7 @@
 	for i := range 10 {
 		x.result.heldByDead += x.status(expBudget(i)).Holders["vm-0#1"].Held
 	}
-	_ = x.fake.As("operator").VMs.Announce(x.t.Context(), platform.VM{ID: "vm-0", Incarnation: "2", Role: "router", Address: "127.0.0.1:1", State: platform.VMLive})
+	_ = x.fake.As("operator").VMs.Announce(x.t.Context(), store.VM{ID: "vm-0", Incarnation: "2", Role: "router", Address: "127.0.0.1:1", State: store.VMLive})
 	x.fleet.questions = x.questions()
 	x.duties()
 }
@@ -318,12 +318,12 @@
 	return x.purchased[a.budget]-x.consumed[a.budget]-x.running[a.budget] >= a.ceiling
 }
 
-func (x *trial) finish(before, after platform.Counters) {
+func (x *trial) finish(before, after store.Counters) {
 	seconds := x.size.duration().Seconds()
 	x.result.commits = float64(after.Commits-before.Commits) / seconds
 	x.result.reads = float64(after.Reads-before.Reads) / seconds
 	x.result.conflicts = float64(after.ConditionsFailed-before.ConditionsFailed) / seconds
-	x.fake.SetFaults(platform.Faults{})
+	x.fake.SetFaults(store.Faults{})
 	if _, err := (journal.Folder{Table: x.table}).Run(x.t.Context()); err != nil {
 		x.t.Error(err)
 	}
--- a/journal/adopted.go
+++ b/budget/journal/adopted.go
@@ -9,7 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"buckthornridge/budget/ledger"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // foldAdopted folds bills that a stopped holder handed to another router. They
@@ -37,7 +37,7 @@
 	}
 }
 
-func (f Folder) foldAdoptedRow(ctx context.Context, row platform.Row) (FoldStats, error) {
+func (f Folder) foldAdoptedRow(ctx context.Context, row store.Row) (FoldStats, error) {
 	var stats FoldStats
 	var segment Segment
 	if err := ledger.Decode(row.Key, row.Value, &segment); err != nil {
@@ -68,7 +68,7 @@
 // dropBilled deletes a copy whose bills the holder wrote itself meanwhile. Kept
 // until the holder is gone, which may be days, a copy would outlive what the
 // index remembers, and be billed a second time.
-func (f Folder) dropBilled(ctx context.Context, row platform.Row, segment Segment) error {
+func (f Folder) dropBilled(ctx context.Context, row store.Row, segment Segment) error {
 	work := foldWork{segments: []Segment{segment}}
 	if err := work.books.read(ctx, f.Table, f.Index, work.budgets()); err != nil {
 		return err
@@ -78,9 +78,9 @@
 			return nil
 		}
 	}
-	_, err := f.Table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: row.Key, Version: row.Version}},
-		Writes:     []platform.Write{{Key: row.Key, Delete: true}},
+	_, err := f.Table.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: row.Key, Version: row.Version}},
+		Writes:     []store.Write{{Key: row.Key, Delete: true}},
 	})
 	if retryable(err) {
 		return nil // the next pass looks again
@@ -95,7 +95,7 @@
 	return err == nil && rows[0].Version == 0
 }
 
-func (f Folder) recoverBills(ctx context.Context, row platform.Row, segment Segment) (FoldStats, error) {
+func (f Folder) recoverBills(ctx context.Context, row store.Row, segment Segment) (FoldStats, error) {
 	var stats FoldStats
 	work := foldWork{segments: []Segment{segment}}
 	if err := work.books.read(ctx, f.Table, f.Index, work.budgets()); err != nil {
@@ -119,9 +119,9 @@
 		stats.Bills++
 		stats.Billed += e.Tokens
 	}
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: row.Key, Version: row.Version}},
-		Writes:     []platform.Write{{Key: row.Key, Delete: true}},
+	txn := store.Txn{
+		Conditions: []store.Condition{{Key: row.Key, Version: row.Version}},
+		Writes:     []store.Write{{Key: row.Key, Delete: true}},
 	}
 	work.books.write(&txn, time.Now())
 	_, err := f.Table.Commit(ctx, txn)
--- a/journal/books.go
+++ b/budget/journal/books.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"buckthornridge/budget/ledger"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // The index of billed requests.
@@ -56,7 +56,7 @@
 // read loads budget rows and after them their index. The index needs no
 // conditions of its own: whoever changes it also changes the budget row, on
 // whose version the transaction depends, and it is read after that row.
-func (b *books) read(ctx context.Context, table platform.Table, index *Index, ids []ledger.ID) error {
+func (b *books) read(ctx context.Context, table store.Table, index *Index, ids []ledger.ID) error {
 	b.byID = map[ledger.ID]*book{}
 	if len(ids) == 0 {
 		return nil
@@ -82,7 +82,7 @@
 	return nil
 }
 
-func (b *book) readIndex(ctx context.Context, table platform.Table, index *Index) error {
+func (b *book) readIndex(ctx context.Context, table store.Table, index *Index) error {
 	all, err := index.load(ctx, table, b.id, b.row.Index)
 	if err != nil {
 		return eris.Wrapf(err, "read index of %s", b.id)
@@ -133,7 +133,7 @@
 
 // BilledRuns tells which runs another holder resumed and billed, as of a version
 // of the budget's row.
-func BilledRuns(ctx context.Context, table platform.Table, id ledger.ID, row *ledger.Budget, runs []string) (map[string]bool, error) {
+func BilledRuns(ctx context.Context, table store.Table, id ledger.ID, row *ledger.Budget, runs []string) (map[string]bool, error) {
 	billed := map[string]bool{}
 	if len(runs) == 0 {
 		return billed, nil
@@ -149,7 +149,7 @@
 }
 
 // write adds the rows, their conditions and the index to a transaction.
-func (b *books) write(txn *platform.Txn, now time.Time) {
+func (b *books) write(txn *store.Txn, now time.Time) {
 	for _, id := range b.ids() {
 		one := b.byID[id]
 		if len(one.added) > 0 {
@@ -157,14 +157,14 @@
 		}
 		one.row.Forget(now)
 		key := ledger.BudgetKey(id)
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Version: one.version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: ledger.Encode(&one.row)})
+		txn.Conditions = append(txn.Conditions, store.Condition{Key: key, Version: one.version})
+		txn.Writes = append(txn.Writes, store.Write{Key: key, Value: ledger.Encode(&one.row)})
 	}
 }
 
 // writeIndex appends the new keys to the youngest generation or starts a new
 // one, and drops generations whose last key is older than Retention.
-func (b *book) writeIndex(txn *platform.Txn, now time.Time) {
+func (b *book) writeIndex(txn *store.Txn, now time.Time) {
 	index := b.row.Index
 	last := len(index) - 1
 	if last < 0 || index[last].Keys >= maxGeneration || age(now, index[last]) >= generationAge {
@@ -179,12 +179,12 @@
 	b.generations[last] = b.generations[last].with(b.added)
 	index[last].Keys += len(b.added)
 	for len(index) > 1 && age(now, index[1]) > Retention {
-		txn.Writes = append(txn.Writes, platform.Write{Key: ledger.IndexKey(b.id, index[0].Number), Delete: true})
+		txn.Writes = append(txn.Writes, store.Write{Key: ledger.IndexKey(b.id, index[0].Number), Delete: true})
 		index, b.generations = index[1:], b.generations[1:]
 	}
 	b.row.Index = index
 	youngest := len(index) - 1
-	txn.Writes = append(txn.Writes, platform.Write{
+	txn.Writes = append(txn.Writes, store.Write{
 		Key: ledger.IndexKey(b.id, index[youngest].Number), Value: b.generations[youngest].raw,
 	})
 }
--- a/journal/commit.go
+++ b/budget/journal/commit.go
@@ -8,7 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"buckthornridge/budget/ledger"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Waits between attempts while the table does not answer.
@@ -21,13 +21,13 @@
 func (w *Writer) create(ctx context.Context) error {
 	lifeKey, foldKey := ledger.LifeKey(w.holder), ledger.FoldKey(w.holder)
 	value := ledger.Encode(life{Nonce: w.nonce, Started: time.Now().UnixMilli()})
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: lifeKey}, {Key: foldKey}},
-		Writes:     []platform.Write{{Key: lifeKey, Value: value}, {Key: foldKey, Value: ledger.Encode(State{})}},
+	txn := store.Txn{
+		Conditions: []store.Condition{{Key: lifeKey}, {Key: foldKey}},
+		Writes:     []store.Write{{Key: lifeKey, Value: value}, {Key: foldKey, Value: ledger.Encode(State{})}},
 	}
 	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
 		version, err := w.commit(ctx, txn)
-		if errors.Is(err, platform.ErrConditionFailed) {
+		if errors.Is(err, store.ErrConditionFailed) {
 			version, err = w.readBackLife(ctx)
 		}
 		if err == nil {
@@ -64,10 +64,10 @@
 	return row.Version, nil
 }
 
-func (w *Writer) readLife(ctx context.Context) (platform.Row, error) {
+func (w *Writer) readLife(ctx context.Context) (store.Row, error) {
 	rows, err := w.table.Read(ctx, ledger.LifeKey(w.holder))
 	if err != nil {
-		return platform.Row{}, eris.Wrapf(err, "read life of %s", w.holder)
+		return store.Row{}, eris.Wrapf(err, "read life of %s", w.holder)
 	}
 	return rows[0], nil
 }
@@ -134,13 +134,13 @@
 		segment.Entries[i] = item.entry
 	}
 	key := ledger.SegmentKey(w.holder, w.next)
-	txn := platform.Txn{
-		Conditions: []platform.Condition{w.Condition(), {Key: key}},
-		Writes:     []platform.Write{{Key: key, Value: ledger.Encode(segment)}},
+	txn := store.Txn{
+		Conditions: []store.Condition{w.Condition(), {Key: key}},
+		Writes:     []store.Write{{Key: key, Value: ledger.Encode(segment)}},
 	}
 	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
 		_, err := w.commit(ctx, txn)
-		if errors.Is(err, platform.ErrConditionFailed) {
+		if errors.Is(err, store.ErrConditionFailed) {
 			err = w.readBackSegment(ctx, key)
 		}
 		if err == nil {
@@ -150,7 +150,7 @@
 		if errors.Is(err, ErrSealed) {
 			return refusals, err
 		}
-		if errors.Is(err, platform.ErrRateLimited) {
+		if errors.Is(err, store.ErrRateLimited) {
 			refusals++
 		}
 		if err := pause(ctx, backoff); err != nil {
@@ -202,9 +202,9 @@
 		}
 		next := w.adopted[0]
 		w.mu.Unlock()
-		txn := platform.Txn{
-			Conditions: []platform.Condition{w.Condition(), {Key: next.key}},
-			Writes:     []platform.Write{{Key: next.key, Value: next.value}},
+		txn := store.Txn{
+			Conditions: []store.Condition{w.Condition(), {Key: next.key}},
+			Writes:     []store.Write{{Key: next.key, Value: next.value}},
 		}
 		if err := w.commitAdopted(ctx, txn); err != nil {
 			return err
@@ -217,13 +217,13 @@
 
 // commitAdopted returns once the row was written. A second copy, written after
 // the first was folded away, is harmless: its requests are billed already.
-func (w *Writer) commitAdopted(ctx context.Context, txn platform.Txn) error {
+func (w *Writer) commitAdopted(ctx context.Context, txn store.Txn) error {
 	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
 		_, err := w.commit(ctx, txn)
 		if err == nil {
 			return nil
 		}
-		if errors.Is(err, platform.ErrConditionFailed) {
+		if errors.Is(err, store.ErrConditionFailed) {
 			row, err := w.readLife(ctx)
 			if err == nil && row.Version == w.version.Load() {
 				return nil
@@ -245,12 +245,12 @@
 		if w.sealed.Load() {
 			return nil
 		}
-		txn := platform.Txn{
-			Conditions: []platform.Condition{w.Condition()},
-			Writes:     []platform.Write{{Key: ledger.LifeKey(w.holder), Delete: true}},
+		txn := store.Txn{
+			Conditions: []store.Condition{w.Condition()},
+			Writes:     []store.Write{{Key: ledger.LifeKey(w.holder), Delete: true}},
 		}
 		_, err := w.commit(ctx, txn)
-		if err == nil || errors.Is(err, platform.ErrConditionFailed) {
+		if err == nil || errors.Is(err, store.ErrConditionFailed) {
 			w.MarkSealed(eris.New("planned stop"))
 			return nil
 		}
@@ -260,7 +260,7 @@
 	}
 }
 
-func (w *Writer) commit(ctx context.Context, txn platform.Txn) (int64, error) {
+func (w *Writer) commit(ctx context.Context, txn store.Txn) (int64, error) {
 	version, err := w.table.Commit(ctx, txn)
 	return version, eris.Wrapf(err, "journal of %s", w.holder)
 }
--- a/journal/fold.go
+++ b/budget/journal/fold.go
@@ -8,7 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"buckthornridge/budget/ledger"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Bounds of one pass of a Folder.
@@ -24,7 +24,7 @@
 // budget row it writes are as they were read, so that each segment is folded
 // once whatever happens to answers.
 type Folder struct {
-	Table platform.Table
+	Table store.Table
 	// Index remembers, from pass to pass, which requests were billed; nil reads
 	// that from the table each time.
 	Index *Index
@@ -79,7 +79,7 @@
 }
 
 // Holders lists the holders whose journals are not folded away for good.
-func Holders(ctx context.Context, table platform.Table) ([]string, error) {
+func Holders(ctx context.Context, table store.Table) ([]string, error) {
 	var holders []string
 	after := ""
 	for {
@@ -132,7 +132,7 @@
 // whose transaction either shows in the rows or can no longer take effect once a
 // new one does.
 func retryable(err error) bool {
-	return errors.Is(err, platform.ErrConditionFailed) || errors.Is(err, platform.ErrOutcomeUnknown)
+	return errors.Is(err, store.ErrConditionFailed) || errors.Is(err, store.ErrOutcomeUnknown)
 }
 
 // step folds the next segments of a journal in one transaction.
@@ -194,7 +194,7 @@
 }
 
 // choose takes the segments that fit in one transaction, in sequence.
-func (w *foldWork) choose(found []platform.Row) error {
+func (w *foldWork) choose(found []store.Row) error {
 	budgets := map[ledger.ID]bool{}
 	for _, row := range found {
 		if row.Key < ledger.SegmentKey(w.holder, w.state.Next) {
@@ -263,19 +263,19 @@
 	return book.row.Lose(w.holder, e.Tokens, cause)
 }
 
-func (w *foldWork) txn() platform.Txn {
+func (w *foldWork) txn() store.Txn {
 	w.state.Next += uint64(len(w.segments))
 	foldKey := ledger.FoldKey(w.holder)
-	txn := platform.Txn{
-		Conditions: []platform.Condition{{Key: foldKey, Version: w.version}},
-		Writes:     []platform.Write{{Key: foldKey, Value: ledger.Encode(w.state)}},
+	txn := store.Txn{
+		Conditions: []store.Condition{{Key: foldKey, Version: w.version}},
+		Writes:     []store.Write{{Key: foldKey, Value: ledger.Encode(w.state)}},
 	}
 	for _, key := range w.keys {
-		txn.Writes = append(txn.Writes, platform.Write{Key: key, Delete: true})
+		txn.Writes = append(txn.Writes, store.Write{Key: key, Delete: true})
 	}
 	for _, id := range w.books.ids() {
 		if w.books.of(id).row.Settle(w.holder) {
-			txn.Writes = append(txn.Writes, platform.Write{Key: ledger.HeldKey(w.holder, id), Delete: true})
+			txn.Writes = append(txn.Writes, store.Write{Key: ledger.HeldKey(w.holder, id), Delete: true})
 		}
 	}
 	w.books.write(&txn, time.Now())
--- a/journal/index.go
+++ b/budget/journal/index.go
@@ -7,7 +7,7 @@
 	"sync"
 
 	"buckthornridge/budget/ledger"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // keySet is one generation of billed requests. It is immutable.
@@ -65,7 +65,7 @@
 func NewIndex() *Index { return &Index{kept: map[indexKey]*keySet{}} }
 
 // load returns a budget's generations, from memory where it can.
-func (x *Index) load(ctx context.Context, table platform.Table, id ledger.ID, list []ledger.Generation) ([]*keySet, error) {
+func (x *Index) load(ctx context.Context, table store.Table, id ledger.ID, list []ledger.Generation) ([]*keySet, error) {
 	sets := make([]*keySet, len(list))
 	var missing []string
 	for i, generation := range list {
--- a/journal/journal_test.go
+++ b/budget/journal/journal_test.go
@@ -14,9 +14,9 @@
 	"k8s.io/klog/v2"
 	"pgregory.net/rapid"
 
+	"buckthornridge/budget/journal"
 	"buckthornridge/budget/ledger"
-	"buckthornridge/journal"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 func TestMain(m *testing.M) {
@@ -28,23 +28,23 @@
 var studio = ledger.ID{Workspace: "lankawrap", Name: "studio-1"}
 
 // held puts a budget in the table of which a holder has all tokens.
-func held(t *testing.T, table platform.Table, holder string, tokens int64) {
+func held(t *testing.T, table store.Table, holder string, tokens int64) {
 	t.Helper()
 	row := ledger.Budget{Purchased: tokens, Holders: map[string]ledger.Holding{holder: {Held: tokens}}}
-	txn := platform.Txn{Writes: []platform.Write{{Key: ledger.BudgetKey(studio), Value: ledger.Encode(&row)}}}
+	txn := store.Txn{Writes: []store.Write{{Key: ledger.BudgetKey(studio), Value: ledger.Encode(&row)}}}
 	if _, err := table.Commit(t.Context(), txn); err != nil {
 		t.Fatal(err)
 	}
 }
 
-func studioRow(fake *platform.Fake) *ledger.Budget {
+func studioRow(fake *store.Fake) *ledger.Budget {
 	var row ledger.Budget
 	_ = ledger.Decode("", fake.Dump(ledger.BudgetKey(studio))[0].Value, &row)
 	return &row
 }
 
 // writing runs a writer until the returned function.
-func writing(t *testing.T, fake *platform.Fake) (*journal.Writer, func()) {
+func writing(t *testing.T, fake *store.Fake) (*journal.Writer, func()) {
 	ctx, cancel := context.WithCancel(t.Context())
 	w := journal.NewWriter(fake.As("vm-1").Table, "vm-1#1", 0)
 	done := make(chan struct{})
@@ -70,10 +70,10 @@
 func TestSettledPassesOverEntriesTakenBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		fake := platform.NewFake(platform.FakeOptions{})
+		fake := store.NewFake(store.FakeOptions{})
 		w, stop := writing(t, fake)
 		defer stop()
-		fake.SetFaults(platform.Faults{Down: true})
+		fake.SetFaults(store.Faults{Down: true})
 		first := w.Add(bill(1, "a", 1), nil)
 		time.Sleep(time.Second) // in flight
 		last := w.Add(bill(2, "b", 1), nil)
@@ -87,7 +87,7 @@
 		is.True(w.Remove(last))
 		time.Sleep(time.Second)
 		is.Equal(len(settled), 0) // the first entry is not durable
-		fake.SetFaults(platform.Faults{})
+		fake.SetFaults(store.Faults{})
 		is.NoErr(<-settled)
 		<-first.Done()
 	})
@@ -99,20 +99,20 @@
 func TestStrayCopyOfASegmentIsRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		fake := platform.NewFake(platform.FakeOptions{})
+		fake := store.NewFake(store.FakeOptions{})
 		held(t, fake.As("operator").Table, "vm-1#1", 100)
 		w, stop := writing(t, fake)
 		defer stop()
 		folder := journal.Folder{Table: fake.As("operator").Table, Index: journal.NewIndex()}
 		folded := false
-		fake.SetHooks(platform.Hooks{After: func(c platform.Call, _ error) {
-			if c.Step == platform.StepCommit && c.VM == "vm-1" && !folded {
+		fake.SetHooks(store.Hooks{After: func(c store.Call, _ error) {
+			if c.Step == store.StepCommit && c.VM == "vm-1" && !folded {
 				folded = true
 				_, err := folder.Run(t.Context())
 				is.NoErr(err)
 			}
 		}})
-		fake.UpdateFaults(func(f *platform.Faults) { f.LoseNext = 1 })
+		fake.UpdateFaults(func(f *store.Faults) { f.LoseNext = 1 })
 		<-w.Add(bill(1, "a", 10), nil).Done()
 		is.Equal(len(fake.Dump(ledger.SegmentPrefix)), 1) // the stray
 		_, err := folder.Run(t.Context())
@@ -139,7 +139,7 @@
 }
 
 func billOnce(t *testing.T, keys, turns, pauses []int) string {
-	fake := platform.NewFake(platform.FakeOptions{})
+	fake := store.NewFake(store.FakeOptions{})
 	table := fake.As("operator").Table
 	held(t, table, "vm-1#1", 1000)
 	w, stop := writing(t, fake)
@@ -180,13 +180,13 @@
 func TestIndexIsReadOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		fake := platform.NewFake(platform.FakeOptions{})
+		fake := store.NewFake(store.FakeOptions{})
 		held(t, fake.As("operator").Table, "vm-1#1", 1000)
 		w, stop := writing(t, fake)
 		defer stop()
 		reads := 0
-		fake.SetHooks(platform.Hooks{Before: func(c platform.Call) {
-			if c.Step == platform.StepRead && strings.HasPrefix(c.Keys[0], ledger.IndexPrefix) {
+		fake.SetHooks(store.Hooks{Before: func(c store.Call) {
+			if c.Step == store.StepRead && strings.HasPrefix(c.Keys[0], ledger.IndexPrefix) {
 				reads++
 			}
 		}})
--- a/journal/writer.go
+++ b/budget/journal/writer.go
@@ -13,7 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"buckthornridge/budget/ledger"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Timing of group commits.
@@ -48,7 +48,7 @@
 // Writer appends to the journal of one holder. One batch is in flight at a time;
 // entries that arrive meanwhile share the next one.
 type Writer struct {
-	table    platform.Table
+	table    store.Table
 	holder   string
 	interval time.Duration
 	nonce    string
@@ -78,7 +78,7 @@
 
 // NewWriter returns a writer for a holder's journal. Interval 0 means
 // DefaultInterval. Run does its work.
-func NewWriter(table platform.Table, holder string, interval time.Duration) *Writer {
+func NewWriter(table store.Table, holder string, interval time.Duration) *Writer {
 	if interval <= 0 {
 		interval = DefaultInterval
 	}
@@ -106,8 +106,8 @@
 // Condition demands, in any transaction of this holder, that its journal is not
 // sealed. Without it a holder that was declared gone and wakes up could take new
 // grants that nobody would ever reclaim.
-func (w *Writer) Condition() platform.Condition {
-	return platform.Condition{Key: ledger.LifeKey(w.holder), Version: w.version.Load()}
+func (w *Writer) Condition() store.Condition {
+	return store.Condition{Key: ledger.LifeKey(w.holder), Version: w.version.Load()}
 }
 
 // Add queues an entry for the next group commit. notify, if not nil, runs once
--- a/budget/keeper.go
+++ b/budget/keeper.go
@@ -9,10 +9,10 @@
 
 	"github.com/rotisserie/eris"
 
+	"buckthornridge/budget/journal"
 	"buckthornridge/budget/ledger"
 	"buckthornridge/config"
-	"buckthornridge/journal"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // ErrBillPending reports that a bill is not durable yet, because the table does
@@ -36,7 +36,7 @@
 
 // KeeperConfig wires a Keeper.
 type KeeperConfig struct {
-	Table platform.Table
+	Table store.Table
 	// Holder names this router's incarnation; see HolderName. No other process
 	// may ever use it.
 	Holder string
--- a/budget/keeper_test.go
+++ b/budget/keeper_test.go
@@ -11,10 +11,10 @@
 	"github.com/matryer/is"
 
 	"buckthornridge/budget"
+	"buckthornridge/budget/journal"
 	"buckthornridge/budget/ledger"
 	"buckthornridge/config"
-	"buckthornridge/journal"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 var studio = budget.ID{Workspace: "lankawrap", Name: "studio-1"}
@@ -22,9 +22,9 @@
 // fleet is a platform with routers that reach each other directly.
 type fleet struct {
 	t       *testing.T
-	fake    *platform.Fake
-	table   platform.Table // of an operator, who is never cut off
-	mu      sync.Mutex     // guards weight
+	fake    *store.Fake
+	table   store.Table // of an operator, who is never cut off
+	mu      sync.Mutex  // guards weight
 	weight  float64
 	keepers map[string]*budget.Keeper
 	cut     map[string]bool // routers that recalls do not reach
@@ -35,7 +35,7 @@
 }
 
 func newFleet(t *testing.T) *fleet {
-	fake := platform.NewFake(platform.FakeOptions{Seed: 1, Faults: platform.Faults{Latency: 2 * time.Millisecond}})
+	fake := store.NewFake(store.FakeOptions{Seed: 1, Faults: store.Faults{Latency: 2 * time.Millisecond}})
 	return &fleet{
 		t: t, fake: fake, table: fake.As("operator").Table, weight: 0.5,
 		keepers: map[string]*budget.Keeper{}, cut: map[string]bool{},
@@ -68,7 +68,7 @@
 // start starts an incarnation of a router and waits until it serves.
 func (f *fleet) start(vm, incarnation string) *budget.Keeper {
 	services := f.fake.As(vm)
-	announced := platform.VM{ID: vm, Incarnation: incarnation, Role: "router", Address: "127.0.0.1:1", State: platform.VMLive}
+	announced := store.VM{ID: vm, Incarnation: incarnation, Role: "router", Address: "127.0.0.1:1", State: store.VMLive}
 	if err := services.VMs.Announce(f.t.Context(), announced); err != nil {
 		f.t.Fatal(err)
 	}
@@ -164,14 +164,14 @@
 
 // gone has the platform declare a VM gone, and waits until duties acted on it.
 func (f *fleet) gone(vm string) {
-	if err := f.fake.SetVMState(vm, platform.VMGone); err != nil {
+	if err := f.fake.SetVMState(vm, store.VMGone); err != nil {
 		f.t.Fatal(err)
 	}
 	f.duties()
 }
 
 // faults sets what is wrong with the platform.
-func (f *fleet) faults(faults platform.Faults) {
+func (f *fleet) faults(faults store.Faults) {
 	faults.Latency = 2 * time.Millisecond
 	f.fake.SetFaults(faults)
 }
--- a/budget/ledger/bounded.go
+++ b/budget/ledger/bounded.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // CallTimeout bounds one call to the table. A commit that takes longer has an
@@ -13,32 +13,32 @@
 
 // bounded bounds every call to a table in time. Without it, a table that takes
 // calls and never answers would stop a duty or a keeper until a restart.
-type bounded struct{ table platform.Table }
+type bounded struct{ table store.Table }
 
 // Bounded returns a table whose calls take CallTimeout at the most.
-func Bounded(table platform.Table) platform.Table {
+func Bounded(table store.Table) store.Table {
 	if _, already := table.(bounded); already {
 		return table
 	}
 	return bounded{table}
 }
 
-// Read implements platform.Table.
-func (b bounded) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Read implements store.Table.
+func (b bounded) Read(ctx context.Context, keys ...string) ([]store.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	return b.table.Read(ctx, keys...)
 }
 
-// Scan implements platform.Table.
-func (b bounded) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements store.Table.
+func (b bounded) Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	return b.table.Scan(ctx, prefix, after, limit)
 }
 
-// Commit implements platform.Table.
-func (b bounded) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
+// Commit implements store.Table.
+func (b bounded) Commit(ctx context.Context, txn store.Txn) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	return b.table.Commit(ctx, txn)
--- a/budget/ledger/keys.go
+++ b/budget/ledger/keys.go
@@ -6,7 +6,7 @@
 	"net/url"
 	"strings"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 	"github.com/rotisserie/eris"
 )
 
@@ -85,12 +85,12 @@
 // NoEffect reports that a failed commit certainly changed nothing. Any other
 // error, also a context that ended, leaves the outcome unknown.
 func NoEffect(err error) bool {
-	if errors.Is(err, platform.ErrOutcomeUnknown) {
+	if errors.Is(err, store.ErrOutcomeUnknown) {
 		return false
 	}
-	return errors.Is(err, platform.ErrConditionFailed) || errors.Is(err, platform.ErrUnavailable) ||
-		errors.Is(err, platform.ErrRateLimited) || errors.Is(err, platform.ErrTooLarge) ||
-		errors.Is(err, platform.ErrInvalid)
+	return errors.Is(err, store.ErrConditionFailed) || errors.Is(err, store.ErrUnavailable) ||
+		errors.Is(err, store.ErrRateLimited) || errors.Is(err, store.ErrTooLarge) ||
+		errors.Is(err, store.ErrInvalid)
 }
 
 func path(id ID) string { return url.PathEscape(id.Workspace) + "/" + url.PathEscape(id.Name) }
--- a/budget/operator.go
+++ b/budget/operator.go
@@ -8,7 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"buckthornridge/budget/ledger"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // ErrTopUpReused reports a top-up id that was applied before with another
@@ -27,7 +27,7 @@
 // TopUp adds purchased tokens to a budget. It is applied once per topUpID, however
 // often it is called; applied is false if it was applied before. After an error
 // the caller calls again with the same id.
-func TopUp(ctx context.Context, table platform.Table, id ID, topUpID string, tokens int64) (applied bool, err error) {
+func TopUp(ctx context.Context, table store.Table, id ID, topUpID string, tokens int64) (applied bool, err error) {
 	if topUpID == "" || tokens <= 0 {
 		return false, eris.Wrapf(ErrInvalidRequest, "top up %s: id %q, %d tokens", id, topUpID, tokens)
 	}
@@ -36,7 +36,7 @@
 		applied, err = topUpOnce(ctx, table, id, topUpID, tokens)
 		// A lost answer is resolved by reading again: either the top-up's row is
 		// there, or its transaction fails once a new one changed the budget row.
-		again := errors.Is(err, platform.ErrConditionFailed) || errors.Is(err, platform.ErrOutcomeUnknown)
+		again := errors.Is(err, store.ErrConditionFailed) || errors.Is(err, store.ErrOutcomeUnknown)
 		if err == nil || !again || attempt == topUpRetries {
 			return applied, eris.Wrapf(err, "top up %s", id)
 		}
@@ -46,7 +46,7 @@
 	}
 }
 
-func topUpOnce(ctx context.Context, table platform.Table, id ID, topUpID string, tokens int64) (bool, error) {
+func topUpOnce(ctx context.Context, table store.Table, id ID, topUpID string, tokens int64) (bool, error) {
 	budgetKey, topUpKey := ledger.BudgetKey(id), ledger.TopUpKey(id, topUpID)
 	rows, err := table.Read(ctx, budgetKey, topUpKey)
 	if err != nil {
@@ -69,9 +69,9 @@
 	if err := budget.Purchase(tokens); err != nil {
 		return false, err
 	}
-	_, err = table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: budgetKey, Version: rows[0].Version}, {Key: topUpKey}},
-		Writes: []platform.Write{
+	_, err = table.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: budgetKey, Version: rows[0].Version}, {Key: topUpKey}},
+		Writes: []store.Write{
 			{Key: budgetKey, Value: ledger.Encode(&budget)},
 			{Key: topUpKey, Value: ledger.Encode(topUpRow{Tokens: tokens, Applied: time.Now().UnixMilli()})},
 		},
@@ -83,7 +83,7 @@
 type State = ledger.Budget
 
 // Status reads one budget. A budget that was never topped up is all zero.
-func Status(ctx context.Context, table platform.Table, id ID) (State, error) {
+func Status(ctx context.Context, table store.Table, id ID) (State, error) {
 	rows, err := ledger.Bounded(table).Read(ctx, ledger.BudgetKey(id))
 	if err != nil {
 		return State{}, eris.Wrapf(err, "status of %s", id)
@@ -116,7 +116,7 @@
 // outstanding grants + free, no column below zero, and purchased is the sum of
 // the applied top-ups. It is right at any moment, also under load: the first two
 // are read in one row, and the third is read again before it is reported.
-func Audit(ctx context.Context, table platform.Table) (Report, error) {
+func Audit(ctx context.Context, table store.Table) (Report, error) {
 	table = ledger.Bounded(table)
 	report := Report{Lost: map[Cause]int64{}}
 	after := ""
@@ -137,7 +137,7 @@
 	}
 }
 
-func (r *Report) check(ctx context.Context, table platform.Table, row platform.Row) error {
+func (r *Report) check(ctx context.Context, table store.Table, row store.Row) error {
 	id, err := ledger.ParseID(ledger.BudgetPrefix, row.Key)
 	if err != nil {
 		return err
@@ -156,7 +156,7 @@
 // checkTopUps compares purchased with the top-ups. A top-up between the two
 // reads changes both, so a difference counts only if purchased is still the
 // same afterwards.
-func (r *Report) checkTopUps(ctx context.Context, table platform.Table, id ID, purchased int64) error {
+func (r *Report) checkTopUps(ctx context.Context, table store.Table, id ID, purchased int64) error {
 	for {
 		sum, err := sumTopUps(ctx, table, id)
 		if err != nil || sum == purchased {
@@ -175,7 +175,7 @@
 	}
 }
 
-func sumTopUps(ctx context.Context, table platform.Table, id ID) (int64, error) {
+func sumTopUps(ctx context.Context, table store.Table, id ID) (int64, error) {
 	var sum int64
 	after := ""
 	for {
--- a/budget/outage_test.go
+++ b/budget/outage_test.go
@@ -10,9 +10,9 @@
 	"github.com/matryer/is"
 
 	"buckthornridge/budget"
+	"buckthornridge/budget/journal"
 	"buckthornridge/budget/ledger"
-	"buckthornridge/journal"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // The table is down. The first answer waits for its bill until the limit; those
@@ -21,7 +21,7 @@
 func TestOnlyTheFirstBillWaitsInAnOutage(t *testing.T) {
 	witnessed(t, func(t *testing.T, is *is.I, f *fleet, _ *bench, k *budget.Keeper) {
 		billed := f.status(studio).Billed
-		f.faults(platform.Faults{Down: true})
+		f.faults(store.Faults{Down: true})
 		var waits []time.Duration
 		for i := range 5 {
 			r := f.must(k, fmt.Sprint("during-", i), 500)
@@ -33,7 +33,7 @@
 		for _, wait := range waits[1:] {
 			is.Equal(wait, time.Duration(0))
 		}
-		f.faults(platform.Faults{})
+		f.faults(store.Faults{})
 		time.Sleep(5 * time.Second)
 		f.duties()
 		is.Equal(f.status(studio).Billed, billed+5*500)
@@ -68,7 +68,7 @@
 		f.copies = keeping{book: book, holder: "vm-1#1"}
 		k := f.start("vm-1", "1")
 		is.NoErr(f.must(k, "before", 500).Bill(t.Context(), 500))
-		f.faults(platform.Faults{Down: true})
+		f.faults(store.Faults{Down: true})
 		for i := range 5 {
 			r := f.must(k, fmt.Sprint("during-", i), 500)
 			is.True(errors.Is(r.Bill(t.Context(), 400), budget.ErrBillPending))
@@ -85,7 +85,7 @@
 func TestKilledInAnOutageLeavesNoAnswerUnbilled(t *testing.T) {
 	outageWithCopies(t, func(_ *testing.T, is *is.I, f *fleet, k *budget.Keeper) {
 		_ = k.Stop()
-		f.faults(platform.Faults{})
+		f.faults(store.Faults{})
 		f.gone("vm-1")
 		time.Sleep(5 * time.Second)
 		f.duties()
@@ -97,7 +97,7 @@
 // time, and no row of them stays in the table for as long as the router lives.
 func TestCopiedBillsAreBilledOnce(t *testing.T) {
 	outageWithCopies(t, func(_ *testing.T, is *is.I, f *fleet, _ *budget.Keeper) {
-		f.faults(platform.Faults{})
+		f.faults(store.Faults{})
 		time.Sleep(10 * time.Second)
 		f.duties()
 		state := f.status(studio)
@@ -116,7 +116,7 @@
 	outageWithCopies(t, func(t *testing.T, is *is.I, f *fleet, k *budget.Keeper) {
 		forgotten := journal.Entry{Kind: journal.KindBill, Budget: studio, Request: "before", Tokens: 500}
 		is.NoErr(f.copies.Copy(t.Context(), 1<<40, forgotten))
-		f.faults(platform.Faults{})
+		f.faults(store.Faults{})
 		time.Sleep(10 * time.Second)
 		_ = k.Stop()
 		f.gone("vm-1")
@@ -151,9 +151,9 @@
 		f.copies = adoptedBy{keeper: other, holder: "vm-1#1"}
 		k := f.start("vm-1", "1")
 		is.NoErr(f.must(k, "before", 500).Bill(t.Context(), 500))
-		f.faults(platform.Faults{Down: true})
+		f.faults(store.Faults{Down: true})
 		is.True(errors.Is(f.must(k, "during", 500).Bill(t.Context(), 400), budget.ErrBillPending))
-		f.faults(platform.Faults{})
+		f.faults(store.Faults{})
 		billed := int64(900)
 		for i := range 12 {
 			time.Sleep(40 * time.Minute)
--- a/budget/percall/percall.go
+++ b/budget/percall/percall.go
@@ -16,8 +16,8 @@
 
 	"buckthornridge/budget"
 	"buckthornridge/budget/ledger"
-	"buckthornridge/platform"
 	"buckthornridge/request"
+	"buckthornridge/store"
 )
 
 const (
@@ -28,7 +28,7 @@
 
 // Counter implements request.Budgets.
 type Counter struct {
-	table  platform.Table
+	table  store.Table
 	holder string
 	ops    atomic.Uint64
 	// turns holds a channel with one place per budget: the row remembers only the
@@ -40,7 +40,7 @@
 var _ request.Budgets = (*Counter)(nil)
 
 // New returns a counter that writes under a holder's name.
-func New(table platform.Table, holder string) *Counter {
+func New(table store.Table, holder string) *Counter {
 	return &Counter{table: table, holder: holder}
 }
 
@@ -101,10 +101,10 @@
 	}
 }
 
-func (c *Counter) commit(ctx context.Context, read platform.Row, row *ledger.Budget) error {
-	_, err := c.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: read.Key, Version: read.Version}},
-		Writes:     []platform.Write{{Key: read.Key, Value: ledger.Encode(row)}},
+func (c *Counter) commit(ctx context.Context, read store.Row, row *ledger.Budget) error {
+	_, err := c.table.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: read.Key, Version: read.Version}},
+		Writes:     []store.Write{{Key: read.Key, Value: ledger.Encode(row)}},
 	})
 	return err
 }
--- a/budget/percall/percall_test.go
+++ b/budget/percall/percall_test.go
@@ -10,8 +10,8 @@
 	"github.com/matryer/is"
 
 	"buckthornridge/budget"
-	"buckthornridge/platform"
 	"buckthornridge/request"
+	"buckthornridge/store"
 )
 
 // Nine routers race for a budget by the baseline: it must hold as well, and an
@@ -19,7 +19,7 @@
 func TestBaselineHoldsTheBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		fake := platform.NewFake(platform.FakeOptions{Seed: 1, Faults: platform.Faults{LoseRate: 0.2}})
+		fake := store.NewFake(store.FakeOptions{Seed: 1, Faults: store.Faults{LoseRate: 0.2}})
 		table := fake.As("operator").Table
 		id := budget.ID{Workspace: "w", Name: "main"}
 		for {
--- a/budget/reclaim.go
+++ b/budget/reclaim.go
@@ -9,9 +9,9 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"buckthornridge/budget/journal"
 	"buckthornridge/budget/ledger"
-	"buckthornridge/journal"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Bounds of one pass of a Reclaimer.
@@ -33,8 +33,8 @@
 // was wrong about can neither bill nor take grants any more. Any number of
 // reclaimers may run at once.
 type Reclaimer struct {
-	Table platform.Table
-	VMs   platform.VMList
+	Table store.Table
+	VMs   store.VMList
 	// Questions reaches the witnesses; with nil every holder counts as having
 	// ridden out an outage.
 	Questions Questions
@@ -73,16 +73,16 @@
 // isGone tells whether the platform says that an incarnation runs no more: it
 // lists it as gone, or a later one of the same VM. A holder that is not listed
 // may be new to a lagging list.
-func isGone(vms []platform.VM, holder string) bool {
+func isGone(vms []store.VM, holder string) bool {
 	id, incarnation, _ := strings.Cut(holder, holderSeparator)
 	for _, vm := range vms {
 		if vm.ID != id {
 			continue
 		}
-		if vm.Incarnation == incarnation && vm.State == platform.VMGone {
+		if vm.Incarnation == incarnation && vm.State == store.VMGone {
 			return true
 		}
-		if platform.OlderIncarnation(incarnation, vm.Incarnation) {
+		if store.OlderIncarnation(incarnation, vm.Incarnation) {
 			return true
 		}
 	}
@@ -91,7 +91,7 @@
 
 // reclaimHolder seals the journal of a holder that is gone, and frees the grants
 // of one whose journal is sealed, by whomever, and folded whole.
-func (r Reclaimer) reclaimHolder(ctx context.Context, holder string, vms []platform.VM, stats *ReclaimStats) error {
+func (r Reclaimer) reclaimHolder(ctx context.Context, holder string, vms []store.VM, stats *ReclaimStats) error {
 	sealed, err := r.seal(ctx, holder, isGone(vms, holder), stats)
 	if err != nil || !sealed {
 		return err
@@ -109,7 +109,7 @@
 			retries = 0
 			continue
 		}
-		lostRace := errors.Is(err, platform.ErrConditionFailed) || errors.Is(err, platform.ErrOutcomeUnknown)
+		lostRace := errors.Is(err, store.ErrConditionFailed) || errors.Is(err, store.ErrOutcomeUnknown)
 		if !lostRace || retries > reclaimRetries {
 			return err
 		}
@@ -130,9 +130,9 @@
 	if rows[0].Version == 0 || !gone {
 		return rows[0].Version == 0, nil
 	}
-	_, err = r.Table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: rows[0].Version}},
-		Writes:     []platform.Write{{Key: key, Delete: true}},
+	_, err = r.Table.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: key, Version: rows[0].Version}},
+		Writes:     []store.Write{{Key: key, Delete: true}},
 	})
 	if err != nil {
 		return false, eris.Wrapf(err, "seal")
@@ -145,7 +145,7 @@
 // free reclaims some of the holder's budgets in one transaction, or removes the
 // holder once there are none. The condition on the fold row makes sure that the
 // open reservations are those of the whole journal.
-func (r Reclaimer) free(ctx context.Context, holder string, vms []platform.VM, stats *ReclaimStats) (more bool, err error) {
+func (r Reclaimer) free(ctx context.Context, holder string, vms []store.VM, stats *ReclaimStats) (more bool, err error) {
 	foldKey := ledger.FoldKey(holder)
 	rows, err := r.Table.Read(ctx, foldKey)
 	if err != nil || rows[0].Version == 0 {
@@ -156,7 +156,7 @@
 	if err := ledger.Decode(foldKey, fold.Value, &state); err != nil {
 		return false, err
 	}
-	txn := platform.Txn{Conditions: []platform.Condition{{Key: foldKey, Version: fold.Version}}}
+	txn := store.Txn{Conditions: []store.Condition{{Key: foldKey, Version: fold.Version}}}
 	listed, err := r.Table.Scan(ctx, ledger.HeldByPrefix(holder), "", reclaimBatch)
 	if err != nil {
 		return false, eris.Wrapf(err, "scan held budgets")
@@ -180,16 +180,16 @@
 // remove deletes what is left of a holder that holds nothing: the fold row, and
 // segments that were sent a second time because an answer was lost, and arrived
 // after the fold had taken the first copy away. No fold ever reads those.
-func (r Reclaimer) remove(ctx context.Context, holder string, txn platform.Txn, stats *ReclaimStats) (more bool, err error) {
+func (r Reclaimer) remove(ctx context.Context, holder string, txn store.Txn, stats *ReclaimStats) (more bool, err error) {
 	stray, err := r.Table.Scan(ctx, ledger.SegmentsPrefix(holder), "", reclaimBatch)
 	if err != nil {
 		return false, eris.Wrapf(err, "scan segments")
 	}
 	for _, row := range stray {
-		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
+		txn.Writes = append(txn.Writes, store.Write{Key: row.Key, Delete: true})
 	}
 	if len(stray) == 0 {
-		txn.Writes = []platform.Write{{Key: ledger.FoldKey(holder), Delete: true}}
+		txn.Writes = []store.Write{{Key: ledger.FoldKey(holder), Delete: true}}
 	}
 	_, err = r.Table.Commit(ctx, txn)
 	if err == nil && len(stray) == 0 {
@@ -202,7 +202,7 @@
 // Its journal is sealed, so that what the witness says stands. A witness that
 // lives but does not answer leaves the holder for the next pass; one that is
 // gone cannot deny it.
-func (r Reclaimer) rodeOutage(ctx context.Context, holder, witness string, vms []platform.VM) (bool, error) {
+func (r Reclaimer) rodeOutage(ctx context.Context, holder, witness string, vms []store.VM) (bool, error) {
 	if witness == "" {
 		return false, nil // the exposure in force is the only one
 	}
@@ -215,7 +215,7 @@
 	return entered, eris.Wrapf(err, "ask witness %s", witness)
 }
 
-func (r Reclaimer) planFree(ctx context.Context, holder string, vms []platform.VM, state journal.State, listed []platform.Row, txn *platform.Txn) (ReclaimStats, error) {
+func (r Reclaimer) planFree(ctx context.Context, holder string, vms []store.VM, state journal.State, listed []store.Row, txn *store.Txn) (ReclaimStats, error) {
 	var stats ReclaimStats
 	ids := make([]ID, len(listed))
 	keys := make([]string, len(listed))
@@ -225,7 +225,7 @@
 			return stats, err
 		}
 		ids[i], keys[i] = id, ledger.BudgetKey(id)
-		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
+		txn.Writes = append(txn.Writes, store.Write{Key: row.Key, Delete: true})
 	}
 	rows, err := r.Table.Read(ctx, keys...)
 	if err != nil {
@@ -253,8 +253,8 @@
 		stats.Budgets++
 		stats.Lost += lost
 		stats.Freed += held - lost
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: row.Key, Version: row.Version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Value: ledger.Encode(&budget)})
+		txn.Conditions = append(txn.Conditions, store.Condition{Key: row.Key, Version: row.Version})
+		txn.Writes = append(txn.Writes, store.Write{Key: row.Key, Value: ledger.Encode(&budget)})
 	}
 	return stats, nil
 }
--- a/budget/reserve.go
+++ b/budget/reserve.go
@@ -6,7 +6,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"buckthornridge/journal"
+	"buckthornridge/budget/journal"
 )
 
 // Errors of wrong use, not of want of budget.
--- a/budget/resumed_test.go
+++ b/budget/resumed_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 
 	"buckthornridge/budget"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // A router dies with a stream open; the caller's retry finds it through another
@@ -103,8 +103,8 @@
 		is.True(errors.Is(answered.Bill(t.Context(), 10), budget.ErrBillPending))
 		f.must(doomed, "young", 890).Dispatch("run-2", false)
 		_ = doomed.Stop()
-		f.fake.SetHooks(platform.Hooks{})
-		f.faults(platform.Faults{})
+		f.fake.SetHooks(store.Hooks{})
+		f.faults(store.Faults{})
 		f.topUp(studio, "order-2", 1000)
 		f.gone("vm-1")
 		resumed := f.must(other, "answered", 900)
--- a/budget/rides_test.go
+++ b/budget/rides_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 
 	"buckthornridge/config"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // scripted is a witness whose Enter does what a test wants in the meantime.
@@ -27,7 +27,7 @@
 
 func ridingKeeper(t *testing.T, s *scripted, weight float64) (*Keeper, *account) {
 	k := NewKeeper(KeeperConfig{
-		Table: platform.NewFake(platform.FakeOptions{}).As("vm-1").Table, Holder: "vm-1#1", Witnesses: s,
+		Table: store.NewFake(store.FakeOptions{}).As("vm-1").Table, Holder: "vm-1#1", Witnesses: s,
 		Policy: func() config.BudgetPolicy { return config.BudgetPolicy{RefusalWeight: weight} },
 	})
 	t.Cleanup(func() { _ = k.Stop() })
--- a/budget/rpc.go
+++ b/budget/rpc.go
@@ -7,7 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"buckthornridge/peer"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Peer methods by which a router is a witness.
@@ -58,7 +58,7 @@
 // platform's VM list gives.
 type PeerQuestions struct {
 	Peers peer.Caller
-	VMs   platform.VMList
+	VMs   store.VMList
 }
 
 var _ Questions = PeerQuestions{}
--- a/budget/steps_test.go
+++ b/budget/steps_test.go
@@ -8,19 +8,19 @@
 	"github.com/matryer/is"
 
 	"buckthornridge/budget"
+	"buckthornridge/budget/journal"
 	"buckthornridge/budget/ledger"
-	"buckthornridge/journal"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // step names a kind of write by the prefix of one of its rows.
 type step struct {
 	name    string
-	matches func(platform.Txn) bool
+	matches func(store.Txn) bool
 }
 
-func writes(prefix string, deletes bool) func(platform.Txn) bool {
-	return func(txn platform.Txn) bool {
+func writes(prefix string, deletes bool) func(store.Txn) bool {
+	return func(txn store.Txn) bool {
 		for _, w := range txn.Writes {
 			if strings.HasPrefix(w.Key, prefix) && w.Delete == deletes {
 				return true
@@ -30,8 +30,8 @@
 	}
 }
 
-func conditioned(prefix string, match func(platform.Txn) bool) func(platform.Txn) bool {
-	return func(txn platform.Txn) bool {
+func conditioned(prefix string, match func(store.Txn) bool) func(store.Txn) bool {
+	return func(txn store.Txn) bool {
 		for _, c := range txn.Conditions {
 			if strings.HasPrefix(c.Key, prefix) && match(txn) {
 				return true
@@ -42,7 +42,7 @@
 }
 
 var steps = []step{
-	{"create", func(txn platform.Txn) bool {
+	{"create", func(txn store.Txn) bool {
 		return writes(ledger.LifePrefix, false)(txn)
 	}},
 	{"grant and return", conditioned(ledger.LifePrefix, writes(ledger.BudgetPrefix, false))},
@@ -60,7 +60,7 @@
 // a small history, from top-up over grants, bills and returns to a death, the
 // fold and the reclaim; every token must end up where it belongs, once.
 func TestLostAnswerAtEveryStep(t *testing.T) {
-	fates := map[string]platform.Faults{
+	fates := map[string]store.Faults{
 		"lost":            {LoseNext: 1},
 		"delayed":         {DelayNext: 1, Delay: 3 * time.Second},
 		"delayed forever": {DelayNext: 1},
@@ -72,13 +72,13 @@
 	}
 }
 
-func testLostAnswer(t *testing.T, s step, fate platform.Faults) {
+func testLostAnswer(t *testing.T, s step, fate store.Faults) {
 	story(t, 1000, func(t *testing.T, is *is.I, f *fleet) {
 		hits := 0
-		f.fake.SetHooks(platform.Hooks{Before: func(c platform.Call) {
-			if c.Step == platform.StepCommit && s.matches(c.Txn) && hits < 3 {
+		f.fake.SetHooks(store.Hooks{Before: func(c store.Call) {
+			if c.Step == store.StepCommit && s.matches(c.Txn) && hits < 3 {
 				hits++
-				f.fake.UpdateFaults(func(faults *platform.Faults) {
+				f.fake.UpdateFaults(func(faults *store.Faults) {
 					faults.LoseNext, faults.DelayNext, faults.Delay = fate.LoseNext, fate.DelayNext, fate.Delay
 				})
 			}
@@ -94,7 +94,7 @@
 		time.Sleep(time.Minute) // the sweep returns idle grants
 		is.NoErr(k.Drain(t.Context()))
 		_ = doomed.Stop()
-		_ = f.fake.SetVMState("vm-2", platform.VMGone)
+		_ = f.fake.SetVMState("vm-2", store.VMGone)
 		for range 6 {
 			f.retryingDuties()
 			time.Sleep(5 * time.Second)
--- a/budget/stories_test.go
+++ b/budget/stories_test.go
@@ -12,9 +12,9 @@
 	"github.com/matryer/is"
 
 	"buckthornridge/budget"
+	"buckthornridge/budget/journal"
 	"buckthornridge/budget/ledger"
-	"buckthornridge/journal"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Two, or nine, routers get requests for a budget's last tokens at one moment.
@@ -61,7 +61,7 @@
 		k := f.start("vm-1", "1")
 		is.NoErr(f.must(k, "warm-up", 1000).Bill(t.Context(), 1000))
 		held := f.status(studio).Holders["vm-1#1"].Held
-		f.faults(platform.Faults{Cut: []string{"vm-1"}})
+		f.faults(store.Faults{Cut: []string{"vm-1"}})
 		f.cut["vm-1#1"] = true
 		var spent int64
 		for minute := range 60 {
@@ -74,7 +74,7 @@
 		}
 		is.True(spent > 0 && spent <= held)
 		is.True(f.status(studio).Holders["vm-1#1"].Held+1000 >= held) // nothing reclaimed
-		f.faults(platform.Faults{})
+		f.faults(store.Faults{})
 		is.NoErr(k.Drain(t.Context()))
 		f.duties()
 		is.Equal(f.status(studio).Billed, 1000+spent)
@@ -91,12 +91,12 @@
 		other := f.start("vm-2", "1")
 		request := f.must(k, "half out of the door", 700)
 		f.cut["vm-1#1"] = true
-		f.faults(platform.Faults{Cut: []string{"vm-1"}, Silent: true})
+		f.faults(store.Faults{Cut: []string{"vm-1"}, Silent: true})
 		time.Sleep(time.Hour)
 		f.duties()
 		_, err := f.reserve(other, "meanwhile", 700)
 		is.True(err != nil)
-		f.faults(platform.Faults{})
+		f.faults(store.Faults{})
 		is.True(k.Alive())
 		// Known to be cut off, it need not wait for the table; the bill must be
 		// there when the next try gets through.
@@ -118,14 +118,14 @@
 		other := f.start("vm-2", "1")
 		request := f.must(k, "half out of the door", 700)
 		time.Sleep(time.Second)
-		f.faults(platform.Faults{Cut: []string{"vm-1"}, Silent: true})
+		f.faults(store.Faults{Cut: []string{"vm-1"}, Silent: true})
 		f.gone("vm-1")
 		state := f.status(studio)
 		lost := state.Lost[budget.CauseHolderGone]
 		is.True(lost >= 700)
 		is.Equal(state.Free, 1000-lost)
 		f.must(other, "sold again", state.Free)
-		f.faults(platform.Faults{})
+		f.faults(store.Faults{})
 		is.True(errors.Is(request.Bill(t.Context(), 600), journal.ErrSealed))
 		is.True(!k.Alive())
 		_, err := f.reserve(k, "after", 1)
@@ -173,7 +173,7 @@
 			for i := range 60 {
 				is.NoErr(f.must(k, fmt.Sprint("before-", i), 100).Bill(t.Context(), 100))
 			}
-			f.faults(platform.Faults{Down: true, Silent: true})
+			f.faults(store.Faults{Down: true, Silent: true})
 			for i := range 200 {
 				r, err := f.reserve(k, fmt.Sprint("during-", i), 100)
 				if err == nil {
@@ -184,7 +184,7 @@
 				}
 				time.Sleep(18 * time.Second)
 			}
-			f.faults(platform.Faults{})
+			f.faults(store.Faults{})
 			is.NoErr(k.Drain(t.Context()))
 			f.duties()
 			is.Equal(f.status(studio).Billed, int64(6000+100*served[weight]))
@@ -203,19 +203,19 @@
 		k, left, right := f.start("vm-1", "1"), f.start("vm-2", "1"), f.start("vm-3", "1")
 		one, two := f.must(k, "one", 100), f.must(k, "two", 100)
 		time.Sleep(time.Second)
-		f.fake.UpdateFaults(func(faults *platform.Faults) { faults.LoseNext = 1 })
-		f.fake.SetHooks(platform.Hooks{After: func(platform.Call, error) {
-			f.fake.UpdateFaults(func(faults *platform.Faults) { faults.Down = true })
+		f.fake.UpdateFaults(func(faults *store.Faults) { faults.LoseNext = 1 })
+		f.fake.SetHooks(store.Hooks{After: func(store.Call, error) {
+			f.fake.UpdateFaults(func(faults *store.Faults) { faults.Down = true })
 		}})
 		is.True(errors.Is(one.Bill(t.Context(), 80), budget.ErrBillPending))
 		is.True(errors.Is(two.Bill(t.Context(), 70), budget.ErrBillPending))
-		f.fake.SetHooks(platform.Hooks{})
+		f.fake.SetHooks(store.Hooks{})
 		_ = k.Stop()
 		pending := k.Journal().Pending()
 		is.Equal(len(pending), 2)
 		left.Journal().Adopt("vm-1#1", pending)
 		right.Journal().Adopt("vm-1#1", pending)
-		f.faults(platform.Faults{})
+		f.faults(store.Faults{})
 		time.Sleep(5 * time.Second)
 		f.duties()
 		is.Equal(f.status(studio).Billed, int64(80)) // by its own journal; the rest waits
@@ -279,7 +279,7 @@
 func TestGrantArrivesAfterItsHolderWasReclaimed(t *testing.T) {
 	story(t, 1000, func(t *testing.T, is *is.I, f *fleet) {
 		k := f.start("vm-1", "1")
-		f.faults(platform.Faults{DelayNext: 1})
+		f.faults(store.Faults{DelayNext: 1})
 		_, err := f.reserve(k, "lost", 100)
 		is.True(err == nil || !err.(*budget.Refusal).Certain)
 		_ = k.Stop()
@@ -304,7 +304,7 @@
 		f.holdAppends()
 		f.must(k, "young", idle-60)
 		f.lean(0)
-		f.fake.UpdateFaults(func(faults *platform.Faults) { faults.Latency = 400 * time.Millisecond })
+		f.fake.UpdateFaults(func(faults *store.Faults) { faults.Latency = 400 * time.Millisecond })
 		var clients sync.WaitGroup
 		var late atomic.Int64
 		clients.Go(func() { _, _ = f.reserve(k, "asks for the grant", 100) })
@@ -316,8 +316,8 @@
 		})
 		clients.Wait()
 		_ = k.Stop()
-		f.fake.SetHooks(platform.Hooks{})
-		f.faults(platform.Faults{})
+		f.fake.SetHooks(store.Hooks{})
+		f.faults(store.Faults{})
 		f.gone("vm-1")
 		is.True(f.status(studio).LostTokens() >= dispatched+late.Load())
 	})
@@ -360,9 +360,9 @@
 
 // holdAppends keeps journal appends on their way for good; other writes pass.
 func (f *fleet) holdAppends() {
-	f.fake.SetHooks(platform.Hooks{Before: func(c platform.Call) {
+	f.fake.SetHooks(store.Hooks{Before: func(c store.Call) {
 		if len(c.Txn.Writes) == 1 && strings.HasPrefix(c.Txn.Writes[0].Key, ledger.SegmentPrefix) {
-			f.fake.UpdateFaults(func(faults *platform.Faults) { faults.DelayNext = 1 })
+			f.fake.UpdateFaults(func(faults *store.Faults) { faults.DelayNext = 1 })
 		}
 	}})
 }
--- a/budget/tail_test.go
+++ b/budget/tail_test.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"buckthornridge/budget"
+	"buckthornridge/budget/journal"
 	"buckthornridge/config"
-	"buckthornridge/journal"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // One router's share of the letter's load.
@@ -39,8 +39,8 @@
 }
 
 func spreadOver(t *testing.T, budgets int, weight float64) {
-	fake := platform.NewFake(platform.FakeOptions{})
-	fake.SetFaults(platform.Faults{Latency: 5 * time.Millisecond})
+	fake := store.NewFake(store.FakeOptions{})
+	fake.SetFaults(store.Faults{Latency: 5 * time.Millisecond})
 	table := fake.As("vm-1").Table
 	id := func(i int) budget.ID { return budget.ID{Workspace: fmt.Sprint("w-", i/100), Name: fmt.Sprint("m-", i)} }
 	for i := range budgets {
--- a/budget/transfer.go
+++ b/budget/transfer.go
@@ -8,9 +8,9 @@
 
 	"github.com/rotisserie/eris"
 
+	"buckthornridge/budget/journal"
 	"buckthornridge/budget/ledger"
-	"buckthornridge/journal"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Waits between attempts while the table does not answer.
@@ -49,7 +49,7 @@
 	ops    []*transfer
 	// unresolved is the transaction whose answer was lost, with the row
 	// versions that it demands; nil if no sending can still take effect.
-	unresolved *platform.Txn
+	unresolved *store.Txn
 }
 
 func (k *Keeper) newTransfer(acc *account, plan func(*ledger.Budget) change) *transfer {
@@ -77,7 +77,7 @@
 			return err
 		}
 		wait := backoff
-		if errors.Is(err, platform.ErrConditionFailed) {
+		if errors.Is(err, store.ErrConditionFailed) {
 			conflicts++
 			wait = conflictPause(conflicts)
 		} else if b.unresolved == nil {
@@ -176,8 +176,8 @@
 	return true
 }
 
-func (b *batch) planAll() (platform.Txn, error) {
-	txn := platform.Txn{Conditions: []platform.Condition{b.keeper.journal.Condition()}}
+func (b *batch) planAll() (store.Txn, error) {
+	txn := store.Txn{Conditions: []store.Condition{b.keeper.journal.Condition()}}
 	for _, op := range b.ops {
 		op.change = op.plan(&op.row)
 		if op.change.skip {
@@ -192,7 +192,7 @@
 
 // plan adds one budget row, and the row that lists it among the holder's
 // budgets, which a reclaim goes by.
-func (b *batch) plan(op *transfer, txn *platform.Txn) error {
+func (b *batch) plan(op *transfer, txn *store.Txn) error {
 	holder := b.keeper.cfg.Holder
 	_, listed := op.row.Holders[holder]
 	err := op.row.Transfer(holder, ledger.Holding{
@@ -204,17 +204,17 @@
 	}
 	heldKey := ledger.HeldKey(holder, op.acc.id)
 	if op.row.Settle(holder) {
-		txn.Writes = append(txn.Writes, platform.Write{Key: heldKey, Delete: true})
+		txn.Writes = append(txn.Writes, store.Write{Key: heldKey, Delete: true})
 	} else if !listed {
-		txn.Writes = append(txn.Writes, platform.Write{Key: heldKey})
+		txn.Writes = append(txn.Writes, store.Write{Key: heldKey})
 	}
 	key := ledger.BudgetKey(op.acc.id)
-	txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Version: op.version})
-	txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: ledger.Encode(&op.row)})
+	txn.Conditions = append(txn.Conditions, store.Condition{Key: key, Version: op.version})
+	txn.Writes = append(txn.Writes, store.Write{Key: key, Value: ledger.Encode(&op.row)})
 	return nil
 }
 
-func (k *Keeper) commit(ctx context.Context, txn platform.Txn) error {
+func (k *Keeper) commit(ctx context.Context, txn store.Txn) error {
 	_, err := k.cfg.Table.Commit(ctx, txn)
 	return eris.Wrapf(err, "transfer of %s", k.cfg.Holder)
 }
--- a/budget/witness_test.go
+++ b/budget/witness_test.go
@@ -10,7 +10,7 @@
 	"github.com/matryer/is"
 
 	"buckthornridge/budget"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // bench is a set of witnesses that tests reach directly.
@@ -130,12 +130,12 @@
 func TestDeathWhileRidingOutAnOutage(t *testing.T) {
 	witnessed(t, func(t *testing.T, is *is.I, f *fleet, _ *bench, k *budget.Keeper) {
 		before := f.status(studio).Holders["vm-1#1"]
-		f.faults(platform.Faults{Down: true})
+		f.faults(store.Faults{Down: true})
 		spent := f.spendAll(k)
 		is.True(spent > before.Exposure)
 		is.True(spent <= before.Outage)
 		_ = k.Stop()
-		f.faults(platform.Faults{})
+		f.faults(store.Faults{})
 		f.gone("vm-1")
 		state := f.status(studio)
 		is.True(state.Lost[budget.CauseHolderGone] >= spent)
@@ -146,12 +146,12 @@
 // As before, and the witness dies as well, taking what it knew with it.
 func TestWitnessDiesToo(t *testing.T) {
 	witnessed(t, func(t *testing.T, is *is.I, f *fleet, b *bench, k *budget.Keeper) {
-		f.faults(platform.Faults{Down: true})
+		f.faults(store.Faults{Down: true})
 		spent := f.spendAll(k)
 		_ = k.Stop()
-		f.faults(platform.Faults{})
+		f.faults(store.Faults{})
 		delete(b.testimony, "vm-2#1")
-		is.NoErr(f.fake.SetVMState("vm-2", platform.VMGone))
+		is.NoErr(f.fake.SetVMState("vm-2", store.VMGone))
 		f.gone("vm-1")
 		is.True(f.status(studio).Lost[budget.CauseHolderGone] >= spent)
 	})
@@ -164,7 +164,7 @@
 		before := f.status(studio).Holders["vm-1#1"]
 		_ = k.Stop()
 		b.silent["vm-2#1"] = true
-		is.NoErr(f.fake.SetVMState("vm-1", platform.VMGone))
+		is.NoErr(f.fake.SetVMState("vm-1", store.VMGone))
 		_, err := budget.Reclaimer{Table: f.table, VMs: f.fake.As("operator").VMs, Questions: b}.Run(t.Context())
 		is.True(errors.Is(err, budget.ErrNoWitness))
 		is.Equal(f.status(studio).Holders["vm-1#1"], before)
@@ -179,7 +179,7 @@
 // it takes for an outage, it must be refused: the tokens are others' by now.
 func TestFencedHolderCannotRide(t *testing.T) {
 	witnessed(t, func(t *testing.T, is *is.I, f *fleet, _ *bench, k *budget.Keeper) {
-		f.faults(platform.Faults{Cut: []string{"vm-1"}})
+		f.faults(store.Faults{Cut: []string{"vm-1"}})
 		f.gone("vm-1")
 		lost := f.status(studio).Lost[budget.CauseHolderGone]
 		is.True(f.spendAll(k) <= lost)
@@ -191,10 +191,10 @@
 func TestRecoveredHolderLeavesItsWitness(t *testing.T) {
 	witnessed(t, func(t *testing.T, is *is.I, f *fleet, _ *bench, k *budget.Keeper) {
 		billed := f.status(studio).Billed
-		f.faults(platform.Faults{Down: true})
+		f.faults(store.Faults{Down: true})
 		spent := f.spendAll(k)
 		time.Sleep(time.Hour)
-		f.faults(platform.Faults{})
+		f.faults(store.Faults{})
 		time.Sleep(10 * time.Second)
 		f.duties()
 		is.Equal(f.status(studio).Billed, billed+spent)
@@ -215,7 +215,7 @@
 	witnessed(t, func(t *testing.T, is *is.I, f *fleet, b *bench, k *budget.Keeper) {
 		before := f.status(studio).Holders["vm-1#1"]
 		b.silent["vm-2#1"] = true
-		f.faults(platform.Faults{Down: true})
+		f.faults(store.Faults{Down: true})
 		is.True(f.spendAll(k) <= before.Exposure)
 	})
 }
--- a/budget/world_end_test.go
+++ b/budget/world_end_test.go
@@ -5,14 +5,14 @@
 	"errors"
 	"time"
 
+	"buckthornridge/budget/journal"
 	"buckthornridge/budget/ledger"
-	"buckthornridge/journal"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // settle ends all faults and processes, and compares the books with the truth.
 func (w *world) settle() {
-	w.fake.SetFaults(platform.Faults{Latency: time.Millisecond})
+	w.fake.SetFaults(store.Faults{Latency: time.Millisecond})
 	for _, r := range w.routers {
 		w.wake(r)
 	}
@@ -27,7 +27,7 @@
 			cancel()
 		}
 		w.kill(r)
-		_ = w.fake.SetVMState(r.vm, platform.VMGone)
+		_ = w.fake.SetVMState(r.vm, store.VMGone)
 	}
 	w.fake.ReleaseDelayed()
 	for range 3 {
--- a/budget/world_test.go
+++ b/budget/world_test.go
@@ -12,9 +12,9 @@
 	"pgregory.net/rapid"
 
 	"buckthornridge/budget"
+	"buckthornridge/budget/journal"
 	"buckthornridge/budget/ledger"
-	"buckthornridge/journal"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // eventKind is something that happens in a random schedule.
@@ -98,7 +98,7 @@
 	w := &world{fleet: newFleet(t), runs: map[string]*engineRun{}, acked: map[string]int64{}, tried: map[string]int64{}, paused: map[string]chan struct{}{}}
 	w.weight = weight
 	w.ctx = t.Context()
-	w.fake.SetHooks(platform.Hooks{Before: w.beforeCall})
+	w.fake.SetHooks(store.Hooks{Before: w.beforeCall})
 	for i := range w.routers {
 		w.routers[i] = &worldRouter{vm: fmt.Sprintf("vm-%d", i)}
 		w.boot(w.routers[i])
@@ -118,7 +118,7 @@
 }
 
 // beforeCall holds the calls of a paused process; they arrive when it wakes.
-func (w *world) beforeCall(c platform.Call) {
+func (w *world) beforeCall(c store.Call) {
 	w.mu.Lock()
 	wake := w.paused[c.VM]
 	w.mu.Unlock()
@@ -131,9 +131,9 @@
 	r.incarnation++
 	r.dead = make(chan struct{})
 	services := w.fake.As(r.vm)
-	announced := platform.VM{ID: r.vm, Incarnation: fmt.Sprint(r.incarnation), Role: "router", Address: "127.0.0.1:1", State: platform.VMLive}
+	announced := store.VM{ID: r.vm, Incarnation: fmt.Sprint(r.incarnation), Role: "router", Address: "127.0.0.1:1", State: store.VMLive}
 	faults := w.fake.Faults()
-	w.fake.SetFaults(platform.Faults{})
+	w.fake.SetFaults(store.Faults{})
 	w.faultless(w.fake.As("starter").VMs.Announce(w.ctx, announced))
 	w.fake.SetFaults(faults)
 	holder := budget.HolderName(r.vm, fmt.Sprint(r.incarnation))
@@ -152,7 +152,7 @@
 
 // faultless notes errors that no fault of the platform explains.
 func (w *world) faultless(err error) {
-	if err != nil && !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrOutcomeUnknown) {
+	if err != nil && !errors.Is(err, store.ErrUnavailable) && !errors.Is(err, store.ErrOutcomeUnknown) {
 		w.fault("%v", err)
 	}
 }
@@ -194,18 +194,18 @@
 	case eventWake:
 		w.wake(r)
 	case eventDeclareGone:
-		_ = w.fake.SetVMState(r.vm, platform.VMGone)
+		_ = w.fake.SetVMState(r.vm, store.VMGone)
 	case eventHandOver:
 		w.handOver(r, w.routers[(e.Router+1)%worldRouters])
 	default:
-		w.fake.UpdateFaults(func(f *platform.Faults) { changeFaults(f, r.vm, e) })
+		w.fake.UpdateFaults(func(f *store.Faults) { changeFaults(f, r.vm, e) })
 		if e.Kind == eventReleaseWrite {
 			w.fake.ReleaseDelayed()
 		}
 	}
 }
 
-func changeFaults(f *platform.Faults, vm string, e event) {
+func changeFaults(f *store.Faults, vm string, e event) {
 	switch e.Kind {
 	case eventCut:
 		f.Cut = append(f.Cut, vm)
--- a/cmd/buckthorn-upstream/main.go
+++ b/cmd/buckthorn-upstream/main.go
@@ -17,9 +17,9 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
-	"buckthornridge/platform"
-	"buckthornridge/platform/httpclient"
 	"buckthornridge/standin/node"
+	"buckthornridge/store"
+	"buckthornridge/store/httpclient"
 	"buckthornridge/telemetry"
 )
 
@@ -77,7 +77,7 @@
 // options announces the node under an incarnation that rises with each start.
 func (s processSettings) options() node.Options {
 	options := node.Options{
-		VM: platform.VM{
+		VM: store.VM{
 			ID:          s.ID,
 			Incarnation: strconv.FormatInt(time.Now().UnixNano(), 10),
 			Role:        string(s.Kind),
--- a/config/apply.go
+++ b/config/apply.go
@@ -8,7 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // ErrApplyIDReused reports an apply id that stands for another document.
@@ -36,8 +36,8 @@
 // nothing and returns base.
 //
 // Errors: settings.Errors for a document that fails the checks; *ConflictError
-// when another operator was first; ErrApplyIDReused; platform.ErrUnavailable
-// when nothing was changed; platform.ErrOutcomeUnknown when ctx ended before
+// when another operator was first; ErrApplyIDReused; store.ErrUnavailable
+// when nothing was changed; store.ErrOutcomeUnknown when ctx ended before
 // the outcome was known: apply again with the same id.
 func (s *Store) Apply(ctx context.Context, base Version, doc Document, applyID, author string) (Version, error) {
 	if applyID == "" || len(applyID) > maxApplyIDBytes {
@@ -75,13 +75,13 @@
 	unknown := false
 	for wait := firstApplyWait; ; wait = min(2*wait, maxApplyWait) {
 		version, err := a.try(ctx)
-		unknown = unknown || errors.Is(err, platform.ErrOutcomeUnknown)
+		unknown = unknown || errors.Is(err, store.ErrOutcomeUnknown)
 		if err == nil || !retryable(err) {
 			return version, err
 		}
 		if pause(ctx, wait+rand.N(wait)) != nil {
-			if unknown && !errors.Is(err, platform.ErrOutcomeUnknown) {
-				err = platform.Failed("apply", "table", platform.ErrOutcomeUnknown, err)
+			if unknown && !errors.Is(err, store.ErrOutcomeUnknown) {
+				err = store.Failed("apply", "table", store.ErrOutcomeUnknown, err)
 			}
 			return 0, err
 		}
@@ -89,8 +89,8 @@
 }
 
 func retryable(err error) bool {
-	return errors.Is(err, platform.ErrOutcomeUnknown) || errors.Is(err, platform.ErrRateLimited) ||
-		errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrConditionFailed)
+	return errors.Is(err, store.ErrOutcomeUnknown) || errors.Is(err, store.ErrRateLimited) ||
+		errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrConditionFailed)
 }
 
 func pause(ctx context.Context, d time.Duration) error {
@@ -156,7 +156,7 @@
 	if err != nil {
 		return 0, err
 	}
-	txn.Conditions = []platform.Condition{{Key: headKey, Version: rowVersion}, {Key: applyKey(a.applyID)}}
+	txn.Conditions = []store.Condition{{Key: headKey, Version: rowVersion}, {Key: applyKey(a.applyID)}}
 	if _, err := a.table.Commit(ctx, txn); err != nil {
 		return 0, eris.Wrap(err, "commit config version")
 	}
@@ -166,28 +166,28 @@
 }
 
 // transaction returns the writes of the version after head.
-func (a *applier) transaction(before Image, head headRow) (platform.Txn, error) {
+func (a *applier) transaction(before Image, head headRow) (store.Txn, error) {
 	next := head.Version + 1
 	if err := a.checkSize(); err != nil {
-		return platform.Txn{}, err
+		return store.Txn{}, err
 	}
 	delta := Diff(before, a.image)
 	packed, err := delta.Pack()
 	if err != nil {
-		return platform.Txn{}, err
+		return store.Txn{}, err
 	}
 	if len(packed) > maxBlobBytes {
-		return platform.Txn{}, eris.Wrapf(platform.ErrTooLarge, "change of %d bytes packed, at most %d", len(packed), maxBlobBytes)
+		return store.Txn{}, eris.Wrapf(store.ErrTooLarge, "change of %d bytes packed, at most %d", len(packed), maxBlobBytes)
 	}
 	row := versionRow{Record: Record{Version: next, Digest: a.digest, Author: a.author, ApplyID: a.applyID,
 		At: time.Now().UTC(), Changes: len(delta.Changes), Bytes: len(packed)}, Checkpoint: head.Checkpoint}
-	var txn platform.Txn
+	var txn store.Txn
 	row.Delta, txn.Writes = split(deltaBlob(next), packed)
 	head.Head = Head{Version: next, Digest: a.digest}
 	head.SinceCheckpoint += len(packed)
 	head.Oldest = max(head.Oldest, 1)
 	if err := a.addCheckpoint(&head, &row, &txn); err != nil {
-		return platform.Txn{}, err
+		return store.Txn{}, err
 	}
 	return txn, addRows(&txn, map[string]any{
 		headKey:             head,
@@ -207,12 +207,12 @@
 		return err
 	}
 	if len(whole) > a.maxWhole {
-		return eris.Wrapf(platform.ErrTooLarge, "document of %d bytes packed, at most %d", len(whole), a.maxWhole)
+		return eris.Wrapf(store.ErrTooLarge, "document of %d bytes packed, at most %d", len(whole), a.maxWhole)
 	}
 	return nil
 }
 
-func addRows(txn *platform.Txn, rows map[string]any) error {
+func addRows(txn *store.Txn, rows map[string]any) error {
 	for _, key := range sorted(rows) {
 		write, err := encodeRow(key, rows[key])
 		if err != nil {
@@ -225,7 +225,7 @@
 
 // addCheckpoint adds the whole document when one is due and the transaction has
 // room for it; a later version makes up for one that had none.
-func (a *applier) addCheckpoint(head *headRow, row *versionRow, txn *platform.Txn) error {
+func (a *applier) addCheckpoint(head *headRow, row *versionRow, txn *store.Txn) error {
 	gap := head.Version - head.Checkpoint
 	if head.SinceCheckpoint < minCheckpointBytes && gap < a.checkpointGap {
 		return nil
--- a/config/prune.go
+++ b/config/prune.go
@@ -5,14 +5,14 @@
 
 	"github.com/rotisserie/eris"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // KeptVersions is how many versions below the head stay loadable; at 3,700
 // changes a day it is more than five days of history.
 const KeptVersions = 20_000
 
-// pruneBatch keeps a deletion below platform.MaxTxnRows: a version has its row,
+// pruneBatch keeps a deletion below store.MaxTxnRows: a version has its row,
 // its apply's row and its parts, at most 2*maxBlobBytes/partBytes+2 of them.
 const pruneBatch = 8
 
@@ -46,31 +46,31 @@
 	if err != nil {
 		return err
 	}
-	_, err = s.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: headKey, Version: rowVersion}},
-		Writes:     []platform.Write{write},
+	_, err = s.table.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: headKey, Version: rowVersion}},
+		Writes:     []store.Write{write},
 	})
 	return eris.Wrap(err, "raise oldest config version")
 }
 
 func (s *Store) deleteBelow(ctx context.Context, oldest Version) error {
-	var txn platform.Txn
+	var txn store.Txn
 	versions := 0
 	flush := func() error {
 		if len(txn.Writes) == 0 {
 			return nil
 		}
 		_, err := s.table.Commit(ctx, txn)
-		txn, versions = platform.Txn{}, 0
+		txn, versions = store.Txn{}, 0
 		return eris.Wrap(err, "delete old config versions")
 	}
-	err := s.scan(ctx, versionPrefix, "", func(row platform.Row) (bool, error) {
+	err := s.scan(ctx, versionPrefix, "", func(row store.Row) (bool, error) {
 		var entry versionRow
 		if err := decodeRow(row, &entry); err != nil || entry.Version >= oldest {
 			return false, err
 		}
 		for _, key := range entry.rowKeys() {
-			txn.Writes = append(txn.Writes, platform.Write{Key: key, Delete: true})
+			txn.Writes = append(txn.Writes, store.Write{Key: key, Delete: true})
 		}
 		if versions++; versions < pruneBatch {
 			return true, nil
--- a/config/rows.go
+++ b/config/rows.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // The rows of the table, all below "config/":
@@ -79,7 +79,7 @@
 const (
 	maxInlineBytes = 32 << 10
 	partBytes      = 512 << 10
-	// maxBlobBytes keeps a transaction below platform.MaxTxnBytes.
+	// maxBlobBytes keeps a transaction below store.MaxTxnBytes.
 	maxBlobBytes = 3 << 20
 )
 
@@ -89,16 +89,16 @@
 func wholeBlob(v Version) string { return fmt.Sprintf("%020d-whole", v) }
 
 // split returns the blob of data and the rows that hold it.
-func split(name string, data []byte) (blob, []platform.Write) {
+func split(name string, data []byte) (blob, []store.Write) {
 	b := blob{Size: len(data)}
 	if len(data) <= maxInlineBytes {
 		b.Inline = data
 		return b, nil
 	}
-	var writes []platform.Write
+	var writes []store.Write
 	for len(data) > 0 {
 		n := min(len(data), partBytes)
-		writes = append(writes, platform.Write{Key: partKey(name, b.Parts), Value: data[:n]})
+		writes = append(writes, store.Write{Key: partKey(name, b.Parts), Value: data[:n]})
 		data = data[n:]
 		b.Parts++
 	}
@@ -143,26 +143,26 @@
 	return rows[0].Version, decodeRow(rows[0], into)
 }
 
-func decodeRow(row platform.Row, into any) error {
+func decodeRow(row store.Row, into any) error {
 	if row.Version == 0 {
 		return nil
 	}
 	return eris.Wrapf(json.Unmarshal(row.Value, into), "decode %s", row.Key)
 }
 
-func encodeRow(key string, value any) (platform.Write, error) {
+func encodeRow(key string, value any) (store.Write, error) {
 	text, err := json.Marshal(value)
-	return platform.Write{Key: key, Value: text}, eris.Wrapf(err, "encode %s", key)
+	return store.Write{Key: key, Value: text}, eris.Wrapf(err, "encode %s", key)
 }
 
 // scan calls visit for each row below prefix after the key after, in order,
 // until visit returns false. It asks for fewer rows when an answer would be too
 // large.
-func (s *Store) scan(ctx context.Context, prefix, after string, visit func(platform.Row) (bool, error)) error {
+func (s *Store) scan(ctx context.Context, prefix, after string, visit func(store.Row) (bool, error)) error {
 	limit := maxScan
 	for {
 		rows, err := s.table.Scan(ctx, prefix, after, limit)
-		if errors.Is(err, platform.ErrTooLarge) && limit > 1 {
+		if errors.Is(err, store.ErrTooLarge) && limit > 1 {
 			limit /= 2
 			continue
 		}
--- a/config/size_test.go
+++ b/config/size_test.go
@@ -7,7 +7,7 @@
 	"maps"
 	"testing"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // large returns doc with n more workspaces of two keys each.
@@ -34,7 +34,7 @@
 // time of the apply with its checkpoints, and the bytes that each watcher
 // fetches for it.
 func BenchmarkChange(b *testing.B) {
-	fake := platform.NewFake(platform.FakeOptions{})
+	fake := store.NewFake(store.FakeOptions{})
 	store := newStore(fake, "a")
 	doc := large(example(b, "lankawrap"), letterWorkspaces)
 	ctx := context.Background()
--- a/config/store.go
+++ b/config/store.go
@@ -8,13 +8,13 @@
 
 	"github.com/rotisserie/eris"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Store keeps accepted versions in the platform's table. It is safe for
 // concurrent use, by any number of processes.
 type Store struct {
-	table         platform.Table
+	table         store.Table
 	checkpointGap Version // versions between checkpoints, at most
 	maxWhole      int     // bytes of a whole document, packed, at most
 
@@ -23,7 +23,7 @@
 }
 
 // NewStore returns a store on a table.
-func NewStore(table platform.Table) *Store {
+func NewStore(table store.Table) *Store {
 	return &Store{table: table, checkpointGap: checkpointGap, maxWhole: maxBlobBytes}
 }
 
@@ -135,7 +135,7 @@
 		return nil, nil
 	}
 	var steps []Step
-	err := s.scan(ctx, versionPrefix, versionKey(from), func(row platform.Row) (bool, error) {
+	err := s.scan(ctx, versionPrefix, versionKey(from), func(row store.Row) (bool, error) {
 		var entry versionRow
 		if err := decodeRow(row, &entry); err != nil {
 			return false, err
@@ -201,7 +201,7 @@
 		from = max(from, before-Version(limit))
 	}
 	var records []Record
-	err := s.scan(ctx, versionPrefix, versionKey(from-1), func(row platform.Row) (bool, error) {
+	err := s.scan(ctx, versionPrefix, versionKey(from-1), func(row store.Row) (bool, error) {
 		var entry versionRow
 		if err := decodeRow(row, &entry); err != nil {
 			return false, err
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -14,11 +14,11 @@
 
 	"github.com/matryer/is"
 
-	"buckthornridge/platform"
 	"buckthornridge/settings"
+	"buckthornridge/store"
 )
 
-func newStore(fake *platform.Fake, vm string) *Store { return NewStore(fake.As(vm).Table) }
+func newStore(fake *store.Fake, vm string) *Store { return NewStore(fake.As(vm).Table) }
 
 // edited returns a copy of doc with the share of one workspace changed.
 func edited(doc Document, workspace string, share float64) Document {
@@ -42,8 +42,8 @@
 func TestApplyHistoryAndLoad(t *testing.T) {
 	is := is.New(t)
 	ctx := withinMinute(t)
-	store := newStore(platform.NewFake(platform.FakeOptions{}), "a")
-	head, err := store.Head(ctx)
+	configs := newStore(store.NewFake(store.FakeOptions{}), "a")
+	head, err := configs.Head(ctx)
 	is.NoErr(err)
 	is.Equal(head.Version, Version(0))
 	docs := []Document{example(t, "lankawrap")}
@@ -51,15 +51,15 @@
 		docs = append(docs, edited(docs[0], "studio-kandy", float64(10+i)))
 	}
 	for i, doc := range docs {
-		version, err := store.Apply(ctx, Version(i), doc, fmt.Sprint("id-", i), "ann")
+		version, err := configs.Apply(ctx, Version(i), doc, fmt.Sprint("id-", i), "ann")
 		is.NoErr(err)
 		is.Equal(version, Version(i+1))
 	}
-	same, err := store.Apply(ctx, 5, docs[4], "id-same", "ann")
+	same, err := configs.Apply(ctx, 5, docs[4], "id-same", "ann")
 	is.NoErr(err)
 	is.Equal(same, Version(5)) // nothing changed
 
-	fresh := NewStore(store.table)
+	fresh := NewStore(configs.table)
 	for i, doc := range docs {
 		state, err := fresh.Load(ctx, Version(i+1))
 		is.NoErr(err)
@@ -81,7 +81,7 @@
 
 func TestApplyRefusesAFaultyDocument(t *testing.T) {
 	is := is.New(t)
-	fake := platform.NewFake(platform.FakeOptions{})
+	fake := store.NewFake(store.FakeOptions{})
 	doc := example(t, "lankawrap")
 	doc.Fleet.Name = ""
 	_, err := newStore(fake, "a").Apply(withinMinute(t), 0, doc, "id", "ann")
@@ -97,14 +97,14 @@
 func TestRacingOperatorsExactlyOneWins(t *testing.T) {
 	is := is.New(t)
 	ctx := withinMinute(t)
-	fake := platform.NewFake(platform.FakeOptions{})
+	fake := store.NewFake(store.FakeOptions{})
 	doc := example(t, "lankawrap")
 	ann, ben := newStore(fake, "a"), newStore(fake, "b")
 	_, err := ann.Apply(ctx, 0, doc, "first", "ann")
 	is.NoErr(err)
 	raced := false
-	fake.SetHooks(platform.Hooks{Before: func(call platform.Call) {
-		if call.VM == "b" && call.Step == platform.StepCommit && !raced {
+	fake.SetHooks(store.Hooks{Before: func(call store.Call) {
+		if call.VM == "b" && call.Step == store.StepCommit && !raced {
 			raced = true
 			version, err := ann.Apply(ctx, 1, edited(doc, "studio-kandy", 9), "anns", "ann")
 			is.NoErr(err)
@@ -129,30 +129,30 @@
 func TestAnswerLostAfterCommitIsOneChange(t *testing.T) {
 	for _, c := range []struct {
 		name   string
-		faults platform.Faults
+		faults store.Faults
 	}{
-		{"answer lost", platform.Faults{LoseNext: 1}},
-		{"commit held back, then released", platform.Faults{DelayNext: 1}},
-		{"commit late by less than a retry", platform.Faults{DelayNext: 1, Delay: time.Millisecond}},
-		{"late twice and lost", platform.Faults{DelayNext: 2, Delay: time.Second, LoseNext: 1}},
+		{"answer lost", store.Faults{LoseNext: 1}},
+		{"commit held back, then released", store.Faults{DelayNext: 1}},
+		{"commit late by less than a retry", store.Faults{DelayNext: 1, Delay: time.Millisecond}},
+		{"late twice and lost", store.Faults{DelayNext: 2, Delay: time.Second, LoseNext: 1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				ctx := withinMinute(t)
-				fake := platform.NewFake(platform.FakeOptions{Faults: c.faults})
-				store := newStore(fake, "a")
+				fake := store.NewFake(store.FakeOptions{Faults: c.faults})
+				configs := newStore(fake, "a")
 				doc := example(t, "lankawrap")
-				version, err := store.Apply(ctx, 0, doc, "id", "ann")
+				version, err := configs.Apply(ctx, 0, doc, "id", "ann")
 				is.NoErr(err)
 				is.Equal(version, Version(1))
 				time.Sleep(5 * time.Second)
 				fake.ReleaseDelayed()
-				again, err := store.Apply(ctx, 0, doc, "id", "ann")
+				again, err := configs.Apply(ctx, 0, doc, "id", "ann")
 				is.NoErr(err)
 				is.Equal(again, Version(1))
 				is.Equal(len(fake.Dump(versionPrefix)), 1)
-				_, err = store.Apply(ctx, 1, edited(doc, "studio-kandy", 9), "id", "ann")
+				_, err = configs.Apply(ctx, 1, edited(doc, "studio-kandy", 9), "id", "ann")
 				is.True(errors.Is(err, ErrApplyIDReused))
 			})
 		})
@@ -165,42 +165,42 @@
 func TestApplyDuringAnOutageSaysUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		fake := platform.NewFake(platform.FakeOptions{Faults: platform.Faults{LoseNext: 1}})
-		fake.SetHooks(platform.Hooks{After: func(call platform.Call, _ error) {
-			if call.Step == platform.StepCommit {
-				fake.UpdateFaults(func(f *platform.Faults) { f.Down = true })
+		fake := store.NewFake(store.FakeOptions{Faults: store.Faults{LoseNext: 1}})
+		fake.SetHooks(store.Hooks{After: func(call store.Call, _ error) {
+			if call.Step == store.StepCommit {
+				fake.UpdateFaults(func(f *store.Faults) { f.Down = true })
 			}
 		}})
-		store := newStore(fake, "a")
+		configs := newStore(fake, "a")
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
-		_, err := store.Apply(ctx, 0, example(t, "lankawrap"), "id", "ann")
-		is.True(errors.Is(err, platform.ErrOutcomeUnknown))
-		fake.SetFaults(platform.Faults{})
-		version, err := store.Apply(withinMinute(t), 0, example(t, "lankawrap"), "id", "ann")
+		_, err := configs.Apply(ctx, 0, example(t, "lankawrap"), "id", "ann")
+		is.True(errors.Is(err, store.ErrOutcomeUnknown))
+		fake.SetFaults(store.Faults{})
+		version, err := configs.Apply(withinMinute(t), 0, example(t, "lankawrap"), "id", "ann")
 		is.NoErr(err)
 		is.Equal(version, Version(1))
 
-		fake.SetFaults(platform.Faults{Down: true})
+		fake.SetFaults(store.Faults{Down: true})
 		late, cancel2 := context.WithTimeout(context.Background(), time.Second)
 		defer cancel2()
-		_, err = store.Apply(late, 1, edited(example(t, "lankawrap"), "studio-kandy", 9), "id2", "ann")
-		is.True(errors.Is(err, platform.ErrUnavailable))
-		is.True(!errors.Is(err, platform.ErrOutcomeUnknown))
+		_, err = configs.Apply(late, 1, edited(example(t, "lankawrap"), "studio-kandy", 9), "id2", "ann")
+		is.True(errors.Is(err, store.ErrUnavailable))
+		is.True(!errors.Is(err, store.ErrOutcomeUnknown))
 	})
 }
 
 func TestCheckpointsAndPruning(t *testing.T) {
 	is := is.New(t)
 	ctx := withinMinute(t)
-	fake := platform.NewFake(platform.FakeOptions{})
-	store := newStore(fake, "a")
+	fake := store.NewFake(store.FakeOptions{})
+	configs := newStore(fake, "a")
 	doc := example(t, "lankawrap")
 	const gap = 16
 	const versions = 2*gap + 4
-	store.checkpointGap = gap
+	configs.checkpointGap = gap
 	for i := range Version(versions) {
-		_, err := store.Apply(ctx, i, edited(doc, "studio-kandy", float64(i+1)), fmt.Sprint(i), "ann")
+		_, err := configs.Apply(ctx, i, edited(doc, "studio-kandy", float64(i+1)), fmt.Sprint(i), "ann")
 		is.NoErr(err)
 	}
 	fresh := newStore(fake, "b")
@@ -212,7 +212,7 @@
 	is.NoErr(err)
 	is.Equal(len(steps), 2)
 
-	is.NoErr(store.Prune(ctx, gap))
+	is.NoErr(configs.Prune(ctx, gap))
 	is.NoErr(newStore(fake, "c").Prune(ctx, gap)) // a second holder
 	is.Equal(len(fake.Dump(versionPrefix)), versions-gap+1)
 	is.Equal(len(fake.Dump(applyPrefix)), versions-gap+1)
@@ -233,7 +233,7 @@
 func TestLargeDocumentsAreSplitOverRows(t *testing.T) {
 	is := is.New(t)
 	ctx := withinMinute(t)
-	fake := platform.NewFake(platform.FakeOptions{})
+	fake := store.NewFake(store.FakeOptions{})
 	doc := large(example(t, "lankawrap"), 600)
 	_, err := newStore(fake, "a").Apply(ctx, 0, doc, "id", "ann")
 	is.NoErr(err)
@@ -245,13 +245,13 @@
 
 func TestTooLargeADocumentIsRefused(t *testing.T) {
 	is := is.New(t)
-	fake := platform.NewFake(platform.FakeOptions{})
-	store := newStore(fake, "a")
-	store.maxWhole = 4_000
-	_, err := store.Apply(withinMinute(t), 0, large(example(t, "lankawrap"), 10), "a", "ann") // 4 KB of JSON and more, but packed less
+	fake := store.NewFake(store.FakeOptions{})
+	configs := newStore(fake, "a")
+	configs.maxWhole = 4_000
+	_, err := configs.Apply(withinMinute(t), 0, large(example(t, "lankawrap"), 10), "a", "ann") // 4 KB of JSON and more, but packed less
 	is.NoErr(err)
-	_, err = store.Apply(withinMinute(t), 1, large(example(t, "lankawrap"), 100), "b", "ann")
-	is.True(errors.Is(err, platform.ErrTooLarge))
+	_, err = configs.Apply(withinMinute(t), 1, large(example(t, "lankawrap"), 100), "b", "ann")
+	is.True(errors.Is(err, store.ErrTooLarge))
 	is.Equal(len(fake.Dump(versionPrefix)), 1)
 }
 
@@ -261,22 +261,22 @@
 func TestLoadDoesNotTakeARememberedVersionForAnother(t *testing.T) {
 	is := is.New(t)
 	ctx := withinMinute(t)
-	fake := platform.NewFake(platform.FakeOptions{})
-	store, other := newStore(fake, "a"), newStore(fake, "b")
+	fake := store.NewFake(store.FakeOptions{})
+	configs, other := newStore(fake, "a"), newStore(fake, "b")
 	doc := example(t, "lankawrap")
-	_, err := store.Apply(ctx, 0, doc, "1", "ann")
+	_, err := configs.Apply(ctx, 0, doc, "1", "ann")
 	is.NoErr(err)
 	old := fake.Dump("config/")
-	_, err = store.Apply(ctx, 1, edited(doc, "studio-kandy", 7), "2", "ann")
+	_, err = configs.Apply(ctx, 1, edited(doc, "studio-kandy", 7), "2", "ann")
 	is.NoErr(err)
 	restore(t, fake, old)
 	for _, row := range fake.Dump(versionKey(2)) {
-		_, err = fake.As("restore").Table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: row.Key, Delete: true}}})
+		_, err = fake.As("restore").Table.Commit(ctx, store.Txn{Writes: []store.Write{{Key: row.Key, Delete: true}}})
 		is.NoErr(err)
 	}
 	_, err = other.Apply(ctx, 1, edited(doc, "studio-kandy", 8), "3", "ben")
 	is.NoErr(err)
-	state, err := store.Load(ctx, 2)
+	state, err := configs.Load(ctx, 2)
 	is.NoErr(err)
 	is.Equal(state.Document.Workspaces["studio-kandy"].Share, 8.0)
 }
@@ -284,21 +284,21 @@
 func TestBlobsOfManyParts(t *testing.T) {
 	is := is.New(t)
 	ctx := withinMinute(t)
-	store := newStore(platform.NewFake(platform.FakeOptions{}), "a")
+	configs := newStore(store.NewFake(store.FakeOptions{}), "a")
 	for _, size := range []int{0, maxInlineBytes, maxInlineBytes + 1, 2 * partBytes, maxBlobBytes} {
 		data := bytes.Repeat([]byte("0123456789abcdef"), size/16+1)[:size]
 		name := fmt.Sprint("blob", size)
 		b, writes := split(name, data)
 		if len(writes) > 0 {
-			_, err := store.table.Commit(ctx, platform.Txn{Writes: writes})
+			_, err := configs.table.Commit(ctx, store.Txn{Writes: writes})
 			is.NoErr(err)
 		}
-		got, err := store.join(ctx, name, b)
+		got, err := configs.join(ctx, name, b)
 		is.NoErr(err)
 		is.True(bytes.Equal(got, data))
 	}
 	b, _ := split("lost", make([]byte, 2*partBytes))
-	_, err := store.join(ctx, "lost", b)
+	_, err := configs.join(ctx, "lost", b)
 	is.True(errors.Is(err, ErrPruned))
 }
 
@@ -311,8 +311,8 @@
 	for seed := range uint64(2) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
-			faults := platform.Faults{Latency: 4 * time.Millisecond, LoseRate: 0.2, DelayRate: 0.2, Delay: 300 * time.Millisecond}
-			fake := platform.NewFake(platform.FakeOptions{Seed: seed})
+			faults := store.Faults{Latency: 4 * time.Millisecond, LoseRate: 0.2, DelayRate: 0.2, Delay: 300 * time.Millisecond}
+			fake := store.NewFake(store.FakeOptions{Seed: seed})
 			ctx := t.Context()
 			_, err := newStore(fake, "first").Apply(ctx, 0, edited(example(t, "lankawrap"), "studio-kandy", 0), "first", "ann")
 			is.NoErr(err)
@@ -327,12 +327,12 @@
 				})
 			}
 			wg.Wait()
-			fake.SetFaults(platform.Faults{})
+			fake.SetFaults(store.Faults{})
 			time.Sleep(time.Minute)
-			store := newStore(fake, "reader")
-			head, err := store.Head(ctx)
+			configs := newStore(fake, "reader")
+			head, err := configs.Head(ctx)
 			is.NoErr(err)
-			state, err := store.Load(ctx, head.Version)
+			state, err := configs.Load(ctx, head.Version)
 			is.NoErr(err)
 			is.Equal(accepted.Load(), int64(16))
 			is.True(conflicts.Load() > 0)
@@ -347,15 +347,15 @@
 const maxTries = 300
 
 // addOne adds one to the number, however often others are faster.
-func addOne(ctx context.Context, t *testing.T, store *Store, id string, accepted, conflicts *atomic.Int64) {
+func addOne(ctx context.Context, t *testing.T, configs *Store, id string, accepted, conflicts *atomic.Int64) {
 	tries := 0
 	for {
-		head, err := store.Head(ctx)
+		head, err := configs.Head(ctx)
 		if err != nil {
 			t.Error(err)
 			return
 		}
-		state, err := store.Load(ctx, head.Version)
+		state, err := configs.Load(ctx, head.Version)
 		if err != nil {
 			t.Error(err)
 			return
@@ -363,7 +363,7 @@
 		next := edited(state.Document, "studio-kandy", state.Document.Workspaces["studio-kandy"].Share+1)
 		for {
 			short, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
-			_, err = store.Apply(short, head.Version, next, id, "operator")
+			_, err = configs.Apply(short, head.Version, next, id, "operator")
 			cancel()
 			if !retryable(err) {
 				break
--- a/config/watcher_test.go
+++ b/config/watcher_test.go
@@ -15,7 +15,7 @@
 	"go.uber.org/goleak"
 
 	"buckthornridge/peer"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 const inForceLimit = 5 * time.Second
@@ -23,7 +23,7 @@
 // fleet is some watchers on one fake platform that reach each other directly.
 type fleet struct {
 	t        *testing.T
-	fake     *platform.Fake
+	fake     *store.Fake
 	operator *Store
 	doc      Document
 
@@ -46,7 +46,7 @@
 }
 
 func newFleet(t *testing.T, vms ...string) *fleet {
-	fake := platform.NewFake(platform.FakeOptions{Faults: platform.Faults{Latency: 4 * time.Millisecond}})
+	fake := store.NewFake(store.FakeOptions{Faults: store.Faults{Latency: 4 * time.Millisecond}})
 	f := &fleet{t: t, fake: fake, operator: newStore(fake, "operator"), doc: example(t, "lankawrap"),
 		watchers: map[string]*Watcher{}, apart: map[string]bool{}}
 	for _, vm := range vms {
@@ -192,7 +192,7 @@
 			f.apply(1)
 			time.Sleep(inForceLimit)
 			asked := f.watchers["a"].Counters.PeerPolls.Value()
-			f.fake.SetFaults(platform.Faults{Cut: []string{"c"}, Silent: silent})
+			f.fake.SetFaults(store.Faults{Cut: []string{"c"}, Silent: silent})
 			for version := Version(2); version <= 4; version++ {
 				time.Sleep(time.Minute)
 				f.apply(version)
@@ -213,12 +213,12 @@
 		f.apply(1)
 		time.Sleep(inForceLimit)
 		f.setApart("b", true)
-		f.fake.SetFaults(platform.Faults{Cut: []string{"b"}})
+		f.fake.SetFaults(store.Faults{Cut: []string{"b"}})
 		f.apply(2)
 		time.Sleep(inForceLimit)
 		f.inForce(1, "b")
 		f.setApart("b", false)
-		f.fake.SetFaults(platform.Faults{Down: true, Silent: true})
+		f.fake.SetFaults(store.Faults{Down: true, Silent: true})
 		f.start("d")
 		time.Sleep(inForceLimit)
 		f.inForce(2, "a", "b", "c", "d")
@@ -234,7 +234,7 @@
 		f.apply(1)
 		time.Sleep(inForceLimit)
 		f.setApart("c", true)
-		f.fake.SetFaults(platform.Faults{Cut: []string{"c"}, Silent: true})
+		f.fake.SetFaults(store.Faults{Cut: []string{"c"}, Silent: true})
 		last := Version(1)
 		for last < maxRecentSteps+20 {
 			last++
@@ -277,10 +277,10 @@
 }
 
 // restore puts older rows back over the newer ones.
-func restore(t *testing.T, fake *platform.Fake, rows []platform.Row) {
+func restore(t *testing.T, fake *store.Fake, rows []store.Row) {
 	t.Helper()
 	for _, row := range rows {
-		txn := platform.Txn{Writes: []platform.Write{{Key: row.Key, Value: row.Value}}}
+		txn := store.Txn{Writes: []store.Write{{Key: row.Key, Value: row.Value}}}
 		if _, err := fake.As("restore").Table.Commit(context.Background(), txn); err != nil {
 			t.Fatal(err)
 		}
@@ -294,13 +294,13 @@
 		err := f.watchers["a"].Ready()
 		is.True(strings.Contains(err.Error(), "holds no configuration yet"))
 		is.True(strings.Contains(err.Error(), "2 asked, none holds a version"))
-		f.fake.SetFaults(platform.Faults{Down: true})
+		f.fake.SetFaults(store.Faults{Down: true})
 		f.setApart("a", true)
 		time.Sleep(inForceLimit)
 		err = f.watchers["a"].Ready()
 		is.True(strings.Contains(err.Error(), "table: read config/head"))
 		is.True(strings.Contains(err.Error(), "ask b"))
-		f.fake.SetFaults(platform.Faults{})
+		f.fake.SetFaults(store.Faults{})
 		f.apply(1)
 		time.Sleep(inForceLimit)
 		is.NoErr(f.watchers["a"].Ready())
@@ -314,13 +314,13 @@
 		is := is.New(t)
 		f.apply(1)
 		time.Sleep(inForceLimit)
-		f.fake.SetFaults(platform.Faults{Cut: []string{"a"}})
+		f.fake.SetFaults(store.Faults{Cut: []string{"a"}})
 		f.apply(2)
 		sound := f.fake.Dump(versionKey(2))
 		damaged := sound[0]
 		damaged.Value = []byte(strings.Replace(string(damaged.Value), `"digest":"`, `"digest":"0`, 1))
-		restore(t, f.fake, []platform.Row{damaged})
-		f.fake.SetFaults(platform.Faults{})
+		restore(t, f.fake, []store.Row{damaged})
+		f.fake.SetFaults(store.Faults{})
 		time.Sleep(inForceLimit)
 		f.inForce(1, "a")
 		is.True(f.watchers["a"].Counters.Corrupt.Value() > 0)
@@ -333,7 +333,7 @@
 func TestPeerProtocol(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	is := is.New(t)
-	fake := platform.NewFake(platform.FakeOptions{})
+	fake := store.NewFake(store.FakeOptions{})
 	doc := large(example(t, "lankawrap"), 500)
 	_, err := newStore(fake, "op").Apply(withinMinute(t), 0, doc, "1", "ann")
 	is.NoErr(err)
@@ -348,7 +348,7 @@
 	is.NoErr(err)
 	go server.Serve(listener)
 
-	fake.SetFaults(platform.Faults{Down: true})
+	fake.SetFaults(store.Faults{Down: true})
 	addresses := func() []string { return []string{"self", listener.Addr().String()} }
 	second := NewWatcher(WatcherOptions{Table: newStore(fake, "b"), Peers: RemotePeers(client, "self", addresses)})
 	second.pollPeers(t.Context())
--- a/control/control.go
+++ b/control/control.go
@@ -24,8 +24,8 @@
 	"buckthornridge/duty"
 	"buckthornridge/kernel"
 	"buckthornridge/peer"
-	"buckthornridge/platform"
-	"buckthornridge/platform/httpclient"
+	"buckthornridge/store"
+	"buckthornridge/store/httpclient"
 )
 
 // Bounds of the administration listener.
@@ -43,7 +43,7 @@
 	settings    Settings
 	incarnation string
 	client      *httpclient.Client
-	services    platform.Services
+	services    store.Services
 
 	watcher *config.Watcher
 	members *members
@@ -218,7 +218,7 @@
 func (c *Control) announceUntilDone() {
 	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
-	for c.announce(c.run, platform.VMLive) != nil {
+	for c.announce(c.run, store.VMLive) != nil {
 		select {
 		case <-ticker.C:
 		case <-c.run.Done():
@@ -227,10 +227,10 @@
 	}
 }
 
-func (c *Control) announce(ctx context.Context, state platform.VMState) error {
+func (c *Control) announce(ctx context.Context, state store.VMState) error {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	return c.services.VMs.Announce(ctx, platform.VM{
+	return c.services.VMs.Announce(ctx, store.VM{
 		ID:          c.id(),
 		Incarnation: c.incarnation,
 		Role:        roleControl,
@@ -252,7 +252,7 @@
 func (c *Control) Drain(ctx context.Context) error {
 	c.leaving.Store(true)
 	klog.InfoS("control process is leaving", "vm", c.settings.VM)
-	if err := c.announce(ctx, platform.VMLeaving); err != nil {
+	if err := c.announce(ctx, store.VMLeaving); err != nil {
 		klog.ErrorS(err, "the VM list did not take that this process is leaving")
 	}
 	served := eris.Wrap(c.http.Shutdown(ctx), "drain admin API")
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -15,9 +15,9 @@
 
 	"buckthornridge/admin"
 	"buckthornridge/config"
-	"buckthornridge/platform"
 	"buckthornridge/settings"
 	standin "buckthornridge/standin/platform"
+	"buckthornridge/store"
 )
 
 const (
@@ -161,7 +161,7 @@
 	first := b.start("vm-1")
 	b.applyExample(first)
 	eventually(func() bool { return first.Ready() == nil })
-	b.platform.Fake().SetFaults(platform.Faults{Down: true})
+	b.platform.Fake().SetFaults(store.Faults{Down: true})
 	fresh := b.start("vm-2", first.settings.PeerListen)
 	eventually(func() bool { return fresh.Ready() == nil })
 	is.Equal(fresh.watcher.State().Digest, first.watcher.State().Digest)
@@ -191,7 +191,7 @@
 
 func TestStopBeforeAnythingIsReachable(t *testing.T) {
 	b := newBench(t)
-	b.platform.Fake().SetFaults(platform.Faults{Down: true, Silent: true})
+	b.platform.Fake().SetFaults(store.Faults{Down: true, Silent: true})
 	c := b.start("vm-1")
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
--- a/control/members.go
+++ b/control/members.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Timing of the VM list. It serves only to choose peers, so it need not be
@@ -26,7 +26,7 @@
 // members keeps the addresses of the system's other processes. While the VM
 // list does not answer the last one stands.
 type members struct {
-	list  platform.VMList
+	list  store.VMList
 	seeds []string
 	known atomic.Pointer[[]string]
 	self  string // id of this process
@@ -50,7 +50,7 @@
 	var addresses []string
 	for _, vm := range vms {
 		own := vm.Role == roleRouter || vm.Role == roleControl
-		if own && vm.State != platform.VMGone && vm.PeerAddress != "" {
+		if own && vm.State != store.VMGone && vm.PeerAddress != "" {
 			addresses = append(addresses, vm.PeerAddress)
 		}
 	}
--- a/control/share.go
+++ b/control/share.go
@@ -6,7 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"buckthornridge/admin"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // share divides the shared duties among the control processes that the VM list
@@ -17,10 +17,10 @@
 	controls map[string]bool // live control processes by id
 }
 
-func newShare(self string, vms []platform.VM) *share {
+func newShare(self string, vms []store.VM) *share {
 	s := &share{self: self, controls: map[string]bool{}}
 	for _, vm := range vms {
-		if vm.Role == roleControl && vm.State == platform.VMLive {
+		if vm.Role == roleControl && vm.State == store.VMLive {
 			s.controls[vm.ID] = true
 		}
 	}
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -20,7 +20,7 @@
 
 	"buckthornridge/admin"
 	"buckthornridge/config"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 const (
@@ -34,7 +34,7 @@
 	t    *testing.T
 	url  string
 	dir  string
-	fake *platform.Fake
+	fake *store.Fake
 	w    *config.Watcher
 }
 
@@ -51,7 +51,7 @@
 }
 
 func newBench(t *testing.T) *bench {
-	b := &bench{t: t, dir: t.TempDir(), fake: platform.NewFake(platform.FakeOptions{})}
+	b := &bench{t: t, dir: t.TempDir(), fake: store.NewFake(store.FakeOptions{})}
 	if err := os.CopyFS(b.dir, os.DirFS("../examples/lankawrap")); err != nil {
 		t.Fatal(err)
 	}
@@ -181,19 +181,19 @@
 	b := applied(t)
 	b.edit("70-workspaces.jsonc", `"share": 3`, `"share": 5`)
 	args := []string{"--patience", "0s", "apply", b.dir, "--id", "mine"}
-	isVersion := func(call platform.Call) bool { return call.Step == platform.StepCommit && len(call.Txn.Writes) > 2 }
-	b.fake.SetHooks(platform.Hooks{Before: func(call platform.Call) {
+	isVersion := func(call store.Call) bool { return call.Step == store.StepCommit && len(call.Txn.Writes) > 2 }
+	b.fake.SetHooks(store.Hooks{Before: func(call store.Call) {
 		if isVersion(call) {
-			b.fake.UpdateFaults(func(f *platform.Faults) { f.LoseNext = 1 })
+			b.fake.UpdateFaults(func(f *store.Faults) { f.LoseNext = 1 })
 		}
-	}, After: func(call platform.Call, _ error) {
+	}, After: func(call store.Call, _ error) {
 		if isVersion(call) {
-			b.fake.UpdateFaults(func(f *platform.Faults) { f.Down = true })
+			b.fake.UpdateFaults(func(f *store.Faults) { f.Down = true })
 		}
 	}})
 	b.want(ExitFailed, ownerToken, args, "apply again with --base 1 --id mine")
-	b.fake.SetHooks(platform.Hooks{})
-	b.fake.SetFaults(platform.Faults{})
+	b.fake.SetHooks(store.Hooks{})
+	b.fake.SetFaults(store.Faults{})
 	b.want(ExitOK, ownerToken, args, "version 2")
 }
 
@@ -227,10 +227,10 @@
 	is := is.New(t)
 	b := applied(t)
 	list := b.fake.As("vm-1").VMs
-	router := platform.VM{ID: "vm-1", Incarnation: "1", Role: "router", State: platform.VMLive, PeerAddress: "127.0.0.1:1"}
+	router := store.VM{ID: "vm-1", Incarnation: "1", Role: "router", State: store.VMLive, PeerAddress: "127.0.0.1:1"}
 	is.NoErr(list.Announce(t.Context(), router))
 	b.want(ExitOK, ownerToken, []string{"drain", "vm-1"}, "router vm-1 begins its planned stop")
-	silent := platform.VM{ID: "vm-1/control", Incarnation: "1", Role: "control", State: platform.VMLive, PeerAddress: silentPeer}
+	silent := store.VM{ID: "vm-1/control", Incarnation: "1", Role: "control", State: store.VMLive, PeerAddress: silentPeer}
 	is.NoErr(list.Announce(t.Context(), silent))
 	b.want(ExitFailed, ownerToken, []string{"drain", "vm-1"}, "router vm-1 begins its planned stop",
 		"control vm-1/control did not answer: no route", "1 of 2 processes")
--- a/duty/duty.go
+++ b/duty/duty.go
@@ -16,7 +16,7 @@
 	"buckthornridge/config"
 	"buckthornridge/kernel"
 	"buckthornridge/peer"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Namespace of the duties in the module registry.
@@ -37,7 +37,7 @@
 
 // Env is what a pass works with.
 type Env struct {
-	Platform platform.Services
+	Platform store.Services
 	Peers    peer.Caller // reaches the system's other processes
 	Store    *config.Store
 	// Config is the configuration in force; nil if there is none yet.
--- a/duty/lease.go
+++ b/duty/lease.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // leasePrefix precedes the duty's name in the key of its lease row.
@@ -41,7 +41,7 @@
 func (l *lease) key() string { return leasePrefix + l.name }
 
 // observe takes note of the row as read.
-func (l *lease) observe(row platform.Row, now time.Time) error {
+func (l *lease) observe(row store.Row, now time.Time) error {
 	if row.Version == l.version && !l.since.IsZero() {
 		return nil
 	}
@@ -69,14 +69,14 @@
 }
 
 // write sets the row if it is as last seen.
-func (l *lease) write(ctx context.Context, table platform.Table, row leaseRow) error {
+func (l *lease) write(ctx context.Context, table store.Table, row leaseRow) error {
 	value, err := json.Marshal(row)
 	if err != nil {
 		return eris.Wrapf(err, "encode %s", l.key())
 	}
-	version, err := table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: l.key(), Version: l.version}},
-		Writes:     []platform.Write{{Key: l.key(), Value: value}},
+	version, err := table.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: l.key(), Version: l.version}},
+		Writes:     []store.Write{{Key: l.key(), Value: value}},
 	})
 	if err != nil {
 		return eris.Wrapf(err, "write %s", l.key())
@@ -119,4 +119,4 @@
 	}
 }
 
-func isLost(err error) bool { return errors.Is(err, platform.ErrConditionFailed) }
+func isLost(err error) bool { return errors.Is(err, store.ErrConditionFailed) }
--- a/duty/manager.go
+++ b/duty/manager.go
@@ -12,7 +12,7 @@
 
 	"buckthornridge/config"
 	"buckthornridge/peer"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // DefaultTTL is after how long without a renewal a lease may be taken over. All
@@ -33,7 +33,7 @@
 	// Holder names this process and its incarnation.
 	Holder   string
 	Duties   map[string]Duty
-	Platform platform.Services
+	Platform store.Services
 	// Peers reaches the system's other processes.
 	Peers peer.Caller
 	// Mine tells this process's part of shared duties; nil for all.
--- a/duty/manager_test.go
+++ b/duty/manager_test.go
@@ -13,9 +13,9 @@
 	"github.com/matryer/is"
 
 	"buckthornridge/budget"
+	"buckthornridge/budget/journal"
 	"buckthornridge/config"
-	"buckthornridge/journal"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // passLog records who made passes, and when.
@@ -75,7 +75,7 @@
 	return slices.Clone(j.passes)
 }
 
-func manager(fake *platform.Fake, vm string, duties map[string]Duty) *Manager {
+func manager(fake *store.Fake, vm string, duties map[string]Duty) *Manager {
 	services := fake.As(vm)
 	m := NewManager(Options{Holder: vm + "#1", Duties: duties, Platform: services,
 		Store: config.NewStore(services.Table), Config: new(config.Holder)})
@@ -84,7 +84,7 @@
 }
 
 // trackedFleet starts three managers of one tracked duty, a first.
-func trackedFleet(fake *platform.Fake) (map[string]*Manager, *passLog) {
+func trackedFleet(fake *store.Fake) (map[string]*Manager, *passLog) {
 	log := &passLog{inside: map[string]bool{}}
 	managers := map[string]*Manager{}
 	for _, vm := range []string{"a", "b", "c"} {
@@ -107,18 +107,18 @@
 func TestTakeoverAfterTheHolderIsCutOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		fake := platform.NewFake(platform.FakeOptions{Faults: platform.Faults{Latency: 10 * time.Millisecond}})
+		fake := store.NewFake(store.FakeOptions{Faults: store.Faults{Latency: 10 * time.Millisecond}})
 		managers, log := trackedFleet(fake)
 		defer stopAll(t, managers)
 		time.Sleep(time.Minute)
 		is.Equal(log.last(), pass{"a", 1})
-		fake.SetFaults(platform.Faults{Cut: []string{"a"}, Silent: true})
+		fake.SetFaults(store.Faults{Cut: []string{"a"}, Silent: true})
 		time.Sleep(2 * DefaultTTL)
 		second := log.last()
 		is.True(second.vm != "a")
 		is.Equal(second.fence, uint64(2))
 		is.Equal(managers["a"].Counters.Lapses.Get("tracked").String(), "1")
-		fake.SetFaults(platform.Faults{})
+		fake.SetFaults(store.Faults{})
 		time.Sleep(time.Minute)
 		is.Equal(log.last(), second) // the one that comes back does not fight for it
 		is.True(!log.overlapped())
@@ -128,7 +128,7 @@
 func TestPlannedStopHandsOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		managers, log := trackedFleet(platform.NewFake(platform.FakeOptions{}))
+		managers, log := trackedFleet(store.NewFake(store.FakeOptions{}))
 		defer stopAll(t, managers)
 		time.Sleep(time.Minute)
 		is.NoErr(managers["a"].Drain(context.Background()))
@@ -145,7 +145,7 @@
 func TestLostAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		fake := platform.NewFake(platform.FakeOptions{Seed: 7, Faults: platform.Faults{LoseRate: 0.3, DelayRate: 0.1, Delay: time.Second}})
+		fake := store.NewFake(store.FakeOptions{Seed: 7, Faults: store.Faults{LoseRate: 0.3, DelayRate: 0.1, Delay: time.Second}})
 		managers, log := trackedFleet(fake)
 		defer stopAll(t, managers)
 		time.Sleep(time.Hour)
@@ -162,14 +162,14 @@
 // a paused VM does in the middle of its work.
 type stall struct {
 	vm    string
-	match func(platform.Call) bool
+	match func(store.Call) bool
 	wake  chan struct{}
 
 	mu     sync.Mutex
 	paused bool
 }
 
-func (s *stall) hook(call platform.Call) {
+func (s *stall) hook(call store.Call) {
 	if call.VM != s.vm {
 		return
 	}
@@ -188,7 +188,7 @@
 func TestFoldByAHolderPausedAcrossItsLapse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		fake := platform.NewFake(platform.FakeOptions{})
+		fake := store.NewFake(store.FakeOptions{})
 		id := budget.ID{Workspace: "w", Name: "main"}
 		operator := fake.As("operator").Table
 		_, err := budget.TopUp(t.Context(), operator, id, "pay", 1000)
@@ -196,14 +196,14 @@
 		bill := billingRouter(t, fake, id)
 
 		folds := 0
-		s := &stall{vm: "a", wake: make(chan struct{}), match: func(call platform.Call) bool {
-			if call.Step != platform.StepCommit || len(call.Txn.Writes) < 2 {
+		s := &stall{vm: "a", wake: make(chan struct{}), match: func(call store.Call) bool {
+			if call.Step != store.StepCommit || len(call.Txn.Writes) < 2 {
 				return false // a lease
 			}
 			folds++
 			return true
 		}}
-		fake.SetHooks(platform.Hooks{Before: s.hook})
+		fake.SetHooks(store.Hooks{Before: s.hook})
 		managers := map[string]*Manager{"a": manager(fake, "a", map[string]Duty{"fold": leased{newFold()}})}
 		time.Sleep(time.Second)
 		managers["b"] = manager(fake, "b", map[string]Duty{"fold": leased{newFold()}})
@@ -242,7 +242,7 @@
 
 // billingRouter starts a router's keeper and returns a function that bills one
 // request.
-func billingRouter(t *testing.T, fake *platform.Fake, id budget.ID) func(request int, tokens int64) {
+func billingRouter(t *testing.T, fake *store.Fake, id budget.ID) func(request int, tokens int64) {
 	keeper := budget.NewKeeper(budget.KeeperConfig{Table: fake.As("router").Table, Holder: budget.HolderName("router", "1"),
 		Policy: func() config.BudgetPolicy { return config.BudgetPolicy{RefusalWeight: 0.5} }})
 	if err := keeper.Start(context.Background()); err != nil {
@@ -268,13 +268,13 @@
 func TestReclaimByAHolderPausedAcrossItsLapse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		fake := platform.NewFake(platform.FakeOptions{})
+		fake := store.NewFake(store.FakeOptions{})
 		id := budget.ID{Workspace: "w", Name: "main"}
 		operator := fake.As("operator").Table
 		_, err := budget.TopUp(t.Context(), operator, id, "pay", 1000)
 		is.NoErr(err)
-		is.NoErr(fake.As("router").VMs.Announce(t.Context(), platform.VM{
-			ID: "router", Incarnation: "1", Role: "router", Address: "127.0.0.1:1", State: platform.VMLive}))
+		is.NoErr(fake.As("router").VMs.Announce(t.Context(), store.VM{
+			ID: "router", Incarnation: "1", Role: "router", Address: "127.0.0.1:1", State: store.VMLive}))
 		billingRouter(t, fake, id)(1, 100)
 		_, err = journal.Folder{Table: operator}.Run(t.Context()) // so that only the grant is left
 		is.NoErr(err)
@@ -283,14 +283,14 @@
 		is.True(held.HeldTokens() > 0)
 
 		var frees atomic.Int64
-		s := &stall{vm: "a", wake: make(chan struct{}), match: func(call platform.Call) bool {
-			if call.Step != platform.StepCommit || len(call.Txn.Writes) < 2 {
+		s := &stall{vm: "a", wake: make(chan struct{}), match: func(call store.Call) bool {
+			if call.Step != store.StepCommit || len(call.Txn.Writes) < 2 {
 				return false // a lease, a seal or a fold of nothing
 			}
 			return frees.Add(1) == 1
 		}}
-		fake.SetHooks(platform.Hooks{Before: s.hook})
-		is.NoErr(fake.SetVMState("router", platform.VMGone))
+		fake.SetHooks(store.Hooks{Before: s.hook})
+		is.NoErr(fake.SetVMState("router", store.VMGone))
 		managers := map[string]*Manager{"a": manager(fake, "a", map[string]Duty{"reclaim": reclaim{}})}
 		time.Sleep(time.Second)
 		managers["b"] = manager(fake, "b", map[string]Duty{"reclaim": reclaim{}})
@@ -343,7 +343,7 @@
 		is := is.New(t)
 		duty := new(failing)
 		duty.left.Store(5)
-		m := manager(platform.NewFake(platform.FakeOptions{}), "a", map[string]Duty{"failing": duty})
+		m := manager(store.NewFake(store.FakeOptions{}), "a", map[string]Duty{"failing": duty})
 		time.Sleep(time.Minute - time.Second/2)
 		is.NoErr(m.Stop())
 		is.Equal(m.Counters.Failures.Get("failing").String(), "5")
--- a/duty/work.go
+++ b/duty/work.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"buckthornridge/budget"
+	"buckthornridge/budget/journal"
 	"buckthornridge/config"
-	"buckthornridge/journal"
 	"buckthornridge/kernel"
 )
 
--- a/loadtool/audit/audit.go
+++ b/loadtool/audit/audit.go
@@ -11,21 +11,21 @@
 
 	"buckthornridge/budget/ledger"
 	"buckthornridge/loadtool/record"
-	"buckthornridge/platform"
 	"buckthornridge/standin/engine"
 	"buckthornridge/standin/service"
+	"buckthornridge/store"
 )
 
 // Input is all that is compared.
 type Input struct {
 	Results []*record.Result
 	// Rows is a dump of the platform's table.
-	Rows []platform.Row
+	Rows []store.Row
 	// Runs and Executions by upstream id.
 	Runs       map[string]engine.RunReport
 	Executions map[string]service.Report
 	// Before is a dump from before the run.
-	Before []platform.Row
+	Before []store.Row
 	// Purchased is what the tool bought during the run.
 	Purchased map[ledger.ID]int64
 }
--- a/loadtool/audit/audit_test.go
+++ b/loadtool/audit/audit_test.go
@@ -8,13 +8,13 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
 
+	"buckthornridge/budget/journal"
 	"buckthornridge/budget/ledger"
-	"buckthornridge/journal"
 	"buckthornridge/loadtool/fault"
 	"buckthornridge/loadtool/record"
-	"buckthornridge/platform"
 	"buckthornridge/standin/engine"
 	"buckthornridge/standin/service"
+	"buckthornridge/store"
 )
 
 var (
@@ -83,12 +83,12 @@
 
 // rows is a table with one budget, the requests in its index and its journal's
 // unfolded entries.
-func rows(row ledger.Budget, indexed []string, waiting ...journal.Entry) []platform.Row {
+func rows(row ledger.Budget, indexed []string, waiting ...journal.Entry) []store.Row {
 	var index []byte
 	for _, request := range indexed {
 		index = binary.BigEndian.AppendUint64(index, xxhash.Sum64String(request))
 	}
-	return []platform.Row{
+	return []store.Row{
 		{Key: ledger.FoldKey("holder"), Value: ledger.Encode(journal.State{Next: 1})},
 		{Key: ledger.SegmentKey("holder", 0), Value: ledger.Encode(journal.Segment{Entries: []journal.Entry{bill("stale")}})},
 		{Key: ledger.SegmentKey("holder", 1), Value: ledger.Encode(journal.Segment{Entries: waiting})},
@@ -107,7 +107,7 @@
 	fresh := ledger.Budget{Purchased: 100, Free: 90, Holders: map[string]ledger.Holding{"holder": {Held: 10}}}
 	for _, tt := range []struct {
 		name            string
-		rows            []platform.Row
+		rows            []store.Row
 		missing, double int
 	}{
 		{"folded", rows(folded, []string{"a"}), 0, 0},
--- a/loadtool/audit/books.go
+++ b/loadtool/audit/books.go
@@ -6,10 +6,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"buckthornridge/budget/journal"
 	"buckthornridge/budget/ledger"
-	"buckthornridge/journal"
 	"buckthornridge/loadtool/record"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // books are the budget rows of a table dump, with what journals add to them.
@@ -33,7 +33,7 @@
 
 const hashBytes = 8
 
-func readBooks(rows []platform.Row) (*books, error) {
+func readBooks(rows []store.Row) (*books, error) {
 	b := &books{
 		budgets:     map[ledger.ID]*ledger.Budget{},
 		billed:      map[ledger.ID]map[uint64]int{},
@@ -71,7 +71,7 @@
 	return b, nil
 }
 
-func (b *books) readFold(row platform.Row) error {
+func (b *books) readFold(row store.Row) error {
 	holder, err := ledger.ParseHolder(ledger.FoldPrefix, row.Key)
 	if err != nil {
 		return err
@@ -93,7 +93,7 @@
 	return !known || key < ledger.SegmentKey(holder, next)
 }
 
-func (b *books) readBudget(row platform.Row) error {
+func (b *books) readBudget(row store.Row) error {
 	id, err := ledger.ParseID(ledger.BudgetPrefix, row.Key)
 	if err != nil {
 		return err
@@ -102,7 +102,7 @@
 	return ledger.Decode(row.Key, row.Value, b.budgets[id])
 }
 
-func (b *books) readIndex(row platform.Row) error {
+func (b *books) readIndex(row store.Row) error {
 	cut := strings.LastIndexByte(row.Key, '/')
 	id, err := ledger.ParseID(ledger.IndexPrefix, row.Key[:cut])
 	if err != nil {
@@ -119,7 +119,7 @@
 
 // readSegment reads bills that no folder moved into the budget rows yet. A
 // second bill of a request is none: folding counts it as lost.
-func (b *books) readSegment(row platform.Row) error {
+func (b *books) readSegment(row store.Row) error {
 	var segment journal.Segment
 	if err := ledger.Decode(row.Key, row.Value, &segment); err != nil {
 		return err
--- a/loadtool/run/bench_test.go
+++ b/loadtool/run/bench_test.go
@@ -20,11 +20,11 @@
 	"buckthornridge/config"
 	"buckthornridge/loadtool/report"
 	"buckthornridge/loadtool/scenario"
-	"buckthornridge/platform"
 	"buckthornridge/settings"
 	"buckthornridge/standin/engine"
 	standin "buckthornridge/standin/platform"
 	"buckthornridge/standin/service"
+	"buckthornridge/store"
 	"buckthornridge/upstream"
 )
 
@@ -61,8 +61,8 @@
 	service  *upstreamServer
 	platform *httptest.Server
 	router   *httptest.Server
-	table    platform.Table
-	vms      platform.VMList
+	table    store.Table
+	vms      store.VMList
 	client   upstream.Engine
 	calls    upstream.Service
 	doc      config.Document
@@ -262,7 +262,7 @@
 	if b.lie == breaksLedger {
 		row.Free++
 	}
-	_, err := b.table.Commit(context.Background(), platform.Txn{Writes: []platform.Write{
+	_, err := b.table.Commit(context.Background(), store.Txn{Writes: []store.Write{
 		{Key: ledger.BudgetKey(id), Value: ledger.Encode(row)},
 		{Key: ledger.IndexKey(id, 1), Value: b.index[id]},
 	}})
@@ -306,7 +306,7 @@
 // announce puts the engine on the platform's VM list.
 func (b *bench) announce(t *testing.T) {
 	t.Helper()
-	vm := platform.VM{ID: "engine-1", Incarnation: "1", Role: "engine", Address: b.engine.address(), State: platform.VMLive}
+	vm := store.VM{ID: "engine-1", Incarnation: "1", Role: "engine", Address: b.engine.address(), State: store.VMLive}
 	if err := b.vms.Announce(t.Context(), vm); err != nil {
 		t.Fatal(err)
 	}
--- a/loadtool/run/fleet.go
+++ b/loadtool/run/fleet.go
@@ -14,10 +14,10 @@
 
 	"buckthornridge/admin"
 	"buckthornridge/config"
-	"buckthornridge/platform"
-	"buckthornridge/platform/wire"
 	"buckthornridge/standin/engine"
 	"buckthornridge/standin/service"
+	"buckthornridge/store"
+	"buckthornridge/store/wire"
 )
 
 // fleet is the fleet as the tool reaches it.
@@ -72,14 +72,14 @@
 }
 
 // table dumps rows of the platform stand-in, past its faults.
-func (f *fleet) table(ctx context.Context, prefix string) ([]platform.Row, error) {
+func (f *fleet) table(ctx context.Context, prefix string) ([]store.Row, error) {
 	var answer wire.RowsAnswer
 	err := f.getJSON(ctx, f.settings.Platform, "/debug/table?prefix="+url.QueryEscape(prefix), &answer)
 	return answer.Rows, err
 }
 
-func (f *fleet) counters(ctx context.Context) (platform.Counters, error) {
-	var c platform.Counters
+func (f *fleet) counters(ctx context.Context) (store.Counters, error) {
+	var c store.Counters
 	err := f.getJSON(ctx, f.settings.Platform, "/debug/counters", &c)
 	return c, err
 }
--- a/loadtool/run/run.go
+++ b/loadtool/run/run.go
@@ -22,9 +22,9 @@
 	"buckthornridge/loadtool/report"
 	"buckthornridge/loadtool/scenario"
 	"buckthornridge/loadtool/workload"
-	"buckthornridge/platform"
 	"buckthornridge/standin/engine"
 	"buckthornridge/standin/service"
+	"buckthornridge/store"
 )
 
 // Options of one run.
@@ -66,9 +66,9 @@
 	race     *race
 	versions *versions
 
-	before      []platform.Row
+	before      []store.Row
 	usageBefore map[string]usage
-	tableBefore platform.Counters
+	tableBefore store.Counters
 
 	mu          sync.Mutex // guards all below
 	purchases   []oracle.Purchase
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -13,7 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"buckthornridge/peer"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // frameOverhead is what the peer protocol adds to a body: length, kind, call
@@ -27,7 +27,7 @@
 	mu    sync.Mutex
 	nodes map[string]*node // by peer address
 	cut   map[[2]string]bool
-	list  []platform.VM // what the platform's list says
+	list  []store.VM // what the platform's list says
 }
 
 // node is one process; it is also its own caller.
@@ -49,15 +49,15 @@
 	return &fleet{t: t, nodes: map[string]*node{}, cut: map[[2]string]bool{}}
 }
 
-func vmOf(i int) platform.VM {
-	return platform.VM{
+func vmOf(i int) store.VM {
+	return store.VM{
 		ID: fmt.Sprintf("vm-%03d", i), Incarnation: "1764720000000000001", Role: "router", DataCentre: "colombo-a",
 		Region: "lk-west", Address: fmt.Sprintf("10.1.2.%d:7000", i), PeerAddress: fmt.Sprintf("10.1.2.%d:7001", i),
-		State: platform.VMLive,
+		State: store.VMLive,
 	}
 }
 
-func vmsOf(n int) (vms []platform.VM) {
+func vmsOf(n int) (vms []store.VM) {
 	for i := range n {
 		vms = append(vms, vmOf(i))
 	}
@@ -66,7 +66,7 @@
 
 var routersBeat = map[string]bool{"router": true}
 
-func (f *fleet) start(vm platform.VM, known []platform.VM, seeds ...string) *node {
+func (f *fleet) start(vm store.VM, known []store.VM, seeds ...string) *node {
 	n := &node{fleet: f, address: vm.PeerAddress, done: make(chan struct{})}
 	n.tracker = NewTracker(Options{Self: memberOf(vm), Beats: routersBeat})
 	g := NewGossip(n.tracker, n)
@@ -98,7 +98,7 @@
 	}
 }
 
-func (f *fleet) setList(list []platform.VM) {
+func (f *fleet) setList(list []store.VM) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.list = list
--- a/membership/gossip_test.go
+++ b/membership/gossip_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // measure asks for the figures of docs/design/membership.md, which take minutes.
@@ -32,14 +32,14 @@
 	f := newFleet(t)
 	defer f.stopAll()
 	nodes := f.startAll(size)
-	f.setList([]platform.VM{{ID: "orders-1", Incarnation: "1", Role: "service", State: platform.VMLive}})
+	f.setList([]store.VM{{ID: "orders-1", Incarnation: "1", Role: "service", State: store.VMLive}})
 	time.Sleep(10 * time.Second)
 	c.watch(nodes, quiet)
 	for _, n := range nodes {
 		c.looksMean += float64(n.looks.Load()) / float64(size) / (quiet + 10*time.Second).Seconds()
 	}
 	const limit = time.Minute
-	f.setList([]platform.VM{{ID: "orders-1", Incarnation: "1", Role: "service", State: platform.VMLeaving}})
+	f.setList([]store.VM{{ID: "orders-1", Incarnation: "1", Role: "service", State: store.VMLeaving}})
 	c.listed = delay(nodes, limit, func(n *node) bool { return n.state("orders-1") == Leaving })
 	nodes[1].tracker.Leave()
 	c.leaving = delay(nodes, limit, func(n *node) bool { return n.state("vm-001") == Leaving })
@@ -159,7 +159,7 @@
 		nodes := f.startAll(9)
 		nodes[4].tracker.Leave()
 		time.Sleep(10 * time.Second)
-		f.start(vmOf(9), []platform.VM{vmOf(0)})
+		f.start(vmOf(9), []store.VM{vmOf(0)})
 		f.start(vmOf(10), nil, vmOf(3).PeerAddress)
 		for _, n := range f.nodes {
 			nodes = append(nodes, n)
--- a/membership/list_bench_test.go
+++ b/membership/list_bench_test.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"testing"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // BenchmarkVMList reads one VM list of a fleet with its upstreams, as the platform
@@ -22,7 +22,7 @@
 			k := NewTracker(Options{Self: memberOf(vmOf(0)), Beats: routersBeat})
 			b.ReportAllocs()
 			for b.Loop() {
-				var vms []platform.VM
+				var vms []store.VM
 				if err := json.Unmarshal(body, &vms); err != nil {
 					b.Fatal(err)
 				}
--- a/membership/message.go
+++ b/membership/message.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Bounds of one message.
@@ -211,7 +211,7 @@
 	r := t.records[n.Member.ID]
 	changed := false
 	switch {
-	case r == nil || n.Member.Incarnation != "" && platform.OlderIncarnation(r.member.Incarnation, n.Member.Incarnation):
+	case r == nil || n.Member.Incarnation != "" && store.OlderIncarnation(r.member.Incarnation, n.Member.Incarnation):
 		if r == nil && len(t.records) >= maxMembers {
 			return
 		}
--- a/membership/property_test.go
+++ b/membership/property_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // world is some trackers under a random schedule of cuts, pauses, restarts,
@@ -19,9 +19,9 @@
 	trackers []*Tracker
 	seen     []map[string]Member // each tracker's view after the last step
 	beats    []map[string]uint64 // and the sequences behind it
-	current  []platform.VM
+	current  []store.VM
 	gone     map[string]bool // id/incarnation that the platform called gone
-	lists    [][]platform.VM // all that were ever true
+	lists    [][]store.VM    // all that were ever true
 	mail     []mail
 	restarts int
 }
@@ -94,7 +94,7 @@
 		k.Suspect(w.current[s.whom].ID, errNoAnswer)
 	case 8:
 		k.Leave()
-		w.current[s.who].State = platform.VMLeaving
+		w.current[s.who].State = store.VMLeaving
 		w.note(w.current)
 	case 9:
 		w.restart(s.who)
@@ -122,15 +122,15 @@
 	w.restarts++
 	old := w.current[i]
 	w.gone[name(old.ID, old.Incarnation)] = true
-	old.State = platform.VMGone
+	old.State = store.VMGone
 	w.note(append(slices.Delete(slices.Clone(w.current), i, i+1), old))
 	w.current[i].Incarnation = fmt.Sprintf("17647200000000%05d", 10+w.restarts)
-	w.current[i].State = platform.VMLive
+	w.current[i].State = store.VMLive
 	w.note(append(slices.Clone(w.current), old))
 	w.boot(i)
 }
 
-func (w *world) note(list []platform.VM) { w.lists = append(w.lists, slices.Clone(list)) }
+func (w *world) note(list []store.VM) { w.lists = append(w.lists, slices.Clone(list)) }
 
 func (w *world) fail(format string, args ...any) {
 	if w.failure == "" {
@@ -157,7 +157,7 @@
 	if before.ID == "" {
 		return
 	}
-	if platform.OlderIncarnation(now.Incarnation, before.Incarnation) {
+	if store.OlderIncarnation(now.Incarnation, before.Incarnation) {
 		w.fail("%s: %v came back before %v", k.self.ID, now, before)
 	}
 	if now.Incarnation != before.Incarnation {
@@ -233,8 +233,8 @@
 	}
 }
 
-func stateOf(s platform.VMState) State {
-	if s == platform.VMLeaving {
+func stateOf(s store.VMState) State {
+	if s == store.VMLeaving {
 		return Leaving
 	}
 	return Live
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -9,7 +9,7 @@
 
 	"k8s.io/klog/v2"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Limits are the times by which a Tracker judges.
@@ -185,7 +185,7 @@
 
 // List takes the platform's list, the only source that says gone. Lists may come
 // late or out of order: nothing in one takes back what another source knows.
-func (t *Tracker) List(vms []platform.VM) {
+func (t *Tracker) List(vms []store.VM) {
 	now := t.enter()
 	defer t.mu.Unlock()
 	for _, vm := range vms {
@@ -194,9 +194,9 @@
 	t.publish(now)
 }
 
-func (t *Tracker) listed(vm platform.VM, now time.Time) {
+func (t *Tracker) listed(vm store.VM, now time.Time) {
 	r := t.records[vm.ID]
-	reborn := r != nil && platform.OlderIncarnation(r.member.Incarnation, vm.Incarnation)
+	reborn := r != nil && store.OlderIncarnation(r.member.Incarnation, vm.Incarnation)
 	first := r == nil || reborn
 	switch {
 	case r == nil && len(t.records) >= maxMembers:
@@ -207,8 +207,8 @@
 		return // an older incarnation
 	}
 	r.seen = now
-	r.gone = r.gone || vm.State == platform.VMGone
-	left := vm.State == platform.VMLeaving && !r.leaving
+	r.gone = r.gone || vm.State == store.VMGone
+	left := vm.State == store.VMLeaving && !r.leaving
 	r.leaving = r.leaving || left
 	// Others may look much later. What is seen for the first time is no news: at
 	// a start that is the whole fleet.
@@ -217,7 +217,7 @@
 	}
 }
 
-func memberOf(vm platform.VM) Member {
+func memberOf(vm store.VM) Member {
 	return Member{
 		ID:          vm.ID,
 		Incarnation: vm.Incarnation,
--- a/membership/tracker_test.go
+++ b/membership/tracker_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 var errNoAnswer = errors.New("no answer")
@@ -39,18 +39,18 @@
 	return Message{Doubts: beat(sequence, false).Beats}
 }
 
-func told(vm platform.VM, state State, sequence uint64) Message {
+func told(vm store.VM, state State, sequence uint64) Message {
 	n := News{Member: memberOf(vm), Sequence: sequence}
 	n.Member.State = state
 	return Message{News: []News{n}}
 }
 
-func listed(vm platform.VM, state platform.VMState) []platform.VM {
+func listed(vm store.VM, state store.VMState) []store.VM {
 	vm.State = state
-	return []platform.VM{vm}
+	return []store.VM{vm}
 }
 
-func reborn(vm platform.VM) platform.VM {
+func reborn(vm store.VM) store.VM {
 	vm.Incarnation = "1764720000000000002"
 	return vm
 }
@@ -71,24 +71,24 @@
 	}{
 		"listed":                 {func(*Tracker) {}, Live},
 		"a call failed":          {func(k *Tracker) { k.Suspect(other, errNoAnswer) }, Suspected},
-		"the list says leaving":  {func(k *Tracker) { k.List(listed(vmOf(1), platform.VMLeaving)); k.List(late) }, Leaving},
+		"the list says leaving":  {func(k *Tracker) { k.List(listed(vmOf(1), store.VMLeaving)); k.List(late) }, Leaving},
 		"its own word":           {func(k *Tracker) { k.Receive(told(vmOf(1), Leaving, 1)); k.List(late) }, Leaving},
-		"the list says gone":     {func(k *Tracker) { k.List(listed(vmOf(1), platform.VMGone)); k.List(late) }, Gone},
-		"gone, then a heartbeat": {func(k *Tracker) { k.List(listed(vmOf(1), platform.VMGone)); k.Receive(beat(9, true)) }, Gone},
+		"the list says gone":     {func(k *Tracker) { k.List(listed(vmOf(1), store.VMGone)); k.List(late) }, Gone},
+		"gone, then a heartbeat": {func(k *Tracker) { k.List(listed(vmOf(1), store.VMGone)); k.Receive(beat(9, true)) }, Gone},
 		"a peer says gone":       {func(k *Tracker) { k.Receive(told(vmOf(1), Gone, 1)) }, Live},
 		"a peer says dead":       {func(k *Tracker) { k.Receive(told(vmOf(1), Dead, 1)) }, Live},
-		"reborn after gone":      {func(k *Tracker) { k.List(listed(vmOf(1), platform.VMGone)); k.Receive(told(reborn(vmOf(1)), Live, 1)) }, Live},
+		"reborn after gone":      {func(k *Tracker) { k.List(listed(vmOf(1), store.VMGone)); k.Receive(told(reborn(vmOf(1)), Live, 1)) }, Live},
 		"reborn after leaving": {func(k *Tracker) {
 			k.Receive(told(vmOf(1), Leaving, 1))
-			k.List(listed(reborn(vmOf(1)), platform.VMLive))
+			k.List(listed(reborn(vmOf(1)), store.VMLive))
 		}, Live},
 		"last words of the old one": {func(k *Tracker) {
-			k.List(listed(reborn(vmOf(1)), platform.VMLive))
+			k.List(listed(reborn(vmOf(1)), store.VMLive))
 			k.Receive(told(vmOf(1), Leaving, 7))
 		}, Live},
 		"the old one is gone": {func(k *Tracker) {
-			k.List(listed(reborn(vmOf(1)), platform.VMLive))
-			k.List(listed(vmOf(1), platform.VMGone))
+			k.List(listed(reborn(vmOf(1)), store.VMLive))
+			k.List(listed(vmOf(1), store.VMGone))
 		}, Live},
 		"silent for long":          {func(k *Tracker) { k.Receive(beat(1, true)); live(k, 5*time.Second) }, Suspected},
 		"silent for longer":        {func(k *Tracker) { k.Receive(beat(1, true)); live(k, 9*time.Second) }, Dead},
@@ -153,19 +153,19 @@
 func TestUpstreamThatSaidLeaving(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		engine := platform.VM{ID: "design-1", Incarnation: "1", Role: "engine", State: platform.VMLive}
+		engine := store.VM{ID: "design-1", Incarnation: "1", Role: "engine", State: store.VMLive}
 		here, there := pair(), pair()
-		here.List([]platform.VM{engine})
-		there.List([]platform.VM{engine})
+		here.List([]store.VM{engine})
+		there.List([]store.VM{engine})
 		here.SaidLeaving("design-1", "engine")
 		<-here.Urgent()
 		there.Receive(here.Urgents())
-		here.List([]platform.VM{engine})
-		there.List([]platform.VM{engine})
+		here.List([]store.VM{engine})
+		there.List([]store.VM{engine})
 		is.Equal(here.stateOf("design-1"), Leaving)
 		is.Equal(there.stateOf("design-1"), Leaving)
 		engine.Incarnation = "2"
-		here.List([]platform.VM{engine}) // the other one looks much later
+		here.List([]store.VM{engine}) // the other one looks much later
 		there.Receive(here.Urgents())
 		is.Equal(there.stateOf("design-1"), Live)
 	})
@@ -257,7 +257,7 @@
 		{Beats: make(Beats, maxBeats+1)},
 		{News: make([]News, maxNews+1)},
 		{Doubts: make(Beats, maxDoubt+1)},
-		told(platform.VM{}, Live, 1),
+		told(store.VM{}, Live, 1),
 		told(long, Live, 1),
 		told(vmOf(1), State(77), 1),
 	} {
--- a/membership/writes_test.go
+++ b/membership/writes_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/matryer/is"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Timers of the ways that were weighed against gossip: a lease lapses after
@@ -32,7 +32,7 @@
 // measure runs the timers in virtual time against the fake table.
 func (c timers) measure(t *testing.T) (w writes) {
 	synctest.Test(t, func(t *testing.T) {
-		fake := platform.NewFake(platform.FakeOptions{})
+		fake := store.NewFake(store.FakeOptions{})
 		renewals := 4
 		for range renewals {
 			for n := range c.nodes {
@@ -48,16 +48,16 @@
 }
 
 // renew writes one process's row or the rows of all its leases.
-func (c timers) renew(t *testing.T, table platform.Table, n int) {
+func (c timers) renew(t *testing.T, table store.Table, n int) {
 	rows := 1
 	if c.perLease {
 		rows = c.leases
 	}
 	for from := 0; from < rows; from += c.batch {
-		var txn platform.Txn
+		var txn store.Txn
 		for i := from; i < min(rows, from+c.batch); i++ {
 			key := fmt.Sprintf("lease/%04d/%06d", n, i)
-			txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: []byte("until")})
+			txn.Writes = append(txn.Writes, store.Write{Key: key, Value: []byte("until")})
 		}
 		if _, err := table.Commit(t.Context(), txn); err != nil {
 			t.Error(err)
@@ -83,7 +83,7 @@
 		for _, leases := range []int{100, 2400} {
 			for _, c := range []timers{
 				{perLease: true, batch: 1},
-				{perLease: true, batch: platform.MaxTxnRows},
+				{perLease: true, batch: store.MaxTxnRows},
 				{batch: 1},
 			} {
 				c.nodes, c.leases = nodes, leases
--- a/placement/actor.go
+++ b/placement/actor.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 	"buckthornridge/upstream"
 )
 
@@ -37,7 +37,7 @@
 // that several do at once is harmless, since each plan is committed on the
 // condition that the fence row still is the actor's. It is used by one goroutine.
 type Actor struct {
-	table   platform.Table
+	table   store.Table
 	sender  Sender
 	id      string
 	number  int64 // fencing number of its orders; 0 before Acquire
@@ -47,7 +47,7 @@
 }
 
 // NewActor returns an actor that signs as id, an id that no other process has.
-func NewActor(table platform.Table, sender Sender, id string) *Actor {
+func NewActor(table store.Table, sender Sender, id string) *Actor {
 	return &Actor{table: table, sender: sender, id: id, ordered: map[string]time.Time{}}
 }
 
@@ -67,14 +67,14 @@
 		return err
 	}
 	mine := fenceRow{Number: fence.Number + 1, Holder: a.id}
-	version, err := a.commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{
+	version, err := a.commit(ctx, store.Txn{
+		Conditions: []store.Condition{
 			{Key: fenceKey, Version: rows[0].Version},
 			{Key: planKey, Version: rows[1].Version},
 		},
-		Writes: []platform.Write{{Key: fenceKey, Value: encode(mine)}},
+		Writes: []store.Write{{Key: fenceKey, Value: encode(mine)}},
 	})
-	if errors.Is(err, platform.ErrOutcomeUnknown) {
+	if errors.Is(err, store.ErrOutcomeUnknown) {
 		version, err = a.readBack(ctx, mine, err)
 	}
 	if err != nil {
@@ -102,9 +102,9 @@
 	return rows[0].Version, nil
 }
 
-func (a *Actor) commit(ctx context.Context, txn platform.Txn) (int64, error) {
+func (a *Actor) commit(ctx context.Context, txn store.Txn) (int64, error) {
 	version, err := a.table.Commit(ctx, txn)
-	if errors.Is(err, platform.ErrConditionFailed) {
+	if errors.Is(err, store.ErrConditionFailed) {
 		return 0, ErrDeposed
 	}
 	return version, eris.Wrap(err, "commit placement table")
@@ -130,9 +130,9 @@
 // agree commits a changed plan, or checks that the fence still is ours.
 func (a *Actor) agree(ctx context.Context, next Plan) error {
 	if string(encode(next)) != string(encode(a.plan)) {
-		_, err := a.commit(ctx, platform.Txn{
-			Conditions: []platform.Condition{{Key: fenceKey, Version: a.version}},
-			Writes:     []platform.Write{{Key: planKey, Value: encode(next)}},
+		_, err := a.commit(ctx, store.Txn{
+			Conditions: []store.Condition{{Key: fenceKey, Version: a.version}},
+			Writes:     []store.Write{{Key: planKey, Value: encode(next)}},
 		})
 		if errors.Is(err, ErrDeposed) {
 			a.number = 0
@@ -190,7 +190,7 @@
 	return data
 }
 
-func decode(row platform.Row, into any) error {
+func decode(row store.Row, into any) error {
 	if row.Version == 0 {
 		return nil
 	}
--- a/placement/actor_test.go
+++ b/placement/actor_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 	"buckthornridge/upstream"
 )
 
@@ -43,8 +43,8 @@
 	return in
 }
 
-func newTable() platform.Table {
-	return platform.NewFake(platform.FakeOptions{}).As("control-1").Table
+func newTable() store.Table {
+	return store.NewFake(store.FakeOptions{}).As("control-1").Table
 }
 
 func TestLateOrderOfAnEarlierActorIsRepaired(t *testing.T) {
@@ -120,16 +120,16 @@
 	// it arrives later it must not depose the actor that came in between.
 	is := is.New(t)
 	engines := senderFake{"e0": {}, "e1": {}}
-	fake := platform.NewFake(platform.FakeOptions{Faults: platform.Faults{LoseNext: 1}})
+	fake := store.NewFake(store.FakeOptions{Faults: store.Faults{LoseNext: 1}})
 	table := fake.As("control-1").Table
 	lost := NewActor(table, engines, "control-1")
 	is.NoErr(lost.Acquire(t.Context()))
 	_, err := lost.Round(t.Context(), engines.input())
 	is.NoErr(err)
 
-	fake.SetFaults(platform.Faults{DelayNext: 1})
+	fake.SetFaults(store.Faults{DelayNext: 1})
 	late := NewActor(table, engines, "control-2")
-	is.True(errors.Is(late.Acquire(t.Context()), platform.ErrOutcomeUnknown))
+	is.True(errors.Is(late.Acquire(t.Context()), store.ErrOutcomeUnknown))
 	third := NewActor(table, engines, "control-3")
 	is.NoErr(third.Acquire(t.Context()))
 	fake.ReleaseDelayed()
--- a/placement/placer/placer_test.go
+++ b/placement/placer/placer_test.go
@@ -13,7 +13,7 @@
 
 	"buckthornridge/config"
 	"buckthornridge/duty"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 	"buckthornridge/upstream"
 )
 
@@ -61,8 +61,8 @@
 		w.engines[id] = &engineFake{load: upstream.Load{Models: held}}
 		c.Upstreams[id] = config.Upstream{Kind: config.UpstreamEngine, Address: id, Models: held, Slots: 8}
 	}
-	fake := platform.NewFake(platform.FakeOptions{
-		Weights:              []platform.Weight{{Model: "caption", Bytes: 60}, {Model: "brief", Bytes: 60}},
+	fake := store.NewFake(store.FakeOptions{
+		Weights:              []store.Weight{{Model: "caption", Bytes: 60}, {Model: "brief", Bytes: 60}},
 		WeightBytesPerSecond: 1, // one load a minute
 	})
 	w.env = duty.Env{Platform: fake.As("control-1"), Config: c}
--- a/request/call_test.go
+++ b/request/call_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/matryer/is"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 	"buckthornridge/upstream"
 )
 
@@ -32,7 +32,7 @@
 	story(t, func(t *testing.T, is *is.I, w *world) {
 		service := w.service("s1")
 		service.delay = time.Second
-		w.fake.SetFaults(platform.Faults{Latency: 10 * time.Millisecond})
+		w.fake.SetFaults(store.Faults{Latency: 10 * time.Millisecond})
 		got := make(chan answered, 9)
 		for _, vm := range []string{"1", "2", "3", "4", "5", "6", "7", "8", "9"} {
 			e, _ := w.executor("vm-" + vm)
@@ -58,7 +58,7 @@
 	story(t, func(t *testing.T, is *is.I, w *world) {
 		service := w.service("s1")
 		e, _ := w.executor("vm-1")
-		w.fake.SetFaults(platform.Faults{LoseNext: 1})
+		w.fake.SetFaults(store.Faults{LoseNext: 1})
 		got := ask(t.Context(), e.Do, order("k"))
 		is.Equal(got.outcome.Problem, nil)
 		is.Equal(service.runs, 1)
@@ -71,7 +71,7 @@
 	story(t, func(t *testing.T, is *is.I, w *world) {
 		service := w.service("s1")
 		e, budgets := w.executor("vm-1")
-		w.fake.SetFaults(platform.Faults{Down: true})
+		w.fake.SetFaults(store.Faults{Down: true})
 		began := time.Now()
 		got := ask(t.Context(), e.Do, order("k"))
 		is.Equal(got.outcome.Problem.RunState, NotRun)
@@ -80,7 +80,7 @@
 		synctest.Wait()
 		is.Equal(service.runs, 0)
 		is.Equal(budgets.open, 0)
-		w.fake.SetFaults(platform.Faults{})
+		w.fake.SetFaults(store.Faults{})
 		time.Sleep(2 * time.Second)
 		is.Equal(ask(t.Context(), e.Do, order("k")).outcome.Problem, nil)
 		is.Equal(service.runs, 1)
@@ -94,7 +94,7 @@
 	story(t, func(t *testing.T, is *is.I, w *world) {
 		service := w.service("s1")
 		e, _ := w.executor("vm-1")
-		w.fake.SetFaults(platform.Faults{Down: true})
+		w.fake.SetFaults(store.Faults{Down: true})
 		for minute := range 60 {
 			began := time.Now()
 			got := ask(t.Context(), e.Do, order(fmt.Sprint("k", minute)))
@@ -104,7 +104,7 @@
 			time.Sleep(time.Minute)
 		}
 		is.Equal(service.runs, 0)
-		w.fake.SetFaults(platform.Faults{})
+		w.fake.SetFaults(store.Faults{})
 		time.Sleep(2 * time.Second)
 		for minute := range 60 {
 			is.Equal(ask(t.Context(), e.Do, order(fmt.Sprint("k", minute))).outcome.Problem, nil)
@@ -120,16 +120,16 @@
 	story(t, func(t *testing.T, is *is.I, w *world) {
 		service := w.service("s1")
 		e, _ := w.executor("vm-1")
-		w.fake.SetFaults(platform.Faults{DelayNext: 1, Delay: 0})
-		w.fake.SetHooks(platform.Hooks{After: func(c platform.Call, _ error) {
-			if c.Step == platform.StepCommit {
-				w.fake.UpdateFaults(func(f *platform.Faults) { f.Down = true })
+		w.fake.SetFaults(store.Faults{DelayNext: 1, Delay: 0})
+		w.fake.SetHooks(store.Hooks{After: func(c store.Call, _ error) {
+			if c.Step == store.StepCommit {
+				w.fake.UpdateFaults(func(f *store.Faults) { f.Down = true })
 			}
 		}})
 		got := ask(t.Context(), e.Do, order("k"))
 		is.Equal(got.outcome.Problem.RunState, NotRun)
-		w.fake.SetHooks(platform.Hooks{})
-		w.fake.SetFaults(platform.Faults{})
+		w.fake.SetHooks(store.Hooks{})
+		w.fake.SetFaults(store.Faults{})
 		time.Sleep(2 * time.Second) // revoke writes its row
 		w.fake.ReleaseDelayed()
 		other, _ := w.executor("vm-2")
@@ -146,13 +146,13 @@
 		service := w.service("s1")
 		service.delay = time.Second
 		e, _ := w.executor("vm-1")
-		time.AfterFunc(500*time.Millisecond, func() { w.fake.SetFaults(platform.Faults{Down: true}) })
+		time.AfterFunc(500*time.Millisecond, func() { w.fake.SetFaults(store.Faults{Down: true}) })
 		got := ask(t.Context(), e.Do, order("k"))
 		is.Equal(got.outcome.Problem, nil)
 		other, _ := w.executor("vm-2")
-		w.fake.SetFaults(platform.Faults{Cut: []string{"vm-1"}}) // its row still cannot be written
+		w.fake.SetFaults(store.Faults{Cut: []string{"vm-1"}}) // its row still cannot be written
 		is.Equal(ask(t.Context(), other.Do, order("k")).outcome.Problem.RunState, Unknown)
-		w.fake.SetFaults(platform.Faults{})
+		w.fake.SetFaults(store.Faults{})
 		time.Sleep(2 * time.Second)
 		is.Equal(ask(t.Context(), other.Do, order("k")).outcome.Problem, nil)
 		is.Equal(service.runs, 1)
--- a/request/claim.go
+++ b/request/claim.go
@@ -8,7 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 	"buckthornridge/upstream"
 )
 
@@ -51,11 +51,11 @@
 // claims takes and ends claims in the platform's table.
 type claims struct {
 	holder string
-	table  platform.Table
+	table  store.Table
 	tries  atomic.Int64
 }
 
-func newClaims(holder string, t platform.Table) *claims { return &claims{holder: holder, table: t} }
+func newClaims(holder string, t store.Table) *claims { return &claims{holder: holder, table: t} }
 
 // errNotClaimed reports a claim that could not be decided in time. Nothing was
 // dispatched under it.
@@ -161,9 +161,9 @@
 		return eris.Wrapf(err, "claim %s", k)
 	}
 	key := claimKey(k)
-	_, err = c.table.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Writes:     []platform.Write{{Key: key, Value: value}},
+	_, err = c.table.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: key, Version: version}},
+		Writes:     []store.Write{{Key: key, Value: value}},
 	})
 	return eris.Wrapf(err, "write claim %s", k)
 }
--- a/request/executor.go
+++ b/request/executor.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 	"buckthornridge/telemetry"
 )
 
@@ -78,7 +78,7 @@
 }
 
 // NewExecutor returns an executor for the process with this incarnation.
-func NewExecutor(holder string, s Settings, a Admission, b Budgets, r Router, t platform.Table) *Executor {
+func NewExecutor(holder string, s Settings, a Admission, b Budgets, r Router, t store.Table) *Executor {
 	base, stop := context.WithCancel(context.Background())
 	return &Executor{
 		base:      base,
--- a/request/harness_test.go
+++ b/request/harness_test.go
@@ -15,7 +15,7 @@
 	"go.uber.org/goleak"
 
 	"buckthornridge/budget"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 	"buckthornridge/upstream"
 )
 
@@ -24,7 +24,7 @@
 // world is what a test's executors share: upstreams, table and accounts.
 type world struct {
 	t        *testing.T
-	fake     *platform.Fake
+	fake     *store.Fake
 	engines  map[string]*fakeEngine
 	services map[string]*fakeService
 	order    []string // upstreams in the order of Pick
@@ -34,7 +34,7 @@
 func newWorld(t *testing.T) *world {
 	return &world{
 		t:        t,
-		fake:     platform.NewFake(platform.FakeOptions{}),
+		fake:     store.NewFake(store.FakeOptions{}),
 		engines:  map[string]*fakeEngine{},
 		services: map[string]*fakeService{},
 	}
--- a/router/copies.go
+++ b/router/copies.go
@@ -8,7 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"buckthornridge/budget"
-	"buckthornridge/journal"
+	"buckthornridge/budget/journal"
 	"buckthornridge/membership"
 	"buckthornridge/peer"
 )
--- a/router/handover.go
+++ b/router/handover.go
@@ -8,7 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"buckthornridge/budget"
-	"buckthornridge/journal"
+	"buckthornridge/budget/journal"
 	"buckthornridge/membership"
 	"buckthornridge/peer"
 )
--- a/router/members.go
+++ b/router/members.go
@@ -10,8 +10,8 @@
 	"buckthornridge/config"
 	"buckthornridge/membership"
 	"buckthornridge/peer"
-	"buckthornridge/platform"
 	"buckthornridge/routing"
+	"buckthornridge/store"
 )
 
 const (
@@ -25,7 +25,7 @@
 // members keeps the router's view of the fleet from the VM list, heartbeats and
 // calls that failed, and tells routing what it says of upstreams.
 type members struct {
-	list     platform.VMList
+	list     store.VMList
 	interval time.Duration
 	tracker  *membership.Tracker
 	gossip   *membership.Gossip
@@ -33,7 +33,7 @@
 	view     *membership.Holder
 }
 
-func newMembers(s Settings, self membership.Member, list platform.VMList, peers peer.Caller, table *routing.Table) *members {
+func newMembers(s Settings, self membership.Member, list store.VMList, peers peer.Caller, table *routing.Table) *members {
 	tracker := membership.NewTracker(membership.Options{
 		Self:  self,
 		Beats: map[string]bool{roleRouter: true},
--- a/router/members_test.go
+++ b/router/members_test.go
@@ -8,11 +8,11 @@
 
 	"github.com/matryer/is"
 
-	"buckthornridge/journal"
+	"buckthornridge/budget/journal"
 	"buckthornridge/membership"
-	"buckthornridge/platform"
 	"buckthornridge/routing"
 	"buckthornridge/settings"
+	"buckthornridge/store"
 )
 
 // An engine is about to stop and says so in its load report. One router hears
@@ -21,7 +21,7 @@
 func TestLeavingEngineIsKnownToAllRouters(t *testing.T) {
 	is := is.New(t)
 	f := startFleet(t, 1, 100_000)
-	f.fake.SetFaults(platform.Faults{VMListFrozen: true})
+	f.fake.SetFaults(store.Faults{VMListFrozen: true})
 	late := f.startRouter("vm-late", f.routers[0].settings.Platform, func(s *Settings) {
 		s.LoadInterval = settings.Duration(time.Hour)
 		s.Peers = []string{f.routers[0].settings.PeerListen}
@@ -41,7 +41,7 @@
 func TestLeavingRouterIsKnownWithoutTheList(t *testing.T) {
 	is := is.New(t)
 	f := startFleet(t, 2, 100_000)
-	f.fake.SetFaults(platform.Faults{VMListFrozen: true})
+	f.fake.SetFaults(store.Faults{VMListFrozen: true})
 	is.NoErr(f.routers[0].Drain(t.Context()))
 	f.await("leaving", func() bool { return f.routers[1].members.routers() == 1 })
 	is.Equal(f.routers[1].members.view.Load().Members["vm-1"].State, membership.Leaving)
@@ -51,14 +51,14 @@
 type sleeper struct {
 	ctx     context.Context
 	check   wakeCheck
-	fake    *platform.Fake
+	fake    *store.Fake
 	tracker *membership.Tracker
 }
 
 // pausedRouter runs test in virtual time with a tracker that looks for pauses.
 func pausedRouter(t *testing.T, test func(*is.I, *sleeper)) {
 	synctest.Test(t, func(t *testing.T) {
-		fake := platform.NewFake(platform.FakeOptions{})
+		fake := store.NewFake(store.FakeOptions{})
 		table := fake.As("vm-1").Table
 		writer := journal.NewWriter(table, "vm-1#1", 0)
 		ctx, cancel := context.WithCancel(t.Context())
@@ -85,7 +85,7 @@
 	pausedRouter(t, func(is *is.I, s *sleeper) {
 		is.True(s.check.passed())
 		key := s.check.writer.Condition().Key
-		_, err := s.fake.As("other").Table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: key, Delete: true}}})
+		_, err := s.fake.As("other").Table.Commit(t.Context(), store.Txn{Writes: []store.Write{{Key: key, Delete: true}}})
 		is.NoErr(err)
 		time.Sleep(time.Minute)
 		s.wake()
@@ -98,7 +98,7 @@
 // declared it gone, and it must go on spending what it holds.
 func TestShortPauseInAnOutage(t *testing.T) {
 	pausedRouter(t, func(is *is.I, s *sleeper) {
-		s.fake.SetFaults(platform.Faults{Down: true})
+		s.fake.SetFaults(store.Faults{Down: true})
 		time.Sleep(2 * time.Second)
 		s.wake()
 		is.True(s.check.passed())
@@ -110,13 +110,13 @@
 // before the table went down, so it waits for the table.
 func TestLongPauseInAnOutage(t *testing.T) {
 	pausedRouter(t, func(is *is.I, s *sleeper) {
-		s.fake.SetFaults(platform.Faults{Down: true})
+		s.fake.SetFaults(store.Faults{Down: true})
 		time.Sleep(time.Hour)
 		s.wake()
 		is.True(!s.check.passed())
 		time.Sleep(time.Minute)
 		is.True(!s.check.passed())
-		s.fake.SetFaults(platform.Faults{})
+		s.fake.SetFaults(store.Faults{})
 		is.True(s.check.passed())
 		is.True(s.check.writer.Alive())
 	})
--- a/router/router.go
+++ b/router/router.go
@@ -22,10 +22,10 @@
 	"buckthornridge/config"
 	"buckthornridge/membership"
 	"buckthornridge/peer"
-	"buckthornridge/platform"
-	"buckthornridge/platform/httpclient"
 	"buckthornridge/request"
 	"buckthornridge/routing"
+	"buckthornridge/store"
+	"buckthornridge/store/httpclient"
 )
 
 const roleRouter = request.RoleRouter
@@ -47,7 +47,7 @@
 type Router struct {
 	settings    Settings
 	incarnation string
-	services    platform.Services
+	services    store.Services
 	client      *httpclient.Client
 
 	watcher  *config.Watcher
@@ -265,7 +265,7 @@
 // announceUntilDone puts this VM on the platform's list.
 func (r *Router) announceUntilDone(ctx context.Context) {
 	for {
-		err := r.announce(ctx, platform.VMLive)
+		err := r.announce(ctx, store.VMLive)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
@@ -278,9 +278,9 @@
 	}
 }
 
-func (r *Router) announce(ctx context.Context, state platform.VMState) error {
+func (r *Router) announce(ctx context.Context, state store.VMState) error {
 	self := r.self()
-	return r.services.VMs.Announce(ctx, platform.VM{
+	return r.services.VMs.Announce(ctx, store.VM{
 		ID:          self.ID,
 		Incarnation: self.Incarnation,
 		Role:        self.Role,
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -20,14 +20,14 @@
 	"go.uber.org/goleak"
 
 	"buckthornridge/budget"
+	"buckthornridge/budget/journal"
 	"buckthornridge/config"
-	"buckthornridge/journal"
-	"buckthornridge/platform"
 	"buckthornridge/request"
 	"buckthornridge/settings"
 	"buckthornridge/standin/answer"
 	"buckthornridge/standin/engine"
 	standin "buckthornridge/standin/platform"
+	"buckthornridge/store"
 	"buckthornridge/upstream"
 )
 
@@ -44,8 +44,8 @@
 // servers on loopback in one process.
 type fleet struct {
 	t       testing.TB
-	fake    *platform.Fake
-	table   platform.Table
+	fake    *store.Fake
+	table   store.Table
 	engine  *engine.Engine
 	service *countingService
 	routers []*Router
--- a/router/stop.go
+++ b/router/stop.go
@@ -8,7 +8,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Drain is a planned stop: it cuts no request in progress. First the balancer
@@ -34,7 +34,7 @@
 func (r *Router) tellLeaving(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, announceLimit)
 	defer cancel()
-	if err := r.announce(ctx, platform.VMLeaving); err != nil {
+	if err := r.announce(ctx, store.VMLeaving); err != nil {
 		klog.Warningf("the VM list did not take that this router is leaving: %v", err)
 	}
 }
--- a/router/wake.go
+++ b/router/wake.go
@@ -7,9 +7,9 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
-	"buckthornridge/journal"
+	"buckthornridge/budget/journal"
 	"buckthornridge/membership"
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Timing of the check after a pause.
@@ -32,7 +32,7 @@
 // in, dispatch a request under a grant that another router holds by now, and
 // overspend the budget or run a non-repeatable call again.
 type wakeCheck struct {
-	table   platform.Table
+	table   store.Table
 	writer  *journal.Writer
 	tracker *membership.Tracker
 }
--- a/standin/node/node.go
+++ b/standin/node/node.go
@@ -14,7 +14,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Upstream is what a node runs.
@@ -31,9 +31,9 @@
 // Options say how a node is announced and how it leaves.
 type Options struct {
 	// VM is the node's entry in the VM list; its State is set by the node.
-	VM platform.VM
+	VM store.VM
 	// List is the VM list, or nil to announce the node to nobody.
-	List platform.VMList
+	List store.VMList
 	// LeaveGrace is the least time for which a leaving node goes on answering,
 	// so that callers learn of it before its address is gone.
 	LeaveGrace time.Duration
@@ -71,7 +71,7 @@
 	case <-ctx.Done():
 		closing.closing.Store(true)
 		failure = leave(server, up, announcer, o)
-		announcer.say(platform.VMGone)
+		announcer.say(store.VMGone)
 	}
 	announcer.stop()
 	klog.InfoS("upstream stopped", "vm", o.VM.ID)
@@ -109,7 +109,7 @@
 // leave refuses new work and finishes what is in progress.
 func leave(server *http.Server, up Upstream, announcer *announcer, o Options) error {
 	klog.InfoS("upstream leaves", "vm", o.VM.ID, "open", up.Open())
-	announcer.say(platform.VMLeaving)
+	announcer.say(store.VMLeaving)
 	up.Leave()
 	grace := time.Now().Add(o.LeaveGrace)
 	limit := time.Now().Add(o.DrainTimeout)
@@ -131,7 +131,7 @@
 // platform does not take it.
 type announcer struct {
 	options Options
-	states  chan platform.VMState
+	states  chan store.VMState
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 }
@@ -144,16 +144,16 @@
 
 func startAnnouncer(o Options) *announcer {
 	ctx, cancel := context.WithCancel(context.Background())
-	a := &announcer{options: o, states: make(chan platform.VMState, 3), cancel: cancel}
+	a := &announcer{options: o, states: make(chan store.VMState, 3), cancel: cancel}
 	if o.List != nil {
 		a.done.Go(func() { a.run(ctx) })
 	}
-	a.say(platform.VMLive)
+	a.say(store.VMLive)
 	return a
 }
 
 // say announces a state soon; a node says each of its three states once.
-func (a *announcer) say(state platform.VMState) { a.states <- state }
+func (a *announcer) say(state store.VMState) { a.states <- state }
 
 func (a *announcer) run(ctx context.Context) {
 	vm := a.options.VM
@@ -165,11 +165,11 @@
 	}
 }
 
-func (a *announcer) announce(ctx context.Context, vm platform.VM) bool {
+func (a *announcer) announce(ctx context.Context, vm store.VM) bool {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	err := a.options.List.Announce(ctx, vm)
-	if errors.Is(err, platform.ErrInvalid) {
+	if errors.Is(err, store.ErrInvalid) {
 		klog.ErrorS(err, "announcement refused", "vm", vm.ID, "state", vm.State)
 		return true // a younger incarnation has this id: trying again cannot help
 	}
--- a/standin/node/node_test.go
+++ b/standin/node/node_test.go
@@ -15,10 +15,10 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/goleak"
 
-	"buckthornridge/platform"
 	"buckthornridge/settings"
 	"buckthornridge/standin/engine"
 	"buckthornridge/standin/service"
+	"buckthornridge/store"
 	"buckthornridge/upstream"
 )
 
@@ -26,14 +26,14 @@
 
 // recordedList takes announcements and refuses the first ones.
 type recordedList struct {
-	platform.VMList
+	store.VMList
 	mu     sync.Mutex
 	refuse int
 	with   error
-	states []platform.VMState
+	states []store.VMState
 }
 
-func (l *recordedList) Announce(_ context.Context, vm platform.VM) error {
+func (l *recordedList) Announce(_ context.Context, vm store.VM) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.refuse > 0 {
@@ -44,7 +44,7 @@
 	return nil
 }
 
-func (l *recordedList) seen(state platform.VMState) bool {
+func (l *recordedList) seen(state store.VMState) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return slices.Contains(l.states, state)
@@ -57,7 +57,7 @@
 	done    chan error
 }
 
-func runNode(t *testing.T, up Upstream, list platform.VMList, grace time.Duration) running {
+func runNode(t *testing.T, up Upstream, list store.VMList, grace time.Duration) running {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -65,7 +65,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	r := running{address: listener.Addr().String(), stop: stop, done: make(chan error, 1)}
-	options := Options{VM: platform.VM{ID: "u-1", Incarnation: "1"}, List: list, LeaveGrace: grace, DrainTimeout: 10 * time.Second}
+	options := Options{VM: store.VM{ID: "u-1", Incarnation: "1"}, List: list, LeaveGrace: grace, DrainTimeout: 10 * time.Second}
 	go func() { r.done <- Run(ctx, listener, up, options) }()
 	t.Cleanup(stop)
 	return r
@@ -112,7 +112,7 @@
 	is.NoErr(err)
 	is.NoErr(e.SetFaults(engine.Faults{Stall: true})) // the caption stays open
 	r.stop()
-	eventually(t, "leaving is announced", func() bool { return list.seen(platform.VMLeaving) })
+	eventually(t, "leaving is announced", func() bool { return list.seen(store.VMLeaving) })
 	g.StreamID = "w/2/1"
 	eventually(t, "new requests are refused", func() bool {
 		_, err := client.Generate(t.Context(), g)
@@ -128,7 +128,7 @@
 	is.Equal(err, io.EOF)
 	is.NoErr(stream.Close())
 	is.NoErr(<-r.done)
-	is.Equal(list.states, []platform.VMState{platform.VMLive, platform.VMLeaving, platform.VMGone})
+	is.Equal(list.states, []store.VMState{store.VMLive, store.VMLeaving, store.VMGone})
 	// The caption's connection became idle only just before the server closed it,
 	// and the client may not have noticed yet.
 	transport.CloseIdleConnections()
@@ -151,7 +151,7 @@
 	_, err = client.Do(t.Context(), call)
 	is.NoErr(err)
 	r.stop()
-	eventually(t, "leaving is announced", func() bool { return list.seen(platform.VMLeaving) })
+	eventually(t, "leaving is announced", func() bool { return list.seen(store.VMLeaving) })
 	for range 5 {
 		_, err = client.Do(t.Context(), call)
 		is.NoErr(err)
@@ -167,13 +167,13 @@
 // announced once the platform is back.
 func TestAnnouncementIsTriedAgain(t *testing.T) {
 	is := is.New(t)
-	list := &recordedList{refuse: 2, with: eris.Wrap(platform.ErrUnavailable, "announce")}
+	list := &recordedList{refuse: 2, with: eris.Wrap(store.ErrUnavailable, "announce")}
 	r := runNode(t, testEngine(t), list, 0)
 	resp, err := http.Get("http://" + r.address + "/v1/load")
 	is.NoErr(err)
 	is.NoErr(resp.Body.Close())
 	http.DefaultClient.CloseIdleConnections()
-	eventually(t, "live is announced", func() bool { return list.seen(platform.VMLive) })
+	eventually(t, "live is announced", func() bool { return list.seen(store.VMLive) })
 	r.stop()
 	is.NoErr(<-r.done)
 }
@@ -182,7 +182,7 @@
 // for the entry.
 func TestRefusedAnnouncementIsNotRepeated(t *testing.T) {
 	is := is.New(t)
-	list := &recordedList{refuse: 1, with: platform.ErrInvalid}
+	list := &recordedList{refuse: 1, with: store.ErrInvalid}
 	r := runNode(t, testEngine(t), list, 0)
 	eventually(t, "it was refused", func() bool {
 		list.mu.Lock()
@@ -191,12 +191,12 @@
 	})
 	r.stop()
 	is.NoErr(<-r.done)
-	is.True(!list.seen(platform.VMLive))
+	is.True(!list.seen(store.VMLive))
 }
 
 func TestOutageDoesNotHoldUpTheStop(t *testing.T) {
 	is := is.New(t)
-	list := &recordedList{refuse: 1 << 30, with: platform.ErrUnavailable}
+	list := &recordedList{refuse: 1 << 30, with: store.ErrUnavailable}
 	r := runNode(t, testEngine(t), list, 0)
 	r.stop()
 	is.NoErr(<-r.done)
--- a/standin/platform/contract_test.go
+++ b/standin/platform/contract_test.go
@@ -8,30 +8,30 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
-	"buckthornridge/platform"
-	"buckthornridge/platform/httpclient"
-	"buckthornridge/platform/platformtest"
 	standin "buckthornridge/standin/platform"
+	"buckthornridge/store"
+	"buckthornridge/store/httpclient"
+	"buckthornridge/store/storetest"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 func TestStandInKeepsTheContract(t *testing.T) {
-	platformtest.Run(t, func(t *testing.T) platformtest.Harness {
+	storetest.Run(t, func(t *testing.T) storetest.Harness {
 		server := standin.NewServer(contractSettings())
 		address := serve(t, server)
-		as := func(vmID string) platform.Services {
+		as := func(vmID string) store.Services {
 			client := httpclient.New(httpclient.Options{Address: address, VM: vmID})
 			t.Cleanup(client.Close)
 			return client.Services()
 		}
-		return platformtest.Harness{As: as, Fake: server.Fake()}
+		return storetest.Harness{As: as, Fake: server.Fake()}
 	})
 }
 
-// contractSettings give the platform that platformtest.Options describe.
+// contractSettings give the platform that storetest.Options describe.
 func contractSettings() standin.Settings {
-	options := platformtest.Options()
+	options := storetest.Options()
 	s := standin.Settings{Seed: options.Seed, WeightBytesPerSecond: standin.Count(options.WeightBytesPerSecond)}
 	for _, w := range options.Weights {
 		s.Weights = append(s.Weights, standin.WeightSettings{Model: w.Model, Version: w.Version, Bytes: standin.Count(w.Bytes)})
--- a/standin/platform/debug.go
+++ b/standin/platform/debug.go
@@ -6,9 +6,9 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
-	"buckthornridge/platform"
-	"buckthornridge/platform/wire"
 	"buckthornridge/settings"
+	"buckthornridge/store"
+	"buckthornridge/store/wire"
 )
 
 func (s *Server) showFaults(w http.ResponseWriter, _ *http.Request) {
@@ -22,7 +22,7 @@
 		refuse(w, err)
 		return
 	}
-	s.fake.UpdateFaults(func(faults *platform.Faults) {
+	s.fake.UpdateFaults(func(faults *store.Faults) {
 		var next FaultSettings
 		if next, err = mergeFaults(faultSettings(*faults), body); err == nil {
 			*faults = next.faults()
@@ -38,7 +38,7 @@
 
 func mergeFaults(present FaultSettings, body []byte) (FaultSettings, error) {
 	if err := settings.Decode("body", body, &present); err != nil {
-		return present, eris.Wrapf(platform.ErrInvalid, "faults: %v", err)
+		return present, eris.Wrapf(store.ErrInvalid, "faults: %v", err)
 	}
 	return present, nil
 }
@@ -52,8 +52,8 @@
 // StateChange is the body of POST /debug/vms: the platform's own word on the
 // present incarnation of a VM.
 type StateChange struct {
-	ID    string           `json:"id"`
-	State platform.VMState `json:"state"`
+	ID    string        `json:"id"`
+	State store.VMState `json:"state"`
 }
 
 func (s *Server) setVMState(w http.ResponseWriter, r *http.Request) {
--- a/standin/platform/fuzz_test.go
+++ b/standin/platform/fuzz_test.go
@@ -5,9 +5,9 @@
 	"net/http"
 	"testing"
 
-	"buckthornridge/platform"
-	"buckthornridge/platform/wire"
 	standin "buckthornridge/standin/platform"
+	"buckthornridge/store"
+	"buckthornridge/store/wire"
 )
 
 // FuzzCommit sends any bytes as a commit: they are applied exactly as they read,
@@ -38,12 +38,12 @@
 	})
 }
 
-func checkApplied(t *testing.T, body []byte, rows []platform.Row) {
-	var txn platform.Txn
+func checkApplied(t *testing.T, body []byte, rows []store.Row) {
+	var txn store.Txn
 	if err := json.Unmarshal(body, &txn); err != nil {
 		t.Fatalf("applied what does not decode: %v", err)
 	}
-	if err := platform.CheckTxn(txn); err != nil {
+	if err := store.CheckTxn(txn); err != nil {
 		t.Fatalf("applied what does not pass: %v", err)
 	}
 	values := map[string]string{}
--- a/standin/platform/message.go
+++ b/standin/platform/message.go
@@ -10,8 +10,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"buckthornridge/platform"
-	"buckthornridge/platform/wire"
+	"buckthornridge/store"
+	"buckthornridge/store/wire"
 )
 
 // receive reads a bounded JSON message. On a fault it answers and returns false.
@@ -34,10 +34,10 @@
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 	var tooLong *http.MaxBytesError
 	if errors.As(err, &tooLong) {
-		return nil, eris.Wrapf(platform.ErrTooLarge, "body of more than %d bytes", most)
+		return nil, eris.Wrapf(store.ErrTooLarge, "body of more than %d bytes", most)
 	}
 	if err != nil {
-		return nil, eris.Wrapf(platform.ErrInvalid, "read body: %v", err)
+		return nil, eris.Wrapf(store.ErrInvalid, "read body: %v", err)
 	}
 	return body, nil
 }
@@ -47,15 +47,15 @@
 func decode[M any](body []byte) (M, error) {
 	var message M
 	if !utf8.Valid(body) {
-		return message, eris.Wrap(platform.ErrInvalid, "body is no UTF-8")
+		return message, eris.Wrap(store.ErrInvalid, "body is no UTF-8")
 	}
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&message); err != nil {
-		return message, eris.Wrapf(platform.ErrInvalid, "malformed body: %v", err)
+		return message, eris.Wrapf(store.ErrInvalid, "malformed body: %v", err)
 	}
 	if _, err := decoder.Token(); err != io.EOF {
-		return message, eris.Wrap(platform.ErrInvalid, "malformed body: more than one message")
+		return message, eris.Wrap(store.ErrInvalid, "malformed body: more than one message")
 	}
 	return message, nil
 }
@@ -79,7 +79,7 @@
 // refuse answers an error. An unknown outcome is not answered: the connection
 // breaks, as the client of a lost answer sees it.
 func refuse(w http.ResponseWriter, err error) {
-	if errors.Is(err, platform.ErrOutcomeUnknown) {
+	if errors.Is(err, store.ErrOutcomeUnknown) {
 		panic(http.ErrAbortHandler)
 	}
 	code, status := wire.CodeOf(err)
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -1,4 +1,4 @@
-// Package platform is the stand-in for the platform: platform.Fake served over
+// Package platform is the stand-in for the platform: store.Fake served over
 // HTTP, with its faults under /debug.
 package platform
 
@@ -8,20 +8,20 @@
 
 	"golang.org/x/time/rate"
 
-	"buckthornridge/platform"
-	"buckthornridge/platform/wire"
+	"buckthornridge/store"
+	"buckthornridge/store/wire"
 )
 
 // Server is the stand-in's handler.
 type Server struct {
-	fake        *platform.Fake
+	fake        *store.Fake
 	mux         *http.ServeMux
 	weightLimit *rate.Limiter
 }
 
 // NewServer returns a handler over an empty platform.
 func NewServer(s Settings) *Server {
-	fake := platform.NewFake(platform.FakeOptions{
+	fake := store.NewFake(store.FakeOptions{
 		Seed:                 s.Seed,
 		Faults:               s.faults(),
 		Weights:              s.weights(),
@@ -34,7 +34,7 @@
 }
 
 // Fake returns the platform that is served.
-func (s *Server) Fake() *platform.Fake { return s.fake }
+func (s *Server) Fake() *store.Fake { return s.fake }
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
@@ -66,6 +66,6 @@
 }
 
 // services are those of the VM that makes the request.
-func (s *Server) services(r *http.Request) platform.Services {
+func (s *Server) services(r *http.Request) store.Services {
 	return s.fake.As(r.Header.Get(wire.HeaderVM))
 }
--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -14,11 +14,11 @@
 
 	"github.com/matryer/is"
 
-	"buckthornridge/platform"
-	"buckthornridge/platform/platformtest"
-	"buckthornridge/platform/wire"
 	"buckthornridge/settings"
 	standin "buckthornridge/standin/platform"
+	"buckthornridge/store"
+	"buckthornridge/store/storetest"
+	"buckthornridge/store/wire"
 )
 
 // ask makes a request to the handler without a network.
@@ -47,7 +47,7 @@
 		"scan":              {"POST", wire.PathScan, `{"limit":0}`, 400, "invalid"},
 		"announce":          {"POST", wire.PathVMs, `{"id":"a"}`, 400, "invalid"},
 		"object name":       {"PUT", wire.PathObjects + "/%2Fx", "", 400, "invalid"},
-		"oversized object":  {"PUT", wire.PathObjects + "/x", strings.Repeat(" ", platform.MaxObjectBytes+1), 413, "too-large"},
+		"oversized object":  {"PUT", wire.PathObjects + "/x", strings.Repeat(" ", store.MaxObjectBytes+1), 413, "too-large"},
 		"unknown model":     {"GET", wire.PathWeights + "/huge", "", 404, "not-found"},
 		"wrong method":      {"PUT", wire.PathCommit, "", 405, ""},
 		"unknown path":      {"GET", "/v1/rows", "", 404, ""},
@@ -76,7 +76,7 @@
 	s.WritesPerSecond = 600
 	server := standin.NewServer(s)
 	is.Equal(ask(server, "POST", "/debug/faults", `{"latency":"2ms","cut":["a"],"lose_next":1}`).Code, 200)
-	want := platform.Faults{WritesPerSecond: 600, Latency: 2 * time.Millisecond, Cut: []string{"a"}, LoseNext: 1}
+	want := store.Faults{WritesPerSecond: 600, Latency: 2 * time.Millisecond, Cut: []string{"a"}, LoseNext: 1}
 	is.Equal(server.Fake().Faults(), want)
 	// what GET shows may be posted back
 	shown := ask(server, "GET", "/debug/faults", "").Body.String()
@@ -93,18 +93,18 @@
 	is.Equal(ask(server, "POST", "/debug/faults", `{"down":true,"vm_list_lag":"1h","delay_next":1}`).Code, 200)
 	var table wire.RowsAnswer
 	decodeAnswer(t, ask(server, "GET", "/debug/table?prefix=a/", ""), &table)
-	is.Equal(table.Rows, []platform.Row{{Key: "a/1", Value: []byte("1"), Version: 1}})
-	var counters platform.Counters
+	is.Equal(table.Rows, []store.Row{{Key: "a/1", Value: []byte("1"), Version: 1}})
+	var counters store.Counters
 	decodeAnswer(t, ask(server, "GET", "/debug/counters", ""), &counters)
-	is.Equal(counters, platform.Counters{Commits: 1, Txns: 1, RowsWritten: 2})
+	is.Equal(counters, store.Counters{Commits: 1, Txns: 1, RowsWritten: 2})
 
 	is.Equal(ask(server, "POST", "/debug/faults", `{"down":false,"delay_next":0}`).Code, 200)
 	announced := `{"id":"a","incarnation":"1","role":"router","data_centre":"","region":"","address":"","state":"live"}`
 	is.Equal(ask(server, "POST", wire.PathVMs, announced).Code, 200)
 	is.Equal(ask(server, "POST", "/debug/vms", `{"id":"a","state":"leaving"}`).Code, 200)
-	var vms []platform.VM
+	var vms []store.VM
 	decodeAnswer(t, ask(server, "GET", "/debug/vms", ""), &vms)
-	is.Equal(vms[0].State, platform.VMLeaving)
+	is.Equal(vms[0].State, store.VMLeaving)
 	is.Equal(ask(server, "GET", "/debug/vars", "").Code, 200)
 	is.Equal(ask(server, "GET", "/healthz", "").Code, 200)
 }
@@ -142,7 +142,7 @@
 			for range downloads {
 				all.Go(func() {
 					got := ask(server, "GET", wire.PathWeights+"/small", "")
-					is.Equal(int64(got.Body.Len()), platformtest.Weights[0].Bytes)
+					is.Equal(int64(got.Body.Len()), storetest.Weights[0].Bytes)
 				})
 			}
 			all.Wait()
@@ -171,7 +171,7 @@
 	server := standin.NewServer(contractSettings())
 	listener := listen(t)
 	ctx, stop := context.WithCancel(t.Context())
-	server.Fake().SetHooks(platform.Hooks{Before: func(platform.Call) {
+	server.Fake().SetHooks(store.Hooks{Before: func(store.Call) {
 		stop()
 		for { // until the listener is closed, which Shutdown does first
 			probe, err := http.Get("http://" + listener.Addr().String() + "/healthz")
--- a/standin/platform/services.go
+++ b/standin/platform/services.go
@@ -3,8 +3,8 @@
 import (
 	"net/http"
 
-	"buckthornridge/platform"
-	"buckthornridge/platform/wire"
+	"buckthornridge/store"
+	"buckthornridge/store/wire"
 )
 
 func (s *Server) read(w http.ResponseWriter, r *http.Request) {
@@ -26,7 +26,7 @@
 }
 
 func (s *Server) commit(w http.ResponseWriter, r *http.Request) {
-	txn, ok := receive[platform.Txn](w, r)
+	txn, ok := receive[store.Txn](w, r)
 	if !ok {
 		return
 	}
@@ -50,7 +50,7 @@
 }
 
 func (s *Server) putObject(w http.ResponseWriter, r *http.Request) {
-	data, err := readBody(w, r, platform.MaxObjectBytes)
+	data, err := readBody(w, r, store.MaxObjectBytes)
 	if err != nil {
 		refuse(w, err)
 		return
@@ -70,7 +70,7 @@
 }
 
 func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
-	vm, ok := receive[platform.VM](w, r)
+	vm, ok := receive[store.VM](w, r)
 	if !ok {
 		return
 	}
--- a/standin/platform/settings.go
+++ b/standin/platform/settings.go
@@ -1,8 +1,8 @@
 package platform
 
 import (
-	"buckthornridge/platform"
 	"buckthornridge/settings"
+	"buckthornridge/store"
 )
 
 // Settings of the stand-in, in the form of its settings file.
@@ -18,14 +18,14 @@
 	FaultSettings
 }
 
-// WeightSettings are a platform.Weight in the form of settings.
+// WeightSettings are a store.Weight in the form of settings.
 type WeightSettings struct {
 	Model   string `json:"model"`
 	Version string `json:"version"`
 	Bytes   Count  `json:"bytes"`
 }
 
-// FaultSettings are platform.Faults in the form of settings and of /debug/faults.
+// FaultSettings are store.Faults in the form of settings and of /debug/faults.
 type FaultSettings struct {
 	Down            bool              `json:"down"`
 	Cut             []string          `json:"cut"`
@@ -52,15 +52,15 @@
 	}
 }
 
-func (s Settings) weights() []platform.Weight {
-	var weights []platform.Weight
+func (s Settings) weights() []store.Weight {
+	var weights []store.Weight
 	for _, w := range s.Weights {
-		weights = append(weights, platform.Weight{Model: w.Model, Version: w.Version, Bytes: int64(w.Bytes)})
+		weights = append(weights, store.Weight{Model: w.Model, Version: w.Version, Bytes: int64(w.Bytes)})
 	}
 	return weights
 }
 
-func faultSettings(f platform.Faults) FaultSettings {
+func faultSettings(f store.Faults) FaultSettings {
 	return FaultSettings{
 		Down: f.Down, Cut: append([]string{}, f.Cut...), Silent: f.Silent, Latency: settings.Duration(f.Latency),
 		LoseNext: Count(f.LoseNext), LoseRate: Share(f.LoseRate),
@@ -70,8 +70,8 @@
 	}
 }
 
-func (s FaultSettings) faults() platform.Faults {
-	return platform.Faults{
+func (s FaultSettings) faults() store.Faults {
+	return store.Faults{
 		Down: s.Down, Cut: s.Cut, Silent: s.Silent, Latency: s.Latency.D(),
 		LoseNext: int(s.LoseNext), LoseRate: float64(s.LoseRate),
 		DelayNext: int(s.DelayNext), DelayRate: float64(s.DelayRate), Delay: s.Delay.D(),
--- a/standin/platform/weights.go
+++ b/standin/platform/weights.go
@@ -8,8 +8,8 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
-	"buckthornridge/platform"
-	"buckthornridge/platform/wire"
+	"buckthornridge/store"
+	"buckthornridge/store/wire"
 )
 
 // weightChunk is what the weight store sends at once, and its burst, in bytes.
@@ -37,9 +37,9 @@
 		return
 	}
 	model := r.PathValue("model")
-	at := slices.IndexFunc(weights, func(weight platform.Weight) bool { return weight.Model == model })
+	at := slices.IndexFunc(weights, func(weight store.Weight) bool { return weight.Model == model })
 	if at < 0 {
-		refuse(w, eris.Wrapf(platform.ErrNotFound, "weights of %q", model))
+		refuse(w, eris.Wrapf(store.ErrNotFound, "weights of %q", model))
 		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
--- a/platform/fake_faults.go
+++ b/store/fake_faults.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"slices"
--- a/platform/fake_test.go
+++ b/store/fake_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -11,7 +11,7 @@
 
 	"github.com/matryer/is"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // A write that was put off is seen by nobody before its time, and by everybody
@@ -19,10 +19,10 @@
 func TestDelayedWriteArrivesInVirtualTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		fake := platform.NewFake(platform.FakeOptions{Faults: platform.Faults{DelayNext: 1, Delay: time.Minute}})
+		fake := store.NewFake(store.FakeOptions{Faults: store.Faults{DelayNext: 1, Delay: time.Minute}})
 		table := fake.As("router-1").Table
 		_, err := table.Commit(t.Context(), write("a", "1"))
-		is.True(errors.Is(err, platform.ErrOutcomeUnknown))
+		is.True(errors.Is(err, store.ErrOutcomeUnknown))
 		is.Equal(version(t, table, "a"), int64(0))
 		time.Sleep(time.Minute)
 		is.Equal(version(t, table, "a"), int64(1))
@@ -30,15 +30,15 @@
 	})
 }
 
-func version(t *testing.T, table platform.Table, key string) int64 {
+func version(t *testing.T, table store.Table, key string) int64 {
 	t.Helper()
 	rows, err := table.Read(t.Context(), key)
 	is.New(t).NoErr(err)
 	return rows[0].Version
 }
 
-func write(key, value string) platform.Txn {
-	return platform.Txn{Writes: []platform.Write{{Key: key, Value: []byte(value)}}}
+func write(key, value string) store.Txn {
+	return store.Txn{Writes: []store.Write{{Key: key, Value: []byte(value)}}}
 }
 
 // Two writes are put off, the first for longer: they arrive in the order of
@@ -46,11 +46,11 @@
 func TestDelayedWritesArriveInTheOrderOfTheirTimes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		fake := platform.NewFake(platform.FakeOptions{})
+		fake := store.NewFake(store.FakeOptions{})
 		for _, delay := range []time.Duration{2 * time.Minute, time.Minute} {
-			fake.SetFaults(platform.Faults{DelayNext: 1, Delay: delay})
+			fake.SetFaults(store.Faults{DelayNext: 1, Delay: delay})
 			_, err := fake.As("a").Table.Commit(t.Context(), write("x", delay.String()))
-			is.True(errors.Is(err, platform.ErrOutcomeUnknown))
+			is.True(errors.Is(err, store.ErrOutcomeUnknown))
 		}
 		time.Sleep(time.Hour)
 		is.Equal(string(fake.Dump("")[0].Value), "2m0s")
@@ -61,28 +61,28 @@
 func TestWriteOnTheWayToAPlatformThatIsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		fake := platform.NewFake(platform.FakeOptions{Faults: platform.Faults{Down: true, Latency: 10 * time.Second}})
+		fake := store.NewFake(store.FakeOptions{Faults: store.Faults{Down: true, Latency: 10 * time.Second}})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, err := fake.As("a").Table.Commit(ctx, write("x", "1"))
-		is.True(errors.Is(err, platform.ErrOutcomeUnknown))
+		is.True(errors.Is(err, store.ErrOutcomeUnknown))
 		time.Sleep(time.Hour)
 		is.Equal(len(fake.Dump("")), 0)
 	})
 }
 
 func TestRatesOverTime(t *testing.T) {
-	threeRows := platform.Txn{Writes: []platform.Write{{Key: "x"}, {Key: "y"}, {Key: "z"}}}
+	threeRows := store.Txn{Writes: []store.Write{{Key: "x"}, {Key: "y"}, {Key: "z"}}}
 	for name, c := range map[string]struct {
-		faults  platform.Faults
+		faults  store.Faults
 		applied int64 // of ten at once, and again after each of two seconds
 	}{
-		"calls": {platform.Faults{WritesPerSecond: 3}, 9},
-		"rows":  {platform.Faults{WritesPerSecond: 3, CountRows: true}, 3},
+		"calls": {store.Faults{WritesPerSecond: 3}, 9},
+		"rows":  {store.Faults{WritesPerSecond: 3, CountRows: true}, 3},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				fake := platform.NewFake(platform.FakeOptions{Faults: c.faults})
+				fake := store.NewFake(store.FakeOptions{Faults: c.faults})
 				for range 3 {
 					for range 10 {
 						_, _ = fake.As("a").Table.Commit(t.Context(), threeRows)
@@ -98,7 +98,7 @@
 
 func TestFaultsFollowTheSeed(t *testing.T) {
 	fates := func(seed uint64) string {
-		fake := platform.NewFake(platform.FakeOptions{Seed: seed, Faults: platform.Faults{LoseRate: 0.3, DelayRate: 0.3}})
+		fake := store.NewFake(store.FakeOptions{Seed: seed, Faults: store.Faults{LoseRate: 0.3, DelayRate: 0.3}})
 		var drawn strings.Builder
 		for range 64 {
 			_, err := fake.As("a").Table.Commit(t.Context(), write("x", "1"))
@@ -117,11 +117,11 @@
 func TestDeadlineOnTheWayDoesNotCallTheWriteBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		fake := platform.NewFake(platform.FakeOptions{Faults: platform.Faults{Latency: 10 * time.Second}})
+		fake := store.NewFake(store.FakeOptions{Faults: store.Faults{Latency: 10 * time.Second}})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		_, err := fake.As("router-1").Table.Commit(ctx, platform.Txn{Writes: []platform.Write{{Key: "a"}}})
-		is.True(errors.Is(err, platform.ErrOutcomeUnknown))
+		_, err := fake.As("router-1").Table.Commit(ctx, store.Txn{Writes: []store.Write{{Key: "a"}}})
+		is.True(errors.Is(err, store.ErrOutcomeUnknown))
 		is.True(errors.Is(err, context.DeadlineExceeded))
 		is.Equal(len(fake.Dump("")), 0)
 		time.Sleep(10 * time.Second)
@@ -132,27 +132,27 @@
 // Another VM takes a row between the read of the first and its commit.
 func TestHooksInterleaveTwoVMs(t *testing.T) {
 	is := is.New(t)
-	fake := platform.NewFake(platform.FakeOptions{})
-	create := platform.Txn{
-		Conditions: []platform.Condition{{Key: "a", Version: 0}},
-		Writes:     []platform.Write{{Key: "a"}},
+	fake := store.NewFake(store.FakeOptions{})
+	create := store.Txn{
+		Conditions: []store.Condition{{Key: "a", Version: 0}},
+		Writes:     []store.Write{{Key: "a"}},
 	}
-	fake.SetHooks(platform.Hooks{Before: func(call platform.Call) {
-		if call.Step != platform.StepCommit || call.VM != "slow" {
+	fake.SetHooks(store.Hooks{Before: func(call store.Call) {
+		if call.Step != store.StepCommit || call.VM != "slow" {
 			return
 		}
 		_, err := fake.As("quick").Table.Commit(t.Context(), create)
 		is.NoErr(err)
 	}})
 	_, err := fake.As("slow").Table.Commit(t.Context(), create)
-	is.True(errors.Is(err, platform.ErrConditionFailed))
+	is.True(errors.Is(err, store.ErrConditionFailed))
 }
 
 func TestFailedJoinsMeaningAndCause(t *testing.T) {
 	is := is.New(t)
-	err := platform.Failed("table commit", "host:1", platform.ErrOutcomeUnknown, context.DeadlineExceeded)
-	is.True(errors.Is(err, platform.ErrOutcomeUnknown))
+	err := store.Failed("table commit", "host:1", store.ErrOutcomeUnknown, context.DeadlineExceeded)
+	is.True(errors.Is(err, store.ErrOutcomeUnknown))
 	is.True(errors.Is(err, context.DeadlineExceeded))
-	is.True(!errors.Is(err, platform.ErrUnavailable))
-	is.Equal(err.Error(), "table commit host:1: platform: outcome unknown: context deadline exceeded")
+	is.True(!errors.Is(err, store.ErrUnavailable))
+	is.Equal(err.Error(), "table commit host:1: store: outcome unknown: context deadline exceeded")
 }
--- a/platform/httpclient/call.go
+++ b/store/httpclient/call.go
@@ -12,8 +12,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"buckthornridge/platform"
-	"buckthornridge/platform/wire"
+	"buckthornridge/store"
+	"buckthornridge/store/wire"
 	"buckthornridge/telemetry"
 )
 
@@ -24,7 +24,7 @@
 
 // exchange is one request with what is needed to judge its answer.
 type exchange struct {
-	step   platform.Step
+	step   store.Step
 	write  bool
 	method string
 	path   string
@@ -34,13 +34,13 @@
 }
 
 // post makes an exchange of JSON messages.
-func post(step platform.Step, path string, message any) exchange {
+func post(step store.Step, path string, message any) exchange {
 	// The messages of package wire always marshal.
 	body, _ := json.Marshal(message)
 	return exchange{step: step, method: http.MethodPost, path: path, body: body, maxAnswer: wire.MaxAnswerBytes}
 }
 
-func get(step platform.Step, path string) exchange {
+func get(step store.Step, path string) exchange {
 	return exchange{step: step, method: http.MethodGet, path: path, maxAnswer: wire.MaxAnswerBytes}
 }
 
@@ -81,11 +81,11 @@
 	})
 	request, err := c.request(ctx, e)
 	if err != nil {
-		return nil, c.fail(e, platform.ErrInvalid, err)
+		return nil, c.fail(e, store.ErrInvalid, err)
 	}
 	response, err := c.transport.RoundTrip(request)
 	if err != nil && !connected {
-		return nil, c.fail(e, platform.ErrUnavailable, err)
+		return nil, c.fail(e, store.ErrUnavailable, err)
 	}
 	if err != nil {
 		return nil, c.fail(e, e.doubt(), err)
@@ -125,13 +125,13 @@
 // doubt is what an exchange means whose answer can't be relied on.
 func (e exchange) doubt() error {
 	if e.write {
-		return platform.ErrOutcomeUnknown
+		return store.ErrOutcomeUnknown
 	}
-	return platform.ErrUnavailable
+	return store.ErrUnavailable
 }
 
 func (e exchange) meaning(code wire.Code) error {
-	if meaning := wire.ErrorOf(code); !errors.Is(meaning, platform.ErrOutcomeUnknown) {
+	if meaning := wire.ErrorOf(code); !errors.Is(meaning, store.ErrOutcomeUnknown) {
 		return meaning
 	}
 	return e.doubt()
@@ -148,5 +148,5 @@
 func (c *Client) fail(e exchange, meaning, cause error) error {
 	code, _ := wire.CodeOf(meaning)
 	failures.Add(string(e.step)+" "+string(code), 1)
-	return platform.Failed(string(e.step), c.options.Address, meaning, cause)
+	return store.Failed(string(e.step), c.options.Address, meaning, cause)
 }
--- a/platform/httpclient/client.go
+++ b/store/httpclient/client.go
@@ -10,7 +10,7 @@
 	"net/http"
 	"time"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Options says how to reach the platform.
@@ -61,8 +61,8 @@
 }
 
 // Services returns the platform's services through this client.
-func (c *Client) Services() platform.Services {
-	return platform.Services{Table: table{c}, Objects: objects{c}, VMs: vmList{c}, Weights: weights{c}}
+func (c *Client) Services() store.Services {
+	return store.Services{Table: table{c}, Objects: objects{c}, VMs: vmList{c}, Weights: weights{c}}
 }
 
 // Close closes the idle connections; calls under way finish.
