--- a/platform/httpclient/client_test.go
+++ b/store/httpclient/client_test.go
@@ -14,9 +14,9 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
-	"buckthornridge/platform"
-	"buckthornridge/platform/httpclient"
-	"buckthornridge/platform/wire"
+	"buckthornridge/store"
+	"buckthornridge/store/httpclient"
+	"buckthornridge/store/wire"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -30,21 +30,21 @@
 		write  error
 		read   error
 	}{
-		"unmarked 503":    {status(503), platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		"unmarked, good":  {unmarkedGood, platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		"unmarked 404":    {status(404), platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		"page of HTML":    {body("<html>"), platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		"empty object":    {body("{}"), platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		"truncated":       {truncated, platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		"dropped":         {dropped, platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		"too long":        {tooLong, platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		"marked 503":      {marked("unavailable"), platform.ErrUnavailable, platform.ErrUnavailable},
-		"marked unknown":  {marked("outcome-unknown"), platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		"marked, no such": {marked("surprise"), platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		"marked conflict": {marked("condition-failed"), platform.ErrConditionFailed, platform.ErrConditionFailed},
-		"rows of others":  {body(`{"rows":[{"key":"0","version":1}],"version":0}`), platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		"a row unasked":   {body(`{"rows":[{"key":"a","version":1},{"key":"b","version":1}]}`), platform.ErrOutcomeUnknown, platform.ErrUnavailable},
-		"a row too many":  {body(`{"rows":[{"key":"b","version":1},{"key":"c","version":1}]}`), platform.ErrOutcomeUnknown, platform.ErrUnavailable},
+		"unmarked 503":    {status(503), store.ErrOutcomeUnknown, store.ErrUnavailable},
+		"unmarked, good":  {unmarkedGood, store.ErrOutcomeUnknown, store.ErrUnavailable},
+		"unmarked 404":    {status(404), store.ErrOutcomeUnknown, store.ErrUnavailable},
+		"page of HTML":    {body("<html>"), store.ErrOutcomeUnknown, store.ErrUnavailable},
+		"empty object":    {body("{}"), store.ErrOutcomeUnknown, store.ErrUnavailable},
+		"truncated":       {truncated, store.ErrOutcomeUnknown, store.ErrUnavailable},
+		"dropped":         {dropped, store.ErrOutcomeUnknown, store.ErrUnavailable},
+		"too long":        {tooLong, store.ErrOutcomeUnknown, store.ErrUnavailable},
+		"marked 503":      {marked("unavailable"), store.ErrUnavailable, store.ErrUnavailable},
+		"marked unknown":  {marked("outcome-unknown"), store.ErrOutcomeUnknown, store.ErrUnavailable},
+		"marked, no such": {marked("surprise"), store.ErrOutcomeUnknown, store.ErrUnavailable},
+		"marked conflict": {marked("condition-failed"), store.ErrConditionFailed, store.ErrConditionFailed},
+		"rows of others":  {body(`{"rows":[{"key":"0","version":1}],"version":0}`), store.ErrOutcomeUnknown, store.ErrUnavailable},
+		"a row unasked":   {body(`{"rows":[{"key":"a","version":1},{"key":"b","version":1}]}`), store.ErrOutcomeUnknown, store.ErrUnavailable},
+		"a row too many":  {body(`{"rows":[{"key":"b","version":1},{"key":"c","version":1}]}`), store.ErrOutcomeUnknown, store.ErrUnavailable},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -53,7 +53,7 @@
 			defer server.Close()
 			services, stop := connect(server.Listener.Addr().String())
 			defer stop()
-			_, err := services.Table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: "a"}}})
+			_, err := services.Table.Commit(t.Context(), store.Txn{Writes: []store.Write{{Key: "a"}}})
 			is.True(errors.Is(err, c.write))
 			is.True(strings.Contains(err.Error(), "table commit "+server.Listener.Addr().String()))
 			_, err = services.Table.Read(t.Context(), "a")
@@ -74,7 +74,7 @@
 	services, stop := connect(server.Listener.Addr().String())
 	defer stop()
 	_, err := services.Objects.Get(t.Context(), "o")
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, store.ErrUnavailable))
 }
 
 // A platform that takes a request and says nothing must not hold a caller that
@@ -88,7 +88,7 @@
 	defer server.Close()
 	client := httpclient.New(httpclient.Options{Address: server.Listener.Addr().String(), Timeout: time.Millisecond})
 	defer client.Close()
-	_, err := client.Services().Table.Commit(context.Background(), platform.Txn{Writes: []platform.Write{{Key: "a"}}})
+	_, err := client.Services().Table.Commit(context.Background(), store.Txn{Writes: []store.Write{{Key: "a"}}})
 	is.True(errors.Is(err, context.DeadlineExceeded))
 }
 
@@ -101,12 +101,12 @@
 	is.NoErr(listener.Close())
 	services, stop := connect(address)
 	defer stop()
-	_, err = services.Table.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: "a"}}})
-	is.True(errors.Is(err, platform.ErrUnavailable))
-	is.True(!errors.Is(err, platform.ErrOutcomeUnknown))
+	_, err = services.Table.Commit(t.Context(), store.Txn{Writes: []store.Write{{Key: "a"}}})
+	is.True(errors.Is(err, store.ErrUnavailable))
+	is.True(!errors.Is(err, store.ErrOutcomeUnknown))
 }
 
-func connect(address string) (platform.Services, func()) {
+func connect(address string) (store.Services, func()) {
 	client := httpclient.New(httpclient.Options{Address: address, VM: "router-1"})
 	return client.Services(), client.Close
 }
@@ -140,7 +140,7 @@
 
 func tooLong(w http.ResponseWriter, _ *http.Request) {
 	chunk := []byte(strings.Repeat(" ", 1<<20))
-	for range platform.MaxObjectBytes/len(chunk) + 1 {
+	for range store.MaxObjectBytes/len(chunk) + 1 {
 		if _, err := w.Write(chunk); err != nil {
 			return
 		}
--- a/platform/httpclient/services.go
+++ b/store/httpclient/services.go
@@ -8,16 +8,16 @@
 
 	"github.com/rotisserie/eris"
 
-	"buckthornridge/platform"
-	"buckthornridge/platform/wire"
+	"buckthornridge/store"
+	"buckthornridge/store/wire"
 )
 
 type objects struct{ *Client }
 
 func (o objects) Put(ctx context.Context, name string, data []byte) error {
-	e := objectExchange(platform.StepPut, http.MethodPut, name)
+	e := objectExchange(store.StepPut, http.MethodPut, name)
 	e.body = data
-	if err := platform.CheckObject(name, data); err != nil {
+	if err := store.CheckObject(name, data); err != nil {
 		return o.refuse(e, err)
 	}
 	_, err := message(ctx, o.Client, e, checkDone)
@@ -25,17 +25,17 @@
 }
 
 func (o objects) Get(ctx context.Context, name string) ([]byte, error) {
-	e := objectExchange(platform.StepGet, http.MethodGet, name)
-	e.maxAnswer = platform.MaxObjectBytes
-	if err := platform.CheckObject(name, nil); err != nil {
+	e := objectExchange(store.StepGet, http.MethodGet, name)
+	e.maxAnswer = store.MaxObjectBytes
+	if err := store.CheckObject(name, nil); err != nil {
 		return nil, o.refuse(e, err)
 	}
 	return o.do(ctx, e)
 }
 
 func (o objects) List(ctx context.Context, prefix string) ([]string, error) {
-	e := get(platform.StepObjects, wire.PathObjects+"?"+url.Values{"prefix": {prefix}}.Encode())
-	if err := platform.CheckPrefix(prefix); err != nil {
+	e := get(store.StepObjects, wire.PathObjects+"?"+url.Values{"prefix": {prefix}}.Encode())
+	if err := store.CheckPrefix(prefix); err != nil {
 		return nil, o.refuse(e, err)
 	}
 	answer, err := message(ctx, o.Client, e, func(a wire.ObjectsAnswer) error {
@@ -48,23 +48,23 @@
 }
 
 func (o objects) Delete(ctx context.Context, name string) error {
-	e := objectExchange(platform.StepDelete, http.MethodDelete, name)
-	if err := platform.CheckObject(name, nil); err != nil {
+	e := objectExchange(store.StepDelete, http.MethodDelete, name)
+	if err := store.CheckObject(name, nil); err != nil {
 		return o.refuse(e, err)
 	}
 	_, err := message(ctx, o.Client, e, checkDone)
 	return err
 }
 
-func objectExchange(step platform.Step, method, name string) exchange {
+func objectExchange(step store.Step, method, name string) exchange {
 	path := wire.PathObjects + "/" + url.PathEscape(name)
 	return exchange{step: step, write: method != http.MethodGet, method: method, path: path, maxAnswer: wire.MaxAnswerBytes}
 }
 
 type vmList struct{ *Client }
 
-func (v vmList) List(ctx context.Context) ([]platform.VM, time.Time, error) {
-	answer, err := message(ctx, v.Client, get(platform.StepVMs, wire.PathVMs), checkVMs)
+func (v vmList) List(ctx context.Context) ([]store.VM, time.Time, error) {
+	answer, err := message(ctx, v.Client, get(store.StepVMs, wire.PathVMs), checkVMs)
 	if err != nil {
 		return nil, time.Time{}, err
 	}
@@ -75,17 +75,17 @@
 // a list from which every VM has vanished.
 func checkVMs(a wire.VMsAnswer) error {
 	for _, vm := range a.VMs {
-		if err := platform.CheckVM(vm); err != nil {
+		if err := store.CheckVM(vm); err != nil {
 			return err
 		}
 	}
 	return checkPresent(a.VMs != nil)
 }
 
-func (v vmList) Announce(ctx context.Context, vm platform.VM) error {
-	e := post(platform.StepAnnounce, wire.PathVMs, vm)
+func (v vmList) Announce(ctx context.Context, vm store.VM) error {
+	e := post(store.StepAnnounce, wire.PathVMs, vm)
 	e.write = true
-	if err := platform.CheckVM(vm); err != nil {
+	if err := store.CheckVM(vm); err != nil {
 		return v.refuse(e, err)
 	}
 	_, err := message(ctx, v.Client, e, checkDone)
@@ -94,8 +94,8 @@
 
 type weights struct{ *Client }
 
-func (w weights) Weights(ctx context.Context) ([]platform.Weight, int64, error) {
-	answer, err := message(ctx, w.Client, get(platform.StepWeights, wire.PathWeights), func(a wire.WeightsAnswer) error {
+func (w weights) Weights(ctx context.Context) ([]store.Weight, int64, error) {
+	answer, err := message(ctx, w.Client, get(store.StepWeights, wire.PathWeights), func(a wire.WeightsAnswer) error {
 		return checkPresent(a.Weights != nil)
 	})
 	if err != nil {
--- a/platform/httpclient/table.go
+++ b/store/httpclient/table.go
@@ -6,15 +6,15 @@
 
 	"github.com/rotisserie/eris"
 
-	"buckthornridge/platform"
-	"buckthornridge/platform/wire"
+	"buckthornridge/store"
+	"buckthornridge/store/wire"
 )
 
 type table struct{ *Client }
 
-func (t table) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
-	e := post(platform.StepRead, wire.PathRead, wire.ReadRequest{Keys: keys})
-	if err := platform.CheckKeys(keys); err != nil {
+func (t table) Read(ctx context.Context, keys ...string) ([]store.Row, error) {
+	e := post(store.StepRead, wire.PathRead, wire.ReadRequest{Keys: keys})
+	if err := store.CheckKeys(keys); err != nil {
 		return nil, t.refuse(e, err)
 	}
 	answer, err := message(ctx, t.Client, e, func(a wire.RowsAnswer) error { return checkRead(keys, a.Rows) })
@@ -26,7 +26,7 @@
 
 // checkRead guards against an answer to another question: its rows would be
 // taken for the rows asked for, and a lasting wrong version or absence follow.
-func checkRead(keys []string, rows []platform.Row) error {
+func checkRead(keys []string, rows []store.Row) error {
 	if len(rows) != len(keys) {
 		return eris.Errorf("%d rows for %d keys", len(rows), len(keys))
 	}
@@ -38,9 +38,9 @@
 	return nil
 }
 
-func (t table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	e := post(platform.StepScan, wire.PathScan, wire.ScanRequest{Prefix: prefix, After: after, Limit: limit})
-	if err := platform.CheckScan(prefix, after, limit); err != nil {
+func (t table) Scan(ctx context.Context, prefix, after string, limit int) ([]store.Row, error) {
+	e := post(store.StepScan, wire.PathScan, wire.ScanRequest{Prefix: prefix, After: after, Limit: limit})
+	if err := store.CheckScan(prefix, after, limit); err != nil {
 		return nil, t.refuse(e, err)
 	}
 	answer, err := message(ctx, t.Client, e, func(a wire.RowsAnswer) error { return checkScan(prefix, after, limit, a.Rows) })
@@ -50,7 +50,7 @@
 	return answer.Rows, nil
 }
 
-func checkScan(prefix, after string, limit int, rows []platform.Row) error {
+func checkScan(prefix, after string, limit int, rows []store.Row) error {
 	if rows == nil || len(rows) > limit {
 		return eris.Errorf("%d rows for limit %d", len(rows), limit)
 	}
@@ -63,10 +63,10 @@
 	return nil
 }
 
-func (t table) Commit(ctx context.Context, txn platform.Txn) (int64, error) {
-	e := post(platform.StepCommit, wire.PathCommit, txn)
+func (t table) Commit(ctx context.Context, txn store.Txn) (int64, error) {
+	e := post(store.StepCommit, wire.PathCommit, txn)
 	e.write = true
-	if err := platform.CheckTxn(txn); err != nil {
+	if err := store.CheckTxn(txn); err != nil {
 		return 0, t.refuse(e, err)
 	}
 	answer, err := message(ctx, t.Client, e, func(a wire.CommitAnswer) error {
--- a/platform/platform.go
+++ b/store/platform.go
@@ -1,11 +1,11 @@
-// Package platform is the contract with the platform's services: a
+// Package store is the contract with the platform's services: a
 // transactional table, an object store, a lagging VM list and a rate-limited
 // weight store. Everything buckthornridge must agree on or keep goes through
 // these interfaces; it runs no store of its own.
 //
 // Every call may be slow, refused or lost. ErrOutcomeUnknown is the case to
 // design for: the write may have taken effect, may take effect later, or never.
-package platform
+package store
 
 import (
 	"context"
@@ -19,22 +19,22 @@
 var (
 	// ErrConditionFailed reports that a transaction changed nothing because a
 	// row no longer had the version its condition names.
-	ErrConditionFailed = eris.New("platform: condition failed")
+	ErrConditionFailed = eris.New("store: condition failed")
 	// ErrUnavailable reports that the call certainly took no effect.
-	ErrUnavailable = eris.New("platform: unavailable")
+	ErrUnavailable = eris.New("store: unavailable")
 	// ErrOutcomeUnknown reports a write whose answer was lost. It is resolved by
 	// reading back and writing again under the same conditions, never by
 	// assuming either result.
-	ErrOutcomeUnknown = eris.New("platform: outcome unknown")
+	ErrOutcomeUnknown = eris.New("store: outcome unknown")
 	// ErrRateLimited reports that the platform refused the call for its rate;
 	// it took no effect.
-	ErrRateLimited = eris.New("platform: rate limited")
+	ErrRateLimited = eris.New("store: rate limited")
 	// ErrTooLarge reports a request or value over the platform's limits.
-	ErrTooLarge = eris.New("platform: too large")
+	ErrTooLarge = eris.New("store: too large")
 	// ErrInvalid reports a malformed request.
-	ErrInvalid = eris.New("platform: invalid request")
+	ErrInvalid = eris.New("store: invalid request")
 	// ErrNotFound reports a missing object. Missing table rows are no error.
-	ErrNotFound = eris.New("platform: not found")
+	ErrNotFound = eris.New("store: not found")
 )
 
 // Limits of the platform, which both the fake and the stand-in enforce. Keys
--- a/platform/platformtest/faults.go
+++ b/store/storetest/faults.go
@@ -1,4 +1,4 @@
-package platformtest
+package storetest
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 	"github.com/matryer/is"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 var faultContracts = []contract{
@@ -40,21 +40,21 @@
 func answerLost(t *testing.T, h Harness) {
 	is := is.New(t)
 	table := h.As("a").Table
-	h.Fake.SetFaults(platform.Faults{LoseNext: 1})
+	h.Fake.SetFaults(store.Faults{LoseNext: 1})
 	_, err := table.Commit(t.Context(), putIf("x", "1", 0))
-	expect(t, err, platform.ErrOutcomeUnknown)
+	expect(t, err, store.ErrOutcomeUnknown)
 	is.Equal(string(mustRead(t, table, "x").Value), "1")
 	_, err = table.Commit(t.Context(), putIf("x", "1", 0))
-	expect(t, err, platform.ErrConditionFailed)
+	expect(t, err, store.ErrConditionFailed)
 	is.Equal(h.Fake.Counters().AnswersLost, int64(1))
 }
 
 func refusalLost(t *testing.T, h Harness) {
 	is := is.New(t)
 	table := h.As("a").Table
-	h.Fake.SetFaults(platform.Faults{LoseNext: 1})
+	h.Fake.SetFaults(store.Faults{LoseNext: 1})
 	_, err := table.Commit(t.Context(), putIf("x", "1", 9))
-	expect(t, err, platform.ErrOutcomeUnknown)
+	expect(t, err, store.ErrOutcomeUnknown)
 	is.Equal(mustRead(t, table, "x").Version, int64(0))
 }
 
@@ -64,9 +64,9 @@
 func writeDelayed(t *testing.T, h Harness) {
 	is := is.New(t)
 	table := h.As("a").Table
-	h.Fake.SetFaults(platform.Faults{DelayNext: 1})
+	h.Fake.SetFaults(store.Faults{DelayNext: 1})
 	_, err := table.Commit(t.Context(), putIf("x", "late", 0))
-	expect(t, err, platform.ErrOutcomeUnknown)
+	expect(t, err, store.ErrOutcomeUnknown)
 	is.Equal(mustRead(t, table, "x").Version, int64(0))
 	h.Fake.ReleaseDelayed()
 	is.Equal(string(mustRead(t, table, "x").Value), "late")
@@ -76,56 +76,56 @@
 func delayedOvertaken(t *testing.T, h Harness) {
 	is := is.New(t)
 	table := h.As("a").Table
-	h.Fake.SetFaults(platform.Faults{DelayNext: 1})
+	h.Fake.SetFaults(store.Faults{DelayNext: 1})
 	_, err := table.Commit(t.Context(), putIf("x", "late", 0))
-	expect(t, err, platform.ErrOutcomeUnknown)
+	expect(t, err, store.ErrOutcomeUnknown)
 	version := mustCommit(t, table, putIf("x", "settled", 0))
 	h.Fake.ReleaseDelayed()
-	is.Equal(mustRead(t, table, "x"), platform.Row{Key: "x", Value: []byte("settled"), Version: version})
+	is.Equal(mustRead(t, table, "x"), store.Row{Key: "x", Value: []byte("settled"), Version: version})
 	is.Equal(h.Fake.Counters().DelayedRefused, int64(1))
 }
 
 func down(t *testing.T, h Harness) {
 	is := is.New(t)
 	s := h.As("a")
-	h.Fake.SetFaults(platform.Faults{Down: true})
+	h.Fake.SetFaults(store.Faults{Down: true})
 	for name, err := range callAll(t.Context(), s) {
-		t.Run(string(name), func(t *testing.T) { expect(t, err, platform.ErrUnavailable) })
+		t.Run(string(name), func(t *testing.T) { expect(t, err, store.ErrUnavailable) })
 	}
-	h.Fake.SetFaults(platform.Faults{})
+	h.Fake.SetFaults(store.Faults{})
 	is.Equal(len(h.Fake.Dump("")), 0)
 	mustCommit(t, s.Table, put("x", "1"))
 }
 
 // callAll makes each kind of call once.
-func callAll(ctx context.Context, s platform.Services) map[platform.Step]error {
-	results := map[platform.Step]error{}
-	_, results[platform.StepCommit] = s.Table.Commit(ctx, put("x", "1"))
-	_, results[platform.StepRead] = s.Table.Read(ctx, "x")
-	_, results[platform.StepScan] = s.Table.Scan(ctx, "", "", 1)
-	results[platform.StepPut] = s.Objects.Put(ctx, "o", []byte("1"))
-	_, results[platform.StepGet] = s.Objects.Get(ctx, "o")
-	_, results[platform.StepObjects] = s.Objects.List(ctx, "")
-	results[platform.StepDelete] = s.Objects.Delete(ctx, "o")
-	_, _, results[platform.StepVMs] = s.VMs.List(ctx)
-	results[platform.StepAnnounce] = s.VMs.Announce(ctx, liveVM("a", "1"))
-	_, _, results[platform.StepWeights] = s.Weights.Weights(ctx)
+func callAll(ctx context.Context, s store.Services) map[store.Step]error {
+	results := map[store.Step]error{}
+	_, results[store.StepCommit] = s.Table.Commit(ctx, put("x", "1"))
+	_, results[store.StepRead] = s.Table.Read(ctx, "x")
+	_, results[store.StepScan] = s.Table.Scan(ctx, "", "", 1)
+	results[store.StepPut] = s.Objects.Put(ctx, "o", []byte("1"))
+	_, results[store.StepGet] = s.Objects.Get(ctx, "o")
+	_, results[store.StepObjects] = s.Objects.List(ctx, "")
+	results[store.StepDelete] = s.Objects.Delete(ctx, "o")
+	_, _, results[store.StepVMs] = s.VMs.List(ctx)
+	results[store.StepAnnounce] = s.VMs.Announce(ctx, liveVM("a", "1"))
+	_, _, results[store.StepWeights] = s.Weights.Weights(ctx)
 	return results
 }
 
 // unanswered says what a call means that was sent and got no answer.
-func unanswered(step platform.Step) error {
+func unanswered(step store.Step) error {
 	switch step {
-	case platform.StepCommit, platform.StepPut, platform.StepDelete, platform.StepAnnounce:
-		return platform.ErrOutcomeUnknown
+	case store.StepCommit, store.StepPut, store.StepDelete, store.StepAnnounce:
+		return store.ErrOutcomeUnknown
 	}
-	return platform.ErrUnavailable
+	return store.ErrUnavailable
 }
 
 // The network to the platform swallows everything: no call comes back before
 // its deadline, and no write can know whether it arrived.
 func downSilently(t *testing.T, h Harness) {
-	h.Fake.SetFaults(platform.Faults{Down: true, Silent: true})
+	h.Fake.SetFaults(store.Faults{Down: true, Silent: true})
 	for step, call := range callEach(h.As("a")) {
 		t.Run(string(step), func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(t.Context(), deadline)
@@ -139,13 +139,13 @@
 }
 
 // callEach are a read and a write of each service that has both.
-func callEach(s platform.Services) map[platform.Step]func(context.Context) error {
-	return map[platform.Step]func(context.Context) error{
-		platform.StepCommit: func(ctx context.Context) error { _, err := s.Table.Commit(ctx, put("x", "1")); return err },
-		platform.StepRead:   func(ctx context.Context) error { _, err := s.Table.Read(ctx, "x"); return err },
-		platform.StepPut:    func(ctx context.Context) error { return s.Objects.Put(ctx, "o", nil) },
-		platform.StepGet:    func(ctx context.Context) error { _, err := s.Objects.Get(ctx, "o"); return err },
-		platform.StepVMs:    func(ctx context.Context) error { _, _, err := s.VMs.List(ctx); return err },
+func callEach(s store.Services) map[store.Step]func(context.Context) error {
+	return map[store.Step]func(context.Context) error{
+		store.StepCommit: func(ctx context.Context) error { _, err := s.Table.Commit(ctx, put("x", "1")); return err },
+		store.StepRead:   func(ctx context.Context) error { _, err := s.Table.Read(ctx, "x"); return err },
+		store.StepPut:    func(ctx context.Context) error { return s.Objects.Put(ctx, "o", nil) },
+		store.StepGet:    func(ctx context.Context) error { _, err := s.Objects.Get(ctx, "o"); return err },
+		store.StepVMs:    func(ctx context.Context) error { _, _, err := s.VMs.List(ctx); return err },
 	}
 }
 
@@ -154,20 +154,20 @@
 func slowWithDeadline(t *testing.T, h Harness) {
 	is := is.New(t)
 	table := h.As("a").Table
-	h.Fake.SetFaults(platform.Faults{Latency: forever})
+	h.Fake.SetFaults(store.Faults{Latency: forever})
 	ctx, cancel := context.WithTimeout(t.Context(), deadline)
 	defer cancel()
 	_, err := table.Read(ctx, "x")
-	expect(t, err, platform.ErrUnavailable)
+	expect(t, err, store.ErrUnavailable)
 	ctx, cancel = context.WithTimeout(t.Context(), deadline)
 	defer cancel()
 	_, err = table.Commit(ctx, put("x", "1"))
-	expect(t, err, platform.ErrOutcomeUnknown)
+	expect(t, err, store.ErrOutcomeUnknown)
 	is.True(errors.Is(err, context.DeadlineExceeded))
 	for h.Fake.Counters().Delayed == 0 {
 		time.Sleep(time.Millisecond) // the stand-in learns of it by the broken connection
 	}
-	h.Fake.SetFaults(platform.Faults{})
+	h.Fake.SetFaults(store.Faults{})
 	is.Equal(mustRead(t, table, "x").Version, int64(0))
 	h.Fake.ReleaseDelayed()
 	is.Equal(string(mustRead(t, table, "x").Value), "1")
@@ -178,7 +178,7 @@
 	cancel()
 	for step, err := range callAll(ctx, h.As("a")) {
 		t.Run(string(step), func(t *testing.T) {
-			expect(t, err, platform.ErrUnavailable)
+			expect(t, err, store.ErrUnavailable)
 			is.New(t).True(errors.Is(err, context.Canceled))
 		})
 	}
@@ -191,15 +191,15 @@
 func rateLimited(t *testing.T, h Harness) {
 	is := is.New(t)
 	table := h.As("a").Table
-	h.Fake.SetFaults(platform.Faults{WritesPerSecond: hourly, ReadsPerSecond: hourly})
+	h.Fake.SetFaults(store.Faults{WritesPerSecond: hourly, ReadsPerSecond: hourly})
 	mustCommit(t, table, put("x", "1"))
 	_, err := h.As("b").Table.Commit(t.Context(), put("x", "2"))
-	expect(t, err, platform.ErrRateLimited)
+	expect(t, err, store.ErrRateLimited)
 	is.Equal(string(mustRead(t, table, "x").Value), "1")
 	_, err = table.Read(t.Context(), "x")
-	expect(t, err, platform.ErrRateLimited)
+	expect(t, err, store.ErrRateLimited)
 	_, err = table.Scan(t.Context(), "x", "", 1)
-	expect(t, err, platform.ErrRateLimited)
+	expect(t, err, store.ErrRateLimited)
 	is.Equal(h.Fake.Counters().RateLimited, int64(3))
 	is.NoErr(h.As("a").Objects.Put(t.Context(), "o", nil)) // the limits are the table's
 }
@@ -207,24 +207,24 @@
 func rowsLimited(t *testing.T, h Harness) {
 	is := is.New(t)
 	table := h.As("a").Table
-	two := platform.Txn{Writes: []platform.Write{{Key: "x"}, {Key: "y"}}}
-	h.Fake.SetFaults(platform.Faults{WritesPerSecond: hourly, CountRows: true})
+	two := store.Txn{Writes: []store.Write{{Key: "x"}, {Key: "y"}}}
+	h.Fake.SetFaults(store.Faults{WritesPerSecond: hourly, CountRows: true})
 	mustCommit(t, table, two) // over the burst: takes all of it
 	_, err := table.Commit(t.Context(), two)
-	expect(t, err, platform.ErrRateLimited)
+	expect(t, err, store.ErrRateLimited)
 	is.Equal(h.Fake.Counters().RowsWritten, int64(2))
 }
 
 func cutVM(t *testing.T, h Harness) {
 	is := is.New(t)
 	cut, other := h.As("a").Table, h.As("b").Table
-	h.Fake.SetFaults(platform.Faults{Cut: []string{"a"}})
+	h.Fake.SetFaults(store.Faults{Cut: []string{"a"}})
 	_, err := cut.Commit(t.Context(), put("x", "cut"))
-	expect(t, err, platform.ErrUnavailable)
+	expect(t, err, store.ErrUnavailable)
 	_, err = cut.Read(t.Context(), "x")
-	expect(t, err, platform.ErrUnavailable)
+	expect(t, err, store.ErrUnavailable)
 	mustCommit(t, other, put("x", "other"))
-	h.Fake.UpdateFaults(func(f *platform.Faults) { f.Cut = nil })
+	h.Fake.UpdateFaults(func(f *store.Faults) { f.Cut = nil })
 	is.Equal(string(mustRead(t, cut, "x").Value), "other")
 }
 
@@ -235,7 +235,7 @@
 	const sum, vms, rounds = 1000, 4, 25
 	is := is.New(t)
 	mustCommit(t, h.As("a").Table, balances(sum, 0))
-	h.Fake.SetFaults(platform.Faults{LoseRate: 0.2, DelayRate: 0.2, Delay: time.Millisecond})
+	h.Fake.SetFaults(store.Faults{LoseRate: 0.2, DelayRate: 0.2, Delay: time.Millisecond})
 	var all sync.WaitGroup
 	for vm := range vms {
 		all.Go(func() {
@@ -255,29 +255,29 @@
 	is.True(h.Fake.Counters().Delayed > 0)
 }
 
-func transfer(t *testing.T, table platform.Table, sum int) bool {
+func transfer(t *testing.T, table store.Table, sum int) bool {
 	rows, err := table.Read(t.Context(), "balance/1", "balance/2")
 	if err != nil || balance(rows[0])+balance(rows[1]) != sum {
 		t.Errorf("read %v: %v", rows, err)
 		return false
 	}
 	txn := balances(balance(rows[0])-1, balance(rows[1])+1)
-	txn.Conditions = []platform.Condition{{Key: "balance/1", Version: rows[0].Version}, {Key: "balance/2", Version: rows[1].Version}}
+	txn.Conditions = []store.Condition{{Key: "balance/1", Version: rows[0].Version}, {Key: "balance/2", Version: rows[1].Version}}
 	_, err = table.Commit(t.Context(), txn)
-	if err != nil && !errors.Is(err, platform.ErrConditionFailed) && !errors.Is(err, platform.ErrOutcomeUnknown) {
+	if err != nil && !errors.Is(err, store.ErrConditionFailed) && !errors.Is(err, store.ErrOutcomeUnknown) {
 		t.Errorf("commit: %v", err)
 		return false
 	}
 	return true
 }
 
-func balances(first, second int) platform.Txn {
+func balances(first, second int) store.Txn {
 	txn := put("balance/1", strconv.Itoa(first))
 	txn.Writes = append(txn.Writes, put("balance/2", strconv.Itoa(second)).Writes...)
 	return txn
 }
 
-func balance(row platform.Row) int {
+func balance(row store.Row) int {
 	tokens, _ := strconv.Atoi(string(row.Value))
 	return tokens
 }
--- a/platform/platformtest/objects.go
+++ b/store/storetest/objects.go
@@ -1,4 +1,4 @@
-package platformtest
+package storetest
 
 import (
 	"strings"
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 var objectContracts = []contract{
@@ -21,17 +21,17 @@
 	is := is.New(t)
 	objects := h.As("a").Objects
 	_, err := objects.Get(t.Context(), "o")
-	expect(t, err, platform.ErrNotFound)
+	expect(t, err, store.ErrNotFound)
 	is.NoErr(objects.Put(t.Context(), "o", []byte("1")))
 	is.NoErr(objects.Put(t.Context(), "o", []byte("1")))
-	expect(t, objects.Put(t.Context(), "o", []byte("2")), platform.ErrConditionFailed)
+	expect(t, objects.Put(t.Context(), "o", []byte("2")), store.ErrConditionFailed)
 	data, err := h.As("b").Objects.Get(t.Context(), "o")
 	is.NoErr(err)
 	is.Equal(string(data), "1")
 	is.NoErr(objects.Delete(t.Context(), "o"))
 	is.NoErr(objects.Delete(t.Context(), "o"))
 	_, err = objects.Get(t.Context(), "o")
-	expect(t, err, platform.ErrNotFound)
+	expect(t, err, store.ErrNotFound)
 }
 
 func objectsCopied(t *testing.T, h Harness) {
@@ -82,23 +82,23 @@
 func malformedObjects(t *testing.T, h Harness) {
 	objects := h.As("a").Objects
 	for _, name := range []string{"", ".", "..", "../x", "/x", "x/", "x//y", "\xff"} {
-		expect(t, objects.Put(t.Context(), name, nil), platform.ErrInvalid)
+		expect(t, objects.Put(t.Context(), name, nil), store.ErrInvalid)
 		_, err := objects.Get(t.Context(), name)
-		expect(t, err, platform.ErrInvalid)
-		expect(t, objects.Delete(t.Context(), name), platform.ErrInvalid)
+		expect(t, err, store.ErrInvalid)
+		expect(t, objects.Delete(t.Context(), name), store.ErrInvalid)
 	}
 	_, err := objects.List(t.Context(), "\xff")
-	expect(t, err, platform.ErrInvalid)
-	expect(t, objects.Put(t.Context(), strings.Repeat("n", platform.MaxNameBytes+1), nil), platform.ErrTooLarge)
-	expect(t, objects.Put(t.Context(), "o", make([]byte, platform.MaxObjectBytes+1)), platform.ErrTooLarge)
+	expect(t, err, store.ErrInvalid)
+	expect(t, objects.Put(t.Context(), strings.Repeat("n", store.MaxNameBytes+1), nil), store.ErrTooLarge)
+	expect(t, objects.Put(t.Context(), "o", make([]byte, store.MaxObjectBytes+1)), store.ErrTooLarge)
 }
 
 func objectFaults(t *testing.T, h Harness) {
 	is := is.New(t)
 	objects := h.As("a").Objects
-	h.Fake.SetFaults(platform.Faults{DelayNext: 1, LoseNext: 1})
-	expect(t, objects.Put(t.Context(), "late", nil), platform.ErrOutcomeUnknown)
-	expect(t, objects.Put(t.Context(), "lost", nil), platform.ErrOutcomeUnknown)
+	h.Fake.SetFaults(store.Faults{DelayNext: 1, LoseNext: 1})
+	expect(t, objects.Put(t.Context(), "late", nil), store.ErrOutcomeUnknown)
+	expect(t, objects.Put(t.Context(), "lost", nil), store.ErrOutcomeUnknown)
 	names, err := objects.List(t.Context(), "")
 	is.NoErr(err)
 	is.Equal(names, []string{"lost"})
--- a/platform/platformtest/suite.go
+++ b/store/storetest/suite.go
@@ -1,31 +1,31 @@
-// Package platformtest has the contract that every implementation of the
+// Package storetest has the contract that every implementation of the
 // platform's services keeps, with its faults. Only tests import it.
-package platformtest
+package storetest
 
 import (
 	"errors"
 	"testing"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Harness is one empty platform under test.
 type Harness struct {
 	// As returns the services as a VM reaches them.
-	As func(vmID string) platform.Services
+	As func(vmID string) store.Services
 	// Fake is the platform behind the services, for faults and audits.
-	Fake *platform.Fake
+	Fake *store.Fake
 }
 
 // Weights and WeightRate are what the platforms under test hold.
-var Weights = []platform.Weight{{Model: "small", Version: "3", Bytes: 1 << 20}}
+var Weights = []store.Weight{{Model: "small", Version: "3", Bytes: 1 << 20}}
 
 // WeightRate is in bytes a second.
 const WeightRate = 1 << 18
 
 // Options are those of the platforms under test.
-func Options() platform.FakeOptions {
-	return platform.FakeOptions{Seed: 1, Weights: Weights, WeightBytesPerSecond: WeightRate}
+func Options() store.FakeOptions {
+	return store.FakeOptions{Seed: 1, Weights: Weights, WeightBytesPerSecond: WeightRate}
 }
 
 // contract is one promise with its test.
@@ -46,19 +46,19 @@
 }
 
 // put writes one row under no condition.
-func put(key, value string) platform.Txn {
-	return platform.Txn{Writes: []platform.Write{{Key: key, Value: []byte(value)}}}
+func put(key, value string) store.Txn {
+	return store.Txn{Writes: []store.Write{{Key: key, Value: []byte(value)}}}
 }
 
 // putIf writes one row that must have a version.
-func putIf(key, value string, version int64) platform.Txn {
+func putIf(key, value string, version int64) store.Txn {
 	txn := put(key, value)
-	txn.Conditions = []platform.Condition{{Key: key, Version: version}}
+	txn.Conditions = []store.Condition{{Key: key, Version: version}}
 	return txn
 }
 
 // mustCommit returns the version of a transaction that must succeed.
-func mustCommit(t *testing.T, table platform.Table, txn platform.Txn) int64 {
+func mustCommit(t *testing.T, table store.Table, txn store.Txn) int64 {
 	t.Helper()
 	version, err := table.Commit(t.Context(), txn)
 	if err != nil {
@@ -68,7 +68,7 @@
 }
 
 // mustRead returns one row.
-func mustRead(t *testing.T, table platform.Table, key string) platform.Row {
+func mustRead(t *testing.T, table store.Table, key string) store.Row {
 	t.Helper()
 	rows, err := table.Read(t.Context(), key)
 	if err != nil {
@@ -81,8 +81,8 @@
 func expect(t *testing.T, err, want error) {
 	t.Helper()
 	for _, known := range []error{
-		platform.ErrConditionFailed, platform.ErrUnavailable, platform.ErrOutcomeUnknown,
-		platform.ErrRateLimited, platform.ErrTooLarge, platform.ErrInvalid, platform.ErrNotFound,
+		store.ErrConditionFailed, store.ErrUnavailable, store.ErrOutcomeUnknown,
+		store.ErrRateLimited, store.ErrTooLarge, store.ErrInvalid, store.ErrNotFound,
 	} {
 		if errors.Is(err, known) != errors.Is(want, known) {
 			t.Fatalf("want %v, got %v", want, err)
--- a/platform/platformtest/table.go
+++ b/store/storetest/table.go
@@ -1,4 +1,4 @@
-package platformtest
+package storetest
 
 import (
 	"fmt"
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 var tableContracts = []contract{
@@ -31,7 +31,7 @@
 	is := is.New(t)
 	rows, err := h.As("a").Table.Read(t.Context(), "x", "y")
 	is.NoErr(err)
-	is.Equal(rows, []platform.Row{{Key: "x"}, {Key: "y"}})
+	is.Equal(rows, []store.Row{{Key: "x"}, {Key: "y"}})
 	rows, err = h.As("a").Table.Read(t.Context())
 	is.NoErr(err)
 	is.Equal(len(rows), 0)
@@ -44,8 +44,8 @@
 	two := mustCommit(t, table, put("w", "2"))
 	rows, err := table.Read(t.Context(), "x", "w", "v", "x")
 	is.NoErr(err)
-	x, w := platform.Row{Key: "x", Value: []byte("1"), Version: one}, platform.Row{Key: "w", Value: []byte("2"), Version: two}
-	is.Equal(rows, []platform.Row{x, w, {Key: "v"}, x})
+	x, w := store.Row{Key: "x", Value: []byte("1"), Version: one}, store.Row{Key: "w", Value: []byte("2"), Version: two}
+	is.Equal(rows, []store.Row{x, w, {Key: "v"}, x})
 }
 
 func conditionsGuardRows(t *testing.T, h Harness) {
@@ -53,12 +53,12 @@
 	first, second := h.As("a").Table, h.As("b").Table
 	version := mustCommit(t, first, putIf("x", "1", 0))
 	_, err := second.Commit(t.Context(), putIf("x", "2", 0))
-	expect(t, err, platform.ErrConditionFailed)
+	expect(t, err, store.ErrConditionFailed)
 	next := mustCommit(t, second, putIf("x", "2", version))
 	is.True(next > version)
 	_, err = first.Commit(t.Context(), putIf("x", "3", version))
-	expect(t, err, platform.ErrConditionFailed)
-	is.Equal(mustRead(t, first, "x"), platform.Row{Key: "x", Value: []byte("2"), Version: next})
+	expect(t, err, store.ErrConditionFailed)
+	is.Equal(mustRead(t, first, "x"), store.Row{Key: "x", Value: []byte("2"), Version: next})
 }
 
 func conditionOnOtherRow(t *testing.T, h Harness) {
@@ -66,12 +66,12 @@
 	table := h.As("a").Table
 	fence := mustCommit(t, table, put("fence", "1"))
 	txn := put("x", "1")
-	txn.Conditions = []platform.Condition{{Key: "fence", Version: fence}}
+	txn.Conditions = []store.Condition{{Key: "fence", Version: fence}}
 	mustCommit(t, table, txn)
 	is.Equal(mustRead(t, table, "fence").Version, fence)
 	mustCommit(t, table, put("fence", "2"))
 	_, err := table.Commit(t.Context(), txn)
-	expect(t, err, platform.ErrConditionFailed)
+	expect(t, err, store.ErrConditionFailed)
 }
 
 // A holder whose row was deleted and made again by another must not pass for
@@ -80,28 +80,28 @@
 	is := is.New(t)
 	table := h.As("a").Table
 	old := mustCommit(t, table, put("x", "1"))
-	mustCommit(t, table, platform.Txn{Writes: []platform.Write{{Key: "x", Delete: true}}})
-	is.Equal(mustRead(t, table, "x"), platform.Row{Key: "x"})
+	mustCommit(t, table, store.Txn{Writes: []store.Write{{Key: "x", Delete: true}}})
+	is.Equal(mustRead(t, table, "x"), store.Row{Key: "x"})
 	again := mustCommit(t, table, putIf("x", "1", 0))
 	is.True(again > old)
 	_, err := table.Commit(t.Context(), putIf("x", "2", old))
-	expect(t, err, platform.ErrConditionFailed)
+	expect(t, err, store.ErrConditionFailed)
 }
 
 func atomic(t *testing.T, h Harness) {
 	is := is.New(t)
 	table := h.As("a").Table
-	both := platform.Txn{Writes: []platform.Write{{Key: "x", Value: []byte("1")}, {Key: "y", Value: []byte("1")}}}
+	both := store.Txn{Writes: []store.Write{{Key: "x", Value: []byte("1")}, {Key: "y", Value: []byte("1")}}}
 	version := mustCommit(t, table, both)
 	is.Equal(mustRead(t, table, "x").Version, version)
 	is.Equal(mustRead(t, table, "y").Version, version)
-	refused := platform.Txn{
-		Conditions: []platform.Condition{{Key: "x", Version: version}, {Key: "y", Version: version + 1}},
-		Writes:     []platform.Write{{Key: "x", Value: []byte("2")}, {Key: "y", Delete: true}, {Key: "z"}},
+	refused := store.Txn{
+		Conditions: []store.Condition{{Key: "x", Version: version}, {Key: "y", Version: version + 1}},
+		Writes:     []store.Write{{Key: "x", Value: []byte("2")}, {Key: "y", Delete: true}, {Key: "z"}},
 	}
 	before := h.Fake.Dump("")
 	_, err := table.Commit(t.Context(), refused)
-	expect(t, err, platform.ErrConditionFailed)
+	expect(t, err, store.ErrConditionFailed)
 	is.Equal(h.Fake.Dump(""), before)
 }
 
@@ -109,13 +109,13 @@
 	is := is.New(t)
 	table := h.As("a").Table
 	value := []byte("1")
-	mustCommit(t, table, platform.Txn{Writes: []platform.Write{{Key: "x", Value: value}}})
+	mustCommit(t, table, store.Txn{Writes: []store.Write{{Key: "x", Value: value}}})
 	value[0] = '2'
 	row := mustRead(t, table, "x")
 	is.Equal(string(row.Value), "1")
 	row.Value[0] = '3'
 	is.Equal(string(mustRead(t, table, "x").Value), "1")
-	mustCommit(t, table, platform.Txn{Writes: []platform.Write{{Key: "x", Value: []byte{}}}})
+	mustCommit(t, table, store.Txn{Writes: []store.Write{{Key: "x", Value: []byte{}}}})
 	is.Equal(mustRead(t, table, "x").Value, nil)
 	binary := "\x00\xff<&>"
 	mustCommit(t, table, put("x", binary))
@@ -128,7 +128,7 @@
 	for _, key := range []string{"p/3", "p/1", "o/9", "p/2", "q/1", "p/5", "p/4", "p"} {
 		mustCommit(t, table, put(key, key))
 	}
-	mustCommit(t, table, platform.Txn{Writes: []platform.Write{{Key: "p/4", Delete: true}}})
+	mustCommit(t, table, store.Txn{Writes: []store.Write{{Key: "p/4", Delete: true}}})
 	var pages []string
 	for after, full := "", true; full; {
 		rows, err := table.Scan(t.Context(), "p/", after, 2)
@@ -161,91 +161,91 @@
 
 func malformedRequests(t *testing.T, h Harness) {
 	table := h.As("a").Table
-	txns := map[string]platform.Txn{
-		"no writes":         {Conditions: []platform.Condition{{Key: "x"}}},
+	txns := map[string]store.Txn{
+		"no writes":         {Conditions: []store.Condition{{Key: "x"}}},
 		"empty key":         put("", "1"),
 		"key is no UTF-8":   put("\xff", "1"),
-		"key written twice": {Writes: []platform.Write{{Key: "x"}, {Key: "x", Delete: true}}},
-		"condition twice":   {Conditions: []platform.Condition{{Key: "x"}, {Key: "x", Version: 1}}, Writes: []platform.Write{{Key: "x"}}},
+		"key written twice": {Writes: []store.Write{{Key: "x"}, {Key: "x", Delete: true}}},
+		"condition twice":   {Conditions: []store.Condition{{Key: "x"}, {Key: "x", Version: 1}}, Writes: []store.Write{{Key: "x"}}},
 		"negative version":  putIf("x", "1", -1),
-		"delete with value": {Writes: []platform.Write{{Key: "x", Value: []byte("1"), Delete: true}}},
+		"delete with value": {Writes: []store.Write{{Key: "x", Value: []byte("1"), Delete: true}}},
 	}
 	for name, txn := range txns {
 		t.Run(name, func(t *testing.T) {
 			_, err := table.Commit(t.Context(), txn)
-			expect(t, err, platform.ErrInvalid)
+			expect(t, err, store.ErrInvalid)
 		})
 	}
 	_, err := table.Read(t.Context(), "x", "")
-	expect(t, err, platform.ErrInvalid)
+	expect(t, err, store.ErrInvalid)
 	_, err = table.Scan(t.Context(), "", "", 0)
-	expect(t, err, platform.ErrInvalid)
+	expect(t, err, store.ErrInvalid)
 	_, err = table.Scan(t.Context(), "\xff", "", 1)
-	expect(t, err, platform.ErrInvalid)
+	expect(t, err, store.ErrInvalid)
 	is.New(t).Equal(len(h.Fake.Dump("")), 0)
 }
 
 // rowsOf makes a transaction of rows with values of some bytes.
-func rowsOf(rows, bytes int) platform.Txn {
-	var txn platform.Txn
+func rowsOf(rows, bytes int) store.Txn {
+	var txn store.Txn
 	value := []byte(strings.Repeat("v", bytes))
 	for i := range rows {
 		key := fmt.Sprintf("row/%03d", i)
-		txn.Writes = append(txn.Writes, platform.Write{Key: key, Value: value})
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: key})
+		txn.Writes = append(txn.Writes, store.Write{Key: key, Value: value})
+		txn.Conditions = append(txn.Conditions, store.Condition{Key: key})
 	}
 	return txn
 }
 
 func oversizedRequests(t *testing.T, h Harness) {
 	table := h.As("a").Table
-	manyConditions := rowsOf(platform.MaxTxnRows+1, 0)
+	manyConditions := rowsOf(store.MaxTxnRows+1, 0)
 	manyConditions.Writes = manyConditions.Writes[:1]
-	txns := map[string]platform.Txn{
-		"key":        put(strings.Repeat("k", platform.MaxKeyBytes+1), ""),
-		"value":      put("x", strings.Repeat("v", platform.MaxValueBytes+1)),
-		"writes":     rowsOf(platform.MaxTxnRows+1, 0),
+	txns := map[string]store.Txn{
+		"key":        put(strings.Repeat("k", store.MaxKeyBytes+1), ""),
+		"value":      put("x", strings.Repeat("v", store.MaxValueBytes+1)),
+		"writes":     rowsOf(store.MaxTxnRows+1, 0),
 		"conditions": manyConditions,
-		"bytes":      rowsOf(5, platform.MaxValueBytes),
+		"bytes":      rowsOf(5, store.MaxValueBytes),
 	}
 	for name, txn := range txns {
 		t.Run(name, func(t *testing.T) {
 			_, err := table.Commit(t.Context(), txn)
-			expect(t, err, platform.ErrTooLarge)
+			expect(t, err, store.ErrTooLarge)
 		})
 	}
-	_, err := table.Read(t.Context(), make([]string, platform.MaxTxnRows+1)...)
-	expect(t, err, platform.ErrTooLarge)
-	_, err = table.Scan(t.Context(), "", "", platform.MaxScanRows+1)
-	expect(t, err, platform.ErrTooLarge)
+	_, err := table.Read(t.Context(), make([]string, store.MaxTxnRows+1)...)
+	expect(t, err, store.ErrTooLarge)
+	_, err = table.Scan(t.Context(), "", "", store.MaxScanRows+1)
+	expect(t, err, store.ErrTooLarge)
 	is.New(t).Equal(len(h.Fake.Dump("")), 0)
 }
 
 func requestsAtTheLimits(t *testing.T, h Harness) {
 	is := is.New(t)
 	table := h.As("a").Table
-	mustCommit(t, table, rowsOf(platform.MaxTxnRows, platform.MaxTxnBytes/platform.MaxTxnRows-len("row/000")))
-	longest := strings.Repeat("\x01", platform.MaxKeyBytes) // six bytes each as JSON
-	mustCommit(t, table, put(longest, strings.Repeat("v", platform.MaxValueBytes)))
-	is.Equal(len(mustRead(t, table, longest).Value), platform.MaxValueBytes)
-	rows, err := table.Scan(t.Context(), "row/", "", platform.MaxScanRows)
+	mustCommit(t, table, rowsOf(store.MaxTxnRows, store.MaxTxnBytes/store.MaxTxnRows-len("row/000")))
+	longest := strings.Repeat("\x01", store.MaxKeyBytes) // six bytes each as JSON
+	mustCommit(t, table, put(longest, strings.Repeat("v", store.MaxValueBytes)))
+	is.Equal(len(mustRead(t, table, longest).Value), store.MaxValueBytes)
+	rows, err := table.Scan(t.Context(), "row/", "", store.MaxScanRows)
 	is.NoErr(err)
-	is.Equal(len(rows), platform.MaxTxnRows)
+	is.Equal(len(rows), store.MaxTxnRows)
 }
 
 func oversizedAnswers(t *testing.T, h Harness) {
-	const rows, fewer = platform.MaxAnswerBytes / platform.MaxValueBytes, 3
+	const rows, fewer = store.MaxAnswerBytes / store.MaxValueBytes, 3
 	is := is.New(t)
 	var keys []string
 	for i := range rows {
 		keys = append(keys, fmt.Sprintf("x/%02d", i))
-		mustCommit(t, h.Fake.As("b").Table, put(keys[i], strings.Repeat("v", platform.MaxValueBytes)))
+		mustCommit(t, h.Fake.As("b").Table, put(keys[i], strings.Repeat("v", store.MaxValueBytes)))
 	}
 	table := h.As("a").Table
 	_, err := table.Scan(t.Context(), "x/", "", rows)
-	expect(t, err, platform.ErrTooLarge)
+	expect(t, err, store.ErrTooLarge)
 	_, err = table.Read(t.Context(), keys...)
-	expect(t, err, platform.ErrTooLarge)
+	expect(t, err, store.ErrTooLarge)
 	some, err := table.Scan(t.Context(), "x/", "", fewer)
 	is.NoErr(err)
 	is.Equal(len(some), fewer)
@@ -254,6 +254,6 @@
 func errorsNameStep(t *testing.T, h Harness) {
 	is := is.New(t)
 	_, err := h.As("a").Table.Commit(t.Context(), putIf("x", "", 7))
-	is.True(strings.HasPrefix(err.Error(), string(platform.StepCommit)+" "))
+	is.True(strings.HasPrefix(err.Error(), string(store.StepCommit)+" "))
 	is.True(strings.Contains(err.Error(), `row "x" has version 0, not 7`))
 }
--- a/platform/platformtest/vms.go
+++ b/store/storetest/vms.go
@@ -1,4 +1,4 @@
-package platformtest
+package storetest
 
 import (
 	"strings"
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 var vmContracts = []contract{
@@ -21,26 +21,26 @@
 	{"weights", weightsListed},
 }
 
-func liveVM(id, incarnation string) platform.VM {
-	return platform.VM{
+func liveVM(id, incarnation string) store.VM {
+	return store.VM{
 		ID: id, Incarnation: incarnation, Role: "router", DataCentre: "dc-1", Region: "north",
-		Address: "127.0.0.1:1", PeerAddress: "127.0.0.1:2", State: platform.VMLive,
+		Address: "127.0.0.1:1", PeerAddress: "127.0.0.1:2", State: store.VMLive,
 	}
 }
 
-func withState(vm platform.VM, state platform.VMState) platform.VM {
+func withState(vm store.VM, state store.VMState) store.VM {
 	vm.State = state
 	return vm
 }
 
-func mustList(t *testing.T, h Harness) []platform.VM {
+func mustList(t *testing.T, h Harness) []store.VM {
 	t.Helper()
 	vms, _, err := h.As("a").VMs.List(t.Context())
 	is.New(t).NoErr(err)
 	return vms
 }
 
-func mustAnnounce(t *testing.T, h Harness, vm platform.VM) {
+func mustAnnounce(t *testing.T, h Harness, vm store.VM) {
 	t.Helper()
 	is.New(t).NoErr(h.As(vm.ID).VMs.Announce(t.Context(), vm))
 }
@@ -51,11 +51,11 @@
 	mustAnnounce(t, h, liveVM("b", "1"))
 	mustAnnounce(t, h, liveVM("a", "1"))
 	mustAnnounce(t, h, liveVM("a", "1"))
-	is.Equal(mustList(t, h), []platform.VM{liveVM("a", "1"), liveVM("b", "1")})
+	is.Equal(mustList(t, h), []store.VM{liveVM("a", "1"), liveVM("b", "1")})
 	moved := liveVM("a", "1")
 	moved.Address = "127.0.0.1:3"
 	mustAnnounce(t, h, moved)
-	is.Equal(mustList(t, h), []platform.VM{moved, liveVM("b", "1")})
+	is.Equal(mustList(t, h), []store.VM{moved, liveVM("b", "1")})
 }
 
 func vmListLags(t *testing.T, h Harness) {
@@ -64,21 +64,21 @@
 	vms, before, err := h.As("a").VMs.List(t.Context())
 	is.NoErr(err)
 	is.Equal(len(vms), 1)
-	h.Fake.SetFaults(platform.Faults{VMListLag: forever})
+	h.Fake.SetFaults(store.Faults{VMListLag: forever})
 	mustAnnounce(t, h, liveVM("b", "1"))
-	is.NoErr(h.Fake.SetVMState("a", platform.VMGone))
+	is.NoErr(h.Fake.SetVMState("a", store.VMGone))
 	vms, asOf, err := h.As("a").VMs.List(t.Context())
 	is.NoErr(err)
-	is.Equal(vms, []platform.VM{liveVM("a", "1")})
+	is.Equal(vms, []store.VM{liveVM("a", "1")})
 	is.True(!asOf.Before(before)) // a growing lag does not turn the list back
-	h.Fake.SetFaults(platform.Faults{})
-	is.Equal(mustList(t, h), []platform.VM{withState(liveVM("a", "1"), platform.VMGone), liveVM("b", "1")})
+	h.Fake.SetFaults(store.Faults{})
+	is.Equal(mustList(t, h), []store.VM{withState(liveVM("a", "1"), store.VMGone), liveVM("b", "1")})
 }
 
 func vmListFrozen(t *testing.T, h Harness) {
 	is := is.New(t)
 	mustAnnounce(t, h, liveVM("a", "1"))
-	h.Fake.SetFaults(platform.Faults{VMListFrozen: true})
+	h.Fake.SetFaults(store.Faults{VMListFrozen: true})
 	mustAnnounce(t, h, liveVM("b", "1"))
 	vms, asOf, err := h.As("a").VMs.List(t.Context())
 	is.NoErr(err)
@@ -86,7 +86,7 @@
 	_, again, err := h.As("a").VMs.List(t.Context())
 	is.NoErr(err)
 	is.True(again.Equal(asOf))
-	h.Fake.SetFaults(platform.Faults{})
+	h.Fake.SetFaults(store.Faults{})
 	is.Equal(len(mustList(t, h)), 2)
 }
 
@@ -96,66 +96,66 @@
 	is := is.New(t)
 	mustAnnounce(t, h, liveVM("a", "9"))
 	mustAnnounce(t, h, liveVM("a", "10"))
-	old := withState(liveVM("a", "9"), platform.VMGone)
-	is.Equal(mustList(t, h), []platform.VM{old, liveVM("a", "10")})
+	old := withState(liveVM("a", "9"), store.VMGone)
+	is.Equal(mustList(t, h), []store.VM{old, liveVM("a", "10")})
 	// the last words of the old process arrive after its successor's first
 	err := h.As("a").VMs.Announce(t.Context(), liveVM("a", "9"))
-	expect(t, err, platform.ErrInvalid)
+	expect(t, err, store.ErrInvalid)
 	err = h.As("a").VMs.Announce(t.Context(), liveVM("a", "8"))
-	expect(t, err, platform.ErrInvalid)
-	is.Equal(mustList(t, h), []platform.VM{old, liveVM("a", "10")})
+	expect(t, err, store.ErrInvalid)
+	is.Equal(mustList(t, h), []store.VM{old, liveVM("a", "10")})
 }
 
 func goneStaysGone(t *testing.T, h Harness) {
 	is := is.New(t)
 	mustAnnounce(t, h, liveVM("a", "1"))
-	is.NoErr(h.Fake.SetVMState("a", platform.VMGone))
+	is.NoErr(h.Fake.SetVMState("a", store.VMGone))
 	err := h.As("a").VMs.Announce(t.Context(), liveVM("a", "1"))
-	expect(t, err, platform.ErrInvalid)
-	expect(t, h.Fake.SetVMState("a", platform.VMLive), platform.ErrInvalid)
-	expect(t, h.Fake.SetVMState("nobody", platform.VMGone), platform.ErrNotFound)
-	expect(t, h.Fake.SetVMState("a", "asleep"), platform.ErrInvalid)
-	is.Equal(mustList(t, h), []platform.VM{withState(liveVM("a", "1"), platform.VMGone)})
+	expect(t, err, store.ErrInvalid)
+	expect(t, h.Fake.SetVMState("a", store.VMLive), store.ErrInvalid)
+	expect(t, h.Fake.SetVMState("nobody", store.VMGone), store.ErrNotFound)
+	expect(t, h.Fake.SetVMState("a", "asleep"), store.ErrInvalid)
+	is.Equal(mustList(t, h), []store.VM{withState(liveVM("a", "1"), store.VMGone)})
 }
 
 func leavingStays(t *testing.T, h Harness) {
 	is := is.New(t)
 	mustAnnounce(t, h, liveVM("a", "1"))
-	is.NoErr(h.Fake.SetVMState("a", platform.VMLeaving))
+	is.NoErr(h.Fake.SetVMState("a", store.VMLeaving))
 	mustAnnounce(t, h, liveVM("a", "1"))
-	is.Equal(mustList(t, h)[0].State, platform.VMLeaving)
-	mustAnnounce(t, h, withState(liveVM("a", "1"), platform.VMGone))
-	is.Equal(mustList(t, h)[0].State, platform.VMGone)
+	is.Equal(mustList(t, h)[0].State, store.VMLeaving)
+	mustAnnounce(t, h, withState(liveVM("a", "1"), store.VMGone))
+	is.Equal(mustList(t, h)[0].State, store.VMGone)
 }
 
 func announcementFaults(t *testing.T, h Harness) {
 	is := is.New(t)
-	h.Fake.SetFaults(platform.Faults{LoseNext: 1})
+	h.Fake.SetFaults(store.Faults{LoseNext: 1})
 	err := h.As("a").VMs.Announce(t.Context(), liveVM("a", "1"))
-	expect(t, err, platform.ErrOutcomeUnknown)
-	is.Equal(mustList(t, h), []platform.VM{liveVM("a", "1")})
-	h.Fake.SetFaults(platform.Faults{DelayNext: 1})
+	expect(t, err, store.ErrOutcomeUnknown)
+	is.Equal(mustList(t, h), []store.VM{liveVM("a", "1")})
+	h.Fake.SetFaults(store.Faults{DelayNext: 1})
 	err = h.As("a").VMs.Announce(t.Context(), liveVM("a", "2"))
-	expect(t, err, platform.ErrOutcomeUnknown)
+	expect(t, err, store.ErrOutcomeUnknown)
 	mustAnnounce(t, h, liveVM("a", "3"))
 	h.Fake.ReleaseDelayed()
-	is.Equal(mustList(t, h), []platform.VM{withState(liveVM("a", "1"), platform.VMGone), liveVM("a", "3")})
+	is.Equal(mustList(t, h), []store.VM{withState(liveVM("a", "1"), store.VMGone), liveVM("a", "3")})
 }
 
 func malformedAnnouncements(t *testing.T, h Harness) {
 	is := is.New(t)
 	long := liveVM("a", "1")
-	long.Region = strings.Repeat("r", platform.MaxNameBytes+1)
+	long.Region = strings.Repeat("r", store.MaxNameBytes+1)
 	cases := map[string]struct {
-		vm   platform.VM
+		vm   store.VM
 		want error
 	}{
-		"no id":          {liveVM("", "1"), platform.ErrInvalid},
-		"no incarnation": {liveVM("a", ""), platform.ErrInvalid},
-		"no state":       {withState(liveVM("a", "1"), ""), platform.ErrInvalid},
-		"no such state":  {withState(liveVM("a", "1"), "asleep"), platform.ErrInvalid},
-		"no UTF-8":       {liveVM("\xff", "1"), platform.ErrInvalid},
-		"too long":       {long, platform.ErrTooLarge},
+		"no id":          {liveVM("", "1"), store.ErrInvalid},
+		"no incarnation": {liveVM("a", ""), store.ErrInvalid},
+		"no state":       {withState(liveVM("a", "1"), ""), store.ErrInvalid},
+		"no such state":  {withState(liveVM("a", "1"), "asleep"), store.ErrInvalid},
+		"no UTF-8":       {liveVM("\xff", "1"), store.ErrInvalid},
+		"too long":       {long, store.ErrTooLarge},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/platform/wire/errors.go
+++ b/store/wire/errors.go
@@ -4,7 +4,7 @@
 	"errors"
 	"net/http"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // CodeOf returns the code and HTTP status of an error; an error that is none of
@@ -18,7 +18,7 @@
 	return "outcome-unknown", http.StatusGatewayTimeout
 }
 
-// ErrorOf returns the error of a code, platform.ErrOutcomeUnknown for a code
+// ErrorOf returns the error of a code, store.ErrOutcomeUnknown for a code
 // that it doesn't know.
 func ErrorOf(code Code) error {
 	for _, kind := range errorKinds {
@@ -26,5 +26,5 @@
 			return kind.err
 		}
 	}
-	return platform.ErrOutcomeUnknown
+	return store.ErrOutcomeUnknown
 }
--- a/platform/wire/wire.go
+++ b/store/wire/wire.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"time"
 
-	"buckthornridge/platform"
+	"buckthornridge/store"
 )
 
 // Paths of the interface. An object's name follows PathObjects, escaped as one
@@ -33,8 +33,8 @@
 
 // Limits of bodies in bytes. JSON carries values as base64 and may escape keys.
 const (
-	MaxRequestBytes = 2 * platform.MaxTxnBytes
-	MaxAnswerBytes  = 2 * platform.MaxAnswerBytes
+	MaxRequestBytes = 2 * store.MaxTxnBytes
+	MaxAnswerBytes  = 2 * store.MaxAnswerBytes
 )
 
 // ReadRequest asks for rows by key; RowsAnswer answers it.
@@ -51,10 +51,10 @@
 
 // RowsAnswer has rows.
 type RowsAnswer struct {
-	Rows []platform.Row `json:"rows"`
+	Rows []store.Row `json:"rows"`
 }
 
-// CommitAnswer has the version of an applied platform.Txn.
+// CommitAnswer has the version of an applied store.Txn.
 type CommitAnswer struct {
 	Version int64 `json:"version"`
 }
@@ -66,14 +66,14 @@
 
 // VMsAnswer has the entries of the VM list.
 type VMsAnswer struct {
-	VMs  []platform.VM `json:"vms"`
-	AsOf time.Time     `json:"as_of"`
+	VMs  []store.VM `json:"vms"`
+	AsOf time.Time  `json:"as_of"`
 }
 
 // WeightsAnswer has what the weight store holds.
 type WeightsAnswer struct {
-	Weights        []platform.Weight `json:"weights"`
-	BytesPerSecond int64             `json:"bytes_per_second"`
+	Weights        []store.Weight `json:"weights"`
+	BytesPerSecond int64          `json:"bytes_per_second"`
 }
 
 // Done answers a request that has no other answer.
@@ -98,11 +98,11 @@
 }
 
 var errorKinds = []errorKind{
-	{"condition-failed", platform.ErrConditionFailed, http.StatusConflict},
-	{"unavailable", platform.ErrUnavailable, http.StatusServiceUnavailable},
-	{"outcome-unknown", platform.ErrOutcomeUnknown, http.StatusGatewayTimeout},
-	{"rate-limited", platform.ErrRateLimited, http.StatusTooManyRequests},
-	{"too-large", platform.ErrTooLarge, http.StatusRequestEntityTooLarge},
-	{"invalid", platform.ErrInvalid, http.StatusBadRequest},
-	{"not-found", platform.ErrNotFound, http.StatusNotFound},
+	{"condition-failed", store.ErrConditionFailed, http.StatusConflict},
+	{"unavailable", store.ErrUnavailable, http.StatusServiceUnavailable},
+	{"outcome-unknown", store.ErrOutcomeUnknown, http.StatusGatewayTimeout},
+	{"rate-limited", store.ErrRateLimited, http.StatusTooManyRequests},
+	{"too-large", store.ErrTooLarge, http.StatusRequestEntityTooLarge},
+	{"invalid", store.ErrInvalid, http.StatusBadRequest},
+	{"not-found", store.ErrNotFound, http.StatusNotFound},
 }
--- /dev/null
+++ b/store/wire/wire_test.go
@@ -0,0 +1,31 @@
+package wire_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/store"
+	"buckthornridge/store/wire"
+)
+
+func TestCodesGoBothWays(t *testing.T) {
+	is := is.New(t)
+	for _, err := range []error{
+		store.ErrConditionFailed, store.ErrUnavailable, store.ErrOutcomeUnknown,
+		store.ErrRateLimited, store.ErrTooLarge, store.ErrInvalid, store.ErrNotFound,
+	} {
+		code, status := wire.CodeOf(store.Failed("step", "peer", err, nil))
+		is.True(status >= 400)
+		is.Equal(wire.ErrorOf(code), err)
+	}
+}
+
+// An error that nobody foresaw must never read as "no effect".
+func TestWhatIsUnknownStaysUnknown(t *testing.T) {
+	is := is.New(t)
+	code, _ := wire.CodeOf(errors.New("surprise"))
+	is.Equal(wire.ErrorOf(code), store.ErrOutcomeUnknown)
+	is.Equal(wire.ErrorOf("surprise"), store.ErrOutcomeUnknown)
+}
