--- /dev/null
+++ b/budget/allowance/account.go
@@ -0,0 +1,118 @@
+package allowance
+
+import (
+	"math"
+	"time"
+)
+
+// account is what a holder knows of one budget. The book's lock guards it.
+type account struct {
+	budget string
+	// limit is the prepaid sum that is in force; known once a pool was read.
+	limit   int64
+	granted int64
+	settled int64
+	open    int64 // ceilings of requests that run
+	// lowered bounds granted after the prepaid sum was lowered, until the pool
+	// says so too; negative if there is no such bound.
+	lowered int64
+	// bounds are the one in force and those whose writing is not known to have
+	// failed. The holder keeps to all of them.
+	bounds []dated
+	pool   pool
+	// version is the pool's row version, -1 while it must be read.
+	version int64
+	need    int64 // the ceiling that a waiting request lacks room for
+	needAt  time.Time
+	wanted  time.Time // when a want was last seen or written
+	use     meter
+	changed chan struct{} // closed when there may be more room
+}
+
+// dated is a bound with its time.
+type dated struct {
+	ledger
+	asOf time.Duration
+}
+
+func newAccount(budget string) *account {
+	return &account{budget: budget, lowered: -1, version: -1, bounds: []dated{{}}, changed: make(chan struct{})}
+}
+
+// committed is what may be consumed by the requests that ran and run.
+func (a *account) committed() int64 { return a.settled + a.open }
+
+// grant is what the holder may consume by its grant.
+func (a *account) grant() int64 {
+	if a.lowered >= 0 {
+		return min(a.granted, a.lowered)
+	}
+	return a.granted
+}
+
+// bound is what the holder may consume by its reports.
+func (a *account) bound(now time.Duration) int64 {
+	least := int64(math.MaxInt64)
+	for _, b := range a.bounds {
+		least = min(least, b.allows(now-b.asOf))
+	}
+	return least
+}
+
+// room is what a new request may take now.
+func (a *account) room(now time.Duration) int64 {
+	return min(a.grant(), a.bound(now)) - a.committed()
+}
+
+// certainlyShort reports whether the rest of the budget does not cover a ceiling,
+// whatever other holders have consumed since.
+func (a *account) certainlyShort(ceiling int64, self string) bool {
+	if a.version < 0 {
+		return false
+	}
+	consumed := a.pool.consumed() - a.pool.Holders[self].Settled + a.settled
+	return a.limit-consumed < ceiling
+}
+
+// ledger is what a new report says of the budget.
+func (a *account) ledger(now time.Time) ledger {
+	rate := a.use.rate(now)
+	cover := int64(coverSeconds*rate) + a.need
+	base := min(a.committed()+cover, a.grant())
+	return ledger{
+		Settled: a.settled,
+		Base:    max(base, a.committed()),
+		Rate:    int64(steadyFactor * rate),
+		Rest:    max(0, a.grant()-a.committed()),
+	}
+}
+
+// wake lets waiting requests look again.
+func (a *account) wake() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// meter averages use over about rateWindow.
+type meter struct {
+	level float64 // tokens, decaying
+	last  time.Time
+}
+
+func (m *meter) add(tokens int64, now time.Time) {
+	m.decay(now)
+	m.level += float64(tokens)
+}
+
+func (m *meter) decay(now time.Time) {
+	if !m.last.IsZero() {
+		m.level *= math.Exp(-float64(now.Sub(m.last)) / float64(rateWindow))
+	}
+	m.last = now
+}
+
+// rate returns tokens a second.
+func (m *meter) rate(now time.Time) float64 {
+	m.decay(now)
+	return m.level / rateWindow.Seconds()
+}
--- /dev/null
+++ b/budget/allowance/allowance.go
@@ -0,0 +1,79 @@
+// Package allowance spends prepaid budgets from grants, without a record of each
+// request in the table.
+//
+// Each budget has a row, its pool: what is granted to each holder, and what ended
+// holders have used. All of that together never exceeds the prepaid sum, so a
+// holder that is cut off can go on with its grant and no budget is overspent. A
+// holder is one process; it spends from its grant in memory.
+//
+// A process that dies takes with it the knowledge of what it spent. To lose little
+// of a budget then, each holder also keeps to a bound that it has written down
+// before: so much at the moment of the report, and more as time goes by, slowly at
+// first and faster once the table has not been reached for seconds. The next
+// process on the same VM, which can only start once the old one has ended, counts
+// what the bound allows up to now as spent and gives the rest back.
+//
+// Both sides reckon the bound by the table service's clock. The holder uses a time
+// that this clock has certainly reached, the successor one read after its own
+// start, so that a pause, a slow answer or a jump of the time of day can only make
+// the holder spend less than what is counted.
+package allowance
+
+import (
+	"fmt"
+	"time"
+)
+
+// Timing and sizes of grants and reports.
+const (
+	// reportInterval is the time between two reports of an active holder.
+	reportInterval = 500 * time.Millisecond
+	// coverSeconds is how many seconds of recent use a report allows ahead.
+	coverSeconds = 1.0
+	// steadyFactor multiplies recent use to what the bound grows by at first.
+	steadyFactor = 1.5
+	// knee is when a bound begins to grow fast. A process that lost power and
+	// started again finds its report about two seconds old; what the bound allows
+	// by then is lost, so it grows fast only later.
+	knee = 2500 * time.Millisecond
+	// riseTime is the time after the knee in which the whole grant becomes usable.
+	// Machines may be alone for eight to nine seconds.
+	riseTime = 5 * time.Second
+	// grantShare is the part of a budget's rest that is handed out; what stays lets
+	// a holder get more at once.
+	grantShare = 0.85
+	// evenShare is the part of it that is divided evenly among the VMs; the
+	// rest follows their use. A VM that had no requests may have all of them
+	// while it is cut off.
+	evenShare = 0.3
+	// refillBelow and returnAbove bound a holder's unspent tokens as multiples of
+	// its target; within them the pool is left alone.
+	refillBelow = 0.5
+	returnAbove = 2.0
+	// shortWait is how long a request waits for a report or a grant under way.
+	shortWait = 250 * time.Millisecond
+	// retryDoubt is when a caller that was refused in doubt may come back.
+	retryDoubt = 700 * time.Millisecond
+	// rateWindow is the time over which use is averaged.
+	rateWindow = 2 * time.Second
+	// wantLasts is how long a want in a pool is looked at.
+	wantLasts = 1500 * time.Millisecond
+	// buckets is how many parts the pools are spread over, since the platform
+	// orders the transactions of one part one after the other.
+	buckets = 8
+)
+
+// RefusedError reports a request that was not let in.
+type RefusedError struct {
+	Budget string
+	// Certain says that the rest of the budget does not cover the request. Without
+	// it there is a doubt: tokens are held elsewhere, or the table can't be asked.
+	Certain    bool
+	RetryAfter time.Duration
+	Why        string
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("budget %s: refused (certain: %t): %s", e.Budget, e.Certain, e.Why)
+}
--- /dev/null
+++ b/budget/allowance/book.go
@@ -0,0 +1,223 @@
+package allowance
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"buckthornridge/store"
+)
+
+// Options are what a book works with.
+type Options struct {
+	Table store.Table
+	Feed  store.Feed
+	Clock store.Clock
+	// VM names the machine: a process that starts with this name ends the one
+	// before it there.
+	VM string
+	// Incarnation tells this process from those before it.
+	Incarnation string
+	// VMs returns how many VMs share the budgets, at least 1.
+	VMs func() int
+}
+
+// Book holds what one process has of all budgets.
+type Book struct {
+	options Options
+	self    string
+	kick    chan struct{}
+
+	mu       sync.Mutex
+	accounts map[string]*account
+	ready    bool // what stood before this process is settled or being settled
+	closed   bool
+	// reached is the last time at which the table answered.
+	reached time.Time
+	// usageVersion is the version of this holder's report, -1 while unknown.
+	usageVersion int64
+	reportedAt   time.Time
+	dirty        bool // something was settled or reserved since the report
+}
+
+// New returns a book that grants nothing before Run has read the table.
+func New(o Options) *Book {
+	return &Book{
+		options:      o,
+		self:         holderName(o.VM, o.Incarnation),
+		kick:         make(chan struct{}, 1),
+		accounts:     map[string]*account{},
+		usageVersion: 0,
+	}
+}
+
+// Reservation is a ceiling taken out of a budget for one request.
+type Reservation struct {
+	book    *Book
+	account *account
+	ceiling int64
+	once    sync.Once
+}
+
+// Settle counts what was consumed, at most the ceiling, and frees the rest.
+func (r *Reservation) Settle(consumed int64) {
+	r.once.Do(func() {
+		r.book.mu.Lock()
+		defer r.book.mu.Unlock()
+		r.account.open -= r.ceiling
+		r.account.settled += min(max(consumed, 0), r.ceiling)
+		r.book.dirty = true
+		r.account.wake()
+	})
+}
+
+// Reserve takes a ceiling out of a budget whose prepaid sum is limit, both in
+// tokens. The error is a *RefusedError.
+func (b *Book) Reserve(ctx context.Context, budget string, limit, ceiling int64) (*Reservation, error) {
+	var timer <-chan time.Time
+	for {
+		r, changed, err := b.try(budget, limit, ceiling)
+		if r != nil || err != nil {
+			return r, err
+		}
+		if timer == nil {
+			timer = time.After(shortWait)
+		}
+		b.wakeUp()
+		select {
+		case <-changed:
+		case <-timer:
+			return nil, b.doubt(budget, "no tokens came in time")
+		case <-ctx.Done():
+			return nil, b.doubt(budget, "the request ended while it waited for tokens")
+		}
+	}
+}
+
+func (b *Book) doubt(budget, why string) error {
+	return &RefusedError{Budget: budget, RetryAfter: retryDoubt, Why: why}
+}
+
+// try reserves at once, refuses, or returns a channel to wait on.
+func (b *Book) try(budget string, limit, ceiling int64) (*Reservation, <-chan struct{}, error) {
+	now := time.Now()
+	clock, _ := b.options.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return nil, nil, b.doubt(budget, "this router is stopping")
+	}
+	a := b.account(budget, limit)
+	if a.room(clock) >= ceiling {
+		a.open += ceiling
+		a.use.add(ceiling, now)
+		b.dirty = true
+		return &Reservation{book: b, account: a, ceiling: ceiling}, nil, nil
+	}
+	if a.certainlyShort(ceiling, b.self) {
+		return nil, nil, &RefusedError{Budget: budget, Certain: true, Why: "the rest of the budget does not cover the request"}
+	}
+	a.need, a.needAt = max(a.need, ceiling), now
+	if !b.ready || now.Sub(b.reached) > tableSilence {
+		return nil, nil, b.doubt(budget, "the table can't be asked")
+	}
+	return nil, a.changed, nil
+}
+
+// tableSilence is how long the table may not have answered before a request is
+// refused at once in place of waiting for it.
+const tableSilence = 1500 * time.Millisecond
+
+// account returns the account of a budget and takes its newest limit.
+func (b *Book) account(budget string, limit int64) *account {
+	a := b.accounts[budget]
+	if a == nil {
+		a = newAccount(budget)
+		b.accounts[budget] = a
+		a.limit = limit
+	}
+	a.setLimit(limit, max(b.options.VMs(), 1))
+	return a
+}
+
+// setLimit takes a new prepaid sum. A lower one binds at once, before the pool
+// says so: each holder keeps to its part of what is left.
+func (a *account) setLimit(limit int64, vms int) {
+	if limit >= a.limit {
+		if a.lowered >= 0 && limit > a.limit {
+			a.lowered = -1
+		}
+		a.limit = limit
+		return
+	}
+	gone := a.pool.Settled + a.pool.Lost
+	scaled := a.grant()
+	if a.limit > gone {
+		scaled = int64(float64(a.grant()) * float64(max(0, limit-gone)) / float64(a.limit-gone))
+	}
+	rest := max(0, limit-a.pool.consumed()-a.pool.Lost)
+	a.lowered = min(scaled, a.settled+rest/int64(max(vms, len(a.pool.Holders), 1)))
+	a.limit = limit
+}
+
+// SetLimits takes the prepaid sums of all budgets in tokens, so that grants can be
+// taken before the first request. Budgets beyond eagerBudgets wait for one.
+func (b *Book) SetLimits(limits map[string]int64) {
+	b.mu.Lock()
+	for budget, limit := range limits {
+		if _, known := b.accounts[budget]; known || len(b.accounts) < eagerBudgets {
+			b.account(budget, limit)
+		}
+	}
+	b.mu.Unlock()
+	b.wakeUp()
+}
+
+// eagerBudgets is how many budgets a holder takes grants of before any request.
+// Without one a VM that is cut off has to refuse; with all 820,000 the table
+// would be full of grants that nobody uses.
+const eagerBudgets = 256
+
+func (b *Book) wakeUp() {
+	select {
+	case b.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Figures are what the book knows, for metrics.
+type Figures struct {
+	Granted, Settled, Open, Lost int64
+	Budgets                      int
+}
+
+// Figures returns sums over all budgets, in tokens.
+func (b *Book) Figures() Figures {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var f Figures
+	for _, a := range b.accounts {
+		f.Budgets++
+		f.Granted += a.granted
+		f.Settled += a.settled
+		f.Open += a.open
+		f.Lost += a.pool.Lost
+	}
+	return f
+}
+
+// answered notes that the table answered.
+func (b *Book) answered(err error) {
+	if err != nil {
+		return
+	}
+	b.mu.Lock()
+	b.reached = time.Now()
+	b.mu.Unlock()
+}
+
+func logFailure(step string, err error) {
+	klog.Warningf("step=%s result=failed err=%q", step, err.Error())
+}
--- /dev/null
+++ b/budget/allowance/rows.go
@@ -0,0 +1,147 @@
+package allowance
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Segments of the keys that the package uses.
+const (
+	poolSegment  = "grants"
+	usageSegment = "usage"
+)
+
+// pool is the row of one budget, in tokens.
+//
+//	Settled + Lost + the sum of all Granted <= the prepaid sum
+//
+// held when the row was written.
+type pool struct {
+	// Settled was consumed by holders that have ended.
+	Settled int64 `msgpack:"s"`
+	// Lost may have been consumed by ended holders beyond that.
+	Lost    int64            `msgpack:"l"`
+	Holders map[string]share `msgpack:"h"`
+}
+
+// share is what one holder has of a budget.
+type share struct {
+	// Granted is the sum of all that the holder may consume in its life.
+	Granted int64 `msgpack:"g"`
+	// Settled is what it had consumed when it last wrote here.
+	Settled int64 `msgpack:"s"`
+	// Rate is its recent use in tokens a second.
+	Rate int64 `msgpack:"r"`
+	// Want is what it lacks for a request that waits.
+	Want int64 `msgpack:"w,omitempty"`
+}
+
+// committed is what may have been consumed or is promised to holders.
+func (p pool) committed() int64 {
+	sum := p.Settled + p.Lost
+	for _, s := range p.Holders {
+		sum += s.Granted
+	}
+	return sum
+}
+
+// consumed is what was certainly consumed.
+func (p pool) consumed() int64 {
+	sum := p.Settled
+	for _, s := range p.Holders {
+		sum += s.Settled
+	}
+	return sum
+}
+
+func (p pool) clone() pool {
+	copied := p
+	copied.Holders = make(map[string]share, len(p.Holders)+1)
+	for holder, s := range p.Holders {
+		copied.Holders[holder] = s
+	}
+	return copied
+}
+
+// report is the row of one holder.
+type report struct {
+	// AsOf is the time of the table service that had certainly been reached when
+	// the report was made.
+	AsOf    time.Duration     `msgpack:"t"`
+	Budgets map[string]ledger `msgpack:"b"`
+}
+
+// ledger is one budget in a report, in tokens.
+type ledger struct {
+	Settled int64 `msgpack:"s"`
+	// Base is what may be consumed at AsOf, Rate what is added each second.
+	Base int64 `msgpack:"b"`
+	Rate int64 `msgpack:"r"`
+	// Rest is what becomes usable between the knee and the end of the rise.
+	Rest int64 `msgpack:"x"`
+}
+
+// allows returns the most that may have been consumed the given time after AsOf.
+func (l ledger) allows(after time.Duration) int64 {
+	after = max(after, 0)
+	allowed := l.Base + int64(float64(l.Rate)*after.Seconds())
+	if over := after - knee; over > 0 {
+		allowed += int64(float64(l.Rest) * min(1, float64(over)/float64(riseTime)))
+	}
+	return allowed
+}
+
+// poolKey returns the key of a budget's row.
+func poolKey(budget string) string {
+	bucket := xxhash.Sum64String(budget) % buckets
+	return poolSegment + "/b" + strconv.FormatUint(bucket, 10) + "/" + budget
+}
+
+// budgetOf returns the budget that a pool's key names.
+func budgetOf(key string) string {
+	parts := strings.SplitN(key, "/", 3)
+	return parts[len(parts)-1]
+}
+
+func usagePrefix(vm string) string { return usageSegment + "/" + vm + "/" }
+
+// holderName names a process; holders of one VM share what stands before the mark.
+func holderName(vm, incarnation string) string { return vm + "#" + incarnation }
+
+func holderVM(holder string) (vm, incarnation string) {
+	vm, incarnation, _ = strings.Cut(holder, "#")
+	return vm, incarnation
+}
+
+func encode(row any) ([]byte, error) {
+	data, err := msgpack.Marshal(row)
+	return data, eris.Wrap(err, "encode row")
+}
+
+// decodePool reads a pool's row; a missing row is an empty pool.
+func decodePool(data []byte) (pool, error) {
+	p := pool{Holders: map[string]share{}}
+	if len(data) == 0 {
+		return p, nil
+	}
+	if err := msgpack.Unmarshal(data, &p); err != nil {
+		return pool{}, eris.Wrap(err, "decode pool")
+	}
+	if p.Holders == nil {
+		p.Holders = map[string]share{}
+	}
+	return p, nil
+}
+
+func decodeReport(data []byte) (report, error) {
+	var r report
+	if err := msgpack.Unmarshal(data, &r); err != nil {
+		return report{}, eris.Wrap(err, "decode report")
+	}
+	return r, nil
+}
--- /dev/null
+++ b/cmd/buckthorn-edge/main.go
@@ -0,0 +1,62 @@
+// Command buckthorn-edge is the one process on an entry VM of the users' platform:
+// data path, budgets and the view of the fleet.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"k8s.io/klog/v2"
+
+	"buckthornridge/edge"
+	"buckthornridge/platform"
+	"buckthornridge/program"
+	"buckthornridge/telemetry"
+)
+
+// memoryShare is the part of the memory limit that the garbage collector keeps to.
+const memoryShare = 0.7
+
+func main() {
+	var s edge.Settings
+	program.MustLoad("Entry process on the users' platform.", &s)
+	program.Exit(run(s))
+}
+
+// run serves until SIGTERM, then drains. SIGHUP only says that the settings file
+// was written anew; what stands in it is fixed for the life of a process.
+func run(s edge.Settings) error {
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	flush, err := telemetry.Start(ctx, "buckthorn-edge", s.VM, s.Trace)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = flush(context.Background()) }()
+	client := platform.NewStore(s.Store)
+	p, err := edge.New(s, platform.Adapter(client))
+	if err != nil {
+		return err
+	}
+	if err := p.Start(ctx); err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-hup:
+			klog.Infof("step=settings result=kept reason=%q", "settings are read at the start")
+		case <-ctx.Done():
+			p.Drain(context.Background())
+			p.Stop()
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/edge/edge.go
@@ -0,0 +1,288 @@
+// Package edge assembles the one process that runs on each entry VM: callers'
+// HTTP, the relay, budgets, the view of configuration and upstreams, and peers.
+package edge
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"buckthornridge/budget/allowance"
+	"buckthornridge/peer"
+	"buckthornridge/relay"
+	"buckthornridge/routing"
+	"buckthornridge/store"
+	"buckthornridge/store/mirror"
+	"buckthornridge/upstream/exchange"
+)
+
+// Limits of callers' connections and the pace of upkeep.
+const (
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 75 * time.Second
+	maxHeaderBytes = 64 << 10
+	// callerSilence ends a connection whose caller acknowledges nothing.
+	callerSilence = 10 * time.Second
+	upkeepEvery   = 200 * time.Millisecond
+	// connectionShare is the part of an upstream's connections that all routers
+	// together use at the most.
+	connectionShare = 0.9
+)
+
+// Adapter is the platform as the process meets it.
+type Adapter struct {
+	Table store.Table
+	Feed  store.Feed
+	Clock store.Clock
+	// ConfigSegment and UpstreamSegment are where configuration and upstreams
+	// stand in the table.
+	ConfigSegment   string
+	UpstreamSegment string
+	// Configuration decodes a row of ConfigSegment, or says that it is none.
+	Configuration func(key string, data []byte) (relay.Definition, bool, error)
+	// Upstream decodes a row of UpstreamSegment.
+	Upstream func(key string, data []byte) (relay.Upstream, error)
+	Dialect  Dialect
+}
+
+// Process is one entry process.
+type Process struct {
+	settings    Settings
+	adapter     Adapter
+	incarnation string
+
+	catalogue relay.Holder
+	routes    *routing.Table
+	fleet     *fleet
+	book      *allowance.Book
+	pool      *exchange.Pool
+	peers     *peers
+	peerSrv   *peer.Server
+	metrics   *metrics
+	config    *follower
+	upstreams *follower
+	lastGap   clockMark // the end of the last silence of the table
+
+	callers  *http.Server
+	ready    *http.Server
+	report   *http.Server
+	stopping atomic.Bool
+	active   atomic.Int64
+	open     atomic.Int64 // callers' connections
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+}
+
+// New builds a process from checked settings.
+func New(s Settings, a Adapter) (*Process, error) {
+	incarnation := make([]byte, 8)
+	if _, err := rand.Read(incarnation); err != nil {
+		return nil, eris.Wrap(err, "draw an incarnation")
+	}
+	p := &Process{
+		settings: s, adapter: a, incarnation: hex.EncodeToString(incarnation),
+		routes: routing.NewTable(), metrics: newMetrics(), peerSrv: peer.NewServer(),
+	}
+	p.fleet = newFleet(a.Upstream, p.routes, p.unsettled)
+	p.pool = exchange.NewPool(p.connections)
+	p.peers = &peers{
+		self: s.VM, address: s.PeerListen, client: peer.NewClient(nil), table: a.Table, feed: a.Feed,
+		addresses: map[string]string{}, seeds: s.Peers, rows: map[string]store.Row{},
+	}
+	p.book = allowance.New(allowance.Options{
+		Table: a.Table, Feed: a.Feed, Clock: a.Clock, VM: s.VM + "@" + s.IP, Incarnation: p.incarnation, VMs: p.peers.count,
+	})
+	p.config = &follower{segment: a.ConfigSegment, feed: a.Feed, mirror: mirror.New(), apply: p.applyConfig}
+	p.upstreams = &follower{segment: a.UpstreamSegment, feed: a.Feed, mirror: mirror.New(), apply: p.fleet.apply}
+	p.peers.serve(p.peerSrv, map[string]*mirror.Mirror{
+		a.ConfigSegment: p.config.mirror, a.UpstreamSegment: p.upstreams.mirror,
+	})
+	p.metrics.figures = p.figures
+	return p, p.buildServers()
+}
+
+func (p *Process) buildServers() error {
+	picker, err := routing.NewRouter(p.routes, "")
+	if err != nil {
+		return err
+	}
+	served := &relay.Relay{
+		Catalogue: &p.catalogue, Budgets: budgets{p.book}, Picker: picker, Fleet: p.fleet,
+		Sender: sender{pool: p.pool, dialect: p.adapter.Dialect},
+		Repeats: relay.NewRepeats(relay.RepeatPolicy{
+			Share: p.settings.Repeats.Share, Extra: p.settings.Repeats.Extra, Window: p.settings.Repeats.Window.D(),
+		}),
+		Events: p.metrics, DataCentre: p.settings.DataCentre, Routers: p.peers.count,
+	}
+	p.callers = &http.Server{
+		Handler:           &front{dialect: p.adapter.Dialect, relay: served, catalogue: &p.catalogue, stopping: &p.stopping, active: &p.active},
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         p.connState,
+	}
+	p.ready = &http.Server{Handler: http.HandlerFunc(p.serveReady), ReadHeaderTimeout: headerTimeout}
+	p.report = &http.Server{Handler: p.metrics, ReadHeaderTimeout: headerTimeout}
+	return nil
+}
+
+func (p *Process) connState(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		p.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		p.open.Add(-1)
+	}
+}
+
+// serveReady tells the balancer whether callers should come here.
+func (p *Process) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if why := p.unready(); why != "" {
+		http.Error(w, why, http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n") // the balancer reads the status only
+}
+
+func (p *Process) unready() string {
+	switch {
+	case p.stopping.Load():
+		return "stopping"
+	case p.catalogue.Load() == nil:
+		return "no configuration was seen yet"
+	case len(*p.fleet.current.Load()) == 0:
+		return "no upstream was seen yet"
+	}
+	return ""
+}
+
+// Start listens and begins all work.
+func (p *Process) Start(ctx context.Context) error {
+	ctx, p.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	for _, one := range []struct {
+		address string
+		serve   func(net.Listener) error
+	}{
+		{p.settings.Listen, p.callers.Serve},
+		{p.settings.ReadyListen, p.ready.Serve},
+		{p.settings.PeerListen, p.peerSrv.Serve},
+		{p.settings.MetricsListen, p.report.Serve},
+	} {
+		if one.address == "" {
+			continue
+		}
+		if err := p.listen(ctx, one.address, one.serve); err != nil {
+			return err
+		}
+	}
+	for _, task := range []func(context.Context){
+		p.config.run, p.upstreams.run, p.book.Run, p.upkeep,
+		func(ctx context.Context) { p.peers.run(ctx, p.incarnation) },
+		func(ctx context.Context) { p.peers.learn(ctx, p.config) },
+		func(ctx context.Context) { p.peers.learn(ctx, p.upstreams) },
+	} {
+		p.tasks.Go(func() { task(ctx) })
+	}
+	klog.Infof("step=start vm=%s incarnation=%s callers=%s", p.settings.VM, p.incarnation, p.settings.Listen)
+	return nil
+}
+
+func (p *Process) listen(ctx context.Context, address string, serve func(net.Listener) error) error {
+	lc := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerSilence, Interval: callerSilence / 4, Count: 3}}
+	l, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return eris.Wrapf(err, "listen on %s", address)
+	}
+	go func() {
+		if err := serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			klog.Errorf("step=serve address=%s err=%q", address, err.Error())
+		}
+	}()
+	return nil
+}
+
+// applyConfig puts a newer configuration in force.
+func (p *Process) applyConfig(changes []store.Change) {
+	for _, change := range changes {
+		if change.Deleted {
+			continue
+		}
+		d, found, err := p.adapter.Configuration(change.Key, change.Value)
+		if err != nil {
+			klog.Errorf("step=apply_configuration result=refused err=%q", err.Error())
+			continue
+		}
+		if found {
+			p.putInForce(relay.NewCatalogue(d))
+		}
+	}
+}
+
+func (p *Process) putInForce(c *relay.Catalogue) {
+	if !p.catalogue.Advance(c) {
+		return
+	}
+	limits := map[string]int64{}
+	for name, w := range c.Workspaces {
+		if w.Prepaid >= 0 {
+			limits[name] = w.Prepaid
+		}
+	}
+	p.fleet.setServices(c.Services)
+	p.book.SetLimits(limits)
+	klog.Infof("step=apply_configuration version=%d workspaces=%d services=%d", c.Version, len(c.Workspaces), len(c.Services))
+}
+
+// upkeep does what is due at short intervals.
+func (p *Process) upkeep(ctx context.Context) {
+	for ctx.Err() == nil {
+		if age, heard := p.upstreams.heard.age(); heard && age > feedWait+outageGap {
+			p.lastGap.set()
+		}
+		p.fleet.expire()
+		p.pool.Sweep()
+		p.routes.SetRouters(p.peers.count())
+		pause(ctx, upkeepEvery)
+	}
+}
+
+// unsettled reports whether the table was silent a moment ago: entries may have
+// lapsed whose writers could not reach it.
+func (p *Process) unsettled() bool {
+	age, any := p.lastGap.age()
+	return any && age < lapseHold
+}
+
+// connections returns how many connections this process may have to an address.
+func (p *Process) connections(address string) int {
+	c := p.catalogue.Load()
+	service := p.fleet.serviceAt(address)
+	if c == nil || c.Services[service].Connections <= 0 {
+		return exchange.DefaultConnections
+	}
+	return max(2, int(connectionShare*float64(c.Services[service].Connections)/float64(p.peers.count())))
+}
+
+// figures writes what is known at the moment of asking.
+func (p *Process) figures(w io.Writer) {
+	f := p.book.Figures()
+	counters := p.pool.Counters()
+	fmt.Fprintf(w, "budget_granted_tokens %d\nbudget_settled_tokens %d\nbudget_open_tokens %d\nbudget_lost_tokens %d\n",
+		f.Granted, f.Settled, f.Open, f.Lost)
+	fmt.Fprintf(w, "connections_opened_total %d\nconnections_reused_total %d\nforeign_answers_total %d\nupstreams_unread_total %d\n",
+		counters.Opened.Load(), counters.Reused.Load(), counters.Foreign.Load(), p.fleet.unread.Load())
+	if c := p.catalogue.Load(); c != nil {
+		fmt.Fprintf(w, "configuration_version %d\n", c.Version)
+	}
+}
--- /dev/null
+++ b/edge/fleet.go
@@ -0,0 +1,151 @@
+package edge
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"buckthornridge/config"
+	"buckthornridge/relay"
+	"buckthornridge/routing"
+	"buckthornridge/store"
+)
+
+// Timing of entries that vanish.
+const (
+	// lapseHold is how long an upstream stays in use whose entry vanished around an
+	// outage of the table: entries lapse while their writers cannot reach it, and
+	// are written again soon after.
+	lapseHold = 2200 * time.Millisecond
+	// outageGap is the silence of the table after which its first answers count as
+	// the end of an outage.
+	outageGap = time.Second
+)
+
+// fleet is the list of upstreams as the table tells it.
+type fleet struct {
+	decode func(key string, data []byte) (relay.Upstream, error)
+	table  *routing.Table
+	// unsettled reports whether the table was silent a moment ago.
+	unsettled func() bool
+
+	current atomic.Pointer[map[string]relay.Upstream]
+	at      atomic.Pointer[map[string]string] // service by address
+	unread  atomic.Int64                      // entries that can't be read
+
+	mu      sync.Mutex
+	entries map[string]relay.Upstream // by key
+	lapsing map[string]time.Time      // keys that vanished, with the time to drop them
+	kinds   map[string]relay.Service
+}
+
+func newFleet(decode func(string, []byte) (relay.Upstream, error), table *routing.Table, unsettled func() bool) *fleet {
+	f := &fleet{
+		decode: decode, table: table, unsettled: unsettled,
+		entries: map[string]relay.Upstream{}, lapsing: map[string]time.Time{}, kinds: map[string]relay.Service{},
+	}
+	f.current.Store(&map[string]relay.Upstream{})
+	f.at.Store(&map[string]string{})
+	return f
+}
+
+// serviceAt returns the service of the upstream at an address, or "".
+func (f *fleet) serviceAt(address string) string { return (*f.at.Load())[address] }
+
+// Upstream implements relay.Fleet.
+func (f *fleet) Upstream(id string) (relay.Upstream, bool) {
+	u, known := (*f.current.Load())[id]
+	return u, known
+}
+
+// apply takes changes of the list.
+func (f *fleet) apply(changes []store.Change) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, change := range changes {
+		if change.Deleted {
+			f.vanish(change.Key)
+			continue
+		}
+		u, err := f.decode(change.Key, change.Value)
+		if err != nil {
+			f.unread.Add(1)
+			klog.Warningf("step=read_upstream result=left_out err=%q", err.Error())
+			f.vanish(change.Key)
+			continue
+		}
+		delete(f.lapsing, change.Key)
+		if old, known := f.entries[change.Key]; !known || old.Leaving != u.Leaving || old.Start != u.Start {
+			klog.Infof("step=upstream id=%s service=%s address=%s leaving=%t", u.ID, u.Service, u.Address, u.Leaving)
+		}
+		f.entries[change.Key] = u
+	}
+	f.publish()
+}
+
+// vanish takes an upstream out, after a while if its entry may just have lapsed.
+func (f *fleet) vanish(key string) {
+	u, known := f.entries[key]
+	if !known {
+		return
+	}
+	if f.unsettled() && !u.Leaving {
+		if _, waits := f.lapsing[key]; !waits {
+			f.lapsing[key] = time.Now().Add(lapseHold)
+		}
+		return
+	}
+	klog.Infof("step=upstream id=%s service=%s gone=true", u.ID, u.Service)
+	delete(f.entries, key)
+	delete(f.lapsing, key)
+}
+
+// expire drops the upstreams whose entries did not come back.
+func (f *fleet) expire() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	dropped := false
+	for key, at := range f.lapsing {
+		if time.Now().After(at) {
+			delete(f.entries, key)
+			delete(f.lapsing, key)
+			dropped = true
+			klog.Infof("step=upstream key=%s gone=true lapsed=true", key)
+		}
+	}
+	if dropped {
+		f.publish()
+	}
+}
+
+// setServices takes what the configuration says of services.
+func (f *fleet) setServices(services map[string]relay.Service) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.kinds = services
+	f.publish()
+}
+
+// publish makes the list visible to requests. Callers hold the lock.
+func (f *fleet) publish() {
+	services := make(map[string]string, len(f.entries))
+	byID := make(map[string]relay.Upstream, len(f.entries))
+	upstreams := make(map[string]config.Upstream, len(f.entries))
+	for _, u := range f.entries {
+		byID[u.ID] = u
+		services[u.Address] = u.Service
+		slots := u.Slots
+		if slots <= 0 {
+			slots = f.kinds[u.Service].Slots
+		}
+		upstreams[u.ID] = config.Upstream{
+			Kind: config.UpstreamService, Address: u.Address, DataCentre: u.DataCentre,
+			Service: u.Service, Slots: slots, Leaving: u.Leaving,
+		}
+	}
+	f.current.Store(&byID)
+	f.at.Store(&services)
+	f.table.Update(&config.Snapshot{Document: config.Document{Upstreams: upstreams}})
+}
--- /dev/null
+++ b/edge/follow.go
@@ -0,0 +1,89 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"buckthornridge/store"
+	"buckthornridge/store/mirror"
+)
+
+// Timing of following a segment of the table.
+const (
+	// feedWait is how long one question to the feed stays open. A feed can go
+	// silent without a reset, so it must be short beside the two seconds in which a
+	// change is to be in force.
+	feedWait  = 700 * time.Millisecond
+	feedSlack = 350 * time.Millisecond
+	feedPause = 100 * time.Millisecond
+	// peerInterval is the time between two questions to peers while the table does
+	// not answer.
+	peerInterval = 250 * time.Millisecond
+	peerLimit    = 400 * time.Millisecond
+	// quietLimit is how old the table's last answer may be before peers are asked.
+	quietLimit = 500 * time.Millisecond
+)
+
+// follower keeps one mirror up to date.
+type follower struct {
+	segment string
+	feed    store.Feed
+	mirror  *mirror.Mirror
+	// apply takes what has changed; calm tells that the table answers again for a
+	// while, so that deletions count.
+	apply func(changes []store.Change)
+	heard clockMark // the last answer of the table
+}
+
+// run follows the table until the context ends.
+func (f *follower) run(ctx context.Context) {
+	lost := true
+	for ctx.Err() == nil {
+		update, err := f.ask(ctx, lost)
+		switch {
+		case errors.Is(err, store.ErrHistoryLost):
+			lost = true
+			continue
+		case err != nil:
+			if ctx.Err() == nil {
+				klog.V(1).Infof("step=follow segment=%s result=failed err=%q", f.segment, err.Error())
+			}
+			pause(ctx, feedPause)
+			continue
+		}
+		f.heard.set()
+		if update.Whole && update.Version < f.mirror.Version() {
+			pause(ctx, feedPause) // a stale read: what is known is newer
+			continue
+		}
+		lost = false
+		f.take(update)
+	}
+}
+
+func (f *follower) ask(ctx context.Context, whole bool) (mirror.Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
+	defer cancel()
+	if whole {
+		all, err := f.feed.All(ctx, f.segment)
+		return mirror.Update{Changes: all.Changes, Version: all.Version, Whole: true}, err
+	}
+	news, err := f.feed.Since(ctx, f.segment, f.mirror.Version(), feedWait)
+	return mirror.Update{Changes: news.Changes, Version: news.Version}, err
+}
+
+func (f *follower) take(u mirror.Update) {
+	if changes := f.mirror.Apply(u); len(changes) > 0 {
+		f.apply(changes)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/edge/front.go
@@ -0,0 +1,140 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	"k8s.io/klog/v2"
+
+	"buckthornridge/relay"
+)
+
+// defaultBodyBytes bounds a body before a configuration says how long one may be.
+const defaultBodyBytes = 4 << 20
+
+// front turns callers' HTTP into requests and answers.
+type front struct {
+	dialect   Dialect
+	relay     *relay.Relay
+	catalogue *relay.Holder
+	stopping  *atomic.Bool
+	active    *atomic.Int64
+}
+
+// ServeHTTP implements http.Handler.
+func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.active.Add(1)
+	defer f.active.Add(-1)
+	if f.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	writer := &callerWriter{w: w, flusher: http.NewResponseController(w), dialect: f.dialect}
+	request, problem := f.dialect.ReadRequest(r)
+	if problem == nil {
+		request.Body, problem = f.readBody(w, r)
+	}
+	if problem != nil {
+		klog.Infof("step=read_request id=%s outcome=%s detail=%q", r.Header.Get("X-Request-Id"), problem.Name, problem.Detail)
+		writer.Refuse(problem)
+		return
+	}
+	writer.id = request.ID
+	f.relay.Serve(r.Context(), writer, request)
+}
+
+// readBody reads the whole body: only what is whole may be sent on, and only what
+// is kept can be sent once more.
+func (f *front) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *relay.Problem) {
+	limit := int64(defaultBodyBytes)
+	if c := f.catalogue.Load(); c != nil && c.Limits.BodyBytes > 0 {
+		limit = c.Limits.BodyBytes
+	}
+	if r.ContentLength > limit {
+		return nil, tooLarge()
+	}
+	if r.ContentLength > 0 {
+		body := make([]byte, r.ContentLength)
+		_, err := io.ReadFull(r.Body, body)
+		return body, unreadable(r.Context(), err)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var over *http.MaxBytesError
+	if errors.As(err, &over) {
+		return nil, tooLarge()
+	}
+	return body, unreadable(r.Context(), err)
+}
+
+func tooLarge() *relay.Problem {
+	return &relay.Problem{Status: http.StatusRequestEntityTooLarge, Name: "too_large", Detail: "the body is too long"}
+}
+
+func unreadable(_ context.Context, err error) *relay.Problem {
+	if err == nil {
+		return nil
+	}
+	return &relay.Problem{Status: http.StatusBadRequest, Name: "body_cut", Detail: err.Error()}
+}
+
+// callerWriter writes one answer.
+type callerWriter struct {
+	w       http.ResponseWriter
+	flusher *http.ResponseController
+	dialect Dialect
+	id      string
+}
+
+// Refuse implements relay.Writer.
+func (c *callerWriter) Refuse(p *relay.Problem) {
+	c.dialect.WriteProblem(c.w.Header(), p)
+	c.w.Header().Set("Content-Type", "text/plain")
+	c.w.WriteHeader(p.Status)
+	_, _ = io.WriteString(c.w, p.Name+"\n") // a caller that has left needs no answer
+}
+
+// Answer implements relay.Writer.
+func (c *callerWriter) Answer(status int, h http.Header, body []byte) {
+	c.copyHead(h)
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	c.w.WriteHeader(status)
+	if len(body) == 0 {
+		return
+	}
+	if _, err := c.w.Write(body); err != nil {
+		klog.V(1).Infof("step=answer id=%s result=caller_left err=%q", c.id, err.Error())
+	}
+}
+
+// Begin implements relay.Writer.
+func (c *callerWriter) Begin(status int, h http.Header) {
+	c.copyHead(h)
+	c.w.WriteHeader(status)
+}
+
+func (c *callerWriter) copyHead(h http.Header) {
+	head := c.w.Header()
+	for name, values := range h {
+		head[name] = values
+	}
+	if _, has := h["Content-Type"]; !has {
+		head["Content-Type"] = nil // none of the router's own guessing
+	}
+	if _, has := h["Date"]; !has {
+		head["Date"] = nil
+	}
+}
+
+// Event implements relay.Writer.
+func (c *callerWriter) Event(event []byte) error {
+	if _, err := c.w.Write(event); err != nil {
+		return err
+	}
+	return c.flusher.Flush()
+}
+
+// Abort implements relay.Writer.
+func (c *callerWriter) Abort() { panic(http.ErrAbortHandler) }
--- /dev/null
+++ b/edge/metrics.go
@@ -0,0 +1,89 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"buckthornridge/relay"
+)
+
+// firstBuckets are the upper bounds of the histogram of first bytes.
+var firstBuckets = []time.Duration{
+	10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond,
+	200 * time.Millisecond, 300 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second,
+}
+
+// metrics counts decisions. It implements relay.Events.
+type metrics struct {
+	mu       sync.Mutex
+	outcomes map[string]int64 // by outcome
+	routes   map[string]int64 // by route and outcome
+	first    []int64
+	sends    int64
+	consumed int64 // tokens
+	figures  func(w io.Writer)
+}
+
+func newMetrics() *metrics {
+	return &metrics{outcomes: map[string]int64{}, routes: map[string]int64{}, first: make([]int64, len(firstBuckets)+1)}
+}
+
+// Decided implements relay.Events: one line and a few counters for each request.
+func (m *metrics) Decided(d relay.Decision) {
+	klog.Infof("step=request id=%s route=%s workspace=%s outcome=%s status=%d sends=%d upstreams=%v first_ms=%d total_ms=%d ceiling=%d consumed=%d detail=%q",
+		d.ID, d.Route, d.Workspace, d.Outcome, d.Status, d.Sends, d.Upstreams,
+		d.First.Milliseconds(), d.Total.Milliseconds(), d.Ceiling, d.Consumed, d.Detail)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.outcomes[d.Outcome]++
+	m.routes[fmt.Sprintf("route=%q,outcome=%q", d.Route, d.Outcome)]++
+	m.sends += int64(d.Sends)
+	m.consumed += d.Consumed
+	if d.First > 0 {
+		m.first[m.bucket(d.First)]++
+	}
+}
+
+func (m *metrics) bucket(d time.Duration) int {
+	for i, bound := range firstBuckets {
+		if d <= bound {
+			return i
+		}
+	}
+	return len(firstBuckets)
+}
+
+// ServeHTTP implements http.Handler: counters and a histogram as text.
+func (m *metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	writeCounters(w, "requests_total", "outcome=%q", m.outcomes)
+	writeCounters(w, "route_requests_total", "%s", m.routes)
+	fmt.Fprintf(w, "sends_total %d\nconsumed_tokens_total %d\n", m.sends, m.consumed)
+	var below int64
+	for i, bound := range firstBuckets {
+		below += m.first[i]
+		fmt.Fprintf(w, "first_byte_seconds_bucket{le=\"%g\"} %d\n", bound.Seconds(), below)
+	}
+	fmt.Fprintf(w, "first_byte_seconds_count %d\n", below+m.first[len(firstBuckets)])
+	if m.figures != nil {
+		m.figures(w)
+	}
+}
+
+func writeCounters(w io.Writer, name, label string, counters map[string]int64) {
+	keys := make([]string, 0, len(counters))
+	for key := range counters {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	for _, key := range keys {
+		fmt.Fprintf(w, name+"{"+label+"} %d\n", key, counters[key])
+	}
+}
--- /dev/null
+++ b/edge/peers.go
@@ -0,0 +1,214 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"k8s.io/klog/v2"
+
+	"buckthornridge/peer"
+	"buckthornridge/store"
+	"buckthornridge/store/mirror"
+)
+
+const (
+	// memberSegment holds one row for each VM of the system.
+	memberSegment = "members"
+	// methodSince asks a peer for what its mirror of a segment has.
+	methodSince = "mirror.since"
+	// peersAsked is how many peers are asked at once.
+	peersAsked = 2
+	// memberInterval is the time between two looks at the list of members;
+	// firstMembers between the first few, while a fleet starts.
+	memberInterval = 5 * time.Second
+	firstMembers   = time.Second
+	firstLooks     = 4
+	memberLimit    = 800 * time.Millisecond
+)
+
+// member is the row of one VM.
+type member struct {
+	Address     string `msgpack:"a"` // of its peer listener, host:port
+	Incarnation string `msgpack:"i"`
+}
+
+// sinceRequest asks for the changes of a segment.
+type sinceRequest struct {
+	Segment string `msgpack:"s"`
+	Version int64  `msgpack:"v"`
+}
+
+// peers knows the other processes of the system and learns from them what the
+// table does not tell.
+type peers struct {
+	self    string // this VM
+	address string // this process's peer address
+	client  *peer.Client
+	table   store.Table
+	feed    store.Feed
+
+	mu        sync.Mutex
+	addresses map[string]string // by VM
+	seeds     []string
+	rows      map[string]store.Row
+}
+
+// count returns how many VMs the system has, this one included.
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	others := len(p.addresses)
+	if others == 0 {
+		others = len(p.seeds)
+	}
+	return others + 1
+}
+
+// someAddresses returns a few peers in a random order.
+func (p *peers) someAddresses(n int) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []string
+	for _, address := range p.addresses {
+		all = append(all, address)
+	}
+	if len(all) == 0 {
+		for _, seed := range p.seeds {
+			if seed != p.address {
+				all = append(all, seed)
+			}
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(n, len(all))]
+}
+
+// run enters this VM into the list of members and reads the list.
+func (p *peers) run(ctx context.Context, incarnation string) {
+	entered := false
+	for look := 0; ctx.Err() == nil; look++ {
+		if err := p.look(ctx); err != nil {
+			klog.Warningf("step=read_members result=failed err=%q", err.Error())
+		} else if !entered {
+			entered = p.enter(ctx, incarnation)
+		}
+		if look < firstLooks || !entered {
+			pause(ctx, firstMembers)
+		} else {
+			pause(ctx, memberInterval)
+		}
+	}
+}
+
+func (p *peers) look(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, memberLimit)
+	defer cancel()
+	all, err := p.feed.All(ctx, memberSegment)
+	if err != nil {
+		return err
+	}
+	addresses, rows := map[string]string{}, map[string]store.Row{}
+	for _, change := range all.Changes {
+		vm := change.Key[len(memberSegment)+1:]
+		rows[vm] = change.Row
+		var m member
+		if err := msgpack.Unmarshal(change.Value, &m); err != nil {
+			klog.Warningf("step=read_members vm=%s result=left_out err=%q", vm, err.Error())
+			continue
+		}
+		if vm != p.self {
+			addresses[vm] = m.Address
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.addresses, p.rows = addresses, rows
+	return nil
+}
+
+// enter writes this VM's row. A lost answer is met by the next look.
+func (p *peers) enter(ctx context.Context, incarnation string) bool {
+	p.mu.Lock()
+	row := p.rows[p.self]
+	p.mu.Unlock()
+	data, err := msgpack.Marshal(member{Address: p.address, Incarnation: incarnation})
+	if err != nil {
+		klog.Errorf("step=enter_members result=failed err=%q", err.Error())
+		return false
+	}
+	return p.write(ctx, store.Row{Version: row.Version}, store.Write{Key: p.key(), Value: data})
+}
+
+func (p *peers) key() string { return memberSegment + "/" + p.self }
+
+func (p *peers) write(ctx context.Context, row store.Row, w store.Write) bool {
+	ctx, cancel := context.WithTimeout(ctx, memberLimit)
+	defer cancel()
+	_, err := p.table.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: p.key(), Version: row.Version}},
+		Writes:     []store.Write{w},
+	})
+	if err != nil {
+		klog.Warningf("step=write_member result=failed err=%q", err.Error())
+	}
+	return err == nil
+}
+
+// leave takes this VM off the list at a planned stop.
+func (p *peers) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, memberLimit)
+	defer cancel()
+	rows, err := p.table.Read(ctx, p.key())
+	if err != nil {
+		klog.Warningf("step=leave_members result=failed err=%q", err.Error())
+		return
+	}
+	if rows[0].Version > 0 {
+		p.write(ctx, rows[0], store.Write{Key: p.key(), Delete: true})
+	}
+}
+
+// serve answers peers from this process's mirrors.
+func (p *peers) serve(server *peer.Server, mirrors map[string]*mirror.Mirror) {
+	server.Handle(methodSince, func(_ context.Context, decode func(any) error, _ peer.Sender) (any, error) {
+		var request sinceRequest
+		if err := decode(&request); err != nil {
+			return nil, err
+		}
+		m := mirrors[request.Segment]
+		if m == nil || m.Version() == 0 {
+			return mirror.Update{}, nil
+		}
+		return m.Since(request.Version), nil
+	})
+}
+
+// learn asks a few peers for what the table has not told for a while.
+func (p *peers) learn(ctx context.Context, f *follower) {
+	for ctx.Err() == nil {
+		pause(ctx, peerInterval)
+		if age, heard := f.heard.age(); heard && age < feedWait+quietLimit {
+			continue
+		}
+		for _, address := range p.someAddresses(peersAsked) {
+			p.ask(ctx, address, f)
+		}
+	}
+}
+
+func (p *peers) ask(ctx context.Context, address string, f *follower) {
+	ctx, cancel := context.WithTimeout(ctx, peerLimit)
+	defer cancel()
+	var update mirror.Update
+	err := p.client.Call(ctx, address, methodSince, sinceRequest{Segment: f.segment, Version: f.mirror.Version()}, &update)
+	if err != nil {
+		klog.V(1).Infof("step=ask_peer peer=%s segment=%s result=failed err=%q", address, f.segment, err.Error())
+		return
+	}
+	if update.Version > 0 {
+		f.take(update)
+	}
+}
--- /dev/null
+++ b/edge/ports.go
@@ -0,0 +1,72 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"buckthornridge/budget/allowance"
+	"buckthornridge/relay"
+	"buckthornridge/upstream/exchange"
+)
+
+// Dialect is what callers and upstreams speak.
+type Dialect struct {
+	ReadRequest  func(r *http.Request) (*relay.Request, *relay.Problem)
+	WriteProblem func(h http.Header, p *relay.Problem)
+	WriteHeader  func(out relay.Outgoing) http.Header
+	ReadHead     func(status int, h http.Header) relay.Head
+	Mine         func(id string, h http.Header) bool
+}
+
+// sender sends requests over kept connections.
+type sender struct {
+	pool    *exchange.Pool
+	dialect Dialect
+}
+
+// Send implements relay.Sender.
+func (s sender) Send(ctx context.Context, out relay.Outgoing) (relay.Answer, error) {
+	response, err := s.pool.Do(ctx, out.Upstream.Address, &exchange.Request{
+		Method:  out.Request.Method,
+		Target:  out.Request.Target,
+		Host:    out.Request.Authority,
+		Header:  s.dialect.WriteHeader(out),
+		Body:    out.Request.Body,
+		Careful: out.Careful,
+		Mine:    func(h http.Header) bool { return s.dialect.Mine(out.Request.ID, h) },
+	})
+	if err != nil {
+		return nil, err
+	}
+	return answer{response, s.dialect.ReadHead(response.Status, response.Header)}, nil
+}
+
+// answer is an upstream's answer on a kept connection.
+type answer struct {
+	*exchange.Response
+	head relay.Head
+}
+
+// Head implements relay.Answer.
+func (a answer) Head() relay.Head { return a.head }
+
+// budgets draws on this process's grants.
+type budgets struct{ book *allowance.Book }
+
+// Reserve implements relay.Budgets.
+func (b budgets) Reserve(ctx context.Context, w relay.Workspace, ceiling int64) (relay.Reservation, error) {
+	r, err := b.book.Reserve(ctx, w.Name, w.Prepaid, ceiling)
+	if err == nil {
+		return r, nil
+	}
+	p := &relay.Problem{Status: http.StatusServiceUnavailable, Name: "budget_in_doubt", Detail: err.Error()}
+	var refused *allowance.RefusedError
+	if errors.As(err, &refused) {
+		p.RetryAfter = refused.RetryAfter
+		if refused.Certain {
+			p.Status, p.Name = http.StatusPaymentRequired, "budget_exhausted"
+		}
+	}
+	return nil, p
+}
--- /dev/null
+++ b/edge/settings.go
@@ -0,0 +1,77 @@
+package edge
+
+import (
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/settings"
+	"buckthornridge/telemetry"
+)
+
+// Settings is the settings file of an entry process.
+type Settings struct {
+	// VM is the id of the machine; a process with the same id that starts later
+	// ends this one.
+	VM string `json:"vm"`
+	// IP is the machine's address, by which peers reach it.
+	IP         string `json:"ip"`
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region"`
+	// Listen is the callers' address, ReadyListen that of the balancer's
+	// questions, PeerListen that of the system's other processes, MetricsListen
+	// that of the metrics; each host:port.
+	Listen        string `json:"listen"`
+	ReadyListen   string `json:"ready_listen"`
+	PeerListen    string `json:"peer_listen"`
+	MetricsListen string `json:"metrics_listen"`
+	// Peers are addresses of other processes to ask while the table was never
+	// reached. They may be stale.
+	Peers []string `json:"peers"`
+	// Store is the address of the platform's store.
+	Store string `json:"store"`
+	// DrainLimit bounds a planned stop.
+	DrainLimit settings.Duration `json:"drain_limit"`
+	// Repeats bounds sends to a second upstream, over all routers.
+	Repeats RepeatSettings `json:"repeats"`
+	// MemoryBytes is what the process may use; the garbage collector keeps below
+	// three quarters of it. 0 sets no limit.
+	MemoryBytes int64 `json:"memory_bytes"`
+	// Trace says where spans go.
+	Trace telemetry.Trace `json:"trace"`
+}
+
+// RepeatSettings are the operators' bounds for repeated requests of one service.
+type RepeatSettings struct {
+	Share  float64           `json:"share"`
+	Extra  float64           `json:"extra"`
+	Window settings.Duration `json:"window"`
+}
+
+// Validate reports the first setting that is missing or out of range.
+func (s Settings) Validate() error {
+	for _, required := range []struct{ name, value string }{
+		{"vm", s.VM},
+		{"ip", s.IP},
+		{"data_centre", s.DataCentre},
+		{"listen", s.Listen},
+		{"ready_listen", s.ReadyListen},
+		{"peer_listen", s.PeerListen},
+		{"store", s.Store},
+	} {
+		if required.value == "" {
+			return eris.Errorf("settings: %s is missing", required.name)
+		}
+	}
+	if s.DrainLimit <= 0 {
+		return eris.New(`settings: drain_limit must be over 0, for example "8s"`)
+	}
+	if s.Repeats.Share < 0 || s.Repeats.Extra < 0 || s.Repeats.Window <= 0 {
+		return eris.New("settings: repeats needs a share and an extra from 0 on, and a window over 0")
+	}
+	if s.MemoryBytes < 0 {
+		return eris.New("settings: memory_bytes must not be negative")
+	}
+	if s.Trace.Ratio < 0 || s.Trace.Ratio > 1 {
+		return eris.New("settings: trace.ratio must be from 0 to 1")
+	}
+	return nil
+}
--- /dev/null
+++ b/edge/stop.go
@@ -0,0 +1,68 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+// Steps of a planned stop.
+const (
+	// leaveNotice is how long callers may still come while the balancer takes this
+	// VM out: it asks once a second and acts on the second refusal.
+	leaveNotice = 3 * time.Second
+	// closingTime is kept of the drain limit for giving grants back.
+	closingTime = 1200 * time.Millisecond
+	drainLook   = 50 * time.Millisecond
+	quietLooks  = 6
+)
+
+// Drain is a planned stop: the balancer is told first, requests in progress end,
+// and what is left of grants is given back.
+func (p *Process) Drain(ctx context.Context) {
+	began := time.Now()
+	p.stopping.Store(true)
+	klog.Infof("step=drain vm=%s active=%d connections=%d", p.settings.VM, p.active.Load(), p.open.Load())
+	requests, cancel := context.WithTimeout(ctx, p.settings.DrainLimit.D()-closingTime)
+	defer cancel()
+	p.awaitQuiet(requests, began)
+	if err := p.callers.Shutdown(requests); err != nil {
+		klog.Warningf("step=drain result=cut active=%d err=%q", p.active.Load(), err.Error())
+		p.callers.Close()
+	}
+	p.cancel()
+	closing, done := context.WithTimeout(ctx, closingTime)
+	defer done()
+	p.tasks.Wait()
+	p.book.Close(closing)
+	p.peers.leave(closing)
+	klog.Infof("step=drain result=done after_ms=%d", time.Since(began).Milliseconds())
+}
+
+// awaitQuiet waits until no request has run for a few looks, the notice over.
+func (p *Process) awaitQuiet(ctx context.Context, began time.Time) {
+	quiet := 0
+	for ctx.Err() == nil {
+		if p.active.Load() == 0 {
+			quiet++
+		} else {
+			quiet = 0
+		}
+		if time.Since(began) >= leaveNotice && (quiet >= quietLooks || p.open.Load() == 0) {
+			return
+		}
+		pause(ctx, drainLook)
+	}
+}
+
+// Stop ends all work at once.
+func (p *Process) Stop() {
+	p.cancel()
+	for _, server := range []interface{ Close() error }{p.callers, p.ready, p.report, p.peerSrv, p.peers.client} {
+		if err := server.Close(); err != nil {
+			klog.Warningf("step=stop err=%q", err.Error())
+		}
+	}
+	p.tasks.Wait()
+}
--- /dev/null
+++ b/relay/catalogue.go
@@ -0,0 +1,176 @@
+package relay
+
+import (
+	"math"
+	"sort"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Route says how requests of a host and path are handled.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string // begins and ends with a slash
+	Kind   Kind
+	// Timeout is the longest time that a request may be kept waiting.
+	Timeout time.Duration
+	// Aim is the time within which an answer is worth most.
+	Aim time.Duration
+	// Attempts is the most upstreams that one request may be sent to.
+	Attempts int
+	// Priority is the rank of the route; 0 goes first.
+	Priority int
+	// Public routes need no API key.
+	Public   bool
+	Services []Share
+}
+
+// Share is a service's part of a route's requests.
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+// Service is a group of upstreams that serve the same requests.
+type Service struct {
+	Name string
+	// Slots is how many requests one upstream runs at once; 0 if unknown.
+	Slots int
+	// Connections is how many connections an upstream takes from all routers.
+	Connections int
+	// EventTokens is how many tokens one event of a stream holds at the most.
+	EventTokens int64
+	// Engine says that the upstreams are model engines.
+	Engine bool
+	Models []string
+}
+
+// Workspace is a customer with a prepaid budget.
+type Workspace struct {
+	Name string
+	// Priority goes before that of the route; negative if there is none.
+	Priority int
+	// Prepaid is the sum in tokens that the workspace may spend; negative if it
+	// has no budget.
+	Prepaid int64
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Definition is the content of a Catalogue as an adapter reads it.
+type Definition struct {
+	Version    int64
+	Routes     []Route
+	Services   []Service
+	Workspaces []Workspace
+	Keys       map[string]string // API key to workspace
+	Limits     Limits
+}
+
+// Catalogue is one accepted configuration with the indexes that requests need. It
+// is immutable.
+type Catalogue struct {
+	Version    int64
+	Limits     Limits
+	Services   map[string]Service
+	Workspaces map[string]Workspace
+	keys       map[string]string
+	byHost     map[string][]*Route // longest prefix first
+}
+
+// NewCatalogue builds the indexes of a definition.
+func NewCatalogue(d Definition) *Catalogue {
+	c := &Catalogue{
+		Version:    d.Version,
+		Limits:     d.Limits,
+		Services:   make(map[string]Service, len(d.Services)),
+		Workspaces: make(map[string]Workspace, len(d.Workspaces)),
+		keys:       d.Keys,
+		byHost:     map[string][]*Route{},
+	}
+	for _, s := range d.Services {
+		c.Services[s.Name] = s
+	}
+	for _, w := range d.Workspaces {
+		c.Workspaces[w.Name] = w
+	}
+	for i := range d.Routes {
+		route := &d.Routes[i]
+		c.byHost[route.Host] = append(c.byHost[route.Host], route)
+	}
+	for _, routes := range c.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	return c
+}
+
+// Route returns the route of a request, or nil.
+func (c *Catalogue) Route(host, path string) *Route {
+	for _, route := range c.byHost[host] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Owner returns the workspace that holds an API key.
+func (c *Catalogue) Owner(key string) (Workspace, bool) {
+	name, known := c.keys[key]
+	if !known {
+		return Workspace{}, false
+	}
+	w, known := c.Workspaces[name]
+	return w, known
+}
+
+// Service returns the service that a request goes to. Among several it follows
+// from the request's id, so that all of its attempts agree.
+func (r *Route) Service(requestID string) string {
+	if len(r.Services) == 0 {
+		return ""
+	}
+	var total float64
+	for _, s := range r.Services {
+		total += s.Weight
+	}
+	at := float64(xxhash.Sum64String(requestID)) / math.MaxUint64 * total
+	for _, s := range r.Services {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return r.Services[len(r.Services)-1].Service
+}
+
+// Holder publishes catalogues by read-copy-update. Within one process the version
+// never falls.
+type Holder struct{ current atomic.Pointer[Catalogue] }
+
+// Load returns the catalogue in force, or nil before the first one.
+func (h *Holder) Load() *Catalogue { return h.current.Load() }
+
+// Advance puts c in force unless its version is not above the present one. It
+// reports whether it did.
+func (h *Holder) Advance(c *Catalogue) bool {
+	for {
+		old := h.current.Load()
+		if old != nil && old.Version >= c.Version {
+			return false
+		}
+		if h.current.CompareAndSwap(old, c) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/relay/ports.go
@@ -0,0 +1,114 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"buckthornridge/routing"
+)
+
+// Upstream is one server of a service as the list of servers tells it.
+type Upstream struct {
+	// ID is drawn anew at most starts; an address may pass to another upstream.
+	ID string
+	// Start tells a process from the one before it under the same id.
+	Start      int64
+	Address    string // host:port
+	DataCentre string
+	Service    string
+	Slots      int
+	Leaving    bool
+}
+
+// Budgets decides whether a workspace may spend.
+type Budgets interface {
+	// Reserve takes the ceiling out of the workspace's budget before anything is
+	// sent. The error is a *Problem; it says whether the refusal is certain.
+	Reserve(ctx context.Context, w Workspace, ceiling int64) (Reservation, error)
+}
+
+// Reservation is a part of a budget that one request may use.
+type Reservation interface {
+	// Settle counts what was consumed, in tokens, and frees the rest. Only the
+	// first call counts.
+	Settle(consumed int64)
+}
+
+// Picker chooses upstreams. *routing.Router implements it.
+type Picker interface {
+	Pick(request routing.Request) (*routing.Choice, error)
+}
+
+// Fleet finds upstreams by id.
+type Fleet interface {
+	Upstream(id string) (Upstream, bool)
+}
+
+// Outgoing is a request on its way to one upstream.
+type Outgoing struct {
+	Request   *Request
+	Upstream  Upstream
+	Workspace string // empty without one
+	Priority  int
+	// Left is the time that the upstream may take.
+	Left time.Duration
+	// After is the last event that the caller has, of this or an earlier answer.
+	After string
+	// Careful marks a request that must not be lost on a stale connection.
+	Careful bool
+}
+
+// Answer is an upstream's answer. It must be closed.
+type Answer interface {
+	// Head tells what the answer is.
+	Head() Head
+	// Read reads the body; io.EOF means that it ended as its framing says.
+	Read(b []byte) (int, error)
+	Close()
+}
+
+// Head is what an answer says before its body.
+type Head struct {
+	Status int
+	// Header is what the caller gets.
+	Header http.Header
+	// NotRun is the upstream's word that it did not run the request.
+	NotRun bool
+	// Moved says that another upstream has the address.
+	Moved bool
+	// Signed says that the answer bears the upstream's signature.
+	Signed bool
+	// Altered says that the body is not the upstream's own bytes.
+	Altered bool
+}
+
+// Sender sends a request to an upstream and returns the head of its answer. Its
+// errors wrap upstream.ErrNotSent or upstream.ErrBroken.
+type Sender interface {
+	Send(ctx context.Context, out Outgoing) (Answer, error)
+}
+
+// Events counts decisions and outcomes and writes their log lines.
+type Events interface {
+	// Decided tells how a request ended.
+	Decided(d Decision)
+}
+
+// Decision is the record of one request.
+type Decision struct {
+	ID        string
+	Route     string
+	Workspace string
+	// Outcome is short and stable: "answered", "streamed", or a problem's name.
+	Outcome string
+	Status  int
+	Sends   int
+	// Upstreams lists where the request was sent.
+	Upstreams []string
+	// First is the time to the first byte of the answer, Total to its end.
+	First, Total time.Duration
+	Ceiling      int64 // tokens
+	Consumed     int64 // tokens
+	Detail       string
+}
--- /dev/null
+++ b/relay/try.go
@@ -0,0 +1,162 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"buckthornridge/routing"
+	"buckthornridge/upstream"
+)
+
+// maxBuffered is the largest answer of a plain service that is kept whole before
+// it is passed on. Only a kept answer can be replaced by a second one when it
+// breaks off.
+const maxBuffered = 4 << 20
+
+// try is one request at one upstream.
+type try struct {
+	run    *run
+	choice *routing.Choice
+	target Upstream
+	began  time.Time
+	first  time.Duration // to the first byte that is worth passing on
+}
+
+// do sends the request and passes its answer on. It reports whether the request
+// is over.
+func (t *try) do(ctx context.Context) bool {
+	r := t.run
+	answer, err := r.relay.Sender.Send(ctx, t.outgoing())
+	if errors.Is(err, upstream.ErrNotSent) {
+		t.end(routing.OutcomeUnreachable)
+		r.skip(t.target.ID)
+		return r.overTries(ctx)
+	}
+	r.sends++
+	r.decision.Sends = r.sends
+	r.decision.Upstreams = append(r.decision.Upstreams, t.target.ID)
+	if err != nil {
+		r.ran = true
+		return t.broken(ctx, err)
+	}
+	defer answer.Close()
+	return t.answered(ctx, answer)
+}
+
+func (t *try) outgoing() Outgoing {
+	r := t.run
+	return Outgoing{
+		Request:   r.request,
+		Upstream:  t.target,
+		Workspace: r.workspace.Name,
+		Priority:  r.priority,
+		Left:      r.left(),
+		After:     r.after,
+		Careful:   !r.route.Kind.MayRunAgain(),
+	}
+}
+
+// end reports the try's outcome to routing.
+func (t *try) end(kind routing.OutcomeKind) {
+	r := t.run
+	t.choice.Done(routing.Outcome{
+		Kind:         kind,
+		FirstToken:   t.first,
+		Total:        time.Since(t.began),
+		PromptTokens: r.request.Size.Prompt,
+		CachedTokens: r.request.Size.Prompt,
+	})
+}
+
+// failure says what a broken exchange tells about the upstream: nothing, if the
+// caller left or the time was over.
+func failure(ctx context.Context) routing.OutcomeKind {
+	if ctx.Err() != nil {
+		return routing.OutcomeCancelled
+	}
+	return routing.OutcomeBroken
+}
+
+// broken handles an exchange that gave no answer although the request was sent.
+func (t *try) broken(ctx context.Context, err error) bool {
+	r := t.run
+	t.end(failure(ctx))
+	r.skip(t.target.ID)
+	if r.mayRepeat(ctx, true) {
+		return false
+	}
+	r.giveUp(ctx, err.Error())
+	return true
+}
+
+// answered handles an answer whose head has come.
+func (t *try) answered(ctx context.Context, answer Answer) bool {
+	head := answer.Head()
+	switch {
+	case head.NotRun:
+		return t.refused(ctx, head)
+	case head.Altered, success(head.Status) && !head.Signed:
+		t.run.ran = true
+		return t.broken(ctx, upstream.ErrProtocol)
+	}
+	t.run.ran = true
+	if head.Status >= http.StatusInternalServerError && t.run.mayRepeat(ctx, true) {
+		t.end(routing.OutcomeBroken)
+		t.run.skip(t.target.ID)
+		return false
+	}
+	if success(head.Status) && t.run.route.Kind.Streams() {
+		return t.stream(ctx, answer)
+	}
+	return t.whole(ctx, answer)
+}
+
+func success(status int) bool { return status >= 200 && status < 300 }
+
+// refused handles an upstream's word that it did not run the request.
+func (t *try) refused(ctx context.Context, head Head) bool {
+	r := t.run
+	kind := routing.OutcomeFull
+	if head.Moved {
+		kind = routing.OutcomeUnreachable
+	}
+	t.end(kind)
+	r.skip(t.target.ID)
+	if r.mayRepeat(ctx, false) {
+		return false
+	}
+	r.giveUp(ctx, "the upstream took no more work")
+	return true
+}
+
+// whole passes on an answer that ends by itself.
+func (t *try) whole(ctx context.Context, answer Answer) bool {
+	r := t.run
+	head := answer.Head()
+	body, err := io.ReadAll(io.LimitReader(reader{answer}, maxBuffered+1))
+	if err == nil && len(body) > maxBuffered {
+		err = upstream.ErrProtocol
+	}
+	if err != nil {
+		return t.broken(ctx, err)
+	}
+	t.first = time.Since(t.began)
+	kind := routing.OutcomeOK
+	if head.Status >= http.StatusInternalServerError {
+		kind = routing.OutcomeBroken
+	}
+	t.end(kind)
+	r.decision.First = time.Since(r.request.Arrived)
+	r.decision.Outcome, r.decision.Status = "answered", head.Status
+	r.writer.Answer(head.Status, head.Header, body)
+	return true
+}
+
+// reader makes an io.Reader of an answer.
+type reader struct{ answer Answer }
+
+// Read implements io.Reader.
+func (r reader) Read(b []byte) (int, error) { return r.answer.Read(b) }
--- a/routing/ring.go
+++ b/routing/ring.go
@@ -10,6 +10,10 @@
 // homes is how many upstreams a prefix belongs to.
 const homes = 2
 
+// ringPoints is how many places an upstream has on the ring. With one, the busiest
+// of 12 upstreams is home to about three times its share of prefixes.
+const ringPoints = 16
+
 // ringPoint is one upstream's place on the hash ring.
 type ringPoint struct {
 	at    uint64
@@ -20,9 +24,13 @@
 // to the same few upstreams without having heard of each other, and a change of
 // membership moves only few prefixes.
 func newRing(list []*entry) []ringPoint {
-	ring := make([]ringPoint, 0, len(list))
+	ring := make([]ringPoint, 0, len(list)*ringPoints)
 	for _, e := range list {
-		ring = append(ring, ringPoint{at: xxhash.Sum64String(e.id), entry: e})
+		at := xxhash.Sum64String(e.id)
+		for range ringPoints {
+			ring = append(ring, ringPoint{at: at, entry: e})
+			at = mix(at)
+		}
 	}
 	slices.SortFunc(ring, func(a, b ringPoint) int { return cmp.Compare(a.at, b.at) })
 	return ring
@@ -35,7 +43,11 @@
 	if len(ring) == 0 || len(v.request.Prefix) == 0 {
 		return nil
 	}
-	key := mix(v.homeBlock() + uint64(i))
+	block := v.request.Home
+	if block == 0 {
+		block = v.homeBlock()
+	}
+	key := mix(block + uint64(i))
 	at, _ := slices.BinarySearchFunc(ring, key, func(p ringPoint, key uint64) int { return cmp.Compare(p.at, key) })
 	return ring[at%len(ring)].entry
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -38,6 +38,10 @@
 	// Prefix holds the chained hashes of the prompt's full blocks, shortest
 	// prefix first: upstream.PrefixChain.
 	Prefix []uint64
+	// Home is a hash of what the prompt shares with others, if its parts are known;
+	// requests with the same one go to the same few upstreams. 0 leaves it to
+	// Prefix.
+	Home uint64
 	// PromptTokens is the expected length of the prompt in tokens.
 	PromptTokens int64
 	// MaxTokens is the ceiling of the answer in tokens.
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -44,9 +44,9 @@
 // Unwrap returns ErrRefused.
 func (e *RefusedError) Unwrap() error { return ErrRefused }
 
-// fail wraps one of the package's errors with the step and the peer at which
+// Failed wraps one of the package's errors with the step and the peer at which
 // it arose. Both kind and cause are found by errors.Is; cause may be nil.
-func fail(step, peer string, kind, cause error) error {
+func Failed(step, peer string, kind, cause error) error {
 	countFailure(kind)
 	if cause == nil {
 		return eris.Wrapf(kind, "%s %s", step, peer)
--- /dev/null
+++ b/upstream/exchange/pool.go
@@ -0,0 +1,279 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/upstream"
+)
+
+// Timing of connections to upstreams.
+const (
+	// DefaultDialTimeout bounds a new connection. Inside a region a handshake
+	// takes a few milliseconds; a dark upstream answers nothing at all.
+	DefaultDialTimeout = 300 * time.Millisecond
+	// silentLimit is how long the other side may leave bytes unacknowledged. A cut
+	// link shows no reset; without it a connection would hang for minutes.
+	silentLimit = 1500 * time.Millisecond
+	// keepAliveInterval is the time between two probes of a silent connection.
+	keepAliveInterval = time.Second
+	keepAliveProbes   = 2
+	// defaultIdle holds where an upstream does not say how long it keeps an idle
+	// connection.
+	defaultIdle = 4 * time.Second
+	longestIdle = 30 * time.Second
+	// idleShare of the upstream's word is trusted, since some close sooner;
+	// carefulShare by requests that may not be repeated.
+	idleShare    = 0.6
+	carefulShare = 0.25
+	// DefaultConnections bounds the connections to one upstream where nothing else
+	// was set.
+	DefaultConnections = 64
+)
+
+// Counters count what happened on connections, for operators.
+type Counters struct {
+	Opened, Reused, Refused, Closed, Foreign atomic.Int64
+}
+
+// Pool keeps connections to upstreams by address.
+type Pool struct {
+	dialer   net.Dialer
+	counters Counters
+
+	mu    sync.Mutex
+	hosts map[string]*host
+	// most returns the largest number of connections to an address.
+	most func(address string) int
+}
+
+// host is what the pool holds towards one address.
+type host struct {
+	idle []*conn // the one used last at the end
+	open int     // idle ones included
+}
+
+// conn is one connection to an upstream.
+type conn struct {
+	address string
+	raw     net.Conn
+	reader  *bufio.Reader
+	idleAt  time.Time
+	keep    time.Duration // how long the upstream keeps it open while idle
+	spoiled bool          // it carried an answer that was not asked for
+}
+
+// NewPool returns an empty pool. most gives the largest number of connections to
+// an address; nil stands for DefaultConnections.
+func NewPool(most func(address string) int) *Pool {
+	if most == nil {
+		most = func(string) int { return DefaultConnections }
+	}
+	return &Pool{dialer: NewDialer(), hosts: map[string]*host{}, most: most}
+}
+
+// Counters returns the pool's counters.
+func (p *Pool) Counters() *Counters { return &p.counters }
+
+// NewDialer returns a dialer whose connections notice silence within about two
+// seconds.
+func NewDialer() net.Dialer {
+	return net.Dialer{
+		Timeout: DefaultDialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var err error
+			if inner := raw.Control(func(fd uintptr) { err = setUserTimeout(int(fd)) }); inner != nil {
+				return inner
+			}
+			return err
+		},
+	}
+}
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
+const tcpUserTimeout = 18
+
+func setUserTimeout(fd int) error {
+	return syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, tcpUserTimeout, int(silentLimit.Milliseconds()))
+}
+
+// take returns an idle connection that is still good, or opens one.
+func (p *Pool) take(ctx context.Context, address string, careful bool) (*conn, error) {
+	for {
+		c := p.pop(address, careful)
+		if c == nil {
+			break
+		}
+		if c.quiet() {
+			p.counters.Reused.Add(1)
+			return c, nil
+		}
+		p.discard(c)
+	}
+	return p.open(ctx, address)
+}
+
+// pop takes the connection that was used last, if it is young enough.
+func (p *Pool) pop(address string, careful bool) *conn {
+	share := idleShare
+	if careful {
+		share = carefulShare
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil || len(h.idle) == 0 {
+		return nil
+	}
+	c := h.idle[len(h.idle)-1]
+	if time.Since(c.idleAt) > time.Duration(share*float64(c.keep)) {
+		return nil
+	}
+	h.idle = h.idle[:len(h.idle)-1]
+	return c
+}
+
+func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
+	if !p.count(address) {
+		p.counters.Refused.Add(1)
+		return nil, upstream.Failed("connect", address, upstream.ErrNotSent, eris.New("too many connections"))
+	}
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		p.uncount(address)
+		return nil, upstream.Failed("connect", address, upstream.ErrNotSent, err)
+	}
+	p.counters.Opened.Add(1)
+	return &conn{address: address, raw: raw, reader: bufio.NewReaderSize(raw, bufferBytes)}, nil
+}
+
+// count makes room for one more connection, if need be by closing an idle one.
+func (p *Pool) count(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil {
+		h = &host{}
+		p.hosts[address] = h
+	}
+	if h.open >= p.most(address) {
+		if len(h.idle) == 0 {
+			return false
+		}
+		h.idle[0].raw.Close()
+		h.idle = h.idle[1:]
+		h.open--
+	}
+	h.open++
+	return true
+}
+
+func (p *Pool) uncount(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	h.open--
+	if h.open == 0 && len(h.idle) == 0 {
+		delete(p.hosts, address)
+	}
+}
+
+func (p *Pool) put(c *conn, keep time.Duration) {
+	c.idleAt, c.keep = time.Now(), keep
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[c.address]
+	h.idle = append(h.idle, c)
+}
+
+func (p *Pool) discard(c *conn) {
+	c.raw.Close()
+	p.counters.Closed.Add(1)
+	p.uncount(c.address)
+}
+
+// Sweep closes idle connections that are too old to be used again, so that they
+// don't take an upstream's places. It is to be called now and then.
+func (p *Pool) Sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, h := range p.hosts {
+		kept := h.idle[:0]
+		for _, c := range h.idle {
+			if time.Since(c.idleAt) > time.Duration(idleShare*float64(c.keep)) {
+				c.raw.Close()
+				h.open--
+				continue
+			}
+			kept = append(kept, c)
+		}
+		h.idle = kept
+		if h.open == 0 {
+			delete(p.hosts, address)
+		}
+	}
+}
+
+// quiet reports whether an idle connection is open and has nothing to read: bytes
+// that come between two requests belong to no request.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	tcp, ok := c.raw.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	peek := func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		silent = err == syscall.EAGAIN
+		return true
+	}
+	return raw.Read(peek) == nil && silent
+}
+
+// wantsClose reports whether a header says that the connection ends.
+func wantsClose(h http.Header) bool {
+	for _, value := range h.Values("Connection") {
+		for _, token := range strings.Split(value, ",") {
+			if strings.EqualFold(strings.TrimSpace(token), "close") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// idleLimit returns how long the upstream says it keeps an idle connection.
+func idleLimit(h http.Header) time.Duration {
+	for _, parameter := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(value)
+		if err == nil && seconds >= 0 {
+			return min(time.Duration(seconds)*time.Second, longestIdle)
+		}
+	}
+	return defaultIdle
+}
--- a/upstream/limit.go
+++ b/upstream/limit.go
@@ -85,7 +85,7 @@
 func (s *limitedStream) complete() error {
 	u := s.Stream.Usage()
 	if u.OutputTokens > s.next && u.OutputTokens <= s.g.MaxTokens {
-		return fail("usage", s.g.StreamID, ErrProtocol,
+		return Failed("usage", s.g.StreamID, ErrProtocol,
 			eris.Errorf("%d output tokens reported, %d received", u.OutputTokens, s.next))
 	}
 	s.usage = u
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -100,11 +100,11 @@
 	if eris.Is(cause, bufio.ErrTooLong) {
 		return s.violation(cause)
 	}
-	return fail("stream", s.peer, ErrBroken, cause)
+	return Failed("stream", s.peer, ErrBroken, cause)
 }
 
 func (s *httpStream) violation(cause error) error {
-	return fail("stream", s.peer, ErrProtocol, cause)
+	return Failed("stream", s.peer, ErrProtocol, cause)
 }
 
 func (s *httpStream) finish(line wire.Line) error {
