allowance: grants follow the use that all holders report; wants are honoured

Cause: refused requests of a cut-off VM lacked a grant (even parts since no rates of others were known), a want in a pool was never answered (the refill case came first), and each failed report of a cut-off holder began a new bound.

--- a/budget/allowance/account.go
+++ b/budget/allowance/account.go
@@ -20,6 +20,8 @@
 	// failed. The holder keeps to all of them.
 	bounds []dated
 	pool   pool
+	// others is what other holders reported of this budget, by holder.
+	others map[string]ledger
 	// version is the pool's row version, -1 while it must be read.
 	version int64
 	need    int64 // the ceiling that a waiting request lacks room for
@@ -36,7 +38,7 @@
 }
 
 func newAccount(budget string) *account {
-	return &account{budget: budget, lowered: -1, version: -1, bounds: []dated{{}}, changed: make(chan struct{})}
+	return &account{budget: budget, lowered: -1, version: -1, bounds: []dated{{}}, others: map[string]ledger{}, changed: make(chan struct{})}
 }
 
 // committed is what may be consumed by the requests that ran and run.
@@ -70,8 +72,7 @@
 	if a.version < 0 {
 		return false
 	}
-	consumed := a.pool.consumed() - a.pool.Holders[self].Settled + a.settled
-	return a.limit-consumed < ceiling
+	return a.limit-a.consumed(self) < ceiling
 }
 
 // ledger is what a new report says of the budget.
--- a/budget/allowance/allowance.go
+++ b/budget/allowance/allowance.go
@@ -41,7 +41,7 @@
 	riseTime = 5 * time.Second
 	// grantShare is the part of a budget's rest that is handed out; what stays lets
 	// a holder get more at once.
-	grantShare = 0.85
+	grantShare = 0.95
 	// evenShare is the part of it that is divided evenly among the VMs; the
 	// rest follows their use. A VM that had no requests may have all of them
 	// while it is cut off.
@@ -49,7 +49,11 @@
 	// refillBelow and returnAbove bound a holder's unspent tokens as multiples of
 	// its target; within them the pool is left alone.
 	refillBelow = 0.5
-	returnAbove = 2.0
+	returnAbove = 1.7
+	// returnLeast and refillLeast are the least parts of a budget, as divisors,
+	// that a change of the pool is worth.
+	returnLeast = 200
+	refillLeast = 500
 	// shortWait is how long a request waits for a report or a grant under way.
 	shortWait = 250 * time.Millisecond
 	// retryDoubt is when a caller that was refused in doubt may come back.
@@ -58,6 +62,8 @@
 	rateWindow = 2 * time.Second
 	// wantLasts is how long a want in a pool is looked at.
 	wantLasts = 1500 * time.Millisecond
+	// othersInterval is the time between two looks at the reports of all holders.
+	othersInterval = time.Second
 	// buckets is how many parts the pools are spread over, since the platform
 	// orders the transactions of one part one after the other.
 	buckets = 8
--- a/budget/allowance/book.go
+++ b/budget/allowance/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -89,7 +90,7 @@
 		select {
 		case <-changed:
 		case <-timer:
-			return nil, b.doubt(budget, "no tokens came in time")
+			return nil, b.doubt(budget, "no tokens came in time; "+b.describe(budget))
 		case <-ctx.Done():
 			return nil, b.doubt(budget, "the request ended while it waited for tokens")
 		}
@@ -100,6 +101,20 @@
 	return &RefusedError{Budget: budget, RetryAfter: retryDoubt, Why: why}
 }
 
+// describe says what a budget lacks here, for logs.
+func (b *Book) describe(budget string) string {
+	clock, _ := b.options.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.accounts[budget].describe(clock)
+}
+
+func (a *account) describe(clock time.Duration) string {
+	return fmt.Sprintf("limit=%d granted=%d bound=%d settled=%d open=%d free=%d bound_age_ms=%d",
+		a.limit, a.grant(), a.bound(clock), a.settled, a.open, a.limit-a.pool.committed(),
+		(clock - a.bounds[0].asOf).Milliseconds())
+}
+
 // try reserves at once, refuses, or returns a channel to wait on.
 func (b *Book) try(budget string, limit, ceiling int64) (*Reservation, <-chan struct{}, error) {
 	now := time.Now()
@@ -121,7 +136,7 @@
 	}
 	a.need, a.needAt = max(a.need, ceiling), now
 	if !b.ready || now.Sub(b.reached) > tableSilence {
-		return nil, nil, b.doubt(budget, "the table can't be asked")
+		return nil, nil, b.doubt(budget, "the table can't be asked; "+a.describe(clock))
 	}
 	return nil, a.changed, nil
 }
@@ -138,13 +153,13 @@
 		b.accounts[budget] = a
 		a.limit = limit
 	}
-	a.setLimit(limit, max(b.options.VMs(), 1))
+	a.setLimit(b.self, limit, max(b.options.VMs(), 1))
 	return a
 }
 
 // setLimit takes a new prepaid sum. A lower one binds at once, before the pool
 // says so: each holder keeps to its part of what is left.
-func (a *account) setLimit(limit int64, vms int) {
+func (a *account) setLimit(self string, limit int64, vms int) {
 	if limit >= a.limit {
 		if a.lowered >= 0 && limit > a.limit {
 			a.lowered = -1
@@ -157,7 +172,7 @@
 	if a.limit > gone {
 		scaled = int64(float64(a.grant()) * float64(max(0, limit-gone)) / float64(a.limit-gone))
 	}
-	rest := max(0, limit-a.pool.consumed()-a.pool.Lost)
+	rest := max(0, limit-a.consumed(self)-a.pool.Lost)
 	a.lowered = min(scaled, a.settled+rest/int64(max(vms, len(a.pool.Holders), 1)))
 	a.limit = limit
 }
--- a/budget/allowance/plan.go
+++ b/budget/allowance/plan.go
@@ -10,16 +10,16 @@
 }
 
 // target is how many unspent tokens the holder should have: its part of the rest
-// of the budget, half by its use, and half evenly.
+// of the budget, partly even and partly by use.
 func (a *account) target(self string, vms int, rate float64) int64 {
-	rest := a.limit - a.pool.consumed() - a.pool.Lost + a.pool.Holders[self].Settled - a.settled
+	rest := a.limit - a.pool.Lost - a.consumed(self)
 	if rest <= 0 {
 		return 0
 	}
 	all := rate
-	for holder, s := range a.pool.Holders {
+	for holder := range a.pool.Holders {
 		if holder != self {
-			all += float64(s.Rate)
+			all += float64(a.others[holder].Rate) / steadyFactor
 		}
 	}
 	part := 1 / float64(max(vms, len(a.pool.Holders), 1))
@@ -29,23 +29,39 @@
 	return int64(grantShare * part * float64(rest))
 }
 
+// consumed is what was certainly consumed of the budget, by all holders.
+func (a *account) consumed(self string) int64 {
+	sum := a.pool.Settled + a.settled
+	for holder, s := range a.pool.Holders {
+		if holder != self {
+			sum += max(s.Settled, a.others[holder].Settled)
+		}
+	}
+	return sum
+}
+
 // next plans the change of the holder's share, given the newest pool.
 func (a *account) next(self string, vms int, now time.Time) plan {
-	target := a.target(self, vms, a.use.rate(now))
+	rate := a.use.rate(now)
+	target := a.target(self, vms, rate)
 	free := a.limit - a.pool.committed()
 	unspent := a.grant() - a.committed()
 	mine := a.pool.Holders[self]
-	switch {
-	case free < 0 || a.lowered >= 0:
-		return plan{change: a.grant() < mine.Granted || a.lowered >= 0, granted: max(a.committed(), a.grant()), want: 0}
-	case a.need > unspent || float64(unspent) < refillBelow*float64(target):
-		return a.refill(max(target, a.need)-unspent, free, mine)
-	case a.othersWant(self, now) > free:
-		return a.giveBack(unspent, a.use.rate(now) > 0, mine)
-	case float64(unspent) > returnAbove*float64(target) && unspent-target > a.limit/100:
+	if free < 0 || a.lowered >= 0 {
+		return plan{change: a.grant() < mine.Granted || a.lowered >= 0, granted: max(a.committed(), a.grant())}
+	}
+	if a.need > unspent || float64(unspent) < refillBelow*float64(target) {
+		if p := a.refill(max(target, a.need)-unspent, free, mine); p.change {
+			return p
+		}
+	}
+	if a.need <= unspent && a.othersWant(self, now) > free {
+		return a.giveBack(unspent, target, rate > 0, mine)
+	}
+	if float64(unspent) > returnAbove*float64(target) && unspent-target > a.limit/returnLeast {
 		return plan{change: true, granted: a.committed() + target}
 	}
-	return plan{change: mine.Want > 0, granted: mine.Granted}
+	return plan{change: mine.Want > 0 && a.need <= unspent, granted: mine.Granted}
 }
 
 // refill takes what is missing, or says what is wanted if not enough is free.
@@ -56,17 +72,18 @@
 	if a.need > 0 && short > 0 {
 		p.want = short
 	}
-	p.change = take > 0 && (take > a.limit/500 || a.need > 0) || p.want != mine.Want
+	p.change = take > 0 && (take > a.limit/refillLeast || a.need > 0) || p.want != mine.Want
 	return p
 }
 
-// giveBack returns idle tokens to a pool from which another holder wants some.
-func (a *account) giveBack(unspent int64, busy bool, mine share) plan {
-	idle := unspent
+// giveBack returns tokens to a pool from which another holder wants some: all that
+// an idle holder has; a busy one keeps its part, and half where it has no more.
+func (a *account) giveBack(unspent, target int64, busy bool, mine share) plan {
+	keep := int64(0)
 	if busy {
-		idle = unspent / 2
+		keep = min(target, unspent/2)
 	}
-	return plan{change: idle > 0, granted: mine.Granted - idle}
+	return plan{change: unspent > keep, granted: mine.Granted - (unspent - keep)}
 }
 
 // othersWant sums what other holders lack, while it is new.
--- a/budget/allowance/rows.go
+++ b/budget/allowance/rows.go
@@ -35,8 +35,6 @@
 	Granted int64 `msgpack:"g"`
 	// Settled is what it had consumed when it last wrote here.
 	Settled int64 `msgpack:"s"`
-	// Rate is its recent use in tokens a second.
-	Rate int64 `msgpack:"r"`
 	// Want is what it lacks for a request that waits.
 	Want int64 `msgpack:"w,omitempty"`
 }
@@ -50,15 +48,6 @@
 	return sum
 }
 
-// consumed is what was certainly consumed.
-func (p pool) consumed() int64 {
-	sum := p.Settled
-	for _, s := range p.Holders {
-		sum += s.Settled
-	}
-	return sum
-}
-
 func (p pool) clone() pool {
 	copied := p
 	copied.Holders = make(map[string]share, len(p.Holders)+1)
@@ -113,6 +102,12 @@
 // holderName names a process; holders of one VM share what stands before the mark.
 func holderName(vm, incarnation string) string { return vm + "#" + incarnation }
 
+// holderOf returns the holder whose report a key names.
+func holderOf(key string) string {
+	parts := strings.SplitN(key, "/", 3)
+	return holderName(parts[len(parts)-2], parts[len(parts)-1])
+}
+
 func holderVM(holder string) (vm, incarnation string) {
 	vm, incarnation, _ = strings.Cut(holder, "#")
 	return vm, incarnation
--- a/budget/allowance/run.go
+++ b/budget/allowance/run.go
@@ -44,6 +44,7 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { b.follow(ctx) })
 	tasks.Go(func() { b.settleAll(ctx, left) })
+	tasks.Go(func() { b.watchOthers(ctx) })
 	b.upkeep(ctx)
 	tasks.Wait()
 }
@@ -171,6 +172,10 @@
 		return
 	}
 	logFailure("report", err)
+	// The next report waits until the table has answered a read: a holder keeps to
+	// each report from its sending on, and a cut-off one would never get beyond the
+	// knee if it began a new one each time.
+	b.usageVersion = -1
 	if errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrRateLimited) {
 		// Certainly not written: what it would have promised binds no one.
 		for a := range bounds {
@@ -178,7 +183,6 @@
 		}
 		return
 	}
-	b.usageVersion = -1
 	b.thin()
 }
 
@@ -336,7 +340,7 @@
 			a.version = next
 		}
 		a.pool = a.pool.clone()
-		a.pool.Holders[b.self] = share{Granted: granted, Settled: a.settled, Rate: a.pool.Holders[b.self].Rate}
+		a.pool.Holders[b.self] = share{Granted: granted, Settled: a.settled}
 		a.wake()
 		return true
 	}
@@ -359,7 +363,7 @@
 		return nil, 0, 0
 	}
 	row := a.pool.clone()
-	row.Holders[b.self] = share{Granted: p.granted, Settled: a.settled, Rate: int64(a.use.rate(now)), Want: p.want}
+	row.Holders[b.self] = share{Granted: p.granted, Settled: a.settled, Want: p.want}
 	data, err := encode(row)
 	if err != nil {
 		logFailure("change grant of "+a.budget, err)
@@ -414,3 +418,48 @@
 		b.wakeUp()
 	}
 }
+
+// watchOthers reads what other holders report, so that grants follow their use.
+func (b *Book) watchOthers(ctx context.Context) {
+	version := int64(-1)
+	for pause(ctx, othersInterval) {
+		changes, err := b.pollOthers(ctx, version)
+		b.answered(err)
+		if err != nil {
+			version = -1
+			continue
+		}
+		version = changes.Version
+		b.learnOthers(changes.Changes)
+	}
+}
+
+func (b *Book) pollOthers(ctx context.Context, version int64) (store.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	if version < 0 {
+		return b.options.Feed.All(ctx, usageSegment)
+	}
+	return b.options.Feed.Since(ctx, usageSegment, version, 0)
+}
+
+func (b *Book) learnOthers(changes []store.Change) {
+	for _, change := range changes {
+		holder := holderOf(change.Key)
+		if change.Deleted || holder == b.self {
+			continue
+		}
+		r, err := decodeReport(change.Value)
+		if err != nil {
+			logFailure("read the report of "+holder, err)
+			continue
+		}
+		b.mu.Lock()
+		for budget, l := range r.Budgets {
+			if a := b.accounts[budget]; a != nil {
+				a.others[holder] = l
+			}
+		}
+		b.mu.Unlock()
+	}
+}
