routing: sessions stay at one home on the ring

A policy of its own keeps a session at the upstream its shared parts hash to, and leaves it only while that one is unusable, crowded or slow.

--- a/budget/allowance/account.go
+++ b/budget/allowance/account.go
@@ -11,8 +11,11 @@
 	// limit is the prepaid sum that is in force; known once a pool was read.
 	limit   int64
 	granted int64
-	settled int64
-	open    int64 // ceilings of requests that run
+	// returning is the row version that the last return of tokens demanded. Until
+	// the row is past it, the return may still take effect.
+	returning int64
+	settled   int64
+	open      int64 // ceilings of requests that run
 	// lowered bounds granted after the prepaid sum was lowered, until the pool
 	// says so too; negative if there is no such bound.
 	lowered int64
@@ -27,8 +30,11 @@
 	need    int64 // the ceiling that a waiting request lacks room for
 	needAt  time.Time
 	wanted  time.Time // when a want was last seen or written
-	use     meter
-	changed chan struct{} // closed when there may be more room
+	use     meter     // of the last seconds, for bounds
+	trend   meter     // over a longer time, to divide the budget
+	// changedAt is when the share was last changed.
+	changedAt time.Time
+	changed   chan struct{} // closed when there may be more room
 }
 
 // dated is a bound with its time.
@@ -38,7 +44,10 @@
 }
 
 func newAccount(budget string) *account {
-	return &account{budget: budget, lowered: -1, version: -1, bounds: []dated{{}}, others: map[string]ledger{}, changed: make(chan struct{})}
+	return &account{
+		budget: budget, lowered: -1, version: -1, returning: -1, bounds: []dated{{}}, others: map[string]ledger{},
+		use: meter{window: rateWindow}, trend: meter{window: trendWindow}, changed: make(chan struct{}),
+	}
 }
 
 // committed is what may be consumed by the requests that ran and run.
@@ -94,10 +103,11 @@
 	a.changed = make(chan struct{})
 }
 
-// meter averages use over about rateWindow.
+// meter averages use over about its window.
 type meter struct {
-	level float64 // tokens, decaying
-	last  time.Time
+	window time.Duration
+	level  float64 // tokens, decaying
+	last   time.Time
 }
 
 func (m *meter) add(tokens int64, now time.Time) {
@@ -107,7 +117,7 @@
 
 func (m *meter) decay(now time.Time) {
 	if !m.last.IsZero() {
-		m.level *= math.Exp(-float64(now.Sub(m.last)) / float64(rateWindow))
+		m.level *= math.Exp(-float64(now.Sub(m.last)) / float64(m.window))
 	}
 	m.last = now
 }
@@ -115,5 +125,5 @@
 // rate returns tokens a second.
 func (m *meter) rate(now time.Time) float64 {
 	m.decay(now)
-	return m.level / rateWindow.Seconds()
+	return m.level / m.window.Seconds()
 }
--- a/budget/allowance/allowance.go
+++ b/budget/allowance/allowance.go
@@ -42,6 +42,17 @@
 	// grantShare is the part of a budget's rest that is handed out; what stays lets
 	// a holder get more at once.
 	grantShare = 0.95
+	// firstShare is handed out while no use was seen: VMs come one after the other,
+	// and the last must find something.
+	firstShare = 0.6
+	// knownDivisor: once this part of a budget is used, the use says by 63% who
+	// needs the rest.
+	knownDivisor = 40
+	// trendWindow is the time over which use is averaged to divide a budget.
+	trendWindow = 6 * time.Second
+	// changePause is the least time between two changes of a share that no request
+	// waits for.
+	changePause = 1500 * time.Millisecond
 	// evenShare is the part of it that is divided evenly among the VMs; the
 	// rest follows their use. A VM that had no requests may have all of them
 	// while it is cut off.
--- a/budget/allowance/book.go
+++ b/budget/allowance/book.go
@@ -128,6 +128,7 @@
 	if a.room(clock) >= ceiling {
 		a.open += ceiling
 		a.use.add(ceiling, now)
+		a.trend.add(ceiling, now)
 		b.dirty = true
 		return &Reservation{book: b, account: a, ceiling: ceiling}, nil, nil
 	}
--- a/budget/allowance/plan.go
+++ b/budget/allowance/plan.go
@@ -1,6 +1,9 @@
 package allowance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // plan says how a holder's share of a pool should change.
 type plan struct {
@@ -22,11 +25,19 @@
 			all += float64(a.others[holder].Rate) / steadyFactor
 		}
 	}
+	known := a.useKnown(self)
 	part := 1 / float64(max(vms, len(a.pool.Holders), 1))
 	if all > 0 {
-		part = evenShare*part + (1-evenShare)*rate/all
+		byUse := (1 - evenShare) * known
+		part = (1-byUse)*part + byUse*rate/all
 	}
-	return int64(grantShare * part * float64(rest))
+	return int64((firstShare + (grantShare-firstShare)*known) * part * float64(rest))
+}
+
+// useKnown tells from 0 to 1 how much the use seen so far says about who needs the
+// budget: the first few requests say little.
+func (a *account) useKnown(self string) float64 {
+	return 1 - math.Exp(-knownDivisor*float64(a.consumed(self))/float64(max(a.limit, 1)))
 }
 
 // consumed is what was certainly consumed of the budget, by all holders.
@@ -42,7 +53,7 @@
 
 // next plans the change of the holder's share, given the newest pool.
 func (a *account) next(self string, vms int, now time.Time) plan {
-	rate := a.use.rate(now)
+	rate := a.trend.rate(now)
 	target := a.target(self, vms, rate)
 	free := a.limit - a.pool.committed()
 	unspent := a.grant() - a.committed()
@@ -51,12 +62,15 @@
 		return plan{change: a.grant() < mine.Granted || a.lowered >= 0, granted: max(a.committed(), a.grant())}
 	}
 	if a.need > unspent || float64(unspent) < refillBelow*float64(target) {
-		if p := a.refill(max(target, a.need)-unspent, free, mine); p.change {
+		if p := a.refill(max(target, a.need)-unspent, free, mine); p.change && (a.need > unspent || a.rested(now)) {
 			return p
 		}
 	}
-	if a.need <= unspent && a.othersWant(self, now) > free {
-		return a.giveBack(unspent, target, rate > 0, mine)
+	if want := a.othersWant(self, now); a.need <= unspent && want > free {
+		return a.giveBack(want, unspent, target, rate > 0, mine)
+	}
+	if !a.rested(now) {
+		return plan{granted: mine.Granted}
 	}
 	if float64(unspent) > returnAbove*float64(target) && unspent-target > a.limit/returnLeast {
 		return plan{change: true, granted: a.committed() + target}
@@ -76,14 +90,20 @@
 	return p
 }
 
-// giveBack returns tokens to a pool from which another holder wants some: all that
-// an idle holder has; a busy one keeps its part, and half where it has no more.
-func (a *account) giveBack(unspent, target int64, busy bool, mine share) plan {
-	keep := int64(0)
+// rested reports whether the share was left alone for a while. Without a pause all
+// holders follow each other's last change, on figures that are a second old.
+func (a *account) rested(now time.Time) bool { return now.Sub(a.changedAt) >= changePause }
+
+// giveBack returns tokens to a pool from which another holder wants some. A busy
+// holder keeps its part, or half where it has no more; the others may well give
+// enough.
+func (a *account) giveBack(want, unspent, target int64, busy bool, mine share) plan {
+	idle := unspent
 	if busy {
-		keep = min(target, unspent/2)
+		idle -= min(target, unspent/2)
 	}
-	return plan{change: unspent > keep, granted: mine.Granted - (unspent - keep)}
+	give := min(idle, max(2*want, idle/4))
+	return plan{change: give > 0, granted: mine.Granted - give}
 }
 
 // othersWant sums what other holders lack, while it is new.
--- a/budget/allowance/run.go
+++ b/budget/allowance/run.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"buckthornridge/store"
 )
 
@@ -304,9 +306,11 @@
 		a.wanted = time.Now()
 	}
 	a.pool, a.version = p, row.Version
-	// A lost answer may have hidden a grant; a return is in force already.
-	if mine := p.Holders[b.self]; mine.Granted < a.granted {
-		a.granted = mine.Granted
+	// The row is what counts, also where the answer to a change was lost. Only a
+	// return that may still take effect stays in force against it.
+	if row.Version > a.returning {
+		a.granted = p.Holders[b.self].Granted
+		a.wake()
 	}
 	return true
 }
@@ -329,6 +333,7 @@
 	}
 	next, err := b.options.Table.Commit(ctx, *txn)
 	b.answered(err)
+	klog.Infof("step=grant budget=%s granted=%d version=%d failed=%t", a.budget, granted, version, err != nil)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if err == nil {
@@ -369,7 +374,10 @@
 		logFailure("change grant of "+a.budget, err)
 		return nil, 0, 0
 	}
-	a.granted = min(a.granted, p.granted)
+	a.changedAt = now
+	if p.granted < a.granted {
+		a.granted, a.returning = p.granted, a.version
+	}
 	key := poolKey(a.budget)
 	return &store.Txn{
 		Conditions: []store.Condition{{Key: key, Version: a.version}},
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -113,7 +113,7 @@
 }
 
 func (p *Process) buildServers() error {
-	picker, err := routing.NewRouter(p.routes, "")
+	picker, err := routing.NewRouter(p.routes, routing.SessionPolicy)
 	if err != nil {
 		return err
 	}
--- a/routing/capacity.go
+++ b/routing/capacity.go
@@ -17,6 +17,10 @@
 	// the upstreams.
 	requests atomicFloat
 	prefill  atomicFloat
+	// own is the mean of this router's requests in flight, firstToken that of
+	// the recent first tokens in nanoseconds.
+	own        atomicFloat
+	firstToken atomicFloat
 }
 
 // SetRouters tells the table how many routers share the upstreams. Each may
@@ -51,6 +55,10 @@
 
 func (p *pool) summarize(routers int64) {
 	total := p.sum(p.live)
+	if total.upstreams > 0 {
+		p.mean.own.store(float64(total.inFlight) / float64(total.upstreams))
+		p.mean.firstToken.store(total.firstToken / float64(max(total.timed, 1)))
+	}
 	if total.slots == 0 {
 		total = p.sum(p.spare)
 	}
@@ -83,6 +91,9 @@
 	upstreams, slots  int64
 	own               int64 // the router's own requests when the reports were true
 	requests, prefill int64 // what other routers had then
+	inFlight          int64 // the router's own requests now
+	firstToken        float64
+	timed             int64 // upstreams with a known first token
 }
 
 func (p *pool) sum(list []*entry) sums {
@@ -97,6 +108,11 @@
 		s.slots += e.slots
 		s.requests += requests
 		s.prefill += prefill
+		s.inFlight += e.inFlight.Load()
+		if first := e.firstToken.load(); first > 0 {
+			s.firstToken += first
+			s.timed++
+		}
 		if r := e.reported.Load(); r != nil {
 			s.own += r.ownInFlight
 		}
--- a/routing/expected_cost.go
+++ b/routing/expected_cost.go
@@ -92,7 +92,7 @@
 	}
 	for i := range homes {
 		if e := v.home(i); e != nil && v.usable(e) {
-			consider(e, 0)
+			consider(e, v.homeCost(i))
 		}
 	}
 	for _, h := range v.hits.found[:v.hits.n] {
@@ -111,6 +111,16 @@
 	return best
 }
 
+// homeCost returns what a home costs beyond its first token. Where the shared parts
+// are known, only the first home is free: with two, each session's parts were read
+// by two upstreams.
+func (v *view) homeCost(i int) time.Duration {
+	if i > 0 && v.request.Home != 0 {
+		return copyCost
+	}
+	return 0
+}
+
 // cachedTokens turns known blocks into tokens of the prompt.
 func (v *view) cachedTokens(known hit) int64 {
 	total := int64(len(v.request.Prefix))
--- /dev/null
+++ b/routing/session.go
@@ -0,0 +1,141 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"buckthornridge/kernel"
+)
+
+// SessionPolicy is the name of the policy for prompts whose parts are known.
+const SessionPolicy = "session_home"
+
+func init() {
+	kernel.Register(Namespace+"."+SessionPolicy, func() any { return sessionHome{} })
+}
+
+// Bounds within which a session stays at its home.
+const (
+	// crowdFactor and crowdSlack bound a home's requests in flight against the mean
+	// of its pool, as this router sees them.
+	crowdFactor = 2.0
+	crowdSlack  = 3
+	// slowFactor and slowFloor bound its recent first token against the mean of the
+	// pool.
+	slowFactor = 3.0
+	slowFloor  = 200 * time.Millisecond
+	// slowMemory is how long a slow first token is remembered. After it the home is
+	// tried again.
+	slowMemory = 3 * time.Second
+	// farCost is what another data centre counts for, in requests in flight.
+	farCost = 0.6
+	// slowShare turns a server's recent time over the pool's mean into requests in
+	// flight.
+	slowShare = 1.0
+)
+
+// sessionHome sends all requests of a session to the upstream that its shared
+// parts hash to, and to the next one on the ring only while that one is unusable,
+// crowded or slow. Reading a shared part once more costs tens of milliseconds of
+// an engine and evicts another part, which is dearer than a short queue.
+//
+// Requests without shared parts go to the upstream with the least in flight.
+type sessionHome struct{}
+
+func (sessionHome) choose(v *view) *entry {
+	if v.request.Home == 0 {
+		return v.leastLoaded()
+	}
+	var first *entry
+	ring := v.pool.rings[v.set.places.region[v.from]]
+	for e := range v.along(ring) {
+		if !v.usable(e) {
+			continue
+		}
+		if first == nil {
+			first = e
+		}
+		if !v.crowded(e) && !v.slow(e) {
+			return e
+		}
+	}
+	return first
+}
+
+// along yields the upstreams of a ring from the session's place on, each once.
+func (v *view) along(ring []ringPoint) func(yield func(*entry) bool) {
+	return func(yield func(*entry) bool) {
+		if len(ring) == 0 {
+			return
+		}
+		at, _ := slices.BinarySearchFunc(ring, mix(v.request.Home), func(p ringPoint, key uint64) int {
+			return cmp.Compare(p.at, key)
+		})
+		var seen [maxSteps]*entry
+		n := 0
+		for i := range ring {
+			e := ring[(at+i)%len(ring)].entry
+			if slices.Contains(seen[:n], e) {
+				continue
+			}
+			if n == maxSteps || !yield(e) {
+				return
+			}
+			seen[n] = e
+			n++
+		}
+	}
+}
+
+// maxSteps bounds how far a session goes from its home. If all of these are
+// unusable, the router takes any.
+const maxSteps = 12
+
+func (v *view) crowded(e *entry) bool {
+	limit := crowdFactor*v.pool.mean.own.load() + crowdSlack
+	return float64(e.inFlight.Load()) > limit
+}
+
+// slow reports whether the upstream took much longer than its pool a moment ago.
+func (v *view) slow(e *entry) bool {
+	if v.now-time.Duration(e.health.progressAt.Load()) > slowMemory {
+		return false
+	}
+	limit := max(float64(slowFloor), slowFactor*v.pool.mean.firstToken.load())
+	return e.firstToken.load() > limit
+}
+
+// leastLoaded looks at every upstream of the pool: pools of plain services are
+// small.
+func (v *view) leastLoaded() *entry {
+	var best *entry
+	least := 0.0
+	n := len(v.pool.live)
+	if n == 0 {
+		return nil
+	}
+	start := v.random.below(n)
+	for i := range n {
+		e := v.pool.live[(start+i)%n]
+		if !v.usable(e) {
+			continue
+		}
+		if cost := v.load(e); best == nil || cost < least {
+			best, least = e, cost
+		}
+	}
+	return best
+}
+
+// load is what speaks against an upstream, in requests in flight.
+func (v *view) load(e *entry) float64 {
+	cost := float64(e.inFlight.Load())
+	if e.dataCentre != v.from {
+		cost += farCost
+	}
+	if mean := v.pool.mean.firstToken.load(); mean > 0 && v.now-time.Duration(e.health.progressAt.Load()) < slowMemory {
+		cost += slowShare * max(0, e.firstToken.load()/mean-1)
+	}
+	return cost
+}
