--- a/budget/allowance/reclaim.go
+++ b/budget/allowance/reclaim.go
@@ -34,16 +34,21 @@
 // open reads what earlier processes held. Requests are served from new grants
 // from then on.
 func (b *Book) open(ctx context.Context) (leftover, error) {
-	ctx, cancel := context.WithTimeout(ctx, 3*callLimit)
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
+	asked := time.Now()
 	rows, err := b.options.Table.Scan(ctx, reportsOf(b.options.VM), "", maxReports)
 	if err != nil {
 		return leftover{}, eris.Wrap(err, "read reports")
 	}
-	ended, known := b.options.Clock.Now()
+	clock, known := b.options.Clock.Now()
 	if !known {
 		return leftover{}, eris.New("the table's time is not known")
 	}
+	// The answer's time is later than the question, and the question later than the
+	// start of this process by what has passed since. A process that starts while it
+	// is cut off thus counts nothing for the time of the cut.
+	ended := clock - asked.Sub(b.started)
 	pools, err := b.scanPools(ctx)
 	b.answered(err)
 	if err != nil {
--- a/budget/allowance/stories_test.go
+++ b/budget/allowance/stories_test.go
@@ -267,3 +267,26 @@
 		w.fake.UpdateFaults(func(f *store.Faults) { f.DelayNext, f.Delay = 2, 1500*time.Millisecond })
 	}
 }
+
+// A VM dies while it is cut off, starts again at once and reaches the table only
+// seconds later. What its predecessor may have spent ends with its death; counting
+// the time of the cut as well would lose nearly all that it was granted.
+func TestStartsWhileCutOff(t *testing.T) {
+	inTime(t, func(w *world, is *is.I) {
+		const limit = 10_000_000
+		a := w.vm("a")
+		a.start(1)
+		a.book.SetLimits(map[string]int64{studio: limit})
+		time.Sleep(2 * time.Second)
+		load([]*vm{a}, 5*time.Second, 20*time.Millisecond, func(v *vm) { _ = v.request(studio, limit, 1000) })
+		a.setCut(true)
+		a.kill()
+		a.start(1)
+		time.Sleep(8 * time.Second)
+		a.setCut(false)
+		time.Sleep(6 * time.Second)
+		p := w.pool(studio)
+		is.True(p.Settled+p.Lost >= w.total(studio))
+		is.True(p.Lost < w.total(studio)/2) // what it used in five seconds
+	})
+}
