--- a/budget/allowance/allowance.go
+++ b/budget/allowance/allowance.go
@@ -40,6 +40,11 @@
 	// riseTime is the time after the knee in which the whole grant becomes usable.
 	// Machines may be alone for eight to nine seconds.
 	riseTime = 5 * time.Second
+	// isolatedFactor multiplies recent demand, and isolatedShare the unspent grant, to
+	// what the bound grows by after the knee: a machine that dies after a long cut
+	// loses all that it was allowed and did not use.
+	isolatedFactor = 1.7
+	isolatedShare  = 0.15
 	// grantShare is the part of a budget's rest that is handed out; what stays lets
 	// a holder get more at once.
 	grantShare = 0.95
--- a/budget/allowance/rows.go
+++ b/budget/allowance/rows.go
@@ -86,7 +86,9 @@
 	after = max(after, 0)
 	allowed := l.Base + int64(float64(l.Rate)*after.Seconds())
 	if over := after - knee; over > 0 {
-		allowed += int64(float64(l.Rest) * min(1, float64(over)/float64(riseTime)))
+		rise := min(1, float64(over)/float64(riseTime))
+		byUse := isolatedFactor*float64(l.Demand)*over.Seconds() + isolatedShare*rise*float64(l.Rest)
+		allowed += int64(min(byUse, rise*float64(l.Rest)))
 	}
 	return allowed
 }
