--- a/edge/edge.go
+++ b/edge/edge.go
@@ -94,7 +94,7 @@
 		settings: s, adapter: a, incarnation: hex.EncodeToString(incarnation),
 		routes: routing.NewTable(), metrics: newMetrics(), peerSrv: peer.NewServer(),
 	}
-	p.fleet = newFleet(a.Upstream, p.routes, p.unsettled)
+	p.fleet = newFleet(a.Upstream, p.routes, p.held)
 	p.pool = exchange.NewPool(p.connections)
 	p.peers = &peers{
 		self: s.VM, address: s.PeerListen, client: peer.NewClient(nil), table: a.Table, feed: a.Feed,
@@ -259,11 +259,13 @@
 	}
 }
 
-// unsettled reports whether the table was silent a moment ago: entries may have
-// lapsed whose writers could not reach it.
-func (p *Process) unsettled() bool {
+// held returns until when entries that vanish may only have lapsed.
+func (p *Process) held() time.Time {
 	age, any := p.lastGap.age()
-	return any && age < lapseHold
+	if !any {
+		return time.Time{}
+	}
+	return time.Now().Add(lapseHold - age)
 }
 
 // connections returns how many connections this process may have to an address.
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -15,10 +15,12 @@
 
 // Timing of entries that vanish.
 const (
-	// lapseHold is how long an upstream stays in use whose entry vanished around an
-	// outage of the table: entries lapse while their writers cannot reach it, and
-	// are written again soon after.
-	lapseHold = 2200 * time.Millisecond
+	// lapseHold is how long after the end of a silence of the table an upstream stays
+	// in use whose entry vanished: entries lapse while their writers cannot reach the
+	// table, and are written again within two seconds of its return. The time counts
+	// from the return, not from the vanishing: an upstream that leaves after it must
+	// get no new work two seconds later.
+	lapseHold = 2 * time.Second
 	// outageGap is the silence of the table after which its first answers count as
 	// the end of an outage.
 	outageGap = time.Second
@@ -28,8 +30,8 @@
 type fleet struct {
 	decode func(key string, data []byte) (relay.Upstream, error)
 	table  *routing.Table
-	// unsettled reports whether the table was silent a moment ago.
-	unsettled func() bool
+	// held returns until when upstreams whose entries vanish stay in use.
+	held func() time.Time
 
 	current atomic.Pointer[map[string]relay.Upstream]
 	at      atomic.Pointer[map[string]string] // service by address
@@ -41,9 +43,9 @@
 	kinds   map[string]relay.Service
 }
 
-func newFleet(decode func(string, []byte) (relay.Upstream, error), table *routing.Table, unsettled func() bool) *fleet {
+func newFleet(decode func(string, []byte) (relay.Upstream, error), table *routing.Table, held func() time.Time) *fleet {
 	f := &fleet{
-		decode: decode, table: table, unsettled: unsettled,
+		decode: decode, table: table, held: held,
 		entries: map[string]relay.Upstream{}, lapsing: map[string]time.Time{}, kinds: map[string]relay.Service{},
 	}
 	f.current.Store(&map[string]relay.Upstream{})
@@ -91,10 +93,8 @@
 	if !known {
 		return
 	}
-	if f.unsettled() && !u.Leaving {
-		if _, waits := f.lapsing[key]; !waits {
-			f.lapsing[key] = time.Now().Add(lapseHold)
-		}
+	if until := f.held(); time.Now().Before(until) && !u.Leaving {
+		f.lapsing[key] = until
 		return
 	}
 	klog.Infof("step=upstream id=%s service=%s gone=true", u.ID, u.Service)
