--- a/budget/allowance/account.go
+++ b/budget/allowance/account.go
@@ -31,6 +31,10 @@
 	newest int64
 	need   int64 // the ceiling that a waiting request lacks room for
 	needAt time.Time
+	// poorUntil is how long requests of poorFor tokens or more are refused at once,
+	// since neither the pool nor another holder had them.
+	poorUntil time.Time
+	poorFor   int64
 	// wanted is what another holder asked for just now.
 	wanted     int64
 	recalledAt time.Time
@@ -88,6 +92,18 @@
 	return a.limit-a.consumed(self) < ceiling
 }
 
+// likelyShort reports whether the rest does not cover a ceiling, if all that may
+// have been lost was consumed. It is no proof: less may have been consumed.
+func (a *account) likelyShort(ceiling int64, self string) bool {
+	return a.version >= 0 && a.limit-a.pool.Lost-a.consumed(self) < ceiling
+}
+
+// opens returns when the bound of a cut-off holder begins to grow fast, or a while
+// if it does already.
+func (a *account) opens(now time.Duration) time.Duration {
+	return max(retryDoubt, knee-(now-a.bounds[0].asOf)+retryDoubt/2)
+}
+
 // ledger is what a new report says of the budget.
 func (a *account) ledger(now time.Time) ledger {
 	rate := a.use.rate(now)
--- a/budget/allowance/book.go
+++ b/budget/allowance/book.go
@@ -160,9 +160,17 @@
 	if a.certainlyShort(ceiling, b.self) {
 		return nil, nil, &RefusedError{Budget: budget, Certain: true, Why: "the rest of the budget does not cover the request"}
 	}
+	if a.likelyShort(ceiling, b.self) {
+		return nil, nil, b.doubt(budget, "the rest does not cover the request, unless less was lost than it seems")
+	}
+	if now.Before(a.poorUntil) && ceiling >= a.poorFor {
+		return nil, nil, b.doubt(budget, "no tokens were to be had a moment ago")
+	}
 	a.need, a.needAt = max(a.need, ceiling), now
 	if b.ready && now.Sub(b.reached) > tableSilence || !b.ready && now.Sub(b.started) > startWait {
-		return nil, nil, b.doubt(budget, "the table can't be asked; "+a.describe(clock))
+		return nil, nil, &RefusedError{
+			Budget: budget, RetryAfter: a.opens(clock), Why: "the table can't be asked; " + a.describe(clock),
+		}
 	}
 	return nil, a.changed, nil
 }
--- a/budget/allowance/run.go
+++ b/budget/allowance/run.go
@@ -270,11 +270,23 @@
 		}
 		b.recall(ctx, a)
 		if b.changeOnce(ctx, a) {
+			b.notePoor(a)
 			return
 		}
 	}
 }
 
+// notePoor remembers that tokens for a waiting request were not to be had.
+func (b *Book) notePoor(a *account) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.need > a.grant()-a.committed() && a.short() > 0 {
+		a.poorUntil, a.poorFor = time.Now().Add(poorLasts), a.need
+		a.need = 0
+		a.wake()
+	}
+}
+
 func (b *Book) versionOf(a *account) int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
