--- a/budget/allowance/account.go
+++ b/budget/allowance/account.go
@@ -40,6 +40,8 @@
 	recalledAt time.Time
 	use        meter // of the last seconds, for bounds
 	trend      meter // over a longer time, to divide the budget
+	// typical is the mean ceiling of a request, in tokens.
+	typical float64
 	// changedAt is when the share was last changed.
 	changedAt time.Time
 	changed   chan struct{} // closed when there may be more room
@@ -108,6 +110,9 @@
 func (a *account) ledger(now time.Time) ledger {
 	rate := a.use.rate(now)
 	cover := int64(coverSeconds*rate) + a.need
+	if a.trend.rate(now) > a.typical/quietSeconds {
+		cover += int64(a.typical) // a budget with few callers must have room for the next
+	}
 	base := min(a.committed()+cover, a.grant())
 	return ledger{
 		Settled: a.settled,
--- a/budget/allowance/allowance.go
+++ b/budget/allowance/allowance.go
@@ -27,16 +27,19 @@
 // Timing and sizes of grants and reports.
 const (
 	// reportInterval is the time between two reports of an active holder.
-	reportInterval = 500 * time.Millisecond
+	reportInterval = 300 * time.Millisecond
 	// coverSeconds is how many seconds of recent use a report allows ahead.
 	coverSeconds = 0.7
 	// steadyFactor multiplies recent use to what the bound grows by at first. Below
 	// one, the cover of a cut-off VM lasts about until the knee.
 	steadyFactor = 0.6
+	// quietSeconds: a budget with less than one typical request in so many seconds
+	// gets no cover in advance.
+	quietSeconds = 20
 	// knee is when a bound begins to grow fast. A process that lost power and
-	// started again finds its report about two seconds old; what the bound allows
+	// started again finds its report about one and a half seconds old; what the bound allows
 	// by then is lost, so it grows fast only later.
-	knee = 2 * time.Second
+	knee = 1700 * time.Millisecond
 	// riseTime is the time after the knee in which the whole grant becomes usable.
 	// Machines may be alone for eight to nine seconds.
 	riseTime = 5 * time.Second
--- a/budget/allowance/book.go
+++ b/budget/allowance/book.go
@@ -105,11 +105,19 @@
 	}
 }
 
+// typicalWeight is the weight of one request in the mean ceiling.
+const typicalWeight = 0.1
+
 // asked counts what callers ask for, once for each request.
 func (b *Book) asked(budget string, limit, ceiling int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.account(budget, limit).trend.add(ceiling, time.Now())
+	a := b.account(budget, limit)
+	a.trend.add(ceiling, time.Now())
+	if a.typical == 0 {
+		a.typical = float64(ceiling)
+	}
+	a.typical += typicalWeight * (float64(ceiling) - a.typical)
 	b.dirty = true
 }
 
--- a/budget/allowance/recall.go
+++ b/budget/allowance/recall.go
@@ -5,6 +5,8 @@
 	"context"
 	"slices"
 	"time"
+
+	"k8s.io/klog/v2"
 )
 
 const (
@@ -27,9 +29,12 @@
 	}
 	holders := a.richest(b.self)
 	b.mu.Unlock()
-	if due && b.options.Recall != nil && len(holders) > 0 && b.options.Recall(ctx, a.budget, short, holders) {
-		b.readPool(ctx, a)
+	if !due || b.options.Recall == nil || len(holders) == 0 {
+		return
 	}
+	gave := b.options.Recall(ctx, a.budget, short, holders)
+	klog.V(1).Infof("step=recall budget=%s tokens=%d gave=%t", a.budget, short, gave)
+	b.readPool(ctx, a) // also if none gave: what is known of the pool is up to a second old
 }
 
 // short is what a waiting request lacks beyond this holder's unspent tokens and
--- a/budget/allowance/run.go
+++ b/budget/allowance/run.go
@@ -14,7 +14,7 @@
 
 // Timing of the upkeep.
 const (
-	upkeepInterval = 250 * time.Millisecond
+	upkeepInterval = 150 * time.Millisecond
 	callLimit      = 1200 * time.Millisecond
 	openPause      = 200 * time.Millisecond
 	// followInterval is the time between two looks at what other holders have.
@@ -261,6 +261,7 @@
 func (b *Book) change(ctx context.Context, a *account) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
+	began := time.Now()
 	for try := range grantTries {
 		if try > 0 && !pause(ctx, jitter(grantPause<<min(try, 3))) {
 			return
@@ -270,16 +271,20 @@
 		}
 		b.recall(ctx, a)
 		if b.changeOnce(ctx, a) {
-			b.notePoor(a)
+			b.notePoor(a, began)
 			return
 		}
 	}
 }
 
-// notePoor remembers that tokens for a waiting request were not to be had.
-func (b *Book) notePoor(a *account) {
+// notePoor remembers that tokens for a waiting request were not to be had, if other
+// holders were asked since the time given.
+func (b *Book) notePoor(a *account, since time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if a.recalledAt.Before(since) {
+		return
+	}
 	if a.need > a.grant()-a.committed() && a.short() > 0 {
 		a.poorUntil, a.poorFor = time.Now().Add(poorLasts), a.need
 		a.need = 0
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -35,6 +35,7 @@
 	c.entry.gotFirst(now, c.priority, c.estimate.own)
 	c.entry.health.progress(now)
 	c.entry.firstToken.observe(float64(after), learnWeight)
+	c.entry.recent.observe(float64(after), recentWeight)
 	c.learnTime(after)
 }
 
@@ -42,6 +43,7 @@
 // that took several times as long as predicted: a slow upstream that reports
 // itself idle gives few observations, each at a caller's expense.
 const (
+	recentWeight  = 0.3
 	alarm         = 1.5
 	alarmWeight   = 0.3
 	minCorrection = -1.5
--- a/routing/entry.go
+++ b/routing/entry.go
@@ -59,6 +59,7 @@
 	// the model does not know of this upstream, such as a lie in its reports.
 	slowness   atomicFloat
 	firstToken ewma // nanoseconds
+	recent     ewma // of first tokens too, quicker to follow
 	hold       ewma // nanoseconds from dispatch to the end
 
 	health  health
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -40,6 +40,7 @@
 	estimate estimate // of the chosen upstream
 	why      Reason
 	examined []Candidate
+	routers  int64 // that share the upstreams
 	random   *random
 }
 
--- a/routing/router.go
+++ b/routing/router.go
@@ -73,7 +73,7 @@
 
 func (r *Router) view(request *Request) *view {
 	s := r.table.current.Load()
-	v := &view{request: request, set: s, index: r.table.index, wall: time.Now(), why: ReasonPolicy, random: &r.random}
+	v := &view{request: request, set: s, index: r.table.index, wall: time.Now(), why: ReasonPolicy, random: &r.random, routers: max(r.table.routers.Load(), 1)}
 	v.now = v.wall.Sub(r.table.start)
 	v.pool = s.pools[request.Target]
 	if v.pool != nil {
--- a/routing/session.go
+++ b/routing/session.go
@@ -17,10 +17,17 @@
 
 // Bounds within which a session stays at its home.
 const (
+	// slotShare is the part of an upstream's slots that all routers together fill
+	// before sessions go on to the next one; each router keeps to its part.
+	slotShare = 0.7
 	// crowdFactor and crowdSlack bound a home's requests in flight against the mean
-	// of its pool, as this router sees them.
-	crowdFactor = 2.0
-	crowdSlack  = 3
+	// of its pool, as this router sees them, where the whole pool is full.
+	crowdFactor = 1.5
+	crowdSlack  = 2
+	// waitFactor and waitSlack bound those without a first token in the same way:
+	// prompts are read one after the other, whatever slots are free.
+	waitFactor = 2.0
+	waitSlack  = 2
 	// slowFactor and slowFloor bound its recent first token against the mean of the
 	// pool.
 	slowFactor = 3.0
@@ -92,9 +99,15 @@
 // unusable, the router takes any.
 const maxSteps = 12
 
+// crowded reports whether an upstream has more of this router's requests than its
+// part. The other routers send the same sessions there.
 func (v *view) crowded(e *entry) bool {
-	limit := crowdFactor*v.pool.mean.own.load() + crowdSlack
-	return float64(e.inFlight.Load()) > limit
+	part := slotShare * float64(e.slots) / float64(v.routers)
+	limit := max(part, crowdFactor*v.pool.mean.own.load()+crowdSlack)
+	if float64(e.inFlight.Load()) >= limit {
+		return true
+	}
+	return float64(e.waiting.Load()) > waitFactor*v.pool.mean.waiting.load()+waitSlack
 }
 
 // slow reports whether the upstream took much longer than its pool a moment ago.
@@ -103,7 +116,7 @@
 		return false
 	}
 	limit := max(float64(slowFloor), slowFactor*v.pool.mean.firstToken.load())
-	return e.firstToken.load() > limit
+	return e.recent.load() > limit
 }
 
 // leastLoaded looks at every upstream of the pool: pools of plain services are
@@ -135,7 +148,7 @@
 		cost += farCost
 	}
 	if mean := v.pool.mean.firstToken.load(); mean > 0 && v.now-time.Duration(e.health.progressAt.Load()) < slowMemory {
-		cost += slowShare * max(0, e.firstToken.load()/mean-1)
+		cost += slowShare * max(0, e.recent.load()/mean-1)
 	}
 	return cost
 }
