--- /dev/null
+++ b/relay/harness_test.go
@@ -0,0 +1,210 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"buckthornridge/config"
+	"buckthornridge/routing"
+	"buckthornridge/upstream"
+)
+
+// step is what one upstream does with the next request that reaches it.
+type step struct {
+	err    error // the exchange fails with it
+	head   Head
+	body   string
+	after  error // how the body ends; io.EOF if nil
+	before time.Duration
+}
+
+func answered(body string) step {
+	return step{head: Head{Status: 200, Signed: true, Header: http.Header{}}, body: body}
+}
+
+func failing(status int) step {
+	return step{head: Head{Status: status, Signed: true, Header: http.Header{}}, body: "failed"}
+}
+
+func shedding() step { return step{head: Head{Status: 503, NotRun: true, Header: http.Header{}}} }
+
+func notSent() step { return step{err: upstream.Failed("connect", "x", upstream.ErrNotSent, nil)} }
+
+func broken() step { return step{err: upstream.Failed("exchange", "x", upstream.ErrBroken, nil)} }
+
+func events(ids ...string) string {
+	var b strings.Builder
+	for _, id := range ids {
+		b.WriteString("id: " + id + "\ndata: x\n\n")
+	}
+	return b.String()
+}
+
+// bench is a relay with scripted upstreams.
+type bench struct {
+	t     *testing.T
+	relay *Relay
+	mu    sync.Mutex
+	steps []step
+	sent  []Outgoing
+	ended []Decision
+	fleet map[string]Upstream
+	taken int64
+	used  int64
+}
+
+func newBench(t *testing.T, kind Kind, steps ...step) *bench {
+	b := &bench{t: t, steps: steps, fleet: map[string]Upstream{}}
+	upstreams := map[string]config.Upstream{}
+	for _, id := range []string{"u1", "u2", "u3", "u4"} {
+		b.fleet[id] = Upstream{ID: id, Address: id + ":1", Service: "orders"}
+		upstreams[id] = config.Upstream{Kind: config.UpstreamService, Address: id + ":1", Service: "orders", Slots: 8}
+	}
+	table := routing.NewTable()
+	table.Update(&config.Snapshot{Document: config.Document{Upstreams: upstreams}})
+	picker, err := routing.NewRouter(table, routing.SessionPolicy)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.relay = &Relay{
+		Catalogue: &Holder{}, Budgets: b, Picker: picker, Fleet: b, Sender: b, Events: b,
+		Repeats: NewRepeats(RepeatPolicy{Share: 0.2, Extra: 50, Window: 10 * time.Second}),
+		Routers: func() int { return 1 },
+	}
+	b.relay.Catalogue.Advance(NewCatalogue(Definition{
+		Version: 1,
+		Routes: []Route{
+			{Name: "orders", Host: "shop", Prefix: "/orders/", Kind: kind, Timeout: time.Second, Attempts: 2,
+				Services: []Share{{"orders", 1}}},
+			{Name: "all", Host: "shop", Prefix: "/", Kind: kind, Timeout: time.Second, Attempts: 1, Public: true,
+				Services: []Share{{"orders", 1}}},
+		},
+		Services:   []Service{{Name: "orders", EventTokens: 5}},
+		Workspaces: []Workspace{{Name: "studio", Prepaid: 1000, Priority: -1}},
+		Keys:       map[string]string{"key": "studio"},
+	}))
+	return b
+}
+
+func (b *bench) request() *Request {
+	return &Request{
+		ID: "r1", Host: "shop", Method: "POST", Path: "/orders/1", Target: "/orders/1", Key: "key",
+		Size: Size{Prompt: 100, MaxOutput: 50}, Arrived: time.Now(), Patience: 5 * time.Second,
+	}
+}
+
+// Send implements Sender.
+func (b *bench) Send(ctx context.Context, out Outgoing) (Answer, error) {
+	b.mu.Lock()
+	b.sent = append(b.sent, out)
+	next := step{err: upstream.Failed("connect", "x", upstream.ErrNotSent, nil)}
+	if len(b.steps) > 0 {
+		next, b.steps = b.steps[0], b.steps[1:]
+	}
+	b.mu.Unlock()
+	select {
+	case <-time.After(next.before):
+	case <-ctx.Done():
+		return nil, upstream.Failed("exchange", "x", upstream.ErrBroken, ctx.Err())
+	}
+	if next.err != nil {
+		return nil, next.err
+	}
+	return &scripted{step: next, body: strings.NewReader(next.body)}, nil
+}
+
+// scripted is one answer.
+type scripted struct {
+	step step
+	body *strings.Reader
+}
+
+func (s *scripted) Head() Head { return s.step.head }
+func (s *scripted) Close()     {}
+func (s *scripted) Read(p []byte) (int, error) {
+	n, err := s.body.Read(p)
+	if err == io.EOF && s.step.after != nil {
+		err = s.step.after
+	}
+	return n, err
+}
+
+// Upstream implements Fleet.
+func (b *bench) Upstream(id string) (Upstream, bool) { u, known := b.fleet[id]; return u, known }
+
+// Decided implements Events.
+func (b *bench) Decided(d Decision) { b.ended = append(b.ended, d) }
+
+// Reserve implements Budgets.
+func (b *bench) Reserve(_ context.Context, w Workspace, ceiling int64) (Reservation, error) {
+	if b.taken+ceiling > w.Prepaid {
+		return nil, &Problem{Status: http.StatusPaymentRequired, Name: "budget_exhausted"}
+	}
+	b.taken += ceiling
+	return &reserved{b, ceiling}, nil
+}
+
+type reserved struct {
+	bench   *bench
+	ceiling int64
+}
+
+func (r *reserved) Settle(consumed int64) {
+	r.bench.taken -= r.ceiling - consumed
+	r.bench.used += consumed
+}
+
+// caller records what it got.
+type caller struct {
+	problem *Problem
+	status  int
+	body    string
+	begun   bool
+	aborted bool
+	gone    bool // takes no more
+}
+
+var _ Writer = (*caller)(nil)
+
+func (c *caller) Refuse(p *Problem) { c.problem, c.status = p, p.Status }
+func (c *caller) Answer(status int, _ http.Header, body []byte) {
+	c.status, c.body = status, string(body)
+}
+func (c *caller) Begin(status int, _ http.Header) { c.status, c.begun = status, true }
+func (c *caller) Abort()                          { c.aborted = true }
+func (c *caller) Event(event []byte) error {
+	if c.gone {
+		return io.ErrClosedPipe
+	}
+	c.body += string(event)
+	return nil
+}
+
+func (b *bench) serve(q *Request) *caller {
+	c := &caller{}
+	b.relay.Serve(context.Background(), c, q)
+	return c
+}
+
+// upstreamsAsked returns where requests were sent, each once.
+func (b *bench) upstreamsAsked() []string {
+	var ids []string
+	for _, out := range b.sent {
+		if !slices.Contains(ids, out.Upstream.ID) {
+			ids = append(ids, out.Upstream.ID)
+		}
+	}
+	return ids
+}
+
+func inTime(t *testing.T, story func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, story)
+}
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,306 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/upstream"
+)
+
+// What upstreams do, and what the caller is told, by kind of request. A promise
+// ("not run") is made only where no upstream can have run it; a request that may
+// not be repeated reaches a second upstream only after the first one's own word.
+func TestOutcomes(t *testing.T) {
+	unsigned := answered("x")
+	unsigned.head.Signed = false
+	altered := answered("x")
+	altered.head.Altered = true
+	torn := answered("x")
+	torn.after = upstream.ErrBroken
+	moved := shedding()
+	moved.head.Status, moved.head.Moved = 421, true
+	slow := answered("x")
+	slow.before = 10 * time.Second
+	for _, c := range []struct {
+		name   string
+		kind   Kind
+		steps  []step
+		status int
+		body   string
+		sends  int
+	}{
+		{"answered", Once, []step{answered("done")}, 200, "done", 1},
+		{"no connection, then answered", Once, []step{notSent(), answered("done")}, 200, "done", 2},
+		{"shed, then answered", Once, []step{shedding(), answered("done")}, 200, "done", 2},
+		{"shed twice", Once, []step{shedding(), shedding()}, 503, "", 2},
+		{"another upstream has the address", Once, []step{moved, answered("done")}, 200, "done", 2},
+		{"broken after it was sent", Once, []step{broken(), answered("done")}, 502, "", 1},
+		{"broken, may be repeated", Repeatable, []step{broken(), answered("done")}, 200, "done", 2},
+		{"broken twice", Repeatable, []step{broken(), broken(), answered("done")}, 502, "", 2},
+		{"failed, may be repeated", Repeatable, []step{failing(500), answered("done")}, 200, "done", 2},
+		{"failed", Once, []step{failing(500), answered("done")}, 500, "failed", 1},
+		{"not signed", Once, []step{unsigned}, 502, "", 1},
+		{"not signed, may be repeated", Repeatable, []step{unsigned, answered("done")}, 200, "done", 2},
+		{"not the upstream's bytes", Repeatable, []step{altered, answered("done")}, 200, "done", 2},
+		{"body cut", Repeatable, []step{torn, answered("done")}, 200, "done", 2},
+		{"body cut, not to be repeated", Once, []step{torn, answered("done")}, 502, "", 1},
+		{"no upstream reached", Once, nil, 503, "", 4},
+		{"too slow", Once, []step{slow}, 504, "", 1},
+		{"shed, then too slow", Repeatable, []step{shedding(), slow}, 504, "", 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inTime(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(t, c.kind, c.steps...)
+				got := b.serve(b.request())
+				is.Equal(got.status, c.status)
+				is.Equal(got.body, c.body)
+				is.Equal(len(b.sent), c.sends)
+				is.Equal(len(b.upstreamsAsked()), c.sends) // each upstream once
+				is.Equal(len(b.ended), 1)
+				if got.problem != nil && c.status == 503 {
+					is.True(got.problem.RetryAfter > 0)
+				}
+			})
+		})
+	}
+}
+
+// A caller whose key, route or budget does not allow its request is told so at
+// once, and nothing is sent.
+func TestRefusedBeforeAnythingIsSent(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*Request)
+		status int
+	}{
+		{"no route", func(q *Request) { q.Host = "other" }, 404},
+		{"unknown key", func(q *Request) { q.Key = "old" }, 401},
+		{"budget exhausted", func(q *Request) { q.Size.Prompt = 5000 }, 402},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, Once, answered("done"))
+			q := b.request()
+			c.change(q)
+			is.Equal(b.serve(q).status, c.status)
+			is.Equal(len(b.sent), 0)
+		})
+	}
+	t.Run("no configuration yet", func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, Once, answered("done"))
+		b.relay.Catalogue = &Holder{}
+		is.Equal(b.serve(b.request()).status, 503)
+	})
+	t.Run("public route", func(t *testing.T) {
+		is := is.New(t)
+		b := newBench(t, Once, answered("done"))
+		q := b.request()
+		q.Path, q.Key = "/help", ""
+		is.Equal(b.serve(q).status, 200)
+		is.Equal(b.sent[0].Workspace, "")
+	})
+}
+
+// An engine dies in the middle of an event, after two whole ones. Another goes on
+// behind the second; the caller sees one stream without a gap or a repeat.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	inTime(t, func(t *testing.T) {
+		is := is.New(t)
+		dying := answered(events("1", "2") + "id: 3\nda")
+		dying.after = upstream.ErrBroken
+		b := newBench(t, Resumable, dying, answered(events("3", "4")))
+		got := b.serve(b.request())
+		is.Equal(got.body, events("1", "2", "3", "4"))
+		is.True(!got.aborted)
+		is.Equal(b.sent[1].After, "2")
+		is.Equal(b.used, int64(100+4*5))
+	})
+}
+
+// What may come of a stream that is not what it should be: the caller never gets a
+// part twice, never misses one, and a cut stream looks cut.
+func TestStreamFaults(t *testing.T) {
+	cut := func(body string) step {
+		s := answered(body)
+		s.after = upstream.ErrBroken
+		return s
+	}
+	for _, c := range []struct {
+		name    string
+		kind    Kind
+		steps   []step
+		body    string
+		aborted bool
+		status  int
+	}{
+		{"whole", Stream, []step{answered(events("1", "2"))}, events("1", "2"), false, 200},
+		{"cut, may not be resumed", Stream, []step{cut(events("1")), answered(events("2"))}, events("1"), true, 200},
+		{"cut before its first event", Stream, []step{cut("")}, "", false, 502},
+		{"cut before its first event, resumable", Resumable, []step{cut(""), answered(events("1"))}, events("1"), false, 200},
+		{"a gap", Stream, []step{answered(events("1", "3"))}, events("1"), true, 200},
+		{"an event twice", Stream, []step{answered(events("1", "1"))}, events("1"), true, 200},
+		{"resumed at the wrong place", Resumable, []step{cut(events("1", "2")), answered(events("1", "2"))}, events("1", "2"), true, 200},
+		{"ends inside an event", Stream, []step{answered(events("1") + "id: 2")}, events("1"), true, 200},
+		{"nothing at all", Stream, []step{answered("")}, "", false, 502},
+		{"an upstream's refusal", Stream, []step{failing(400)}, "failed", false, 400},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inTime(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(t, c.kind, c.steps...)
+				got := b.serve(b.request())
+				is.Equal(got.body, c.body)
+				is.Equal(got.aborted, c.aborted)
+				is.Equal(got.status, c.status)
+			})
+		})
+	}
+}
+
+// The caller leaves while its stream runs. The stream is not sent to another
+// upstream for no one.
+func TestCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, Resumable, answered(events("1", "2")), answered(events("1", "2")))
+	c := &caller{gone: true}
+	b.relay.Serve(context.Background(), c, b.request())
+	is.Equal(len(b.sent), 1)
+	is.True(c.aborted)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	b.relay.Serve(ctx, &caller{}, b.request())
+	is.True(len(b.sent) <= 2)
+}
+
+// A leaving upstream gets no new work, whatever routing still knows of it.
+func TestLeavingUpstreamIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, Once, answered("done"))
+	for _, id := range []string{"u1", "u2", "u3"} {
+		u := b.fleet[id]
+		u.Leaving = true
+		b.fleet[id] = u
+	}
+	is.Equal(b.serve(b.request()).status, 200)
+	is.Equal(b.sent[0].Upstream.ID, "u4")
+}
+
+// The budget is charged for what may have been read and for what was passed on,
+// and not at all where the upstream says that it ran nothing.
+func TestSettles(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		kind  Kind
+		steps []step
+		used  int64
+	}{
+		{"streamed", Stream, []step{answered(events("1", "2", "3"))}, 100 + 15},
+		{"at most what was reserved", Stream, []step{answered(events("1", "2", "3", "4", "5", "6", "7", "8", "9", "10", "11", "12"))}, 150},
+		{"not run", Stream, []step{shedding(), shedding()}, 0},
+		{"unknown", Stream, []step{broken()}, 100},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			inTime(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newBench(t, c.kind, c.steps...)
+				b.serve(b.request())
+				is.Equal(b.used, c.used)
+				is.Equal(b.taken, c.used) // nothing stays reserved
+			})
+		})
+	}
+}
+
+// All upstreams fail all requests. However many callers come, repeats stay within
+// the part that is allowed in any window.
+func TestRepeatsStayWithinTheAllowance(t *testing.T) {
+	inTime(t, func(t *testing.T) {
+		is := is.New(t)
+		const routers = 4
+		policy := RepeatPolicy{Share: 0.2, Extra: 60, Window: 10 * time.Second}
+		var all []*Repeats
+		for range routers {
+			all = append(all, NewRepeats(policy))
+		}
+		var at []time.Time
+		requests := 0
+		for began := time.Now(); time.Since(began) < 30*time.Second; time.Sleep(10 * time.Millisecond) {
+			for _, r := range all {
+				r.Request("orders", routers)
+				requests++
+				if r.Take("orders", routers) {
+					at = append(at, time.Now())
+				}
+			}
+		}
+		perWindow := float64(requests) / 3
+		for i := range at {
+			n := 0
+			for _, other := range at[i:] {
+				if other.Sub(at[i]) < policy.Window {
+					n++
+				}
+			}
+			is.True(float64(n) <= policy.Share*perWindow+policy.Extra)
+		}
+		is.True(len(at) > requests/10)
+	})
+}
+
+// Routes are found by host and the longest prefix; a newer catalogue replaces an
+// older one and never the other way round.
+func TestCatalogue(t *testing.T) {
+	is := is.New(t)
+	c := NewCatalogue(Definition{Version: 3, Routes: []Route{
+		{Name: "short", Host: "shop", Prefix: "/"}, {Name: "long", Host: "shop", Prefix: "/orders/"},
+	}})
+	is.Equal(c.Route("shop", "/orders/1").Name, "long")
+	is.Equal(c.Route("shop", "/ordersx").Name, "short")
+	is.Equal(c.Route("other", "/"), nil)
+	var h Holder
+	is.True(h.Advance(c))
+	is.True(!h.Advance(NewCatalogue(Definition{Version: 2})))
+	is.True(!h.Advance(NewCatalogue(Definition{Version: 3})))
+	is.Equal(h.Load().Version, int64(3))
+}
+
+// All attempts of a request go to the same service of a split route, and requests
+// are spread as the weights say.
+func TestSplitRoute(t *testing.T) {
+	is := is.New(t)
+	route := Route{Services: []Share{{"a", 90}, {"b", 10}}}
+	counts := map[string]int{}
+	for i := range 10_000 {
+		id := time.Duration(i).String()
+		service := route.Service(id)
+		is.Equal(route.Service(id), service)
+		counts[service]++
+	}
+	is.True(counts["b"] > 800 && counts["b"] < 1200)
+}
+
+// FuzzSplitter: whatever bytes come in whatever pieces, the events and the rest
+// together are the bytes.
+func FuzzSplitter(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: x\n\nid: 2\r\n\r\nrest"), 3)
+	f.Fuzz(func(t *testing.T, data []byte, size int) {
+		size = max(1, min(size, len(data)))
+		var s splitter
+		var got []byte
+		for i := 0; i < len(data); i += size {
+			s.add(data[i:min(i+size, len(data))])
+			for event := s.next(); event != nil; event = s.next() {
+				got = append(got, event...)
+				_ = eventID(event)
+			}
+		}
+		if got = append(got, s.rest...); string(got) != string(data) {
+			t.Fatalf("%q became %q", data, got)
+		}
+	})
+}
