--- a/budget/allowance/allowance.go
+++ b/budget/allowance/allowance.go
@@ -53,7 +53,7 @@
 	grantShare = 0.95
 	// firstShare is handed out while no use was seen: VMs come one after the other,
 	// and the last must find something.
-	firstShare = 0.8
+	firstShare = 0.92
 	// knownDivisor: once this part of a budget is used, the use says by 63% who
 	// needs the rest.
 	knownDivisor = 40
