--- /dev/null
+++ b/budget/allowance/follow.go
@@ -0,0 +1,92 @@
+package allowance
+
+import (
+	"context"
+	"errors"
+	"strings"
+
+	"buckthornridge/pause"
+	"buckthornridge/store"
+)
+
+// follow reads what other holders have and report, so that grants follow their
+// use.
+func (b *Book) follow(ctx context.Context) {
+	version := int64(-1)
+	for pause.For(ctx, followInterval) == nil {
+		changes, err := b.poll(ctx, version)
+		b.answered(err)
+		if err != nil {
+			if errors.Is(err, store.ErrHistoryLost) {
+				version = -1
+			}
+			continue
+		}
+		version = changes.Version
+		b.learn(changes.Changes)
+	}
+}
+
+func (b *Book) poll(ctx context.Context, version int64) (store.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	if version < 0 {
+		return b.options.Feed.All(ctx, segment)
+	}
+	return b.options.Feed.Since(ctx, segment, version, 0)
+}
+
+// learn takes rows of pools and reports.
+func (b *Book) learn(changes []store.Change) {
+	for _, change := range changes {
+		switch {
+		case change.Deleted:
+			b.forgetEnded(change.Key)
+		case strings.HasPrefix(change.Key, poolPrefix):
+			b.learnPool(change.Row)
+		case strings.HasPrefix(change.Key, usagePrefix):
+			b.learnReport(change.Row)
+		}
+	}
+}
+
+// forgetEnded drops a holder whose report the next process on its VM has deleted.
+func (b *Book) forgetEnded(key string) {
+	if !strings.HasPrefix(key, usagePrefix) {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.ended, holderOf(key))
+}
+
+func (b *Book) learnPool(row store.Row) {
+	b.mu.Lock()
+	a := b.accounts[budgetOf(row.Key)]
+	b.mu.Unlock()
+	if a != nil {
+		b.seen(a, row)
+	}
+}
+
+func (b *Book) learnReport(row store.Row) {
+	holder := holderOf(row.Key)
+	if holder == b.self {
+		return
+	}
+	r, err := decodeReport(row.Value)
+	if err != nil {
+		logFailure("read the report of "+holder, err)
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.Closed {
+		b.ended[holder] = r
+	}
+	for budget, l := range r.Budgets {
+		if a := b.accounts[budget]; a != nil {
+			a.others[holder] = l
+		}
+	}
+}
--- /dev/null
+++ b/budget/allowance/grant.go
@@ -0,0 +1,185 @@
+package allowance
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"buckthornridge/pause"
+	"buckthornridge/store"
+)
+
+// adjust changes grants where it is due. It reports whether a waiting request got
+// one and needs a report.
+func (b *Book) adjust(ctx context.Context) bool {
+	due := b.due()
+	if len(due) == 0 {
+		return false
+	}
+	limit := make(chan struct{}, parallelGrants)
+	var tasks sync.WaitGroup
+	for _, a := range due {
+		limit <- struct{}{}
+		tasks.Go(func() {
+			b.change(ctx, a)
+			<-limit
+		})
+	}
+	tasks.Wait()
+	return true
+}
+
+func (b *Book) due() []*account {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var due []*account
+	clock, _ := b.options.Clock.Now()
+	for name, a := range b.accounts {
+		if now.Sub(a.needAt) > needLasts {
+			a.need = 0
+		}
+		b.foldClosed(name, &a.pool, clock)
+		if a.version < 0 || a.mayRecall(now) || a.next(b.self, b.options.VMs(), now).change {
+			due = append(due, a)
+		}
+	}
+	return due
+}
+
+// change brings a holder's share of one pool to what is planned.
+func (b *Book) change(ctx context.Context, a *account) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	began := time.Now()
+	for try := range grantTries {
+		if try > 0 && pause.For(ctx, jitter(grantPause<<min(try, 3))) != nil {
+			return
+		}
+		if b.versionOf(a) < 0 && !b.readPool(ctx, a) {
+			return
+		}
+		b.recall(ctx, a)
+		if b.changeOnce(ctx, a) {
+			b.notePoor(a, began)
+			return
+		}
+	}
+}
+
+// notePoor remembers that tokens for a waiting request were not to be had, if other
+// holders were asked since the time given.
+func (b *Book) notePoor(a *account, since time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.recalledAt.Before(since) {
+		return
+	}
+	if a.need > a.grant()-a.committed() && a.short() > 0 {
+		a.poorUntil, a.poorFor = time.Now().Add(poorLasts), a.need
+		a.need = 0
+		a.wake()
+	}
+}
+
+func (b *Book) versionOf(a *account) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return a.version
+}
+
+// readPool reads a pool's row.
+func (b *Book) readPool(ctx context.Context, a *account) bool {
+	rows, err := b.options.Table.Read(ctx, poolKey(a.budget))
+	b.answered(err)
+	if err != nil {
+		logFailure("read pool", err)
+		return false
+	}
+	return b.seen(a, rows[0])
+}
+
+// seen takes a newer row of a pool.
+func (b *Book) seen(a *account, row store.Row) bool {
+	p, err := decodePool(row.Value)
+	if err != nil {
+		logFailure("read pool "+a.budget, err)
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if row.Version < a.newest {
+		return false // a stale read
+	}
+	a.pool, a.version, a.newest = p, row.Version, row.Version
+	// The row is what counts, also where the answer to a change was lost. Only a
+	// return that may still take effect stays in force against it.
+	if row.Version > a.returning {
+		a.granted = p.Holders[b.self].Granted
+		a.wake()
+	}
+	return true
+}
+
+// changeOnce writes the planned share. It reports whether there is nothing more
+// to do now.
+func (b *Book) changeOnce(ctx context.Context, a *account) bool {
+	txn, granted, version := b.planned(a)
+	if txn == nil {
+		return true
+	}
+	next, err := b.options.Table.Commit(ctx, *txn)
+	b.answered(err)
+	klog.Infof("step=grant budget=%s granted=%d version=%d failed=%t", a.budget, granted, version, err != nil)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err == nil {
+		if a.lowered >= 0 && granted <= a.lowered {
+			a.lowered = -1
+		}
+		if next > a.newest { // else a later row was seen, and it counts
+			a.granted, a.version, a.newest = granted, next, next
+			a.pool = a.pool.clone()
+			a.pool.Holders[b.self] = share{Granted: granted, Settled: a.settled}
+		}
+		a.wake()
+		return true
+	}
+	a.version = -1
+	if !errors.Is(err, store.ErrConditionFailed) {
+		logFailure("change grant of "+a.budget, err)
+		return true
+	}
+	return false
+}
+
+// planned returns the transaction of a change, or nil if none is due. Tokens that
+// are to be returned are out of use before the transaction is sent.
+func (b *Book) planned(a *account) (txn *store.Txn, granted, version int64) {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := a.next(b.self, b.options.VMs(), now)
+	if !p.change {
+		return nil, 0, 0
+	}
+	row := a.pool.clone()
+	row.Holders[b.self] = share{Granted: p.granted, Settled: a.settled}
+	data, err := encode(row)
+	if err != nil {
+		logFailure("change grant of "+a.budget, err)
+		return nil, 0, 0
+	}
+	a.changedAt = now
+	if p.granted < a.granted {
+		a.granted, a.returning = p.granted, a.version
+	}
+	key := poolKey(a.budget)
+	return &store.Txn{
+		Conditions: []store.Condition{{Key: key, Version: a.version}},
+		Writes:     []store.Write{{Key: key, Value: data}},
+	}, p.granted, a.version
+}
--- a/budget/allowance/reclaim.go
+++ b/budget/allowance/reclaim.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"buckthornridge/pause"
 	"buckthornridge/store"
 )
 
@@ -113,7 +114,7 @@
 func (b *Book) settleAll(ctx context.Context, left leftover) {
 	for len(left.pools) > 0 {
 		left.pools = b.settleSome(ctx, left)
-		if len(left.pools) > 0 && !pause(ctx, openPause) {
+		if len(left.pools) > 0 && pause.For(ctx, openPause) != nil {
 			return
 		}
 	}
@@ -180,7 +181,7 @@
 		if !errors.Is(err, store.ErrConditionFailed) && !errors.Is(err, store.ErrOutcomeUnknown) {
 			return err
 		}
-		if !pause(ctx, jitter(grantPause)) {
+		if pause.For(ctx, jitter(grantPause)) != nil {
 			return ctx.Err()
 		}
 		if row, err = b.readRow(ctx, row.Key); err != nil {
@@ -274,7 +275,7 @@
 			return
 		}
 		logFailure("close", err)
-		if !pause(ctx, jitter(grantPause)) {
+		if pause.For(ctx, jitter(grantPause)) != nil {
 			return
 		}
 	}
--- /dev/null
+++ b/budget/allowance/report.go
@@ -0,0 +1,148 @@
+package allowance
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"buckthornridge/store"
+)
+
+// mustReport reports whether the bounds in force are too old or too tight.
+func (b *Book) mustReport() bool {
+	clock, known := b.options.Clock.Now()
+	if !known {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.dirty && time.Since(b.reportedAt) >= reportInterval {
+		return true
+	}
+	for _, a := range b.accounts {
+		if a.tight(clock) {
+			return true
+		}
+	}
+	return false
+}
+
+// tight reports whether a request waits, or will soon, for a new report only.
+func (a *account) tight(clock time.Duration) bool {
+	unspent := a.grant() - a.committed()
+	if unspent <= 0 {
+		return false
+	}
+	room := a.bound(clock) - a.committed()
+	if a.need > 0 && time.Since(a.needAt) < needLasts && room < a.need && room < unspent {
+		return true
+	}
+	rate := a.use.rate(time.Now())
+	return rate > 0 && float64(room) < 0.4*coverSeconds*rate && room < unspent
+}
+
+// report writes down what this holder may have consumed.
+func (b *Book) report(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	if b.usageVersion < 0 && !b.readBack(ctx) {
+		return
+	}
+	row, bounds := b.draft()
+	data, err := encode(row)
+	if err != nil {
+		logFailure("report", err)
+		return
+	}
+	key := reportsOf(b.options.VM) + b.options.Incarnation
+	version, err := b.options.Table.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: key, Version: b.usageVersion}},
+		Writes:     []store.Write{{Key: key, Value: data}},
+	})
+	b.answered(err)
+	b.taken(bounds, version, err)
+}
+
+// draft makes a report and keeps to it from now on, since it may come into force
+// at any moment from its sending on.
+func (b *Book) draft() (report, map[*account]dated) {
+	clock, _ := b.options.Clock.Now()
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	row := report{AsOf: clock, Budgets: make(map[string]ledger, len(b.accounts))}
+	bounds := make(map[*account]dated, len(b.accounts))
+	for name, a := range b.accounts {
+		if now.Sub(a.needAt) > needLasts {
+			a.need = 0
+		}
+		l := a.ledger(now)
+		if l.Base == 0 && l.Rest == 0 && l.Demand == 0 {
+			continue
+		}
+		row.Budgets[name] = l
+		bounds[a] = dated{ledger: l, asOf: clock}
+		a.bounds = append(a.bounds, bounds[a])
+	}
+	b.dirty, b.reportedAt = false, now
+	return row, bounds
+}
+
+// taken handles the result of a report. Once one is acknowledged, no earlier one
+// can come into force any more: each demands the version that it replaced.
+func (b *Book) taken(bounds map[*account]dated, version int64, err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err == nil {
+		b.usageVersion = version
+		for a, bound := range bounds {
+			a.bounds = append(a.bounds[:0], bound)
+			a.wake()
+		}
+		return
+	}
+	logFailure("report", err)
+	// The next report waits until the table has answered a read: a holder keeps to
+	// each report from its sending on, and a cut-off one would never get beyond the
+	// knee if it began a new one each time.
+	b.usageVersion = -1
+	if errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrRateLimited) {
+		// Certainly not written: what it would have promised binds no one.
+		for a := range bounds {
+			a.bounds = a.bounds[:len(a.bounds)-1]
+		}
+		return
+	}
+	b.thin()
+}
+
+// thin keeps the list of bounds short through a long outage. The first one is in
+// force; of those that may come into force, the least counts and all grow alike,
+// so that the lowest of each figure stands for all.
+func (b *Book) thin() {
+	for _, a := range b.accounts {
+		if len(a.bounds) <= 3 {
+			continue
+		}
+		merged := a.bounds[1]
+		for _, bound := range a.bounds[2:] {
+			merged.Base = min(merged.Base, bound.Base)
+			merged.Rate = min(merged.Rate, bound.Rate)
+			merged.Rest = min(merged.Rest, bound.Rest)
+			merged.asOf = max(merged.asOf, bound.asOf)
+		}
+		a.bounds = append(a.bounds[:1], merged)
+	}
+}
+
+// readBack finds the version of this holder's report after a lost answer.
+func (b *Book) readBack(ctx context.Context) bool {
+	rows, err := b.options.Table.Read(ctx, reportsOf(b.options.VM)+b.options.Incarnation)
+	b.answered(err)
+	if err != nil {
+		logFailure("read report back", err)
+		return false
+	}
+	b.usageVersion = rows[0].Version
+	return true
+}
--- a/budget/copy.go
+++ b/budget/copy.go
@@ -9,6 +9,7 @@
 
 	"buckthornridge/budget/journal"
 	"buckthornridge/budget/ledger"
+	"buckthornridge/pause"
 	"buckthornridge/store"
 )
 
@@ -62,7 +63,7 @@
 
 // copyLoop releases copies as soon as the table takes entries again.
 func (k *Keeper) copyLoop() {
-	for pause(k.ctx, copyInterval) == nil {
+	for pause.For(k.ctx, copyInterval) == nil {
 		ctx, cancel := context.WithTimeout(k.ctx, settleLimit)
 		k.releaseCopies(ctx)
 		cancel()
@@ -120,7 +121,7 @@
 
 // Run hands bills of holders whose journals are sealed to this router's journal.
 func (b *CopyBook) Run(ctx context.Context, table store.Table, w *journal.Writer) {
-	for pause(ctx, copyInterval) == nil {
+	for pause.For(ctx, copyInterval) == nil {
 		for _, holder := range b.holders() {
 			if sealed(ctx, table, holder) {
 				b.handOver(holder, w)
--- a/budget/giveback.go
+++ b/budget/giveback.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"buckthornridge/budget/ledger"
+	"buckthornridge/pause"
 )
 
 // sweepInterval is the time between two looks for idle grants.
@@ -133,7 +134,7 @@
 
 // sweepLoop returns grants that were not used for a while.
 func (k *Keeper) sweepLoop() {
-	for pause(k.ctx, sweepInterval) == nil {
+	for pause.For(k.ctx, sweepInterval) == nil {
 		if k.Alive() && !k.draining.Load() {
 			since := time.Now().Add(-k.limits().idle)
 			_ = k.returnIdle(k.ctx, func(acc *account) bool { return acc.lastUse.Before(since) && acc.reserved == 0 })
--- a/budget/journal/adopted.go
+++ b/budget/journal/adopted.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"buckthornridge/budget/ledger"
+	"buckthornridge/pause"
 	"buckthornridge/store"
 )
 
@@ -59,7 +60,7 @@
 		if err == nil || retries > foldRetries || !retryable(err) || f.isGone(ctx, row.Key) {
 			return stats, eris.Wrapf(err, "fold %s", row.Key)
 		}
-		if err := pause(ctx, minBackoff*time.Duration(retries)); err != nil {
+		if err := pause.For(ctx, minBackoff*time.Duration(retries)); err != nil {
 			return stats, err
 		}
 	}
--- a/budget/journal/commit.go
+++ b/budget/journal/commit.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"buckthornridge/budget/ledger"
+	"buckthornridge/pause"
 	"buckthornridge/store"
 )
 
@@ -38,7 +39,7 @@
 		if errors.Is(err, ErrTaken) || errors.Is(err, ErrSealed) {
 			return err
 		}
-		if err := pause(ctx, backoff); err != nil {
+		if err := pause.For(ctx, backoff); err != nil {
 			return err
 		}
 	}
@@ -153,7 +154,7 @@
 		if errors.Is(err, store.ErrRateLimited) {
 			refusals++
 		}
-		if err := pause(ctx, backoff); err != nil {
+		if err := pause.For(ctx, backoff); err != nil {
 			return refusals, err
 		}
 	}
@@ -232,7 +233,7 @@
 				return eris.Wrapf(ErrSealed, "adopt into journal of %s", w.holder)
 			}
 		}
-		if err := pause(ctx, backoff); err != nil {
+		if err := pause.For(ctx, backoff); err != nil {
 			return err
 		}
 	}
@@ -254,7 +255,7 @@
 			w.MarkSealed(eris.New("planned stop"))
 			return nil
 		}
-		if err := pause(ctx, backoff); err != nil {
+		if err := pause.For(ctx, backoff); err != nil {
 			return eris.Wrapf(err, "seal journal of %s", w.holder)
 		}
 	}
--- a/budget/journal/fold.go
+++ b/budget/journal/fold.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"buckthornridge/budget/ledger"
+	"buckthornridge/pause"
 	"buckthornridge/store"
 )
 
@@ -121,7 +122,7 @@
 		if retries > foldRetries || !retryable(err) {
 			return stats, false, eris.Wrapf(err, "fold journal of %s", holder)
 		}
-		if err := pause(ctx, minBackoff*time.Duration(retries)); err != nil {
+		if err := pause.For(ctx, minBackoff*time.Duration(retries)); err != nil {
 			return stats, false, err
 		}
 	}
--- a/budget/journal/writer.go
+++ b/budget/journal/writer.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"buckthornridge/budget/ledger"
+	"buckthornridge/pause"
 	"buckthornridge/store"
 )
 
@@ -317,7 +318,7 @@
 			return w.stopped(err)
 		}
 		interval = w.nextInterval(interval, refusals)
-		if err := pause(ctx, interval-time.Since(started)); err != nil {
+		if err := pause.For(ctx, interval-time.Since(started)); err != nil {
 			return err
 		}
 	}
@@ -365,17 +366,3 @@
 		close(item.done)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/budget/operator.go
+++ b/budget/operator.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"buckthornridge/budget/ledger"
+	"buckthornridge/pause"
 	"buckthornridge/store"
 )
 
@@ -40,7 +41,7 @@
 		if err == nil || !again || attempt == topUpRetries {
 			return applied, eris.Wrapf(err, "top up %s", id)
 		}
-		if err := pause(ctx, min(minBackoff*time.Duration(attempt), maxBackoff)); err != nil {
+		if err := pause.For(ctx, min(minBackoff*time.Duration(attempt), maxBackoff)); err != nil {
 			return false, eris.Wrapf(err, "top up %s", id)
 		}
 	}
--- a/budget/percall/percall.go
+++ b/budget/percall/percall.go
@@ -16,6 +16,7 @@
 
 	"buckthornridge/budget"
 	"buckthornridge/budget/ledger"
+	"buckthornridge/pause"
 	"buckthornridge/request"
 	"buckthornridge/store"
 )
@@ -95,7 +96,7 @@
 				return nil
 			}
 		}
-		if !pause(ctx, retryPause/2+rand.N(retryPause)) {
+		if pause.For(ctx, retryPause/2+rand.N(retryPause)) != nil {
 			return eris.Wrapf(err, "change %s", id)
 		}
 	}
@@ -109,17 +110,6 @@
 	return err
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // reservation is a request's ceiling in the counter row.
 type reservation struct {
 	counter *Counter
--- a/budget/reclaim.go
+++ b/budget/reclaim.go
@@ -11,6 +11,7 @@
 
 	"buckthornridge/budget/journal"
 	"buckthornridge/budget/ledger"
+	"buckthornridge/pause"
 	"buckthornridge/store"
 )
 
@@ -113,7 +114,7 @@
 		if !lostRace || retries > reclaimRetries {
 			return err
 		}
-		if err := pause(ctx, minBackoff*time.Duration(retries)); err != nil {
+		if err := pause.For(ctx, minBackoff*time.Duration(retries)); err != nil {
 			return err
 		}
 	}
--- a/budget/transfer.go
+++ b/budget/transfer.go
@@ -10,6 +10,7 @@
 
 	"buckthornridge/budget/journal"
 	"buckthornridge/budget/ledger"
+	"buckthornridge/pause"
 	"buckthornridge/store"
 )
 
@@ -86,7 +87,7 @@
 			backoff = min(2*backoff, maxBackoff)
 		}
 		ctx = k.ctx // once sent, it must be resolved, whoever asked for it
-		if pause(k.ctx, wait) != nil {
+		if pause.For(k.ctx, wait) != nil {
 			return err
 		}
 	}
@@ -218,14 +219,3 @@
 	_, err := k.cfg.Table.Commit(ctx, txn)
 	return eris.Wrapf(err, "transfer of %s", k.cfg.Holder)
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/budget/witness.go
+++ b/budget/witness.go
@@ -8,6 +8,8 @@
 
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
+
+	"buckthornridge/pause"
 )
 
 // A router that dies may have dispatched requests that its journal does not
@@ -174,7 +176,7 @@
 
 // leaveLoop ends riding once the table takes entries again.
 func (k *Keeper) leaveLoop() {
-	for pause(k.ctx, leaveInterval) == nil {
+	for pause.For(k.ctx, leaveInterval) == nil {
 		if k.rides.idle() {
 			continue
 		}
--- a/config/apply.go
+++ b/config/apply.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"buckthornridge/pause"
 	"buckthornridge/store"
 )
 
@@ -79,7 +80,7 @@
 		if err == nil || !retryable(err) {
 			return version, err
 		}
-		if pause(ctx, wait+rand.N(wait)) != nil {
+		if pause.For(ctx, wait+rand.N(wait)) != nil {
 			if unknown && !errors.Is(err, store.ErrOutcomeUnknown) {
 				err = store.Failed("apply", "table", store.ErrOutcomeUnknown, err)
 			}
@@ -93,17 +94,6 @@
 		errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrConditionFailed)
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 func (a *applier) try(ctx context.Context) (Version, error) {
 	rows, err := a.table.Read(ctx, headKey, applyKey(a.applyID))
 	if err != nil {
--- a/config/watcher.go
+++ b/config/watcher.go
@@ -9,6 +9,8 @@
 
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
+
+	"buckthornridge/pause"
 )
 
 // Peer is another process that holds versions.
@@ -118,7 +120,7 @@
 	for {
 		poll(ctx)
 		spread := 1 + intervalJitter*(2*rand.Float64()-1)
-		if pause(ctx, time.Duration(spread*float64(w.options.Interval))) != nil {
+		if pause.For(ctx, time.Duration(spread*float64(w.options.Interval))) != nil {
 			return
 		}
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -19,6 +19,7 @@
 	"k8s.io/klog/v2"
 
 	"buckthornridge/budget/allowance"
+	"buckthornridge/pause"
 	"buckthornridge/peer"
 	"buckthornridge/relay"
 	"buckthornridge/routing"
@@ -255,7 +256,7 @@
 		p.fleet.expire()
 		p.pool.Sweep()
 		p.routes.SetRouters(p.peers.count())
-		pause(ctx, upkeepEvery)
+		_ = pause.For(ctx, upkeepEvery)
 	}
 }
 
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"buckthornridge/pause"
 	"buckthornridge/store"
 	"buckthornridge/store/mirror"
 )
@@ -51,12 +52,12 @@
 			if ctx.Err() == nil {
 				klog.V(1).Infof("step=follow segment=%s result=failed err=%q", f.segment, err.Error())
 			}
-			pause(ctx, feedPause)
+			_ = pause.For(ctx, feedPause)
 			continue
 		}
 		f.heard.set()
 		if update.Whole && update.Version < f.mirror.Version() {
-			pause(ctx, feedPause) // a stale read: what is known is newer
+			_ = pause.For(ctx, feedPause) // a stale read: what is known is newer
 			continue
 		}
 		lost = false
@@ -80,10 +81,3 @@
 		f.apply(changes)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/edge/front.go
+++ b/edge/front.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -11,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"buckthornridge/relay"
+	"buckthornridge/telemetry"
 )
 
 // defaultBodyBytes bounds a body before a configuration says how long one may be.
@@ -38,12 +38,14 @@
 		request.Body, problem = f.readBody(w, r)
 	}
 	if problem != nil {
-		klog.Infof("step=read_request id=%s outcome=%s detail=%q", r.Header.Get("X-Request-Id"), problem.Name, problem.Detail)
+		klog.Infof("step=read_request caller=%s outcome=%s detail=%q", r.RemoteAddr, problem.Name, problem.Detail)
 		writer.Refuse(problem)
 		return
 	}
 	writer.id = request.ID
-	f.relay.Serve(r.Context(), writer, request)
+	ctx, span := telemetry.Hop(telemetry.FromHeader(r.Context(), r.Header), "request", telemetry.Attr("id", request.ID))
+	defer telemetry.Done(span, nil)
+	f.relay.Serve(ctx, writer, request)
 }
 
 // readBody reads the whole body: only what is whole may be sent on, and only what
@@ -59,21 +61,21 @@
 	if r.ContentLength > 0 {
 		body := make([]byte, r.ContentLength)
 		_, err := io.ReadFull(r.Body, body)
-		return body, unreadable(r.Context(), err)
+		return body, unreadable(err)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var over *http.MaxBytesError
 	if errors.As(err, &over) {
 		return nil, tooLarge()
 	}
-	return body, unreadable(r.Context(), err)
+	return body, unreadable(err)
 }
 
 func tooLarge() *relay.Problem {
 	return &relay.Problem{Status: http.StatusRequestEntityTooLarge, Name: "too_large", Detail: "the body is too long"}
 }
 
-func unreadable(_ context.Context, err error) *relay.Problem {
+func unreadable(err error) *relay.Problem {
 	if err == nil {
 		return nil
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"buckthornridge/budget/allowance"
+	"buckthornridge/pause"
 	"buckthornridge/peer"
 	"buckthornridge/store"
 	"buckthornridge/store/mirror"
@@ -102,9 +103,9 @@
 			entered = p.enter(ctx, incarnation)
 		}
 		if look < firstLooks || !entered {
-			pause(ctx, firstMembers)
+			_ = pause.For(ctx, firstMembers)
 		} else {
-			pause(ctx, memberInterval)
+			_ = pause.For(ctx, memberInterval)
 		}
 	}
 }
@@ -242,7 +243,7 @@
 // learn asks a few peers for what the table has not told for a while.
 func (p *peers) learn(ctx context.Context, f *follower) {
 	for ctx.Err() == nil {
-		pause(ctx, peerInterval)
+		_ = pause.For(ctx, peerInterval)
 		if age, heard := f.heard.age(); heard && age < feedWait+quietLimit {
 			continue
 		}
--- a/edge/ports.go
+++ b/edge/ports.go
@@ -7,6 +7,7 @@
 
 	"buckthornridge/budget/allowance"
 	"buckthornridge/relay"
+	"buckthornridge/telemetry"
 	"buckthornridge/upstream/exchange"
 )
 
@@ -27,7 +28,8 @@
 
 // Send implements relay.Sender.
 func (s sender) Send(ctx context.Context, out relay.Outgoing) (relay.Answer, error) {
-	response, err := s.pool.Do(ctx, out.Upstream.Address, &exchange.Request{
+	hop, span := telemetry.HopWithin(ctx, "upstream")
+	response, err := s.pool.Do(hop, out.Upstream.Address, &exchange.Request{
 		Method:  out.Request.Method,
 		Target:  out.Request.Target,
 		Host:    out.Request.Authority,
@@ -36,6 +38,7 @@
 		Careful: out.Careful,
 		Mine:    func(h http.Header) bool { return s.dialect.Mine(out.Request.ID, h) },
 	})
+	telemetry.Done(span, err)
 	if err != nil {
 		return nil, err
 	}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"buckthornridge/pause"
 )
 
 // Steps of a planned stop.
@@ -24,7 +26,7 @@
 	klog.Infof("step=drain vm=%s active=%d connections=%d", p.settings.VM, p.active.Load(), p.open.Load())
 	requests, cancel := context.WithTimeout(ctx, p.settings.DrainLimit.D()-closingTime)
 	defer cancel()
-	pause(requests, leaveNotice)
+	_ = pause.For(requests, leaveNotice)
 	// From here on nothing new is taken: a stream that begins late could not end.
 	if err := p.callers.Shutdown(requests); err != nil {
 		klog.Warningf("step=drain result=cut active=%d err=%q", p.active.Load(), err.Error())
--- a/loadtool/caller/caller.go
+++ b/loadtool/caller/caller.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"buckthornridge/loadtool/record"
+	"buckthornridge/pause"
 )
 
 // Router is one router that callers reach through the balancer.
@@ -92,7 +93,7 @@
 			return result
 		}
 		avoid = try.VM
-		if !pause(ctx, wait(try, n)) {
+		if pause.For(ctx, wait(try, n)) != nil {
 			return result
 		}
 	}
@@ -135,17 +136,6 @@
 	return min(minWait<<n, maxWait)
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // try sends the request to one router and reads what comes.
 func (c *Caller) try(ctx context.Context, result *record.Result, to Router) record.Try {
 	t := record.Try{VM: to.VM, Sent: time.Now()}
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"buckthornridge/pause"
 	"buckthornridge/peer"
 	"buckthornridge/store"
 )
@@ -89,7 +90,7 @@
 
 // readList looks at the platform's list as routers do.
 func (n *node) readList(ctx context.Context) {
-	for pauseFor(ctx, ListInterval(time.Second, n.count(Live))) {
+	for pause.For(ctx, ListInterval(time.Second, n.count(Live))) == nil {
 		n.fleet.mu.Lock()
 		list := n.fleet.list
 		n.fleet.mu.Unlock()
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"buckthornridge/pause"
 	"buckthornridge/peer"
 )
 
@@ -103,7 +104,7 @@
 		}
 		g.askSeed(ctx)
 		spread := 1 + jitter*(2*rand.Float64()-1)
-		if !pauseFor(ctx, time.Duration(spread*float64(period))) {
+		if pause.For(ctx, time.Duration(spread*float64(period))) != nil {
 			return
 		}
 	}
@@ -117,7 +118,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if !pauseFor(ctx, urgentPause) {
+		if pause.For(ctx, urgentPause) != nil {
 			return
 		}
 		if m := g.tracker.Urgents(); len(m.News)+len(m.Doubts) > 0 {
@@ -132,7 +133,7 @@
 	if limit == 0 {
 		return
 	}
-	for pauseFor(ctx, limit/looksPerPause) {
+	for pause.For(ctx, limit/looksPerPause) == nil {
 		g.tracker.Look()
 	}
 }
@@ -229,15 +230,3 @@
 		g.tracker.Doubt(member.ID)
 	}
 }
-
-// pauseFor waits and reports whether the context still runs.
-func pauseFor(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/membership/pause.go
+++ b/membership/pause.go
@@ -5,28 +5,28 @@
 	"time"
 )
 
-// pause tells when this process did not run for a while: its VM was stopped,
+// pauses tells when this process did not run for a while: its VM was stopped,
 // migrated or starved. It goes unnoticed from inside, and in the meantime the
 // platform may have declared this incarnation gone and others may have taken
 // over its work. A step that was about to be done before the pause is then done
 // twice. So every look at the tracker first asks how long ago the last one was:
 // a gap shows before the first step after it, also when timers are late.
-type pause struct {
+type pauses struct {
 	last   atomic.Pointer[time.Time]
 	asleep atomic.Bool
 	wakes  atomic.Int64
 }
 
-func (p *pause) seen(now time.Time) { p.last.Store(&now) }
+func (p *pauses) seen(now time.Time) { p.last.Store(&now) }
 
 // late reports whether the last look was longer ago than the limit. The wall
 // clock is asked too, since a suspended machine's monotonic clock may stand
 // still; a wall clock that is set forward costs one needless check.
-func (p *pause) late(now time.Time, limit time.Duration) bool {
+func (p *pauses) late(now time.Time, limit time.Duration) bool {
 	return limit > 0 && p.gap(now) > limit
 }
 
-func (p *pause) gap(now time.Time) time.Duration {
+func (p *pauses) gap(now time.Time) time.Duration {
 	last := p.last.Load()
 	return max(now.Sub(*last), now.Round(0).Sub(last.Round(0)))
 }
--- a/membership/tracker.go
+++ b/membership/tracker.go
@@ -104,7 +104,7 @@
 type Tracker struct {
 	Counters Counters
 	view     Holder
-	pause    pause
+	pause    pauses
 	self     Member
 	options  Options
 	changed  chan struct{}
--- a/request/claim.go
+++ b/request/claim.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"buckthornridge/pause"
 	"buckthornridge/store"
 	"buckthornridge/upstream"
 )
@@ -107,7 +108,7 @@
 				return want, true, nil
 			}
 		}
-		if !sleep(ctx, claimRetry) {
+		if pause.For(ctx, claimRetry) != nil {
 			return want, false, eris.Wrapf(errNotClaimed, "%s: %v", k, err)
 		}
 	}
@@ -127,7 +128,7 @@
 		if err == nil && c.write(ctx, k, version, free) == nil {
 			return
 		}
-		if !sleep(ctx, time.Second) {
+		if pause.For(ctx, time.Second) != nil {
 			return
 		}
 	}
@@ -149,7 +150,7 @@
 				return nil
 			}
 		}
-		if !sleep(ctx, claimRetry) {
+		if pause.For(ctx, claimRetry) != nil {
 			return eris.Wrapf(err, "record %s for claim %s", state, k)
 		}
 	}
@@ -167,15 +168,3 @@
 	})
 	return eris.Wrapf(err, "write claim %s", k)
 }
-
-// sleep waits and reports whether the context still holds.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/request/harness_test.go
+++ b/request/harness_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/goleak"
 
 	"buckthornridge/budget"
+	"buckthornridge/pause"
 	"buckthornridge/store"
 	"buckthornridge/upstream"
 )
@@ -240,7 +241,7 @@
 	if s.engine.stallAt > 0 && s.at >= s.engine.stallAt {
 		<-s.ctx.Done()
 	}
-	if !sleep(s.ctx, s.engine.gap) {
+	if pause.For(s.ctx, s.engine.gap) != nil {
 		return upstream.Token{}, fmt.Errorf("%w: %w", upstream.ErrBroken, s.ctx.Err())
 	}
 	if s.breakAt > 0 && s.at >= s.breakAt {
@@ -274,7 +275,7 @@
 		s.runs++
 	}
 	s.mu.Unlock()
-	if !sleep(ctx, s.delay) {
+	if pause.For(ctx, s.delay) != nil {
 		return upstream.Reply{}, upstream.ErrBroken
 	}
 	return upstream.Reply{Status: 200, Body: append([]byte("did "), c.Body...)}, s.err
--- a/store/fake.go
+++ b/store/fake.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"context"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -188,18 +187,3 @@
 		f.counters.DelayedApplied++
 	}
 }
-
-// sleep waits for d or until ctx ends, which it reports as the context's error.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/store/fake_call.go
+++ b/store/fake_call.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"buckthornridge/pause"
 )
 
 // caller makes the calls of one VM.
@@ -37,7 +39,7 @@
 		return Failed(string(r.Step), fakePeer, ErrUnavailable, err)
 	}
 	half := c.fake.latency() / 2
-	if err := sleep(ctx, half); err != nil {
+	if err := pause.For(ctx, half); err != nil {
 		c.fake.arriveLater(r, half)
 		return r.unanswered(err)
 	}
@@ -48,7 +50,7 @@
 		return err
 	}
 	known, err := c.fake.run(r)
-	if lost := sleep(ctx, half); lost != nil {
+	if lost := pause.For(ctx, half); lost != nil {
 		return r.unanswered(lost)
 	}
 	if !known {
