routing: upstreams that fail part of their requests are avoided

Cause: an upstream that fails two of five requests seldom fails three in a row and was never ejected. Its share of failures against the pool's decides now. An error of the upstream's own no longer counts towards ejection. Test: TestSickUpstreamIsAvoided.

--- a/relay/try.go
+++ b/relay/try.go
@@ -104,7 +104,7 @@
 	}
 	t.run.ran = true
 	if head.Status >= http.StatusInternalServerError && t.run.mayRepeat(ctx, true) {
-		t.end(routing.OutcomeBroken)
+		t.end(routing.OutcomeErrored)
 		t.run.skip(t.target.ID)
 		return false
 	}
@@ -146,7 +146,7 @@
 	t.first = time.Since(t.began)
 	kind := routing.OutcomeOK
 	if head.Status >= http.StatusInternalServerError {
-		kind = routing.OutcomeBroken
+		kind = routing.OutcomeErrored
 	}
 	t.end(kind)
 	r.decision.First = time.Since(r.request.Arrived)
--- a/routing/capacity.go
+++ b/routing/capacity.go
@@ -22,6 +22,7 @@
 	own        atomicFloat
 	waiting    atomicFloat // of these, without a first token
 	firstToken atomicFloat
+	failing    atomicFloat // the mean share of failures
 }
 
 // SetRouters tells the table how many routers share the upstreams. Each may
@@ -58,6 +59,7 @@
 	total := p.sum(p.live)
 	if total.upstreams > 0 {
 		p.mean.own.store(float64(total.inFlight) / float64(total.upstreams))
+		p.mean.failing.store(total.failing / float64(total.upstreams))
 		p.mean.waiting.store(float64(total.waiting) / float64(total.upstreams))
 		p.mean.firstToken.store(total.firstToken / float64(max(total.timed, 1)))
 	}
@@ -95,6 +97,7 @@
 	requests, prefill int64 // what other routers had then
 	inFlight          int64 // the router's own requests now
 	waiting           int64
+	failing           float64
 	firstToken        float64
 	timed             int64 // upstreams with a known first token
 }
@@ -113,6 +116,7 @@
 		s.prefill += prefill
 		s.inFlight += e.inFlight.Load()
 		s.waiting += e.waiting.Load()
+		s.failing += e.health.failing.load()
 		if first := e.firstToken.load(); first > 0 {
 			s.firstToken += first
 			s.timed++
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -114,6 +114,9 @@
 }
 
 func (t *Table) observe(e *entry, outcome Outcome) {
+	if failed := outcome.Kind.Failed() || outcome.Kind == OutcomeErrored; failed || outcome.Kind == OutcomeOK {
+		e.health.noteOutcome(failed, t.now())
+	}
 	switch {
 	case outcome.Kind == OutcomeLeaving:
 		t.MarkLeaving(e.id)
--- a/routing/health.go
+++ b/routing/health.go
@@ -25,6 +25,40 @@
 	// progressAt is the last first token, or the dispatch that ended an idle
 	// time: an upstream with waiting requests and no progress is stalled.
 	progressAt atomic.Int64
+	// failing is the share of failed outcomes of late, failedAt the last one.
+	failing  atomicFloat
+	failedAt atomic.Int64
+}
+
+// Limits of sickness: an upstream that fails a part of its requests while its
+// other answers and its own word about its health are good. It fails too seldom in
+// a row to be ejected, and each failure of a call that may not be repeated is a
+// caller's.
+const (
+	failingWeight = 0.15
+	sickShare     = 0.25
+	sickFactor    = 3 // times the mean of the pool
+	// sickMemory is how long after its last failure a sick upstream is avoided;
+	// then it is tried again.
+	sickMemory = 3 * time.Second
+)
+
+// noteOutcome counts an outcome into the share of failures.
+func (h *health) noteOutcome(failed bool, now time.Duration) {
+	value := 0.0
+	if failed {
+		value = 1
+		h.failedAt.Store(int64(now))
+	}
+	h.failing.update(func(old float64) float64 { return old + failingWeight*(value-old) })
+}
+
+// sick reports whether the upstream failed much more often than its pool.
+func (h *health) sick(mean float64, now time.Duration) bool {
+	if now-time.Duration(h.failedAt.Load()) > sickMemory {
+		return false
+	}
+	return h.failing.load() > max(sickShare, sickFactor*mean)
 }
 
 func (h *health) begin(now time.Duration, waiting int64) {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -77,6 +77,9 @@
 	OutcomeBroken
 	// OutcomeProtocol is an answer that breaks the protocol.
 	OutcomeProtocol
+	// OutcomeErrored is a whole answer that reports an error of the upstream. One
+	// says little; an upstream with many more than its pool is sick.
+	OutcomeErrored
 )
 
 // Failed reports whether the outcome speaks against the upstream's health.
--- a/routing/session.go
+++ b/routing/session.go
@@ -40,11 +40,13 @@
 	// slowShare turns a server's recent time over the pool's mean into requests in
 	// flight.
 	slowShare = 1.0
+	// sickCost is what a sick upstream counts for, in requests in flight.
+	sickCost = 4
 )
 
 // sessionHome sends all requests of a session to the upstream that its shared
 // parts hash to, and to the next one on the ring only while that one is unusable,
-// crowded or slow. Reading a shared part once more costs tens of milliseconds of
+// crowded, slow or sick. Reading a shared part once more costs tens of milliseconds of
 // an engine and evicts another part, which is dearer than a short queue.
 //
 // Requests without shared parts go to the upstream with the least in flight.
@@ -63,7 +65,7 @@
 		if first == nil {
 			first = e
 		}
-		if !v.crowded(e) && !v.slow(e) {
+		if !v.crowded(e) && !v.slow(e) && !v.sick(e) {
 			return e
 		}
 	}
@@ -110,6 +112,8 @@
 	return float64(e.waiting.Load()) > waitFactor*v.pool.mean.waiting.load()+waitSlack
 }
 
+func (v *view) sick(e *entry) bool { return e.health.sick(v.pool.mean.failing.load(), v.now) }
+
 // slow reports whether the upstream took much longer than its pool a moment ago.
 func (v *view) slow(e *entry) bool {
 	if v.now-time.Duration(e.health.progressAt.Load()) > slowMemory {
@@ -147,6 +151,9 @@
 	if e.dataCentre != v.from {
 		cost += farCost
 	}
+	if v.sick(e) {
+		cost += sickCost
+	}
 	if mean := v.pool.mean.firstToken.load(); mean > 0 && v.now-time.Duration(e.health.progressAt.Load()) < slowMemory {
 		cost += slowShare * max(0, e.recent.load()/mean-1)
 	}
--- /dev/null
+++ b/routing/session_test.go
@@ -0,0 +1,104 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/config"
+)
+
+func sessionRouter(t *testing.T, upstreams int) *Router {
+	t.Helper()
+	table := NewTable()
+	all := map[string]config.Upstream{}
+	for i := range upstreams {
+		id := fmt.Sprintf("u%02d", i)
+		all[id] = config.Upstream{Kind: config.UpstreamService, Service: "llm", Address: id + ":1", Slots: 16}
+	}
+	table.Update(&config.Snapshot{Document: config.Document{Upstreams: all}})
+	r, err := NewRouter(table, SessionPolicy)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func (r *Router) pickSession(t *testing.T, home uint64) *Choice {
+	t.Helper()
+	c, err := r.Pick(Request{Target: Target{Service: "llm"}, Home: home, Prefix: []uint64{home}, PromptTokens: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Requests of one session go to one upstream, and sessions spread over all.
+func TestSessionsStayAtHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := sessionRouter(t, 12)
+		used := map[string]int{}
+		for home := range uint64(600) {
+			first := r.pickSession(t, home+1)
+			first.Done(Outcome{Kind: OutcomeOK, FirstToken: time.Millisecond})
+			second := r.pickSession(t, home+1)
+			second.Done(Outcome{Kind: OutcomeOK, FirstToken: time.Millisecond})
+			is.Equal(first.UpstreamID, second.UpstreamID)
+			used[first.UpstreamID]++
+		}
+		is.Equal(len(used), 12)
+		for _, n := range used {
+			is.True(n < 3*600/12)
+		}
+	})
+}
+
+// A session becomes hot: its home fills, and it spreads to the next upstreams on
+// the ring before the home's slots are all taken by it.
+func TestHotSessionSpreads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := sessionRouter(t, 12)
+		used := map[string]int{}
+		for range 60 {
+			used[r.pickSession(t, 7).UpstreamID]++
+			time.Sleep(summaryMaxAge)
+		}
+		is.True(len(used) >= 4)
+		for _, n := range used {
+			is.True(n <= 16)
+		}
+	})
+}
+
+// An upstream fails two of five requests while the others and its health answers
+// are good: its sessions go elsewhere, and come back once it is well.
+func TestSickUpstreamIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := sessionRouter(t, 12)
+		home := r.pickSession(t, 7)
+		home.Done(Outcome{Kind: OutcomeOK, FirstToken: time.Millisecond})
+		sick := home.UpstreamID
+		away := 0
+		for i := range 100 {
+			time.Sleep(summaryMaxAge)
+			c := r.pickSession(t, 7)
+			kind := OutcomeOK
+			if c.UpstreamID == sick && i%5 < 2 {
+				kind = OutcomeErrored
+			}
+			if c.UpstreamID != sick {
+				away++
+			}
+			c.Done(Outcome{Kind: kind, FirstToken: time.Millisecond})
+		}
+		is.True(away > 60)
+		time.Sleep(sickMemory + time.Second)
+		is.Equal(r.pickSession(t, 7).UpstreamID, sick)
+	})
+}
