--- a/budget/allowance/stories_test.go
+++ b/budget/allowance/stories_test.go
@@ -290,3 +290,29 @@
 		is.True(p.Lost < w.total(studio)/2) // what it used in five seconds
 	})
 }
+
+// All machines are cut off, and one of them stops. Its callers come to another,
+// which had none of theirs: it has a grant, and may spend a good part of it before
+// the cut heals, although no one asked it before.
+func TestTakesOverCallersWhileCutOff(t *testing.T) {
+	inTime(t, func(w *world, is *is.I) {
+		const limit = 10_000_000
+		vms := []*vm{w.vm("a"), w.vm("b")}
+		for _, v := range vms {
+			v.start(len(vms))
+			v.book.SetLimits(map[string]int64{studio: limit})
+		}
+		time.Sleep(3 * time.Second)
+		load(vms[:1], 3*time.Second, 20*time.Millisecond, func(v *vm) { _ = v.request(studio, limit, 1000) })
+		time.Sleep(2 * time.Second)
+		granted := vms[1].book.Figures().Granted
+		for _, v := range vms {
+			v.setCut(true)
+		}
+		vms[0].kill()
+		before := w.total(studio)
+		load(vms[1:], 9*time.Second, 5*time.Millisecond, func(v *vm) { _ = v.request(studio, limit, 1000) })
+		is.True(granted > 0)
+		is.True(w.total(studio)-before > granted/4)
+	})
+}
