--- a/store/storetest/suite.go
+++ b/store/storetest/suite.go
@@ -45,6 +45,30 @@
 	}
 }
 
+// RunRows checks the part of the contract that a client of transactions and single
+// rows keeps, with lost answers and late writes. It leaves out what such a client
+// does not offer: several rows read at one moment, scans of any prefix, the limits
+// of our own stand-in.
+func RunRows(t *testing.T, open func(*testing.T) Harness) {
+	for _, c := range rowContracts {
+		t.Run(c.name, func(t *testing.T) { c.test(t, open(t)) })
+	}
+}
+
+var rowContracts = []contract{
+	{"missing rows have version 0", missingRows},
+	{"read keeps the order asked", readOrder},
+	{"conditions guard rows", conditionsGuardRows},
+	{"a condition may name a row that isn't written", conditionOnOtherRow},
+	{"versions are never reused", versionsNeverReused},
+	{"a transaction is whole or nothing", atomic},
+	{"values are copied in and out", valuesCopied},
+	{"an answer is lost after the write took effect", answerLost},
+	{"the answer of a refused write is lost", refusalLost},
+	{"a write happens after its caller gave up", writeDelayed},
+	{"a delayed write that was overtaken changes nothing", delayedOvertaken},
+}
+
 // put writes one row under no condition.
 func put(key, value string) store.Txn {
 	return store.Txn{Writes: []store.Write{{Key: key, Value: []byte(value)}}}
