allowance: reports no longer wait for grants

Reports and grants have loops of their own; pools are settled in random order. TestTakesOverCallersWhileCutOff failed until a changed grant asked for a report.

--- a/budget/allowance/book.go
+++ b/budget/allowance/book.go
@@ -32,7 +32,8 @@
 type Book struct {
 	options Options
 	self    string
-	kick    chan struct{}
+	// kickReport and kickGrant wake the two kinds of upkeep.
+	kickReport, kickGrant chan struct{}
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -52,12 +53,13 @@
 // New returns a book that grants nothing before Run has read the table.
 func New(o Options) *Book {
 	return &Book{
-		options:  o,
-		self:     holderName(o.VM, o.Incarnation),
-		kick:     make(chan struct{}, 1),
-		accounts: map[string]*account{},
-		ended:    map[string]report{},
-		started:  time.Now(),
+		options:    o,
+		self:       holderName(o.VM, o.Incarnation),
+		kickReport: make(chan struct{}, 1),
+		kickGrant:  make(chan struct{}, 1),
+		accounts:   map[string]*account{},
+		ended:      map[string]report{},
+		started:    time.Now(),
 	}
 }
 
@@ -238,9 +240,14 @@
 const eagerBudgets = 256
 
 func (b *Book) wakeUp() {
+	kick(b.kickReport)
+	kick(b.kickGrant)
+}
+
+func kick(wake chan<- struct{}) {
 	select {
-	case b.kick <- struct{}{}:
-	default:
+	case wake <- struct{}{}:
+	default: // it is awake already
 	}
 }
 
--- a/budget/allowance/reclaim.go
+++ b/budget/allowance/reclaim.go
@@ -112,6 +112,8 @@
 // still under way: a late report allows no more than the one in force, and a late
 // change of a pool fails on the version that the settling has changed.
 func (b *Book) settleAll(ctx context.Context, left leftover) {
+	// All VMs may start at once; in the same order they would meet at each pool.
+	rand.Shuffle(len(left.pools), func(i, j int) { left.pools[i], left.pools[j] = left.pools[j], left.pools[i] })
 	for len(left.pools) > 0 {
 		left.pools = b.settleSome(ctx, left)
 		if len(left.pools) > 0 && pause.For(ctx, openPause) != nil {
@@ -176,6 +178,9 @@
 		version, err := b.commit(ctx, row, store.Write{Key: row.Key, Value: data})
 		if err == nil {
 			b.learnPool(store.Row{Key: row.Key, Value: data, Version: version})
+			b.mu.Lock()
+			b.dirty = true // the bound follows what was taken over
+			b.mu.Unlock()
 			return nil
 		}
 		if !errors.Is(err, store.ErrConditionFailed) && !errors.Is(err, store.ErrOutcomeUnknown) {
--- a/budget/allowance/run.go
+++ b/budget/allowance/run.go
@@ -43,23 +43,39 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { b.follow(ctx) })
 	tasks.Go(func() { b.settleAll(ctx, left) })
-	b.upkeep(ctx)
+	tasks.Go(func() { b.keepReports(ctx) })
+	b.keepGrants(ctx)
 	tasks.Wait()
 }
 
-// upkeep reports and changes grants, when a request waits and at intervals.
-func (b *Book) upkeep(ctx context.Context) {
-	ticker := time.NewTicker(upkeepInterval)
-	defer ticker.Stop()
-	for {
+// keepReports writes a report when a request waits for one, and at intervals. It
+// does not wait for grants: while many holders change the same pools that takes
+// long, and a tight bound would refuse what the grant covers.
+func (b *Book) keepReports(ctx context.Context) {
+	b.each(ctx, b.kickReport, func() {
 		if b.mustReport() {
 			b.report(ctx)
 		}
+	})
+}
+
+// keepGrants changes grants when a request waits for one, and at intervals.
+func (b *Book) keepGrants(ctx context.Context) {
+	b.each(ctx, b.kickGrant, func() {
 		if b.adjust(ctx) {
-			b.report(ctx)
+			kick(b.kickReport)
 		}
+	})
+}
+
+// each runs a step when it is kicked, and at intervals, until the context ends.
+func (b *Book) each(ctx context.Context, kicked <-chan struct{}, step func()) {
+	ticker := time.NewTicker(upkeepInterval)
+	defer ticker.Stop()
+	for {
+		step()
 		select {
-		case <-b.kick:
+		case <-kicked:
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
