allowance: one report lets all waiting requests in

Cause: a report covered the largest waiting ceiling, so after a start each of many waiting requests needed a report of its own.

--- a/budget/allowance/account.go
+++ b/budget/allowance/account.go
@@ -31,6 +31,9 @@
 	newest int64
 	need   int64 // the ceiling that a waiting request lacks room for
 	needAt time.Time
+	// waiting is the sum of the ceilings of all requests that wait. One report must
+	// let all of them in; after a start many wait at once.
+	waiting int64
 	// poorUntil is how long requests of poorFor tokens or more are refused at once,
 	// since neither the pool nor another holder had them.
 	poorUntil time.Time
@@ -109,7 +112,7 @@
 // ledger is what a new report says of the budget.
 func (a *account) ledger(now time.Time) ledger {
 	rate := a.use.rate(now)
-	cover := int64(coverSeconds*rate) + a.need
+	cover := int64(coverSeconds*rate) + max(a.need, a.waiting)
 	if a.trend.rate(now) > a.typical/quietSeconds {
 		cover += int64(a.typical) // a budget with few callers must have room for the next
 	}
--- a/budget/allowance/book.go
+++ b/budget/allowance/book.go
@@ -95,6 +95,8 @@
 		}
 		if timer == nil {
 			timer = time.After(b.patience())
+			b.wait(budget, ceiling)
+			defer b.wait(budget, -ceiling)
 		}
 		b.wakeUp()
 		select {
@@ -110,6 +112,13 @@
 // typicalWeight is the weight of one request in the mean ceiling.
 const typicalWeight = 0.1
 
+// wait counts the ceiling of a request that begins or, negative, ends to wait.
+func (b *Book) wait(budget string, ceiling int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.accounts[budget].waiting += ceiling
+}
+
 // asked counts what callers ask for, once for each request.
 func (b *Book) asked(budget string, limit, ceiling int64) {
 	b.mu.Lock()
