allowance: a lowered sum is written to the pool once

Cause (found by reading): where more was consumed than the lowered sum allows, the local bound was never cleared and each holder wrote its share again every 150 ms. TestLoweredBelowWhatWasConsumed failed first.

--- a/budget/allowance/grant.go
+++ b/budget/allowance/grant.go
@@ -138,7 +138,7 @@
 	defer b.mu.Unlock()
 	if err == nil {
 		b.dirty = true // the bound follows the grant with the next report
-		if a.lowered >= 0 && granted <= a.lowered {
+		if a.lowered >= 0 && granted <= max(a.lowered, a.committed()) {
 			a.lowered = -1
 		}
 		if next > a.newest { // else a later row was seen, and it counts
--- a/budget/allowance/stories_test.go
+++ b/budget/allowance/stories_test.go
@@ -316,3 +316,25 @@
 		is.True(w.total(studio)-before > granted/4)
 	})
 }
+
+// The operators lower a sum below what was consumed already. Holders say so in the
+// pool once; they must not write it again and again.
+func TestLoweredBelowWhatWasConsumed(t *testing.T) {
+	inTime(t, func(w *world, is *is.I) {
+		a := w.vm("a")
+		a.start(1)
+		a.book.SetLimits(map[string]int64{studio: 100_000})
+		time.Sleep(2 * time.Second)
+		for range 50 {
+			is.NoErr(a.request(studio, 100_000, 1000))
+		}
+		a.book.SetLimits(map[string]int64{studio: 20_000})
+		time.Sleep(3 * time.Second)
+		var refused *RefusedError
+		is.True(errors.As(a.request(studio, 20_000, 1000), &refused))
+		is.True(refused.Certain)
+		before := w.fake.Dump(poolPrefix)[0].Version
+		time.Sleep(3 * time.Second)
+		is.Equal(w.fake.Dump(poolPrefix)[0].Version, before)
+	})
+}
