edge: changes of a segment are applied in order; exchange: our own cap says nothing about an upstream

Found by reading. The table's feed and peers gave their changes to the view of upstreams without an order between them, so an older row could be applied last. A connection refused by this router's own cap counted as an unreachable upstream. Tests: TestChangesAreAppliedInOrder, TestHistoryLostAndStaleReads, TestMostConnections.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -33,10 +34,13 @@
 	segment string
 	feed    store.Feed
 	mirror  *mirror.Mirror
-	// apply takes what has changed; calm tells that the table answers again for a
-	// while, so that deletions count.
+	// apply takes what has changed.
 	apply func(changes []store.Change)
 	heard clockMark // the last answer of the table
+
+	// order keeps changes in the order in which the mirror took them: the table and
+	// peers tell at the same time, and an older row applied last would stay.
+	order sync.Mutex
 }
 
 // run follows the table until the context ends.
@@ -77,6 +81,8 @@
 }
 
 func (f *follower) take(u mirror.Update) {
+	f.order.Lock()
+	defer f.order.Unlock()
 	if changes := f.mirror.Apply(u); len(changes) > 0 {
 		f.apply(changes)
 	}
--- a/relay/try.go
+++ b/relay/try.go
@@ -31,7 +31,7 @@
 	r := t.run
 	answer, err := r.relay.Sender.Send(ctx, t.outgoing())
 	if errors.Is(err, upstream.ErrNotSent) {
-		t.end(routing.OutcomeUnreachable)
+		t.end(unsent(err))
 		r.skip(t.target.ID)
 		return r.overTries(ctx)
 	}
@@ -46,6 +46,14 @@
 	return t.answered(ctx, answer)
 }
 
+// unsent says what a send that never left tells about the upstream.
+func unsent(err error) routing.OutcomeKind {
+	if errors.Is(err, upstream.ErrCrowded) {
+		return routing.OutcomeFull
+	}
+	return routing.OutcomeUnreachable
+}
+
 func (t *try) outgoing() Outgoing {
 	r := t.run
 	return Outgoing{
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -16,6 +16,10 @@
 // ErrOldFence reports an order that the engine refused for its fencing number.
 var ErrOldFence = eris.New("upstream: old fence")
 
+// ErrCrowded reports that nothing was sent because this router has all the
+// connections to the upstream that it may have. It says nothing about the upstream.
+var ErrCrowded = eris.New("upstream: no connection left for it")
+
 // RefusalReason says why an upstream did not run a request.
 type RefusalReason string
 
--- a/upstream/exchange/exchange_test.go
+++ b/upstream/exchange/exchange_test.go
@@ -282,6 +282,7 @@
 	}
 	_, err := do(t, p, s.Addr().String(), ask("b"))
 	is.True(errors.Is(err, upstream.ErrNotSent))
+	is.True(errors.Is(err, upstream.ErrCrowded)) // which says nothing about the upstream
 	close(release)
 	is.NoErr(<-done)
 	_, err = do(t, p, s.Addr().String(), ask("c"))
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -12,8 +12,6 @@
 	"syscall"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"buckthornridge/upstream"
 )
 
@@ -149,7 +147,7 @@
 func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
 	if !p.count(address) {
 		p.counters.Refused.Add(1)
-		return nil, upstream.Failed("connect", address, upstream.ErrNotSent, eris.New("too many connections"))
+		return nil, upstream.Failed("connect", address, upstream.ErrNotSent, upstream.ErrCrowded)
 	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
