--- a/budget/allowance/allowance.go
+++ b/budget/allowance/allowance.go
@@ -62,6 +62,8 @@
 	// changePause is the least time between two changes of a share that no request
 	// waits for.
 	changePause = 1500 * time.Millisecond
+	// changeVMs is the fleet for which changePause holds; it grows in proportion.
+	changeVMs = 10
 	// evenShare is the part of it that is divided evenly among the VMs; the
 	// rest follows their use. A VM that had no requests may have all of them
 	// while it is cut off.
@@ -88,7 +90,7 @@
 	poorLasts = 400 * time.Millisecond
 	// buckets is how many parts the pools are spread over, since the platform
 	// orders the transactions of one part one after the other.
-	buckets = 8
+	buckets = 16
 )
 
 // RefusedError reports a request that was not let in.
--- a/budget/allowance/grant.go
+++ b/budget/allowance/grant.go
@@ -133,6 +133,9 @@
 	}
 	next, err := b.options.Table.Commit(ctx, *txn)
 	b.answered(err)
+	if b.conflicted(a, err) {
+		return false
+	}
 	klog.Infof("step=grant budget=%s granted=%d version=%d failed=%t", a.budget, granted, version, err != nil)
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -157,6 +160,21 @@
 	return false
 }
 
+// conflicted takes the pool's row from a failed transaction, where the table tells
+// it, and saves reading it. It reports whether it did.
+func (b *Book) conflicted(a *account, err error) bool {
+	var conflict *store.ConflictError
+	if !errors.As(err, &conflict) {
+		return false
+	}
+	for _, row := range conflict.Rows {
+		if row.Key == poolKey(a.budget) {
+			return b.seen(a, row)
+		}
+	}
+	return false
+}
+
 // planned returns the transaction of a change, or nil if none is due. Tokens that
 // are to be returned are out of use before the transaction is sent.
 func (b *Book) planned(a *account) (txn *store.Txn, granted, version int64) {
--- a/budget/allowance/plan.go
+++ b/budget/allowance/plan.go
@@ -61,14 +61,14 @@
 		return plan{change: a.grant() < mine.Granted || a.lowered >= 0, granted: max(a.committed(), a.grant())}
 	}
 	if a.need > unspent || float64(unspent) < refillBelow*float64(target) {
-		if p := a.refill(max(target, a.need)-unspent, free, mine); p.change && (a.need > unspent || a.rested(now)) {
+		if p := a.refill(max(target, a.need)-unspent, free, mine); p.change && (a.need > unspent || a.rested(now, vms)) {
 			return p
 		}
 	}
 	if want := a.wanted; a.need <= unspent && want > free {
 		return a.giveBack(want, unspent, target, rate > 0, mine)
 	}
-	if !a.rested(now) {
+	if !a.rested(now, vms) {
 		return plan{granted: mine.Granted}
 	}
 	if float64(unspent) > returnAbove*float64(target) && unspent-target > a.limit/returnLeast {
@@ -85,8 +85,12 @@
 }
 
 // rested reports whether the share was left alone for a while. Without a pause all
-// holders follow each other's last change, on figures that are a second old.
-func (a *account) rested(now time.Time) bool { return now.Sub(a.changedAt) >= changePause }
+// holders follow each other's last change, on figures that are a second old. The
+// pause grows with the fleet, since one pool takes about 50 changes a second.
+func (a *account) rested(now time.Time, vms int) bool {
+	length := changePause * time.Duration(max(1, vms/changeVMs))
+	return now.Sub(a.changedAt) >= length
+}
 
 // giveBack returns tokens to a pool from which another holder wants some. A busy
 // holder keeps its part, or half where it has no more; the others may well give
--- a/store/errors.go
+++ b/store/errors.go
@@ -20,3 +20,13 @@
 	}
 	return eris.Wrapf(&callError{meaning, cause}, "%s %s", step, peer)
 }
+
+// ConflictError is an ErrConditionFailed that tells what the rows of the conditions
+// are now, where the table service says so.
+type ConflictError struct{ Rows []Row }
+
+// Error implements error.
+func (e *ConflictError) Error() string { return ErrConditionFailed.Error() }
+
+// Unwrap returns ErrConditionFailed.
+func (e *ConflictError) Unwrap() error { return ErrConditionFailed }
