--- a/edge/stop.go
+++ b/edge/stop.go
@@ -16,6 +16,8 @@
 	leaveNotice = 3 * time.Second
 	// closingTime is kept of the drain limit for giving grants back.
 	closingTime = 1200 * time.Millisecond
+	// closeLimit bounds that; the rest is for the process to end before it is killed.
+	closeLimit = 900 * time.Millisecond
 )
 
 // Drain is a planned stop: the balancer is told first, requests in progress end,
@@ -33,7 +35,7 @@
 		p.callers.Close()
 	}
 	p.cancel()
-	closing, done := context.WithTimeout(ctx, closingTime)
+	closing, done := context.WithTimeout(ctx, closeLimit)
 	defer done()
 	p.tasks.Wait()
 	p.book.Close(closing)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,6 +16,9 @@
 	retryAfterFull       = 200 * time.Millisecond
 )
 
+// longestWait bounds a request whose route and caller set no time.
+const longestWait = time.Minute
+
 // answerMargin is kept back from a caller's deadline, so that the final answer
 // still reaches it.
 const answerMargin = 50 * time.Millisecond
@@ -117,8 +120,11 @@
 // deadline returns the earlier of the route's timeout and the caller's patience.
 func (r *run) deadline() time.Time {
 	limit := r.route.Timeout
-	if r.request.Patience > 0 && (limit <= 0 || r.request.Patience < limit) {
-		limit = r.request.Patience
+	if limit <= 0 {
+		limit = longestWait
+	}
+	if r.request.Patience > 0 {
+		limit = min(limit, r.request.Patience)
 	}
 	return r.request.Arrived.Add(limit - min(answerMargin, limit/10))
 }
