--- /dev/null
+++ b/cmd/buckthorn-edge/main_test.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/edge"
+	"buckthornridge/settings"
+)
+
+// The template that the platform fills in gives settings that are accepted.
+func TestTemplateOfSettings(t *testing.T) {
+	is := is.New(t)
+	template, err := os.ReadFile("../../deploy/edge.hujson")
+	is.NoErr(err)
+	rendered := strings.NewReplacer(
+		"{{nodeName|json}}", `"edge-1"`, "{{ip|json}}", `"10.0.0.1"`, "{{zone|json}}", `"a"`, "{{region|json}}", `"r"`,
+		"{{listen.frontend|json}}", `"10.0.0.1:80"`, "{{listen.ready|json}}", `"10.0.0.1:81"`,
+		"{{listen.controlPlane|json}}", `"10.0.0.1:82"`, "{{ip}}", "10.0.0.1", "{{seedNodes|json}}", `["10.0.0.2:82"]`,
+		"{{platform.address|json}}", `"10.0.0.9:1"`, "{{bounds.graceS}}", "8", "{{bounds.retryBudgetRatio}}", "0.2",
+		"{{bounds.retryMinExtra}}", "58", "{{bounds.retryWindowS}}", "10", "{{limits.memoryMb}}", "284",
+	).Replace(string(template))
+	is.True(!strings.Contains(rendered, "{{"))
+	path := filepath.Join(t.TempDir(), "edge.hujson")
+	is.NoErr(os.WriteFile(path, []byte(rendered), 0o600))
+	var s edge.Settings
+	is.NoErr(settings.Load(path, &s))
+	is.NoErr(s.Validate())
+	is.Equal(s.MemoryBytes, int64(284_000_000))
+	is.Equal(s.Repeats.Extra, 58.0)
+}
+
+// Settings that lack something or are out of range are refused by name.
+func TestSettingsAreChecked(t *testing.T) {
+	good := edge.Settings{
+		VM: "a", IP: "1", DataCentre: "d", Listen: "l", ReadyListen: "r", PeerListen: "p", Store: "s",
+		DrainLimit: settings.Duration(1), Repeats: edge.RepeatSettings{Window: settings.Duration(1)},
+	}
+	for name, change := range map[string]func(*edge.Settings){
+		"vm":           func(s *edge.Settings) { s.VM = "" },
+		"store":        func(s *edge.Settings) { s.Store = "" },
+		"drain_limit":  func(s *edge.Settings) { s.DrainLimit = 0 },
+		"repeats":      func(s *edge.Settings) { s.Repeats.Share = -1 },
+		"memory_bytes": func(s *edge.Settings) { s.MemoryBytes = -1 },
+		"trace.ratio":  func(s *edge.Settings) { s.Trace.Ratio = 2 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := good
+			is.NoErr(s.Validate())
+			change(&s)
+			err := s.Validate()
+			is.True(err != nil)
+			is.True(strings.Contains(err.Error(), name))
+		})
+	}
+}
