--- /dev/null
+++ b/edge/process_test.go
@@ -0,0 +1,242 @@
+package edge_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/edge"
+	"buckthornridge/platform"
+	"buckthornridge/settings"
+	"buckthornridge/store"
+)
+
+// memory is the platform's store over the in-memory fake, as one VM reaches it.
+type memory struct {
+	store.Table
+	fake  *store.Fake
+	away  atomic.Bool // the store turns this VM away
+	began time.Time
+}
+
+func (m *memory) All(_ context.Context, segment string) (store.Changes, error) {
+	if m.away.Load() {
+		return store.Changes{}, store.Failed("all", "store", store.ErrUnavailable, nil)
+	}
+	var all store.Changes
+	for _, row := range m.fake.Dump(segment + "/") {
+		all.Changes = append(all.Changes, store.Change{Row: row})
+		all.Version = max(all.Version, row.Version)
+	}
+	return all, nil
+}
+
+func (m *memory) Since(ctx context.Context, segment string, version int64, wait time.Duration) (store.Changes, error) {
+	for end := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
+		all, err := m.All(ctx, segment)
+		if err != nil {
+			return all, err
+		}
+		news := store.Changes{Version: max(version, all.Version)}
+		for _, change := range all.Changes {
+			if change.Version > version {
+				news.Changes = append(news.Changes, change)
+			}
+		}
+		if len(news.Changes) > 0 || time.Now().After(end) {
+			return news, nil
+		}
+	}
+}
+
+func (m *memory) Now() (time.Duration, bool) { return time.Since(m.began), true }
+
+// world is a store, an upstream and some entry processes on loopback.
+type world struct {
+	t        *testing.T
+	fake     *store.Fake
+	upstream *httptest.Server
+	events   chan string // the upstream sends one event for each, and ends at a close
+	runs     atomic.Int64
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, fake: store.NewFake(store.FakeOptions{}), events: make(chan string, 100)}
+	w.upstream = httptest.NewServer(http.HandlerFunc(w.serveUpstream))
+	t.Cleanup(w.upstream.Close)
+	w.write("servers/i-1", fmt.Sprintf(`{"service":"llm","address":%q,"zone":"z","slots":8,"state":"ready","born":1}`,
+		strings.TrimPrefix(w.upstream.URL, "http://")))
+	w.configure(1, "/live/")
+	return w
+}
+
+func (w *world) configure(version int, prefixes ...string) {
+	var routes []string
+	for _, prefix := range prefixes {
+		routes = append(routes, fmt.Sprintf(`{"name":%q,"host":"shop","pathPrefix":%q,"routeType":"streaming","timeoutMs":30000,"service":"llm","maxAttempts":1}`, prefix, prefix))
+	}
+	w.write("op/config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"llm","runtime":{"slots":8,"stride":5}}],
+		"tenants":[{"name":"studio","apiKeys":["key"],"reserved":100000}]}`, version, strings.Join(routes, ",")))
+}
+
+func (w *world) write(key, value string) {
+	_, err := w.fake.As("operator").Table.Commit(w.t.Context(), store.Txn{Writes: []store.Write{{Key: key, Value: []byte(value)}}})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+func (w *world) serveUpstream(rw http.ResponseWriter, r *http.Request) {
+	w.runs.Add(1)
+	rw.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+	rw.Header().Set("Server-Signature", "signed")
+	rw.Header().Set("Content-Type", "text/event-stream")
+	for event := range w.events {
+		fmt.Fprint(rw, event)
+		_ = http.NewResponseController(rw).Flush()
+	}
+}
+
+// node is one entry process.
+type node struct {
+	*edge.Process
+	store    *memory
+	settings edge.Settings
+}
+
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (w *world) start(vm string, peers ...string) *node {
+	w.t.Helper()
+	n := &node{
+		store: &memory{Table: w.fake.As(vm).Table, fake: w.fake, began: time.Now()},
+		settings: edge.Settings{
+			VM: vm, IP: "127.0.0.1", DataCentre: "z", Listen: free(w.t), ReadyListen: free(w.t), PeerListen: free(w.t),
+			Store: "none", Peers: peers, DrainLimit: settings.Duration(30 * time.Second),
+			Repeats: edge.RepeatSettings{Share: 0.2, Extra: 50, Window: settings.Duration(10 * time.Second)},
+		},
+	}
+	adapter := platform.Adapter(platform.NewStore("none"))
+	adapter.Table, adapter.Feed, adapter.Clock = n.store, n.store, n.store
+	p, err := edge.New(n.settings, adapter)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	n.Process = p
+	if err := p.Start(w.t.Context()); err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(p.Stop)
+	return n
+}
+
+func (n *node) ready() bool {
+	response, err := http.Get("http://" + n.settings.ReadyListen + "/")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// until waits for a condition; the test's own deadline bounds it.
+func until(condition func() bool) {
+	for !condition() {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (n *node) ask(t *testing.T, path string) *http.Response {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+n.settings.Listen+path, strings.NewReader("hi"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "shop"
+	r.Header.Set("Attempt-Id", "a1")
+	r.Header.Set("Authorization", "Token key")
+	r.Header.Set("Token-Usage", "100,50")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response
+}
+
+// A planned stop begins while a stream runs. The balancer is told at once, the
+// stream goes on to its end, and the caller has all of it.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	n := w.start("a")
+	until(n.ready)
+	w.events <- "id: 1\ndata: x\n\n"
+	response := n.ask(t, "/live/1")
+	defer response.Body.Close()
+	is.Equal(response.StatusCode, 200)
+	is.Equal(response.Header.Get("Server-Signature"), "signed")
+	stopped := make(chan struct{})
+	go func() {
+		n.Drain(context.Background())
+		close(stopped)
+	}()
+	until(func() bool { return !n.ready() })
+	w.events <- "id: 2\ndata: y\n\n"
+	w.events <- "id: 3\ndata: z\n\n"
+	close(w.events)
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "id: 1\ndata: x\n\nid: 2\ndata: y\n\nid: 3\ndata: z\n\n")
+	<-stopped
+	is.Equal(w.runs.Load(), int64(1))
+}
+
+// The store turns one VM away while the operators add a route. The VM learns of it
+// from its peer and serves it.
+func TestConfigurationFromAPeer(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	first := w.start("a")
+	until(first.ready)
+	second := w.start("b", first.settings.PeerListen)
+	until(second.ready)
+	is.Equal(second.ask(t, "/new/1").StatusCode, 404)
+	second.store.away.Store(true)
+	w.configure(2, "/live/", "/new/")
+	close(w.events)
+	until(func() bool {
+		response := second.ask(t, "/new/1")
+		response.Body.Close()
+		return response.StatusCode != 404
+	})
+}
+
+// A process that has seen no configuration is not ready and answers 503, not 404: it
+// does not know what is allowed.
+func TestWithoutAConfiguration(t *testing.T) {
+	is := is.New(t)
+	w := &world{t: t, fake: store.NewFake(store.FakeOptions{}), events: make(chan string)}
+	n := w.start("a")
+	is.True(!n.ready())
+	response := n.ask(t, "/live/1")
+	response.Body.Close()
+	is.Equal(response.StatusCode, 503)
+	is.True(response.Header.Get("Retry-After") != "")
+}
