--- a/budget/allowance/allowance.go
+++ b/budget/allowance/allowance.go
@@ -46,8 +46,8 @@
 	// isolatedFactor multiplies recent demand, and isolatedShare the unspent grant, to
 	// what the bound grows by after the knee: a machine that dies after a long cut
 	// loses all that it was allowed and did not use.
-	isolatedFactor = 1.7
-	isolatedShare  = 0.4
+	isolatedFactor = 1.2
+	isolatedShare  = 0.3
 	// grantShare is the part of a budget's rest that is handed out; what stays lets
 	// a holder get more at once.
 	grantShare = 0.95
