--- a/budget/allowance/stories_test.go
+++ b/budget/allowance/stories_test.go
@@ -40,11 +40,7 @@
 func TestAllLosePower(t *testing.T) {
 	inTime(t, func(w *world, is *is.I) {
 		const limit = 10_000_000
-		vms := []*vm{w.vm("a"), w.vm("b"), w.vm("c")}
-		for _, v := range vms {
-			v.start(len(vms))
-			v.book.SetLimits(map[string]int64{studio: limit})
-		}
+		vms := w.startAll(limit, "a", "b", "c")
 		time.Sleep(3 * time.Second)
 		load(vms, 5*time.Second, 20*time.Millisecond, func(v *vm) { _ = v.request(studio, limit, 1000) })
 		for _, v := range vms {
@@ -83,11 +79,7 @@
 func TestAloneForSeconds(t *testing.T) {
 	inTime(t, func(w *world, is *is.I) {
 		const limit = 10_000_000
-		vms := []*vm{w.vm("a"), w.vm("b"), w.vm("c")}
-		for _, v := range vms {
-			v.start(len(vms))
-			v.book.SetLimits(map[string]int64{studio: limit})
-		}
+		vms := w.startAll(limit, "a", "b", "c")
 		time.Sleep(3 * time.Second)
 		load(vms, 4*time.Second, 20*time.Millisecond, func(v *vm) { _ = v.request(studio, limit, 1000) })
 		for _, v := range vms {
@@ -177,11 +169,7 @@
 // They keep to their part of the new sum at once.
 func TestLoweredSumBindsAtOnce(t *testing.T) {
 	inTime(t, func(w *world, is *is.I) {
-		vms := []*vm{w.vm("a"), w.vm("b")}
-		for _, v := range vms {
-			v.start(2)
-			v.book.SetLimits(map[string]int64{studio: 1_000_000})
-		}
+		vms := w.startAll(1_000_000, "a", "b")
 		time.Sleep(3 * time.Second)
 		for _, v := range vms {
 			v.setCut(true)
@@ -297,11 +285,7 @@
 func TestTakesOverCallersWhileCutOff(t *testing.T) {
 	inTime(t, func(w *world, is *is.I) {
 		const limit = 10_000_000
-		vms := []*vm{w.vm("a"), w.vm("b")}
-		for _, v := range vms {
-			v.start(len(vms))
-			v.book.SetLimits(map[string]int64{studio: limit})
-		}
+		vms := w.startAll(limit, "a", "b")
 		time.Sleep(3 * time.Second)
 		load(vms[:1], 3*time.Second, 20*time.Millisecond, func(v *vm) { _ = v.request(studio, limit, 1000) })
 		time.Sleep(2 * time.Second)
--- a/budget/allowance/world_test.go
+++ b/budget/allowance/world_test.go
@@ -242,3 +242,15 @@
 func (b *Book) recallFrom(ctx context.Context, budget string, tokens int64, _ []string) bool {
 	return b.GiveBack(ctx, budget, tokens)
 }
+
+// startAll starts a fleet whose studio has bought limit tokens.
+func (w *world) startAll(limit int64, names ...string) []*vm {
+	var vms []*vm
+	for _, name := range names {
+		v := w.vm(name)
+		v.start(len(names))
+		v.book.SetLimits(map[string]int64{studio: limit})
+		vms = append(vms, v)
+	}
+	return vms
+}
