--- a/budget/allowance/stories_test.go
+++ b/budget/allowance/stories_test.go
@@ -112,10 +112,13 @@
 		a := w.vm("a")
 		a.start(1)
 		time.Sleep(time.Second)
-		w.fake.UpdateFaults(func(f *store.Faults) { f.LoseNext = 1 })
+		w.mu.Lock()
+		w.loseGrant = true
+		w.mu.Unlock()
 		a.book.SetLimits(map[string]int64{studio: 100_000})
 		time.Sleep(5 * time.Second)
 		is.True(w.pool(studio).committed() > 0)
+		is.Equal(a.book.Figures().Granted, w.pool(studio).committed())
 		is.NoErr(a.request(studio, 100_000, 1000))
 	})
 }
@@ -322,3 +325,52 @@
 		is.Equal(w.fake.Dump(poolPrefix)[0].Version, before)
 	})
 }
+
+// A burst far over the usual comes while a machine is cut off, and then it dies.
+// What it consumed stays within the bound of its last report, so that its successor
+// counts all of it; a holder that went by its grant alone would consume more.
+func TestBurstThenDeathWhileCutOff(t *testing.T) {
+	inTime(t, func(w *world, is *is.I) {
+		const limit = 10_000_000
+		vms := w.startAll(limit, "a")
+		time.Sleep(3 * time.Second)
+		load(vms, 2*time.Second, 100*time.Millisecond, func(v *vm) { _ = v.request(studio, limit, 1000) })
+		vms[0].setCut(true)
+		load(vms, time.Second, time.Millisecond, func(v *vm) { _ = v.request(studio, limit, 5000) })
+		vms[0].kill()
+		vms[0].setCut(false)
+		vms[0].start(1)
+		time.Sleep(3 * time.Second)
+		p := w.pool(studio)
+		is.True(p.Settled+p.Lost >= w.total(studio))
+		is.True(p.Lost > 0)
+	})
+}
+
+// The answer to a grant was lost, and nothing is free any more that another change
+// could take: only the row tells the holder what it has. A return that may still
+// take effect holds against an older row.
+func TestRowTellsTheGrant(t *testing.T) {
+	inTime(t, func(w *world, is *is.I) {
+		a := w.vm("a")
+		a.start(1)
+		b := a.book
+		b.mu.Lock()
+		account := b.account(studio, 5000)
+		b.mu.Unlock()
+		row := func(granted, version int64) store.Row {
+			data, err := encode(pool{Holders: map[string]share{b.self: {Granted: granted}}})
+			is.NoErr(err)
+			return store.Row{Key: poolKey(studio), Value: data, Version: version}
+		}
+		is.True(b.seen(account, row(5000, 7)))
+		is.Equal(account.granted, int64(5000))
+		account.granted, account.returning = 1000, 7 // a return was sent under version 7
+		b.seen(account, row(5000, 7))
+		is.Equal(account.granted, int64(1000))
+		b.seen(account, row(4000, 8)) // it failed: another change came first
+		is.Equal(account.granted, int64(4000))
+		is.True(!b.seen(account, row(9000, 3))) // a stale read
+		is.Equal(account.granted, int64(4000))
+	})
+}
--- a/budget/allowance/world_test.go
+++ b/budget/allowance/world_test.go
@@ -26,7 +26,9 @@
 	mu       sync.Mutex
 	consumed map[string]int64 // what requests really consumed, by budget
 	random   *rand.Rand
-	vms      []*vm
+	// loseGrant hides the answer to the next change of a pool that takes effect.
+	loseGrant bool
+	vms       []*vm
 }
 
 func newWorld(t *testing.T) *world {
@@ -125,7 +127,15 @@
 		return 0, err
 	}
 	defer l.vm.hear()
-	return l.table.Commit(ctx, txn)
+	version, err := l.table.Commit(ctx, txn)
+	w := l.vm.world
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err == nil && w.loseGrant && strings.HasPrefix(txn.Writes[0].Key, poolPrefix) {
+		w.loseGrant = false
+		return 0, store.Failed("commit", "table", store.ErrOutcomeUnknown, nil)
+	}
+	return version, err
 }
 
 // All implements store.Feed over the fake's rows.
