allowance: recall goes, loans take its place

Cause: with loans, asking holders to return tokens to the pool only made them write a contended row; the asker's second read and write came after its request had been refused or served by a loan. TestRecallsIdleTokens asks the same of loans.

--- a/budget/allowance/account.go
+++ b/budget/allowance/account.go
@@ -34,15 +34,8 @@
 	// waiting is the sum of the ceilings of all requests that wait. One report must
 	// let all of them in; after a start many wait at once.
 	waiting int64
-	// poorUntil is how long requests of poorFor tokens or more are refused at once,
-	// since neither the pool nor another holder had them.
-	poorUntil time.Time
-	poorFor   int64
-	// wanted is what another holder asked for just now.
-	wanted     int64
-	recalledAt time.Time
-	use        meter // of the last seconds, for bounds
-	trend      meter // over a longer time, to divide the budget
+	use     meter // of the last seconds, for bounds
+	trend   meter // over a longer time, to divide the budget
 	// cover is what the last report allowed beyond what was committed, in tokens.
 	cover int64
 	// typical is the mean ceiling of a request, in tokens.
--- a/budget/allowance/allowance.go
+++ b/budget/allowance/allowance.go
@@ -105,9 +105,6 @@
 	retryRest = 700 * time.Millisecond
 	// rateWindow is the time over which use is averaged.
 	rateWindow = 2 * time.Second
-	// poorLasts is how long a search for tokens that found none counts. Budgets near
-	// their end made nine calls of ten of a fleet to the table without it.
-	poorLasts = 400 * time.Millisecond
 	// buckets is how many parts the pools are spread over, since the platform
 	// orders the transactions of one part one after the other.
 	buckets = 16
--- a/budget/allowance/book.go
+++ b/budget/allowance/book.go
@@ -22,9 +22,6 @@
 	VM string
 	// Incarnation tells this process from those before it.
 	Incarnation string
-	// Recall asks the holders on some VMs to give tokens of a budget back. It
-	// reports whether one did. Nil asks no one.
-	Recall func(ctx context.Context, budget string, tokens int64, vms []string) bool
 	// Lenders reaches the other VMs' books for single requests. Nil asks no one.
 	Lenders Lenders
 	// VMs returns how many VMs share the budgets, at least 1.
@@ -229,9 +226,6 @@
 			Why: "the rest does not cover the request, unless less was lost than it seems",
 		}
 	}
-	if now.Before(a.poorUntil) && ceiling >= a.poorFor {
-		return nil, nil, b.lacking(budget, "no tokens were to be had a moment ago")
-	}
 	a.need, a.needAt = max(a.need, ceiling), now
 	if b.ready && now.Sub(b.reached) > tableSilence || !b.ready && now.Sub(b.started) > startWait {
 		return nil, nil, b.lacking(budget, "the table can't be asked; "+a.describe(clock))
--- a/budget/allowance/grant.go
+++ b/budget/allowance/grant.go
@@ -43,7 +43,7 @@
 			a.need = 0
 		}
 		b.foldClosed(name, &a.pool, clock)
-		if a.version < 0 || a.mayRecall(now) || a.next(b.self, b.options.VMs(), now).change {
+		if a.version < 0 || a.next(b.self, b.options.VMs(), now).change {
 			due = append(due, a)
 		}
 	}
@@ -54,7 +54,6 @@
 func (b *Book) change(ctx context.Context, a *account) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	began := time.Now()
 	for try := range grantTries {
 		if try > 0 && pause.For(ctx, jitter(grantPause<<min(try, 3))) != nil {
 			return
@@ -62,29 +61,12 @@
 		if b.versionOf(a) < 0 && !b.readPool(ctx, a) {
 			return
 		}
-		b.recall(ctx, a)
 		if b.changeOnce(ctx, a) {
-			b.notePoor(a, began)
 			return
 		}
 	}
 }
 
-// notePoor remembers that tokens for a waiting request were not to be had, if other
-// holders were asked since the time given.
-func (b *Book) notePoor(a *account, since time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if a.recalledAt.Before(since) {
-		return
-	}
-	if a.need > a.grant()-a.committed() && a.short() > 0 {
-		a.poorUntil, a.poorFor = time.Now().Add(poorLasts), a.need
-		a.need = 0
-		a.wake()
-	}
-}
-
 func (b *Book) versionOf(a *account) int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/budget/allowance/loan.go
+++ b/budget/allowance/loan.go
@@ -1,8 +1,11 @@
 package allowance
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -11,7 +14,7 @@
 const (
 	// lendersAsked is how many holders one request asks for a loan, one after the
 	// other, those with the most unspent tokens first.
-	lendersAsked = 2
+	lendersAsked = 4
 	// borrowLimit bounds the question to one of them: two ways between data
 	// centres, and at the lender a report.
 	borrowLimit = 40 * time.Millisecond
@@ -155,3 +158,16 @@
 	defer b.mu.Unlock()
 	b.silent[vm] = time.Now().Add(silentPause)
 }
+
+// richest returns the VMs of the holders with at least so many unspent tokens, those
+// with the most first.
+func (a *account) richest(self string, least int64) []string {
+	unspent := map[string]int64{}
+	for holder, s := range a.pool.Holders {
+		left := s.Granted - max(s.Settled, a.others[holder].Settled)
+		if vm, _ := holderVM(holder); holder != self && left >= least {
+			unspent[vm] = left
+		}
+	}
+	return slices.SortedFunc(maps.Keys(unspent), func(x, y string) int { return cmp.Compare(unspent[y], unspent[x]) })
+}
--- a/budget/allowance/loan_test.go
+++ b/budget/allowance/loan_test.go
@@ -65,6 +65,7 @@
 				refused++
 			}
 			longest = max(longest, time.Since(asked))
+			time.Sleep(20 * time.Millisecond)
 		}
 		is.Equal(refused, 0)
 		is.True(longest < 250*time.Millisecond) // its own wait, a loan, and 50 ms of work
--- a/budget/allowance/plan.go
+++ b/budget/allowance/plan.go
@@ -71,9 +71,6 @@
 			return p
 		}
 	}
-	if want := a.wanted; a.need <= unspent && want > free {
-		return a.giveBack(want, unspent, target, rate > 0, mine)
-	}
 	if !a.rested(now, vms) {
 		return plan{granted: mine.Granted}
 	}
@@ -97,15 +94,3 @@
 	length := changePause * time.Duration(max(1, vms/changeVMs))
 	return now.Sub(a.changedAt) >= length
 }
-
-// giveBack returns tokens to a pool from which another holder wants some. A busy
-// holder keeps its part, or half where it has no more; the others may well give
-// enough.
-func (a *account) giveBack(want, unspent, target int64, busy bool, mine share) plan {
-	idle := unspent
-	if busy {
-		idle -= min(target, unspent/2)
-	}
-	give := min(idle, max(2*want, idle/4))
-	return plan{change: give > 0, granted: mine.Granted - give}
-}
--- a/budget/allowance/stories_test.go
+++ b/budget/allowance/stories_test.go
@@ -166,17 +166,17 @@
 	})
 }
 
-// One VM has all callers, the tokens lie with another. The first asks for them
+// One VM has all callers, the tokens lie with another. The first borrows them
 // through its peer, and its caller is served.
-func TestRecallsIdleTokens(t *testing.T) {
+func TestBorrowsIdleTokens(t *testing.T) {
 	inTime(t, func(w *world, is *is.I) {
 		const limit = 20_000
+		w.lend = true
 		rich, poor := w.vm("rich"), w.vm("poor")
 		rich.start(1)
 		rich.book.SetLimits(map[string]int64{studio: limit})
 		time.Sleep(3 * time.Second)
 		poor.start(2)
-		poor.book.options.Recall = rich.book.recallFrom
 		time.Sleep(2 * time.Second)
 		served := 0
 		for range 18 {
--- a/budget/allowance/world_test.go
+++ b/budget/allowance/world_test.go
@@ -282,11 +282,6 @@
 	})
 }
 
-// recallFrom is Options.Recall towards one book.
-func (b *Book) recallFrom(ctx context.Context, budget string, tokens int64, _ []string) bool {
-	return b.GiveBack(ctx, budget, tokens)
-}
-
 // startAll starts a fleet whose studio has bought limit tokens.
 func (w *world) startAll(limit int64, names ...string) []*vm {
 	var vms []*vm
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -103,7 +103,7 @@
 	}
 	p.book = allowance.New(allowance.Options{
 		Table: a.Table, Feed: a.Feed, Clock: a.Clock, VM: s.VM, Incarnation: p.incarnation, VMs: p.peers.count,
-		Recall: p.peers.recall, Lenders: p.peers,
+		Lenders: p.peers,
 	})
 	p.peers.serveBudgets(p.peerSrv, p.book)
 	p.config = &follower{segment: a.ConfigSegment, feed: a.Feed, mirror: mirror.New(), apply: p.applyConfig}
