allowance: what no VM has is refused at once

Cause: a request that lacked a grant here, with an empty pool and no lender, waited 80 ms for a change of the pool that could bring nothing, and came back later by that. Ruled out: the pool as this VM knows it is up to a second old, but a request that comes back elsewhere makes up for that (below). Change: it is refused at once, with the time to come back at another VM. The new test failed without the change.

--- a/budget/allowance/book.go
+++ b/budget/allowance/book.go
@@ -95,10 +95,12 @@
 // *RefusedError.
 func (b *Book) Reserve(ctx context.Context, budget string, limit, ceiling int64) (*Reservation, error) {
 	b.asked(budget, limit, ceiling)
-	if b.lacksGrant(budget, ceiling) {
+	if b.options.Lenders != nil && b.lacksGrant(budget, ceiling) {
 		if r := b.borrow(ctx, budget, ceiling); r != nil {
 			return r, nil
 		}
+		b.wakeUp()
+		return nil, b.lacking(budget, "neither this VM nor another has tokens; "+b.describe(budget))
 	}
 	r, err := b.reserveHere(ctx, budget, limit, ceiling)
 	var refused *RefusedError
@@ -110,8 +112,9 @@
 	return r, err
 }
 
-// lacksGrant reports whether only a change of grants could let a request in here: a
-// loan comes sooner. A budget that is used up has no lenders either.
+// lacksGrant reports whether a request lacks a grant here and the pool has none for
+// it: others may have. It says no where the whole budget is short, which is a refusal
+// of its own.
 func (b *Book) lacksGrant(budget string, ceiling int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/budget/allowance/loan_test.go
+++ b/budget/allowance/loan_test.go
@@ -131,3 +131,23 @@
 		is.True(p.Settled+p.Lost >= 4000)
 	})
 }
+
+// The last tokens of a budget lie with two VMs, too few at each for a large request.
+// It is refused at once: waiting for the next change of the pool gains nothing,
+// and another VM may be asked sooner. A small one is served with a loan.
+func TestRefusesAtOnceWhatNoVMHas(t *testing.T) {
+	inTime(t, func(w *world, is *is.I) {
+		const limit = 20_000
+		w.lend = true
+		vms := w.startAll(limit, "a", "b")
+		time.Sleep(3 * time.Second)
+		is.NoErr(vms[0].request(studio, limit, 4000))
+		is.NoErr(vms[1].request(studio, limit, 4000))
+		time.Sleep(2 * time.Second)
+		asked := time.Now()
+		var refused *RefusedError
+		is.True(errors.As(vms[0].request(studio, limit, 11_000), &refused))
+		is.True(!refused.Certain)
+		is.True(time.Since(asked) < shortWait)
+	})
+}
