--- a/budget/allowance/book.go
+++ b/budget/allowance/book.go
@@ -48,9 +48,11 @@
 	usageVersion int64
 	// loans are those given to other VMs, by id; silent is until when a VM is not
 	// asked for one.
-	loans      map[uint64]lent
-	silent     map[string]time.Time
-	reportedAt time.Time
+	loans  map[uint64]lent
+	silent map[string]time.Time
+	// borrowed and given count loans.
+	borrowed, given int64
+	reportedAt      time.Time
 }
 
 // New returns a book that grants nothing before Run has read the table.
@@ -306,13 +308,17 @@
 type Figures struct {
 	Granted, Settled, Open, Lost int64
 	Budgets                      int
+	// Borrowed and Lent count loans since the start, OpenLoans those given that have
+	// not ended.
+	Borrowed, Lent int64
+	OpenLoans      int
 }
 
 // Figures returns sums over all budgets, in tokens.
 func (b *Book) Figures() Figures {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var f Figures
+	f := Figures{Borrowed: b.borrowed, Lent: b.given, OpenLoans: len(b.loans)}
 	for _, a := range b.accounts {
 		f.Budgets++
 		f.Granted += a.granted
--- a/budget/allowance/loan.go
+++ b/budget/allowance/loan.go
@@ -69,6 +69,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.loans[loan.ID] = lent{reservation, time.Now().Add(loanLife)}
+	b.given++
 	return true
 }
 
@@ -112,6 +113,7 @@
 		loan := Loan{ID: rand.Uint64(), Budget: budget, Ceiling: ceiling}
 		lends, err := b.askFor(ctx, vm, loan)
 		if lends {
+			b.noteBorrowed()
 			return &Reservation{ceiling: ceiling, giveBack: func(consumed int64) { go b.returnLoan(vm, loan.ID, consumed) }}
 		}
 		if err != nil {
@@ -153,6 +155,12 @@
 	return vms
 }
 
+func (b *Book) noteBorrowed() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.borrowed++
+}
+
 func (b *Book) noteSilent(vm string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
