allowance: one file for each job

Cause: reclaim.go held the start, the settling and the closing of a holder, book.go the book and the path of a reservation (about 330 lines each). Change: start.go, reclaim.go, close.go, book.go, reserve.go; moves only.

--- /dev/null
+++ b/budget/allowance/close.go
@@ -0,0 +1,72 @@
+package allowance
+
+import (
+	"context"
+	"time"
+
+	"buckthornridge/pause"
+	"buckthornridge/store"
+)
+
+// Close ends the holder's work at a planned stop. Requests must have ended. The
+// last report says what was consumed and that nothing follows; the grants stay with
+// the VM for a while, since it mostly starts again at once, and others take what it
+// has left over if it does not.
+func (b *Book) Close(ctx context.Context) {
+	row := b.lastReport()
+	data, err := encode(row)
+	if err != nil {
+		logFailure("close", err)
+		return
+	}
+	key := reportsOf(b.options.VM) + b.options.Incarnation
+	for range closeTries {
+		version, err := b.readRow(ctx, key)
+		if err == nil {
+			_, err = b.commit(ctx, version, store.Write{Key: key, Value: data})
+		}
+		if err == nil {
+			return
+		}
+		logFailure("close", err)
+		if pause.For(ctx, jitter(grantPause)) != nil {
+			return
+		}
+	}
+}
+
+// closeTries is how often the last report is written; without it the next process
+// on the VM counts what the report before it allows.
+const closeTries = 3
+
+func (b *Book) lastReport() report {
+	clock, _ := b.options.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	row := report{AsOf: clock, Shape: newShape(b.options.VMs()), Closed: true, Budgets: map[string]ledger{}}
+	for name, a := range b.accounts {
+		if a.granted > 0 || a.committed() > 0 {
+			row.Budgets[name] = ledger{Settled: a.committed(), Base: a.committed()}
+		}
+	}
+	return row
+}
+
+// foldClosed takes holders out of a pool that closed a while ago and whose VM has
+// not come back. They consume nothing more, so anyone may do so.
+func (b *Book) foldClosed(budget string, p *pool, now time.Duration) {
+	for holder, s := range p.Holders {
+		r, known := b.ended[holder]
+		if !known || now-r.AsOf < closedHold {
+			continue
+		}
+		used := min(r.Budgets[budget].Settled, s.Granted)
+		p.Settled += used
+		delete(p.Holders, holder)
+	}
+}
+
+// closedHold is how long the grants of a closed holder wait for the next process
+// on its VM, which takes a second or two to start.
+const closedHold = 6 * time.Second
--- /dev/null
+++ b/budget/allowance/reserve.go
@@ -0,0 +1,181 @@
+package allowance
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Reservation is a ceiling taken out of a budget for one request.
+type Reservation struct {
+	ceiling int64
+	once    sync.Once
+	// giveBack counts what was consumed and frees the rest.
+	giveBack func(consumed int64)
+}
+
+// Settle counts what was consumed, at most the ceiling, and frees the rest.
+func (r *Reservation) Settle(consumed int64) {
+	r.once.Do(func() { r.giveBack(min(max(consumed, 0), r.ceiling)) })
+}
+
+// settle ends a reservation of this holder's own tokens.
+func (b *Book) settle(a *account, ceiling, consumed int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a.open -= ceiling
+	a.settled += consumed
+	a.wake()
+}
+
+// Reserve takes a ceiling out of a budget whose prepaid sum is limit, both in
+// tokens. Where this VM lacks them it borrows from another. The error is a
+// *RefusedError.
+func (b *Book) Reserve(ctx context.Context, budget string, limit, ceiling int64) (*Reservation, error) {
+	b.asked(budget, limit, ceiling)
+	if b.options.Lenders != nil && b.lacksGrant(budget, ceiling) {
+		if r := b.borrow(ctx, budget, ceiling); r != nil {
+			return r, nil
+		}
+		b.wakeUp()
+		return nil, b.lacking(budget, "neither this VM nor another has tokens; "+b.describe(budget))
+	}
+	r, err := b.reserveHere(ctx, budget, limit, ceiling)
+	var refused *RefusedError
+	if errors.As(err, &refused) && refused.Here {
+		if r := b.borrow(ctx, budget, ceiling); r != nil {
+			return r, nil
+		}
+	}
+	return r, err
+}
+
+// lacksGrant reports whether a request lacks a grant here and the pool has none for
+// it: others may have. It says no where the whole budget is short, which is a refusal
+// of its own.
+func (b *Book) lacksGrant(budget string, ceiling int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.accounts[budget]
+	if !b.ready || b.closed || a.grant()-a.committed() >= ceiling {
+		return false
+	}
+	free := a.limit - a.pool.committed()
+	return free < ceiling && !a.certainlyShort(ceiling, b.self) && !a.likelyShort(ceiling, b.self)
+}
+
+// reserveHere takes a ceiling from what this holder has or can get.
+func (b *Book) reserveHere(ctx context.Context, budget string, limit, ceiling int64) (*Reservation, error) {
+	var timer <-chan time.Time
+	for {
+		r, changed, err := b.try(budget, limit, ceiling)
+		if r != nil || err != nil {
+			return r, err
+		}
+		if timer == nil {
+			timer = time.After(b.patience())
+			b.wait(budget, ceiling)
+			defer b.wait(budget, -ceiling)
+		}
+		b.wakeUp()
+		select {
+		case <-changed:
+		case <-timer:
+			return nil, b.lacking(budget, "no tokens came in time; "+b.describe(budget))
+		case <-ctx.Done():
+			return nil, b.doubt(budget, "the request ended while it waited for tokens")
+		}
+	}
+}
+
+// typicalWeight is the weight of one request in the mean ceiling.
+const typicalWeight = 0.1
+
+// wait counts the ceiling of a request that begins or, negative, ends to wait.
+func (b *Book) wait(budget string, ceiling int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.accounts[budget].waiting += ceiling
+}
+
+// asked counts what callers ask for, once for each request.
+func (b *Book) asked(budget string, limit, ceiling int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(budget, limit)
+	a.trend.add(ceiling, time.Now())
+	if a.typical == 0 {
+		a.typical = float64(ceiling)
+	}
+	a.typical += typicalWeight * (float64(ceiling) - a.typical)
+}
+
+// patience returns how long a request waits for tokens that are under way.
+func (b *Book) patience() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ready {
+		return shortWait
+	}
+	return max(shortWait, startWait-time.Since(b.started))
+}
+
+func (b *Book) doubt(budget, why string) error {
+	return &RefusedError{Budget: budget, RetryAfter: retryElsewhere, Why: why}
+}
+
+// lacking is doubt because this VM has no tokens; others may have.
+func (b *Book) lacking(budget, why string) error {
+	return &RefusedError{Budget: budget, Here: true, RetryAfter: retryElsewhere, Why: why}
+}
+
+// describe says what a budget lacks here, for logs.
+func (b *Book) describe(budget string) string {
+	clock, _ := b.options.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.accounts[budget].describe(clock)
+}
+
+func (a *account) describe(clock time.Duration) string {
+	return fmt.Sprintf("limit=%d granted=%d bound=%d settled=%d open=%d free=%d bound_age_ms=%d",
+		a.limit, a.grant(), a.bound(clock), a.settled, a.open, a.limit-a.pool.committed(),
+		(clock - a.bounds[0].asOf).Milliseconds())
+}
+
+// try reserves at once, refuses, or returns a channel to wait on.
+func (b *Book) try(budget string, limit, ceiling int64) (*Reservation, <-chan struct{}, error) {
+	now := time.Now()
+	clock, _ := b.options.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return nil, nil, b.doubt(budget, "this router is stopping")
+	}
+	a := b.account(budget, limit)
+	if a.room(clock) >= ceiling {
+		a.open += ceiling
+		a.use.add(ceiling, now)
+		return &Reservation{ceiling: ceiling, giveBack: func(consumed int64) { b.settle(a, ceiling, consumed) }}, nil, nil
+	}
+	if a.certainlyShort(ceiling, b.self) {
+		return nil, nil, &RefusedError{Budget: budget, Certain: true, Why: "the rest of the budget does not cover the request"}
+	}
+	if a.likelyShort(ceiling, b.self) {
+		return nil, nil, &RefusedError{
+			Budget: budget, RetryAfter: retryRest,
+			Why: "the rest does not cover the request, unless less was lost than it seems",
+		}
+	}
+	a.need, a.needAt = max(a.need, ceiling), now
+	if b.ready && now.Sub(b.reached) > tableSilence || !b.ready && now.Sub(b.started) > startWait {
+		return nil, nil, b.lacking(budget, "the table can't be asked; "+a.describe(clock))
+	}
+	return nil, a.changed, nil
+}
+
+// tableSilence is how long the table may not have answered before a request is
+// refused at once in place of waiting for it.
+const tableSilence = 1500 * time.Millisecond
