allowance: a fresh budget is divided once the VMs are known, and lost races are run again

Cause: a new process does not know how many VMs there are; the first took a quarter of each budget and more, and a change that lost the race for a row counted as made, so that the loser paused for 1.5 s (12 s with 82 VMs) and had nothing when it was cut off. Change: no part of an untouched budget is taken in the first 2.5 to 4 s but for requests that wait; the pause begins with a change that took effect. The test fails without the first wait or with the pause.

--- a/budget/allowance/account.go
+++ b/budget/allowance/account.go
@@ -40,6 +40,9 @@
 	cover int64
 	// typical is the mean ceiling of a request, in tokens.
 	typical float64
+	// settledIn is when the process has seen how many VMs there are. A fresh budget is
+	// not divided before, but for requests that wait.
+	settledIn time.Time
 	// changedAt is when the share was last changed.
 	changedAt time.Time
 	changed   chan struct{} // closed when there may be more room
--- a/budget/allowance/allowance.go
+++ b/budget/allowance/allowance.go
@@ -64,6 +64,12 @@
 	// grantShare is the part of a budget's rest that is handed out; what stays lets
 	// a holder get more at once.
 	grantShare = 0.95
+	// settleIn is how long a new process waits before it takes a part of a fresh budget
+	// that no request asks for: it does not know yet how many VMs share it. In a fleet
+	// of 82 the first dozen took all, and most VMs had nothing when they were cut off.
+	// settleSpread keeps the VMs from meeting at the same rows.
+	settleIn     = 2500 * time.Millisecond
+	settleSpread = 1500 * time.Millisecond
 	// firstShare is handed out while no use was seen: VMs come one after the other,
 	// and the last must find something.
 	firstShare = 0.92
--- a/budget/allowance/grant.go
+++ b/budget/allowance/grant.go
@@ -122,6 +122,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if err == nil {
+		// Only now: a VM that lost the race for a contended pool tries again at once.
+		a.changedAt = time.Now()
 		if a.lowered >= 0 && granted <= max(a.lowered, a.committed()) {
 			a.lowered = -1
 		}
@@ -173,7 +175,6 @@
 		logFailure("change grant of "+a.budget, err)
 		return nil, 0, 0
 	}
-	a.changedAt = now
 	if p.granted < a.granted {
 		a.granted, a.returning = p.granted, a.version
 	}
--- a/budget/allowance/plan.go
+++ b/budget/allowance/plan.go
@@ -66,6 +66,9 @@
 	if free < 0 || a.lowered >= 0 {
 		return plan{change: a.grant() < mine.Granted || a.lowered >= 0, granted: max(a.committed(), a.grant())}
 	}
+	if a.need <= unspent && now.Before(a.settledIn) && a.consumed(self) == 0 {
+		return plan{granted: mine.Granted}
+	}
 	if a.need > unspent || float64(unspent) < refillBelow*float64(target) {
 		if p := a.refill(max(target, a.need)-unspent, free, mine); p.change && (a.need > unspent || a.rested(now, vms)) {
 			return p
--- a/budget/allowance/stories_test.go
+++ b/budget/allowance/stories_test.go
@@ -148,6 +148,36 @@
 	})
 }
 
+// A fleet of twelve starts, and no process knows at first how many there are. Were a
+// fresh budget divided at once, the first would take all; and a VM that lost the race
+// for the row must not wait long for its next try. Before any caller comes, each VM
+// has about its part, so that it can serve when it is cut off.
+func TestDividesAFreshBudgetEvenly(t *testing.T) {
+	inTime(t, func(w *world, is *is.I) {
+		const limit, fleet = 1_200_000, 12
+		began := time.Now()
+		var vms []*vm
+		for i := range fleet {
+			v := w.vm(string(rune('a' + i)))
+			v.start(1)
+			v.book.options.VMs = func() int {
+				if time.Since(began) < time.Second {
+					return 1
+				}
+				return fleet
+			}
+			v.book.SetLimits(map[string]int64{studio: limit})
+			vms = append(vms, v)
+		}
+		time.Sleep(6 * time.Second)
+		for _, v := range vms {
+			granted := v.book.Figures().Granted
+			is.True(granted > limit/fleet/2)
+			is.True(granted <= limit/fleet)
+		}
+	})
+}
+
 // The answer to a grant is lost although the grant has taken effect. The holder
 // finds it in the row; otherwise the tokens would be no one's until the end.
 func TestGrantWithLostAnswer(t *testing.T) {
