--- a/budget/allowance/stories_test.go
+++ b/budget/allowance/stories_test.go
@@ -169,7 +169,11 @@
 			v.book.SetLimits(map[string]int64{studio: limit})
 			vms = append(vms, v)
 		}
-		time.Sleep(6 * time.Second)
+		time.Sleep(1500 * time.Millisecond)
+		for _, v := range vms {
+			is.True(v.book.Figures().Granted <= limit/fleet)
+		}
+		time.Sleep(4500 * time.Millisecond)
 		for _, v := range vms {
 			granted := v.book.Figures().Granted
 			is.True(granted > limit/fleet/2)
