--- a/budget/allowance/allowance.go
+++ b/budget/allowance/allowance.go
@@ -13,6 +13,9 @@
 // process on the same VM, which can only start once the old one has ended, counts
 // what the bound allows up to now as spent and gives the rest back.
 //
+// A request that a VM has no room for borrows tokens from other VMs, which count them
+// like a request of their own (see Lenders).
+//
 // Both sides reckon the bound by the table service's clock. The holder uses a time
 // that this clock has certainly reached, the successor one read after its own
 // start, so that a pause, a slow answer or a jump of the time of day can only make
