--- a/budget/allowance/loan_test.go
+++ b/budget/allowance/loan_test.go
@@ -160,7 +160,7 @@
 		const limit = 24_000
 		w.lend = true
 		vms := w.startAll(limit, "a", "b", "c", "d", "e", "f")
-		time.Sleep(4 * time.Second)
+		time.Sleep(settleIn + settleSpread + 2*time.Second) // until each has its part
 		for _, v := range vms {
 			is.True(v.book.Figures().Granted < 9000)
 		}
