allowance: thinned bounds keep the least demand too

Cause: found on reading. While reports stay unanswered, those that may have come into force are merged, the lowest of each figure standing for all; the demand, by which a bound grows after the knee, was left out. A holder whose callers had become fewer could allow itself more than the report in force, and its successor would count less: tokens spent twice. Change: the least demand is taken. Measured: the new test of random bounds fails without the line and passes with it.

--- a/budget/allowance/report.go
+++ b/budget/allowance/report.go
@@ -140,6 +140,7 @@
 			merged.Base = min(merged.Base, bound.Base)
 			merged.Rate = min(merged.Rate, bound.Rate)
 			merged.Rest = min(merged.Rest, bound.Rest)
+			merged.Demand = min(merged.Demand, bound.Demand)
 			merged.shape.Knee = max(merged.shape.Knee, bound.shape.Knee)
 			merged.asOf = max(merged.asOf, bound.asOf)
 		}
--- /dev/null
+++ b/budget/allowance/report_test.go
@@ -0,0 +1,39 @@
+package allowance
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// The table is silent for long, and several reports may or may not have come into
+// force, with callers' demand falling from one to the next. Whichever it was, the
+// holder must not allow itself more than that one: its successor counts no more.
+func TestThinnedBoundsAllowNoMoreThanAny(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 500 {
+		b, a := New(Options{}), newAccount(studio)
+		b.accounts[studio] = a
+		a.bounds = nil
+		for i := range 4 + random.IntN(4) {
+			a.bounds = append(a.bounds, dated{
+				ledger: ledger{
+					Base: random.Int64N(1000), Rate: random.Int64N(100), Rest: random.Int64N(5000), Demand: random.Int64N(500),
+				},
+				shape: newShape(1 + random.IntN(200)),
+				asOf:  time.Duration(i) * 100 * time.Millisecond,
+			})
+		}
+		all := newAccount(studio)
+		all.bounds = slices.Clone(a.bounds)
+		b.thin()
+		is.True(len(a.bounds) <= 2)
+		for now := time.Second; now < 20*time.Second; now += 500 * time.Millisecond {
+			is.True(a.bound(now) <= all.bound(now))
+		}
+	}
+}
