--- a/budget/allowance/account.go
+++ b/budget/allowance/account.go
@@ -8,7 +8,7 @@
 // account is what a holder knows of one budget. The book's lock guards it.
 type account struct {
 	budget string
-	// limit is the prepaid sum that is in force; known once a pool was read.
+	// limit is the prepaid sum that is in force.
 	limit   int64
 	granted int64
 	// returning is the row version that the last return of tokens demanded. Until
@@ -40,9 +40,9 @@
 	cover int64
 	// typical is the mean ceiling of a request, in tokens.
 	typical float64
-	// settledIn is when the process has seen how many VMs there are. A fresh budget is
-	// not divided before, but for requests that wait.
-	settledIn time.Time
+	// divideFrom is when the process has seen how many VMs there are. Before that it
+	// takes tokens of a fresh budget only for requests that wait.
+	divideFrom time.Time
 	// changedAt is when the share was last changed.
 	changedAt time.Time
 	changed   chan struct{} // closed when there may be more room
--- a/budget/allowance/book.go
+++ b/budget/allowance/book.go
@@ -36,7 +36,7 @@
 	accounts map[string]*account
 	ready    bool // what stood before this process is settled or being settled
 	started  time.Time
-	settling time.Duration // from the start until the VMs are known
+	settling time.Duration // from the start to each account's divideFrom
 	closed   bool
 	// ended holds the last reports of holders that closed, by holder.
 	ended map[string]report
@@ -74,7 +74,7 @@
 	a := b.accounts[budget]
 	if a == nil {
 		a = newAccount(budget)
-		a.settledIn = b.started.Add(b.settling)
+		a.divideFrom = b.started.Add(b.settling)
 		b.accounts[budget] = a
 		a.limit = limit
 	}
--- a/budget/allowance/loan.go
+++ b/budget/allowance/loan.go
@@ -16,13 +16,14 @@
 	// a small budget is less than one request's ceiling.
 	lendersAsked = 4
 	// borrowLimit bounds the question to one of them: two ways between data
-	// centres, and at the lender a report.
+	// centres, and at the lender a report. No question begins later than that after
+	// the first, so that a request waits at most twice as long for loans.
 	borrowLimit = 40 * time.Millisecond
 	// silentPause is how long a VM that did not answer is not asked. While this one
 	// is cut off, each request would wait for it else.
 	silentPause = time.Second
 	// loanLife is when a loan counts as consumed in full because its borrower has not
-	// said anything. No request runs that long.
+	// said anything. A request that runs longer is counted too high, never too low.
 	loanLife = 60 * time.Second
 	// returnLimit bounds the message that ends a loan.
 	returnLimit = time.Second
@@ -118,10 +119,13 @@
 		return nil
 	}
 	all := parts{b.takeRoom(budget, ceiling)}
+	began := time.Now()
 	for _, vm := range lenders {
-		if missing := ceiling - all.ceiling(); missing > 0 {
-			all = append(all, b.askFor(ctx, vm, budget, missing))
+		missing := ceiling - all.ceiling()
+		if missing <= 0 || time.Since(began) > borrowLimit {
+			break
 		}
+		all = append(all, b.askFor(ctx, vm, budget, missing))
 	}
 	if all.ceiling() < ceiling {
 		all.settle(0)
--- a/budget/allowance/loan_test.go
+++ b/budget/allowance/loan_test.go
@@ -98,6 +98,23 @@
 	})
 }
 
+// Four neighbours hold the tokens and none of them answers any more. The first
+// request that needs them asks only as many as fit into 80 ms.
+func TestWaitsShortlyForSilentLenders(t *testing.T) {
+	inTime(t, func(w *world, is *is.I) {
+		const limit = 100_000
+		w.lend = true
+		vms := w.startAll(limit, "a", "b", "c", "d", "e")
+		time.Sleep(settleIn + settleSpread + 2*time.Second) // until each has its part
+		vms[0].setAlone(true)
+		vms[0].setCut(true)
+		time.Sleep(2 * time.Second)
+		asked := time.Now()
+		is.True(vms[0].request(studio, limit, 50_000) != nil)
+		is.True(time.Since(asked) <= 2*borrowLimit)
+	})
+}
+
 // A VM borrows and dies, or its word that the request has ended is lost. The lender
 // counts the whole ceiling in the end: the request may have consumed it.
 func TestLoanOfASilentBorrower(t *testing.T) {
--- a/budget/allowance/plan.go
+++ b/budget/allowance/plan.go
@@ -66,7 +66,7 @@
 	if free < 0 || a.lowered >= 0 {
 		return plan{change: a.grant() < mine.Granted || a.lowered >= 0, granted: max(a.committed(), a.grant())}
 	}
-	if a.need <= unspent && now.Before(a.settledIn) && a.consumed(self) == 0 {
+	if a.need <= unspent && now.Before(a.divideFrom) && a.consumed(self) == 0 {
 		return plan{granted: mine.Granted}
 	}
 	if a.need > unspent || float64(unspent) < refillBelow*float64(target) {
--- a/budget/allowance/reserve.go
+++ b/budget/allowance/reserve.go
@@ -47,7 +47,7 @@
 			return r, nil
 		}
 		b.wakeUp()
-		return nil, b.lacking(budget, "neither this VM nor another has tokens; "+b.describe(budget))
+		return nil, b.lacking(budget, "this VM lacks tokens and no other lends; "+b.describe(budget))
 	}
 	r, err := b.reserveHere(ctx, budget, limit, ceiling)
 	var refused *RefusedError
--- a/edge/loans.go
+++ b/edge/loans.go
@@ -9,9 +9,10 @@
 	"buckthornridge/peer"
 )
 
-// methodBorrow asks a peer to reserve a ceiling, methodReturn ends that.
 const (
+	// methodBorrow asks a peer to reserve tokens for a request of this process.
 	methodBorrow = "budget.borrow"
+	// methodReturn ends such a loan.
 	methodReturn = "budget.return"
 )
 
