allowance: few VMs hold a budget, the others borrow

Cause: in a fleet of 83 VMs a sum is cut into 83 parts, a part is less than one large request's ceiling, and the 2.7% at risk cut into 83 is a few thousand tokens, so that each request waits for a report of its own. Seen besides: a workspace's callers come through one or two VMs, or through all; the largest, a quarter of all requests, through a single weak one.

Change: at most nine holders a budget, by weighted rendezvous hashing in each data centre (holders.go); the others ask those of their own data centre first. A VM whose callers use over a sixth of a budget holds it too. A lender answers within 30 ms, before its borrower gives it up for a second; a planned stop waits for loans. An upstream's connections are divided into ten parts at most: the busy VM refused a fifth of its plain calls.

--- a/budget/allowance/account.go
+++ b/budget/allowance/account.go
@@ -40,6 +40,9 @@
 	cover int64
 	// typical is the mean ceiling of a request, in tokens.
 	typical float64
+	// mainUser says that this VM's callers use so much of the budget that it holds
+	// grants for them.
+	mainUser bool
 	// divideFrom is when the process has seen how many VMs there are. Before that it
 	// takes tokens of a fresh budget only for requests that wait.
 	divideFrom time.Time
@@ -103,8 +106,8 @@
 }
 
 // ledger is what a new report says of the budget.
-func (a *account) ledger(self string, vms int, now time.Time) ledger {
-	cover, growth := a.ahead(self, vms, now)
+func (a *account) ledger(self string, holders int, knee time.Duration, now time.Time) ledger {
+	cover, growth := a.ahead(self, holders, knee, now)
 	base := a.committed() + int64(cover) + a.waiting
 	return ledger{
 		Settled: a.settled,
@@ -117,27 +120,27 @@
 
 // ahead returns what a report allows beyond the requests that are known, in tokens
 // at once and in tokens a second until the knee.
-func (a *account) ahead(self string, vms int, now time.Time) (cover, growth float64) {
+func (a *account) ahead(self string, holders int, knee time.Duration, now time.Time) (cover, growth float64) {
 	rate := a.use.rate(now)
 	cover = coverSeconds * rate
 	if a.trend.rate(now) > a.typical/quietSeconds {
 		cover += a.typical // a budget with few callers must have room for the next
 	}
 	growth = steadyFactor * rate
-	atKnee := cover + growth*newShape(vms).Knee.Seconds()
+	atKnee := cover + growth*knee.Seconds()
 	if atKnee <= 0 {
 		return 0, 0
 	}
-	scale := min(1, a.mayLose(self, vms, now)/atKnee)
+	scale := min(1, a.mayLose(self, holders, now)/atKnee)
 	return scale * cover, scale * growth
 }
 
 // mayLose is how many tokens this holder may put at risk before the knee: its part
 // of what the budget may lose.
-func (a *account) mayLose(self string, vms int, now time.Time) float64 {
+func (a *account) mayLose(self string, holders int, now time.Time) float64 {
 	limit := float64(a.limit)
 	left := max(lossShare*limit-float64(a.pool.Lost), leastLossShare*limit)
-	return left * a.part(self, vms, a.trend.rate(now))
+	return left * a.part(self, holders, a.trend.rate(now))
 }
 
 // wake lets waiting requests look again.
--- a/budget/allowance/allowance.go
+++ b/budget/allowance/allowance.go
@@ -93,6 +93,11 @@
 	// rest follows their use. A VM that had no requests may have all of them
 	// while it is cut off.
 	evenShare = 0.15
+	// mainShare is the part of a budget's demand from which on a VM holds grants of it
+	// for its own callers; at most six such VMs join the holders. It ceases to below
+	// mainShareKept.
+	mainShare     = 1.0 / 6
+	mainShareKept = 1.0 / 12
 	// refillBelow and returnAbove bound a holder's unspent tokens as multiples of
 	// its target; within them the pool is left alone.
 	refillBelow = 0.75
--- a/budget/allowance/book.go
+++ b/budget/allowance/book.go
@@ -21,8 +21,10 @@
 	Incarnation string
 	// Lenders reaches the other VMs' books for single requests. Nil asks no one.
 	Lenders Lenders
-	// VMs returns how many VMs share the budgets, at least 1.
+	// VMs returns how many VMs the fleet has, at least 1.
 	VMs func() int
+	// Sharing returns who holds a budget. Nil means that all VMs hold all budgets.
+	Sharing func(budget string) Sharing
 }
 
 // Book holds what one process has of all budgets.
@@ -38,6 +40,7 @@
 	started  time.Time
 	settling time.Duration // from the start to each account's divideFrom
 	closed   bool
+	retiring bool // no more loans are given
 	// ended holds the last reports of holders that closed, by holder.
 	ended map[string]report
 	// reached is the last time at which the table answered.
@@ -78,13 +81,13 @@
 		b.accounts[budget] = a
 		a.limit = limit
 	}
-	a.setLimit(b.self, limit, max(b.options.VMs(), 1))
+	a.setLimit(b.self, limit, b.sharing(a).Holders)
 	return a
 }
 
 // setLimit takes a new prepaid sum. A lower one binds at once, before the pool
 // says so: each holder keeps to its part of what is left.
-func (a *account) setLimit(self string, limit int64, vms int) {
+func (a *account) setLimit(self string, limit int64, holders int) {
 	if limit >= a.limit {
 		if a.lowered >= 0 && limit > a.limit {
 			a.lowered = -1
@@ -98,7 +101,7 @@
 		scaled = int64(float64(a.grant()) * float64(max(0, limit-gone)) / float64(a.limit-gone))
 	}
 	rest := max(0, limit-a.consumed(self)-a.pool.Lost)
-	a.lowered = min(scaled, a.settled+rest/int64(max(vms, len(a.pool.Holders), 1)))
+	a.lowered = min(scaled, a.settled+rest/int64(max(holders, len(a.pool.Holders), 1)))
 	a.limit = limit
 }
 
@@ -120,6 +123,19 @@
 // would be full of grants that nobody uses.
 const eagerBudgets = 256
 
+// sharing returns who holds a budget. The caller holds the lock.
+func (b *Book) sharing(a *account) Sharing {
+	if b.options.Sharing == nil {
+		return everyone(b.options.VMs())
+	}
+	s := b.options.Sharing(a.budget)
+	if !s.Holds {
+		a.mainUser = a.usesMuch(b.self, time.Now())
+		s.Holds = a.mainUser
+	}
+	return s
+}
+
 func (b *Book) wakeUp() {
 	kick(b.kickReport)
 	kick(b.kickGrant)
--- a/budget/allowance/grant.go
+++ b/budget/allowance/grant.go
@@ -43,7 +43,11 @@
 			a.need = 0
 		}
 		b.foldClosed(name, &a.pool, clock)
-		if a.version < 0 || a.next(b.self, b.options.VMs(), now).change {
+		sharing := b.sharing(a)
+		if !sharing.Holds && a.granted == 0 && a.need == 0 {
+			continue
+		}
+		if a.version < 0 || a.next(b.self, sharing, now).change {
 			due = append(due, a)
 		}
 	}
@@ -164,7 +168,7 @@
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p := a.next(b.self, b.options.VMs(), now)
+	p := a.next(b.self, b.sharing(a), now)
 	if !p.change {
 		return nil, 0, 0
 	}
--- /dev/null
+++ b/budget/allowance/holders.go
@@ -0,0 +1,122 @@
+package allowance
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// MostHolders is how many VMs hold grants of one budget; the others borrow for each
+// request. It keeps three figures from growing with the fleet: the parts that a sum
+// and its tokens at risk are cut into (of 83 parts one is less than a large request's
+// ceiling, and each request waits for a report of its own), the rows and changes of a
+// pool, and the reports. Nine is the largest fleet in which all VMs hold all budgets
+// without that.
+const MostHolders = 9
+
+// Peer is a VM that shares the budgets.
+type Peer struct {
+	VM         string
+	DataCentre string
+	// Strength is the VM's part of a core; a stronger VM holds more budgets. 0 counts
+	// as 1.
+	Strength float64
+}
+
+// ChooseHolders returns the VMs that hold a budget, at most MostHolders: all of a small
+// fleet, and else those that rank first in each data centre, so that borrowers find
+// one nearby. VMs that know the same peers choose the same holders without a word;
+// where they differ, a holder more or less does no harm, since only the pool's row
+// grants tokens.
+func ChooseHolders(budget string, peers []Peer) []Peer {
+	if len(peers) <= MostHolders {
+		return slices.Clone(peers)
+	}
+	ranked := rank(budget, peers)
+	places := map[string]int{} // how many of a data centre come before
+	turn := make(map[string]int, len(ranked))
+	for _, p := range ranked {
+		turn[p.VM] = places[p.DataCentre]
+		places[p.DataCentre]++
+	}
+	// The first of each data centre, then the second of each, and so on.
+	slices.SortStableFunc(ranked, func(a, b Peer) int { return cmp.Compare(turn[a.VM], turn[b.VM]) })
+	return ranked[:MostHolders]
+}
+
+// rank orders peers for a name by weighted rendezvous hashing: a change of the fleet
+// moves only what the VM that came or went holds.
+func rank(name string, peers []Peer) []Peer {
+	weights := make(map[string]float64, len(peers))
+	for _, p := range peers {
+		weights[p.VM] = weight(name, p)
+	}
+	ranked := slices.Clone(peers)
+	slices.SortFunc(ranked, func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(weights[b.VM], weights[a.VM]), cmp.Compare(a.VM, b.VM))
+	})
+	return ranked
+}
+
+// weight is positive, and a peer's chance to have the highest is in proportion to its
+// strength.
+func weight(name string, p Peer) float64 {
+	strength := p.Strength
+	if strength <= 0 {
+		strength = 1
+	}
+	drawn := (float64(xxhash.Sum64String(name+"\x00"+p.VM)>>11) + 0.5) / (1 << 53) // within (0, 1)
+	return strength / -math.Log(drawn)
+}
+
+// OrderLenders returns the holders of a budget in the order in which a VM asks them:
+// those of its own data centre first. Within one data centre each VM has an order of
+// its own, so that the borrowers spread over the holders and a holder's borrowers
+// stay with it.
+func OrderLenders(self Peer, budget string, holders []Peer) []string {
+	ranked := rank(budget+"\x00"+self.VM, holders)
+	slices.SortStableFunc(ranked, func(a, b Peer) int {
+		return cmp.Compare(far(self, a), far(self, b))
+	})
+	names := make([]string, 0, len(ranked))
+	for _, p := range ranked {
+		if p.VM != self.VM {
+			names = append(names, p.VM)
+		}
+	}
+	return names
+}
+
+func far(self, p Peer) int {
+	if self.DataCentre == p.DataCentre {
+		return 0
+	}
+	return 1
+}
+
+// Sharing tells who holds a budget, as one VM sees it.
+type Sharing struct {
+	// Holds says that this VM is one of them.
+	Holds bool
+	// Holders is their number, at least 1.
+	Holders int
+	// Lenders are the others in the order in which this VM asks them. Nil if all VMs
+	// hold the budget: then it asks those that have most.
+	Lenders []string
+}
+
+// everyone is the sharing of a fleet in which all VMs hold all budgets.
+func everyone(vms int) Sharing { return Sharing{Holds: true, Holders: max(vms, 1)} }
+
+// Share returns how a budget is shared in a fleet, as the VM self sees it. The fleet
+// includes it.
+func Share(self Peer, budget string, fleet []Peer) Sharing {
+	if len(fleet) <= MostHolders {
+		return everyone(len(fleet))
+	}
+	holders := ChooseHolders(budget, fleet)
+	holds := slices.ContainsFunc(holders, func(p Peer) bool { return p.VM == self.VM })
+	return Sharing{Holds: holds, Holders: len(holders), Lenders: OrderLenders(self, budget, holders)}
+}
--- a/budget/allowance/loan.go
+++ b/budget/allowance/loan.go
@@ -12,13 +12,15 @@
 
 const (
 	// lendersAsked is how many holders one request asks for loans, one after the
-	// other, those with the most unspent tokens first. In a fleet of 82 VMs a part of
-	// a small budget is less than one request's ceiling.
+	// other. Where tokens lie scattered, each has a part of one request's ceiling.
 	lendersAsked = 4
 	// borrowLimit bounds the question to one of them: two ways between data
 	// centres, and at the lender a report. No question begins later than that after
 	// the first, so that a request waits at most twice as long for loans.
 	borrowLimit = 40 * time.Millisecond
+	// lendWait is how long a lender waits for a report that lets it lend: less than the
+	// borrower waits, which takes silence for a failure and leaves it alone for a while.
+	lendWait = 30 * time.Millisecond
 	// silentPause is how long a VM that did not answer is not asked. While this one
 	// is cut off, each request would wait for it else.
 	silentPause = time.Second
@@ -58,16 +60,22 @@
 func (b *Book) Lend(ctx context.Context, loan Loan) int64 {
 	b.mu.Lock()
 	a := b.accounts[loan.Budget]
-	if a == nil || !b.ready {
+	if a == nil || !b.ready || b.retiring {
 		b.mu.Unlock()
 		return 0
 	}
+	if sharing := b.sharing(a); sharing.Lenders != nil {
+		// Where all VMs hold the budget, the borrower's own demand speaks for its callers.
+		a.demand(loan.Tokens, time.Now())
+	}
 	free := max(0, a.limit-a.pool.committed()) // it can take these from the pool
 	limit, tokens := a.limit, min(loan.Tokens, a.grant()-a.committed()+free)
 	b.mu.Unlock()
 	if tokens <= 0 {
 		return 0
 	}
+	ctx, cancel := context.WithTimeout(ctx, lendWait)
+	defer cancel()
 	reservation, err := b.reserveHere(ctx, loan.Budget, limit, tokens)
 	if err != nil {
 		klog.V(1).Infof("step=lend budget=%s tokens=%d result=refused err=%q", loan.Budget, tokens, err.Error())
@@ -209,9 +217,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.accounts[budget]
+	richest := a.richest(b.self)
+	if sharing := b.sharing(a); !sharing.Holds {
+		return b.answering(lendersOf(sharing, richest), now)
+	}
 	covered := max(0, a.room(clock))
 	var vms []string
-	for _, holder := range a.richest(b.self) {
+	for _, holder := range richest {
 		if now.After(b.silent[holder.vm]) && len(vms) < lendersAsked {
 			vms = append(vms, holder.vm)
 			covered += holder.unspent
@@ -223,6 +235,52 @@
 	return vms
 }
 
+// usualLenders is how many of its usual lenders a VM asks before those that are known
+// to have most.
+const usualLenders = 2
+
+// lendersOf returns whom a VM asks that holds nothing itself: its usual lenders, then
+// the richest, which may be a VM that holds the budget for its own callers.
+func lendersOf(s Sharing, richest []rich) []string {
+	vms := slices.Clone(s.Lenders[:min(usualLenders, len(s.Lenders))])
+	rest := make([]string, 0, len(richest)+len(s.Lenders))
+	for _, holder := range richest {
+		rest = append(rest, holder.vm)
+	}
+	for _, vm := range append(rest, s.Lenders...) {
+		if !slices.Contains(vms, vm) {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
+// answering leaves out the VMs that were silent a moment ago. The caller holds the lock.
+func (b *Book) answering(vms []string, now time.Time) []string {
+	var asked []string
+	for _, vm := range vms {
+		if now.After(b.silent[vm]) && len(asked) < lendersAsked {
+			asked = append(asked, vm)
+		}
+	}
+	return asked
+}
+
+// Retire ends lending at a planned stop. What is lent then comes back while the
+// process waits for OpenLoans to be 0: what has not come back counts in full.
+func (b *Book) Retire() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retiring = true
+}
+
+// OpenLoans returns how many loans that this holder gave have not ended.
+func (b *Book) OpenLoans() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.loans)
+}
+
 func (b *Book) noteBorrowed() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/budget/allowance/loan_test.go
+++ b/budget/allowance/loan_test.go
@@ -32,6 +32,9 @@
 		return 0, err
 	}
 	lends := book.Lend(ctx, loan)
+	if ctx.Err() != nil {
+		return 0, errSilent // the answer came too late
+	}
 	if w := l.from.world; w.loseLoans > 0 && w.below(w.loseLoans) == 0 {
 		return 0, errSilent // lent, and the answer is lost
 	}
--- a/budget/allowance/plan.go
+++ b/budget/allowance/plan.go
@@ -13,25 +13,25 @@
 
 // target is how many unspent tokens the holder should have: its part of the rest
 // of the budget, partly even and partly by use.
-func (a *account) target(self string, vms int, rate float64) int64 {
+func (a *account) target(self string, holders int, rate float64) int64 {
 	rest := a.limit - a.pool.Lost - a.consumed(self)
 	if rest <= 0 {
 		return 0
 	}
 	known := a.useKnown(self)
-	return int64((firstShare + (grantShare-firstShare)*known) * a.part(self, vms, rate) * float64(rest))
+	return int64((firstShare + (grantShare-firstShare)*known) * a.part(self, holders, rate) * float64(rest))
 }
 
 // part is this holder's part of what is divided among all holders: partly even and
 // partly by use.
-func (a *account) part(self string, vms int, rate float64) float64 {
+func (a *account) part(self string, holders int, rate float64) float64 {
 	all := rate
 	for holder := range a.pool.Holders {
 		if holder != self {
 			all += float64(a.others[holder].Demand)
 		}
 	}
-	part := 1 / float64(max(vms, len(a.pool.Holders), 1))
+	part := 1 / float64(max(holders, a.unspentHolders(self), 1))
 	if all > 0 {
 		byUse := (1 - evenShare) * a.useKnown(self)
 		part = (1-byUse)*part + byUse*rate/all
@@ -39,6 +39,36 @@
 	return part
 }
 
+// usesMuch reports whether this VM's callers ask for so much of the budget that it
+// holds grants itself, also where others are its holders. A workspace whose callers all
+// come through one VM would else borrow for each request, and a VM with a full link
+// hears of no loan in time.
+func (a *account) usesMuch(self string, now time.Time) bool {
+	own := a.trend.rate(now)
+	var all float64
+	for holder := range a.pool.Holders {
+		if holder != self {
+			all += float64(a.others[holder].Demand)
+		}
+	}
+	if a.mainUser {
+		return own > mainShareKept*(own+all)
+	}
+	return all > 0 && own > mainShare*all // its loans are in the lenders' demand
+}
+
+// unspentHolders counts this holder and the others that have tokens of the budget.
+// A VM that held it once and returned the rest stays in the row with what it used.
+func (a *account) unspentHolders(self string) int {
+	count := 1
+	for holder, s := range a.pool.Holders {
+		if holder != self && s.Granted > max(s.Settled, a.others[holder].Settled) {
+			count++
+		}
+	}
+	return count
+}
+
 // useKnown tells from 0 to 1 how much the use seen so far says about who needs the
 // budget: the first few requests say little.
 func (a *account) useKnown(self string) float64 {
@@ -57,9 +87,12 @@
 }
 
 // next plans the change of the holder's share, given the newest pool.
-func (a *account) next(self string, vms int, now time.Time) plan {
+func (a *account) next(self string, sharing Sharing, now time.Time) plan {
 	rate := a.trend.rate(now)
-	target := a.target(self, vms, rate)
+	target := int64(0)
+	if sharing.Holds {
+		target = a.target(self, sharing.Holders, rate)
+	}
 	free := a.limit - a.pool.committed()
 	unspent := a.grant() - a.committed()
 	mine := a.pool.Holders[self]
@@ -70,11 +103,11 @@
 		return plan{granted: mine.Granted}
 	}
 	if a.need > unspent || float64(unspent) < refillBelow*float64(target) {
-		if p := a.refill(max(target, a.need)-unspent, free, mine); p.change && (a.need > unspent || a.rested(now, vms)) {
+		if p := a.refill(max(target, a.need)-unspent, free, mine); p.change && (a.need > unspent || a.rested(now, sharing.Holders)) {
 			return p
 		}
 	}
-	if !a.rested(now, vms) {
+	if !a.rested(now, sharing.Holders) {
 		return plan{granted: mine.Granted}
 	}
 	if float64(unspent) > returnAbove*float64(target) && unspent-target > a.limit/returnLeast {
@@ -92,8 +125,8 @@
 
 // rested reports whether the share was left alone for a while. Without a pause all
 // holders follow each other's last change, on figures that are a second old. The
-// pause grows with the fleet, since one pool takes about 50 changes a second.
-func (a *account) rested(now time.Time, vms int) bool {
-	length := changePause * time.Duration(max(1, vms/changeVMs))
+// pause grows with the holders, since one pool takes about 50 changes a second.
+func (a *account) rested(now time.Time, holders int) bool {
+	length := changePause * time.Duration(max(1, holders/changeVMs))
 	return now.Sub(a.changedAt) >= length
 }
--- a/budget/allowance/report.go
+++ b/budget/allowance/report.go
@@ -21,11 +21,9 @@
 	}
 	// Also without callers: a bound grows with its age, and what it allows is lost
 	// with the process.
-	if time.Since(b.reportedAt) >= reportEvery(b.options.VMs())-upkeepSlack {
-		return true
-	}
+	due := time.Since(b.reportedAt) >= reportEvery(b.options.VMs())-upkeepSlack
 	for _, a := range b.accounts {
-		if a.tight(clock) {
+		if due && a.granted > 0 || a.tight(clock) {
 			return true
 		}
 	}
@@ -79,18 +77,17 @@
 	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	vms := b.options.VMs()
-	row := report{AsOf: clock, Shape: newShape(vms), Budgets: make(map[string]ledger, len(b.accounts))}
+	row := report{AsOf: clock, Shape: newShape(b.options.VMs()), Budgets: map[string]ledger{}}
 	bounds := make(map[*account]dated, len(b.accounts))
 	for name, a := range b.accounts {
 		if now.Sub(a.needAt) > needLasts {
 			a.need = 0
 		}
-		l := a.ledger(b.self, vms, now)
-		if l.Base == 0 && l.Rest == 0 && l.Demand == 0 {
-			continue
+		var l ledger // of what it holds nothing of, a holder may consume nothing
+		if a.granted > 0 {
+			l = a.ledger(b.self, b.sharing(a).Holders, row.Shape.Knee, now)
+			row.Budgets[name] = l
 		}
-		row.Budgets[name] = l
 		bounds[a] = dated{ledger: l, shape: row.Shape, asOf: clock}
 		a.cover = l.Base - a.committed()
 		a.bounds = append(a.bounds, bounds[a])
--- a/budget/allowance/reserve.go
+++ b/budget/allowance/reserve.go
@@ -42,7 +42,7 @@
 // *RefusedError.
 func (b *Book) Reserve(ctx context.Context, budget string, limit, ceiling int64) (*Reservation, error) {
 	b.asked(budget, limit, ceiling)
-	if b.options.Lenders != nil && b.lacksGrant(budget, ceiling) {
+	if b.options.Lenders != nil && b.borrows(budget, ceiling) {
 		if r := b.borrow(ctx, budget, ceiling); r != nil {
 			return r, nil
 		}
@@ -59,18 +59,25 @@
 	return r, err
 }
 
-// lacksGrant reports whether a request lacks a grant here and the pool has none for
-// it: others may have. It says no where the whole budget is short, which is a refusal
-// of its own.
-func (b *Book) lacksGrant(budget string, ceiling int64) bool {
+// borrows reports whether a request is to borrow what it lacks here: where other VMs
+// hold the budget, and where the pool has nothing for it. It says no where the whole
+// budget is short, which is a refusal of its own.
+func (b *Book) borrows(budget string, ceiling int64) bool {
+	now := time.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.accounts[budget]
 	if !b.ready || b.closed || a.grant()-a.committed() >= ceiling {
 		return false
 	}
-	free := a.limit - a.pool.committed()
-	return free < ceiling && !a.certainlyShort(ceiling, b.self) && !a.likelyShort(ceiling, b.self)
+	if a.certainlyShort(ceiling, b.self) || a.likelyShort(ceiling, b.self) {
+		return false
+	}
+	if sharing := b.sharing(a); !sharing.Holds {
+		// While all holders are silent, a grant of its own is the only way left.
+		return len(b.answering(sharing.Lenders, now)) > 0
+	}
+	return a.limit-a.pool.committed() < ceiling
 }
 
 // reserveHere takes a ceiling from what this holder has or can get.
@@ -111,12 +118,16 @@
 func (b *Book) asked(budget string, limit, ceiling int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a := b.account(budget, limit)
-	a.trend.add(ceiling, time.Now())
+	b.account(budget, limit).demand(ceiling, time.Now())
+}
+
+// demand counts what a caller or a borrower asks for, in tokens.
+func (a *account) demand(tokens int64, now time.Time) {
+	a.trend.add(tokens, now)
 	if a.typical == 0 {
-		a.typical = float64(ceiling)
+		a.typical = float64(tokens)
 	}
-	a.typical += typicalWeight * (float64(ceiling) - a.typical)
+	a.typical += typicalWeight * (float64(tokens) - a.typical)
 }
 
 // patience returns how long a request waits for tokens that are under way.
--- a/budget/allowance/world_test.go
+++ b/budget/allowance/world_test.go
@@ -32,6 +32,14 @@
 	lend      bool
 	loseLoans int64
 	vms       []*vm
+	// fleet, if it is set, shares budgets among its holders.
+	fleet []Peer
+}
+
+// sharing returns who holds a budget as one VM sees it.
+func (w *world) sharing(vm, budget string) Sharing {
+	at := slices.IndexFunc(w.fleet, func(p Peer) bool { return p.VM == vm })
+	return Share(w.fleet[at], budget, w.fleet)
 }
 
 func newWorld(t *testing.T) *world {
@@ -198,6 +206,9 @@
 	options := Options{
 		Table: l, Feed: l, Clock: v, VM: v.name, Incarnation: fmt.Sprint(v.next), VMs: func() int { return vms },
 	}
+	if v.world.fleet != nil {
+		options.Sharing = func(budget string) Sharing { return v.world.sharing(v.name, budget) }
+	}
 	if v.world.lend {
 		options.Lenders = line{v}
 	}
@@ -282,6 +293,16 @@
 	})
 }
 
+// startFleet starts n VMs that lend to each other and share budgets among holders.
+func (w *world) startFleet(limit int64, n int) []*vm {
+	w.lend, w.fleet = true, fleetOf(n)
+	var names []string
+	for _, p := range w.fleet {
+		names = append(names, p.VM)
+	}
+	return w.startAll(limit, names...)
+}
+
 // startAll starts a fleet whose studio has bought limit tokens.
 func (w *world) startAll(limit int64, names ...string) []*vm {
 	var vms []*vm
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -39,6 +39,11 @@
 	// connectionShare is the part of an upstream's connections that all routers
 	// together use at the most.
 	connectionShare = 0.9
+	// connectionParts is how many parts these are divided into at the most. In a large
+	// fleet a workspace's callers may all come through one VM: of 83 VMs one had a
+	// quarter of all requests, and with a part of 83 it refused a fifth of its plain
+	// calls for want of connections, while the others use two of theirs.
+	connectionParts = 10
 )
 
 // Adapter is the platform as the process meets it.
@@ -98,11 +103,12 @@
 	p.fleet = newFleet(a.Upstream, p.routes, p.held)
 	p.pool = exchange.NewPool(p.connections)
 	p.peers = &peers{
-		self: s.VM, address: s.PeerListen, client: peer.NewClient(nil), table: a.Table, feed: a.Feed,
-		addresses: map[string]string{}, seeds: s.Peers, rows: map[string]store.Row{},
+		self: allowance.Peer{VM: s.VM, DataCentre: s.DataCentre, Strength: s.Strength}, address: s.PeerListen, client: peer.NewClient(nil), table: a.Table, feed: a.Feed,
+		addresses: map[string]string{}, seeds: s.Peers, rows: map[string]store.Row{}, shared: map[string]allowance.Sharing{},
 	}
 	p.book = allowance.New(allowance.Options{
 		Table: a.Table, Feed: a.Feed, Clock: a.Clock, VM: s.VM, Incarnation: p.incarnation, VMs: p.peers.count,
+		Sharing: p.peers.sharing,
 		Lenders: p.peers,
 	})
 	p.peers.serveBudgets(p.peerSrv, p.book)
@@ -276,7 +282,8 @@
 	if c == nil || c.Services[service].Connections <= 0 {
 		return exchange.DefaultConnections
 	}
-	return max(2, int(connectionShare*float64(c.Services[service].Connections)/float64(p.peers.count())))
+	all := connectionShare * float64(c.Services[service].Connections)
+	return max(2, int(all/float64(min(p.peers.count(), connectionParts))))
 }
 
 // figures writes what is known at the moment of asking.
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 	"k8s.io/klog/v2"
 
+	"buckthornridge/budget/allowance"
 	"buckthornridge/pause"
 	"buckthornridge/peer"
 	"buckthornridge/store"
@@ -34,6 +36,9 @@
 type member struct {
 	Address     string `msgpack:"a"` // of its peer listener, host:port
 	Incarnation string `msgpack:"i"`
+	// DataCentre and Strength say which budgets the VM holds; see allowance.Peer.
+	DataCentre string  `msgpack:"z"`
+	Strength   float64 `msgpack:"s"`
 }
 
 // sinceRequest asks for the changes of a segment.
@@ -45,8 +50,8 @@
 // peers knows the other processes of the system and learns from them what the
 // table does not tell.
 type peers struct {
-	self    string // this VM
-	address string // this process's peer address
+	self    allowance.Peer // this VM
+	address string         // this process's peer address
 	client  *peer.Client
 	table   store.Table
 	feed    store.Feed
@@ -55,6 +60,34 @@
 	addresses map[string]string // by VM
 	seeds     []string
 	rows      map[string]store.Row
+	// fleet is what the list of members says, this VM included. Empty before it was
+	// read.
+	fleet []allowance.Peer
+	// shared keeps who holds a budget until the list of members changes.
+	shared map[string]allowance.Sharing
+}
+
+// mostShared bounds the map of shared budgets; it is begun anew then.
+const mostShared = 4096
+
+// sharing returns who holds a budget. Before the list of members was read this VM
+// holds it with an unknown number of others.
+func (p *peers) sharing(budget string) allowance.Sharing {
+	vms := p.count()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.fleet) == 0 {
+		return allowance.Sharing{Holds: true, Holders: min(vms, allowance.MostHolders)}
+	}
+	known, found := p.shared[budget]
+	if !found {
+		if len(p.shared) >= mostShared {
+			clear(p.shared)
+		}
+		known = allowance.Share(p.self, budget, p.fleet)
+		p.shared[budget] = known
+	}
+	return known
 }
 
 // count returns how many VMs the system has, this one included.
@@ -112,6 +145,7 @@
 		return err
 	}
 	addresses, rows := map[string]string{}, map[string]store.Row{}
+	fleet := []allowance.Peer{p.self}
 	for _, change := range all.Changes {
 		vm := change.Key[len(memberSegment)+1:]
 		rows[vm] = change.Row
@@ -120,22 +154,29 @@
 			klog.Warningf("step=read_members vm=%s result=left_out err=%q", vm, err.Error())
 			continue
 		}
-		if vm != p.self {
+		if vm != p.self.VM {
 			addresses[vm] = m.Address
+			fleet = append(fleet, allowance.Peer{VM: vm, DataCentre: m.DataCentre, Strength: m.Strength})
 		}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.addresses, p.rows = addresses, rows
+	if len(all.Changes) > 0 && !slices.Equal(fleet, p.fleet) {
+		p.fleet = fleet
+		clear(p.shared)
+	}
 	return nil
 }
 
 // enter writes this VM's row. A lost answer is met by the next look.
 func (p *peers) enter(ctx context.Context, incarnation string) bool {
 	p.mu.Lock()
-	row := p.rows[p.self]
+	row := p.rows[p.self.VM]
 	p.mu.Unlock()
-	data, err := msgpack.Marshal(member{Address: p.address, Incarnation: incarnation})
+	data, err := msgpack.Marshal(member{
+		Address: p.address, Incarnation: incarnation, DataCentre: p.self.DataCentre, Strength: p.self.Strength,
+	})
 	if err != nil {
 		klog.Errorf("step=enter_members result=failed err=%q", err.Error())
 		return false
@@ -143,7 +184,7 @@
 	return p.write(ctx, store.Row{Version: row.Version}, store.Write{Key: p.key(), Value: data})
 }
 
-func (p *peers) key() string { return memberSegment + "/" + p.self }
+func (p *peers) key() string { return memberSegment + "/" + p.self.VM }
 
 func (p *peers) write(ctx context.Context, row store.Row, w store.Write) bool {
 	ctx, cancel := context.WithTimeout(ctx, memberLimit)
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -16,6 +16,9 @@
 	IP         string `json:"ip"`
 	DataCentre string `json:"data_centre"`
 	Region     string `json:"region"`
+	// Strength is the machine's part of a core. Stronger machines hold more budgets;
+	// 0 counts as 1.
+	Strength float64 `json:"strength"`
 	// Listen is the callers' address, ReadyListen that of the balancer's
 	// questions, PeerListen that of the system's other processes, MetricsListen
 	// that of the metrics; each host:port.
@@ -61,6 +64,9 @@
 			return eris.Errorf("settings: %s is missing", required.name)
 		}
 	}
+	if s.Strength < 0 {
+		return eris.New("settings: strength must not be negative")
+	}
 	if s.DrainLimit <= 0 {
 		return eris.New(`settings: drain_limit must be over 0, for example "8s"`)
 	}
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -18,6 +18,8 @@
 	closingTime = 1200 * time.Millisecond
 	// closeLimit bounds that; the rest is for the process to end before it is killed.
 	closeLimit = 900 * time.Millisecond
+	// loanLook is the time between two looks at loans that have not come back.
+	loanLook = 50 * time.Millisecond
 )
 
 // Drain is a planned stop: the balancer is told first, requests in progress end,
@@ -34,6 +36,9 @@
 		klog.Warningf("step=drain result=cut active=%d err=%q", p.active.Load(), err.Error())
 		p.callers.Close()
 	}
+	p.book.Retire()
+	for p.book.OpenLoans() > 0 && pause.For(requests, loanLook) == nil {
+	}
 	p.cancel()
 	closing, done := context.WithTimeout(ctx, closeLimit)
 	defer done()
