routing: prompts are placed by the time their reading takes

Cause: session_home counted requests, but prompts differ a hundredfold.

Change: an engine's backlog is estimated in time (backlog.go): own prompts at once, other VMs' by a datagram of 40 bytes when reading takes 20 ms or more (edge/notices.go, at most 2,000 a second and core, the longest first), errors of own first tokens shift the estimate, the cost of a token is learned by three classes of size, what a first token takes besides is left out. A session stays where its parts are while its first token comes within half of the route's aim; else, and where nobody keeps its parts, the soonest of twelve. Counts of waiting requests go. The line of a request says what was expected (expected_ms).

What is late now are prompts whose own reading is longer than the aim. One test of routing drew its seed and failed three times in a thousand (TestNearUpstreamsGoFirstUntilTheyAreBusy, a tail of random sampling); the tests' routers have a seed now.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -74,6 +74,7 @@
 	book      *allowance.Book
 	pool      *exchange.Pool
 	peers     *peers
+	notices   *notices // nil if the settings name no address
 	peerSrv   *peer.Server
 	metrics   *metrics
 	config    *follower
@@ -195,6 +196,9 @@
 			return err
 		}
 	}
+	if err := p.startNotices(ctx); err != nil {
+		return err
+	}
 	for _, task := range []func(context.Context){
 		p.config.run, p.upstreams.run, p.book.Run, p.upkeep,
 		func(ctx context.Context) { p.peers.run(ctx, p.incarnation) },
@@ -207,6 +211,21 @@
 	return nil
 }
 
+// startNotices begins to tell other VMs of long prompts and to hear of theirs.
+func (p *Process) startNotices(ctx context.Context) error {
+	if p.settings.NoticeListen == "" {
+		return nil
+	}
+	n, err := newNotices(p.settings.NoticeListen, p.settings.Strength, p.peers.hosts, p.routes.NotePlaced)
+	if err != nil {
+		return err
+	}
+	p.notices = n
+	p.routes.OnPlaced(n.tell)
+	p.tasks.Go(func() { n.run(ctx) })
+	return nil
+}
+
 func (p *Process) listen(ctx context.Context, address string, serve func(net.Listener) error) error {
 	lc := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerSilence, Interval: callerSilence / 4, Count: 3}}
 	l, err := lc.Listen(ctx, "tcp", address)
@@ -295,6 +314,12 @@
 	fmt.Fprintf(w, "loans_borrowed_total %d\nloans_lent_total %d\nloans_open %d\n", f.Borrowed, f.Lent, f.OpenLoans)
 	fmt.Fprintf(w, "connections_opened_total %d\nconnections_reused_total %d\nforeign_answers_total %d\nupstreams_unread_total %d\n",
 		counters.Opened.Load(), counters.Reused.Load(), counters.Foreign.Load(), p.fleet.unread.Load())
+	n := p.notices
+	if n == nil {
+		n = &notices{} // the settings name no address: it has counted nothing
+	}
+	fmt.Fprintf(w, "notices_sent_total %d\nnotices_received_total %d\nnotices_skipped_total %d\n",
+		n.sent.Load(), n.received.Load(), n.skipped.Load())
 	if c := p.catalogue.Load(); c != nil {
 		fmt.Fprintf(w, "configuration_version %d\n", c.Version)
 	}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -36,9 +36,9 @@
 
 // Decided implements relay.Events: one line and a few counters for each request.
 func (m *metrics) Decided(d relay.Decision) {
-	klog.Infof("step=request id=%s route=%s workspace=%s outcome=%s status=%d sends=%d upstreams=%v first_ms=%d total_ms=%d ceiling=%d consumed=%d detail=%q",
+	klog.Infof("step=request id=%s route=%s workspace=%s outcome=%s status=%d sends=%d upstreams=%v expected_ms=%d first_ms=%d total_ms=%d ceiling=%d consumed=%d detail=%q",
 		d.ID, d.Route, d.Workspace, d.Outcome, d.Status, d.Sends, d.Upstreams,
-		d.First.Milliseconds(), d.Total.Milliseconds(), d.Ceiling, d.Consumed, d.Detail)
+		d.Expected.Milliseconds(), d.First.Milliseconds(), d.Total.Milliseconds(), d.Ceiling, d.Consumed, d.Detail)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.outcomes[d.Outcome]++
--- /dev/null
+++ b/edge/notices_test.go
@@ -0,0 +1,55 @@
+package edge
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/routing"
+)
+
+// noticesAt listens on a loopback address with a port that both ends share.
+func noticesAt(t *testing.T, host string, port uint16, peers []netip.Addr, take func(routing.Placed)) *notices {
+	t.Helper()
+	n, err := newNotices(fmt.Sprintf("%s:%d", host, port), 1, func() []netip.Addr { return peers }, take)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// What one VM tells reaches the others; what is no notice is left out.
+func TestNoticesReachOtherVMs(t *testing.T) {
+	is := is.New(t)
+	heard := make(chan routing.Placed, 8)
+	b := noticesAt(t, "127.0.0.2", 0, nil, func(p routing.Placed) { heard <- p })
+	port := netip.MustParseAddrPort(b.conn.LocalAddr().String()).Port()
+	a := noticesAt(t, "127.0.0.1", port, []netip.Addr{netip.MustParseAddr("127.0.0.2")}, func(routing.Placed) {})
+	go a.run(t.Context())
+	go b.run(t.Context())
+	_, err := a.conn.WriteToUDPAddrPort([]byte("no notice"), netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), port))
+	is.NoErr(err)
+	said := routing.Placed{Upstream: "u1", Session: 7, Tokens: 45_000}
+	a.tell(said, time.Second)
+	is.Equal(<-heard, said)
+	is.Equal(a.sent.Load(), int64(1))
+}
+
+// A VM through which a quarter of a large fleet's prompts come would fill its link with
+// notices. The longer a prompt keeps an engine busy, the longer it is told of.
+func TestShortPromptsAreLeftOutFirst(t *testing.T) {
+	is := is.New(t)
+	n := noticesAt(t, "127.0.0.1", 0, nil, nil)
+	defer n.conn.Close()
+	n.tell(routing.Placed{}, 25*time.Millisecond)
+	is.Equal(len(n.queue), 1)
+	n.limiter.AllowN(time.Now(), n.limiter.Burst()*9/10)
+	n.tell(routing.Placed{}, 25*time.Millisecond)
+	is.Equal(len(n.queue), 1) // left out
+	n.tell(routing.Placed{}, longNotice)
+	is.Equal(len(n.queue), 2)
+	is.Equal(n.skipped.Load(), int64(1))
+}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -63,6 +64,8 @@
 	// fleet is what the list of members says, this VM included. Empty before it was
 	// read.
 	fleet []allowance.Peer
+	// others are the addresses of the other VMs.
+	others []netip.Addr
 	// shared keeps who holds a budget until the list of members changes.
 	shared map[string]allowance.Sharing
 }
@@ -70,6 +73,13 @@
 // mostShared bounds the map of shared budgets; it is begun anew then.
 const mostShared = 4096
 
+// hosts returns the addresses of the other VMs. The list is not to be changed.
+func (p *peers) hosts() []netip.Addr {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.others
+}
+
 // sharing returns who holds a budget. Before the list of members was read this VM
 // holds it with an unknown number of others.
 func (p *peers) sharing(budget string) allowance.Sharing {
@@ -146,6 +156,7 @@
 	}
 	addresses, rows := map[string]string{}, map[string]store.Row{}
 	fleet := []allowance.Peer{p.self}
+	var hosts []netip.Addr
 	for _, change := range all.Changes {
 		vm := change.Key[len(memberSegment)+1:]
 		rows[vm] = change.Row
@@ -156,12 +167,17 @@
 		}
 		if vm != p.self.VM {
 			addresses[vm] = m.Address
+			if at, err := netip.ParseAddrPort(m.Address); err == nil {
+				hosts = append(hosts, at.Addr())
+			} else {
+				klog.Warningf("step=read_members vm=%s result=no_notices err=%q", vm, err.Error())
+			}
 			fleet = append(fleet, allowance.Peer{VM: vm, DataCentre: m.DataCentre, Strength: m.Strength})
 		}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.addresses, p.rows = addresses, rows
+	p.addresses, p.rows, p.others = addresses, rows, hosts
 	if len(all.Changes) > 0 && !slices.Equal(fleet, p.fleet) {
 		p.fleet = fleet
 		clear(p.shared)
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -26,6 +26,9 @@
 	ReadyListen   string `json:"ready_listen"`
 	PeerListen    string `json:"peer_listen"`
 	MetricsListen string `json:"metrics_listen"`
+	// NoticeListen is the address of datagrams from the other processes, whose port is
+	// the same on all VMs. Empty sends and takes none.
+	NoticeListen string `json:"notice_listen"`
 	// Peers are addresses of other processes to ask while the table was never
 	// reached. They may be stale.
 	Peers []string `json:"peers"`
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -106,6 +106,9 @@
 	Sends   int
 	// Upstreams lists where the request was sent.
 	Upstreams []string
+	// Expected is what routing expected of the time from the last send to the first byte
+	// of the answer; 0 if it knows nothing.
+	Expected time.Duration
 	// First is the time to the first byte of the answer, Total to its end.
 	First, Total time.Duration
 	Ceiling      int64 // tokens
--- a/relay/prefix.go
+++ b/relay/prefix.go
@@ -43,6 +43,15 @@
 	return max(parent, 1)
 }
 
+// shared returns the tokens of the parts that home stands for.
+func shared(parts []Part) int64 {
+	var sum int64
+	for _, part := range parts[:max(len(parts)-1, 0)] {
+		sum += part.Tokens
+	}
+	return sum
+}
+
 func link(parent, own uint64) uint64 {
 	var b [16]byte
 	binary.LittleEndian.PutUint64(b[:8], parent)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -194,6 +194,7 @@
 		r.skip(choice.UpstreamID)
 		return r.overTries(ctx)
 	}
+	r.decision.Expected = choice.Expected
 	t := &try{run: r, choice: choice, target: target, began: time.Now()}
 	return t.do(ctx)
 }
@@ -223,6 +224,8 @@
 		Attempt:      r.sends,
 		Prefix:       chain(r.request.Model, r.request.Parts),
 		Home:         home(r.request.Model, r.request.Parts),
+		SharedTokens: shared(r.request.Parts),
+		Aim:          r.route.Aim,
 		PromptTokens: r.request.Size.Prompt,
 		MaxTokens:    r.request.Size.MaxOutput,
 		Priority:     r.priority,
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -21,6 +21,8 @@
 	prefix   []uint64
 	priority int
 	pool     *pool
+	reading  *reading
+	cost     *readingCost
 	first    atomic.Bool
 	done     atomic.Bool
 }
@@ -36,9 +38,22 @@
 	c.entry.health.progress(now)
 	c.entry.firstToken.observe(float64(after), learnWeight)
 	c.entry.recent.observe(float64(after), recentWeight)
+	c.learnReading(now)
 	c.learnTime(after)
 }
 
+// learnReading takes a first token into the estimates of reading times.
+func (c *Choice) learnReading(now time.Duration) {
+	if c.reading == nil {
+		return
+	}
+	own := c.reading.own
+	if own.waits == 0 {
+		c.cost.observe(c.reading.tokens, now-own.began)
+	}
+	c.entry.backlog.first(now, own)
+}
+
 // Bounds of a learned correction, as logarithms, and the weight of a first token
 // that took several times as long as predicted: a slow upstream that reports
 // itself idle gives few observations, each at a caller's expense.
@@ -87,6 +102,9 @@
 	now := c.table.now()
 	if c.first.CompareAndSwap(false, true) {
 		c.entry.gotFirst(now, c.priority, c.estimate.own)
+		if c.reading != nil {
+			c.entry.backlog.drop(c.reading.own)
+		}
 	}
 	c.entry.end(now)
 	c.learn(outcome)
--- a/routing/entry.go
+++ b/routing/entry.go
@@ -62,6 +62,7 @@
 	recent     ewma // of first tokens too, quicker to follow
 	hold       ewma // nanoseconds from dispatch to the end
 
+	backlog backlog
 	health  health
 	retries TokenBucket
 }
--- /dev/null
+++ b/routing/placed.go
@@ -0,0 +1,101 @@
+package routing
+
+import (
+	"sync"
+	"time"
+)
+
+// Placed tells other routers that a prompt was sent to an engine.
+type Placed struct {
+	Upstream string `msgpack:"u"`
+	// Session is Request.Home.
+	Session uint64 `msgpack:"s"`
+	// Tokens are what the engine has to read, without the parts that it keeps.
+	Tokens int64 `msgpack:"t"`
+}
+
+// noticeTime is the reading time from which on other routers are told of a prompt. A
+// shorter one keeps nobody waiting for long, and there are many of them.
+const noticeTime = 20 * time.Millisecond
+
+// OnPlaced sets a function that is told of each prompt that keeps an engine busy for
+// long, with the time that its reading takes. It must not block.
+func (t *Table) OnPlaced(f func(Placed, time.Duration)) { t.placed.Store(&f) }
+
+// NotePlaced takes another router's notice. Notices may be lost or late: an engine then
+// looks less busy than it is, as all do without them.
+func (t *Table) NotePlaced(p Placed) {
+	e := t.current.Load().entries[p.Upstream]
+	if e == nil || p.Tokens <= 0 {
+		return
+	}
+	now := t.now()
+	e.backlog.heard(now, t.costOf(Target{Service: e.service}).time(p.Tokens))
+	t.sessions.note(p.Session, p.Upstream, now)
+}
+
+// costOf returns what is learned of the engines of a target.
+func (t *Table) costOf(target Target) *readingCost {
+	if known, ok := t.costs.Load(target); ok {
+		return known.(*readingCost)
+	}
+	kept, _ := t.costs.LoadOrStore(target, new(readingCost))
+	return kept.(*readingCost)
+}
+
+// sessionPlaces remembers at which engine the shared parts of a session were read last.
+type sessionPlaces struct {
+	mu    sync.Mutex
+	known map[uint64]sessionPlace
+}
+
+type sessionPlace struct {
+	upstream string
+	at       time.Duration // since the table's start
+}
+
+const (
+	// sessionMemory is how long an engine is taken to keep a session's parts after
+	// their last use. An engine with memory for 400,000 tokens that is busy a third of
+	// the time reads as many in about 20 s.
+	sessionMemory = 60 * time.Second
+	// mostSessions bounds the sessions that are remembered, about 60 bytes each.
+	mostSessions = 16384
+)
+
+func (s *sessionPlaces) note(session uint64, upstream string, now time.Duration) {
+	if session == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.known == nil || len(s.known) >= mostSessions {
+		s.forgetOld(now)
+	}
+	s.known[session] = sessionPlace{upstream, now}
+}
+
+// forgetOld makes room; if all are in use, all are forgotten.
+func (s *sessionPlaces) forgetOld(now time.Duration) {
+	kept := map[uint64]sessionPlace{}
+	for session, p := range s.known {
+		if now-p.at < sessionMemory && len(s.known) < 2*mostSessions {
+			kept[session] = p
+		}
+	}
+	if len(kept) >= mostSessions {
+		clear(kept)
+	}
+	s.known = kept
+}
+
+// find returns the engine that likely keeps a session's parts, or "".
+func (s *sessionPlaces) find(session uint64, now time.Duration) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, known := s.known[session]
+	if !known || now-p.at > sessionMemory {
+		return ""
+	}
+	return p.upstream
+}
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -41,6 +41,13 @@
 	why      Reason
 	examined []Candidate
 	routers  int64 // that share the upstreams
+	// cost is what a token's reading takes, keeps the upstream that likely keeps the
+	// session's parts.
+	cost  *readingCost
+	keeps string
+	// ringHome is the first upstream on the ring from the session on.
+	ringHome *entry
+	table    *Table
 	random   *random
 }
 
--- /dev/null
+++ b/routing/reading_load_test.go
@@ -0,0 +1,206 @@
+package routing
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/config"
+)
+
+// promptKind is a kind of request whose prompts differ a hundredfold in size.
+type promptKind struct {
+	perSecond   float64
+	own, shared float64 // mean tokens
+	spread      float64 // of the logarithm
+	largest     float64
+	sessions    int
+	aim         time.Duration
+	asked, late int
+}
+
+// officeMix is a calm day of callers who draft long documents beside short questions:
+// the engines read for a third of their time.
+func officeMix() []*promptKind {
+	return []*promptKind{
+		{perSecond: 16.8, own: 6610, shared: 5382, spread: 1.4, largest: 54_600, sessions: 463, aim: 800 * time.Millisecond},
+		{perSecond: 49.2, own: 628, shared: 198, spread: 1.0, largest: 3310, sessions: 812, aim: 600 * time.Millisecond},
+		{perSecond: 28, own: 1800, shared: 568, spread: 1.3, largest: 6870, sessions: 1179, aim: 1200 * time.Millisecond},
+	}
+}
+
+// size draws a prompt's own tokens.
+func (k *promptKind) size(random *rand.Rand) int64 {
+	tokens := k.own * math.Exp(k.spread*random.NormFloat64()-k.spread*k.spread/2)
+	return int64(min(max(tokens, 16), k.largest))
+}
+
+// modelEngine reads one prompt after the other, and keeps the parts that it has read.
+type modelEngine struct {
+	mu     sync.Mutex
+	freeAt time.Time
+	kept   map[uint64]bool
+	pace   float64
+}
+
+// read returns when the first token of a prompt comes.
+func (e *modelEngine) read(session uint64, own, shared int64) time.Time {
+	const perToken, longer, base = 16200 * time.Nanosecond, 88_000.0, 8 * time.Millisecond
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	tokens := float64(own)
+	if !e.kept[session] {
+		tokens += float64(shared)
+		e.kept[session] = true
+	}
+	reading := time.Duration(e.pace * tokens * (1 + tokens/longer) * float64(perToken))
+	now := time.Now()
+	if e.freeAt.Before(now) {
+		e.freeAt = now
+	}
+	e.freeAt = e.freeAt.Add(reading)
+	return e.freeAt.Add(base)
+}
+
+// office is a fleet of routers, each of which sees only its own callers, and engines.
+type office struct {
+	routers []*Router
+	engines map[string]*modelEngine
+	random  *rand.Rand
+	mu      sync.Mutex
+	again   int64 // tokens of shared parts read more than once
+}
+
+func newOffice(routers, engines int, told bool) *office {
+	o := &office{engines: map[string]*modelEngine{}, random: rand.New(rand.NewPCG(1, 2))}
+	all := map[string]config.Upstream{}
+	for i := range engines {
+		id := fmt.Sprintf("e%02d", i)
+		all[id] = config.Upstream{Kind: config.UpstreamService, Service: "llm", Address: id + ":1", Slots: 64}
+		o.engines[id] = &modelEngine{kept: map[uint64]bool{}, pace: 1 + 0.3*float64(i%3/2)}
+	}
+	for range routers {
+		table := NewTable()
+		table.SetRouters(routers)
+		table.Update(&config.Snapshot{Document: config.Document{Upstreams: all}})
+		r, err := NewRouter(table, SessionPolicy)
+		if err != nil {
+			panic(err)
+		}
+		r.Seed(uint64(len(o.routers)))
+		o.routers = append(o.routers, r)
+	}
+	for _, from := range o.routers {
+		if !told {
+			break
+		}
+		from.table.OnPlaced(func(p Placed, _ time.Duration) {
+			time.AfterFunc(3*time.Millisecond, func() {
+				for _, to := range o.routers {
+					if to != from {
+						to.table.NotePlaced(p)
+					}
+				}
+			})
+		})
+	}
+	return o
+}
+
+// serve sends one request and counts whether its first token was late, if it could have
+// been in time at all.
+func (o *office) serve(r *Router, k *promptKind, session uint64, own int64) {
+	shared := int64(k.shared)
+	began := time.Now()
+	c, err := r.Pick(Request{
+		Target: Target{Service: "llm"}, Home: session, SharedTokens: shared, PromptTokens: own + shared, Aim: k.aim,
+	})
+	if err != nil {
+		panic(err)
+	}
+	time.Sleep(time.Until(o.engines[c.UpstreamID].read(session, own, shared)))
+	took := time.Since(began)
+	c.FirstToken(took)
+	time.Sleep(300 * time.Millisecond)
+	c.Done(Outcome{Kind: OutcomeOK, FirstToken: took, Total: time.Since(began)})
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	k.asked++
+	if alone := time.Duration(own+shared) * 25 * time.Microsecond; alone < k.aim*4/5 && took > k.aim {
+		k.late++
+	}
+}
+
+// play lets callers of all kinds come for a while and returns the shares of late first
+// tokens, by kind.
+func (o *office) play(kinds []*promptKind, length time.Duration) []float64 {
+	var callers sync.WaitGroup
+	for i, k := range kinds {
+		random := rand.New(rand.NewPCG(uint64(i), 7))
+		callers.Go(func() {
+			for until := time.Now().Add(length); time.Now().Before(until); {
+				time.Sleep(time.Duration(random.ExpFloat64() / k.perSecond * float64(time.Second)))
+				session := uint64(i+1)<<32 + uint64(random.IntN(k.sessions)) + 1
+				router, own := o.routers[random.IntN(len(o.routers))], k.size(random)
+				callers.Go(func() { o.serve(router, k, session, own) })
+			}
+		})
+	}
+	callers.Wait()
+	var late []float64
+	for _, k := range kinds {
+		late = append(late, float64(k.late)/float64(max(k.asked, 1)))
+	}
+	return late
+}
+
+// A prompt of a second is placed, and for that second the other routers go on placing
+// short ones behind it, because each of them sees only its own requests: their callers
+// have late first tokens while other engines idle. Told of long prompts, the routers
+// keep 95 of 100 in time of those that can be.
+func TestKeepsShortPromptsAwayFromLongOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		late := newOffice(6, 12, true).play(officeMix(), 40*time.Second)
+		for _, share := range late {
+			is.True(share < 0.05)
+		}
+		untold := newOffice(6, 12, false).play(officeMix(), 40*time.Second)
+		is.True(untold[1] > 2*late[1]) // the model shows what it is about
+		t.Logf("late with notices %.3f, without %.3f", late, untold)
+	})
+}
+
+// The same in a fleet of which each router sees one request in eighty.
+func TestKeepsShortPromptsAwayInALargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		mix := officeMix()
+		for _, k := range mix {
+			k.perSecond *= 4
+		}
+		late := newOffice(80, 48, true).play(mix, 15*time.Second)
+		for _, share := range late {
+			is.True(share < 0.05)
+		}
+		t.Logf("late %.3f", late)
+	})
+}
+
+// All notices are lost, as while peers are cut off: requests are served all the same.
+func TestPlacesWithoutNotices(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		kinds := officeMix()
+		newOffice(6, 12, false).play(kinds, 10*time.Second)
+		for _, k := range kinds {
+			is.True(k.asked > 0)
+		}
+	})
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -80,6 +80,11 @@
 		r.table.refresh(v.pool)
 	}
 	v.from = s.places.index[request.DataCentre]
+	v.table = r.table
+	if request.Home != 0 {
+		v.cost = r.table.costOf(request.Target)
+		v.keeps = r.table.sessions.find(request.Home, v.now)
+	}
 	return v
 }
 
@@ -177,6 +182,10 @@
 	}
 	e.begin(v.now, v.request.Priority, v.estimate.own)
 	v.pool.count(v.request.Priority, v.estimate.own)
+	if v.request.Home != 0 {
+		v.estimate.firstToken = v.firstToken(e)
+	}
+	reading := v.place(e)
 	r.explain.Add(&Record{
 		RequestID: v.request.ID, At: v.wall, Target: v.request.Target, Attempt: v.request.Attempt,
 		Upstream: e.id, FirstToken: v.estimate.firstToken, Why: v.why, Candidates: v.examined,
@@ -184,6 +193,6 @@
 	return &Choice{
 		UpstreamID: e.id, Address: e.address, Expected: v.estimate.firstToken, Why: v.why,
 		table: r.table, entry: e, estimate: v.estimate, prefix: v.request.Prefix, priority: v.request.Priority,
-		pool: v.pool,
+		pool: v.pool, reading: reading, cost: v.cost,
 	}
 }
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -40,6 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	r.Seed(1)
 	return r
 }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -42,6 +42,10 @@
 	// requests with the same one go to the same few upstreams. 0 leaves it to
 	// Prefix.
 	Home uint64
+	// SharedTokens is the length of what Home stands for, in tokens.
+	SharedTokens int64
+	// Aim is the time to a first token that is good enough; 0 if it is not known.
+	Aim time.Duration
 	// PromptTokens is the expected length of the prompt in tokens.
 	PromptTokens int64
 	// MaxTokens is the ceiling of the answer in tokens.
--- a/routing/session.go
+++ b/routing/session.go
@@ -24,10 +24,6 @@
 	// of its pool, as this router sees them, where the whole pool is full.
 	crowdFactor = 1.5
 	crowdSlack  = 2
-	// waitFactor and waitSlack bound those without a first token in the same way:
-	// prompts are read one after the other, whatever slots are free.
-	waitFactor = 2.0
-	waitSlack  = 2
 	// slowFactor and slowFloor bound its recent first token against the mean of the
 	// pool.
 	slowFactor = 3.0
@@ -44,32 +40,49 @@
 	sickCost = 4
 )
 
-// sessionHome sends all requests of a session to the upstream that its shared
-// parts hash to, and to the next one on the ring only while that one is unusable,
-// crowded, slow or sick. Reading a shared part once more costs tens of milliseconds of
-// an engine and evicts another part, which is dearer than a short queue.
+// sessionHome sends the requests of a session to the upstream that keeps its shared
+// parts, or that they hash to, as long as its first token comes well inside the
+// route's aim there, and else to the one of a few where it comes first. Reading shared
+// parts once more takes tens of milliseconds of an engine and evicts other parts, which
+// is dearer than a short wait; a wait behind a prompt of a second is dearer than that.
 //
 // Requests without shared parts go to the upstream with the least in flight.
 type sessionHome struct{}
 
+// stayShare is the part of the aim within which a first token at home is good enough:
+// half, since the estimate knows nothing of what other routers sent a moment ago.
+const stayShare = 0.5
+
+// stayLeast is a gain that is never worth the reading of shared parts once more.
+const stayLeast = 30 * time.Millisecond
+
 func (sessionHome) choose(v *view) *entry {
 	if v.request.Home == 0 {
 		return v.leastLoaded()
 	}
-	var first *entry
-	ring := v.pool.rings[v.set.places.region[v.from]]
-	for e := range v.along(ring) {
+	var first, best *entry
+	var soonest time.Duration
+	for e := range v.along(v.pool.rings[v.set.places.region[v.from]]) {
 		if !v.usable(e) {
 			continue
 		}
 		if first == nil {
-			first = e
+			first, v.ringHome = e, e
+		}
+		if v.crowded(e) || v.slow(e) || v.sick(e) {
+			continue
 		}
-		if !v.crowded(e) && !v.slow(e) && !v.sick(e) {
-			return e
+		if after := v.firstToken(e); best == nil || after < soonest {
+			best, soonest = e, after
 		}
 	}
-	return first
+	if home := v.sessionPlace(first); home != nil && v.stays(home, soonest) {
+		return home
+	}
+	if best == nil {
+		return first
+	}
+	return best
 }
 
 // along yields the upstreams of a ring from the session's place on, each once.
@@ -106,10 +119,7 @@
 func (v *view) crowded(e *entry) bool {
 	part := slotShare * float64(e.slots) / float64(v.routers)
 	limit := max(part, crowdFactor*v.pool.mean.own.load()+crowdSlack)
-	if float64(e.inFlight.Load()) >= limit {
-		return true
-	}
-	return float64(e.waiting.Load()) > waitFactor*v.pool.mean.waiting.load()+waitSlack
+	return float64(e.inFlight.Load()) >= limit
 }
 
 func (v *view) sick(e *entry) bool { return e.health.sick(v.pool.mean.failing.load(), v.now) }
--- a/routing/table.go
+++ b/routing/table.go
@@ -23,6 +23,10 @@
 	index   *PrefixIndex
 	changed atomic.Pointer[func(Target)]
 	routers atomic.Int64
+	// placed is told of prompts that other routers should know of.
+	placed   atomic.Pointer[func(Placed, time.Duration)]
+	costs    sync.Map // of *readingCost, by Target
+	sessions sessionPlaces
 }
 
 // NewTable returns a table without upstreams, with a prefix index of the default
