--- a/cmd/buckthorn-edge/main_test.go
+++ b/cmd/buckthorn-edge/main_test.go
@@ -23,6 +23,7 @@
 		"{{listen.controlPlane|json}}", `"10.0.0.1:82"`, "{{ip}}", "10.0.0.1", "{{seedNodes|json}}", `["10.0.0.2:82"]`,
 		"{{platform.address|json}}", `"10.0.0.9:1"`, "{{bounds.graceS}}", "8", "{{bounds.retryBudgetRatio}}", "0.2",
 		"{{bounds.retryMinExtra}}", "58", "{{bounds.retryWindowS}}", "10", "{{limits.memoryMb}}", "284",
+		"{{limits.cpuShare}}", "0.4", "{{internalPorts.0}}", "7340",
 	).Replace(string(template))
 	is.True(!strings.Contains(rendered, "{{"))
 	path := filepath.Join(t.TempDir(), "edge.hujson")
@@ -32,6 +33,8 @@
 	is.NoErr(s.Validate())
 	is.Equal(s.MemoryBytes, int64(284_000_000))
 	is.Equal(s.Repeats.Extra, 58.0)
+	is.Equal(s.Strength, 0.4)
+	is.Equal(s.NoticeListen, "10.0.0.1:7340")
 }
 
 // Settings that lack something or are out of range are refused by name.
