allowance: reports to a spare row while a VM's part of the store is away

Cause: a holder's bound grows while it can't report. Change: a second row in one of three other parts (spare.go). Both rows bind the holder, the next process counts the lower one, or the usual one alone; the row is ended by writing it void, never by deleting it, so that a late write can't stand. Tests: four stories in virtual time, one with parts that come and go, late writes and deaths at random over 12 seeds; each fails when the bound is not kept, when void rows count, or without the spare row. Conclusion: kept as a guard against a partial outage before a loss of power.

--- a/budget/allowance/account.go
+++ b/budget/allowance/account.go
@@ -22,7 +22,9 @@
 	// bounds are the one in force and those whose writing is not known to have
 	// failed. The holder keeps to all of them.
 	bounds []dated
-	pool   pool
+	// spare are those by the spare report, empty while none may stand.
+	spare []dated
+	pool  pool
 	// others is what other holders reported of this budget, by holder.
 	others map[string]ledger
 	// version is the pool's row version, -1 while it must be read.
@@ -79,8 +81,10 @@
 // bound is what the holder may consume by its reports.
 func (a *account) bound(now time.Duration) int64 {
 	least := int64(math.MaxInt64)
-	for _, b := range a.bounds {
-		least = min(least, b.allows(now-b.asOf, b.shape))
+	for _, bounds := range [][]dated{a.bounds, a.spare} {
+		for _, b := range bounds {
+			least = min(least, b.allows(now-b.asOf, b.shape))
+		}
 	}
 	return least
 }
@@ -111,6 +115,7 @@
 	base := a.committed() + int64(cover) + a.waiting
 	return ledger{
 		Settled: a.settled,
+		Open:    a.open,
 		Base:    max(min(base, a.grant()), a.committed()),
 		Rate:    int64(growth),
 		Rest:    max(0, a.grant()-a.committed()),
--- a/budget/allowance/book.go
+++ b/budget/allowance/book.go
@@ -45,8 +45,14 @@
 	ended map[string]report
 	// reached is the last time at which the table answered.
 	reached time.Time
-	// usageVersion is the version of this holder's report, -1 while unknown.
-	usageVersion int64
+	// usual and spare are the rows of this holder's reports; see spare.go. One goroutine
+	// each uses them.
+	usual, spare reportRow
+	// acknowledged is when the usual row was written last. spareStands says that the
+	// spare row may bind.
+	acknowledged time.Time
+	spareStands  bool
+	sparePart    int // in which the spare row is
 	// loans are those given to other VMs, by id; silent is until when a VM is not
 	// asked for one.
 	loans  map[uint64]lent
@@ -59,6 +65,8 @@
 // New returns a book that grants nothing before Run has read the table.
 func New(o Options) *Book {
 	return &Book{
+		usual:      reportRow{key: reportsOf(o.VM) + o.Incarnation, bounds: usualBounds},
+		spare:      reportRow{key: spareReportsOf(o.VM, 0) + o.Incarnation, version: -1, bounds: spareBounds},
 		options:    o,
 		self:       holderName(o.VM, o.Incarnation),
 		kickReport: make(chan struct{}, 1),
--- a/budget/allowance/reclaim.go
+++ b/budget/allowance/reclaim.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -121,9 +122,8 @@
 		if vm != b.options.VM || holder == b.self {
 			continue
 		}
-		r := left.reports[incarnation]
-		l := r.Budgets[budgetOf(row.Key)] // nothing may be consumed without an entry
-		used := min(l.allows(left.ended-r.AsOf, r.Shape), s.Granted)
+		l, allowed, age := left.counted(incarnation, budgetOf(row.Key))
+		used := min(allowed, s.Granted)
 		settled := min(max(l.Settled, s.Settled), used)
 		next.Settled += settled
 		next.Lost += used - settled
@@ -132,17 +132,18 @@
 		mine.Granted += s.Granted - used
 		next.Holders[b.self] = mine
 		changed = true
-		klog.Infof("step=reclaim budget=%s holder=%s granted=%d settled=%d lost=%d report_age_ms=%d",
-			budgetOf(row.Key), holder, s.Granted, settled, used-settled, (left.ended - r.AsOf).Milliseconds())
+		lost := l.lostOf(settled, used)
+		klog.Infof("step=reclaim budget=%s holder=%s granted=%d settled=%d lost=%d lost_running=%d lost_cover=%d lost_growth=%d report_age_ms=%d",
+			budgetOf(row.Key), holder, s.Granted, settled, used-settled, lost.Running, lost.Cover, lost.Growth,
+			age.Milliseconds())
 	}
 	return next, changed, nil
 }
 
 // forget deletes the reports of ended processes.
 func (b *Book) forget(ctx context.Context, rows []store.Row) {
-	own := reportsOf(b.options.VM) + b.options.Incarnation
 	for _, row := range rows {
-		if row.Key == own {
+		if strings.HasSuffix(row.Key, "/"+b.options.Incarnation) {
 			continue
 		}
 		if _, err := b.commit(ctx, row, store.Write{Key: row.Key, Delete: true}); err != nil {
--- a/budget/allowance/report.go
+++ b/budget/allowance/report.go
@@ -49,30 +49,29 @@
 }
 
 // report writes down what this holder may have consumed.
-func (b *Book) report(ctx context.Context) {
+func (b *Book) report(ctx context.Context, r *reportRow) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	if b.usageVersion < 0 && !b.readBack(ctx) {
+	if r.version < 0 && !b.readBack(ctx, r) {
 		return
 	}
-	row, bounds := b.draft()
+	if r == &b.spare {
+		b.spareStands = true
+	}
+	row, bounds := b.draft(r)
 	data, err := encode(row)
 	if err != nil {
 		logFailure("report", err)
 		return
 	}
-	key := reportsOf(b.options.VM) + b.options.Incarnation
-	version, err := b.options.Table.Commit(ctx, store.Txn{
-		Conditions: []store.Condition{{Key: key, Version: b.usageVersion}},
-		Writes:     []store.Write{{Key: key, Value: data}},
-	})
+	version, err := b.commit(ctx, store.Row{Key: r.key, Version: r.version}, store.Write{Key: r.key, Value: data})
 	b.answered(err)
-	b.taken(bounds, version, err)
+	b.taken(r, bounds, version, err)
 }
 
 // draft makes a report and keeps to it from now on, since it may come into force
 // at any moment from its sending on.
-func (b *Book) draft() (report, map[*account]dated) {
+func (b *Book) draft(r *reportRow) (report, map[*account]dated) {
 	clock, _ := b.options.Clock.Now()
 	now := time.Now()
 	b.mu.Lock()
@@ -90,21 +89,28 @@
 		}
 		bounds[a] = dated{ledger: l, shape: row.Shape, asOf: clock}
 		a.cover = l.Base - a.committed()
-		a.bounds = append(a.bounds, bounds[a])
+		kept := r.bounds(a)
+		*kept = append(*kept, bounds[a])
+	}
+	if r == &b.usual {
+		b.reportedAt = now
 	}
-	b.reportedAt = now
 	return row, bounds
 }
 
 // taken handles the result of a report. Once one is acknowledged, no earlier one
 // can come into force any more: each demands the version that it replaced.
-func (b *Book) taken(bounds map[*account]dated, version int64, err error) {
+func (b *Book) taken(r *reportRow, bounds map[*account]dated, version int64, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if err == nil {
-		b.usageVersion = version
+		r.version = version
+		if r == &b.usual {
+			b.acknowledged = time.Now()
+		}
 		for a, bound := range bounds {
-			a.bounds = append(a.bounds[:0], bound)
+			kept := r.bounds(a)
+			*kept = append((*kept)[:0], bound)
 			a.wake()
 		}
 		return
@@ -113,27 +119,29 @@
 	// The next report waits until the table has answered a read: a holder keeps to
 	// each report from its sending on, and a cut-off one would never get beyond the
 	// knee if it began a new one each time.
-	b.usageVersion = -1
+	r.version = -1
 	if errors.Is(err, store.ErrUnavailable) || errors.Is(err, store.ErrRateLimited) {
 		// Certainly not written: what it would have promised binds no one.
 		for a := range bounds {
-			a.bounds = a.bounds[:len(a.bounds)-1]
+			kept := r.bounds(a)
+			*kept = (*kept)[:len(*kept)-1]
 		}
 		return
 	}
-	b.thin()
+	b.thin(r)
 }
 
 // thin keeps the list of bounds short through a long outage. The first one is in
 // force; of those that may come into force, the least counts and all grow alike,
 // so that the lowest of each figure stands for all.
-func (b *Book) thin() {
+func (b *Book) thin(r *reportRow) {
 	for _, a := range b.accounts {
-		if len(a.bounds) <= 3 {
+		kept := r.bounds(a)
+		if len(*kept) <= 3 {
 			continue
 		}
-		merged := a.bounds[1]
-		for _, bound := range a.bounds[2:] {
+		merged := (*kept)[1]
+		for _, bound := range (*kept)[2:] {
 			merged.Base = min(merged.Base, bound.Base)
 			merged.Rate = min(merged.Rate, bound.Rate)
 			merged.Rest = min(merged.Rest, bound.Rest)
@@ -141,18 +149,18 @@
 			merged.shape.Knee = max(merged.shape.Knee, bound.shape.Knee)
 			merged.asOf = max(merged.asOf, bound.asOf)
 		}
-		a.bounds = append(a.bounds[:1], merged)
+		*kept = append((*kept)[:1], merged)
 	}
 }
 
 // readBack finds the version of this holder's report after a lost answer.
-func (b *Book) readBack(ctx context.Context) bool {
-	rows, err := b.options.Table.Read(ctx, reportsOf(b.options.VM)+b.options.Incarnation)
+func (b *Book) readBack(ctx context.Context, r *reportRow) bool {
+	rows, err := b.options.Table.Read(ctx, r.key)
 	b.answered(err)
 	if err != nil {
 		logFailure("read report back", err)
 		return false
 	}
-	b.usageVersion = rows[0].Version
+	r.version = rows[0].Version
 	return true
 }
--- a/budget/allowance/rows.go
+++ b/budget/allowance/rows.go
@@ -16,6 +16,7 @@
 	segment     = "budgets"
 	poolPrefix  = segment + "/pool-"
 	usagePrefix = segment + "/use-"
+	sparePrefix = segment + "/spare-"
 )
 
 // pool is the row of one budget, in tokens.
@@ -69,11 +70,16 @@
 	// Closed says that the holder has ended its work and consumes nothing more: the
 	// figures are final.
 	Closed bool `msgpack:"c,omitempty"`
+	// Void says that a spare report binds no more.
+	Void bool `msgpack:"v,omitempty"`
 }
 
 // ledger is one budget in a report, in tokens.
 type ledger struct {
 	Settled int64 `msgpack:"s"`
+	// Open is the ceilings of requests that run. It tells, after a death, what was lost
+	// for which cause; nothing is allowed by it.
+	Open int64 `msgpack:"o"`
 	// Base is what may be consumed at AsOf, Rate what is added each second.
 	Base int64 `msgpack:"b"`
 	Rate int64 `msgpack:"r"`
@@ -123,6 +129,25 @@
 	return allowed
 }
 
+// losses splits what a death cost of a budget by its cause, in tokens.
+type losses struct {
+	// Running was open when the holder reported, Cover was allowed beyond that at once,
+	// Growth came with the time since.
+	Running, Cover, Growth int64
+}
+
+// lostOf splits the tokens that a dead holder may have consumed beyond those that it
+// had settled.
+func (l ledger) lostOf(settled, used int64) losses {
+	var lost losses
+	left := max(0, used-settled)
+	lost.Running = min(left, l.Open)
+	left -= lost.Running
+	lost.Cover = min(left, max(0, l.Base-l.Settled-l.Open))
+	lost.Growth = left - lost.Cover
+	return lost
+}
+
 // poolKey returns the key of a budget's row.
 func poolKey(budget string) string {
 	bucket := xxhash.Sum64String(budget) % buckets
@@ -141,6 +166,12 @@
 // reportsOf returns what the keys of a VM's reports begin with.
 func reportsOf(vm string) string { return usagePrefix + vm + "/" }
 
+// spareReportsOf returns what the keys of a VM's spare reports in one of spareParts parts
+// begin with.
+func spareReportsOf(vm string, part int) string {
+	return sparePrefix + strconv.Itoa(part) + "-" + vm + "/"
+}
+
 // holderName names a process; holders of one VM share what stands before the mark.
 func holderName(vm, incarnation string) string { return vm + "#" + incarnation }
 
--- a/budget/allowance/run.go
+++ b/budget/allowance/run.go
@@ -46,6 +46,7 @@
 	tasks.Go(func() { b.follow(ctx) })
 	tasks.Go(func() { b.settleAll(ctx, left) })
 	tasks.Go(func() { b.keepReports(ctx) })
+	tasks.Go(func() { b.keepSpare(ctx) })
 	b.keepGrants(ctx)
 	tasks.Wait()
 }
@@ -57,7 +58,7 @@
 	b.each(ctx, reportInterval, b.kickReport, func() {
 		b.endLoans()
 		if b.mustReport() {
-			b.report(ctx)
+			b.report(ctx, &b.usual)
 		}
 	})
 }
--- /dev/null
+++ b/budget/allowance/spare.go
@@ -0,0 +1,180 @@
+package allowance
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"buckthornridge/store"
+)
+
+// A holder's report stands in one part of the table, and a part may be away while the
+// others answer. Its bound then grows with each second, and a loss of power costs all
+// that it allowed: up to a fifth of a sum after ten seconds. So a second row, in a part
+// of its own, takes the reports meanwhile.
+//
+// Both rows bind: the holder keeps to each of them, and the next process on the VM
+// counts the lower one, or the usual one alone if it can't read the other. So the
+// second row can only lower what is counted, never what may be spent. It is not
+// deleted while the holder lives, but written as void: a late write demands a version
+// that the row has left for good.
+
+const (
+	// spareAfter is the age of the last usual report from which on the spare row is
+	// written: two reports that failed.
+	spareAfter = 400 * time.Millisecond
+	// spareRead bounds the look for it at a start, which callers wait for.
+	spareRead = 300 * time.Millisecond
+	// spareParts is how many parts of the table the spare row may stand in. Where a third
+	// of all parts is away, one VM in nine finds its usual part and one other away.
+	spareParts = 3
+)
+
+// reportRow is one of the rows in which a holder reports.
+type reportRow struct {
+	key     string
+	version int64 // -1 while unknown
+	// bounds returns an account's bounds by this row: the one in force, and those
+	// whose writing is not known to have failed.
+	bounds func(a *account) *[]dated
+}
+
+func usualBounds(a *account) *[]dated { return &a.bounds }
+func spareBounds(a *account) *[]dated { return &a.spare }
+
+// keepSpare writes the spare row while the usual one can't be written, and ends it
+// afterwards.
+func (b *Book) keepSpare(ctx context.Context) {
+	b.each(ctx, reportInterval, nil, func() {
+		switch {
+		case b.needsSpare():
+			b.report(ctx, &b.spare)
+			b.trySparePart()
+		case b.spareStands && b.voidSpare(ctx):
+			b.spareStands = false
+		}
+	})
+}
+
+// trySparePart goes on to the next part while none has taken a spare report.
+func (b *Book) trySparePart() {
+	if b.spareStands {
+		return
+	}
+	b.sparePart = (b.sparePart + 1) % spareParts
+	b.spare.key = spareReportsOf(b.options.VM, b.sparePart) + b.options.Incarnation
+}
+
+// needsSpare reports whether the last usual report is old though there was one.
+func (b *Book) needsSpare() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.acknowledged.IsZero() || time.Since(b.acknowledged) < spareAfter+reportEvery(b.options.VMs()) {
+		return false
+	}
+	for _, a := range b.accounts {
+		if a.granted > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// voidSpare writes that the spare row binds no more, and reports whether that stands.
+// Until it does, the holder keeps to what the row may say.
+func (b *Book) voidSpare(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	if b.spare.version < 0 && !b.readBack(ctx, &b.spare) {
+		return false
+	}
+	data, err := encode(report{Void: true})
+	if err != nil {
+		logFailure("end the spare report", err)
+		return false
+	}
+	_, err = b.commit(ctx, store.Row{Key: b.spare.key, Version: b.spare.version}, store.Write{Key: b.spare.key, Value: data})
+	b.answered(err)
+	// The next outage begins with a read: only where that is answered, a report binds.
+	b.spare.version = -1
+	if err != nil {
+		logFailure("end the spare report", err)
+		return false
+	}
+	klog.Infof("step=end_spare_report result=done")
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, a := range b.accounts {
+		a.spare = nil
+		a.wake()
+	}
+	return true
+}
+
+// readSpare returns what earlier processes on this VM wrote to their spare rows. If they
+// can't be read, the usual reports alone are counted.
+func (b *Book) readSpare(ctx context.Context) (rows []store.Row, reports map[string]report) {
+	ctx, cancel := context.WithTimeout(ctx, spareRead)
+	defer cancel()
+	reports = map[string]report{}
+	var (
+		mu      sync.Mutex
+		reading sync.WaitGroup
+	)
+	for part := range spareParts {
+		reading.Go(func() {
+			found := b.readSparePart(ctx, spareReportsOf(b.options.VM, part), func(incarnation string, r report) {
+				mu.Lock()
+				defer mu.Unlock()
+				reports[incarnation] = r
+			})
+			mu.Lock()
+			defer mu.Unlock()
+			rows = append(rows, found...)
+		})
+	}
+	reading.Wait()
+	return rows, reports
+}
+
+// readSparePart reads the spare reports of one part and hands on those that bind. A
+// process writes to another part only before it has written to this one or after it
+// has ended its row here, so that at most one binds.
+func (b *Book) readSparePart(ctx context.Context, prefix string, take func(incarnation string, r report)) []store.Row {
+	rows, err := b.options.Table.Scan(ctx, prefix, "", maxReports)
+	if err != nil {
+		logFailure("read spare reports", err)
+		return nil
+	}
+	for _, row := range rows {
+		r, err := decodeReport(row.Value)
+		if err != nil {
+			logFailure("read a spare report", err)
+			continue
+		}
+		if !r.Void {
+			take(row.Key[len(prefix):], r)
+		}
+	}
+	return rows
+}
+
+// counted returns which of a dead holder's reports counts for a budget: the one that
+// allowed less until the holder had certainly ended.
+func (l leftover) counted(incarnation, budget string) (of ledger, allowed int64, age time.Duration) {
+	r := l.reports[incarnation]
+	of, age = r.Budgets[budget], l.ended-r.AsOf // nothing may be consumed without an entry
+	allowed = of.allows(age, r.Shape)
+	spare, stands := l.spare[incarnation]
+	if !stands {
+		return of, allowed, age
+	}
+	second := spare.Budgets[budget]
+	if less := second.allows(l.ended-spare.AsOf, spare.Shape); less < allowed {
+		second.Settled = max(second.Settled, of.Settled)
+		return second, less, l.ended - spare.AsOf
+	}
+	return of, allowed, age
+}
--- /dev/null
+++ b/budget/allowance/spare_test.go
@@ -0,0 +1,126 @@
+package allowance
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// usualAway says that the parts of the usual reports of some VMs don't answer.
+func usualAway(names ...string) func(key string) bool {
+	return func(key string) bool {
+		for _, name := range names {
+			if strings.HasPrefix(key, reportsOf(name)) {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+// The part of the table in which a VM reports is away for eight seconds, the others
+// answer; then all lose power. Callers are refused for the rest of the day what the VM's
+// bound allowed in eight seconds and nobody used, unless it reported elsewhere.
+func TestReportsElsewhereWhileItsPartIsAway(t *testing.T) {
+	inTime(t, func(w *world, is *is.I) {
+		const limit = 10_000_000
+		vms := w.startAll(limit, "a", "b", "c")
+		time.Sleep(3 * time.Second)
+		load(vms, 4*time.Second, 20*time.Millisecond, func(v *vm) { _ = v.request(studio, limit, 1000) })
+		w.setAway(func(key string) bool { // and one part where it would report in its place
+			return usualAway("a")(key) || strings.HasPrefix(key, spareReportsOf("a", 0))
+		})
+		load(vms, 8*time.Second, 100*time.Millisecond, func(v *vm) { _ = v.request(studio, limit, 1000) })
+		w.setAway(nil)
+		losePower(vms, limit, 1150*time.Millisecond)
+		time.Sleep(3 * time.Second)
+		p := w.pool(studio)
+		is.True(p.Settled+p.Lost >= w.total(studio))
+		is.True(p.Settled+p.Lost-w.total(studio) <= limit*3/100)
+	})
+}
+
+// The part comes back and the VM goes on. What it wrote elsewhere binds no more, and the
+// next process does not count by it.
+func TestSpareReportEndsWithTheOutage(t *testing.T) {
+	inTime(t, func(w *world, is *is.I) {
+		const limit = 10_000_000
+		vms := w.startAll(limit, "a", "b")
+		time.Sleep(3 * time.Second)
+		work := func(v *vm) { _ = v.request(studio, limit, 1000) }
+		load(vms, 2*time.Second, 50*time.Millisecond, work)
+		w.setAway(usualAway("a"))
+		load(vms, 3*time.Second, 50*time.Millisecond, work)
+		w.setAway(nil)
+		refused := 0
+		load(vms, 12*time.Second, 50*time.Millisecond, func(v *vm) {
+			if v.request(studio, limit, 5000) != nil {
+				refused++
+			}
+		})
+		is.Equal(refused, 0)
+		losePower(vms, limit, 1150*time.Millisecond)
+		time.Sleep(3 * time.Second)
+		is.True(w.pool(studio).Settled+w.pool(studio).Lost >= w.total(studio))
+	})
+}
+
+// The spare part is away when the next process starts. It counts by the usual report
+// alone and is not kept waiting.
+func TestStartsWithoutTheSpareReport(t *testing.T) {
+	inTime(t, func(w *world, is *is.I) {
+		const limit = 10_000_000
+		vms := w.startAll(limit, "a", "b")
+		time.Sleep(3 * time.Second)
+		load(vms, 2*time.Second, 50*time.Millisecond, func(v *vm) { _ = v.request(studio, limit, 1000) })
+		w.setAway(func(key string) bool { return strings.HasPrefix(key, sparePrefix) })
+		losePower(vms, limit, 1150*time.Millisecond)
+		time.Sleep(spareRead + 300*time.Millisecond)
+		is.NoErr(vms[0].request(studio, limit, 1000))
+		time.Sleep(2 * time.Second)
+		is.True(w.pool(studio).Settled+w.pool(studio).Lost >= w.total(studio))
+	})
+}
+
+// Parts of the table come and go, answers are lost, writes take effect seconds later,
+// processes die at any moment and start again. Whatever rows the next process finds, it
+// counts at least what was consumed.
+func TestNeverOverspentWhateverTheRowsSay(t *testing.T) {
+	for seed := range uint64(12) {
+		inTime(t, func(w *world, is *is.I) {
+			const limit = 3_000_000
+			w.random = rand.New(rand.NewPCG(seed, 5))
+			w.lateWrites, w.lend, w.loseLoans = 12, true, 10
+			vms := w.startAll(limit, "a", "b", "c")
+			for range 12 {
+				switch victim := vms[w.below(3)]; w.below(5) {
+				case 0:
+					w.setAway(usualAway(victim.name))
+				case 1:
+					w.setAway(func(key string) bool { return strings.HasPrefix(key, sparePrefix) })
+				case 2:
+					w.setAway(nil)
+				case 3:
+					victim.setCut(!victim.isCut())
+				case 4:
+					losePower(vms[:1+w.below(3)], limit, time.Duration(w.below(int64(2*time.Second))))
+				}
+				load(vms, time.Duration(w.below(int64(3*time.Second))), 50*time.Millisecond, func(v *vm) {
+					_ = v.request(studio, limit, 500+w.below(8000))
+				})
+			}
+			w.setAway(nil)
+			for _, v := range vms {
+				v.setCut(false)
+			}
+			losePower(vms, limit, time.Second)
+			time.Sleep(8 * time.Second)
+			p := w.pool(studio)
+			is.True(p.Settled+p.Lost >= w.total(studio)) // nothing consumed is forgotten
+			is.True(w.total(studio) <= limit)
+		})
+	}
+}
--- a/budget/allowance/start.go
+++ b/budget/allowance/start.go
@@ -18,6 +18,7 @@
 type leftover struct {
 	rows    []store.Row // their reports
 	reports map[string]report
+	spare   map[string]report // those of the spare rows
 	pools   []store.Row
 	// ended is a time of the table by which all earlier processes had ended.
 	ended time.Duration
@@ -41,7 +42,14 @@
 	// start of this process by what has passed since. A process that starts while it
 	// is cut off thus counts nothing for the time of the cut.
 	ended := clock - asked.Sub(b.started)
+	var (
+		spareRows []store.Row
+		spare     map[string]report
+		reading   sync.WaitGroup
+	)
+	reading.Go(func() { spareRows, spare = b.readSpare(ctx) })
 	pools, err := b.scanPools(ctx)
+	reading.Wait()
 	b.answered(err)
 	if err != nil {
 		return leftover{}, eris.Wrap(err, "read pools")
@@ -56,7 +64,9 @@
 	for _, row := range pools {
 		b.learnPool(row)
 	}
-	return leftover{rows: rows, reports: reports, pools: pools, ended: ended}, nil
+	return leftover{
+		rows: append(rows, spareRows...), reports: reports, spare: spare, pools: pools, ended: ended,
+	}, nil
 }
 
 // scanPools reads all pools, their parts at once: callers wait for it.
