budgets: a refusal names its cause, tells when an old bound allows the request, and logs explain it

Change: comeBack gives the time at which the bound covers the ceiling, up to 4 s, in steps of 0.1 s; else 50 ms as before.

--- a/budget/allowance/allowance.go
+++ b/budget/allowance/allowance.go
@@ -114,6 +114,12 @@
 	// retryElsewhere is when a caller may come back whom this VM had no tokens for:
 	// it reaches another VM then, which may have some, and still meets its aim.
 	retryElsewhere = 50 * time.Millisecond
+	// oldReport is the age from which on a report is taken to be the last for a while.
+	oldReport = 600 * time.Millisecond
+	// longestComeBack is the latest time that a caller is told; a caller comes back
+	// within a third of the time that it has left. comeBackStep is its resolution.
+	longestComeBack = 4 * time.Second
+	comeBackStep    = 100 * time.Millisecond
 	// retryRest is when a caller may come back whom the whole rest does not cover:
 	// requests that run may leave some of their ceilings.
 	retryRest = 700 * time.Millisecond
@@ -124,6 +130,28 @@
 	buckets = 16
 )
 
+// Cause says what a refused request lacked.
+type Cause string
+
+// The causes, as they stand in logs.
+const (
+	// CauseNoGrant: this VM holds nothing of the budget, and no other lent.
+	CauseNoGrant Cause = "no_grant"
+	// CauseGrantUsed: its grant is used up, the pool has too little, and no other lent.
+	CauseGrantUsed Cause = "grant_used"
+	// CauseGrantFree: its grant is used up, and the pool's tokens did not come in time.
+	CauseGrantFree Cause = "grant_free"
+	// CauseBound: its grant covers the request, the last report does not.
+	CauseBound Cause = "bound"
+	// CauseWrittenOff: what is left does not cover it, if all that may have been lost
+	// with dead holders was consumed.
+	CauseWrittenOff Cause = "written_off"
+	// CauseExhausted: what is left does not cover it.
+	CauseExhausted Cause = "exhausted"
+	// CauseStopping: the process is stopping or has just begun, or the caller left.
+	CauseStopping Cause = "stopping"
+)
+
 // RefusedError reports a request that was not let in.
 type RefusedError struct {
 	Budget string
@@ -133,6 +161,7 @@
 	// Here says that only this VM lacks the tokens, as far as it knows.
 	Here       bool
 	RetryAfter time.Duration
+	Cause      Cause
 	Why        string
 }
 
--- a/budget/allowance/reserve.go
+++ b/budget/allowance/reserve.go
@@ -47,7 +47,7 @@
 			return r, nil
 		}
 		b.wakeUp()
-		return nil, b.lacking(budget, "this VM lacks tokens and no other lends; "+b.describe(budget))
+		return nil, b.lacking(budget, ceiling, "this VM lacks tokens and no other lends; "+b.describe(budget))
 	}
 	r, err := b.reserveHere(ctx, budget, limit, ceiling)
 	var refused *RefusedError
@@ -97,7 +97,7 @@
 		select {
 		case <-changed:
 		case <-timer:
-			return nil, b.lacking(budget, "no tokens came in time; "+b.describe(budget))
+			return nil, b.lacking(budget, ceiling, "no tokens came in time; "+b.describe(budget))
 		case <-ctx.Done():
 			return nil, b.doubt(budget, "the request ended while it waited for tokens")
 		}
@@ -141,12 +141,50 @@
 }
 
 func (b *Book) doubt(budget, why string) error {
-	return &RefusedError{Budget: budget, RetryAfter: retryElsewhere, Why: why}
+	return &RefusedError{Budget: budget, RetryAfter: retryElsewhere, Cause: CauseStopping, Why: why}
 }
 
 // lacking is doubt because this VM has no tokens; others may have.
-func (b *Book) lacking(budget, why string) error {
-	return &RefusedError{Budget: budget, Here: true, RetryAfter: retryElsewhere, Why: why}
+func (b *Book) lacking(budget string, ceiling int64, why string) error {
+	clock, _ := b.options.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.accounts[budget].lacking(ceiling, clock, why)
+}
+
+func (a *account) lacking(ceiling int64, clock time.Duration, why string) error {
+	return &RefusedError{
+		Budget: a.budget, Here: true, RetryAfter: a.comeBack(ceiling, clock), Cause: a.cause(ceiling), Why: why,
+	}
+}
+
+// cause says what a request lacks here while the whole budget is not short.
+func (a *account) cause(ceiling int64) Cause {
+	switch {
+	case a.grant() == 0:
+		return CauseNoGrant
+	case a.grant()-a.committed() >= ceiling:
+		return CauseBound
+	case a.limit-a.pool.committed() >= ceiling:
+		return CauseGrantFree
+	}
+	return CauseGrantUsed
+}
+
+// comeBack returns when a caller may come back whom this VM had no room for. Where the
+// grant covers it and only the bound of an old report does not, that is when the bound
+// will: the other VMs' reports are as old, and asking there at once would use up the
+// caller's one return. Else another VM may have tokens.
+func (a *account) comeBack(ceiling int64, clock time.Duration) time.Duration {
+	if a.grant()-a.committed() < ceiling || clock-a.bounds[0].asOf < oldReport {
+		return retryElsewhere
+	}
+	for after := comeBackStep; after <= longestComeBack; after += comeBackStep {
+		if a.room(clock+after) >= ceiling {
+			return after
+		}
+	}
+	return retryElsewhere
 }
 
 // describe says what a budget lacks here, for logs.
@@ -177,17 +215,17 @@
 		return b.take(a, ceiling), nil, nil
 	}
 	if a.certainlyShort(ceiling, b.self) {
-		return nil, nil, &RefusedError{Budget: budget, Certain: true, Why: "the rest of the budget does not cover the request"}
+		return nil, nil, &RefusedError{Budget: budget, Certain: true, Cause: CauseExhausted, Why: "the rest of the budget does not cover the request"}
 	}
 	if a.likelyShort(ceiling, b.self) {
 		return nil, nil, &RefusedError{
-			Budget: budget, RetryAfter: retryRest,
+			Budget: budget, RetryAfter: retryRest, Cause: CauseWrittenOff,
 			Why: "the rest does not cover the request, unless less was lost than it seems",
 		}
 	}
 	a.need, a.needAt = max(a.need, ceiling), now
 	if b.ready && now.Sub(b.reached) > tableSilence || !b.ready && now.Sub(b.started) > startWait {
-		return nil, nil, b.lacking(budget, "the table can't be asked; "+a.describe(clock))
+		return nil, nil, a.lacking(ceiling, clock, "the table can't be asked; "+a.describe(clock))
 	}
 	return nil, a.changed, nil
 }
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -46,6 +46,7 @@
 	Budget  *budgetCommand  `arg:"subcommand:budget" help:"show a budget"`
 	TopUp   *topUpCommand   `arg:"subcommand:topup" help:"buy tokens for a budget, once per id"`
 	Audit   *auditCommand   `arg:"subcommand:audit" help:"list the changes that were asked for, or check all budgets"`
+	Explain *explainCommand `arg:"subcommand:explain" help:"say from logs why a request, or all of them, ended as they did"`
 	Drain   *drainCommand   `arg:"subcommand:drain" help:"ask the processes of a VM for a planned stop"`
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -36,9 +36,7 @@
 
 // Decided implements relay.Events: one line and a few counters for each request.
 func (m *metrics) Decided(d relay.Decision) {
-	klog.Infof("step=request id=%s route=%s workspace=%s outcome=%s status=%d sends=%d upstreams=%v expected_ms=%d first_ms=%d total_ms=%d ceiling=%d consumed=%d detail=%q",
-		d.ID, d.Route, d.Workspace, d.Outcome, d.Status, d.Sends, d.Upstreams,
-		d.Expected.Milliseconds(), d.First.Milliseconds(), d.Total.Milliseconds(), d.Ceiling, d.Consumed, d.Detail)
+	klog.Info(DecisionLine(d))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.outcomes[d.Outcome]++
@@ -50,6 +48,14 @@
 	}
 }
 
+// DecisionLine is the log line of one request; explain.Parse reads it.
+func DecisionLine(d relay.Decision) string {
+	return fmt.Sprintf("step=request id=%s route=%s workspace=%s outcome=%s cause=%s status=%d sends=%d upstreams=%v "+
+		"expected_ms=%d first_ms=%d total_ms=%d ceiling=%d consumed=%d detail=%q",
+		d.ID, d.Route, d.Workspace, d.Outcome, d.Cause, d.Status, d.Sends, d.Upstreams,
+		d.Expected.Milliseconds(), d.First.Milliseconds(), d.Total.Milliseconds(), d.Ceiling, d.Consumed, d.Detail)
+}
+
 func (m *metrics) bucket(d time.Duration) int {
 	for i, bound := range firstBuckets {
 		if d <= bound {
--- a/edge/ports.go
+++ b/edge/ports.go
@@ -67,6 +67,7 @@
 	var refused *allowance.RefusedError
 	if errors.As(err, &refused) {
 		p.RetryAfter = refused.RetryAfter
+		p.Cause = string(refused.Cause)
 		if refused.Certain {
 			p.Status, p.Name = http.StatusPaymentRequired, "budget_exhausted"
 		}
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -10,6 +10,7 @@
 // refuse answers with a problem before anything was sent to the caller.
 func (r *run) refuse(p *Problem) {
 	r.decision.Outcome, r.decision.Status, r.decision.Detail = p.Name, p.Status, p.Detail
+	r.decision.Cause = p.Cause
 	r.writer.Refuse(p)
 }
 
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -113,5 +113,7 @@
 	First, Total time.Duration
 	Ceiling      int64 // tokens
 	Consumed     int64 // tokens
-	Detail       string
+	// Cause is Problem.Cause.
+	Cause  string
+	Detail string
 }
--- a/relay/request.go
+++ b/relay/request.go
@@ -86,6 +86,8 @@
 	// Name is short and stable, for logs and metrics.
 	Name   string
 	Detail string
+	// Cause says more than the name where one stands for several; empty if there is none.
+	Cause string
 	// RetryAfter tells the caller when to come back; 0 tells it nothing.
 	RetryAfter time.Duration
 }
