--- a/budget/allowance/losses_test.go
+++ b/budget/allowance/losses_test.go
@@ -183,3 +183,30 @@
 		is.True(p.Lost > 0)
 	})
 }
+
+// A VM is cut from the table, loses power three seconds later and stays dark for five
+// more. The next process can't tell when the one before it died, and counts what its
+// bound allowed until its own start: callers are refused from then on what nobody used.
+func TestDarkVMLosesOnlyWhatItMayHaveUsed(t *testing.T) {
+	inTime(t, func(w *world, is *is.I) {
+		const limit = 4_000_000
+		vms := w.startAll(limit, "a", "b", "c")
+		time.Sleep(3 * time.Second)
+		work := func(v *vm) { _ = v.request(studio, limit, 1000) }
+		load(vms, 4*time.Second, 20*time.Millisecond, work)
+		for _, v := range vms {
+			v.setCut(true)
+		}
+		load(vms, 3*time.Second, 20*time.Millisecond, work)
+		for _, v := range vms {
+			v.kill()
+			v.setCut(false)
+		}
+		losePower(vms, limit, 5*time.Second)
+		time.Sleep(3 * time.Second)
+		p := w.pool(studio)
+		is.True(p.Settled+p.Lost >= w.total(studio))
+		t.Logf("counted beyond what was consumed: %.3f of the sum", float64(p.Settled+p.Lost-w.total(studio))/limit)
+		is.True(p.Settled+p.Lost-w.total(studio) <= limit*3/100)
+	})
+}
