edge: a question to the feed stays open for a quarter of the time to be in force

Ruled out: waits of seconds; a feed goes silent without a reset, and the wait bounds when that is seen. Also: what the mean of waiting requests needed is gone from routing (nothing reads it any more).

--- a/cmd/buckthorn-edge/main_test.go
+++ b/cmd/buckthorn-edge/main_test.go
@@ -23,7 +23,7 @@
 		"{{listen.controlPlane|json}}", `"10.0.0.1:82"`, "{{ip}}", "10.0.0.1", "{{seedNodes|json}}", `["10.0.0.2:82"]`,
 		"{{platform.address|json}}", `"10.0.0.9:1"`, "{{bounds.graceS}}", "8", "{{bounds.retryBudgetRatio}}", "0.2",
 		"{{bounds.retryMinExtra}}", "58", "{{bounds.retryWindowS}}", "10", "{{limits.memoryMb}}", "284",
-		"{{limits.cpuShare}}", "0.4", "{{internalPorts.0}}", "7340",
+		"{{limits.cpuShare}}", "0.4", "{{internalPorts.0}}", "7340", "{{bounds.configApplyMs}}", "2000",
 	).Replace(string(template))
 	is.True(!strings.Contains(rendered, "{{"))
 	path := filepath.Join(t.TempDir(), "edge.hujson")
@@ -41,7 +41,7 @@
 func TestSettingsAreChecked(t *testing.T) {
 	good := edge.Settings{
 		VM: "a", IP: "1", DataCentre: "d", Listen: "l", ReadyListen: "r", PeerListen: "p", Store: "s",
-		DrainLimit: settings.Duration(1), Repeats: edge.RepeatSettings{Window: settings.Duration(1)},
+		DrainLimit: settings.Duration(1), ConfigurationInForce: settings.Duration(1), Repeats: edge.RepeatSettings{Window: settings.Duration(1)},
 	}
 	for name, change := range map[string]func(*edge.Settings){
 		"vm":           func(s *edge.Settings) { s.VM = "" },
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -113,8 +113,9 @@
 		Lenders: p.peers,
 	})
 	p.peers.serveBudgets(p.peerSrv, p.book)
-	p.config = &follower{segment: a.ConfigSegment, feed: a.Feed, mirror: mirror.New(), apply: p.applyConfig}
-	p.upstreams = &follower{segment: a.UpstreamSegment, feed: a.Feed, mirror: mirror.New(), apply: p.fleet.apply}
+	wait := feedWaitOf(s.ConfigurationInForce.D())
+	p.config = &follower{wait: wait, segment: a.ConfigSegment, feed: a.Feed, mirror: mirror.New(), apply: p.applyConfig}
+	p.upstreams = &follower{wait: wait, segment: a.UpstreamSegment, feed: a.Feed, mirror: mirror.New(), apply: p.fleet.apply}
 	p.peers.serve(p.peerSrv, map[string]*mirror.Mirror{
 		a.ConfigSegment: p.config.mirror, a.UpstreamSegment: p.upstreams.mirror,
 	})
@@ -275,7 +276,7 @@
 // upkeep does what is due at short intervals.
 func (p *Process) upkeep(ctx context.Context) {
 	for ctx.Err() == nil {
-		if age, heard := p.upstreams.heard.age(); heard && age > feedWait+outageGap {
+		if age, heard := p.upstreams.heard.age(); heard && age > p.upstreams.wait+outageGap {
 			p.lastGap.set()
 		}
 		p.fleet.expire()
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -16,12 +16,18 @@
 
 // Timing of following a segment of the table.
 const (
-	// feedWait is how long one question to the feed stays open. A feed can go
-	// silent without a reset, so it must be short beside the two seconds in which a
-	// change is to be in force.
-	feedWait  = 500 * time.Millisecond
-	feedSlack = 250 * time.Millisecond
-	feedPause = 100 * time.Millisecond
+	// feedShare is the part of the time in which a change is to be in force that one
+	// question to the feed stays open. A feed can go silent without a reset: that is
+	// seen after the wait and its slack, and leaves time for the next question and
+	// for peers.
+	feedShare = 0.25
+	// shortestFeedWait and longestFeedWait bound it: each question is a call to the
+	// table, and callers must not go on with an old configuration for long whatever
+	// operators allow.
+	shortestFeedWait = 250 * time.Millisecond
+	longestFeedWait  = time.Second
+	feedSlack        = 250 * time.Millisecond
+	feedPause        = 100 * time.Millisecond
 	// feedTransfer bounds an answer that has begun to come. A configuration of over
 	// a thousand routes is 300 KB, which takes a busy link of 10 Mbit/s most of a second;
 	// cut off each time, it would never arrive.
@@ -34,8 +40,15 @@
 	quietLimit = 250 * time.Millisecond
 )
 
+// feedWaitOf returns how long a question to the feed stays open, given the time in which
+// a change is to be in force.
+func feedWaitOf(inForce time.Duration) time.Duration {
+	return min(max(time.Duration(feedShare*float64(inForce)), shortestFeedWait), longestFeedWait)
+}
+
 // follower keeps one mirror up to date.
 type follower struct {
+	wait    time.Duration // of one question
 	segment string
 	feed    store.Feed
 	mirror  *mirror.Mirror
@@ -81,17 +94,17 @@
 		all, err := f.feed.All(ctx, f.segment)
 		return mirror.Update{Changes: all.Changes, Version: all.Version, Whole: true}, err
 	}
-	news, err := f.feed.Since(ctx, f.segment, f.mirror.Version(), feedWait)
+	news, err := f.feed.Since(ctx, f.segment, f.mirror.Version(), f.wait)
 	return mirror.Update{Changes: news.Changes, Version: news.Version}, err
 }
 
 // untilSilent returns a context for one question. It ends when no answer has begun after
 // the time that the question may stay open, or when one that has begun takes too long.
 func (f *follower) untilSilent(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(ctx, feedWait+feedSlack+feedTransfer)
-	silence := time.AfterFunc(feedWait+feedSlack, cancel)
+	ctx, cancel := context.WithTimeout(ctx, f.wait+feedSlack+feedTransfer)
+	silence := time.AfterFunc(f.wait+feedSlack, cancel)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteRequest: func(httptrace.WroteRequestInfo) { silence.Reset(feedWait + feedSlack) },
+		WroteRequest: func(httptrace.WroteRequestInfo) { silence.Reset(f.wait + feedSlack) },
 		GotFirstResponseByte: func() {
 			silence.Stop()
 			f.heard.set() // the table is not silent; peers need not be asked for what is coming
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -66,7 +66,7 @@
 			store.Failed("feed", "table", store.ErrUnavailable, nil),
 			changesAt(12, "b", "c"),
 		}}
-		f := &follower{segment: "s", feed: feed, mirror: mirror.New(), apply: func(c []store.Change) { seen = append(seen, c...) }}
+		f := &follower{wait: 500 * time.Millisecond, segment: "s", feed: feed, mirror: mirror.New(), apply: func(c []store.Change) { seen = append(seen, c...) }}
 		ctx, cancel := context.WithCancel(t.Context())
 		go f.run(ctx)
 		time.Sleep(feedPause * 5)
@@ -105,7 +105,7 @@
 func TestReadsALargeConfigurationOverASlowLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := &follower{feed: trickle{1500 * time.Millisecond}, mirror: mirror.New(), apply: func([]store.Change) {}}
+		f := &follower{wait: 500 * time.Millisecond, feed: trickle{1500 * time.Millisecond}, mirror: mirror.New(), apply: func([]store.Change) {}}
 		ctx, cancel := context.WithCancel(t.Context())
 		go f.run(ctx)
 		time.Sleep(2 * time.Second)
@@ -143,3 +143,15 @@
 	<-done
 	is.Equal(applied, []int64{1, 2})
 }
+
+// A feed that goes silent without a reset is seen, asked again, and has told of a change
+// before the change must be in force; where operators allow more time, fewer questions
+// are asked.
+func TestWaitFollowsTheTimeToBeInForce(t *testing.T) {
+	is := is.New(t)
+	for _, inForce := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 10 * time.Second} {
+		is.True(2*(feedWaitOf(inForce)+feedSlack) <= max(inForce, time.Second))
+	}
+	is.Equal(feedWaitOf(2*time.Second), 500*time.Millisecond)
+	is.Equal(feedWaitOf(3*time.Second), 750*time.Millisecond)
+}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -36,6 +36,9 @@
 	Store string `json:"store"`
 	// DrainLimit bounds a planned stop.
 	DrainLimit settings.Duration `json:"drain_limit"`
+	// ConfigurationInForce is the time in which a configuration that the store has
+	// taken is to be in force.
+	ConfigurationInForce settings.Duration `json:"configuration_in_force"`
 	// Repeats bounds sends to a second upstream, over all routers.
 	Repeats RepeatSettings `json:"repeats"`
 	// MemoryBytes is what the process may use; the garbage collector keeps below
@@ -73,6 +76,9 @@
 	if s.DrainLimit <= 0 {
 		return eris.New(`settings: drain_limit must be over 0, for example "8s"`)
 	}
+	if s.ConfigurationInForce <= 0 {
+		return eris.New(`settings: configuration_in_force must be over 0, for example "2s"`)
+	}
 	if s.Repeats.Share < 0 || s.Repeats.Extra < 0 || s.Repeats.Window <= 0 {
 		return eris.New("settings: repeats needs a share and an extra from 0 on, and a window over 0")
 	}
--- a/routing/capacity.go
+++ b/routing/capacity.go
@@ -20,7 +20,6 @@
 	// own is the mean of this router's requests in flight, firstToken that of
 	// the recent first tokens in nanoseconds.
 	own        atomicFloat
-	waiting    atomicFloat // of these, without a first token
 	firstToken atomicFloat
 	failing    atomicFloat // the mean share of failures
 }
@@ -60,7 +59,6 @@
 	if total.upstreams > 0 {
 		p.mean.own.store(float64(total.inFlight) / float64(total.upstreams))
 		p.mean.failing.store(total.failing / float64(total.upstreams))
-		p.mean.waiting.store(float64(total.waiting) / float64(total.upstreams))
 		p.mean.firstToken.store(total.firstToken / float64(max(total.timed, 1)))
 	}
 	if total.slots == 0 {
@@ -96,7 +94,6 @@
 	own               int64 // the router's own requests when the reports were true
 	requests, prefill int64 // what other routers had then
 	inFlight          int64 // the router's own requests now
-	waiting           int64
 	failing           float64
 	firstToken        float64
 	timed             int64 // upstreams with a known first token
@@ -115,7 +112,6 @@
 		s.requests += requests
 		s.prefill += prefill
 		s.inFlight += e.inFlight.Load()
-		s.waiting += e.waiting.Load()
 		s.failing += e.health.failing.load()
 		if first := e.firstToken.load(); first > 0 {
 			s.firstToken += first
--- a/routing/reading_load_test.go
+++ b/routing/reading_load_test.go
@@ -72,13 +72,11 @@
 type office struct {
 	routers []*Router
 	engines map[string]*modelEngine
-	random  *rand.Rand
 	mu      sync.Mutex
-	again   int64 // tokens of shared parts read more than once
 }
 
 func newOffice(routers, engines int, told bool) *office {
-	o := &office{engines: map[string]*modelEngine{}, random: rand.New(rand.NewPCG(1, 2))}
+	o := &office{engines: map[string]*modelEngine{}}
 	all := map[string]config.Upstream{}
 	for i := range engines {
 		id := fmt.Sprintf("e%02d", i)
