--- a/edge/edge.go
+++ b/edge/edge.go
@@ -104,8 +104,10 @@
 	p.fleet = newFleet(a.Upstream, p.routes, p.held)
 	p.pool = exchange.NewPool(p.connections)
 	p.peers = &peers{
-		self: allowance.Peer{VM: s.VM, DataCentre: s.DataCentre, Strength: s.Strength}, address: s.PeerListen, client: peer.NewClient(nil), table: a.Table, feed: a.Feed,
-		addresses: map[string]string{}, seeds: s.Peers, rows: map[string]store.Row{}, shared: map[string]allowance.Sharing{},
+		self:    allowance.Peer{VM: s.VM, DataCentre: s.DataCentre, Strength: s.Strength},
+		address: s.PeerListen, client: peer.NewClient(nil), table: a.Table, feed: a.Feed,
+		addresses: map[string]string{}, seeds: s.Peers, rows: map[string]store.Row{},
+		shared: map[string]allowance.Sharing{},
 	}
 	p.book = allowance.New(allowance.Options{
 		Table: a.Table, Feed: a.Feed, Clock: a.Clock, VM: s.VM, Incarnation: p.incarnation, VMs: p.peers.count,
--- a/routing/reading.go
+++ b/routing/reading.go
@@ -64,13 +64,13 @@
 		return nil
 	}
 	tokens := v.unread(e)
-	time := v.cost.time(tokens)
-	own := e.backlog.add(v.now, time, v.cost.baseTime())
+	takes := v.cost.time(tokens)
+	own := e.backlog.add(v.now, takes, v.cost.baseTime())
 	if v.tellsOfParts() {
 		v.table.sessions.note(v.request.Home, e.id, v.now)
 	}
-	if tell := v.table.placed.Load(); tell != nil && time >= noticeTime {
-		(*tell)(Placed{Upstream: e.id, Session: v.request.Home, Tokens: tokens}, time)
+	if tell := v.table.placed.Load(); tell != nil && takes >= noticeTime {
+		(*tell)(Placed{Upstream: e.id, Session: v.request.Home, Tokens: tokens}, takes)
 	}
 	return &reading{own: own, tokens: tokens}
 }
