--- /dev/null
+++ b/budget/allowance/enumerate_test.go
@@ -0,0 +1,75 @@
+package allowance
+
+import (
+	"flag"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// steps is how long the schedules are that are played; all of them are.
+var steps = flag.Int("allowance.steps", 4, "length of the schedules of TestEverySchedule, up to 6")
+
+// actions are what may happen between two VMs that share a budget.
+var actions = []struct {
+	name string
+	do   func(w *world, a, b *vm, limit int64)
+}{
+	{"ask a", func(_ *world, a, _ *vm, limit int64) { _ = a.request(studio, limit, 4000) }},
+	{"ask b", func(_ *world, _, b *vm, limit int64) { _ = b.request(studio, limit, 4000) }},
+	{"cut or heal a", func(_ *world, a, _ *vm, _ int64) { a.setCut(!a.isCut()) }},
+	{"a's part away or back", func(w *world, _, _ *vm, _ int64) {
+		if w.isAway(reportsOf("a")) {
+			w.setAway(nil)
+		} else {
+			w.setAway(usualAway("a"))
+		}
+	}},
+	{"a loses power", func(_ *world, a, _ *vm, limit int64) { losePower([]*vm{a}, limit, 300*time.Millisecond) }},
+}
+
+// Two VMs share a small budget and lend to each other. Every order of requests, cuts,
+// outages of a part and losses of power is played, up to a length; after each, all
+// comes back and both lose power. The pool counts at least what was consumed, and no
+// more than the sum was consumed.
+func TestEverySchedule(t *testing.T) {
+	count := 1
+	for range *steps {
+		count *= len(actions)
+	}
+	for schedule := range count {
+		playSchedule(t, schedule, *steps)
+	}
+	t.Logf("%d schedules of %d steps", count, *steps)
+}
+
+// playSchedule plays the schedule with a number, whose digits are its actions.
+func playSchedule(t *testing.T, schedule, length int) {
+	inTime(t, func(w *world, is *is.I) {
+		const limit = 24_000
+		w.lend = true
+		vms := w.startAll(limit, "a", "b")
+		time.Sleep(settleIn + settleSpread)
+		var names []string
+		for range length {
+			action := actions[schedule%len(actions)]
+			schedule /= len(actions)
+			names = append(names, action.name)
+			action.do(w, vms[0], vms[1], limit)
+			time.Sleep(600 * time.Millisecond)
+		}
+		w.setAway(nil)
+		vms[0].setCut(false)
+		time.Sleep(time.Second)
+		losePower(vms, limit, time.Second)
+		time.Sleep(3 * time.Second)
+		p, consumed := w.pool(studio), w.total(studio)
+		if p.Settled+p.Lost < consumed || consumed > limit {
+			t.Logf("schedule: %s; consumed %d, settled %d, lost %d", strings.Join(names, ", "), consumed, p.Settled, p.Lost)
+		}
+		is.True(p.Settled+p.Lost >= consumed)
+		is.True(consumed <= limit)
+	})
+}
