ledger: recovering nothing from a budget that lost nothing does not write into a missing map

Change: the loss is counted by addLost, which makes the map. TestRecoversNothingFromABudgetThatLostNothing panics without it.

--- a/budget/ledger/ledger.go
+++ b/budget/ledger/ledger.go
@@ -187,7 +187,7 @@
 	if tokens < 0 || tokens > b.Lost[CauseHolderGone] {
 		return eris.Wrapf(ErrMove, "recover %d of %d lost", tokens, b.Lost[CauseHolderGone])
 	}
-	b.Lost[CauseHolderGone] -= tokens
+	b.addLost(CauseHolderGone, -tokens)
 	b.Billed += tokens
 	return nil
 }
