traffic: what a VM's link carries, by whom it is for

Cause: nothing told what fills a link, so hypotheses on a choked VM could not be told apart. No logic is changed. Ruled out: the processor (lines stand within 2 ms of their second), control's own bytes at this VM.

--- a/cmd/buckthorn-edge/main_test.go
+++ b/cmd/buckthorn-edge/main_test.go
@@ -23,7 +23,7 @@
 		"{{listen.controlPlane|json}}", `"10.0.0.1:82"`, "{{ip}}", "10.0.0.1", "{{seedNodes|json}}", `["10.0.0.2:82"]`,
 		"{{platform.address|json}}", `"10.0.0.9:1"`, "{{bounds.graceS}}", "8", "{{bounds.retryBudgetRatio}}", "0.2",
 		"{{bounds.retryMinExtra}}", "58", "{{bounds.retryWindowS}}", "10", "{{limits.memoryMb}}", "284",
-		"{{limits.cpuShare}}", "0.4", "{{internalPorts.0}}", "7340", "{{bounds.configApplyMs}}", "2000",
+		"{{limits.cpuShare}}", "0.4", "{{limits.linkMbps}}", "1000.0", "{{internalPorts.0}}", "7340", "{{bounds.configApplyMs}}", "2000",
 	).Replace(string(template))
 	is.True(!strings.Contains(rendered, "{{"))
 	path := filepath.Join(t.TempDir(), "edge.hujson")
@@ -34,6 +34,7 @@
 	is.Equal(s.MemoryBytes, int64(284_000_000))
 	is.Equal(s.Repeats.Extra, 58.0)
 	is.Equal(s.Strength, 0.4)
+	is.Equal(s.LinkMbit, 1000.0)
 	is.Equal(s.NoticeListen, "10.0.0.1:7340")
 }
 
@@ -48,6 +49,7 @@
 		"store":        func(s *edge.Settings) { s.Store = "" },
 		"drain_limit":  func(s *edge.Settings) { s.DrainLimit = 0 },
 		"repeats":      func(s *edge.Settings) { s.Repeats.Share = -1 },
+		"link_mbit":    func(s *edge.Settings) { s.LinkMbit = -1 },
 		"memory_bytes": func(s *edge.Settings) { s.MemoryBytes = -1 },
 		"trace.ratio":  func(s *edge.Settings) { s.Trace.Ratio = 2 },
 	} {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -25,6 +25,7 @@
 	"buckthornridge/routing"
 	"buckthornridge/store"
 	"buckthornridge/store/mirror"
+	"buckthornridge/traffic"
 	"buckthornridge/upstream/exchange"
 )
 
@@ -51,6 +52,8 @@
 	Table store.Table
 	Feed  store.Feed
 	Clock store.Clock
+	// Traffic counts what the link carries; nil counts nothing.
+	Traffic *traffic.Meter
 	// ConfigSegment and UpstreamSegment are where configuration and upstreams
 	// stand in the table.
 	ConfigSegment   string
@@ -103,9 +106,11 @@
 	}
 	p.fleet = newFleet(a.Upstream, p.routes, p.held)
 	p.pool = exchange.NewPool(p.connections)
+	p.pool.Dial = a.Traffic.Dial(traffic.Upstreams, p.pool.Dial)
 	p.peers = &peers{
+		traffic: a.Traffic,
 		self:    allowance.Peer{VM: s.VM, DataCentre: s.DataCentre, Strength: s.Strength},
-		address: s.PeerListen, client: peer.NewClient(nil), table: a.Table, feed: a.Feed,
+		address: s.PeerListen, client: newPeerClient(a.Traffic), table: a.Table, feed: a.Feed,
 		addresses: map[string]string{}, seeds: s.Peers, rows: map[string]store.Row{},
 		shared: map[string]allowance.Sharing{},
 	}
@@ -185,17 +190,18 @@
 	ctx, p.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	for _, one := range []struct {
 		address string
+		kind    traffic.Kind
 		serve   func(net.Listener) error
 	}{
-		{p.settings.Listen, p.callers.Serve},
-		{p.settings.ReadyListen, p.ready.Serve},
-		{p.settings.PeerListen, p.peerSrv.Serve},
-		{p.settings.MetricsListen, p.report.Serve},
+		{p.settings.Listen, traffic.Callers, p.callers.Serve},
+		{p.settings.ReadyListen, traffic.Callers, p.ready.Serve},
+		{p.settings.PeerListen, traffic.Peers, p.peerSrv.Serve},
+		{p.settings.MetricsListen, traffic.Callers, p.report.Serve},
 	} {
 		if one.address == "" {
 			continue
 		}
-		if err := p.listen(ctx, one.address, one.serve); err != nil {
+		if err := p.listen(ctx, one.address, one.kind, one.serve); err != nil {
 			return err
 		}
 	}
@@ -203,7 +209,7 @@
 		return err
 	}
 	for _, task := range []func(context.Context){
-		p.config.run, p.upstreams.run, p.book.Run, p.upkeep,
+		p.config.run, p.upstreams.run, p.book.Run, p.upkeep, p.watchLink,
 		func(ctx context.Context) { p.peers.run(ctx, p.incarnation) },
 		func(ctx context.Context) { p.peers.learn(ctx, p.config) },
 		func(ctx context.Context) { p.peers.learn(ctx, p.upstreams) },
@@ -219,7 +225,7 @@
 	if p.settings.NoticeListen == "" {
 		return nil
 	}
-	n, err := newNotices(p.settings.NoticeListen, p.settings.Strength, p.peers.hosts, p.routes.NotePlaced)
+	n, err := newNotices(p.settings.NoticeListen, p.settings.Strength, p.peers.hosts, p.routes.NotePlaced, p.adapter.Traffic)
 	if err != nil {
 		return err
 	}
@@ -229,14 +235,14 @@
 	return nil
 }
 
-func (p *Process) listen(ctx context.Context, address string, serve func(net.Listener) error) error {
+func (p *Process) listen(ctx context.Context, address string, kind traffic.Kind, serve func(net.Listener) error) error {
 	lc := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerSilence, Interval: callerSilence / 4, Count: 3}}
 	l, err := lc.Listen(ctx, "tcp", address)
 	if err != nil {
 		return eris.Wrapf(err, "listen on %s", address)
 	}
 	go func() {
-		if err := serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := serve(p.adapter.Traffic.Listener(kind, l)); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			klog.Errorf("step=serve address=%s err=%q", address, err.Error())
 		}
 	}()
@@ -323,6 +329,7 @@
 	}
 	fmt.Fprintf(w, "notices_sent_total %d\nnotices_received_total %d\nnotices_skipped_total %d\n",
 		n.sent.Load(), n.received.Load(), n.skipped.Load())
+	writeTraffic(w, p.adapter.Traffic.Read())
 	if c := p.catalogue.Load(); c != nil {
 		fmt.Fprintf(w, "configuration_version %d\n", c.Version)
 	}
--- a/edge/loans.go
+++ b/edge/loans.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/rotisserie/eris"
 
 	"buckthornridge/budget/allowance"
 	"buckthornridge/peer"
+	"buckthornridge/traffic"
 )
 
 const (
@@ -55,13 +57,23 @@
 		return 0, nil
 	}
 	var lends int64
-	err := p.client.Call(ctx, address, methodBorrow, loan, &lends)
+	err := p.timed(func() error { return p.client.Call(ctx, address, methodBorrow, loan, &lends) })
 	return lends, eris.Wrapf(err, "borrow from %s", vm)
 }
 
 // Return implements allowance.Lenders.
 func (p *peers) Return(ctx context.Context, vm string, id uint64, consumed int64) error {
 	var done bool
-	err := p.client.Call(ctx, p.addressOf(vm), methodReturn, returnRequest{ID: id, Consumed: consumed}, &done)
+	err := p.timed(func() error {
+		return p.client.Call(ctx, p.addressOf(vm), methodReturn, returnRequest{ID: id, Consumed: consumed}, &done)
+	})
 	return eris.Wrapf(err, "return to %s", vm)
 }
+
+// timed makes a call to a peer and counts how long it took.
+func (p *peers) timed(call func() error) error {
+	began := time.Now()
+	err := call()
+	p.traffic.Waited(traffic.Peers, 0, time.Since(began), err)
+	return err
+}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -50,9 +50,9 @@
 
 // DecisionLine is the log line of one request; explain.Parse reads it.
 func DecisionLine(d relay.Decision) string {
-	return fmt.Sprintf("step=request id=%s route=%s workspace=%s outcome=%s cause=%s status=%d sends=%d upstreams=%v "+
+	return fmt.Sprintf("step=request id=%s caller=%s route=%s workspace=%s outcome=%s cause=%s status=%d sends=%d upstreams=%v "+
 		"expected_ms=%d first_ms=%d total_ms=%d ceiling=%d consumed=%d detail=%q",
-		d.ID, d.Route, d.Workspace, d.Outcome, d.Cause, d.Status, d.Sends, d.Upstreams,
+		d.ID, d.Caller, d.Route, d.Workspace, d.Outcome, d.Cause, d.Status, d.Sends, d.Upstreams,
 		d.Expected.Milliseconds(), d.First.Milliseconds(), d.Total.Milliseconds(), d.Ceiling, d.Consumed, d.Detail)
 }
 
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	"buckthornridge/routing"
+	"buckthornridge/traffic"
 )
 
 const (
@@ -44,11 +45,12 @@
 	peers func() []netip.Addr
 	// take gets the other VMs' notices.
 	take                    func(routing.Placed)
+	traffic                 *traffic.Meter
 	sent, received, skipped atomic.Int64
 }
 
 // newNotices listens on an address, host:port.
-func newNotices(address string, strength float64, peers func() []netip.Addr, take func(routing.Placed)) (*notices, error) {
+func newNotices(address string, strength float64, peers func() []netip.Addr, take func(routing.Placed), meter *traffic.Meter) (*notices, error) {
 	local, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, eris.Wrap(err, "notice address")
@@ -63,7 +65,7 @@
 	perSecond := strength * noticeRate
 	return &notices{
 		conn: conn, port: local.Port(), limiter: rate.NewLimiter(rate.Limit(perSecond), int(noticeBurst*perSecond)),
-		queue: make(chan routing.Placed, noticeQueue), peers: peers, take: take,
+		queue: make(chan routing.Placed, noticeQueue), peers: peers, take: take, traffic: meter,
 	}, nil
 }
 
@@ -115,6 +117,7 @@
 			continue
 		}
 		n.sent.Add(1)
+		n.traffic.Sent(traffic.Notices, len(data))
 	}
 }
 
@@ -136,6 +139,7 @@
 			continue
 		}
 		n.received.Add(1)
+		n.traffic.Received(traffic.Notices, size)
 		n.take(p)
 	}
 }
--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -9,12 +9,13 @@
 	"github.com/matryer/is"
 
 	"buckthornridge/routing"
+	"buckthornridge/traffic"
 )
 
 // noticesAt listens on a loopback address with a port that both ends share.
 func noticesAt(t *testing.T, host string, port uint16, peers []netip.Addr, take func(routing.Placed)) *notices {
 	t.Helper()
-	n, err := newNotices(fmt.Sprintf("%s:%d", host, port), 1, func() []netip.Addr { return peers }, take)
+	n, err := newNotices(fmt.Sprintf("%s:%d", host, port), 1, func() []netip.Addr { return peers }, take, new(traffic.Meter))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -16,6 +16,7 @@
 	"buckthornridge/peer"
 	"buckthornridge/store"
 	"buckthornridge/store/mirror"
+	"buckthornridge/traffic"
 )
 
 const (
@@ -56,6 +57,7 @@
 	client  *peer.Client
 	table   store.Table
 	feed    store.Feed
+	traffic *traffic.Meter
 
 	mu        sync.Mutex
 	addresses map[string]string // by VM
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -19,6 +19,9 @@
 	// Strength is the machine's part of a core. Stronger machines hold more budgets;
 	// 0 counts as 1.
 	Strength float64 `json:"strength"`
+	// LinkMbit is the rate of the VM's link in each direction, in million bits a second;
+	// 0 says that it is not known.
+	LinkMbit float64 `json:"link_mbit"`
 	// Listen is the callers' address, ReadyListen that of the balancer's
 	// questions, PeerListen that of the system's other processes, MetricsListen
 	// that of the metrics; each host:port.
@@ -73,6 +76,9 @@
 	if s.Strength < 0 {
 		return eris.New("settings: strength must not be negative")
 	}
+	if s.LinkMbit < 0 {
+		return eris.New("settings: link_mbit must not be negative")
+	}
 	if s.DrainLimit <= 0 {
 		return eris.New(`settings: drain_limit must be over 0, for example "8s"`)
 	}
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -97,7 +97,9 @@
 
 // Decision is the record of one request.
 type Decision struct {
-	ID        string
+	ID string
+	// Caller is the address that the request came from.
+	Caller    string
 	Route     string
 	Workspace string
 	// Outcome is short and stable: "answered", "streamed", or a problem's name.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -42,7 +42,7 @@
 // ends when the caller leaves.
 func (r *Relay) Serve(ctx context.Context, w Writer, q *Request) {
 	run := &run{relay: r, writer: w, request: q}
-	run.decision.ID = q.ID
+	run.decision.ID, run.decision.Caller = q.ID, q.Caller
 	// Deferred, since breaking a connection off unwinds the stack.
 	defer func() {
 		run.decision.Total = time.Since(q.Arrived)
--- a/relay/request.go
+++ b/relay/request.go
@@ -55,6 +55,8 @@
 // with another id.
 type Request struct {
 	ID string
+	// Caller is the address that the request came from, for logs.
+	Caller string
 	// Host is what routes are found by; Authority is it as the caller sent it.
 	Host      string
 	Authority string
--- /dev/null
+++ b/traffic/traffic.go
@@ -0,0 +1,182 @@
+// Package traffic counts the bytes that a VM's link carries, by whom they are for, so
+// that a full link and what fills it can be told from the counters.
+//
+// Counted is what the process reads and writes on its connections. The headers of
+// packets and bytes that are sent again are not in it: a link is full somewhat before
+// the counted bytes reach its rate.
+package traffic
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+)
+
+// Kind says whom bytes are for.
+type Kind int
+
+// The kinds, in the order in which they are printed.
+const (
+	Callers Kind = iota
+	Upstreams
+	Peers
+	Store
+	Notices
+	kinds
+)
+
+var names = [kinds]string{"callers", "upstreams", "peers", "store", "notices"}
+
+// String returns the name that logs and counters use.
+func (k Kind) String() string { return names[k] }
+
+// Kinds returns all kinds in the order in which they are printed.
+func Kinds() []Kind { return []Kind{Callers, Upstreams, Peers, Store, Notices} }
+
+// Meter counts bytes and connections of one VM. The zero value counts from zero; nil
+// counts nothing.
+type Meter struct {
+	by    [kinds]counter
+	waits waits
+}
+
+// counter is what one kind has moved since the start.
+type counter struct{ in, out, opened atomic.Int64 }
+
+// Count is what one kind has moved since the start of the process.
+type Count struct {
+	In, Out int64 // bytes towards this VM and from it
+	Opened  int64 // connections
+}
+
+// Minus returns what has been counted since an earlier reading.
+func (c Count) Minus(earlier Count) Count {
+	return Count{c.In - earlier.In, c.Out - earlier.Out, c.Opened - earlier.Opened}
+}
+
+// Plus returns the sum of two counts.
+func (c Count) Plus(other Count) Count {
+	return Count{c.In + other.In, c.Out + other.Out, c.Opened + other.Opened}
+}
+
+// Reading is a count of each kind.
+type Reading [kinds]Count
+
+// Read returns what was counted up to now.
+func (m *Meter) Read() Reading {
+	var r Reading
+	if m == nil {
+		return r
+	}
+	for k := range m.by {
+		r[k] = Count{m.by[k].in.Load(), m.by[k].out.Load(), m.by[k].opened.Load()}
+	}
+	return r
+}
+
+// Minus returns what has been counted of each kind since an earlier reading.
+func (r Reading) Minus(earlier Reading) Reading {
+	for k := range r {
+		r[k] = r[k].Minus(earlier[k])
+	}
+	return r
+}
+
+// Total returns the sum over all kinds.
+func (r Reading) Total() Count {
+	var sum Count
+	for _, c := range r {
+		sum = sum.Plus(c)
+	}
+	return sum
+}
+
+// Received counts bytes that came without a connection.
+func (m *Meter) Received(k Kind, bytes int) {
+	if m != nil {
+		m.by[k].in.Add(int64(bytes))
+	}
+}
+
+// Sent counts bytes that were sent without a connection.
+func (m *Meter) Sent(k Kind, bytes int) {
+	if m != nil {
+		m.by[k].out.Add(int64(bytes))
+	}
+}
+
+// Conn returns the connection with its bytes counted.
+func (m *Meter) Conn(k Kind, raw net.Conn) net.Conn {
+	if m == nil {
+		return raw
+	}
+	m.by[k].opened.Add(1)
+	return &conn{Conn: raw, counter: &m.by[k]}
+}
+
+// Listener returns the listener with the bytes of all its connections counted.
+func (m *Meter) Listener(k Kind, l net.Listener) net.Listener {
+	return &listener{Listener: l, meter: m, kind: k}
+}
+
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial returns the dialler with the bytes of all its connections counted.
+func (m *Meter) Dial(k Kind, dial Dial) Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return m.Conn(k, raw), nil
+	}
+}
+
+type listener struct {
+	net.Listener
+	meter *Meter
+	kind  Kind
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.meter.Conn(l.kind, raw), nil
+}
+
+type conn struct {
+	net.Conn
+	counter *counter
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.counter.in.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.counter.out.Add(int64(n))
+	return n, err
+}
+
+// Unwrap returns the connection that is counted, for what only its own type can do.
+func (c *conn) Unwrap() net.Conn { return c.Conn }
+
+// Unwrapped returns the connection below all counting.
+func Unwrapped(c net.Conn) net.Conn {
+	for {
+		counted, is := c.(interface{ Unwrap() net.Conn })
+		if !is {
+			return c
+		}
+		c = counted.Unwrap()
+	}
+}
--- /dev/null
+++ b/traffic/traffic_test.go
@@ -0,0 +1,70 @@
+package traffic
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A VM's link is full, and operators ask what fills it. Bytes are counted by whom they
+// are for and by direction, on connections that were dialled and that were accepted.
+func TestCountsByKindAndDirection(t *testing.T) {
+	is := is.New(t)
+	var here, there Meter
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l = here.Listener(Callers, l)
+	defer l.Close()
+	go func() {
+		c, err := there.Dial(Upstreams, (&net.Dialer{}).DialContext)(context.Background(), "tcp", l.Addr().String())
+		if err == nil {
+			_, _ = c.Write([]byte("12345")) // seen by the reader below
+			c.Close()
+		}
+	}()
+	c, err := l.Accept()
+	is.NoErr(err)
+	defer c.Close()
+	b := make([]byte, 100)
+	n, err := c.Read(b)
+	is.NoErr(err)
+	is.Equal(here.Read()[Callers], Count{In: int64(n), Opened: 1})
+	is.Equal(here.Read().Total(), here.Read()[Callers])
+	is.Equal(there.Read()[Upstreams].Out, int64(5))
+	_, counted := Unwrapped(c).(*net.TCPConn)
+	is.True(counted)
+}
+
+// What is read is the difference to an earlier reading; datagrams count as well.
+func TestReadingsAreDifferences(t *testing.T) {
+	is := is.New(t)
+	var m Meter
+	m.Sent(Notices, 7)
+	earlier := m.Read()
+	m.Sent(Notices, 3)
+	m.Received(Notices, 5)
+	is.Equal(m.Read().Minus(earlier)[Notices], Count{In: 5, Out: 3})
+}
+
+// Calls that failed count, and each wait is the longest since it was taken.
+func TestWaitsAreTheLongestSinceTaken(t *testing.T) {
+	is := is.New(t)
+	var m Meter
+	m.Waited(Store, time.Second, 0, errors.New("given up"))
+	m.Waited(Store, time.Millisecond, 2*time.Second, nil)
+	is.Equal(m.TakeWaits(Store), Waits{Calls: 2, Failed: 1, Connect: time.Second, Answer: 2 * time.Second})
+	is.Equal(m.TakeWaits(Store), Waits{})
+}
+
+// Without a meter nothing is counted and nothing breaks.
+func TestWithoutAMeter(t *testing.T) {
+	var m *Meter
+	m.Sent(Notices, 1)
+	m.Received(Notices, 1)
+	m.Waited(Peers, 0, 0, nil)
+	is.New(t).Equal(m.Read(), Reading{})
+}
--- /dev/null
+++ b/traffic/waits.go
@@ -0,0 +1,46 @@
+package traffic
+
+import (
+	"sync"
+	"time"
+)
+
+// Waits sums up how calls of one kind fared since it was last taken.
+type Waits struct {
+	Calls, Failed int
+	// Connect is the time until a call had its connection, Answer from then until its
+	// answer began; the longest of the calls.
+	Connect, Answer time.Duration
+}
+
+// waits collects Waits of all kinds.
+type waits struct {
+	mu sync.Mutex
+	by [kinds]Waits
+}
+
+// Waited counts one call: the time until it had a connection and from then until its
+// answer began. A call that failed counts the time until it was given up.
+func (m *Meter) Waited(k Kind, connect, answer time.Duration, err error) {
+	if m == nil {
+		return
+	}
+	m.waits.mu.Lock()
+	defer m.waits.mu.Unlock()
+	w := &m.waits.by[k]
+	w.Calls++
+	if err != nil {
+		w.Failed++
+	}
+	w.Connect = max(w.Connect, connect)
+	w.Answer = max(w.Answer, answer)
+}
+
+// TakeWaits returns how the calls of a kind fared since the last time.
+func (m *Meter) TakeWaits(k Kind) Waits {
+	m.waits.mu.Lock()
+	defer m.waits.mu.Unlock()
+	w := m.waits.by[k]
+	m.waits.by[k] = Waits{}
+	return w
+}
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"buckthornridge/traffic"
 	"buckthornridge/upstream"
 )
 
@@ -46,7 +47,8 @@
 
 // Pool keeps connections to upstreams by address.
 type Pool struct {
-	dialer   net.Dialer
+	// Dial opens a connection; NewPool sets the usual dialler.
+	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
 	counters Counters
 
 	mu    sync.Mutex
@@ -77,7 +79,8 @@
 	if most == nil {
 		most = func(string) int { return DefaultConnections }
 	}
-	return &Pool{dialer: NewDialer(), hosts: map[string]*host{}, most: most}
+	dialer := NewDialer()
+	return &Pool{Dial: dialer.DialContext, hosts: map[string]*host{}, most: most}
 }
 
 // Counters returns the pool's counters.
@@ -149,7 +152,7 @@
 		p.counters.Refused.Add(1)
 		return nil, upstream.Failed("connect", address, upstream.ErrNotSent, upstream.ErrCrowded)
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	raw, err := p.Dial(ctx, "tcp", address)
 	if err != nil {
 		p.uncount(address)
 		return nil, upstream.Failed("connect", address, upstream.ErrNotSent, err)
@@ -231,7 +234,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.raw.(*net.TCPConn)
+	tcp, ok := traffic.Unwrapped(c.raw).(*net.TCPConn)
 	if !ok {
 		return true
 	}
