--- /dev/null
+++ b/budget/allowance/follow_test.go
@@ -0,0 +1,62 @@
+package allowance
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// controlBytes is what a VM may spend on control, in bytes a second (docs/CAPACITY.md).
+const controlBytes = 30_000
+
+// A VM with a weak link refuses its callers' requests, although tokens are free: the
+// answers to its questions come a second late. Each holder of a large fleet reports
+// several times a second, and every VM read all those reports each second, over a
+// quarter of a link of 10 Mbit/s before the first caller came.
+func TestWhatAllVMsFollowStaysSmall(t *testing.T) {
+	for _, vms := range []int{9, 40, 82} {
+		t.Run(fmt.Sprint(vms, " VMs"), func(t *testing.T) {
+			inTime(t, func(w *world, is *is.I) {
+				const budgets, watched = 24, 8 * time.Second
+				fleet := w.startFleet(0, vms)
+				limits := map[string]int64{}
+				for i := range budgets {
+					limits[fmt.Sprint("workspace-", i)] = 10_000_000
+				}
+				for _, v := range fleet {
+					v.book.SetLimits(limits)
+				}
+				time.Sleep(settleIn + settleSpread + 3*time.Second) // until the holders have their parts
+				w.mu.Lock()
+				w.followed = 0
+				w.mu.Unlock()
+				callersOf(fleet, limits, watched)
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				perSecond := float64(w.followed) / watched.Seconds()
+				t.Logf("%.0f bytes a second", perSecond)
+				is.True(perSecond <= controlBytes)
+			})
+		})
+	}
+}
+
+// callersOf makes each VM ask for tokens of one budget after the other for a while.
+func callersOf(fleet []*vm, limits map[string]int64, length time.Duration) {
+	const pace = 50 * time.Millisecond
+	var callers sync.WaitGroup
+	for i, v := range fleet {
+		callers.Go(func() {
+			for n := range int(length / pace) {
+				budget := fmt.Sprint("workspace-", (i+n)%len(limits))
+				go func() { _ = v.request(budget, limits[budget], 5_000) }() // who is refused does not matter here
+				time.Sleep(pace)
+			}
+		})
+	}
+	callers.Wait()
+	time.Sleep(time.Second) // for the last ones
+}
--- a/budget/allowance/world_test.go
+++ b/budget/allowance/world_test.go
@@ -36,6 +36,9 @@
 	lateWrites int64
 	// away says which keys' part of the table does not answer; nil is none.
 	away func(key string) bool
+	// followed is the size of all rows written to the segment that every VM follows,
+	// in bytes as the platform sends them.
+	followed int64
 	// fleet, if it is set, shares budgets among its holders.
 	fleet []Peer
 }
@@ -190,6 +193,9 @@
 	w := l.vm.world
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if key := txn.Writes[0].Key; err == nil && strings.HasPrefix(key, segment+"/") {
+		w.followed += rowOverhead + int64(len(key)) + int64(len(txn.Writes[0].Value))*4/3 // as base64
+	}
 	if err == nil && w.loseGrant && strings.HasPrefix(txn.Writes[0].Key, poolPrefix) {
 		w.loseGrant = false
 		return 0, store.Failed("commit", "table", store.ErrOutcomeUnknown, nil)
@@ -197,6 +203,9 @@
 	return version, err
 }
 
+// rowOverhead is what JSON adds to a row: names of fields, version, quotes, in bytes.
+const rowOverhead = 90
+
 // All implements store.Feed over the fake's rows.
 func (l link) All(ctx context.Context, segment string) (store.Changes, error) {
 	if err := l.reach(ctx, segment); err != nil {
