allowance: reports are read by the next process alone; the other holders get standings

Callers saw: refusals for tokens that were free, since a weak VM's questions were answered a second late. Cause: each holder reports several times a second, and every VM followed the segment that the reports stood in; the feed tells each change, so each VM of 82 read 0.13 MB/s before callers came and 0.35 MB/s (the platform's 500 rows an answer) afterwards, of a link of 1.25 MB/s; an answer that was given up was asked for again and longer. Class: control whose bytes grow with the fleet. Change: reports stand in a segment of their own; what others need is a standing, each second at most, twenty a second from the whole fleet, at once when demand changed by half. Reports of the release before are still counted at a start. Why it holds: standings grant nothing; the rows that bind are written and read as before. Ruled out: asking the feed less often (500 rows an answer, it falls behind).

--- a/budget/allowance/account.go
+++ b/budget/allowance/account.go
@@ -25,8 +25,8 @@
 	// spare are those by the spare report, empty while none may stand.
 	spare []dated
 	pool  pool
-	// others is what other holders reported of this budget, by holder.
-	others map[string]ledger
+	// others is what other holders told of this budget, by holder.
+	others map[string]usage
 	// version is the pool's row version, -1 while it must be read.
 	version int64
 	// newest is the highest row version that was seen; older rows count no more.
@@ -62,7 +62,7 @@
 
 func newAccount(budget string) *account {
 	return &account{
-		budget: budget, lowered: -1, version: -1, returning: -1, bounds: []dated{{}}, others: map[string]ledger{},
+		budget: budget, lowered: -1, version: -1, returning: -1, bounds: []dated{{}}, others: map[string]usage{},
 		use: meter{window: rateWindow}, trend: meter{window: trendWindow}, changed: make(chan struct{}),
 	}
 }
--- a/budget/allowance/book.go
+++ b/budget/allowance/book.go
@@ -41,8 +41,8 @@
 	settling time.Duration // from the start to each account's divideFrom
 	closed   bool
 	retiring bool // no more loans are given
-	// ended holds the last reports of holders that closed, by holder.
-	ended map[string]report
+	// ended holds the last standings of holders that closed, by holder.
+	ended map[string]standing
 	// reached is the last time at which the table answered.
 	reached time.Time
 	// usual and spare are the rows of this holder's reports; see spare.go. One goroutine
@@ -60,6 +60,9 @@
 	// borrowed and given count loans.
 	borrowed, given int64
 	reportedAt      time.Time
+	// told is what the last standing said, toldAt when. Only follow uses them.
+	told   map[string]usage
+	toldAt time.Time
 }
 
 // New returns a book that grants nothing before Run has read the table.
@@ -72,7 +75,7 @@
 		kickReport: make(chan struct{}, 1),
 		kickGrant:  make(chan struct{}, 1),
 		accounts:   map[string]*account{},
-		ended:      map[string]report{},
+		ended:      map[string]standing{},
 		loans:      map[uint64]lent{},
 		silent:     map[string]time.Time{},
 		started:    time.Now(),
--- a/budget/allowance/close.go
+++ b/budget/allowance/close.go
@@ -11,7 +11,8 @@
 // Close ends the holder's work at a planned stop. Requests must have ended. The
 // last report says what was consumed and that nothing follows; the grants stay with
 // the VM for a while, since it mostly starts again at once, and others take what it
-// has left over if it does not.
+// has left over if it does not: they learn it from the standing, which is written once
+// the report stands.
 func (b *Book) Close(ctx context.Context) {
 	row := b.lastReport()
 	data, err := encode(row)
@@ -26,6 +27,7 @@
 			_, err = b.commit(ctx, version, store.Write{Key: key, Value: data})
 		}
 		if err == nil {
+			b.tellClosed(ctx, row)
 			return
 		}
 		logFailure("close", err)
@@ -35,6 +37,15 @@
 	}
 }
 
+// tellClosed tells the other holders what the last report says.
+func (b *Book) tellClosed(ctx context.Context, last report) {
+	s := standing{AsOf: last.AsOf, Closed: true, Budgets: map[string]usage{}}
+	for budget, l := range last.Budgets {
+		s.Budgets[budget] = usage{Settled: l.Settled}
+	}
+	_ = b.writeStanding(ctx, s) // logged; the grants then wait for the next process on the VM
+}
+
 // closeTries is how often the last report is written; without it the next process
 // on the VM counts what the report before it allows.
 const closeTries = 3
--- a/budget/allowance/follow.go
+++ b/budget/allowance/follow.go
@@ -9,11 +9,12 @@
 	"buckthornridge/store"
 )
 
-// follow reads what other holders have and report, so that grants follow their
-// use.
+// follow reads what other holders have and use and tells them the same, so that grants
+// follow use.
 func (b *Book) follow(ctx context.Context) {
 	version := int64(-1)
 	for pause.For(ctx, followInterval) == nil {
+		b.tell(ctx)
 		changes, err := b.poll(ctx, version)
 		b.answered(err)
 		if err != nil {
@@ -36,7 +37,7 @@
 	return b.options.Feed.Since(ctx, segment, version, 0)
 }
 
-// learn takes rows of pools and reports.
+// learn takes rows of pools and standings.
 func (b *Book) learn(changes []store.Change) {
 	for _, change := range changes {
 		switch {
@@ -44,20 +45,20 @@
 			b.forgetEnded(change.Key)
 		case strings.HasPrefix(change.Key, poolPrefix):
 			b.learnPool(change.Row)
-		case strings.HasPrefix(change.Key, usagePrefix):
-			b.learnReport(change.Row)
+		case strings.HasPrefix(change.Key, standingPrefix):
+			b.learnStanding(change.Row)
 		}
 	}
 }
 
-// forgetEnded drops a holder whose report the next process on its VM has deleted.
+// forgetEnded drops a holder whose standing the next process on its VM has deleted.
 func (b *Book) forgetEnded(key string) {
-	if !strings.HasPrefix(key, usagePrefix) {
+	if !strings.HasPrefix(key, standingPrefix) {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.ended, holderOf(key))
+	delete(b.ended, holderOfStanding(key))
 }
 
 func (b *Book) learnPool(row store.Row) {
@@ -68,25 +69,3 @@
 		b.seen(a, row)
 	}
 }
-
-func (b *Book) learnReport(row store.Row) {
-	holder := holderOf(row.Key)
-	if holder == b.self {
-		return
-	}
-	r, err := decodeReport(row.Value)
-	if err != nil {
-		logFailure("read the report of "+holder, err)
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if r.Closed {
-		b.ended[holder] = r
-	}
-	for budget, l := range r.Budgets {
-		if a := b.accounts[budget]; a != nil {
-			a.others[holder] = l
-		}
-	}
-}
--- /dev/null
+++ b/budget/allowance/release_test.go
@@ -0,0 +1,59 @@
+package allowance
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"buckthornridge/store"
+)
+
+// A budget is overspent after a new release is rolled out. The process before, of the
+// release whose reports stood among the pools, consumed tokens and lost power; the new
+// one does not look there, counts nothing and hands the tokens out again.
+func TestCountsReportsOfTheReleaseBefore(t *testing.T) {
+	inTime(t, func(w *world, is *is.I) {
+		const limit, granted, consumed = 1_000_000, 400_000, 250_000
+		table := w.fake.As("a").Table
+		left := map[string]any{
+			poolKey(studio): pool{Holders: map[string]share{"a#old": {Granted: granted}}},
+			followedReportsOf("a") + "old": report{Shape: newShape(1), Budgets: map[string]ledger{
+				studio: {Settled: consumed, Base: consumed},
+			}},
+		}
+		for key, row := range left {
+			data, err := encode(row)
+			is.NoErr(err)
+			_, err = table.Commit(context.Background(), store.Txn{Writes: []store.Write{{Key: key, Value: data}}})
+			is.NoErr(err)
+		}
+		w.startAll(limit, "a")
+		time.Sleep(2 * time.Second)
+		p := w.pool(studio)
+		is.Equal(p.Settled, int64(consumed))
+		_, kept := p.Holders["a#old"]
+		is.True(!kept)
+		is.Equal(len(w.fake.Dump(followedReportsOf("a"))), 0) // it is counted once
+	})
+}
+
+// A VM stops as planned, and its next process takes over: what it told the others goes
+// with its reports, or the rows of all processes that ever ran would stay.
+func TestStandingsGoWithTheirProcess(t *testing.T) {
+	inTime(t, func(w *world, is *is.I) {
+		vms := w.startAll(1_000_000, "a", "b")
+		time.Sleep(settleIn + settleSpread)
+		is.NoErr(vms[0].request(studio, 1_000_000, 1_000))
+		time.Sleep(2 * followInterval)
+		is.Equal(len(w.fake.Dump(standingsOf("a"))), 1)
+		vms[0].close()
+		vms[0].start(2)
+		vms[0].book.SetLimits(map[string]int64{studio: 1_000_000})
+		time.Sleep(500 * time.Millisecond)
+		for _, row := range w.fake.Dump(standingsOf("a")) {
+			is.Equal(lastOf(row.Key), vms[0].book.self)
+		}
+	})
+}
--- a/budget/allowance/rows.go
+++ b/budget/allowance/rows.go
@@ -10,13 +10,19 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// Keys of the package's rows. All stand in one segment, so that one feed tells of
-// all; the parts behind it keep the transactions of holders and pools apart.
+// Keys of the package's rows. Pools and standings stand in the segment that every VM
+// follows; reports, which are written far more often, in one that no one follows. The
+// parts behind the names keep the transactions of holders and pools apart.
 const (
-	segment     = "budgets"
-	poolPrefix  = segment + "/pool-"
-	usagePrefix = segment + "/use-"
-	sparePrefix = segment + "/spare-"
+	segment        = "budgets"
+	poolPrefix     = segment + "/pool-"
+	standingPrefix = segment + "/at-"
+	reportSegment  = "reports"
+	usagePrefix    = reportSegment + "/use-"
+	sparePrefix    = reportSegment + "/spare-"
+	// followedUsagePrefix is where the release before had its reports. What a process
+	// of that release left must be counted, or its tokens would be spent twice.
+	followedUsagePrefix = segment + "/use-"
 )
 
 // pool is the row of one budget, in tokens.
@@ -166,6 +172,24 @@
 // reportsOf returns what the keys of a VM's reports begin with.
 func reportsOf(vm string) string { return usagePrefix + vm + "/" }
 
+// followedReportsOf is reportsOf of the release before.
+func followedReportsOf(vm string) string { return followedUsagePrefix + vm + "/" }
+
+// standingsOf returns what the keys of the standings of a VM's holders begin with.
+func standingsOf(vm string) string {
+	bucket := xxhash.Sum64String(vm) % buckets
+	return standingPrefix + strconv.FormatUint(bucket, 10) + "/" + holderName(vm, "")
+}
+
+// standingKey returns the key of a holder's standing.
+func standingKey(vm, incarnation string) string { return standingsOf(vm) + incarnation }
+
+// holderOfStanding returns the holder that the key of a standing names.
+func holderOfStanding(key string) string { return lastOf(key) }
+
+// lastOf returns what stands behind a key's last slash.
+func lastOf(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
+
 // spareReportsOf returns what the keys of a VM's spare reports in one of spareParts parts
 // begin with.
 func spareReportsOf(vm string, part int) string {
@@ -175,12 +199,6 @@
 // holderName names a process; holders of one VM share what stands before the mark.
 func holderName(vm, incarnation string) string { return vm + "#" + incarnation }
 
-// holderOf returns the holder whose report a key names.
-func holderOf(key string) string {
-	parts := strings.SplitN(key, "/", 3)
-	return holderName(strings.TrimPrefix(key[:len(key)-len(parts[len(parts)-1])-1], usagePrefix), parts[len(parts)-1])
-}
-
 func holderVM(holder string) (vm, incarnation string) {
 	vm, incarnation, _ = strings.Cut(holder, "#")
 	return vm, incarnation
@@ -216,3 +234,9 @@
 	}
 	return r, nil
 }
+
+func decodeStanding(data []byte) (standing, error) {
+	var s standing
+	err := msgpack.Unmarshal(data, &s)
+	return s, eris.Wrap(err, "decode standing")
+}
--- a/budget/allowance/run.go
+++ b/budget/allowance/run.go
@@ -15,8 +15,6 @@
 	upkeepSlack = 10 * time.Millisecond
 	callLimit   = 1200 * time.Millisecond
 	openPause   = 200 * time.Millisecond
-	// followInterval is the time between two looks at what other holders have.
-	followInterval = time.Second
 	// grantTries is how often a change of a pool is tried anew when another holder
 	// was faster.
 	grantTries = 6
--- /dev/null
+++ b/budget/allowance/standing.go
@@ -0,0 +1,131 @@
+package allowance
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"buckthornridge/store"
+)
+
+// What a holder has consumed and what its callers ask for is told to the others in a
+// row of its own, its standing. Reports, which are written several times a second and
+// bind, are read by the next process on their VM only: if every VM followed them, a
+// fleet would spend a quarter of a weak VM's link on them, and a request's answer
+// would wait behind.
+
+const (
+	// followInterval is the time between two looks at what other holders have, and the
+	// least between two of a holder's standings.
+	followInterval = time.Second
+	// standingShare lengthens the time between standings with the fleet, so that all VMs
+	// together write, and each of them reads, at most 20 a second.
+	standingShare = time.Second / 20
+)
+
+// standingEvery is the time between two standings of one holder.
+func standingEvery(vms int) time.Duration {
+	return max(followInterval, standingShare*time.Duration(vms))
+}
+
+// standing is the row that tells the other holders. It allows nothing.
+type standing struct {
+	// AsOf is the time of the table service when a closed holder ended.
+	AsOf    time.Duration    `msgpack:"t,omitempty"`
+	Budgets map[string]usage `msgpack:"b"`
+	// Closed says that the holder consumes nothing more: the figures are final.
+	Closed bool `msgpack:"c,omitempty"`
+}
+
+// usage is what a standing says of one budget, in tokens.
+type usage struct {
+	Settled int64 `msgpack:"s"`
+	// Demand is what callers ask for of late, in tokens a second, refused ones
+	// included.
+	Demand int64 `msgpack:"d,omitempty"`
+}
+
+// tell writes this holder's standing if it is due and says something new.
+func (b *Book) tell(ctx context.Context) {
+	now := b.standing(time.Now())
+	due := time.Since(b.toldAt) >= standingEvery(b.options.VMs()) || isNews(b.told, now.Budgets)
+	if !due || maps.Equal(now.Budgets, b.told) {
+		return
+	}
+	if b.writeStanding(ctx, now) == nil {
+		b.toldAt, b.told = time.Now(), now.Budgets
+	}
+}
+
+// isNews reports whether callers ask for so much more or less than was told that the
+// others should know at once: they divide a budget by it.
+func isNews(told, now map[string]usage) bool {
+	before, after := demandOf(told), demandOf(now)
+	return after > before+before/newsDivisor || after < before-before/newsDivisor
+}
+
+// newsDivisor is the part of a demand, as a divisor, by which it must change.
+const newsDivisor = 2
+
+func demandOf(budgets map[string]usage) int64 {
+	var sum int64
+	for _, u := range budgets {
+		sum += u.Demand
+	}
+	return sum
+}
+
+// standing returns what the other holders should know. Budgets of which nothing is held,
+// was used or is asked for are left out.
+func (b *Book) standing(now time.Time) standing {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := standing{Budgets: map[string]usage{}}
+	for name, a := range b.accounts {
+		u := usage{Settled: a.settled, Demand: int64(a.trend.rate(now))}
+		if a.granted > 0 && u != (usage{}) {
+			s.Budgets[name] = u
+		}
+	}
+	return s
+}
+
+// writeStanding replaces this holder's standing. It needs no condition: no one else
+// writes the row while the process lives, and an old one that comes late misleads for
+// a while and allows nothing.
+func (b *Book) writeStanding(ctx context.Context, s standing) error {
+	data, err := encode(s)
+	if err == nil {
+		ctx, cancel := context.WithTimeout(ctx, callLimit)
+		defer cancel()
+		_, err = b.options.Table.Commit(ctx, store.Txn{Writes: []store.Write{{Key: standingKey(b.options.VM, b.options.Incarnation), Value: data}}})
+		b.answered(err)
+	}
+	if err != nil {
+		logFailure("tell other holders", err)
+	}
+	return err
+}
+
+// learnStanding takes the standing of another holder.
+func (b *Book) learnStanding(row store.Row) {
+	holder := holderOfStanding(row.Key)
+	if holder == b.self {
+		return
+	}
+	s, err := decodeStanding(row.Value)
+	if err != nil {
+		logFailure("read the standing of "+holder, err)
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s.Closed {
+		b.ended[holder] = s
+	}
+	for budget, u := range s.Budgets {
+		if a := b.accounts[budget]; a != nil {
+			a.others[holder] = u
+		}
+	}
+}
--- a/budget/allowance/start.go
+++ b/budget/allowance/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,9 +31,9 @@
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	asked := time.Now()
-	rows, err := b.options.Table.Scan(ctx, reportsOf(b.options.VM), "", maxReports)
+	rows, err := b.scanReports(ctx)
 	if err != nil {
-		return leftover{}, eris.Wrap(err, "read reports")
+		return leftover{}, err
 	}
 	clock, known := b.options.Clock.Now()
 	if !known {
@@ -43,11 +44,12 @@
 	// is cut off thus counts nothing for the time of the cut.
 	ended := clock - asked.Sub(b.started)
 	var (
-		spareRows []store.Row
-		spare     map[string]report
-		reading   sync.WaitGroup
+		spareRows, standings []store.Row
+		spare                map[string]report
+		reading              sync.WaitGroup
 	)
 	reading.Go(func() { spareRows, spare = b.readSpare(ctx) })
+	reading.Go(func() { standings = b.oldStandings(ctx) })
 	pools, err := b.scanPools(ctx)
 	reading.Wait()
 	b.answered(err)
@@ -65,10 +67,34 @@
 		b.learnPool(row)
 	}
 	return leftover{
-		rows: append(rows, spareRows...), reports: reports, spare: spare, pools: pools, ended: ended,
+		rows: slices.Concat(rows, spareRows, standings), reports: reports, spare: spare, pools: pools, ended: ended,
 	}, nil
 }
 
+// scanReports reads the reports that stand for this VM, those of the release before
+// included.
+func (b *Book) scanReports(ctx context.Context) ([]store.Row, error) {
+	var all []store.Row
+	for _, prefix := range []string{reportsOf(b.options.VM), followedReportsOf(b.options.VM)} {
+		rows, err := b.options.Table.Scan(ctx, prefix, "", maxReports)
+		if err != nil {
+			return nil, eris.Wrap(err, "read reports")
+		}
+		all = append(all, rows...)
+	}
+	return all, nil
+}
+
+// oldStandings returns the standings of earlier processes on this VM, to be deleted. The
+// next process finds what this one can't read.
+func (b *Book) oldStandings(ctx context.Context) []store.Row {
+	rows, err := b.options.Table.Scan(ctx, standingsOf(b.options.VM), "", maxReports)
+	if err != nil {
+		logFailure("read old standings", err)
+	}
+	return rows
+}
+
 // scanPools reads all pools, their parts at once: callers wait for it.
 func (b *Book) scanPools(ctx context.Context) ([]store.Row, error) {
 	var (
@@ -110,9 +136,8 @@
 
 func (b *Book) decodeReports(rows []store.Row) (map[string]report, error) {
 	earlier := map[string]report{}
-	prefix := len(reportsOf(b.options.VM))
 	for _, row := range rows {
-		incarnation := row.Key[prefix:]
+		incarnation := lastOf(row.Key)
 		if incarnation == b.options.Incarnation {
 			continue
 		}
