exchange: a dial may take the second that a full link needs

Cause: dials to the store and to upstreams were given up after 300 ms and begun again, while packets waited half a second each way; the state kept itself up.

--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -18,9 +18,10 @@
 
 // Timing of connections to upstreams.
 const (
-	// DefaultDialTimeout bounds a new connection. Inside a region a handshake
-	// takes a few milliseconds; a dark upstream answers nothing at all.
-	DefaultDialTimeout = 300 * time.Millisecond
+	// dialTimeout bounds a new connection. A handshake takes a few milliseconds, but on
+	// links on which packets wait up to half a second each way, a second: given up sooner
+	// and begun again it would never succeed, and a VM hear nothing of the store.
+	dialTimeout = time.Second
 	// silentLimit is how long the other side may leave bytes unacknowledged. A cut
 	// link shows no reset; without it a connection would hang for minutes.
 	silentLimit = 1500 * time.Millisecond
@@ -90,7 +91,7 @@
 // seconds.
 func NewDialer() net.Dialer {
 	return net.Dialer{
-		Timeout: DefaultDialTimeout,
+		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
 		},
