allowance: requests wait longer for tokens while the VM's link is busy

Callers saw: refusals at a VM on whose link answers wait, although lenders had tokens and answered: a question for a loan was given up after 40 ms, and a report after 80, each time just before the answer; refused callers came back and kept the link full. Cause: limits made for an idle link.

--- a/budget/allowance/allowance.go
+++ b/budget/allowance/allowance.go
@@ -106,8 +106,6 @@
 	// that a change of the pool is worth.
 	returnLeast = 200
 	refillLeast = 500
-	// shortWait is how long a request waits for a report or a grant under way.
-	shortWait = 80 * time.Millisecond
 	// startWait is how long a request waits while the process reads what stood before
 	// it; a table that answers is read in a fraction of that.
 	startWait = 800 * time.Millisecond
--- a/budget/allowance/book.go
+++ b/budget/allowance/book.go
@@ -21,6 +21,9 @@
 	Incarnation string
 	// Lenders reaches the other VMs' books for single requests. Nil asks no one.
 	Lenders Lenders
+	// LinkBusy reports whether the VM's link carries so much that answers wait. Nil says
+	// no.
+	LinkBusy func() bool
 	// VMs returns how many VMs the fleet has, at least 1.
 	VMs func() int
 	// Sharing returns who holds a budget. Nil means that all VMs hold all budgets.
--- a/budget/allowance/loan.go
+++ b/budget/allowance/loan.go
@@ -14,11 +14,6 @@
 	// lendersAsked is how many holders one request asks for loans, one after the
 	// other. Where tokens lie scattered, each has a part of one request's ceiling.
 	lendersAsked = 4
-	// borrowLimit bounds the question to one of them: two ways between data
-	// centres, and at the lender a report. No question begins later than that after
-	// the first unless the last one brought something, so that a request waits at most
-	// twice as long for nothing.
-	borrowLimit = 40 * time.Millisecond
 	// lendWait is how long a lender waits for a report that lets it lend: less than the
 	// borrower waits, which takes silence for a failure and leaves it alone for a while.
 	lendWait = 30 * time.Millisecond
@@ -132,13 +127,13 @@
 		return nil
 	}
 	all := parts{b.takeRoom(budget, ceiling)}
-	began, lends := time.Now(), true
+	began, lends, limit := time.Now(), true, b.patience().loan
 	for _, vm := range lenders {
 		missing := ceiling - all.ceiling()
-		if missing <= 0 || !lends && time.Since(began) > borrowLimit {
+		if missing <= 0 || !lends && time.Since(began) > limit {
 			break
 		}
-		part := b.askFor(ctx, vm, budget, missing)
+		part := b.askFor(ctx, vm, budget, missing, limit)
 		lends = part.ceiling > 0
 		all = append(all, part)
 	}
@@ -184,9 +179,9 @@
 	return b.take(a, tokens)
 }
 
-// askFor asks one VM for a loan.
-func (b *Book) askFor(ctx context.Context, vm, budget string, tokens int64) *Reservation {
-	ctx, cancel := context.WithTimeout(ctx, borrowLimit)
+// askFor asks one VM for a loan, for a limited time.
+func (b *Book) askFor(ctx context.Context, vm, budget string, tokens int64, limit time.Duration) *Reservation {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	loan := Loan{ID: rand.Uint64(), Budget: budget, Tokens: tokens}
 	lends, err := b.options.Lenders.Borrow(ctx, vm, loan)
--- a/budget/allowance/loan_test.go
+++ b/budget/allowance/loan_test.go
@@ -16,6 +16,7 @@
 
 // reach returns the book of a VM, or waits until the context ends.
 func (l line) reach(ctx context.Context, name string) (*Book, error) {
+	l.from.travel()
 	time.Sleep(3 * time.Millisecond)
 	for _, v := range l.from.world.vms {
 		if book := v.running(); v.name == name && book != nil && !v.isAlone() && !l.from.isAlone() {
@@ -32,6 +33,7 @@
 		return 0, err
 	}
 	lends := book.Lend(ctx, loan)
+	l.from.travel()
 	if ctx.Err() != nil {
 		return 0, errSilent // the answer came too late
 	}
@@ -114,7 +116,7 @@
 		time.Sleep(2 * time.Second)
 		asked := time.Now()
 		is.True(vms[0].request(studio, limit, 50_000) != nil)
-		is.True(time.Since(asked) <= 2*borrowLimit)
+		is.True(time.Since(asked) <= 2*usualPatience.loan)
 	})
 }
 
@@ -168,7 +170,7 @@
 		var refused *RefusedError
 		is.True(errors.As(vms[0].request(studio, limit, 11_000), &refused))
 		is.True(!refused.Certain)
-		is.True(time.Since(asked) < shortWait)
+		is.True(time.Since(asked) < usualPatience.tokens)
 	})
 }
 
--- /dev/null
+++ b/budget/allowance/patience_test.go
@@ -0,0 +1,48 @@
+package allowance
+
+import (
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Callers of a VM whose link is full are refused, although its lenders have tokens and
+// answer: packets wait 50 ms at the link, a question for a loan is given up after 40 ms
+// and its answer thrown away, for each request anew. Refused callers come back and keep
+// the link full.
+func TestBorrowsOverASlowLink(t *testing.T) {
+	inTime(t, func(w *world, is *is.I) {
+		const limit, requests = 50_000_000, 100
+		vms := w.startFleet(limit, 20)
+		time.Sleep(settleIn + settleSpread + 2*time.Second) // until the holders have their parts
+		var borrower *vm
+		for _, v := range vms {
+			if !w.sharing(v.name, studio).Holds {
+				borrower = v
+			}
+		}
+		borrower.setFar(50 * time.Millisecond)
+		others := slices.DeleteFunc(vms, func(v *vm) bool { return v == borrower })
+		var busy sync.WaitGroup
+		defer busy.Wait()
+		busy.Go(func() {
+			load(others, requests*200*time.Millisecond, 200*time.Millisecond, func(v *vm) {
+				_ = v.request(studio, limit, 5_000) // so that the borrower is no main user
+			})
+		})
+		refused := 0
+		for range requests {
+			asked := time.Now()
+			err := borrower.request(studio, limit, 5_000)
+			is.True(time.Since(asked) < 2*busyPatience.loan+busyPatience.tokens)
+			if err != nil {
+				refused++
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		is.Equal(refused, 0)
+	})
+}
--- a/budget/allowance/reserve.go
+++ b/budget/allowance/reserve.go
@@ -89,7 +89,7 @@
 			return r, err
 		}
 		if timer == nil {
-			timer = time.After(b.patience())
+			timer = time.After(b.waitForTokens())
 			b.wait(budget, ceiling)
 			defer b.wait(budget, -ceiling)
 		}
@@ -130,14 +130,15 @@
 	a.typical += typicalWeight * (float64(tokens) - a.typical)
 }
 
-// patience returns how long a request waits for tokens that are under way.
-func (b *Book) patience() time.Duration {
+// waitForTokens returns how long a request waits for tokens that are under way.
+func (b *Book) waitForTokens() time.Duration {
+	wait := b.patience().tokens
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.ready {
-		return shortWait
+		return wait
 	}
-	return max(shortWait, startWait-time.Since(b.started))
+	return max(wait, startWait-time.Since(b.started))
 }
 
 func (b *Book) doubt(budget, why string) error {
--- a/budget/allowance/world_test.go
+++ b/budget/allowance/world_test.go
@@ -66,8 +66,9 @@
 	done  chan struct{}
 
 	mu    sync.Mutex
-	cut   bool // from the table
-	alone bool // from the other VMs
+	cut   bool          // from the table
+	alone bool          // from the other VMs
+	far   time.Duration // what packets wait at this VM's link, each way
 	heard time.Duration
 	at    time.Time
 }
@@ -128,6 +129,26 @@
 	v.alone = alone
 }
 
+func (v *vm) setFar(far time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.far = far
+}
+
+func (v *vm) isFar() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.far > 0
+}
+
+// travel is one way over this VM's link.
+func (v *vm) travel() {
+	v.mu.Lock()
+	far := v.far
+	v.mu.Unlock()
+	time.Sleep(far)
+}
+
 func (v *vm) isAlone() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -158,7 +179,9 @@
 		<-ctx.Done()
 		return store.Failed("call", "table", store.ErrUnavailable, ctx.Err())
 	}
+	l.vm.travel()
 	time.Sleep(5 * time.Millisecond)
+	l.vm.travel()
 	return nil
 }
 
@@ -236,6 +259,7 @@
 	v.mu.Unlock()
 	options := Options{
 		Table: l, Feed: l, Clock: v, VM: v.name, Incarnation: fmt.Sprint(v.next), VMs: func() int { return vms },
+		LinkBusy: func() bool { return v.isFar() },
 	}
 	if v.world.fleet != nil {
 		options.Sharing = func(budget string) Sharing { return v.world.sharing(v.name, budget) }
