allowance: a holder counts its own tokens and the pool's free ones with what it may borrow

Callers saw: a large request refused though the rest of the budget covered it. Cause: just after holders have returned what they need no more the tokens lie in the pool. A holder borrowed whenever the pool alone did not cover the request, counted of its own only what the last report allowed, and asked no one when lenders alone fell short. Change: it borrows only for what its own and the pool's tokens do not cover, and takes the rest from them at the end. TestRefusesAtOnceWhatNoVMHas asked for 11,000 of 12,000 that were left and demanded a refusal; it is served now. The new one runs requests that keep half, so that nobody has enough, demands the same refusal at once, and that a smaller one is served after it.

--- a/budget/allowance/account.go
+++ b/budget/allowance/account.go
@@ -89,6 +89,12 @@
 	return least
 }
 
+// withinReach is what this holder has not spent and what it sees free in the pool. A report
+// and a change of the pool may have to come first.
+func (a *account) withinReach() int64 {
+	return max(0, a.grant()-a.committed()) + max(0, a.limit-a.pool.committed())
+}
+
 // room is what a new request may take now.
 func (a *account) room(now time.Duration) int64 {
 	return min(a.grant(), a.bound(now)) - a.committed()
--- a/budget/allowance/loan.go
+++ b/budget/allowance/loan.go
@@ -137,6 +137,9 @@
 		lends = part.ceiling > 0
 		all = append(all, part)
 	}
+	if missing := ceiling - all.ceiling(); missing > 0 {
+		all = append(all, b.takeOwn(ctx, budget, missing))
+	}
 	if all.ceiling() < ceiling {
 		all.settle(0)
 		return nil
@@ -144,6 +147,25 @@
 	return &Reservation{ceiling: ceiling, giveBack: all.settle}
 }
 
+// takeOwn reserves the rest of a ceiling from what a holder has and sees free in the pool,
+// once a report and a grant allow it. Just after others have returned what they need no
+// more, the pool has what they would have lent, and neither covers a large request alone.
+func (b *Book) takeOwn(ctx context.Context, budget string, missing int64) *Reservation {
+	b.mu.Lock()
+	a := b.accounts[budget]
+	limit, within, holds := a.limit, a.withinReach(), b.sharing(a).Holds
+	b.mu.Unlock()
+	if !holds || within < missing {
+		return nothing()
+	}
+	r, err := b.reserveHere(ctx, budget, limit, missing)
+	if err != nil {
+		klog.V(1).Infof("step=take_own budget=%s tokens=%d result=refused err=%q", budget, missing, err.Error())
+		return nothing()
+	}
+	return r
+}
+
 // parts are reservations that together cover one request.
 type parts []*Reservation
 
@@ -209,13 +231,12 @@
 }
 
 // lenders returns the VMs to ask for loans: none if what they seem to have does not
-// cover a ceiling together with what this holder has.
+// cover a ceiling together with what this holder has and the pool has free.
 func (b *Book) lenders(budget string, ceiling int64) []string {
 	if b.options.Lenders == nil {
 		return nil
 	}
 	now := time.Now()
-	clock, _ := b.options.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.accounts[budget]
@@ -223,7 +244,7 @@
 	if sharing := b.sharing(a); !sharing.Holds {
 		return b.answering(lendersOf(sharing, richest), now)
 	}
-	covered := max(0, a.room(clock))
+	covered := a.withinReach()
 	var vms []string
 	for _, holder := range richest {
 		if now.After(b.silent[holder.vm]) && len(vms) < lendersAsked {
--- a/budget/allowance/loan_test.go
+++ b/budget/allowance/loan_test.go
@@ -154,23 +154,29 @@
 	})
 }
 
-// The last tokens of a budget lie with two VMs, too few at each for a large request.
-// It is refused at once: waiting for the next change of the pool gains nothing,
-// and another VM may be asked sooner. A small one is served with a loan.
+// Two VMs hold the last tokens of a budget, and requests that run keep half of them. A
+// large request is more than what both have left together. It is refused at once:
+// waiting for the next change of the pool gains nothing, and the requests that run may
+// leave some of their ceilings. A smaller one is served, with a loan.
 func TestRefusesAtOnceWhatNoVMHas(t *testing.T) {
 	inTime(t, func(w *world, is *is.I) {
 		const limit = 20_000
 		w.lend = true
 		vms := w.startAll(limit, "a", "b")
 		time.Sleep(3 * time.Second)
-		is.NoErr(vms[0].request(studio, limit, 4000))
-		is.NoErr(vms[1].request(studio, limit, 4000))
+		for _, v := range vms {
+			running, err := v.book.Reserve(context.Background(), studio, limit, 5000)
+			is.NoErr(err)
+			defer running.Settle(5000)
+		}
 		time.Sleep(2 * time.Second)
 		asked := time.Now()
 		var refused *RefusedError
 		is.True(errors.As(vms[0].request(studio, limit, 11_000), &refused))
 		is.True(!refused.Certain)
 		is.True(time.Since(asked) < usualPatience.tokens)
+		time.Sleep(time.Second) // what was lent for it comes back
+		is.NoErr(vms[0].request(studio, limit, 8000)) // more than it has
 	})
 }
 
--- a/budget/allowance/reserve.go
+++ b/budget/allowance/reserve.go
@@ -77,7 +77,7 @@
 		// While all holders are silent, a grant of its own is the only way left.
 		return len(b.answering(sharing.Lenders, now)) > 0
 	}
-	return a.limit-a.pool.committed() < ceiling
+	return a.withinReach() < ceiling
 }
 
 // reserveHere takes a ceiling from what this holder has or can get.
