--- a/routing/reading_load_test.go
+++ b/routing/reading_load_test.go
@@ -23,6 +23,7 @@
 	sessions    int
 	aim         time.Duration
 	asked, late int
+	inTime      int
 }
 
 // officeMix is a calm day of callers who draft long documents beside short questions:
@@ -47,10 +48,12 @@
 	freeAt time.Time
 	kept   map[uint64]bool
 	pace   float64
+	again  int64 // shared tokens that another engine kept
 }
 
 // read returns when the first token of a prompt comes.
-func (e *modelEngine) read(session uint64, own, shared int64) time.Time {
+// elsewhere says that another engine keeps the session's parts.
+func (e *modelEngine) read(session uint64, own, shared int64, elsewhere bool) time.Time {
 	const perToken, longer, base = 16200 * time.Nanosecond, 88_000.0, 8 * time.Millisecond
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -58,6 +61,9 @@
 	if !e.kept[session] {
 		tokens += float64(shared)
 		e.kept[session] = true
+		if elsewhere {
+			e.again += shared
+		}
 	}
 	reading := time.Duration(e.pace * tokens * (1 + tokens/longer) * float64(perToken))
 	now := time.Now()
@@ -73,10 +79,15 @@
 	routers []*Router
 	engines map[string]*modelEngine
 	mu      sync.Mutex
+	read    map[uint64]bool // sessions whose parts an engine keeps
 }
 
 func newOffice(routers, engines int, told bool) *office {
-	o := &office{engines: map[string]*modelEngine{}}
+	return newOfficeOf(SessionPolicy, routers, engines, told)
+}
+
+func newOfficeOf(policy string, routers, engines int, told bool) *office {
+	o := &office{engines: map[string]*modelEngine{}, read: map[uint64]bool{}}
 	all := map[string]config.Upstream{}
 	for i := range engines {
 		id := fmt.Sprintf("e%02d", i)
@@ -87,7 +98,7 @@
 		table := NewTable()
 		table.SetRouters(routers)
 		table.Update(&config.Snapshot{Document: config.Document{Upstreams: all}})
-		r, err := NewRouter(table, SessionPolicy)
+		r, err := NewRouter(table, policy)
 		if err != nil {
 			panic(err)
 		}
@@ -122,7 +133,7 @@
 	if err != nil {
 		panic(err)
 	}
-	time.Sleep(time.Until(o.engines[c.UpstreamID].read(session, own, shared)))
+	time.Sleep(time.Until(o.engines[c.UpstreamID].read(session, own, shared, o.wasRead(session))))
 	took := time.Since(began)
 	c.FirstToken(took)
 	time.Sleep(300 * time.Millisecond)
@@ -130,11 +141,32 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	k.asked++
+	if took <= k.aim {
+		k.inTime++
+	}
 	if alone := time.Duration(own+shared) * 25 * time.Microsecond; alone < k.aim*4/5 && took > k.aim {
 		k.late++
 	}
 }
 
+// wasRead notes that a session's parts are read and reports whether they were before.
+func (o *office) wasRead(session uint64) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	before := o.read[session]
+	o.read[session] = true
+	return before
+}
+
+// readAgain returns the shared tokens that were read although an engine kept them.
+func (o *office) readAgain() int64 {
+	var sum int64
+	for _, e := range o.engines {
+		sum += e.again
+	}
+	return sum
+}
+
 // play lets callers of all kinds come for a while and returns the shares of late first
 // tokens, by kind.
 func (o *office) play(kinds []*promptKind, length time.Duration) []float64 {
