routing: sessions stay where every engine has a queue, and a move counts what it costs all

Callers saw: in a burst refusals for want of an upstream and late streams, though the same engines served it before prompts were placed by their reading time. Cause: in overload the wait at home is longer than somewhere else for nearly every session; each that moves has its shared parts read once more, which makes every queue longer, the next session's reason to move. Class: a choice that is best for one and feeds the load that it flees. Change: a session that has a place stays there while the soonest first token elsewhere is past half of the aim; else a move must gain what the reading costs those who wait behind it, counted twice for the parts that are forgotten for these.

--- a/routing/reading.go
+++ b/routing/reading.go
@@ -55,9 +55,29 @@
 	if !v.keepsParts(place) {
 		return after <= soonest // nothing is lost elsewhere
 	}
-	return after <= max(time.Duration(stayShare*float64(v.request.Aim)), soonest+stayLeast)
+	enough := time.Duration(stayShare * float64(v.request.Aim))
+	if soonest > enough {
+		// Every engine has a queue. What is read again makes all of them longer, the next
+		// session's reason to move as well, until the engines do little else.
+		return true
+	}
+	return after <= max(enough, soonest+stayLeast+v.moveCost(soonest))
+}
+
+// moveCost is what others wait longer if the session's shared parts are read once more at
+// an engine where the first token comes soonest: each prompt that is there or comes
+// while there is a queue waits for that reading.
+func (v *view) moveCost(soonest time.Duration) time.Duration {
+	parts := v.cost.time(v.request.SharedTokens)
+	typical := max(v.cost.time(v.request.PromptTokens), time.Millisecond)
+	behind := float64(max(0, soonest-typical)) / float64(typical)
+	return time.Duration(readAgainFactor * (1 + behind) * float64(parts))
 }
 
+// readAgainFactor counts the parts of another session that the engine forgets for these,
+// and that will be read again too.
+const readAgainFactor = 2
+
 // place counts the prompt at the chosen upstream and tells of it.
 func (v *view) place(e *entry) *reading {
 	if v.request.Home == 0 {
--- a/routing/session.go
+++ b/routing/session.go
@@ -44,7 +44,8 @@
 // parts, or that they hash to, as long as its first token comes well inside the
 // route's aim there, and else to the one of a few where it comes first. Reading shared
 // parts once more takes tens of milliseconds of an engine and evicts other parts, which
-// is dearer than a short wait; a wait behind a prompt of a second is dearer than that.
+// is dearer than a short wait, for all who wait there; a wait behind a prompt of a second
+// is dearer than that. Where every engine has a queue, sessions stay.
 //
 // Requests without shared parts go to the upstream with the least in flight.
 type sessionHome struct{}
