--- a/budget/allowance/loan_test.go
+++ b/budget/allowance/loan_test.go
@@ -175,7 +175,7 @@
 		is.True(errors.As(vms[0].request(studio, limit, 11_000), &refused))
 		is.True(!refused.Certain)
 		is.True(time.Since(asked) < usualPatience.tokens)
-		time.Sleep(time.Second) // what was lent for it comes back
+		time.Sleep(time.Second)                       // what was lent for it comes back
 		is.NoErr(vms[0].request(studio, limit, 8000)) // more than it has
 	})
 }
