--- a/budget/allowance/book.go
+++ b/budget/allowance/book.go
@@ -62,7 +62,9 @@
 	silent map[string]time.Time
 	// borrowed and given count loans.
 	borrowed, given int64
-	reportedAt      time.Time
+	// writtenOff is what this process wrote off with those before it on the VM.
+	writtenOff Losses
+	reportedAt time.Time
 	// told is what the last standing said, toldAt when. Only follow uses them.
 	told   map[string]usage
 	toldAt time.Time
@@ -170,13 +172,15 @@
 	// not ended.
 	Borrowed, Lent int64
 	OpenLoans      int
+	// WrittenOff is what this process wrote off with those before it on its VM.
+	WrittenOff Losses
 }
 
 // Figures returns sums over all budgets, in tokens.
 func (b *Book) Figures() Figures {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	f := Figures{Borrowed: b.borrowed, Lent: b.given, OpenLoans: len(b.loans)}
+	f := Figures{Borrowed: b.borrowed, Lent: b.given, OpenLoans: len(b.loans), WrittenOff: b.writtenOff}
 	for _, a := range b.accounts {
 		f.Budgets++
 		f.Granted += a.granted
--- a/budget/allowance/reclaim.go
+++ b/budget/allowance/reclaim.go
@@ -8,11 +8,9 @@
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-	"k8s.io/klog/v2"
-
 	"buckthornridge/pause"
 	"buckthornridge/store"
+	"github.com/rotisserie/eris"
 )
 
 // reclaimTries is how often a pool is tried when other holders are faster.
@@ -62,9 +60,13 @@
 
 // reclaim moves what ended processes of this VM held in one pool.
 func (b *Book) reclaim(ctx context.Context, row store.Row, left leftover) error {
+	var unanswered []WriteOff // of a write that may have taken effect
 	for range reclaimTries {
-		next, changed, err := b.reclaimed(row, left)
-		if err != nil || !changed {
+		next, ended, err := b.reclaimed(row, left)
+		if err == nil && len(ended) == 0 {
+			b.noteWriteOffs(unanswered)
+		}
+		if err != nil || len(ended) == 0 {
 			return err
 		}
 		data, err := encode(next)
@@ -74,11 +76,15 @@
 		version, err := b.commit(ctx, row, store.Write{Key: row.Key, Value: data})
 		if err == nil {
 			b.learnPool(store.Row{Key: row.Key, Value: data, Version: version})
+			b.noteWriteOffs(ended)
 			return nil
 		}
 		if !errors.Is(err, store.ErrConditionFailed) && !errors.Is(err, store.ErrOutcomeUnknown) {
 			return err
 		}
+		if errors.Is(err, store.ErrOutcomeUnknown) {
+			unanswered = ended
+		}
 		if pause.For(ctx, jitter(grantPause)) != nil {
 			return ctx.Err()
 		}
@@ -109,14 +115,16 @@
 	})
 }
 
-// reclaimed returns a pool without the shares of ended processes of this VM. What
-// they had left goes to this process at once: it will have the same callers.
-func (b *Book) reclaimed(row store.Row, left leftover) (pool, bool, error) {
+// reclaimed returns a pool without the shares of ended processes of this VM, and what
+// each of them cost. What they had left goes to this process at once: it will have the
+// same callers.
+func (b *Book) reclaimed(row store.Row, left leftover) (pool, []WriteOff, error) {
 	p, err := decodePool(row.Value)
 	if err != nil {
-		return pool{}, false, err
+		return pool{}, nil, err
 	}
-	next, changed := p.clone(), false
+	next := p.clone()
+	var ended []WriteOff
 	for holder, s := range p.Holders {
 		vm, incarnation := holderVM(holder)
 		if vm != b.options.VM || holder == b.self {
@@ -131,13 +139,12 @@
 		mine := next.Holders[b.self]
 		mine.Granted += s.Granted - used
 		next.Holders[b.self] = mine
-		changed = true
-		lost := l.lostOf(settled, used)
-		klog.Infof("step=reclaim budget=%s holder=%s granted=%d settled=%d lost=%d lost_running=%d lost_cover=%d lost_growth=%d report_age_ms=%d",
-			budgetOf(row.Key), holder, s.Granted, settled, used-settled, lost.Running, lost.Cover, lost.Growth,
-			age.Milliseconds())
+		ended = append(ended, WriteOff{
+			Budget: budgetOf(row.Key), Holder: holder, Granted: s.Granted, Settled: settled,
+			Losses: l.lostOf(settled, used), ReportAge: age,
+		})
 	}
-	return next, changed, nil
+	return next, ended, nil
 }
 
 // forget deletes the reports of ended processes.
--- a/budget/allowance/rows.go
+++ b/budget/allowance/rows.go
@@ -135,17 +135,10 @@
 	return allowed
 }
 
-// losses splits what a death cost of a budget by its cause, in tokens.
-type losses struct {
-	// Running was open when the holder reported, Cover was allowed beyond that at once,
-	// Growth came with the time since.
-	Running, Cover, Growth int64
-}
-
 // lostOf splits the tokens that a dead holder may have consumed beyond those that it
 // had settled.
-func (l ledger) lostOf(settled, used int64) losses {
-	var lost losses
+func (l ledger) lostOf(settled, used int64) Losses {
+	var lost Losses
 	left := max(0, used-settled)
 	lost.Running = min(left, l.Open)
 	left -= lost.Running
--- a/ctl/explain.go
+++ b/ctl/explain.go
@@ -14,48 +14,77 @@
 type explainCommand struct {
 	Words   []string      `arg:"positional,required" placeholder:"[ID] LOG" help:"the request's id and log files; with --summary log files alone"`
 	Summary bool          `arg:"--summary" help:"sort all requests by cause"`
+	Every   time.Duration `arg:"--every" help:"with --summary: outcomes and causes by time, in rows of this length"`
 	Late    time.Duration `arg:"--late" help:"first bytes that came later are sorted by upstream" default:"500ms"`
 }
 
 func (c *explainCommand) run(_ context.Context, s session) error {
+	if c.Every < 0 || c.Every > 0 && !c.Summary {
+		return eris.New("--every takes a time over 0 and goes with --summary")
+	}
 	if c.Summary {
-		summary := explain.Summary{Late: c.Late}
-		if err := readLogs(c.Words, summary.Add); err != nil {
-			return err
-		}
-		summary.Write(s.out)
-		return nil
+		return c.summarize(s)
 	}
 	if len(c.Words) < 2 {
 		return eris.New("an id and a log file are needed, or --summary")
 	}
 	found := false
-	err := readLogs(c.Words[1:], func(r explain.Record) {
+	err := readLogs(c.Words[1:], explain.Visitor{Request: func(r explain.Record) {
 		if r.ID == c.Words[0] {
 			found = true
 			r.Write(s.out)
 		}
-	})
+	}})
 	if err == nil && !found {
 		err = eris.Errorf("no line of request %s in these logs", c.Words[0])
 	}
 	return err
 }
 
-func readLogs(names []string, each func(explain.Record)) error {
+// summarize sorts all lines by cause and, with --every, by time.
+func (c *explainCommand) summarize(s session) error {
+	summary := explain.Summary{Late: c.Late}
+	timeline := explain.Timeline{Every: c.Every}
+	var writeOffs explain.WriteOffs
+	err := readLogs(c.Words, explain.Visitor{
+		Request: func(r explain.Record) {
+			summary.Add(r)
+			if c.Every > 0 {
+				timeline.Add(r)
+			}
+		},
+		Ended: func(e explain.Ended) {
+			writeOffs.Add(e)
+			if c.Every > 0 {
+				timeline.AddWriteOff(e)
+			}
+		},
+	})
+	if err != nil {
+		return err
+	}
+	summary.Write(s.out)
+	writeOffs.Write(s.out)
+	if c.Every > 0 {
+		timeline.Write(s.out)
+	}
+	return nil
+}
+
+func readLogs(names []string, v explain.Visitor) error {
 	for _, name := range names {
-		if err := readLog(name, each); err != nil {
+		if err := readLog(name, v); err != nil {
 			return eris.Wrap(err, name)
 		}
 	}
 	return nil
 }
 
-func readLog(name string, each func(explain.Record)) error {
+func readLog(name string, v explain.Visitor) error {
 	file, err := os.Open(name)
 	if err != nil {
 		return eris.Wrap(err, "open log")
 	}
 	defer file.Close()
-	return explain.Read(file, each)
+	return explain.Read(file, v)
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"io"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -16,7 +17,9 @@
 // Record is one request as its log line tells it.
 type Record struct {
 	// Line is the whole line, with what the logger and collectors put before it.
-	Line      string
+	Line string
+	// At is when the line was written; zero if it does not say.
+	At        time.Time
 	ID        string
 	Route     string
 	Workspace string
@@ -45,7 +48,7 @@
 	if !found {
 		return Record{}, false
 	}
-	r := Record{Line: line}
+	r := Record{Line: line, At: lineTime(line)}
 	fields := split(said)
 	r.ID, r.Route, r.Workspace = fields["id"], fields["route"], fields["workspace"]
 	r.Outcome, r.Cause, r.Detail = fields["outcome"], fields["cause"], fields["detail"]
@@ -98,14 +101,48 @@
 
 func millis(text string) time.Duration { return time.Duration(number(text)) * time.Millisecond }
 
-// Read hands on the requests of a log.
-func Read(log io.Reader, each func(Record)) error {
+// header finds the time that the logger writes before a line: month, day and time of day.
+var header = regexp.MustCompile(`[IWEF](\d{4} \d{2}:\d{2}:\d{2}\.\d{6}) `)
+
+// lineTime returns when a line was written, in a year that the logger does not say.
+func lineTime(line string) time.Time {
+	found := header.FindStringSubmatch(line)
+	if found == nil {
+		return time.Time{}
+	}
+	at, err := time.Parse("0102 15:04:05.000000", found[1])
+	if err != nil {
+		return time.Time{} // digits that are no time: the line has none
+	}
+	return at
+}
+
+// Visitor takes what is read from logs. Nil functions are not called.
+type Visitor struct {
+	Request func(Record)
+	Ended   func(Ended)
+}
+
+// Read hands on the lines of a log that tell of requests and of processes that ended.
+func Read(log io.Reader, v Visitor) error {
 	lines := bufio.NewScanner(log)
 	lines.Buffer(make([]byte, 0, 64<<10), longestLine)
 	for lines.Scan() {
-		if r, found := Parse(lines.Text()); found {
-			each(r)
-		}
+		v.take(lines.Text())
 	}
 	return eris.Wrap(lines.Err(), "read log")
 }
+
+func (v Visitor) take(line string) {
+	if v.Request != nil {
+		if r, found := Parse(line); found {
+			v.Request(r)
+			return
+		}
+	}
+	if v.Ended != nil {
+		if e, found := ParseEnded(line); found {
+			v.Ended(e)
+		}
+	}
+}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -1,6 +1,7 @@
 package explain
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -40,7 +41,7 @@
 		r, found := Parse(logged(d))
 		is.True(found)
 		is.Equal(r, Record{
-			Line: logged(d), ID: d.ID, Route: d.Route, Workspace: d.Workspace, Outcome: d.Outcome, Cause: d.Cause,
+			Line: logged(d), At: lineTime(logged(d)), ID: d.ID, Route: d.Route, Workspace: d.Workspace, Outcome: d.Outcome, Cause: d.Cause,
 			Status: d.Status, Upstreams: append([]string{}, d.Upstreams...), Expected: d.Expected, First: d.First,
 			Total: d.Total, Ceiling: d.Ceiling, Consumed: d.Consumed, Detail: d.Detail,
 		})
@@ -53,7 +54,7 @@
 	is := is.New(t)
 	log := strings.Join([]string{logged(refusal()), "something else", logged(answer()), logged(refusal())}, "\n")
 	s := Summary{Late: time.Second}
-	is.NoErr(Read(strings.NewReader(log), s.Add))
+	is.NoErr(Read(strings.NewReader(log), Visitor{Request: s.Add}))
 	var out strings.Builder
 	s.Write(&out)
 	is.Equal(out.String(), `3 requests
@@ -75,3 +76,39 @@
 	is.True(strings.Contains(out.String(), "cause bound"))
 	is.True(strings.Contains(out.String(), "sent to no upstream"))
 }
+
+// lineAt is a line as a process writes it at a second of a minute.
+func lineAt(second int, said string) string {
+	return fmt.Sprintf("I0515 13:49:%02d.250000    8493 metrics.go:39] %s", second, said)
+}
+
+// Guards against a decay after a loss of power that stays unseen in sums over a day.
+func TestTimelineShowsADecayAndWhatWasWrittenOff(t *testing.T) {
+	is := is.New(t)
+	lost := allowance.WriteOff{
+		Budget: "studio", Holder: "vm-1#1", Granted: 9000, Settled: 4000,
+		Losses: allowance.Losses{Running: 500, Cover: 300, Growth: 200}, ReportAge: 1300 * time.Millisecond,
+	}
+	log := strings.Join([]string{
+		lineAt(10, edge.DecisionLine(answer())), lineAt(11, edge.DecisionLine(answer())),
+		lineAt(12, lost.Line()), lineAt(13, edge.DecisionLine(refusal())), lineAt(13, edge.DecisionLine(answer())),
+		lineAt(14, edge.DecisionLine(refusal())), "step=request outcome=answered status=200",
+	}, "\n")
+	timeline, writeOffs := Timeline{Every: 2 * time.Second}, WriteOffs{}
+	is.NoErr(Read(strings.NewReader(log), Visitor{Request: timeline.Add, Ended: func(e Ended) {
+		is.Equal(e.WriteOff, lost) // every field that the process writes is read
+		timeline.AddWriteOff(e)
+		writeOffs.Add(e)
+	}}))
+	var out strings.Builder
+	timeline.Write(&out)
+	writeOffs.Write(&out)
+	is.Equal(out.String(), `by time, every 2s: requests, share served, reasons of the others, tokens written off
+  13:49:10.0      2 1.00
+  13:49:12.0      2 0.50 bound=1 written_off_tokens=1000
+  13:49:14.0      1 0.00 bound=1
+written off with 1 holders that ended, in tokens; age of their reports 1.3s (median), 1.3s (longest)
+        1000 all: running=500 cover=300 growth=200
+        1000 studio: running=500 cover=300 growth=200
+`)
+}
--- a/explain/summary.go
+++ b/explain/summary.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -81,15 +82,15 @@
 	if len(counts) == 0 {
 		return
 	}
-	keys := make([]string, 0, len(counts))
-	for key := range counts {
-		keys = append(keys, key)
-	}
-	slices.SortFunc(keys, func(a, b string) int {
-		return cmp.Or(cmp.Compare(counts[b], counts[a]), strings.Compare(a, b))
-	})
 	fmt.Fprintf(w, "%s\n", title)
-	for _, key := range keys {
+	for _, key := range byCount(counts) {
 		fmt.Fprintf(w, "  %6d %s%s\n", counts[key], key, meaning(key))
 	}
 }
+
+// byCount returns the keys of counts, the most frequent first.
+func byCount(counts map[string]int) []string {
+	return slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), strings.Compare(a, b))
+	})
+}
