routing: an upstream whose address is another's is left out by all VMs at once

Ruled out: engines without room. All other engines turned nobody away.

The answer uses up no attempt of the route: the upstream that was meant has ended, and the request has not run. It still takes a repeat from the service's allowance.

Datagrams now keep to their rate: a notice goes to as many VMs, drawn anew each time, as the rate allows, so that in an overload each VM hears a part of all notices.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -229,12 +229,13 @@
 	if p.settings.NoticeListen == "" {
 		return nil
 	}
-	n, err := newNotices(p.settings.NoticeListen, p.settings.Strength, p.peers.hosts, p.routes.NotePlaced, p.adapter.Traffic)
+	n, err := newNotices(p.settings.NoticeListen, p.settings.Strength, p.peers.hosts, p.routes, p.adapter.Traffic)
 	if err != nil {
 		return err
 	}
 	p.notices = n
 	p.routes.OnPlaced(n.tell)
+	p.routes.OnGone(n.tellGone)
 	p.tasks.Go(func() { n.run(ctx) })
 	return nil
 }
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -32,25 +34,39 @@
 	noticeQueue = 64
 )
 
-// notices tells the other VMs of long prompts that this one has sent to engines, and
-// takes theirs. Each is one datagram to each VM: the loss of one costs a worse choice
+// notice is what one datagram says: of a prompt that was placed, or of an upstream that is
+// gone.
+type notice struct {
+	routing.Placed `msgpack:",inline"`
+	// Gone is the id of an upstream whose address is another's.
+	Gone string `msgpack:"g,omitempty"`
+}
+
+// listener takes what other VMs tell.
+type listener interface {
+	NotePlaced(p routing.Placed)
+	NoteGone(id string)
+}
+
+// notices tells the other VMs of long prompts that this one has sent to engines and of
+// upstreams that are gone, and takes theirs. Each is one datagram to each VM: the loss of one costs a worse choice
 // at most, and a connection to each VM of a large fleet would cost more than all
 // notices.
 type notices struct {
 	conn    *net.UDPConn
 	port    uint16 // the same on all VMs
 	limiter *rate.Limiter
-	queue   chan routing.Placed
+	queue   chan notice
 	// peers returns the other VMs' addresses.
 	peers func() []netip.Addr
 	// take gets the other VMs' notices.
-	take                    func(routing.Placed)
+	take                    listener
 	traffic                 *traffic.Meter
 	sent, received, skipped atomic.Int64
 }
 
 // newNotices listens on an address, host:port.
-func newNotices(address string, strength float64, peers func() []netip.Addr, take func(routing.Placed), meter *traffic.Meter) (*notices, error) {
+func newNotices(address string, strength float64, peers func() []netip.Addr, take listener, meter *traffic.Meter) (*notices, error) {
 	local, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, eris.Wrap(err, "notice address")
@@ -65,7 +81,7 @@
 	perSecond := strength * noticeRate
 	return &notices{
 		conn: conn, port: local.Port(), limiter: rate.NewLimiter(rate.Limit(perSecond), int(noticeBurst*perSecond)),
-		queue: make(chan routing.Placed, noticeQueue), peers: peers, take: take, traffic: meter,
+		queue: make(chan notice, noticeQueue), peers: peers, take: take, traffic: meter,
 	}, nil
 }
 
@@ -77,8 +93,19 @@
 		n.skipped.Add(1)
 		return
 	}
+	n.put(notice{Placed: p})
+}
+
+// tellGone queues a notice of an upstream that is gone. There are few of them, and each
+// saves every other VM a caller's request.
+func (n *notices) tellGone(id string) {
+	klog.Infof("step=upstream_replaced id=%s", id)
+	n.put(notice{Gone: id})
+}
+
+func (n *notices) put(what notice) {
 	select {
-	case n.queue <- p:
+	case n.queue <- what:
 	default:
 		n.skipped.Add(1)
 	}
@@ -103,14 +130,13 @@
 	}
 }
 
-func (n *notices) send(p routing.Placed) {
-	peers := n.peers()
-	data, err := msgpack.Marshal(p)
+func (n *notices) send(what notice) {
+	peers := n.affordable(n.peers())
+	data, err := msgpack.Marshal(what)
 	if err != nil {
 		klog.Errorf("step=notice result=failed err=%q", err.Error())
 		return
 	}
-	n.limiter.AllowN(time.Now(), min(len(peers), n.limiter.Burst())) // short of tokens: tell has left it out mostly
 	for _, address := range peers {
 		if _, err := n.conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(address, n.port)); err != nil {
 			klog.V(1).Infof("step=notice peer=%s result=failed err=%q", address, err.Error())
@@ -121,6 +147,24 @@
 	}
 }
 
+// affordable returns as many of the peers as the rate allows a notice to, drawn anew each
+// time: in an overload each VM then hears a part of all notices, and the link stays free
+// for callers' answers.
+func (n *notices) affordable(peers []netip.Addr) []netip.Addr {
+	now := time.Now()
+	count := min(len(peers), int(n.limiter.TokensAt(now)))
+	if count <= 0 || !n.limiter.AllowN(now, count) {
+		n.skipped.Add(1)
+		return nil
+	}
+	if count == len(peers) {
+		return peers
+	}
+	drawn := slices.Clone(peers)
+	rand.Shuffle(len(drawn), func(i, j int) { drawn[i], drawn[j] = drawn[j], drawn[i] })
+	return drawn[:count]
+}
+
 func (n *notices) receive() {
 	buffer := make([]byte, noticeBytes)
 	for {
@@ -133,15 +177,23 @@
 			time.Sleep(noticePause)
 			continue
 		}
-		var p routing.Placed
-		if err := msgpack.Unmarshal(buffer[:size], &p); err != nil {
+		var said notice
+		if err := msgpack.Unmarshal(buffer[:size], &said); err != nil {
 			klog.Warningf("step=receive_notice result=left_out err=%q", err.Error())
 			continue
 		}
 		n.received.Add(1)
 		n.traffic.Received(traffic.Notices, size)
-		n.take(p)
+		n.hear(said)
+	}
+}
+
+func (n *notices) hear(said notice) {
+	if said.Gone != "" {
+		n.take.NoteGone(said.Gone)
+		return
 	}
+	n.take.NotePlaced(said.Placed)
 }
 
 // noticePause keeps a failing socket from using the processor.
--- a/edge/notices_rate_test.go
+++ b/edge/notices_rate_test.go
@@ -10,9 +10,8 @@
 	"buckthornridge/routing"
 )
 
-// A weak VM's link carries datagrams in place of callers' answers. All prompts that come
-// are long, as in an overload; each is told to every VM, though the rate for that is
-// used up, since what is left of it only decides how long a prompt must be.
+// Guards against a weak VM's link that carries notices in place of callers' answers when
+// all prompts are long.
 func TestNoticesKeepToTheirRate(t *testing.T) {
 	is := is.New(t)
 	const vms, strength = 80, 0.2
@@ -20,7 +19,7 @@
 	for i := range peers {
 		peers[i] = netip.MustParseAddr("127.0.0.2")
 	}
-	n := noticesAt(t, "127.0.0.1", 0, peers, func(routing.Placed) {})
+	n := noticesAt(t, "127.0.0.1", 0, peers, newHeard())
 	t.Cleanup(func() { n.conn.Close() })
 	n.port = netip.MustParseAddrPort(n.conn.LocalAddr().String()).Port()
 	n.limiter.SetLimit(strength * noticeRate)
--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -13,7 +13,7 @@
 )
 
 // noticesAt listens on a loopback address with a port that both ends share.
-func noticesAt(t *testing.T, host string, port uint16, peers []netip.Addr, take func(routing.Placed)) *notices {
+func noticesAt(t *testing.T, host string, port uint16, peers []netip.Addr, take listener) *notices {
 	t.Helper()
 	n, err := newNotices(fmt.Sprintf("%s:%d", host, port), 1, func() []netip.Addr { return peers }, take, new(traffic.Meter))
 	if err != nil {
@@ -22,21 +22,37 @@
 	return n
 }
 
+// heard takes notices into channels.
+type heard struct {
+	placed chan routing.Placed
+	gone   chan string
+}
+
+func newHeard() heard { return heard{make(chan routing.Placed, 8), make(chan string, 8)} }
+
+// NotePlaced implements listener.
+func (h heard) NotePlaced(p routing.Placed) { h.placed <- p }
+
+// NoteGone implements listener.
+func (h heard) NoteGone(id string) { h.gone <- id }
+
 // What one VM tells reaches the others; what is no notice is left out.
 func TestNoticesReachOtherVMs(t *testing.T) {
 	is := is.New(t)
-	heard := make(chan routing.Placed, 8)
-	b := noticesAt(t, "127.0.0.2", 0, nil, func(p routing.Placed) { heard <- p })
+	heard := newHeard()
+	b := noticesAt(t, "127.0.0.2", 0, nil, heard)
 	port := netip.MustParseAddrPort(b.conn.LocalAddr().String()).Port()
-	a := noticesAt(t, "127.0.0.1", port, []netip.Addr{netip.MustParseAddr("127.0.0.2")}, func(routing.Placed) {})
+	a := noticesAt(t, "127.0.0.1", port, []netip.Addr{netip.MustParseAddr("127.0.0.2")}, newHeard())
 	go a.run(t.Context())
 	go b.run(t.Context())
 	_, err := a.conn.WriteToUDPAddrPort([]byte("no notice"), netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), port))
 	is.NoErr(err)
 	said := routing.Placed{Upstream: "u1", Session: 7, Tokens: 45_000}
 	a.tell(said, time.Second)
-	is.Equal(<-heard, said)
+	is.Equal(<-heard.placed, said)
 	is.Equal(b.received.Load(), int64(1)) // counted before it is taken
+	a.tellGone("u2")
+	is.Equal(<-heard.gone, "u2")
 }
 
 // A VM through which a quarter of a large fleet's prompts come would fill its link with
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -70,6 +70,7 @@
 	budget    Reservation
 
 	sends    int      // requests that may have reached an upstream
+	moved    int      // those of them that found another upstream at the address
 	tried    []string // upstreams not to be asked again
 	ran      bool     // an upstream may have run the request
 	begun    bool     // a stream's head was sent to the caller
@@ -240,7 +241,8 @@
 	if ctx.Err() != nil || (ran && !r.route.Kind.MayRunAgain()) {
 		return false
 	}
-	if r.sends >= max(r.route.Attempts, 1) {
+	// An upstream that has ended is none of those that the route allows.
+	if r.sends-r.moved >= max(r.route.Attempts, 1) || r.sends >= maxTries {
 		return false
 	}
 	return r.relay.Repeats.Take(r.service.Name, r.relay.Routers())
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -304,3 +304,20 @@
 		}
 	})
 }
+
+// Guards against callers refused for an upstream that has ended: its address is another's
+// now, the request has not run, and the route's one attempt is still to be made.
+func TestMovedUpstreamUsesUpNoAttempt(t *testing.T) {
+	is := is.New(t)
+	moved := shedding()
+	moved.head.Status, moved.head.Moved = 421, true
+	for _, c := range []struct {
+		first  step
+		status int
+	}{{moved, 200}, {shedding(), 503}} { // a refusal by the upstream itself is an attempt
+		b := newBench(t, Once, c.first, answered("done"))
+		q := b.request()
+		q.Path, q.Key = "/help", "" // its route allows one attempt
+		is.Equal(b.serve(q).status, c.status)
+	}
+}
--- a/relay/try.go
+++ b/relay/try.go
@@ -129,7 +129,8 @@
 	r := t.run
 	kind := routing.OutcomeFull
 	if head.Moved {
-		kind = routing.OutcomeUnreachable
+		kind = routing.OutcomeReplaced
+		r.moved++
 	}
 	t.end(kind)
 	r.skip(t.target.ID)
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -138,6 +138,8 @@
 	switch {
 	case outcome.Kind == OutcomeLeaving:
 		t.MarkLeaving(e.id)
+	case outcome.Kind == OutcomeReplaced:
+		t.replaced(e)
 	case outcome.Kind == OutcomeOK:
 		t.recovered(e)
 	case outcome.Kind.Failed():
--- a/routing/health.go
+++ b/routing/health.go
@@ -100,6 +100,15 @@
 	h.probing.Store(0)
 }
 
+// gone begins the longest ejection: the address is another upstream's. The probe at its
+// end covers an upstream that comes back under its old id.
+func (h *health) gone(now time.Duration) {
+	h.ejections.CompareAndSwap(0, 1)
+	h.ejectedUntil.Store(int64(now + longestEjection))
+	h.failures.Store(0)
+	h.probing.Store(0)
+}
+
 // stalledFor returns how long the upstream has had waiting requests without any
 // first token.
 func (h *health) stalledFor(now time.Duration, waiting int64) time.Duration {
--- /dev/null
+++ b/routing/replaced_test.go
@@ -0,0 +1,58 @@
+package routing
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against requests that go on to an upstream whose address is another's while the
+// list of upstreams can't be read: one answer ends it, here and, by one notice, elsewhere.
+func TestReplacedUpstreamGetsNoMoreRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		here, elsewhere := newRouter(t, 3, ""), newRouter(t, 3, "")
+		told := 0
+		here.table.OnGone(func(id string) {
+			told++
+			elsewhere.table.NoteGone(id)
+		})
+		here.table.Observe("e1", Outcome{Kind: OutcomeReplaced})
+		is.Equal(told, 1)
+		time.Sleep(longestEjection / 2)
+		for _, r := range []*Router{here, elsewhere} {
+			for range 100 {
+				c, err := r.Pick(Request{Target: model})
+				is.NoErr(err)
+				is.True(c.UpstreamID != "e1")
+				c.Done(Outcome{Kind: OutcomeCancelled})
+			}
+		}
+		elsewhere.table.NoteGone("unknown")
+	})
+}
+
+// Guards against an upstream that stays out for good after it came back under its old id.
+func TestReplacedUpstreamIsProbedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRouter(t, 2, "")
+		r.table.Observe("e1", Outcome{Kind: OutcomeReplaced})
+		time.Sleep(longestEjection + time.Millisecond)
+		probed := false
+		for range 100 {
+			c, err := r.Pick(Request{Target: model})
+			is.NoErr(err)
+			if c.UpstreamID == "e1" {
+				probed = true
+				c.Done(Outcome{Kind: OutcomeOK, FirstToken: time.Millisecond, Total: time.Millisecond})
+				break
+			}
+			c.Done(Outcome{Kind: OutcomeCancelled})
+		}
+		is.True(probed)
+		is.True(!r.table.current.Load().entries["e1"].health.ejected())
+	})
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -70,6 +70,8 @@
 	OutcomeCancelled
 	// OutcomeUnreachable is a connection that could not be opened.
 	OutcomeUnreachable
+	// OutcomeReplaced is a refusal by another upstream, which has the address now.
+	OutcomeReplaced
 	// OutcomeFull is a refusal of an upstream that has no room.
 	OutcomeFull
 	// OutcomeLeaving is a refusal of an upstream that is leaving.
