allowance: a start reads the pools part by part, and VMs reclaim in turns

A start needs every part of the store: while 27 in 100 of them are away, no VM opens any budget (965 lines "read pools" until 37.3 s, all reclaims after it). And all holders of a pool change its row at once: one succeeds, the others fail, so that n holders need n squared tries of a part that does 150 changes a second; grants that VMs ask for meanwhile are among them.

Change: pools are read and settled part by part, own reports apart from them; a request waits for what an earlier process left; holders reclaim in the order of the row, each in its turn after reading it again; no grant is asked of a pool in which an earlier share is yet to be reclaimed; first reads back off up to 0.8 s.

Tests, failing first: 20 VMs that share three pools of one part have all of them a second after they start (51 of 60 shares were left before); a part that is away keeps back its own budgets only. Why nothing is spent twice: new shares and reports are rows of their own, so spending from them never depended on reading the old ones.

--- a/budget/allowance/book.go
+++ b/budget/allowance/book.go
@@ -40,10 +40,14 @@
 	mu       sync.Mutex
 	accounts map[string]*account
 	ready    bool // what stood before this process is settled or being settled
-	started  time.Time
-	settling time.Duration // from the start to each account's divideFrom
-	closed   bool
-	retiring bool // no more loans are given
+	// partsTried counts the answers and failures of the first reads of pools, partRead
+	// says that one was read.
+	partsTried int
+	partRead   bool
+	started    time.Time
+	settling   time.Duration // from the start to each account's divideFrom
+	closed     bool
+	retiring   bool // no more loans are given
 	// ended holds the last standings of holders that closed, by holder.
 	ended map[string]standing
 	// reached is the last time at which the table answered.
--- a/budget/allowance/reclaim.go
+++ b/budget/allowance/reclaim.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"strings"
-	"sync"
 	"time"
 
 	"buckthornridge/pause"
@@ -18,48 +17,40 @@
 
 func jitter(d time.Duration) time.Duration { return time.Duration(rand.Int64N(int64(d)) + 1) }
 
-// settleAll settles what earlier processes on this VM held. They have ended, since
-// this one runs, so their reports and shares are final but for writes that are
-// still under way: a late report allows no more than the one in force, and a late
-// change of a pool fails on the version that the settling has changed.
-func (b *Book) settleAll(ctx context.Context, left leftover) {
-	// All VMs may start at once; in the same order they would meet at each pool.
-	rand.Shuffle(len(left.pools), func(i, j int) { left.pools[i], left.pools[j] = left.pools[j], left.pools[i] })
-	for len(left.pools) > 0 {
-		left.pools = b.settleSome(ctx, left)
-		if len(left.pools) > 0 && pause.For(ctx, openPause) != nil {
-			return
-		}
-	}
-	b.forget(ctx, left.rows)
+// part is the pools of one part of the table, and what earlier processes on this VM left.
+type part struct {
+	leftover
+	pools []store.Row
+	// opened is when they were read.
+	opened time.Time
 }
 
-// settleSome tries each pool once and returns those that are left.
-func (b *Book) settleSome(ctx context.Context, left leftover) []store.Row {
-	var (
-		mu    sync.Mutex
-		again []store.Row
-		tasks sync.WaitGroup
-	)
-	limit := make(chan struct{}, parallelGrants)
-	for _, row := range left.pools {
-		limit <- struct{}{}
-		tasks.Go(func() {
-			defer func() { <-limit }()
+// settlePart settles what earlier processes on this VM held in the pools of one part.
+// They have ended, since this one runs, so their reports and shares are final but for
+// writes that are still under way: a late report allows no more than the one in force, and
+// a late change of a pool fails on the version that the settling has changed. All VMs go
+// through the pools in the same order, each in its turn.
+func (b *Book) settlePart(ctx context.Context, left part) {
+	for waiting := left.pools; len(waiting) > 0; {
+		var again []store.Row
+		for _, row := range waiting {
 			if err := b.reclaim(ctx, row, left); err != nil {
 				logFailure("reclaim "+budgetOf(row.Key), err)
-				mu.Lock()
-				defer mu.Unlock()
 				again = append(again, row)
 			}
-		})
+		}
+		if waiting = again; len(waiting) > 0 && pause.For(ctx, openPause) != nil {
+			return
+		}
 	}
-	tasks.Wait()
-	return again
 }
 
 // reclaim moves what ended processes of this VM held in one pool.
-func (b *Book) reclaim(ctx context.Context, row store.Row, left leftover) error {
+func (b *Book) reclaim(ctx context.Context, row store.Row, left part) error {
+	row, err := b.atTurn(ctx, row, left)
+	if err != nil {
+		return err
+	}
 	var unanswered []WriteOff // of a write that may have taken effect
 	for range reclaimTries {
 		next, ended, err := b.reclaimed(row, left)
@@ -88,13 +79,26 @@
 		if pause.For(ctx, jitter(grantPause)) != nil {
 			return ctx.Err()
 		}
-		if row, err = b.readRow(ctx, row.Key); err != nil {
+		if row, err = b.newest(ctx, row.Key, err); err != nil {
 			return err
 		}
 	}
 	return eris.New("others were always faster")
 }
 
+// newest returns a row as a failed commit told it, or reads it.
+func (b *Book) newest(ctx context.Context, key string, failed error) (store.Row, error) {
+	var conflict *store.ConflictError
+	if errors.As(failed, &conflict) {
+		for _, row := range conflict.Rows {
+			if row.Key == key {
+				return row, nil
+			}
+		}
+	}
+	return b.readRow(ctx, key)
+}
+
 func (b *Book) readRow(ctx context.Context, key string) (store.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
@@ -118,7 +122,7 @@
 // reclaimed returns a pool without the shares of ended processes of this VM, and what
 // each of them cost. What they had left goes to this process at once: it will have the
 // same callers.
-func (b *Book) reclaimed(row store.Row, left leftover) (pool, []WriteOff, error) {
+func (b *Book) reclaimed(row store.Row, left part) (pool, []WriteOff, error) {
 	p, err := decodePool(row.Value)
 	if err != nil {
 		return pool{}, nil, err
--- a/budget/allowance/reserve.go
+++ b/budget/allowance/reserve.go
@@ -89,7 +89,7 @@
 			return r, err
 		}
 		if timer == nil {
-			timer = time.After(b.waitForTokens())
+			timer = time.After(b.waitForTokens(budget))
 			b.wait(budget, ceiling)
 			defer b.wait(budget, -ceiling)
 		}
@@ -130,12 +130,13 @@
 	a.typical += typicalWeight * (float64(tokens) - a.typical)
 }
 
-// waitForTokens returns how long a request waits for tokens that are under way.
-func (b *Book) waitForTokens() time.Duration {
+// waitForTokens returns how long a request waits for tokens that are under way. What
+// earlier processes on this VM left comes soon after its start.
+func (b *Book) waitForTokens(budget string) time.Duration {
 	wait := b.patience().tokens
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.ready {
+	if b.ready && !b.accounts[budget].pool.heldEarlier(b.self) {
 		return wait
 	}
 	return max(wait, startWait-time.Since(b.started))
@@ -150,12 +151,13 @@
 	clock, _ := b.options.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.accounts[budget].lacking(ceiling, clock, why)
+	return b.refusal(b.accounts[budget], ceiling, clock, why)
 }
 
-func (a *account) lacking(ceiling int64, clock time.Duration, why string) error {
+// refusal is lacking for a caller that holds the lock.
+func (b *Book) refusal(a *account, ceiling int64, clock time.Duration, why string) error {
 	return &RefusedError{
-		Budget: a.budget, Here: true, RetryAfter: a.comeBack(ceiling, clock), Cause: a.cause(ceiling), Why: why,
+		Budget: a.budget, Here: true, RetryAfter: b.comeBack(a, ceiling, clock), Cause: a.cause(ceiling), Why: why,
 	}
 }
 
@@ -176,8 +178,11 @@
 // grant covers it and only the bound of an old report does not, that is when the bound
 // will: the other VMs' reports are as old, and asking there at once would use up the
 // caller's one return. Else another VM may have tokens.
-func (a *account) comeBack(ceiling int64, clock time.Duration) time.Duration {
-	if a.grant()-a.committed() < ceiling || clock-a.bounds[0].asOf < oldReport {
+func (b *Book) comeBack(a *account, ceiling int64, clock time.Duration) time.Duration {
+	if a.grant()-a.committed() < ceiling {
+		return retryElsewhere
+	}
+	if clock-a.bounds[0].asOf < oldReport {
 		return retryElsewhere
 	}
 	for after := comeBackStep; after <= longestComeBack; after += comeBackStep {
@@ -225,12 +230,20 @@
 		}
 	}
 	a.need, a.needAt = max(a.need, ceiling), now
-	if b.ready && now.Sub(b.reached) > tableSilence || !b.ready && now.Sub(b.started) > startWait {
-		return nil, nil, a.lacking(ceiling, clock, "the table can't be asked; "+a.describe(clock))
+	if b.tableSilent(now) {
+		return nil, nil, b.refusal(a, ceiling, clock, "the table can't be asked; "+a.describe(clock))
 	}
 	return nil, a.changed, nil
 }
 
+// tableSilent reports whether the table can't be asked. The caller holds the lock.
+func (b *Book) tableSilent(now time.Time) bool {
+	if b.reached.IsZero() {
+		return now.Sub(b.started) > startWait
+	}
+	return now.Sub(b.reached) > tableSilence
+}
+
 // tableSilence is how long the table may not have answered before a request is
 // refused at once in place of waiting for it.
 const tableSilence = 1500 * time.Millisecond
--- a/budget/allowance/run.go
+++ b/budget/allowance/run.go
@@ -4,8 +4,6 @@
 	"context"
 	"sync"
 	"time"
-
-	"buckthornridge/pause"
 )
 
 // Timing of the upkeep.
@@ -14,7 +12,10 @@
 	// upkeepSlack lets a step that a timer began a little early count as due.
 	upkeepSlack = 10 * time.Millisecond
 	callLimit   = 1200 * time.Millisecond
-	openPause   = 200 * time.Millisecond
+	// openPause is the pause after a first read that failed; it doubles up to
+	// longestOpenPause, since all VMs may start during an outage.
+	openPause        = 200 * time.Millisecond
+	longestOpenPause = 800 * time.Millisecond
 	// grantTries is how often a change of a pool is tried anew when another holder
 	// was faster.
 	grantTries = 6
@@ -29,20 +30,9 @@
 // Run settles what stood before this process and keeps grants and reports up to
 // date until the context ends.
 func (b *Book) Run(ctx context.Context) {
-	var left leftover
-	for {
-		var err error
-		if left, err = b.open(ctx); err == nil {
-			break
-		}
-		logFailure("open budgets", err)
-		if pause.For(ctx, openPause) != nil {
-			return
-		}
-	}
 	var tasks sync.WaitGroup
 	tasks.Go(func() { b.follow(ctx) })
-	tasks.Go(func() { b.settleAll(ctx, left) })
+	tasks.Go(func() { b.settleEarlier(ctx) })
 	tasks.Go(func() { b.keepReports(ctx) })
 	tasks.Go(func() { b.keepSpare(ctx) })
 	b.keepGrants(ctx)
--- a/budget/allowance/start.go
+++ b/budget/allowance/start.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sync/errgroup"
 
+	"buckthornridge/pause"
 	"buckthornridge/store"
 )
 
@@ -20,18 +20,87 @@
 	rows    []store.Row // their reports
 	reports map[string]report
 	spare   map[string]report // those of the spare rows
-	pools   []store.Row
 	// ended is a time of the table by which all earlier processes had ended.
 	ended time.Duration
 }
 
-// open reads what earlier processes held. Requests are served from new grants
-// from then on.
-func (b *Book) open(ctx context.Context) (leftover, error) {
+// settleEarlier reclaims what earlier processes on this VM held. Pools are read part by
+// part: one that is away keeps back its own budgets only, and while the VM's reports are
+// away it can still borrow, and take what is free.
+func (b *Book) settleEarlier(ctx context.Context) {
+	var (
+		left  leftover
+		parts sync.WaitGroup
+	)
+	read := make(chan struct{}) // closed once left is read
+	for bucket := range buckets {
+		parts.Go(func() {
+			pools := b.readPart(ctx, poolPart(uint64(bucket)))
+			opened := time.Now()
+			select {
+			case <-read:
+				b.settlePart(ctx, part{leftover: left, pools: pools, opened: opened})
+			case <-ctx.Done():
+			}
+		})
+	}
+	for wait := openPause; ; wait = min(2*wait, longestOpenPause) {
+		var err error
+		if left, err = b.readLeft(ctx); err == nil {
+			break
+		}
+		logFailure("read what earlier processes held", err)
+		if pause.For(ctx, wait/2+jitter(wait/2)) != nil {
+			parts.Wait()
+			return
+		}
+	}
+	close(read)
+	parts.Wait()
+	b.forget(ctx, left.rows)
+}
+
+// readPart reads the pools of a part of the table, again until it answers.
+func (b *Book) readPart(ctx context.Context, prefix string) []store.Row {
+	defer b.tried(true)
+	for wait := openPause; ; wait = min(2*wait, longestOpenPause) {
+		limited, cancel := context.WithTimeout(ctx, callLimit)
+		rows, err := b.scanPart(limited, prefix)
+		cancel()
+		b.answered(err)
+		if err == nil {
+			for _, row := range rows {
+				b.learnPool(row)
+			}
+			return rows
+		}
+		logFailure("read pools", err)
+		b.tried(false)
+		if pause.For(ctx, wait/2+jitter(wait/2)) != nil {
+			return nil
+		}
+	}
+}
+
+// tried notes that a part of the pools was read or did not answer. Once all were asked
+// and one has answered, requests no longer wait for what stood before this process.
+func (b *Book) tried(read bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.partsTried++
+	b.partRead = b.partRead || read
+	if b.partRead && b.partsTried >= buckets {
+		b.ready = true
+	}
+}
+
+// readLeft reads the reports of earlier processes on this VM.
+func (b *Book) readLeft(ctx context.Context) (leftover, error) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	asked := time.Now()
 	rows, err := b.scanReports(ctx)
+	b.answered(err)
 	if err != nil {
 		return leftover{}, err
 	}
@@ -39,10 +108,6 @@
 	if !known {
 		return leftover{}, eris.New("the table's time is not known")
 	}
-	// The answer's time is later than the question, and the question later than the
-	// start of this process by what has passed since. A process that starts while it
-	// is cut off thus counts nothing for the time of the cut.
-	ended := clock - asked.Sub(b.started)
 	var (
 		spareRows, standings []store.Row
 		spare                map[string]report
@@ -50,24 +115,17 @@
 	)
 	reading.Go(func() { spareRows, spare = b.readSpare(ctx) })
 	reading.Go(func() { standings = b.oldStandings(ctx) })
-	pools, err := b.scanPools(ctx)
 	reading.Wait()
-	b.answered(err)
-	if err != nil {
-		return leftover{}, eris.Wrap(err, "read pools")
-	}
 	reports, err := b.decodeReports(rows)
 	if err != nil {
 		return leftover{}, err
 	}
-	b.mu.Lock()
-	b.ready = true
-	b.mu.Unlock()
-	for _, row := range pools {
-		b.learnPool(row)
-	}
 	return leftover{
-		rows: slices.Concat(rows, spareRows, standings), reports: reports, spare: spare, pools: pools, ended: ended,
+		rows: slices.Concat(rows, spareRows, standings), reports: reports, spare: spare,
+		// The answer's time is later than the question, and the question later than the
+		// start of this process by what has passed since. A process that starts while it
+		// is cut off thus counts nothing for the time of the cut.
+		ended: clock - asked.Sub(b.started),
 	}, nil
 }
 
@@ -95,25 +153,6 @@
 	return rows
 }
 
-// scanPools reads all pools, their parts at once: callers wait for it.
-func (b *Book) scanPools(ctx context.Context) ([]store.Row, error) {
-	var (
-		mu    sync.Mutex
-		pools []store.Row
-	)
-	group, ctx := errgroup.WithContext(ctx)
-	for bucket := range buckets {
-		group.Go(func() error {
-			rows, err := b.scanPart(ctx, poolPart(uint64(bucket)))
-			mu.Lock()
-			defer mu.Unlock()
-			pools = append(pools, rows...)
-			return err
-		})
-	}
-	return pools, group.Wait()
-}
-
 // scanPart reads all rows whose keys begin with a part.
 func (b *Book) scanPart(ctx context.Context, part string) ([]store.Row, error) {
 	var all []store.Row
--- /dev/null
+++ b/budget/allowance/turn.go
@@ -0,0 +1,71 @@
+package allowance
+
+import (
+	"context"
+	"time"
+
+	"buckthornridge/pause"
+	"buckthornridge/store"
+)
+
+// Bounds of a turn: the time in which one holder reads and changes a pool.
+const (
+	shortestTurn = 20 * time.Millisecond
+	longestTurn  = 60 * time.Millisecond
+	// turnPerPool is what each pool of a part adds, since the table changes the rows of a
+	// part one after the other.
+	turnPerPool = 10 * time.Millisecond
+)
+
+// atTurn waits until the holders before this VM's in a pool have had the time to reclaim
+// theirs, and returns the row as it is then. When all VMs lose power together, each
+// holder changes the same rows at the same time; without an order all but one fail each
+// time, and callers find no tokens for seconds.
+func (b *Book) atTurn(ctx context.Context, row store.Row, left part) (store.Row, error) {
+	p, err := decodePool(row.Value)
+	if err != nil {
+		return row, err
+	}
+	if !p.heldEarlier(b.self) {
+		return row, nil
+	}
+	turn := turnOf(p, b.options.VM)
+	if turn == 0 {
+		return row, nil
+	}
+	wait := time.Until(left.opened.Add(time.Duration(turn) * turnLength(len(left.pools))))
+	if err := pause.For(ctx, wait); err != nil {
+		return row, err
+	}
+	return b.readRow(ctx, row.Key) // the others have changed it since
+}
+
+// turnLength returns how long the turns of the pools of one part are.
+func turnLength(pools int) time.Duration {
+	return min(max(shortestTurn, time.Duration(pools)*turnPerPool), longestTurn)
+}
+
+// turnOf counts the VMs whose holders come before a VM's in a pool. All VMs that start
+// together read the same row and so find the same order.
+func turnOf(p pool, vm string) int {
+	before := map[string]bool{}
+	for holder := range p.Holders {
+		if other, _ := holderVM(holder); other < vm {
+			before[other] = true
+		}
+	}
+	return len(before)
+}
+
+// heldEarlier reports whether an earlier process of a holder's VM has a share that is yet
+// to be reclaimed. Until then the holder asks for nothing more: it would contend with the
+// others that reclaim theirs.
+func (p pool) heldEarlier(self string) bool {
+	own, _ := holderVM(self)
+	for holder := range p.Holders {
+		if vm, _ := holderVM(holder); vm == own && holder != self {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/budget/allowance/turn_test.go
@@ -0,0 +1,98 @@
+package allowance
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+)
+
+// Guards against VMs that lose power together and contend for the same pools: callers
+// find no tokens while each change of a row makes all others fail.
+func TestPoolsAreReclaimedSoonAfterAllLosePower(t *testing.T) {
+	inTime(t, func(w *world, is *is.I) {
+		const limit, fleet, soon = 10_000_000, 20, time.Second
+		w.partEvery = time.Second / 150 // what the platform allows one part
+		limits := map[string]int64{}
+		for _, budget := range onePart(3) {
+			limits[budget] = limit
+		}
+		var vms []*vm
+		for i := range fleet {
+			vms = append(vms, w.vm(fmt.Sprintf("vm-%02d", i)))
+		}
+		startWith(vms, limits)
+		time.Sleep(15 * time.Second)
+		for _, v := range vms {
+			v.kill()
+		}
+		is.Equal(w.heldBefore(limits), fleet*len(limits)) // all hold a part of each
+		startWith(vms, limits)
+		time.Sleep(soon)
+		is.Equal(w.heldBefore(limits), 0)
+	})
+}
+
+// startWith starts a process on each VM.
+func startWith(vms []*vm, limits map[string]int64) {
+	for _, v := range vms {
+		v.start(len(vms))
+		v.book.SetLimits(limits)
+	}
+}
+
+// heldBefore counts the shares of first processes.
+func (w *world) heldBefore(limits map[string]int64) int {
+	count := 0
+	for budget := range limits {
+		for holder := range w.pool(budget).Holders {
+			if strings.HasSuffix(holder, "#1") {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// onePart returns names of budgets whose pools are in the same part of the table.
+func onePart(n int) []string {
+	var names []string
+	for i := 0; len(names) < n; i++ {
+		if name := fmt.Sprintf("budget-%d", i); xxhash.Sum64String(name)%buckets == 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Guards against a fleet that serves no workspace after a loss of power while one part of
+// the table is away.
+func TestAPartThatIsAwayKeepsBackItsOwnBudgetsOnly(t *testing.T) {
+	inTime(t, func(w *world, is *is.I) {
+		const limit = 10_000_000
+		behind := onePart(1)[0] // in the part that will be away; studio is in another
+		limits := map[string]int64{studio: limit, behind: limit}
+		vms := []*vm{w.vm("a"), w.vm("b"), w.vm("c")}
+		startWith(vms, limits)
+		time.Sleep(5 * time.Second)
+		for _, v := range vms {
+			v.kill()
+		}
+		w.setAway(func(key string) bool { return strings.HasPrefix(key, poolPart(0)) })
+		startWith(vms, limits)
+		time.Sleep(time.Second)
+		for _, v := range vms {
+			is.NoErr(v.request(studio, limit, 5000))
+			is.True(v.request(behind, limit, 5000) != nil)
+		}
+		w.setAway(nil)
+		time.Sleep(2 * time.Second)
+		for _, v := range vms {
+			is.NoErr(v.request(behind, limit, 5000))
+		}
+		is.True(w.pool(studio).committed() <= limit)
+	})
+}
--- a/budget/allowance/world_test.go
+++ b/budget/allowance/world_test.go
@@ -39,6 +39,10 @@
 	// followed is the size of all rows written to the segment that every VM follows,
 	// in bytes as the platform sends them.
 	followed int64
+	// partEvery is how long a part of the table takes for one transaction, one after the
+	// other; 0 is no time. free is when each part has done those that were sent.
+	partEvery time.Duration
+	free      map[string]time.Time
 	// fleet, if it is set, shares budgets among its holders.
 	fleet []Peer
 }
@@ -211,6 +215,7 @@
 		})
 		return 0, store.Failed("commit", "table", store.ErrOutcomeUnknown, nil)
 	}
+	l.vm.world.queue(txn.Writes[0].Key)
 	defer l.vm.hear()
 	version, err := l.table.Commit(ctx, txn)
 	w := l.vm.world
@@ -226,6 +231,25 @@
 	return version, err
 }
 
+// queue waits until the part of a key has done a transaction.
+func (w *world) queue(key string) {
+	if w.partEvery == 0 {
+		return
+	}
+	part := key[:strings.LastIndexByte(key, '/')]
+	w.mu.Lock()
+	if w.free == nil {
+		w.free = map[string]time.Time{}
+	}
+	if now := time.Now(); w.free[part].Before(now) {
+		w.free[part] = now
+	}
+	w.free[part] = w.free[part].Add(w.partEvery)
+	done := w.free[part]
+	w.mu.Unlock()
+	time.Sleep(time.Until(done))
+}
+
 // rowOverhead is what JSON adds to a row: names of fields, version, quotes, in bytes.
 const rowOverhead = 90
 
