--- a/budget/allowance/reserve.go
+++ b/budget/allowance/reserve.go
@@ -177,9 +177,14 @@
 // comeBack returns when a caller may come back whom this VM had no room for. Where the
 // grant covers it and only the bound of an old report does not, that is when the bound
 // will: the other VMs' reports are as old, and asking there at once would use up the
-// caller's one return. Else another VM may have tokens.
+// caller's one return. Where this VM borrows and the table is silent, its lenders wait for
+// the same moment. Else another VM may have tokens.
 func (b *Book) comeBack(a *account, ceiling int64, clock time.Duration) time.Duration {
 	if a.grant()-a.committed() < ceiling {
+		silent, knee := time.Since(b.reached), newShape(b.options.VMs()).Knee
+		if !b.sharing(a).Holds && silent > oldReport && silent < knee {
+			return knee - silent + comeBackStep
+		}
 		return retryElsewhere
 	}
 	if clock-a.bounds[0].asOf < oldReport {
