relay: a resumed stream's prompt is counted once

Cause: a caller whose stream broke comes back with the last event that it has. Its prompt was counted by the attempt that delivered those events and once more by the one that goes on; the users' pages count a request's prompt once.

Change: a request on a resumable route that names an event reserves and settles its output alone.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"buckthornridge/routing"
@@ -153,7 +154,7 @@
 }
 
 func (r *run) reserve(ctx context.Context) *Problem {
-	ceiling := r.request.Size.Ceiling()
+	ceiling := r.charged().Ceiling()
 	if ceiling <= 0 || r.workspace.Name == "" || r.workspace.Prepaid < 0 {
 		return nil
 	}
@@ -166,16 +167,28 @@
 	return nil
 }
 
+// charged is the most that the request can consume of its budget. Where the caller has
+// events of its stream already, the attempt that delivered them consumed the prompt, and a
+// request's prompt counts once.
+func (r *run) charged() Size {
+	size := r.request.Size
+	if last, err := strconv.ParseInt(r.request.After, 10, 64); err == nil && last > 0 && r.route.Kind == Resumable {
+		size.Prompt = 0
+	}
+	return size
+}
+
 // settle counts what was consumed: the prompt once it may have been read, and
 // what was passed on.
 func (r *run) settle() {
 	var consumed int64
 	if r.ran || r.passed > 0 {
-		output := min(r.passed*max(r.service.EventTokens, 1), r.request.Size.MaxOutput)
+		size := r.charged()
+		output := min(r.passed*max(r.service.EventTokens, 1), size.MaxOutput)
 		if r.service.EventTokens == 0 {
-			output = r.request.Size.MaxOutput
+			output = size.MaxOutput
 		}
-		consumed = r.request.Size.Prompt + output
+		consumed = size.Prompt + output
 	}
 	r.decision.Consumed = consumed
 	r.budget.Settle(consumed)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -321,3 +321,31 @@
 		is.Equal(b.serve(q).status, c.status)
 	}
 }
+
+// Guards against a prompt that is counted once more for each time that its caller comes
+// back for the rest of the stream.
+func TestResumedStreamCountsItsPromptOnce(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		kind  Kind
+		after string
+		used  int64
+	}{
+		{"from its beginning", Resumable, "", 100 + 2*5},
+		{"after the third event", Resumable, "3", 2 * 5},
+		{"no event was delivered", Resumable, "0", 100 + 2*5},
+		{"a stream that can't be resumed", Stream, "3", 100 + 2*5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, c.kind, answered(events("4", "5")))
+			q := b.request()
+			q.After = c.after
+			if c.after != "3" {
+				b.steps[0] = answered(events("1", "2"))
+			}
+			is.Equal(b.serve(q).status, 200)
+			is.Equal(b.used, c.used)
+		})
+	}
+}
