--- a/explain/timeline.go
+++ b/explain/timeline.go
@@ -73,7 +73,7 @@
 	fmt.Fprintf(w, "by time, every %s: requests, share served, reasons of the others, tokens written off\n", t.Every)
 	for _, row := range slices.Sorted(maps.Keys(t.rows)) {
 		s := t.rows[row]
-		fmt.Fprintf(w, "  %s %6d %.2f%s", unsaidYear.Add(time.Duration(row) * t.Every).Format("15:04:05.0"), s.requests, s.share(), reasons(s.why))
+		fmt.Fprintf(w, "  %s %6d %.2f%s", unsaidYear.Add(time.Duration(row)*t.Every).Format("15:04:05.0"), s.requests, s.share(), reasons(s.why))
 		if s.writtenOff > 0 {
 			fmt.Fprintf(w, " written_off_tokens=%d", s.writtenOff)
 		}
