allowance: constants stand beside the code that uses them

Cause: a block of thirty constants told in its comments how values were found, far from the code. No value changed.

Conclusion: no change of behaviour; all tests of the package as before.

--- a/budget/allowance/account.go
+++ b/budget/allowance/account.go
@@ -5,6 +5,31 @@
 	"time"
 )
 
+// Windows over which use is averaged.
+const (
+	// rateWindow is that of the use for bounds.
+	rateWindow = 2 * time.Second
+	// trendWindow is that of the use by which a budget is divided. One VM sees a few
+	// requests a second of a workspace, of sizes that differ tenfold.
+	trendWindow = 15 * time.Second
+)
+
+// What a report allows ahead of known requests.
+const (
+	// coverSeconds is how many seconds of recent use it allows at once.
+	coverSeconds = 0.7
+	// steadyFactor multiplies recent use to what the bound grows by at first.
+	steadyFactor = 0.6
+	// quietSeconds: a budget with less than one typical request in so many seconds
+	// gets no cover in advance.
+	quietSeconds = 20
+	// lossShare is the part of a prepaid sum that all holders together put at risk
+	// before the knee. Of a sum 97 in 100 must be spendable after a loss of power.
+	lossShare = 0.027
+	// leastLossShare is put at risk also after earlier losses took more than that.
+	leastLossShare = 0.004
+)
+
 // account is what a holder knows of one budget. The book's lock guards it.
 type account struct {
 	budget string
--- a/budget/allowance/book.go
+++ b/budget/allowance/book.go
@@ -9,6 +9,14 @@
 	"buckthornridge/store"
 )
 
+// settleIn is how long a new process waits before it takes a part of a fresh budget that no
+// request asks for: it does not know yet how many VMs share it. settleSpread keeps the VMs
+// from meeting at the same rows.
+const (
+	settleIn     = 2500 * time.Millisecond
+	settleSpread = 1500 * time.Millisecond
+)
+
 // Options are what a book works with.
 type Options struct {
 	Table store.Table
--- a/budget/allowance/plan.go
+++ b/budget/allowance/plan.go
@@ -5,6 +5,43 @@
 	"time"
 )
 
+// How a budget is divided among its holders.
+const (
+	// grantShare is the part of a budget's rest that is handed out; what stays lets
+	// a holder get more at once.
+	grantShare = 0.95
+	// firstShare is handed out while no use was seen: VMs come one after the other,
+	// and the last must find something.
+	firstShare = 0.92
+	// knownDivisor: once this part of a budget is used, the use says by 63% who
+	// needs the rest.
+	knownDivisor = 40
+	// evenShare is the part that is divided evenly among the VMs; the rest follows
+	// their use. A VM that had no requests may have all of them while it is cut off.
+	evenShare = 0.15
+	// mainShare is the part of a budget's demand from which on a VM holds grants of it
+	// for its own callers; at most six such VMs join the holders. It ceases to below
+	// mainShareKept.
+	mainShare     = 1.0 / 6
+	mainShareKept = 1.0 / 12
+)
+
+// When a holder changes its share of a pool.
+const (
+	// changePause is the least time between two changes of a share that no request
+	// waits for, in a fleet of changeVMs; it grows in proportion.
+	changePause = 1500 * time.Millisecond
+	changeVMs   = 10
+	// refillBelow and returnAbove bound a holder's unspent tokens as multiples of
+	// its target; within them the pool is left alone.
+	refillBelow = 0.75
+	returnAbove = 1.7
+	// returnLeast and refillLeast are the least parts of a budget, as divisors,
+	// that a change of the pool is worth.
+	returnLeast = 200
+	refillLeast = 500
+)
+
 // plan says how a holder's share of a pool should change.
 type plan struct {
 	change  bool
--- a/budget/allowance/reserve.go
+++ b/budget/allowance/reserve.go
@@ -8,6 +8,26 @@
 	"time"
 )
 
+// startWait is how long a request waits while the process reads what stood before it; a
+// table that answers is read in a fraction of that.
+const startWait = 800 * time.Millisecond
+
+// When callers that were refused may come back.
+const (
+	// retryElsewhere is for a caller whom this VM had no tokens for: it reaches another
+	// VM then, which may have some, and still meets its aim.
+	retryElsewhere = 50 * time.Millisecond
+	// retryRest is for one whom the whole rest does not cover: requests that run may
+	// leave some of their ceilings.
+	retryRest = 700 * time.Millisecond
+	// oldReport is the age from which on a report is taken to be the last for a while.
+	oldReport = 600 * time.Millisecond
+	// longestComeBack is the latest time that a caller is told; a caller comes back
+	// within a third of the time that it has left. comeBackStep is its resolution.
+	longestComeBack = 4 * time.Second
+	comeBackStep    = 100 * time.Millisecond
+)
+
 // Reservation is a ceiling taken out of a budget for one request.
 type Reservation struct {
 	ceiling int64
--- a/budget/allowance/rows.go
+++ b/budget/allowance/rows.go
@@ -25,6 +25,10 @@
 	followedUsagePrefix = segment + "/use-"
 )
 
+// buckets is how many parts the pools are spread over, since the platform orders the
+// transactions of one part one after the other.
+const buckets = 16
+
 // pool is the row of one budget, in tokens.
 //
 //	Settled + Lost + the sum of all Granted <= the prepaid sum
@@ -96,6 +100,24 @@
 	Demand int64 `msgpack:"d"`
 }
 
+// Pace of reports and growth of bounds.
+const (
+	// reportInterval is the time between two reports of an active holder in a fleet of
+	// up to reportVMs; beyond, it grows with the fleet, since each report is a call.
+	reportInterval = 150 * time.Millisecond
+	reportVMs      = 40
+	// restartTime is how long a process takes from a loss of power to its next start.
+	restartTime = 1200 * time.Millisecond
+	// riseTime is the time after the knee in which isolatedShare of the unspent grant
+	// becomes usable.
+	riseTime = 5 * time.Second
+	// isolatedFactor multiplies recent demand, and isolatedShare the unspent grant, to
+	// what the bound grows by after the knee: a VM that dies after a long cut loses all
+	// that it was allowed and did not use.
+	isolatedFactor = 1.2
+	isolatedShare  = 0.3
+)
+
 // shape says how bounds grow with the time since their report: by their rate, and
 // from the knee on by demand and by a share of the unspent grant as well.
 type shape struct {
