--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -52,18 +52,21 @@
 
 func TestSortsByCauseAndUpstream(t *testing.T) {
 	is := is.New(t)
-	log := strings.Join([]string{logged(refusal()), "something else", logged(answer()), logged(refusal())}, "\n")
+	timedOut := answer() // the upstream's own answer at the end of its time
+	timedOut.Outcome, timedOut.Status = "answered", 504
+	log := strings.Join([]string{logged(refusal()), "something else", logged(answer()), logged(refusal()), logged(timedOut)}, "\n")
 	s := Summary{Late: time.Second}
 	is.NoErr(Read(strings.NewReader(log), Visitor{Request: s.Add}))
 	var out strings.Builder
 	s.Write(&out)
-	is.Equal(out.String(), `3 requests
+	is.Equal(out.String(), `4 requests
 ended as
        2 budget_in_doubt
+       1 answered
        1 streamed
 refused for budget
        2 bound: its grant covers the request, the last report does not: the store was not reached
-first byte after 1s or later: 1
+first byte after 1s or later: 1, and 1 errors of upstreams
        1 at u2: 1.2s in the mean, 1.16s of it unexpected
 `)
 }
--- a/explain/summary.go
+++ b/explain/summary.go
@@ -19,6 +19,9 @@
 	outcomes map[string]int
 	causes   map[string]int // of refusals for budget
 	late     map[string]*lateness
+	// lateErrors counts late answers that are an upstream's own 5xx, such as 504 at the
+	// end of its time: they say nothing of where the request was placed.
+	lateErrors int
 }
 
 // lateness is what late answers of one upstream have in common.
@@ -40,6 +43,10 @@
 	if s.Late <= 0 || r.First < s.Late || len(r.Upstreams) == 0 {
 		return
 	}
+	if r.Status >= 500 {
+		s.lateErrors++
+		return
+	}
 	last := r.Upstreams[len(r.Upstreams)-1]
 	if s.late[last] == nil {
 		s.late[last] = &lateness{}
@@ -66,7 +73,7 @@
 	if s.Late <= 0 {
 		return
 	}
-	fmt.Fprintf(w, "first byte after %s or later: %d\n", s.Late, total)
+	fmt.Fprintf(w, "first byte after %s or later: %d, and %d errors of upstreams\n", s.Late, total, s.lateErrors)
 	slices.SortFunc(names, func(a, b string) int {
 		return cmp.Or(cmp.Compare(s.late[b].requests, s.late[a].requests), strings.Compare(a, b))
 	})
