allowance: a late share of an earlier process blocks no grants

Cause, found on reading the diff: since a holder asks for no grants of a budget while its predecessor has a share in the pool. A late write of that process may bring such a share back after it was reclaimed, and the VM would get nothing until its next start. Change: that holds only until the part's shares were reclaimed once. Test, failing first: a late share, and a request that needs a refill.

--- a/budget/allowance/book.go
+++ b/budget/allowance/book.go
@@ -52,10 +52,12 @@
 	// says that one was read.
 	partsTried int
 	partRead   bool
-	started    time.Time
-	settling   time.Duration // from the start to each account's divideFrom
-	closed     bool
-	retiring   bool // no more loans are given
+	// settled says of which buckets all that earlier processes held is reclaimed.
+	settled  [buckets]bool
+	started  time.Time
+	settling time.Duration // from the start to each account's divideFrom
+	closed   bool
+	retiring bool // no more loans are given
 	// ended holds the last standings of holders that closed, by holder.
 	ended map[string]standing
 	// reached is the last time at which the table answered.
--- a/budget/allowance/grant.go
+++ b/budget/allowance/grant.go
@@ -44,7 +44,7 @@
 		}
 		b.foldClosed(name, &a.pool, clock)
 		sharing := b.sharing(a)
-		if !sharing.Holds && a.granted == 0 && a.need == 0 || a.pool.heldEarlier(b.self) {
+		if !sharing.Holds && a.granted == 0 && a.need == 0 || b.reclaiming(a) {
 			continue
 		}
 		if a.version < 0 || a.next(b.self, sharing, now).change {
--- a/budget/allowance/reserve.go
+++ b/budget/allowance/reserve.go
@@ -156,7 +156,7 @@
 	wait := b.patience().tokens
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.ready && !b.accounts[budget].pool.heldEarlier(b.self) {
+	if b.ready && !b.reclaiming(b.accounts[budget]) {
 		return wait
 	}
 	return max(wait, startWait-time.Since(b.started))
--- a/budget/allowance/rows.go
+++ b/budget/allowance/rows.go
@@ -171,10 +171,12 @@
 
 // poolKey returns the key of a budget's row.
 func poolKey(budget string) string {
-	bucket := xxhash.Sum64String(budget) % buckets
-	return poolPart(bucket) + budget
+	return poolPart(bucketOf(budget)) + budget
 }
 
+// bucketOf returns the bucket of a budget's pool.
+func bucketOf(budget string) uint64 { return xxhash.Sum64String(budget) % buckets }
+
 // poolPart returns what the keys of a bucket's pools begin with.
 func poolPart(bucket uint64) string { return poolPrefix + strconv.FormatUint(bucket, 10) + "/" }
 
--- a/budget/allowance/start.go
+++ b/budget/allowance/start.go
@@ -40,6 +40,7 @@
 			select {
 			case <-read:
 				b.settlePart(ctx, part{leftover: left, pools: pools, opened: opened})
+				b.noteSettled(bucket)
 			case <-ctx.Done():
 			}
 		})
@@ -60,6 +61,12 @@
 	b.forget(ctx, left.rows)
 }
 
+func (b *Book) noteSettled(bucket int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settled[bucket] = true
+}
+
 // readPart reads the pools of a part of the table, again until it answers.
 func (b *Book) readPart(ctx context.Context, prefix string) []store.Row {
 	defer b.tried(true)
--- a/budget/allowance/turn.go
+++ b/budget/allowance/turn.go
@@ -57,9 +57,15 @@
 	return len(before)
 }
 
-// heldEarlier reports whether an earlier process of a holder's VM has a share that is yet
-// to be reclaimed. Until then the holder asks for nothing more: it would contend with the
-// others that reclaim theirs.
+// reclaiming reports whether an earlier process on this VM has a share of a budget that is
+// yet to be reclaimed. Until then the holder asks for nothing more: it would contend with
+// the others that reclaim theirs. A share that a late write of that process brings back
+// afterwards does not count. The caller holds the lock.
+func (b *Book) reclaiming(a *account) bool {
+	return a.pool.heldEarlier(b.self) && !b.settled[bucketOf(a.budget)]
+}
+
+// heldEarlier reports whether an earlier process of a holder's VM has a share.
 func (p pool) heldEarlier(self string) bool {
 	own, _ := holderVM(self)
 	for holder := range p.Holders {
--- a/budget/allowance/turn_test.go
+++ b/budget/allowance/turn_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
+
+	"buckthornridge/store"
 )
 
 // Guards against VMs that lose power together and contend for the same pools: callers
@@ -96,3 +98,22 @@
 		is.True(w.pool(studio).committed() <= limit)
 	})
 }
+
+// Guards against a VM that gets no tokens of a budget for good because a late write of the
+// process before it has brought back that one's share.
+func TestALateShareOfAnEarlierProcessBlocksNothing(t *testing.T) {
+	inTime(t, func(w *world, is *is.I) {
+		const limit = 1_000_000
+		a := w.startAll(limit, "a")[0]
+		time.Sleep(5 * time.Second)
+		late := w.pool(studio)
+		late.Holders[holderName("a", "0")] = share{Granted: 10_000}
+		data, err := encode(late)
+		is.NoErr(err)
+		_, err = w.fake.As("late").Table.Commit(t.Context(), store.Txn{Writes: []store.Write{{Key: poolKey(studio), Value: data}}})
+		is.NoErr(err)
+		time.Sleep(2 * followInterval)
+		more := late.Holders[a.book.self].Granted + 10_000 // than a has, and the pool can give it
+		is.NoErr(a.request(studio, limit, more))
+	})
+}
