edge, platform: obey orders to evacuate a data centre

Callers' requests went on to the upstreams of a data centre that its operators had ordered to be emptied, until it was cut off under them.

Cause: the order is a row op/evacuate/NAME of the table with the configuration. The routers received it with the feed, found that it is not the configuration, and dropped it. TestEvacuatedDataCentreGetsNoWork was red at once.

Change: the rows are applied before the configuration. While one exists, the upstreams of the data centre count as leaving: they finish what they have and get nothing new, retries and resumed streams included, since the choice of an upstream and the last check before a send both read the mark. If all upstreams of a service are evacuated, requests are refused at once as not run.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -63,6 +63,9 @@
 	// Configuration decodes a row of ConfigSegment. It returns false for a row that is
 	// not a configuration.
 	Configuration func(key string, data []byte) (relay.Definition, bool, error)
+	// Evacuation returns the data centre whose evacuation a row of ConfigSegment orders.
+	// The order stands while the row exists. Nil: there are no such orders.
+	Evacuation func(key string) (dataCentre string, ok bool)
 	// Upstream decodes a row of UpstreamSegment.
 	Upstream func(key string, data []byte) (relay.Upstream, error)
 	Protocol Protocol
@@ -257,8 +260,11 @@
 	return nil
 }
 
-// applyConfig activates a newer configuration.
+// applyConfig activates a newer configuration, and orders to evacuate data centres. The
+// orders come first: a process that has just started serves no request before it knows
+// those that stand.
 func (p *Process) applyConfig(changes []store.Change) {
+	p.applyEvacuations(changes)
 	for _, change := range changes {
 		if change.Deleted {
 			continue
@@ -274,6 +280,21 @@
 	}
 }
 
+func (p *Process) applyEvacuations(changes []store.Change) {
+	if p.adapter.Evacuation == nil {
+		return
+	}
+	orders := map[string]bool{}
+	for _, change := range changes {
+		if dataCentre, ok := p.adapter.Evacuation(change.Key); ok {
+			orders[dataCentre] = !change.Deleted
+		}
+	}
+	if len(orders) > 0 {
+		p.fleet.evacuate(orders)
+	}
+}
+
 func (p *Process) activate(c *relay.Catalogue) {
 	if !p.catalogue.Advance(c) {
 		return
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -42,12 +42,14 @@
 	entries       map[string]relay.Upstream // by key
 	lapsing       map[string]time.Time      // deleted keys, with the time to remove them
 	serviceByName map[string]relay.Service
+	evacuated     map[string]bool // data centres that get no new work
 }
 
 func newFleet(decode func(string, []byte) (relay.Upstream, error), table *routing.Table, lapseDeadline func() time.Time) *fleet {
 	f := &fleet{
 		decode: decode, table: table, lapseDeadline: lapseDeadline,
 		entries: map[string]relay.Upstream{}, lapsing: map[string]time.Time{}, serviceByName: map[string]relay.Service{},
+		evacuated: map[string]bool{},
 	}
 	f.current.Store(&map[string]relay.Upstream{})
 	f.serviceByAddress.Store(&map[string]string{})
@@ -129,12 +131,29 @@
 	f.publish()
 }
 
+// evacuate starts or ends the evacuation of data centres. Evacuated upstreams finish
+// their work and get none.
+func (f *fleet) evacuate(orders map[string]bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for dataCentre, evacuated := range orders {
+		klog.Infof("step=evacuate data_centre=%s evacuated=%t", dataCentre, evacuated)
+		if evacuated {
+			f.evacuated[dataCentre] = true
+		} else {
+			delete(f.evacuated, dataCentre)
+		}
+	}
+	f.publish()
+}
+
 // publish makes the list visible to requests. The caller must hold f.mu.
 func (f *fleet) publish() {
 	services := make(map[string]string, len(f.entries))
 	byID := make(map[string]relay.Upstream, len(f.entries))
 	upstreams := make(map[string]config.Upstream, len(f.entries))
 	for _, u := range f.entries {
+		u.Leaving = u.Leaving || f.evacuated[u.DataCentre]
 		byID[u.ID] = u
 		services[u.Address] = u.Service
 		slots := u.Slots
