edge, routing: limit requests to cold upstreams

What callers would have seen: after an evacuation all upstreams of a data centre come back idle and cold at once, every router prefers them, and a cold upstream that gets well over its rate crashes with the requests that it has.

Cause: the rows say how long a server stays cold and the configuration how much it bears meanwhile; neither was read.

Change: while an upstream is cold, a router spaces its requests to it so that all routers together send three quarters of its rate. In a large fleet a few routers, chosen by rendezvous hashing, use a cold upstream at one request a second each, since the first requests of all at once would already be too many; a router that does not know how many others there are sends none. When an evacuation ends, all upstreams of the data centre are taken for cold: the list says so up to a heartbeat later. The limit holds for probes, retries and the last resort as well, as the check is where all of them pass. If nothing else is left, the request is refused at once as not run.

--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -100,6 +100,16 @@
 	MaxModels int `json:"max_models,omitempty"`
 	// Leaving stops new work from being sent to this upstream.
 	Leaving bool `json:"leaving,omitempty"`
+	// WarmUp limits the requests to an upstream that has just started. It is observed,
+	// not configured.
+	WarmUp WarmUp `json:"-"`
+}
+
+// WarmUp limits one router's requests to an upstream until a time.
+type WarmUp struct {
+	Until time.Time
+	// Interval is the least time between two requests; with 0 there are none.
+	Interval time.Duration
 }
 
 // Service is an HTTP service other than the model engines.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -122,6 +122,7 @@
 		addresses: map[string]string{}, seeds: s.Peers, rows: map[string]store.Row{},
 		sharingCache: map[string]allowance.Sharing{},
 	}
+	p.fleet.routers = p.peers.members
 	p.manager = allowance.New(allowance.Options{
 		Table: a.Table, Feed: a.Feed, Clock: a.Clock, VM: s.VM, Incarnation: p.incarnation, VMs: p.peers.count,
 		Sharing:    p.peers.sharing,
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"buckthornridge/budget/allowance"
 	"buckthornridge/config"
 	"buckthornridge/relay"
 	"buckthornridge/routing"
@@ -33,6 +34,8 @@
 	// lapseDeadline returns the time until which upstreams whose entries were deleted
 	// stay in use.
 	lapseDeadline func() time.Time
+	// routers returns this VM's name and the members of the fleet, this VM included.
+	routers func() (self string, all []allowance.Peer)
 
 	current          atomic.Pointer[map[string]relay.Upstream]
 	serviceByAddress atomic.Pointer[map[string]string]
@@ -43,13 +46,15 @@
 	lapsing       map[string]time.Time      // deleted keys, with the time to remove them
 	serviceByName map[string]relay.Service
 	evacuated     map[string]bool // data centres that get no new work
+	cold          coldUpstreams
 }
 
 func newFleet(decode func(string, []byte) (relay.Upstream, error), table *routing.Table, lapseDeadline func() time.Time) *fleet {
 	f := &fleet{
 		decode: decode, table: table, lapseDeadline: lapseDeadline,
 		entries: map[string]relay.Upstream{}, lapsing: map[string]time.Time{}, serviceByName: map[string]relay.Service{},
-		evacuated: map[string]bool{},
+		evacuated: map[string]bool{}, cold: coldUpstreams{},
+		routers: func() (string, []allowance.Peer) { return "", nil },
 	}
 	f.current.Store(&map[string]relay.Upstream{})
 	f.serviceByAddress.Store(&map[string]string{})
@@ -86,6 +91,7 @@
 			klog.Infof("step=upstream id=%s service=%s address=%s leaving=%t", u.ID, u.Service, u.Address, u.Leaving)
 		}
 		f.entries[change.Key] = u
+		f.cold.extend(change.Key, u.WarmUp)
 	}
 	f.publish()
 }
@@ -101,8 +107,13 @@
 		return
 	}
 	klog.Infof("step=upstream id=%s service=%s gone=true", u.ID, u.Service)
+	f.forget(key)
+}
+
+func (f *fleet) forget(key string) {
 	delete(f.entries, key)
 	delete(f.lapsing, key)
+	delete(f.cold, key)
 }
 
 // removeLapsed removes the upstreams whose entries were not written again in time.
@@ -112,8 +123,7 @@
 	removed := false
 	for key, at := range f.lapsing {
 		if time.Now().After(at) {
-			delete(f.entries, key)
-			delete(f.lapsing, key)
+			f.forget(key)
 			removed = true
 			klog.Infof("step=upstream key=%s gone=true lapsed=true", key)
 		}
@@ -132,7 +142,8 @@
 }
 
 // evacuate starts or ends the evacuation of data centres. Evacuated upstreams finish
-// their work and get none.
+// their work and get none. When an evacuation ends, all of them may be cold, and the list
+// says so only later.
 func (f *fleet) evacuate(orders map[string]bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -140,19 +151,30 @@
 		klog.Infof("step=evacuate data_centre=%s evacuated=%t", dataCentre, evacuated)
 		if evacuated {
 			f.evacuated[dataCentre] = true
-		} else {
+		} else if f.evacuated[dataCentre] {
 			delete(f.evacuated, dataCentre)
+			f.expectCold(dataCentre)
 		}
 	}
 	f.publish()
 }
 
+// expectCold treats all upstreams of a data centre as if they had just started.
+func (f *fleet) expectCold(dataCentre string) {
+	for key, u := range f.entries {
+		if u.DataCentre == dataCentre {
+			f.cold.extend(key, f.serviceByName[u.Service].WarmUp)
+		}
+	}
+}
+
 // publish makes the list visible to requests. The caller must hold f.mu.
 func (f *fleet) publish() {
 	services := make(map[string]string, len(f.entries))
 	byID := make(map[string]relay.Upstream, len(f.entries))
 	upstreams := make(map[string]config.Upstream, len(f.entries))
-	for _, u := range f.entries {
+	self, routers := f.routers()
+	for key, u := range f.entries {
 		u.Leaving = u.Leaving || f.evacuated[u.DataCentre]
 		byID[u.ID] = u
 		services[u.Address] = u.Service
@@ -163,6 +185,7 @@
 		upstreams[u.ID] = config.Upstream{
 			Kind: config.UpstreamService, Address: u.Address, DataCentre: u.DataCentre,
 			Service: u.Service, Slots: slots, Leaving: u.Leaving,
+			WarmUp: f.cold.limit(key, u, f.serviceByName[u.Service].WarmUpRate, self, routers),
 		}
 	}
 	f.current.Store(&byID)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -102,6 +102,14 @@
 	return known
 }
 
+// members returns the name of this VM and the list of members, which includes it and is
+// empty before it was read. The caller must not change the list.
+func (p *peers) members() (self string, all []allowance.Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.self.VM, p.fleet
+}
+
 // count returns the number of VMs, this one included.
 func (p *peers) count() int {
 	p.mu.Lock()
--- a/relay/catalogue.go
+++ b/relay/catalogue.go
@@ -47,6 +47,10 @@
 	// Engine says that the upstreams are model engines.
 	Engine bool
 	Models []string
+	// WarmUp is how long an upstream is cold after it starts. Meanwhile it bears at most
+	// WarmUpRate requests a second from all routers; 0 means no limit.
+	WarmUp     time.Duration
+	WarmUpRate float64
 }
 
 // Workspace is a customer with a prepaid budget.
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -19,6 +19,8 @@
 	Service    string
 	Slots      int
 	Leaving    bool
+	// WarmUp is how long the upstream remains cold, as it last reported.
+	WarmUp time.Duration
 }
 
 // Budgets admits requests against the budgets of workspaces.
--- a/routing/entry.go
+++ b/routing/entry.go
@@ -64,6 +64,7 @@
 
 	backlog backlog
 	health  health
+	warmUp  warmUp
 	retries RetryBudget
 }
 
--- a/routing/router.go
+++ b/routing/router.go
@@ -64,11 +64,24 @@
 	if v.pool == nil {
 		return nil, r.refuse(&request, ReasonNoPool)
 	}
-	e := r.choose(v)
-	if e == nil {
-		return nil, r.refuse(&request, ReasonExcluded)
+	for {
+		e := r.choose(v)
+		if e == nil {
+			return nil, r.refuse(&request, ReasonExcluded)
+		}
+		if e.warmUp.claim(v.now) {
+			return r.commit(v, e), nil
+		}
+		v.abandon(e) // another request took the place of this one
+	}
+}
+
+// abandon undoes the choice of an upstream that gets no request.
+func (v *view) abandon(e *entry) {
+	if v.why == ReasonProbe {
+		e.health.probing.Store(0)
 	}
-	return r.commit(v, e), nil
+	v.why = ReasonPolicy
 }
 
 func (r *Router) view(request *Request) *view {
--- a/routing/table.go
+++ b/routing/table.go
@@ -63,6 +63,7 @@
 			e.dataCentre = topo.index[u.DataCentre]
 		}
 		e.drainRequested.Store(u.Leaving)
+		e.warmUp.set(u.WarmUp, t.start)
 		entries[id] = e
 	}
 	t.publish(newSet(entries, topo))
