allowance: pause reports to a partition that fails

Cause: each request that waits for a report triggers a try, and a try that fails at once frees the way for the next trigger.

Change: after two failures in a row the primary report is tried once in an interval. The first read after a lost answer still follows at once.

--- a/budget/allowance/env_test.go
+++ b/budget/allowance/env_test.go
@@ -36,6 +36,10 @@
 	lateWrites int64
 	// unavailable says for which keys the partition does not answer; nil means none.
 	unavailable func(key string) bool
+	// refused says for which keys the partition refuses calls at once; refusals counts
+	// them.
+	refused  func(key string) bool
+	refusals int
 	// followedBytes is the size of all rows written to the segment that every VM follows,
 	// in bytes as the platform sends them.
 	followedBytes int64
@@ -97,6 +101,23 @@
 	w.unavailable = unavailable
 }
 
+func (w *testEnv) setRefused(refused func(key string) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.refused = refused
+}
+
+// refuses counts a call to a partition that refuses it.
+func (w *testEnv) refuses(key string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.refused == nil || !w.refused(key) {
+		return false
+	}
+	w.refusals++
+	return true
+}
+
 func (w *testEnv) isUnavailable(key string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -180,6 +201,10 @@
 }
 
 func (l tableLink) reach(ctx context.Context, key string) error {
+	if l.vm.env.refuses(key) {
+		time.Sleep(5 * time.Millisecond)
+		return store.CallError("call", "table", store.ErrUnavailable, nil)
+	}
 	if l.vm.isCut() || l.vm.env.isUnavailable(key) {
 		<-ctx.Done()
 		return store.CallError("call", "table", store.ErrUnavailable, ctx.Err())
--- a/budget/allowance/manager.go
+++ b/budget/allowance/manager.go
@@ -81,6 +81,10 @@
 	// writtenOff is what this process wrote off for its predecessors on the VM.
 	writtenOff Losses
 	reportedAt time.Time
+	// failedReports counts consecutive failures of the primary report, reportTriedAt is
+	// when it was last tried. Only keepReports uses them.
+	failedReports int
+	reportTriedAt time.Time
 	// publishedUsage is the content of the last usage summary, publishedAt its time. Only
 	// follow uses them.
 	publishedUsage map[string]usage
--- a/budget/allowance/report.go
+++ b/budget/allowance/report.go
@@ -49,6 +49,30 @@
 	return rate > 0 && float64(available) < earlyReportShare*float64(a.reportedHeadroom) && available < unspent
 }
 
+// reportPaused reports whether the partition of the primary reports is left alone for the
+// rest of an interval because it failed repeatedly. Otherwise each waiting request would
+// cause a call to it.
+func (m *Manager) reportPaused() bool {
+	return m.failedReports >= maxFailedReports && time.Since(m.reportTriedAt) < reportInterval-upkeepSlack
+}
+
+// maxFailedReports is how many tries of a primary report may fail before the next ones
+// are paused.
+const maxFailedReports = 2
+
+// noteReport counts consecutive failures of the primary report.
+func (m *Manager) noteReport(r *reportRow, err error) {
+	if r != &m.primary {
+		return
+	}
+	m.reportTriedAt = time.Now()
+	if err == nil {
+		m.failedReports = 0
+	} else {
+		m.failedReports++
+	}
+}
+
 // report writes a report of what this holder may have consumed.
 func (m *Manager) report(ctx context.Context, r *reportRow) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -67,6 +91,7 @@
 	}
 	version, err := m.commit(ctx, store.Row{Key: r.key, Version: r.version}, store.Write{Key: r.key, Value: data})
 	m.noteTableReply(err)
+	m.noteReport(r, err)
 	m.finishReport(r, bounds, version, err)
 }
 
@@ -159,6 +184,7 @@
 	rows, err := m.options.Table.Read(ctx, r.key)
 	m.noteTableReply(err)
 	if err != nil {
+		m.noteReport(r, err)
 		logFailure("read report back", err)
 		return false
 	}
--- a/budget/allowance/report_test.go
+++ b/budget/allowance/report_test.go
@@ -37,3 +37,20 @@
 		}
 	}
 }
+
+// Guards against a call to the table for each request that waits for a report while the
+// partition of the reports refuses calls at once.
+func TestFailedReportsArePaused(t *testing.T) {
+	runTest(t, func(w *testEnv, is *is.I) {
+		const limit, outage = 10_000_000, 3 * time.Second
+		vms := w.startAll(limit, "a")
+		time.Sleep(3 * time.Second)
+		work := func(v *vm) { _ = v.request(studio, limit, 20_000) }
+		load(vms, 2*time.Second, 20*time.Millisecond, work)
+		w.setRefused(primaryUnavailable("a"))
+		load(vms, outage, 10*time.Millisecond, work)
+		w.setRefused(nil)
+		t.Logf("%d calls in %v", w.refusals, outage)
+		is.True(w.refusals <= 2*int(outage/reportInterval))
+	})
+}
--- a/budget/allowance/run.go
+++ b/budget/allowance/run.go
@@ -45,7 +45,7 @@
 func (m *Manager) keepReports(ctx context.Context) {
 	m.runPeriodically(ctx, reportInterval, m.reportWanted, func() {
 		m.expireLoans()
-		if m.reportDue() {
+		if m.reportDue() && !m.reportPaused() {
 			m.report(ctx, &m.primary)
 		}
 	})
