budget: let the test fleet's maps be read while a router starts

TestRandomSchedules failed with a data race, in the test itself: go test -race -count=20 -run TestRandomSchedules ./budget, on the first try (15 s).

Cause, from the two stacks: startRouter writes the fleet's map of grant managers while the recall of an earlier router reads it in Recall. Recalls go on while a router restarts, which is what the schedules are for, and the map had no lock. The product is not involved: it never saw the map.

Change: managers and cut are used under the fleet's lock, through four methods; the check and its schedules are untouched. The same fault elsewhere: the map cut was written and read in the same way, and so was that of silent witnesses in witness_test.go; both have locks now.

--- a/budget/experiment_test.go
+++ b/budget/experiment_test.go
@@ -202,7 +202,7 @@
 		cfg.Witnesses = nextRouter{x, holder}
 	}
 	m := budget.NewGrantManager(cfg)
-	x.fleet.managers[holder] = m
+	x.register(holder, m)
 	_ = m.Start(x.t.Context())
 	<-m.Ready()
 	return m
@@ -221,7 +221,7 @@
 }
 
 func (n nextRouter) Enter(ctx context.Context, witness, holder string, number uint64) error {
-	if n.x.isolated && n.x.cut[holder] {
+	if n.x.isolated && n.x.isCut(holder) {
 		return budget.ErrNoWitness
 	}
 	return n.x.witnessStates.Enter(ctx, witness, holder, number)
@@ -242,7 +242,7 @@
 	var cut []string
 	for i := range x.routers / 3 {
 		cut = append(cut, fmt.Sprint("vm-", i))
-		x.cut[budget.HolderName(cut[i], "1")] = true
+		x.disconnect(budget.HolderName(cut[i], "1"))
 	}
 	x.faults(store.Faults{PartitionedVMs: cut, Silent: true})
 }
--- a/budget/faults_test.go
+++ b/budget/faults_test.go
@@ -61,7 +61,7 @@
 		is.NoErr(f.mustReserve(m, "warm-up", 1000).Bill(t.Context(), 1000))
 		held := f.status(studio).Holders["vm-1#1"].Held
 		f.faults(store.Faults{PartitionedVMs: []string{"vm-1"}})
-		f.cut["vm-1#1"] = true
+		f.disconnect("vm-1#1")
 		var spent int64
 		for minute := range 60 {
 			if r, err := f.reserve(m, fmt.Sprint("m-", minute), 100); err == nil {
@@ -89,7 +89,7 @@
 		m := f.start("vm-1", "1")
 		other := f.start("vm-2", "1")
 		request := f.mustReserve(m, "in dispatch", 700)
-		f.cut["vm-1#1"] = true
+		f.disconnect("vm-1#1")
 		f.faults(store.Faults{PartitionedVMs: []string{"vm-1"}, Silent: true})
 		time.Sleep(time.Hour)
 		f.duties()
--- a/budget/grantmanager_test.go
+++ b/budget/grantmanager_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -24,7 +25,7 @@
 	t        *testing.T
 	fake     *store.Fake
 	table    store.Table // an operator's table, which faults of VMs don't affect
-	mu       sync.Mutex  // guards weight
+	mu       sync.Mutex  // guards weight, managers and cut: recalls go on while routers start
 	weight   float64
 	managers map[string]*budget.GrantManager
 	cut      map[string]bool // holders that recalls do not reach
@@ -44,8 +45,8 @@
 
 // Recall implements budget.Recaller.
 func (f *fleet) Recall(ctx context.Context, holder string, id budget.ID, want int64) (budget.RecallReply, error) {
-	m := f.managers[holder]
-	if m == nil || f.cut[holder] {
+	m := f.manager(holder)
+	if m == nil || f.isCut(holder) {
 		return budget.RecallReply{}, fmt.Errorf("%s unreachable", holder)
 	}
 	type answer struct {
@@ -65,6 +66,32 @@
 	}
 }
 
+func (f *fleet) register(holder string, m *budget.GrantManager) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.managers[holder] = m
+}
+
+// manager returns a holder's manager, or nil.
+func (f *fleet) manager(holder string) *budget.GrantManager {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.managers[holder]
+}
+
+// disconnect keeps recalls from reaching a holder.
+func (f *fleet) disconnect(holder string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[holder] = true
+}
+
+func (f *fleet) isCut(holder string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut[holder]
+}
+
 // start starts an incarnation of a router and waits until its journal exists.
 func (f *fleet) start(vm, incarnation string) *budget.GrantManager {
 	services := f.fake.As(vm)
@@ -77,7 +104,7 @@
 		Table: services.Table, Holder: holder, Recaller: f,
 		Policy: f.policy, Witnesses: f.witnesses, Copier: f.copier,
 	})
-	f.managers[holder] = m
+	f.register(holder, m)
 	_ = m.Start(f.t.Context())
 	<-m.Ready()
 	return m
@@ -131,7 +158,10 @@
 
 // stop stops all routers.
 func (f *fleet) stop() {
-	for _, m := range f.managers {
+	f.mu.Lock()
+	managers := maps.Clone(f.managers)
+	f.mu.Unlock()
+	for _, m := range managers {
 		_ = m.Stop()
 	}
 }
--- a/budget/outage_test.go
+++ b/budget/outage_test.go
@@ -107,7 +107,7 @@
 		is.Equal(state.Billed, int64(500+5*400))
 		is.Equal(state.LostTokens(), int64(0))
 		// Any copy that vm-2 still stored would be handed over now.
-		is.NoErr(f.managers["vm-1#1"].Drain(f.t.Context()))
+		is.NoErr(f.manager("vm-1#1").Drain(f.t.Context()))
 		time.Sleep(10 * time.Second)
 		is.Equal(len(f.fake.Dump(ledger.AdoptedPrefix)), 0)
 	})
--- a/budget/schedule_test.go
+++ b/budget/schedule_test.go
@@ -138,7 +138,7 @@
 	w.fake.SetFaults(faults)
 	holder := budget.HolderName(r.vm, fmt.Sprint(r.incarnation))
 	r.manager = budget.NewGrantManager(budget.GrantManagerConfig{Table: services.Table, Holder: holder, Recaller: w, Policy: w.policy})
-	w.managers[holder] = r.manager
+	w.register(holder, r.manager)
 	_ = r.manager.Start(w.ctx)
 }
 
--- a/budget/witness_test.go
+++ b/budget/witness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,7 +18,8 @@
 type witnessSet struct {
 	states map[string]*budget.WitnessState // by holder name
 	order  []string                        // in order of preference of Choose
-	silent map[string]bool                 // witnesses that do not answer
+	mu     sync.Mutex
+	silent map[string]bool // witnesses that do not answer; guarded by mu, since they are asked concurrently
 }
 
 func newWitnessSet(names ...string) *witnessSet {
@@ -37,8 +39,20 @@
 	return b.order[0]
 }
 
+func (b *witnessSet) setSilent(witness string, silent bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.silent[witness] = silent
+}
+
+func (b *witnessSet) isSilent(witness string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.silent[witness]
+}
+
 func (b *witnessSet) reach(witness string) (*budget.WitnessState, error) {
-	if b.silent[witness] || b.states[witness] == nil {
+	if b.isSilent(witness) || b.states[witness] == nil {
 		return nil, budget.ErrNoWitness
 	}
 	return b.states[witness], nil
@@ -165,12 +179,12 @@
 	runWitnessed(t, func(t *testing.T, is *is.I, f *fleet, b *witnessSet, m *budget.GrantManager) {
 		before := f.status(studio).Holders["vm-1#1"]
 		_ = m.Stop()
-		b.silent["vm-2#1"] = true
+		b.setSilent("vm-2#1", true)
 		is.NoErr(f.fake.SetVMState("vm-1", store.VMGone))
 		_, err := budget.Reclaimer{Table: f.table, VMs: f.fake.As("operator").VMs, Fencer: b}.Run(t.Context())
 		is.True(errors.Is(err, budget.ErrNoWitness))
 		is.Equal(f.status(studio).Holders["vm-1#1"], before)
-		b.silent["vm-2#1"] = false
+		b.setSilent("vm-2#1", false)
 		f.duties()
 		is.Equal(f.status(studio).Lost[budget.CauseHolderGone], before.Exposure)
 	})
@@ -217,7 +231,7 @@
 func TestNoOutageModeWithoutWitness(t *testing.T) {
 	runWitnessed(t, func(t *testing.T, is *is.I, f *fleet, b *witnessSet, m *budget.GrantManager) {
 		before := f.status(studio).Holders["vm-1#1"]
-		b.silent["vm-2#1"] = true
+		b.setSilent("vm-2#1", true)
 		f.faults(store.Faults{Down: true})
 		is.True(f.spendAll(m) <= before.Exposure)
 	})
