loadtool/run: truncate each fifth response that the defect can truncate

TestEachZeroBarDetectsItsDefect/answers_truncated_as_complete, the case of unstreamed responses, failed now and then beside load: the defective router was not detected.

Cause, from a trace of 140 runs, 14 processes at a time: the defect took each fifth of all requests in their order of arrival and touched it if it was unstreamed. 6 runs failed; these are the runs in which it touched none of 56 responses, all others touched one to six. There was nothing to detect.

Change: each fifth of the responses that the defect can truncate. The check and the bar are as before; the router is defective in each run now.

--- a/loadtool/run/testfleet_test.go
+++ b/loadtool/run/testfleet_test.go
@@ -72,6 +72,7 @@
 	version      config.Version
 	statusReads  int // reads of /debug/status
 	requestCount int
+	truncatable  int // responses that a defect may truncate
 	rows         map[ledger.ID]*ledger.Budget
 	billIndex    map[ledger.ID][]byte
 }
@@ -302,6 +303,16 @@
 	return b.requestCount, b.defect == ignoresBudget || b.rows[id].Holders["router"].Held >= tokens
 }
 
+// nextTruncates reports whether the next response that the defect may truncate is
+// truncated: each fifth one. Counted among all requests, some orders of arrival would
+// have none.
+func (b *testFleet) nextTruncates() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.truncatable++
+	return b.truncatable%5 == 0
+}
+
 func writeJSON(w http.ResponseWriter, body any) { _ = json.NewEncoder(w).Encode(body) }
 
 // announceEngine puts the engine on the platform's VM list.
--- a/loadtool/run/testrouter_test.go
+++ b/loadtool/run/testrouter_test.go
@@ -107,11 +107,13 @@
 
 func (b *testFleet) corruptResponse(a *generatedResponse, streamed bool, nth int) {
 	switch {
+	case b.defect == truncatesStreams && streamed, b.defect == truncatesUnstreamed && !streamed:
+		if b.nextTruncates() {
+			a.tokens = a.tokens[:len(a.tokens)-1]
+		}
 	case nth%5 != 0:
 	case b.defect == swapsResponses:
 		a.tokens[0] = "other "
-	case b.defect == truncatesStreams && streamed, b.defect == truncatesUnstreamed && !streamed:
-		a.tokens = a.tokens[:len(a.tokens)-1]
 	case b.defect == misreportsUsage:
 		a.usage.OutputTokens++
 	}
