request: let the caller follow a run before it starts

What callers saw: an answer that ended after its first event with "the caller left", status 499, run_state ran, although the caller was there and read on. It was billed for what was generated.

Cause: the executor started the run in its own goroutine and only then let the caller join it as a follower. If the engine's first token came in between, the run had no follower, and for a caller without a key of its own the grace period is 0: it ended as if every caller had disconnected, and the caller, who joined a moment later, got the token and that outcome. Load made the gap long enough; it needs no load.

Change: the caller joins the run where it is found or created, under the executor's lock, before anything is started. A caller who joins an existing run cannot miss it in the same way either.

Tests: TestRunHasAFollowerBeforeItStarts, red if the run is created without its caller.

--- a/request/bench_test.go
+++ b/request/bench_test.go
@@ -34,7 +34,8 @@
 // completed returns a run that passed through the states of a streamed answer.
 func completed(e *Executor, i, tokens int) *Run {
 	key := Key{Workspace: fmt.Sprint("workspace-", i%50), ID: fmt.Sprintf("request-%032d", i)}
-	run, _, _ := e.find(&Request{Key: key})
+	run, caller, _, _ := e.join(&Request{Key: key})
+	run.leave(caller)
 	run.enter(Admitted)
 	run.enter(Reserved)
 	run.dispatch(Hint{})
--- a/request/executor.go
+++ b/request/executor.go
@@ -104,14 +104,14 @@
 	if trace := telemetry.Traceparent(ctx); trace != "" {
 		r.Trace = trace
 	}
-	run, created, problem := e.find(r)
+	run, caller, created, problem := e.join(r)
 	if problem != nil {
 		return e.correctRunState(r, Outcome{Problem: problem}), nil
 	}
 	if created {
 		e.spawn(func() { e.execute(run, r) })
 	}
-	outcome, err := run.Follow(ctx, emit)
+	outcome, err := run.follow(ctx, caller, emit)
 	if errors.Is(err, context.DeadlineExceeded) {
 		outcome, err = deadlineOutcome(run), nil
 	}
@@ -153,22 +153,22 @@
 	}()
 }
 
-// find returns the run of the request's key. created reports that the run is new
-// and must be executed.
-func (e *Executor) find(r *Request) (run *Run, created bool, problem *Problem) {
+// join returns the run of the request's key with the caller as a follower. created reports that the run is new and must be executed. The caller joins
+// before that: a run without followers ends as soon as its first token arrives.
+func (e *Executor) join(r *Request) (run *Run, caller *follower, created bool, problem *Problem) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if run := e.runs[r.Key]; run != nil && !restartable(run, r) {
 		if run.digest != r.Digest {
-			return nil, false, &Problem{
+			return nil, nil, false, &Problem{
 				Name: ProblemKeyReused, RunState: NotRun,
 				Detail: "this idempotency key was used for a request with other content",
 			}
 		}
-		return run, false, nil
+		return run, run.join(), false, nil
 	}
 	if e.draining {
-		return nil, false, &Problem{
+		return nil, nil, false, &Problem{
 			Name: ProblemDraining, RunState: NotRun, RetryAfter: time.Second,
 			Detail: "this router is stopping; another one will serve the request",
 		}
@@ -176,7 +176,7 @@
 	run = newRun(r.Key, r.Digest)
 	e.runs[r.Key] = run
 	e.active++
-	return run, true, nil
+	return run, run.join(), true, nil
 }
 
 // restartable reports whether a retry of the run's key starts a new run instead of
--- a/request/run.go
+++ b/request/run.go
@@ -163,10 +163,10 @@
 	}
 }
 
-// Follow passes every update to emit, from the first token on, and returns the
-// outcome. It returns early with an error of ctx or emit; the run continues.
-func (r *Run) Follow(ctx context.Context, emit func(Update) error) (Outcome, error) {
-	f := r.join()
+// follow passes every update to emit, from the first token on, and returns the
+// outcome. It returns early with an error of ctx or emit; the run continues. The
+// follower has left when it returns.
+func (r *Run) follow(ctx context.Context, f *follower, emit func(Update) error) (Outcome, error) {
 	defer r.leave(f)
 	var cursor cursor
 	for {
