config: publish a version after the modules have it

What callers saw: a VM that said it was ready refused its first requests as overloaded, "retry after 2.997 s", with nothing running; another one had no upstream for a model that the configuration gives to one.

A request in between found a configuration and no upstreams. The same gap came with each later version, for what that version added.

Change: OnAdvance first, then the holder.

Tests: TestSnapshotIsPublishedAfterOnAdvance, red before.

--- a/config/watcher.go
+++ b/config/watcher.go
@@ -47,8 +47,9 @@
 	// Peers returns the peers to poll when the table does not respond and to
 	// notify of a new version. It may be nil.
 	Peers func() []Peer
-	// OnAdvance is called with each snapshot after it is in force, in the order
-	// of the versions. It must not block. It may be nil.
+	// OnAdvance is called with each snapshot before the Holder publishes it, in the
+	// order of the versions: what it prepares is there once a request sees the
+	// snapshot. It must not block. It may be nil.
 	OnAdvance func(*Snapshot)
 	// Interval is the time between two polls of a source and Timeout limits one
 	// call; 0 selects the default.
@@ -224,10 +225,10 @@
 	klog.InfoS("configuration in force", "version", next.Version, "before", w.state.Version)
 	w.state, w.fullStep, w.resync = next, nil, false
 	w.keepRecentSteps(steps)
-	w.Holder.Advance(snapshot)
 	if w.options.OnAdvance != nil {
 		w.options.OnAdvance(snapshot)
 	}
+	w.Holder.Advance(snapshot)
 	w.Counters.Advances.Add(1)
 	w.Counters.Version.Set(int64(next.Version))
 	w.wg.Add(1)
--- a/config/watcher_test.go
+++ b/config/watcher_test.go
@@ -367,3 +367,25 @@
 	is.NoErr(client.Close())
 	is.NoErr(server.Close())
 }
+
+// Guards against a VM that is ready, and refuses requests, before the modules that
+// OnAdvance updates know the upstreams of its first configuration.
+func TestSnapshotIsPublishedAfterOnAdvance(t *testing.T) {
+	is := is.New(t)
+	fake := store.NewFake(store.FakeOptions{})
+	s := newStore(fake, "a")
+	_, err := s.Apply(t.Context(), 0, example(t, "lankawrap"), "first", "test")
+	is.NoErr(err)
+	calls := 0
+	var w *Watcher
+	w = NewWatcher(WatcherOptions{Table: s, OnAdvance: func(*Snapshot) {
+		calls++
+		is.True(w.Holder.Load() == nil)
+	}})
+	steps, err := s.Since(t.Context(), 0)
+	is.NoErr(err)
+	is.NoErr(w.advance(steps))
+	is.Equal(calls, 1)
+	is.True(w.Holder.Load() != nil)
+	is.NoErr(w.Stop())
+}
