--- a/request/executor.go
+++ b/request/executor.go
@@ -153,8 +153,9 @@
 	}()
 }
 
-// join returns the run of the request's key with the caller as a follower. created reports that the run is new and must be executed. The caller joins
-// before that: a run without followers ends as soon as its first token arrives.
+// join returns the run of the request's key with the caller as a follower. created
+// reports that the run is new and must be executed. The caller joins before that: a run
+// without followers ends as soon as its first token arrives.
 func (e *Executor) join(r *Request) (run *Run, caller *follower, created bool, problem *Problem) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
