quarantine: log which requests an upstream ran when it ended

The log could not tell the hypotheses apart. A request's line has neither its path nor anything of its body, so that repeats of one request under new ids can't be seen, and "response interrupted" is the same for an upstream that ended and for a connection that was reset.

Change: both request paths report lost connections to a guard, which probes the address once and logs a line step=upstream_crash with the fingerprint of each request that ran there.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -22,11 +22,13 @@
 	"buckthornridge/budget/allowance"
 	"buckthornridge/pause"
 	"buckthornridge/peer"
+	"buckthornridge/quarantine"
 	"buckthornridge/relay"
 	"buckthornridge/routing"
 	"buckthornridge/store"
 	"buckthornridge/store/mirror"
 	"buckthornridge/traffic"
+	"buckthornridge/upstream"
 	"buckthornridge/upstream/exchange"
 )
 
@@ -82,6 +84,7 @@
 	fleet      *fleet
 	manager    *allowance.Manager
 	pool       *exchange.Pool
+	guard      *quarantine.Guard
 	peers      *peers
 	gate       *traffic.Gate // whether the VM's link has capacity for new callers
 	notices    *notices      // nil without an address in the settings
@@ -115,6 +118,7 @@
 	p.fleet = newFleet(a.Upstream, p.routes, p.lapseDeadline)
 	p.pool = exchange.NewPool(p.maxConnections)
 	p.pool.Dial = a.Traffic.Dial(traffic.Upstreams, p.pool.Dial)
+	p.guard = quarantine.NewGuard(upstream.Prober{Dial: p.pool.Dial})
 	p.peers = &peers{
 		traffic: a.Traffic,
 		self:    allowance.Peer{VM: s.VM, DataCentre: s.DataCentre, Strength: s.Strength},
@@ -150,6 +154,7 @@
 		RetryBudget: relay.NewRetryBudget(relay.RetryPolicy{
 			Share: p.settings.RetryBudget.Share, Extra: p.settings.RetryBudget.Extra, Window: p.settings.RetryBudget.Window.D(),
 		}),
+		Guard:    p.guard,
 		Recorder: p.metrics, DataCentre: p.settings.DataCentre, Routers: p.peers.count,
 	}
 	p.callers = &http.Server{
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -91,6 +91,7 @@
 // handleBroken handles an exchange that failed after the request was sent.
 func (t *attempt) handleBroken(ctx context.Context, err error) bool {
 	r := t.call
+	t.reportBroken(ctx)
 	t.reportOutcome(brokenOutcome(ctx))
 	r.exclude(t.target.ID)
 	if r.mayRetry(ctx, true) {
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"buckthornridge/config"
+	"buckthornridge/quarantine"
 	"buckthornridge/routing"
 	"buckthornridge/upstream"
 )
@@ -56,12 +57,13 @@
 	sent           []OutgoingRequest
 	records        []RequestRecord
 	fleet          map[string]Upstream
+	ended          map[string]bool // addresses at which nothing listens
 	reservedTokens int64
 	settledTokens  int64
 }
 
 func newHarness(t *testing.T, kind Kind, steps ...step) *harness {
-	b := &harness{t: t, steps: steps, fleet: map[string]Upstream{}}
+	b := &harness{t: t, steps: steps, fleet: map[string]Upstream{}, ended: map[string]bool{}}
 	upstreams := map[string]config.Upstream{}
 	for _, id := range []string{"u1", "u2", "u3", "u4"} {
 		b.fleet[id] = Upstream{ID: id, Address: id + ":1", Service: "orders"}
@@ -77,6 +79,7 @@
 		Catalogue: &CurrentCatalogue{}, Budgets: b, Picker: picker, Fleet: b, Sender: b, Recorder: b,
 		RetryBudget: NewRetryBudget(RetryPolicy{Share: 0.2, Extra: 50, Window: 10 * time.Second}),
 		Routers:     func() int { return 1 },
+		Guard:       quarantine.NewGuard(b),
 	}
 	b.relay.Catalogue.Advance(NewCatalogue(Definition{
 		Version: 1,
@@ -139,6 +142,9 @@
 // Upstream implements Fleet.
 func (b *harness) Upstream(id string) (Upstream, bool) { u, known := b.fleet[id]; return u, known }
 
+// Ended implements quarantine.Prober.
+func (b *harness) Ended(_ context.Context, address string) bool { return b.ended[address] }
+
 // RecordRequest implements Recorder.
 func (b *harness) RecordRequest(d RequestRecord) { b.records = append(b.records, d) }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"buckthornridge/quarantine"
 	"buckthornridge/routing"
 )
 
@@ -33,6 +34,8 @@
 	Sender      Sender
 	RetryBudget *RetryBudget
 	Recorder    Recorder
+	// Guard observes requests on which upstreams end.
+	Guard *quarantine.Guard
 	// DataCentre is the data centre that this router runs in.
 	DataCentre string
 	// Routers returns how many routers share the upstreams; at least 1.
@@ -70,13 +73,14 @@
 	deadline    time.Time // when the final response is due
 	reservation Reservation
 
-	sends           int      // attempts that may have reached an upstream
-	misdirected     int      // attempts that found another upstream at the address
-	excluded        []string // upstreams that get no further attempt
-	mayHaveRun      bool     // an upstream may have run the request, even if it failed
-	streamStarted   bool     // the stream's headers were sent to the caller
-	lastEventID     string   // last event that was forwarded
-	forwardedEvents int64    // number of forwarded events
+	sends           int                     // attempts that may have reached an upstream
+	misdirected     int                     // attempts that found another upstream at the address
+	excluded        []string                // upstreams that get no further attempt
+	mayHaveRun      bool                    // an upstream may have run the request, even if it failed
+	streamStarted   bool                    // the stream's headers were sent to the caller
+	lastEventID     string                  // last event that was forwarded
+	forwardedEvents int64                   // number of forwarded events
+	fingerprint     *quarantine.Fingerprint // nil until it is needed
 	record          RequestRecord
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -85,6 +85,7 @@
 		r.giveUp(ctx, err.Error())
 		return true
 	}
+	t.reportBroken(ctx)
 	t.reportOutcome(brokenOutcome(ctx))
 	r.exclude(t.target.ID)
 	if r.mayRetry(ctx, true) {
--- a/request/bench_test.go
+++ b/request/bench_test.go
@@ -18,7 +18,7 @@
 		for _, tokens := range []int{0, 100, 432} {
 			b.Run(fmt.Sprintf("runs=%d/tokens=%d", runs, tokens), func(b *testing.B) {
 				for b.Loop() {
-					e := NewExecutor("vm-1#1", DefaultSettings(), admitAll{}, nil, nil, nil)
+					e := NewExecutor("vm-1#1", DefaultSettings(), admitAll{}, nil, nil, nil, nil)
 					before := heapInUse()
 					for i := range runs {
 						e.retain(completed(e, i, tokens))
--- a/request/call.go
+++ b/request/call.go
@@ -104,6 +104,7 @@
 	began := time.Now()
 	reply, err := e.sendTo(ctx, run, r, target)
 	telemetry.EndSpan(span, err)
+	e.reportBroken(ctx, r, target, err)
 	choice.Done(AttemptResult{Err: err, FirstToken: time.Since(began)})
 	return reply, target, err
 }
--- a/request/executor.go
+++ b/request/executor.go
@@ -59,6 +59,7 @@
 	admission Admission
 	budgets   Budgets
 	router    Router
+	guard     Guard
 	claims    *claims
 	hints     *hintCache
 	streams   atomic.Uint64 // numbers engine streams, so that stream ids are unique
@@ -80,7 +81,7 @@
 
 // NewExecutor returns an executor. holder identifies this incarnation of the
 // process.
-func NewExecutor(holder string, s Settings, a Admission, b Budgets, r Router, t store.Table) *Executor {
+func NewExecutor(holder string, s Settings, a Admission, b Budgets, r Router, g Guard, t store.Table) *Executor {
 	baseCtx, stop := context.WithCancel(context.Background())
 	return &Executor{
 		baseCtx:   baseCtx,
@@ -90,6 +91,7 @@
 		admission: a,
 		budgets:   b,
 		router:    r,
+		guard:     g,
 		claims:    newClaims(holder, t),
 		hints:     newHintCache(),
 		runs:      map[Key]*Run{},
--- a/request/generate.go
+++ b/request/generate.go
@@ -146,6 +146,7 @@
 	result.Err, result.Usage = err, usage
 	choice.Done(result)
 	telemetry.EndSpan(span, err)
+	a.executor.reportBroken(ctx, a.request, a.target, err)
 	return usage, err
 }
 
--- a/request/harness_test.go
+++ b/request/harness_test.go
@@ -16,6 +16,7 @@
 
 	"buckthornridge/budget"
 	"buckthornridge/pause"
+	"buckthornridge/quarantine"
 	"buckthornridge/store"
 	"buckthornridge/upstream"
 )
@@ -28,8 +29,9 @@
 	table           *store.Fake
 	engines         map[string]*fakeEngine
 	services        map[string]*fakeService
-	order           []string // upstreams in the order in which Pick returns them
-	removedUpstream string   // an upstream that a new configuration removed
+	order           []string        // upstreams in the order in which Pick returns them
+	ended           map[string]bool // upstreams whose process has ended
+	removedUpstream string          // an upstream that a new configuration removed
 }
 
 func newTestEnv(t *testing.T) *testEnv {
@@ -38,6 +40,7 @@
 		table:    store.NewFake(store.FakeOptions{}),
 		engines:  map[string]*fakeEngine{},
 		services: map[string]*fakeService{},
+		ended:    map[string]bool{},
 	}
 }
 
@@ -59,11 +62,21 @@
 func (env *testEnv) executor(vm string) (*Executor, *fakeBudgets) {
 	b := &fakeBudgets{}
 	settings := DefaultSettings()
-	e := NewExecutor(vm, settings, admitAll{}, b, &fakeRouter{shared: env}, env.table.As(vm).Table)
+	e := NewExecutor(vm, settings, admitAll{}, b, &fakeRouter{shared: env}, fakeGuard{quarantine.NewGuard(env)}, env.table.As(vm).Table)
 	env.t.Cleanup(e.Stop)
 	return e, b
 }
 
+// fakeGuard knows each upstream by its id alone.
+type fakeGuard struct{ guard *quarantine.Guard }
+
+func (g fakeGuard) Broken(upstreamID string, f quarantine.Fingerprint) {
+	g.guard.Broken(quarantine.Upstream{ID: upstreamID, Address: upstreamID}, f)
+}
+
+// Ended implements quarantine.Prober.
+func (env *testEnv) Ended(_ context.Context, address string) bool { return env.ended[address] }
+
 // admitAll admits every request.
 type admitAll struct{}
 
--- a/request/ports.go
+++ b/request/ports.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"buckthornridge/budget"
+	"buckthornridge/quarantine"
 	"buckthornridge/upstream"
 )
 
@@ -57,6 +58,13 @@
 	Done(AttemptResult)
 }
 
+// Guard observes requests on which upstreams end.
+type Guard interface {
+	// Broken reports that the connection of a request was lost while the upstream may
+	// have been running it.
+	Broken(upstreamID string, f quarantine.Fingerprint)
+}
+
 // Router picks upstreams and returns their clients.
 type Router interface {
 	// Pick returns a *Problem if no upstream can accept the request or the retry
--- a/router/router.go
+++ b/router/router.go
@@ -23,10 +23,12 @@
 	"buckthornridge/config"
 	"buckthornridge/membership"
 	"buckthornridge/peer"
+	"buckthornridge/quarantine"
 	"buckthornridge/request"
 	"buckthornridge/routing"
 	"buckthornridge/store"
 	"buckthornridge/store/httpclient"
+	"buckthornridge/upstream"
 )
 
 const roleRouter = request.RoleRouter
@@ -62,6 +64,7 @@
 	billCopies   *budget.BillCopyStore // pending bills stored for other routers
 	executor     *request.Executor
 	frontend     *request.Frontend
+	guard        *quarantine.Guard
 	peers        *peer.Client
 	peerSrv      *peer.Server
 	routes       *routing.Router
@@ -102,6 +105,7 @@
 	}
 	r.members = newMembers(r.settings, r.self(), r.services.VMs, r.peers, r.table)
 	r.pool = newPool(r.table, s.LoadInterval.D())
+	r.guard = quarantine.NewGuard(upstream.Prober{Dial: (&net.Dialer{}).DialContext})
 	r.pool.onLeaving = r.members.reportLeaving
 	if err := r.buildControllers(); err != nil {
 		return nil, err
@@ -152,6 +156,7 @@
 		admissionPort{holder: r.admission, dataCentre: r.settings.DataCentre},
 		r.budgets(),
 		routingPort{router: r.routes, pool: r.pool, dataCentre: r.settings.DataCentre},
+		guardPort{guard: r.guard, view: r.members.view},
 		r.services.Table,
 	)
 	r.frontend = &request.Frontend{
