--- /dev/null
+++ b/relay/crash_test.go
@@ -0,0 +1,51 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// crashing returns steps of upstreams that end as soon as they run the request.
+func (b *harness) crashing(n int) []step {
+	for id := range b.fleet {
+		b.ended[id+":1"] = true
+	}
+	steps := make([]step, n)
+	for i := range steps {
+		steps[i] = broken()
+	}
+	return steps
+}
+
+// restart gives each upstream a new process, which the next request may end again.
+func (b *harness) restart() {
+	for id, u := range b.fleet {
+		u.Start++
+		b.fleet[id] = u
+	}
+}
+
+// Guards against a request that is sent on and on although each upstream that runs it ends.
+func TestRequestThatEndsUpstreamsIsRefused(t *testing.T) {
+	runTest(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newHarness(t, AtMostOnce)
+		b.steps = b.crashing(20)
+		for i := range 10 {
+			q := b.request()
+			q.ID = fmt.Sprint("r", i)
+			b.serve(q)
+			b.restart()
+			time.Sleep(3 * time.Second) // the bound for acting on the third crash
+		}
+		is.Equal(len(b.sent), 3)
+		q := b.request()
+		got := b.serve(q)
+		is.Equal(got.status, 503)
+		is.True(got.problem.NotExecuted())
+		is.Equal(b.settledTokens, int64(3*100)) // the refused ones are not charged
+	})
+}
