quarantine: refuse requests under which three upstreams have ended

Cause: nothing outlives a request. Which upstreams ended under it is known to one VM until its response ends; a repeat has another id and may come to any VM, so each one is the first.

Change, in a package of its own that both request paths use: - a crash is evidence against each request that ran there. A lost connection counts only if the upstream's address then refuses connections, so resets, cuts, lost answers and planned ends do not. - each VM keeps its evidence in one row of the platform's table; all VMs follow the rows (and ask peers while the table is away) and decide alike, in whatever order the rows come. One crash each at three VMs is three, one crash seen by three VMs is one. A restart adopts the row. - the request with the most crashes explains them, the others that ran there are not blamed; a good end anywhere clears a request. A second passes between the third crash and the quarantine, for good ends on their way. - a quarantined request gets 503 before anything is reserved or sent, for 24 hours.

--- a/api/problem.go
+++ b/api/problem.go
@@ -39,6 +39,7 @@
 	request.ProblemOutcomeUnknown:      http.StatusBadGateway,
 	request.ProblemDraining:            http.StatusServiceUnavailable,
 	request.ProblemPlatformUnavailable: http.StatusServiceUnavailable,
+	request.ProblemQuarantined:         http.StatusServiceUnavailable,
 	request.ProblemCanceled:            499, // the caller disconnected; for logs only
 }
 
@@ -60,6 +61,7 @@
 	request.ProblemOutcomeUnknown:      "It is not known whether the request ran",
 	request.ProblemDraining:            "The router is stopping",
 	request.ProblemPlatformUnavailable: "The platform does not answer",
+	request.ProblemQuarantined:         "Upstreams ended while they ran this request",
 	request.ProblemCanceled:            "The caller left",
 }
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -92,6 +92,7 @@
 	metrics    *metrics
 	config     *follower
 	upstreams  *follower
+	quarantine *follower
 	lastOutage atomicTime // when the table last was in an outage
 
 	callers         *http.Server
@@ -136,8 +137,9 @@
 	wait := feedWaitOf(s.ConfigurationInForce.D())
 	p.config = &follower{wait: wait, segment: a.ConfigSegment, feed: a.Feed, mirror: mirror.New(), apply: p.applyConfig}
 	p.upstreams = &follower{wait: wait, segment: a.UpstreamSegment, feed: a.Feed, mirror: mirror.New(), apply: p.fleet.apply}
+	p.quarantine = &follower{wait: maxFeedWait, segment: quarantine.Segment, feed: a.Feed, mirror: mirror.New(), apply: p.guard.Table().ApplyChanges}
 	p.peers.serve(p.peerSrv, map[string]*mirror.Mirror{
-		a.ConfigSegment: p.config.mirror, a.UpstreamSegment: p.upstreams.mirror,
+		a.ConfigSegment: p.config.mirror, a.UpstreamSegment: p.upstreams.mirror, quarantine.Segment: p.quarantine.mirror,
 	})
 	p.metrics.writeProcessMetrics = p.writeProcessMetrics
 	return p, p.buildServers()
@@ -225,10 +227,11 @@
 		return err
 	}
 	for _, task := range []func(context.Context){
-		p.config.run, p.upstreams.run, p.manager.Run, p.maintain, p.monitorLink,
+		p.config.run, p.upstreams.run, p.quarantine.run, p.publisher().Run, p.manager.Run, p.maintain, p.monitorLink,
 		func(ctx context.Context) { p.peers.run(ctx, p.incarnation) },
 		func(ctx context.Context) { p.peers.pollPeers(ctx, p.config) },
 		func(ctx context.Context) { p.peers.pollPeers(ctx, p.upstreams) },
+		func(ctx context.Context) { p.peers.pollPeers(ctx, p.quarantine) },
 	} {
 		p.tasks.Go(func() { task(ctx) })
 	}
@@ -236,6 +239,11 @@
 	return nil
 }
 
+// publisher returns the task that tells the other VMs which requests ended upstreams.
+func (p *Process) publisher() *quarantine.Publisher {
+	return &quarantine.Publisher{Table: p.adapter.Table, Guard: p.guard.Table(), Router: p.settings.VM, Routers: p.peers.count}
+}
+
 // startNotices starts exchanging notices of long prompts with the other VMs.
 func (p *Process) startNotices(ctx context.Context) error {
 	if p.settings.NoticeListen == "" {
@@ -362,6 +370,10 @@
 	fmt.Fprintf(w, "loans_borrowed_total %d\nloans_lent_total %d\nloans_open %d\n", f.Borrowed, f.Lent, f.OpenLoans)
 	fmt.Fprintf(w, "connections_opened_total %d\nconnections_reused_total %d\nforeign_answers_total %d\nupstreams_unread_total %d\n",
 		counters.Opened.Load(), counters.Reused.Load(), counters.Mismatched.Load(), p.fleet.unreadable.Load())
+	crashes := p.guard.Counters()
+	suspects, quarantined := p.guard.Table().Count()
+	fmt.Fprintf(w, "quarantine_crashes_total %d\nquarantine_refused_total %d\nquarantine_suspect_count %d\nquarantine_entry_count %d\n",
+		crashes.Crashes.Load(), crashes.Refused.Load(), suspects, quarantined)
 	n := p.notices
 	if n == nil {
 		n = &notices{} // without an address nothing was counted
--- a/explain/describe.go
+++ b/explain/describe.go
@@ -19,6 +19,7 @@
 	string(allowance.CauseStopping):   "the process was stopping or starting, or the caller disconnected",
 	"no_upstream":                     "no upstream accepted the request; it was not executed",
 	"not_run_in_time":                 "the deadline passed before an upstream executed the request",
+	"quarantined":                     "upstreams ended while they ran the same request before; it was not executed",
 	"timed_out":                       "the deadline passed while an upstream was processing the request",
 	"failed":                          "an upstream may have executed the request and sent no complete response",
 	"broken_off":                      "the response stream ended before it was complete",
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -14,31 +14,52 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// fingerprintBytes is the length of a Fingerprint. Collisions of 16 bytes of SHA-256
-// can't be computed, so that nobody can have the request of another caller refused.
-const fingerprintBytes = 16
+const (
+	// digestBytes is the part of SHA-256 that is kept. Collisions of it can't be
+	// computed, so that nobody can have the request of another caller refused.
+	digestBytes = 16
+	// keyBytes is the length of the part that is computed without reading the body.
+	keyBytes = 4
+)
 
-// Fingerprint identifies requests with the same content.
-type Fingerprint [fingerprintBytes]byte
+// Fingerprint identifies requests with the same content: a key, which rules out most
+// other requests cheaply, and a digest.
+type Fingerprint [keyBytes + digestBytes]byte
 
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
-// NewFingerprint returns the fingerprint of a request of a workspace. The parts are what
-// stays the same when the request is repeated, such as its path and its body.
-func NewFingerprint(workspace string, parts ...[]byte) Fingerprint {
+func (f Fingerprint) key() uint32 { return binary.BigEndian.Uint32(f[:keyBytes]) }
+
+// Request is what stays the same when a request is repeated.
+type Request struct {
+	Workspace string
+	Method    string
+	Host      string
+	// Target is the path and the query. Requests with another query are others.
+	Target string
+	Body   []byte
+}
+
+// Fingerprint returns the request's fingerprint. It reads the whole body.
+func (r Request) Fingerprint() Fingerprint {
 	h := sha256.New()
 	var size [8]byte
-	write := func(part []byte) {
+	for _, part := range [...]string{r.Workspace, r.Method, r.Host, r.Target} {
 		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
 		h.Write(size[:])
-		h.Write(part)
+		h.Write([]byte(part))
 	}
-	write([]byte(workspace))
-	for _, part := range parts {
-		write(part)
-	}
-	return Fingerprint(h.Sum(nil)[:fingerprintBytes])
+	h.Write(r.Body)
+	var f Fingerprint
+	binary.BigEndian.PutUint32(f[:keyBytes], r.key())
+	copy(f[keyBytes:], h.Sum(nil))
+	return f
+}
+
+// key returns the key of the request's fingerprint.
+func (r Request) key() uint32 {
+	return uint32(xxhash.Sum64String(r.Workspace)*31+xxhash.Sum64String(r.Target)) ^ uint32(len(r.Body))
 }
 
 // Upstream is one process of an upstream.
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -25,9 +26,11 @@
 	Ended(ctx context.Context, address string) bool
 }
 
-// Guard observes how requests end at upstreams. All methods are safe for concurrent use.
+// Guard observes how requests end at upstreams and refuses those that end upstreams. All methods are safe for concurrent use.
 type Guard struct {
-	prober Prober
+	table    *Table
+	prober   Prober
+	counters Counters
 
 	mu     sync.Mutex
 	probes map[Upstream]*probe
@@ -42,14 +45,41 @@
 	waiting []Fingerprint
 }
 
-// NewGuard returns a guard that has observed nothing.
+// Counters count what a guard has done, for operators.
+type Counters struct {
+	// Refused counts refused requests, Crashes pairs of a request and an upstream that
+	// ended while it ran the request.
+	Refused, Crashes atomic.Int64
+}
+
+// NewGuard returns a guard with an empty table.
 func NewGuard(prober Prober) *Guard {
-	return &Guard{prober: prober, probes: map[Upstream]*probe{}}
+	return &Guard{table: NewTable(), prober: prober, probes: map[Upstream]*probe{}}
+}
+
+// Table returns the evidence that the guard decides by.
+func (g *Guard) Table() *Table { return g.table }
+
+// Counters returns the guard's counters.
+func (g *Guard) Counters() *Counters { return &g.counters }
+
+// Refuse reports whether a request must not be sent to any upstream, and for how long at
+// most.
+func (g *Guard) Refuse(r Request) (left time.Duration, refused bool) {
+	left, refused = g.table.quarantined(r, time.Now())
+	if refused {
+		g.counters.Refused.Add(1)
+	}
+	return left, refused
 }
 
+// Completed reports that an upstream ran a request to a good end.
+func (g *Guard) Completed(r Request) { g.table.clear(r) }
+
 // Broken reports that the connection of a request was lost while the upstream may have
 // been running it. It does not block.
-func (g *Guard) Broken(u Upstream, f Fingerprint) {
+func (g *Guard) Broken(u Upstream, r Request) {
+	f := r.Fingerprint()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -97,5 +127,7 @@
 
 // crashed records that an upstream ended while it ran a request.
 func (g *Guard) crashed(u Upstream, f Fingerprint) {
+	g.counters.Crashes.Add(1)
+	g.table.crash(Crash{Fingerprint: f, Process: u.process()})
 	klog.Infof("step=upstream_crash upstream=%s address=%s fingerprint=%s", u.ID, u.Address, f)
 }
--- /dev/null
+++ b/quarantine/table.go
@@ -0,0 +1,263 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+const (
+	// crashLimit is the number of upstreams that may end under a request before it is
+	// quarantined.
+	crashLimit = 3
+	// settleTime is the time between the last crash that counts and the quarantine. A
+	// router may meanwhile report that the request ended well elsewhere.
+	settleTime = time.Second
+	// evaluationDelay is the time between a change of the evidence and its evaluation.
+	// When an upstream ends, many requests are reported at once.
+	evaluationDelay = 50 * time.Millisecond
+	// retention is how long evidence is kept, and thereby the length of a quarantine.
+	retention = 24 * time.Hour
+	// clearedRetention is how long it is remembered that a crash was cleared, so that the
+	// routers that observed it learn of that.
+	clearedRetention = 10 * time.Minute
+	// maxCrashes bounds the crashes, and the cleared ones, that one router keeps.
+	maxCrashes = 128
+)
+
+// Crash is the end of an upstream's process while it ran a request.
+type Crash struct {
+	Fingerprint Fingerprint `msgpack:"f"`
+	Process     process     `msgpack:"p"`
+}
+
+// Record is what one router has observed. Records of routers are combined without regard
+// to their order: a crash counts once, whoever observed it, and not at all once any router
+// has cleared it.
+type Record struct {
+	Crashes []Crash `msgpack:"c"`
+	// Cleared are crashes of which the request was not the cause.
+	Cleared []Crash `msgpack:"x"`
+}
+
+// Table holds the evidence of all routers and decides which requests are quarantined.
+// All methods are safe for concurrent use.
+type Table struct {
+	view atomic.Pointer[view]
+
+	mu      sync.Mutex
+	own     observations
+	others  map[string]observations // by router
+	changed chan struct{}
+	// evaluating is true from a change of the evidence until it is evaluated.
+	evaluating bool
+}
+
+// observations are those of one router, with the time at which this router got them.
+type observations struct {
+	crashes map[Crash]time.Time
+	cleared map[Crash]time.Time
+}
+
+func newObservations() observations {
+	return observations{crashes: map[Crash]time.Time{}, cleared: map[Crash]time.Time{}}
+}
+
+// view is an immutable result of the evaluation.
+type view struct {
+	suspects map[Fingerprint]suspect
+	// keys holds the keys of the suspects.
+	keys map[uint32]bool
+}
+
+// find returns the state of a suspect. It computes the fingerprint only if the request's
+// key is that of a suspect.
+func (v *view) find(r Request) (Fingerprint, suspect, bool) {
+	if len(v.keys) == 0 || !v.keys[r.key()] {
+		return Fingerprint{}, suspect{}, false
+	}
+	f := r.Fingerprint()
+	s, known := v.suspects[f]
+	return f, s, known
+}
+
+// suspect is a request under which upstreams ended.
+type suspect struct {
+	// crashes counts those that no other request explains.
+	crashes int
+	// from is the start of its quarantine; zero without one.
+	from time.Time
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	t := &Table{own: newObservations(), others: map[string]observations{}, changed: make(chan struct{}, 1)}
+	t.view.Store(&view{})
+	return t
+}
+
+// Changed returns a channel that has a value after the own observations changed.
+func (t *Table) Changed() <-chan struct{} { return t.changed }
+
+// quarantined reports whether a request is refused, and for how long at most.
+func (t *Table) quarantined(r Request, now time.Time) (left time.Duration, refused bool) {
+	_, s, _ := t.view.Load().find(r)
+	if s.from.IsZero() || now.Before(s.from) {
+		return 0, false
+	}
+	return max(s.from.Add(retention).Sub(now), 0), true
+}
+
+// Count returns the number of requests under which an upstream ended, and how many of them
+// are quarantined.
+func (t *Table) Count() (suspects, quarantined int) {
+	v := t.view.Load()
+	for _, s := range v.suspects {
+		if !s.from.IsZero() {
+			quarantined++
+		}
+	}
+	return len(v.suspects), quarantined
+}
+
+// crash records that a process ended while it ran a request.
+func (t *Table) crash(c Crash) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, known := t.own.crashes[c]; known {
+		return
+	}
+	t.own.crashes[c] = time.Now()
+	t.evict(t.own.crashes)
+	t.ownChanged()
+}
+
+// clear records that a request that ended well was not the cause of the crashes known so
+// far.
+func (t *Table) clear(r Request) {
+	f, _, suspected := t.view.Load().find(r)
+	if !suspected {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	for c := range t.allCrashes(now) {
+		if c.Fingerprint == f {
+			t.own.cleared[c] = now
+			t.evict(t.own.cleared)
+			t.ownChanged()
+		}
+	}
+}
+
+// ownChanged signals a change of the own observations. The caller must hold t.mu.
+func (t *Table) ownChanged() {
+	t.evaluateSoon()
+	select {
+	case t.changed <- struct{}{}:
+	default:
+	}
+}
+
+// evict removes the entry with the least weight if there are too many: one of the requests
+// with the fewest crashes, the oldest first. A caller that ends upstreams with ever new
+// requests thus can't displace one that is quarantined. The caller must hold t.mu.
+func (t *Table) evict(entries map[Crash]time.Time) {
+	if len(entries) <= maxCrashes {
+		return
+	}
+	suspects := t.view.Load().suspects
+	var worst Crash
+	found := false
+	for c, at := range entries {
+		if !found || suspects[c.Fingerprint].crashes < suspects[worst.Fingerprint].crashes ||
+			suspects[c.Fingerprint].crashes == suspects[worst.Fingerprint].crashes && at.Before(entries[worst]) {
+			worst, found = c, true
+		}
+	}
+	delete(entries, worst)
+	klog.Warningf("step=quarantine fingerprint=%s state=evicted", worst.Fingerprint)
+}
+
+// Apply sets the record of another router. An empty record removes it.
+func (t *Table) Apply(router string, r Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old, now := t.others[router], time.Now()
+	next := newObservations()
+	take := func(into, from map[Crash]time.Time, list []Crash) {
+		for _, c := range list[:min(len(list), maxCrashes)] {
+			into[c] = now
+			if at, known := from[c]; known {
+				into[c] = at
+			}
+		}
+	}
+	take(next.crashes, old.crashes, r.Crashes)
+	take(next.cleared, old.cleared, r.Cleared)
+	t.others[router] = next
+	if len(next.crashes)+len(next.cleared) == 0 {
+		delete(t.others, router)
+	}
+	t.evaluateSoon()
+}
+
+// Adopt adds the record of an earlier process of this router to the own observations.
+func (t *Table) Adopt(r Record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	for _, c := range r.Crashes {
+		t.own.crashes[c] = now
+	}
+	for _, c := range r.Cleared {
+		t.own.cleared[c] = now
+	}
+	if len(r.Crashes)+len(r.Cleared) > 0 {
+		t.ownChanged()
+	}
+}
+
+// Record returns the own observations. Own crashes that were cleared are forgotten.
+func (t *Table) Record() Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	uncleared := t.allCrashes(time.Now())
+	maps.DeleteFunc(t.own.crashes, func(c Crash, _ time.Time) bool { return !uncleared[c] })
+	return Record{Crashes: sorted(t.own.crashes), Cleared: sorted(t.own.cleared)}
+}
+
+// Expire removes own observations that are older than the retention period.
+func (t *Table) Expire() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	before := len(t.own.crashes) + len(t.own.cleared)
+	maps.DeleteFunc(t.own.crashes, func(_ Crash, at time.Time) bool { return now.Sub(at) >= retention })
+	maps.DeleteFunc(t.own.cleared, func(_ Crash, at time.Time) bool { return now.Sub(at) >= clearedRetention })
+	if len(t.own.crashes)+len(t.own.cleared) < before {
+		t.ownChanged()
+		return
+	}
+	t.evaluateSoon() // observations of routers that are gone expire too
+}
+
+func sorted(entries map[Crash]time.Time) []Crash {
+	list := make([]Crash, 0, len(entries))
+	for c := range entries {
+		list = append(list, c)
+	}
+	slices.SortFunc(list, func(a, b Crash) int {
+		if order := slices.Compare(a.Fingerprint[:], b.Fingerprint[:]); order != 0 {
+			return order
+		}
+		return cmp.Compare(a.Process, b.Process)
+	})
+	return list
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -160,6 +160,9 @@
 		kind = routing.OutcomeErrored
 	}
 	t.reportOutcome(kind)
+	if isSuccess(head.Status) {
+		t.reportCompleted()
+	}
 	r.record.First = time.Since(r.request.Arrived)
 	r.record.Outcome, r.record.Status = "answered", head.Status
 	r.writer.WriteResponse(head.Status, head.Header, body)
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -2,20 +2,28 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 
 	"buckthornridge/quarantine"
 )
 
-// fingerprintOf returns the request's fingerprint. A caller's repeat has the same path
-// and body and another id.
-func (r *call) fingerprintOf() quarantine.Fingerprint {
-	if r.fingerprint == nil {
-		f := quarantine.NewFingerprint(r.workspace.Name, []byte(r.request.Method), []byte(r.request.Host),
-			[]byte(r.request.Target), r.request.Body)
-		r.fingerprint = &f
+// content returns what stays the same when the caller repeats the request.
+func (r *call) content() quarantine.Request {
+	return quarantine.Request{
+		Workspace: r.workspace.Name, Method: r.request.Method, Host: r.request.Host,
+		Target: r.request.Target, Body: r.request.Body,
 	}
-	return *r.fingerprint
+}
+
+// checkQuarantine returns a problem for a request that ends the upstreams that run it.
+func (r *call) checkQuarantine() *Problem {
+	left, refused := r.relay.Guard.Refuse(r.content())
+	if !refused {
+		return nil
+	}
+	return &Problem{Status: http.StatusServiceUnavailable, Name: "quarantined",
+		Detail: "upstreams ended while they ran this request", RetryAfter: left}
 }
 
 // reportBroken reports a connection that was lost while the upstream may have been
@@ -27,5 +35,8 @@
 	}
 	t.call.relay.Guard.Broken(quarantine.Upstream{
 		ID: t.target.ID, Incarnation: strconv.FormatInt(t.target.Start, 10), Address: t.target.Address,
-	}, t.call.fingerprintOf())
+	}, t.call.content())
 }
+
+// reportCompleted reports that the upstream ran the request to a good end.
+func (t *attempt) reportCompleted() { t.call.relay.Guard.Completed(t.call.content()) }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -34,7 +34,7 @@
 	Sender      Sender
 	RetryBudget *RetryBudget
 	Recorder    Recorder
-	// Guard observes requests on which upstreams end.
+	// Guard refuses requests that end upstreams.
 	Guard *quarantine.Guard
 	// DataCentre is the data centre that this router runs in.
 	DataCentre string
@@ -73,14 +73,13 @@
 	deadline    time.Time // when the final response is due
 	reservation Reservation
 
-	sends           int                     // attempts that may have reached an upstream
-	misdirected     int                     // attempts that found another upstream at the address
-	excluded        []string                // upstreams that get no further attempt
-	mayHaveRun      bool                    // an upstream may have run the request, even if it failed
-	streamStarted   bool                    // the stream's headers were sent to the caller
-	lastEventID     string                  // last event that was forwarded
-	forwardedEvents int64                   // number of forwarded events
-	fingerprint     *quarantine.Fingerprint // nil until it is needed
+	sends           int      // attempts that may have reached an upstream
+	misdirected     int      // attempts that found another upstream at the address
+	excluded        []string // upstreams that get no further attempt
+	mayHaveRun      bool     // an upstream may have run the request, even if it failed
+	streamStarted   bool     // the stream's headers were sent to the caller
+	lastEventID     string   // last event that was forwarded
+	forwardedEvents int64    // number of forwarded events
 	record          RequestRecord
 }
 
@@ -100,6 +99,9 @@
 	if problem := r.authenticate(); problem != nil {
 		return problem
 	}
+	if problem := r.checkQuarantine(); problem != nil {
+		return problem
+	}
 	r.service = r.catalogue.Services[r.route.Service(r.request.ID)]
 	r.lastEventID = r.request.LastEventID
 	r.deadline = r.requestDeadline()
@@ -201,6 +203,10 @@
 // tryNextUpstream picks an upstream and sends the request to it. It reports whether the
 // request is done.
 func (r *call) tryNextUpstream(ctx context.Context) bool {
+	if r.sends > 0 && r.checkQuarantine() != nil {
+		r.giveUp(ctx, "upstreams ended while they ran this request")
+		return true
+	}
 	choice, err := r.relay.Picker.Pick(r.routingRequest())
 	if err != nil {
 		r.giveUp(ctx, "no upstream may take it: "+err.Error())
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -38,6 +38,7 @@
 		}
 		if err == io.EOF && events.empty() && r.streamStarted {
 			t.reportOutcome(routing.OutcomeOK)
+			t.reportCompleted()
 			r.record.Outcome, r.record.Status = "streamed", response.Head().Status
 			return true
 		}
--- a/request/call.go
+++ b/request/call.go
@@ -14,6 +14,10 @@
 
 // call executes a request to a service.
 func (e *Executor) call(ctx context.Context, run *Run, r *Request) {
+	if problem := e.checkQuarantine(r); problem != nil {
+		run.end(Refused, Outcome{Problem: problem})
+		return
+	}
 	callerCtx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
 	release, err := e.admission.Admit(callerCtx, r)
@@ -95,6 +99,9 @@
 
 // send makes one attempt at one server of the service.
 func (e *Executor) send(ctx context.Context, run *Run, r *Request, tried []string) (upstream.Reply, string, error) {
+	if problem := e.checkQuarantine(r); problem != nil {
+		return upstream.Reply{}, "", problem
+	}
 	choice, err := e.router.Pick(r, tried)
 	if err != nil {
 		return upstream.Reply{}, "", err
@@ -104,7 +111,7 @@
 	began := time.Now()
 	reply, err := e.sendTo(ctx, run, r, target)
 	telemetry.EndSpan(span, err)
-	e.reportBroken(ctx, r, target, err)
+	e.reportAttempt(ctx, r, target, err)
 	choice.Done(AttemptResult{Err: err, FirstToken: time.Since(began)})
 	return reply, target, err
 }
--- a/request/generate.go
+++ b/request/generate.go
@@ -29,6 +29,10 @@
 
 // generate executes a model request: admission, reservation, attempts, billing.
 func (e *Executor) generate(ctx context.Context, run *Run, r *Request) {
+	if problem := e.checkQuarantine(r); problem != nil {
+		run.end(Refused, Outcome{Problem: problem})
+		return
+	}
 	release, err := e.admission.Admit(ctx, r)
 	if err != nil {
 		run.end(Refused, refusalOutcome(err))
@@ -135,6 +139,9 @@
 			return usage, err
 		}
 	}
+	if problem := a.executor.checkQuarantine(a.request); problem != nil {
+		return upstream.Usage{}, problem
+	}
 	choice, err := a.executor.router.Pick(a.request, tried)
 	if err != nil {
 		return upstream.Usage{}, err
@@ -146,7 +153,7 @@
 	result.Err, result.Usage = err, usage
 	choice.Done(result)
 	telemetry.EndSpan(span, err)
-	a.executor.reportBroken(ctx, a.request, a.target, err)
+	a.executor.reportAttempt(ctx, a.request, a.target, err)
 	return usage, err
 }
 
--- a/request/harness_test.go
+++ b/request/harness_test.go
@@ -68,10 +68,10 @@
 }
 
 // fakeGuard knows each upstream by its id alone.
-type fakeGuard struct{ guard *quarantine.Guard }
+type fakeGuard struct{ *quarantine.Guard }
 
-func (g fakeGuard) Broken(upstreamID string, f quarantine.Fingerprint) {
-	g.guard.Broken(quarantine.Upstream{ID: upstreamID, Address: upstreamID}, f)
+func (g fakeGuard) Broken(upstreamID string, r quarantine.Request) {
+	g.Guard.Broken(quarantine.Upstream{ID: upstreamID, Address: upstreamID}, r)
 }
 
 // Ended implements quarantine.Prober.
--- a/request/ports.go
+++ b/request/ports.go
@@ -58,11 +58,16 @@
 	Done(AttemptResult)
 }
 
-// Guard observes requests on which upstreams end.
+// Guard refuses requests that end the upstreams that run them.
 type Guard interface {
+	// Refuse reports whether a request must not be sent to any upstream, and for how
+	// long at most.
+	Refuse(r quarantine.Request) (left time.Duration, refused bool)
 	// Broken reports that the connection of a request was lost while the upstream may
 	// have been running it.
-	Broken(upstreamID string, f quarantine.Fingerprint)
+	Broken(upstreamID string, r quarantine.Request)
+	// Completed reports that an upstream ran a request to a good end.
+	Completed(r quarantine.Request)
 }
 
 // Router picks upstreams and returns their clients.
--- a/request/problem.go
+++ b/request/problem.go
@@ -30,6 +30,7 @@
 	ProblemDraining            ProblemName = "draining"
 	ProblemPlatformUnavailable ProblemName = "platform-unavailable"
 	ProblemCanceled            ProblemName = "canceled"
+	ProblemQuarantined         ProblemName = "quarantined"
 )
 
 // Problem is an unsuccessful outcome.
--- a/router/admin.go
+++ b/router/admin.go
@@ -27,6 +27,7 @@
 // most once, since expvar names are global.
 func (r *Router) Publish() {
 	expvar.Publish("config", r.watcher.Counters.Map())
+	expvar.Publish("quarantine", quarantineCounters(r.guard))
 	expvar.Publish("membership", r.members.tracker.Counters.Map())
 	if r.callerTLS != nil {
 		expvar.Publish("tls", r.callerTLS.Counters.Map())
--- a/router/counters_test.go
+++ b/router/counters_test.go
@@ -24,7 +24,7 @@
 	problems := map[string]bool{}
 	for _, name := range []request.ProblemName{
 		request.ProblemBudgetExhausted, request.ProblemPlatformUnavailable, request.ProblemOverloaded,
-		request.ProblemDeadline, request.ProblemUpstreamFailed, request.ProblemOutcomeUnknown,
+		request.ProblemDeadline, request.ProblemUpstreamFailed, request.ProblemOutcomeUnknown, request.ProblemQuarantined,
 	} {
 		problems[string(name)] = true
 	}
--- a/router/guard.go
+++ b/router/guard.go
@@ -9,17 +9,17 @@
 // guardPort adapts the guard to request.Guard. The members list tells which process of
 // an upstream is meant, since one that starts again has the same id and address.
 type guardPort struct {
-	guard *quarantine.Guard
-	view  *membership.ViewHolder
+	*quarantine.Guard
+	view *membership.ViewHolder
 }
 
 var _ request.Guard = guardPort{}
 
 // Broken implements request.Guard. An upstream that leaves ends by plan.
-func (p guardPort) Broken(upstreamID string, f quarantine.Fingerprint) {
+func (p guardPort) Broken(upstreamID string, r quarantine.Request) {
 	m, known := p.view.Load().Members[upstreamID]
 	if !known || m.State == membership.Leaving {
 		return
 	}
-	p.guard.Broken(quarantine.Upstream{ID: m.ID, Incarnation: m.Incarnation, Address: m.Address}, f)
+	p.Guard.Broken(quarantine.Upstream{ID: m.ID, Incarnation: m.Incarnation, Address: m.Address}, r)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -65,6 +65,7 @@
 	executor     *request.Executor
 	frontend     *request.Frontend
 	guard        *quarantine.Guard
+	quarantine   *quarantineReader
 	peers        *peer.Client
 	peerSrv      *peer.Server
 	routes       *routing.Router
@@ -156,7 +157,7 @@
 		admissionPort{holder: r.admission, dataCentre: r.settings.DataCentre},
 		r.budgets(),
 		routingPort{router: r.routes, pool: r.pool, dataCentre: r.settings.DataCentre},
-		guardPort{guard: r.guard, view: r.members.view},
+		guardPort{Guard: r.guard, view: r.members.view},
 		r.services.Table,
 	)
 	r.frontend = &request.Frontend{
@@ -168,6 +169,8 @@
 		Busy:     r.budgetBusy,
 		Suspect:  r.members.suspect,
 	}
+	r.quarantine = r.newQuarantineReader()
+	r.quarantine.serve(r.peerSrv)
 	r.frontend.Register(r.peerSrv)
 	r.members.gossip.Serve(r.peerSrv)
 	registerRecall(r.peerSrv, r.grantManager)
@@ -225,6 +228,11 @@
 	r.spawn(func() { r.members.run(ctx) })
 	r.spawn(func() { r.pool.run(ctx) })
 	r.spawn(func() { r.sweep(ctx) })
+	r.spawn(func() { r.quarantine.run(ctx) })
+	publisher := quarantine.Publisher{
+		Table: r.services.Table, Guard: r.guard.Table(), Router: r.settings.VM, Routers: r.members.routerCount,
+	}
+	r.spawn(func() { publisher.Run(ctx) })
 	r.spawn(func() { r.billCopies.Run(ctx, r.services.Table, r.grantManager.Journal()) })
 	r.spawn(func() { logServeError("peer", r.peerSrv.Serve(r.listeners.peer)) })
 	r.spawn(func() { logServeError("admin", r.admin.Serve(r.listeners.admin)) })
