standin, loadtool: requests that crash the upstreams that run them

The stand-ins crash on a request with a marker in its body: the listener and all connections close at once, the work is lost, and two seconds later another process serves at the address. The load tool sends such requests again and again, beside popular requests of always the same content, while engines and a server are also killed for other causes.

--- a/loadtool/report/report.go
+++ b/loadtool/report/report.go
@@ -64,6 +64,13 @@
 	TTFT            Times   `json:"ttft_ms"`
 	ITL             Times   `json:"itl_ms"`
 
+	// PoisonArrivals counts arrivals at upstreams of requests that crash them, PoisonBeyond
+	// those beyond what is allowed. InnocentQuarantined counts other requests that were
+	// refused like them.
+	PoisonArrivals      int `json:"poison_arrivals"`
+	PoisonBeyond        int `json:"poison_beyond"`
+	InnocentQuarantined int `json:"innocent_quarantined"`
+
 	DrainCutRequests int     `json:"drain_cut_requests"`
 	WorkAfterLeaving float64 `json:"work_after_leaving_s"`
 
@@ -184,6 +191,8 @@
 	{"config_reverts", count(func(r *Report) int { return r.ConfigReverts })},
 	{"config_lost_updates", count(func(r *Report) int { return r.ConfigLostUpdates })},
 	{"ledger_violations", count(func(r *Report) int { return r.LedgerViolations })},
+	{"poison_beyond", count(func(r *Report) int { return r.PoisonBeyond })},
+	{"innocent_quarantined", count(func(r *Report) int { return r.InnocentQuarantined })},
 	{"nothing_completed", count(func(r *Report) int {
 		if r.Completed == 0 {
 			return 1 // without a response no fault can show
--- a/loadtool/run/collect.go
+++ b/loadtool/run/collect.go
@@ -12,6 +12,7 @@
 	"buckthornridge/loadtool/fault"
 	"buckthornridge/loadtool/report"
 	"buckthornridge/standin/engine"
+	"buckthornridge/standin/node"
 	"buckthornridge/standin/service"
 )
 
@@ -41,6 +42,14 @@
 	if f.Kind != fault.Process || f.Verb != fault.Kill {
 		return
 	}
+	if u, known := e.fleet.document.Upstreams[f.Target]; known {
+		var crashes []node.Crash
+		if err := e.fleet.getJSON(ctx, u.Address, node.PathCrashes, &crashes); err == nil {
+			e.mu.Lock()
+			e.savedCrashes = append(e.savedCrashes, crashes...)
+			e.mu.Unlock()
+		}
+	}
 	switch e.fleet.document.Upstreams[f.Target].Kind {
 	case config.UpstreamEngine:
 		if runs, err := e.fleet.readRuns(ctx, f.Target); err == nil {
--- a/loadtool/run/evaluate.go
+++ b/loadtool/run/evaluate.go
@@ -34,6 +34,7 @@
 	e.evaluateAgainstOracle(r, span)
 	e.evaluateOperations(ctx, r, in)
 	e.evaluateResourceUse(ctx, r)
+	e.evaluatePoison(ctx, r)
 	r.Evaluate()
 	return r, nil
 }
--- a/loadtool/run/run.go
+++ b/loadtool/run/run.go
@@ -23,6 +23,7 @@
 	"buckthornridge/loadtool/scenario"
 	"buckthornridge/loadtool/workload"
 	"buckthornridge/standin/engine"
+	"buckthornridge/standin/node"
 	"buckthornridge/standin/service"
 	"buckthornridge/store"
 )
@@ -59,6 +60,7 @@
 	Options
 	fleet          *fleet
 	arrivals       []record.Arrival
+	poisonIDs      map[string]bool     // requests that crash upstreams
 	plannedSpend   map[ledger.ID]int64 // cost of all responses
 	startTime      time.Time
 	caller         *caller.Caller
@@ -80,6 +82,7 @@
 	// Records of killed upstreams, read just before each kill.
 	savedRuns       map[string][]engine.Run
 	savedExecutions map[string][]service.Execution
+	savedCrashes    []node.Crash
 }
 
 // Do runs a scenario and evaluates it.
@@ -90,7 +93,7 @@
 	}
 	defer f.client.CloseIdleConnections()
 	e := &experiment{
-		Options: o, fleet: f, plannedSpend: map[ledger.ID]int64{}, operators: newOperatorRace(f), versionTracker: newVersionTracker(),
+		Options: o, fleet: f, plannedSpend: map[ledger.ID]int64{}, poisonIDs: map[string]bool{}, operators: newOperatorRace(f), versionTracker: newVersionTracker(),
 		savedRuns: map[string][]engine.Run{}, savedExecutions: map[string][]service.Execution{},
 	}
 	if err := e.prepare(ctx); err != nil {
@@ -116,9 +119,20 @@
 			shares[name] = max(w.Share, 1)
 		}
 	}
-	e.arrivals = workload.Arrivals(workload.Plan{
+	plan := workload.Plan{
 		Prefix: e.Prefix, Seed: e.Seed, Rate: e.Scenario.Rate, Duration: e.Scenario.Duration, Shares: shares, Mix: mix,
-	}, d)
+	}
+	e.arrivals = workload.Arrivals(plan, d)
+	if e.Scenario.Poison != nil {
+		poison := workload.PoisonArrivals(plan, *e.Scenario.Poison, d)
+		for _, a := range poison {
+			e.poisonIDs[a.ID] = true
+		}
+		e.arrivals = workload.Merge(e.arrivals, poison)
+	}
+	if e.Scenario.Popular {
+		e.arrivals = workload.Merge(e.arrivals, workload.PopularArrivals(plan, d))
+	}
 	for _, a := range e.arrivals {
 		e.plannedSpend[ledger.ID{Workspace: a.Workspace, Name: a.Budget}] += a.Spend()
 	}
--- a/loadtool/scenario/scenario.go
+++ b/loadtool/scenario/scenario.go
@@ -24,6 +24,10 @@
 	SlowEngines float64
 	// Operators enables concurrent configuration changes by several operators.
 	Operators bool
+	// Poison, if set, adds requests that crash the upstreams that run them.
+	Poison *workload.Poison
+	// Popular adds requests that many callers send with the same content.
+	Popular bool
 	// Faults to inject, in order of time.
 	Faults []fault.Fault
 }
@@ -143,6 +147,17 @@
 			processFault(13, fault.Start, "service/1"), processFault(13.5, fault.Start, "engine/8"),
 		},
 	},
+	{
+		Name: "poison-request", About: "requests that crash the upstreams that run them come again and again, while upstreams also crash for other causes",
+		Duration: 25 * time.Second, Rate: defaultRate, InitialFunding: ampleFunding, Popular: true,
+		Poison: &workload.Poison{From: 3 * time.Second, To: 24 * time.Second, Interval: 700 * time.Millisecond},
+		Faults: []fault.Fault{
+			processFault(9, fault.Kill, "engine/2"), processFault(9, fault.Kill, "engine/5"), processFault(9, fault.Kill, "engine/8"),
+			processFault(10, fault.Kill, "service/1"),
+			processFault(12, fault.Start, "engine/2"), processFault(12, fault.Start, "engine/5"), processFault(12, fault.Start, "engine/8"),
+			processFault(13, fault.Start, "service/1"),
+		},
+	},
 	{
 		Name: "overload", About: "twice the request rate that the engines can serve",
 		Duration: 15 * time.Second, Rate: 150, InitialFunding: ampleFunding, SlowEngines: 4,
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -82,6 +82,18 @@
 	}
 }
 
+// Crash ends all streams; they can't be resumed. The cache is lost.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id := range e.core.streams {
+		e.core.cancel(id)
+	}
+	for _, model := range e.core.settings.Models {
+		e.core.cache.evictModel(model)
+	}
+}
+
 // ActiveRequests returns the number of streams that are running or have a reader.
 func (e *Engine) ActiveRequests() int {
 	e.mu.Lock()
--- a/standin/node/node.go
+++ b/standin/node/node.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,26 +59,52 @@
 	if err := up.Start(context.WithoutCancel(ctx)); err != nil {
 		return err
 	}
-	closing := &closingHandler{next: withTracing(up.Handler())}
-	server := newServer(closing)
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
-	klog.InfoS("upstream started", "vm", o.VM.ID, "address", listener.Addr().String())
+	crashes := newCrashHandler(up.Handler())
+	closing := &closingHandler{next: withTracing(crashes)}
 	announcer := startAnnouncer(o)
+	klog.InfoS("upstream started", "vm", o.VM.ID, "address", listener.Addr().String())
 	var runErr error
-	select {
-	case runErr = <-served:
-		runErr = eris.Wrapf(runErr, "serve %s", listener.Addr())
-	case <-ctx.Done():
-		closing.closing.Store(true)
-		runErr = drain(server, up, announcer, o)
-		announcer.enqueue(store.VMGone)
+	for listener != nil {
+		server := newServer(closing)
+		served := make(chan error, 1)
+		go func(l net.Listener) { served <- server.Serve(l) }(listener)
+		select {
+		case err := <-served:
+			runErr, listener = eris.Wrapf(err, "serve %s", listener.Addr()), nil
+		case <-crashes.signal:
+			if listener, runErr = crash(ctx, server, listener, up); listener != nil {
+				announcer.restarted()
+			} else {
+				announcer.enqueue(store.VMGone)
+			}
+		case <-ctx.Done():
+			closing.closing.Store(true)
+			runErr, listener = drain(server, up, announcer, o), nil
+			announcer.enqueue(store.VMGone)
+		}
 	}
 	announcer.stop()
 	klog.InfoS("upstream stopped", "vm", o.VM.ID)
 	return errors.Join(runErr, up.Stop())
 }
 
+// crash ends the server without notice and returns the listener of the next process at
+// the same address, or nil if ctx ends before.
+func crash(ctx context.Context, server *http.Server, listener net.Listener, up Upstream) (net.Listener, error) {
+	address := listener.Addr().String()
+	klog.InfoS("upstream crashes", "address", address)
+	err := server.Close()
+	if c, ok := up.(Crasher); ok {
+		c.Crash()
+	}
+	sleepContext(ctx, crashDowntime)
+	if err != nil || ctx.Err() != nil {
+		return nil, eris.Wrapf(err, "crash %s", address)
+	}
+	next, err := net.Listen("tcp", address)
+	return next, eris.Wrapf(err, "listen on %s after a crash", address)
+}
+
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
@@ -134,7 +161,8 @@
 // platform is unavailable.
 type announcer struct {
 	options Options
-	states  chan store.VMState
+	vm      store.VM
+	queue   chan store.VM
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 }
@@ -147,7 +175,7 @@
 
 func startAnnouncer(o Options) *announcer {
 	ctx, cancel := context.WithCancel(context.Background())
-	a := &announcer{options: o, states: make(chan store.VMState, 3), cancel: cancel}
+	a := &announcer{options: o, vm: o.VM, queue: make(chan store.VM, 3), cancel: cancel}
 	if o.VMList != nil {
 		a.done.Go(func() { a.run(ctx) })
 	}
@@ -155,15 +183,25 @@
 	return a
 }
 
-// enqueue queues a state to be announced. It never blocks: a node enqueues each of
-// its three states once, and the channel buffers three.
-func (a *announcer) enqueue(state store.VMState) { a.states <- state }
+// enqueue queues a state to be announced. Older ones that were not announced yet are
+// skipped, so it blocks only while the announcer is about to skip them.
+func (a *announcer) enqueue(state store.VMState) {
+	a.vm.State = state
+	if a.options.VMList != nil {
+		a.queue <- a.vm
+	}
+}
+
+// restarted announces a new process under the same id.
+func (a *announcer) restarted() {
+	a.vm.Incarnation = strconv.FormatInt(time.Now().UnixNano(), 10)
+	a.enqueue(store.VMLive)
+}
 
 func (a *announcer) run(ctx context.Context) {
-	vm := a.options.VM
-	for vm.State = range a.states {
+	for vm := range a.queue {
 		// Stop retrying a state once a newer one is queued.
-		for len(a.states) == 0 && ctx.Err() == nil && !a.announce(ctx, vm) {
+		for len(a.queue) == 0 && ctx.Err() == nil && !a.announce(ctx, vm) {
 			sleepContext(ctx, announceRetry)
 		}
 	}
@@ -183,7 +221,7 @@
 // stop waits for the last announcement, for at most announceTimeout, since the
 // platform may be unavailable.
 func (a *announcer) stop() {
-	close(a.states)
+	close(a.queue)
 	timer := time.AfterFunc(announceTimeout, a.cancel)
 	a.done.Wait()
 	timer.Stop()
--- a/standin/node/node_test.go
+++ b/standin/node/node_test.go
@@ -206,3 +206,30 @@
 	is.NoErr(<-r.done)
 	is.Equal(len(list.states), 0)
 }
+
+// Guards against a crash that leaves an address open or work alive: a marked request ends the
+// streams of others, and the node comes back as another process that knows none of them.
+func TestMarkedRequestCrashesTheNode(t *testing.T) {
+	is := is.New(t)
+	list := &recordingVMList{}
+	e := testEngine(t)
+	r := runNode(t, e, list, 0)
+	transport := upstream.NewTransport()
+	defer transport.CloseIdleConnections()
+	client := upstream.NewEngine(r.address, transport)
+	stream, err := client.Generate(t.Context(), upstream.Generate{StreamID: "w/1/1", Model: "m", Prompt: "[[tokens=5000]]", MaxTokens: 6000})
+	is.NoErr(err)
+	_, err = client.Generate(t.Context(), upstream.Generate{StreamID: "w/2/1", Model: "m", Prompt: CrashMarker, MaxTokens: 20})
+	is.True(errors.Is(err, upstream.ErrBroken))
+	for err = nil; err == nil; {
+		_, err = stream.Next()
+	}
+	is.True(errors.Is(err, upstream.ErrBroken))
+	prober := upstream.Prober{Dial: (&net.Dialer{}).DialContext}
+	is.True(prober.Ended(t.Context(), r.address))
+	waitUntil(t, "the node is back", func() bool { return !prober.Ended(t.Context(), r.address) })
+	_, err = client.Resume(t.Context(), "w/1/1", 0)
+	is.True(errors.Is(err, upstream.ErrNoStream))
+	r.stop()
+	is.NoErr(<-r.done)
+}
