admin, ctl: list and release quarantined requests

Operators see under which requests upstreams ended and lift an entry once the cause is mended. A release clears the crashes recorded so far, like a good end; it is a row beside the routers' and written under a condition.

--- a/admin/api.go
+++ b/admin/api.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"buckthornridge/config"
+	"buckthornridge/quarantine"
 )
 
 // Paths of the API. Names in braces are path values.
@@ -22,6 +23,8 @@
 	PathAudit       = "/v1/audit"
 	PathBudgetAudit = "/v1/audit/budgets"
 	PathDrain       = "/v1/vms/{vm}/drain"
+	PathQuarantine  = "/v1/quarantine"
+	PathRelease     = "/v1/quarantine/{fingerprint}/release"
 )
 
 // ConfigReply is one version of the configuration, limited to what the team may
@@ -127,6 +130,8 @@
 	ActionApply Action = "apply"
 	ActionTopUp Action = "top_up"
 	ActionDrain Action = "drain"
+	// ActionRelease lets a quarantined request run again.
+	ActionRelease Action = "release"
 )
 
 // Outcome is the result of an action. A record that stays at begun means that the
@@ -142,6 +147,17 @@
 	OutcomeUnknown Outcome = "unknown"
 )
 
+// QuarantineReply lists the requests under which upstreams ended, those with the most
+// crashes first.
+type QuarantineReply struct {
+	Entries []quarantine.Entry `json:"entries"`
+}
+
+// ReleaseReply reports that a request was cleared of the crashes recorded so far.
+type ReleaseReply struct {
+	Released bool `json:"released"`
+}
+
 // DrainReply lists the results for the VM's processes.
 type DrainReply struct {
 	Processes []ProcessStatus `json:"processes"`
--- a/admin/client.go
+++ b/admin/client.go
@@ -107,6 +107,19 @@
 	return reply, err
 }
 
+// Quarantine returns the requests under which upstreams ended.
+func (c *Client) Quarantine(ctx context.Context) (reply QuarantineReply, err error) {
+	err = c.get(ctx, PathQuarantine, nil, &reply)
+	return reply, err
+}
+
+// Release lets a quarantined request run again.
+func (c *Client) Release(ctx context.Context, fingerprint string) (reply ReleaseReply, err error) {
+	path := strings.Replace(PathRelease, "{fingerprint}", url.PathEscape(fingerprint), 1)
+	err = c.send(ctx, http.MethodPost, path, nil, struct{}{}, &reply)
+	return reply, err
+}
+
 func budgetPath(pattern string, id budget.ID) string {
 	return strings.NewReplacer("{workspace}", url.PathEscape(id.Workspace), "{budget}", url.PathEscape(id.Name)).Replace(pattern)
 }
--- a/admin/server.go
+++ b/admin/server.go
@@ -79,6 +79,8 @@
 	s.route(PathAudit, methods{http.MethodGet: {config.RoleViewer, s.listAuditRecords}})
 	s.route(PathBudgetAudit, methods{http.MethodGet: {config.RoleViewer, s.auditBudgets}})
 	s.route(PathDrain, methods{http.MethodPost: {config.RoleOperator, s.drain}})
+	s.route(PathQuarantine, methods{http.MethodGet: {config.RoleViewer, s.listQuarantine}})
+	s.route(PathRelease, methods{http.MethodPost: {config.RoleOperator, s.releaseQuarantined}})
 	s.mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		s.sendProblem(w, newProblem(ProblemNotFound, "there is nothing at "+r.URL.Path), "")
 	})
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -38,17 +38,18 @@
 	Key       string        `arg:"--key" help:"key of the certificate"`
 	Patience  time.Duration `arg:"--patience" help:"how long a change is sent again after a lost answer" default:"30s"`
 
-	Check   *checkCommand   `arg:"subcommand:check" help:"check a folder"`
-	Diff    *diffCommand    `arg:"subcommand:diff" help:"show what applying a folder would change"`
-	Apply   *applyCommand   `arg:"subcommand:apply" help:"make a folder the configuration of the fleet"`
-	History *historyCommand `arg:"subcommand:history" help:"list the accepted versions"`
-	Show    *showCommand    `arg:"subcommand:show" help:"show the merged folder with the place of each value, or the accepted configuration"`
-	Status  *statusCommand  `arg:"subcommand:status" help:"show the version in force on each VM"`
-	Budget  *budgetCommand  `arg:"subcommand:budget" help:"show a budget"`
-	TopUp   *topUpCommand   `arg:"subcommand:topup" help:"buy tokens for a budget, once per id"`
-	Audit   *auditCommand   `arg:"subcommand:audit" help:"list the changes that were asked for, or check all budgets"`
-	Explain *explainCommand `arg:"subcommand:explain" help:"say from logs why a request, or all of them, ended as they did"`
-	Drain   *drainCommand   `arg:"subcommand:drain" help:"ask the processes of a VM for a planned stop"`
+	Check      *checkCommand      `arg:"subcommand:check" help:"check a folder"`
+	Diff       *diffCommand       `arg:"subcommand:diff" help:"show what applying a folder would change"`
+	Apply      *applyCommand      `arg:"subcommand:apply" help:"make a folder the configuration of the fleet"`
+	History    *historyCommand    `arg:"subcommand:history" help:"list the accepted versions"`
+	Show       *showCommand       `arg:"subcommand:show" help:"show the merged folder with the place of each value, or the accepted configuration"`
+	Status     *statusCommand     `arg:"subcommand:status" help:"show the version in force on each VM"`
+	Budget     *budgetCommand     `arg:"subcommand:budget" help:"show a budget"`
+	TopUp      *topUpCommand      `arg:"subcommand:topup" help:"buy tokens for a budget, once per id"`
+	Audit      *auditCommand      `arg:"subcommand:audit" help:"list the changes that were asked for, or check all budgets"`
+	Explain    *explainCommand    `arg:"subcommand:explain" help:"say from logs why a request, or all of them, ended as they did"`
+	Quarantine *quarantineCommand `arg:"subcommand:quarantine" help:"list requests under which upstreams ended, or release one"`
+	Drain      *drainCommand      `arg:"subcommand:drain" help:"ask the processes of a VM for a planned stop"`
 }
 
 // Description implements arg.Described.
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -40,20 +40,22 @@
 		return
 	}
 	t.evaluating = true
-	time.AfterFunc(evaluationDelay, func() {
+	time.AfterFunc(min(max(evaluationDelay, evaluationShare*t.lastEvaluation), maxEvaluationDelay), func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.evaluating = false
-		t.evaluate(time.Now())
+		began := time.Now()
+		t.evaluate(began)
+		t.lastEvaluation = time.Since(began)
 	})
 }
 
 // evaluate decides which requests are quarantined. The caller must hold t.mu.
 func (t *Table) evaluate(now time.Time) {
-	processes := map[Fingerprint]map[process]bool{}
+	processes := map[Fingerprint]map[Process]bool{}
 	for c := range t.allCrashes(now) {
 		if processes[c.Fingerprint] == nil {
-			processes[c.Fingerprint] = map[process]bool{}
+			processes[c.Fingerprint] = map[Process]bool{}
 		}
 		processes[c.Fingerprint][c.Process] = true
 	}
@@ -79,8 +81,8 @@
 // explains them, and they no longer count against the others that ran there. Two requests
 // that were present at the same crashes can't be told apart by the third one; the next
 // crash, or a good end of one of them, decides.
-func findCulprits(processes map[Fingerprint]map[process]bool) map[Fingerprint]bool {
-	candidates := map[Fingerprint]map[process]bool{}
+func findCulprits(processes map[Fingerprint]map[Process]bool) map[Fingerprint]bool {
+	candidates := map[Fingerprint]map[Process]bool{}
 	for f, ended := range processes {
 		if len(ended) >= crashLimit {
 			candidates[f] = maps.Clone(ended)
@@ -92,7 +94,7 @@
 		if len(leading) == 0 {
 			return culprits
 		}
-		var explained []process
+		var explained []Process
 		for _, f := range leading {
 			if len(candidates[f]) > crashLimit || !sharesCrashes(f, leading, candidates) {
 				culprits[f] = true
@@ -112,7 +114,7 @@
 
 // withMostCrashes returns the requests with the largest number of crashes, at least
 // crashLimit.
-func withMostCrashes(candidates map[Fingerprint]map[process]bool) []Fingerprint {
+func withMostCrashes(candidates map[Fingerprint]map[Process]bool) []Fingerprint {
 	var leading []Fingerprint
 	most := crashLimit
 	for f, ended := range candidates {
@@ -127,7 +129,7 @@
 }
 
 // sharesCrashes reports whether another of the leading requests was present at a crash of f.
-func sharesCrashes(f Fingerprint, leading []Fingerprint, candidates map[Fingerprint]map[process]bool) bool {
+func sharesCrashes(f Fingerprint, leading []Fingerprint, candidates map[Fingerprint]map[Process]bool) bool {
 	for _, other := range leading {
 		if other == f {
 			continue
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -70,9 +70,9 @@
 	Address     string // host:port
 }
 
-// process identifies a process of an upstream in records.
-type process uint64
+// Process identifies a process of an upstream in records.
+type Process uint64
 
-func (u Upstream) process() process {
-	return process(xxhash.Sum64String(u.ID + "\x00" + u.Incarnation))
+func (u Upstream) process() Process {
+	return Process(xxhash.Sum64String(u.ID + "\x00" + u.Incarnation))
 }
--- a/quarantine/publish.go
+++ b/quarantine/publish.go
@@ -41,6 +41,9 @@
 	return router, r, err
 }
 
+// Encode returns the value of a router's row.
+func Encode(r Record) ([]byte, error) { return msgpack.Marshal(r) }
+
 // ApplyChanges applies changed rows of Segment to the table.
 func (t *Table) ApplyChanges(changes []store.Change) {
 	for _, change := range changes {
@@ -107,7 +110,7 @@
 			return err
 		}
 	}
-	value, err := msgpack.Marshal(p.Guard.Record())
+	value, err := Encode(p.Guard.Record())
 	if err != nil {
 		return err
 	}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -18,22 +18,26 @@
 	// settleTime is the time between the last crash that counts and the quarantine. A
 	// router may meanwhile report that the request ended well elsewhere.
 	settleTime = time.Second
-	// evaluationDelay is the time between a change of the evidence and its evaluation.
-	// When an upstream ends, many requests are reported at once.
+	// evaluationDelay is the least time between a change of the evidence and its
+	// evaluation. When an upstream ends, many requests are reported at once.
 	evaluationDelay = 50 * time.Millisecond
+	// maxEvaluationDelay and evaluationShare bound the CPU time of evaluations: the next
+	// one waits for a multiple of the time that the last one took.
+	maxEvaluationDelay = 500 * time.Millisecond
+	evaluationShare    = 20
 	// retention is how long evidence is kept, and thereby the length of a quarantine.
 	retention = 24 * time.Hour
 	// clearedRetention is how long it is remembered that a crash was cleared, so that the
 	// routers that observed it learn of that.
 	clearedRetention = 10 * time.Minute
 	// maxCrashes bounds the crashes, and the cleared ones, that one router keeps.
-	maxCrashes = 128
+	maxCrashes = 64
 )
 
 // Crash is the end of an upstream's process while it ran a request.
 type Crash struct {
 	Fingerprint Fingerprint `msgpack:"f"`
-	Process     process     `msgpack:"p"`
+	Process     Process     `msgpack:"p"`
 }
 
 // Record is what one router has observed. Records of routers are combined without regard
@@ -56,6 +60,8 @@
 	changed chan struct{}
 	// evaluating is true from a change of the evidence until it is evaluated.
 	evaluating bool
+	// lastEvaluation is the time that the last evaluation took.
+	lastEvaluation time.Duration
 }
 
 // observations are those of one router, with the time at which this router got them.
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -240,13 +240,13 @@
 // Guards against routers that decide differently because they got the records in another order.
 func TestDecisionDoesNotDependOnTheOrderOfRecords(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		processes := map[Fingerprint]map[process]bool{}
+		processes := map[Fingerprint]map[Process]bool{}
 		for range rapid.IntRange(0, 40).Draw(t, "crashes") {
 			f := content(fmt.Sprint(rapid.IntRange(0, 6).Draw(t, "request"))).Fingerprint()
 			if processes[f] == nil {
-				processes[f] = map[process]bool{}
+				processes[f] = map[Process]bool{}
 			}
-			processes[f][process(rapid.IntRange(0, 12).Draw(t, "upstream"))] = true
+			processes[f][Process(rapid.IntRange(0, 12).Draw(t, "upstream"))] = true
 		}
 		first := findCulprits(processes)
 		for range 5 { // the order of a map differs each time
