--- a/edge/edge.go
+++ b/edge/edge.go
@@ -23,6 +23,7 @@
 	"buckthornridge/pause"
 	"buckthornridge/peer"
 	"buckthornridge/quarantine"
+	"buckthornridge/ratelimit"
 	"buckthornridge/relay"
 	"buckthornridge/routing"
 	"buckthornridge/store"
@@ -85,6 +86,7 @@
 	manager    *allowance.Manager
 	pool       *exchange.Pool
 	guard      *quarantine.Guard
+	limiter    *ratelimit.Limiter
 	peers      *peers
 	gate       *traffic.Gate // whether the VM's link has capacity for new callers
 	notices    *notices      // nil without an address in the settings
@@ -119,6 +121,7 @@
 	p.fleet = newFleet(a.Upstream, p.routes, p.lapseDeadline)
 	p.pool = exchange.NewPool(p.maxConnections)
 	p.pool.Dial = a.Traffic.Dial(traffic.Upstreams, p.pool.Dial)
+	p.limiter = ratelimit.NewLimiter()
 	p.guard = quarantine.NewGuard(upstream.Prober{Dial: p.pool.Dial})
 	p.peers = &peers{
 		traffic: a.Traffic,
@@ -156,7 +159,7 @@
 		RetryBudget: relay.NewRetryBudget(relay.RetryPolicy{
 			Share: p.settings.RetryBudget.Share, Extra: p.settings.RetryBudget.Extra, Window: p.settings.RetryBudget.Window.D(),
 		}),
-		Guard:    p.guard,
+		Guard: p.guard, Limiter: p.limiter,
 		Recorder: p.metrics, DataCentre: p.settings.DataCentre, Routers: p.peers.count,
 	}
 	p.callers = &http.Server{
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -13,6 +13,7 @@
 
 	"buckthornridge/config"
 	"buckthornridge/quarantine"
+	"buckthornridge/ratelimit"
 	"buckthornridge/routing"
 	"buckthornridge/upstream"
 )
@@ -54,6 +55,8 @@
 	relay          *Relay
 	mu             sync.Mutex
 	steps          []step
+	// answer, if set, is called for each request in place of taking a step.
+	answer func(out OutgoingRequest) step
 	sent           []OutgoingRequest
 	records        []RequestRecord
 	fleet          map[string]Upstream
@@ -79,6 +82,7 @@
 		Catalogue: &CurrentCatalogue{}, Budgets: b, Picker: picker, Fleet: b, Sender: b, Recorder: b,
 		RetryBudget: NewRetryBudget(RetryPolicy{Share: 0.2, Extra: 50, Window: 10 * time.Second}),
 		Routers:     func() int { return 1 },
+		Limiter:     ratelimit.NewLimiter(),
 		Guard:       quarantine.NewGuard(b),
 	}
 	b.relay.Catalogue.Advance(NewCatalogue(Definition{
@@ -111,6 +115,9 @@
 	if len(b.steps) > 0 {
 		next, b.steps = b.steps[0], b.steps[1:]
 	}
+	if b.answer != nil {
+		next = b.answer(out)
+	}
 	b.mu.Unlock()
 	select {
 	case <-time.After(next.delay):
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"buckthornridge/ratelimit"
 	"buckthornridge/routing"
 )
 
@@ -84,6 +85,8 @@
 	Signed bool
 	// Altered says that the body is not as the upstream sent it.
 	Altered bool
+	// RateLimit is what the upstream says of the rate of requests that it takes.
+	RateLimit ratelimit.Reading
 }
 
 // Sender sends a request to an upstream and returns the head of its response. Its errors
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"buckthornridge/quarantine"
+	"buckthornridge/ratelimit"
 	"buckthornridge/routing"
 )
 
@@ -34,6 +35,8 @@
 	Sender      Sender
 	RetryBudget *RetryBudget
 	Recorder    Recorder
+	// Limiter follows the rates that upstreams name.
+	Limiter *ratelimit.Limiter
 	// Guard refuses requests that end upstreams.
 	Guard *quarantine.Guard
 	// DataCentre is the data centre that this router runs in.
--- a/router/pool.go
+++ b/router/pool.go
@@ -10,8 +10,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"buckthornridge/config"
+	"buckthornridge/ratelimit"
 	"buckthornridge/routing"
 	"buckthornridge/upstream"
+	"buckthornridge/upstream/wire"
 )
 
 // maxConcurrentPolls bounds the engines that are polled at the same time.
@@ -23,6 +25,7 @@
 	transport *http.Transport
 	table     *routing.Table
 	interval  time.Duration
+	limiter   *ratelimit.Limiter
 	clients   atomic.Pointer[clientSet]
 	// onLeaving is called for an upstream that reports itself as leaving.
 	onLeaving func(id string, kind config.UpstreamKind)
@@ -35,7 +38,7 @@
 }
 
 func newPool(table *routing.Table, interval time.Duration) *pool {
-	p := &pool{transport: upstream.NewTransport(), table: table, interval: interval}
+	p := &pool{transport: upstream.NewTransport(), table: table, interval: interval, limiter: ratelimit.NewLimiter()}
 	p.clients.Store(&clientSet{})
 	return p
 }
@@ -44,10 +47,13 @@
 func (p *pool) update(s *config.Snapshot) {
 	next := &clientSet{engines: map[string]upstream.Engine{}, services: map[string]upstream.Service{}}
 	for id, u := range s.Upstreams {
+		transport := upstream.ObserveHeaders(p.transport, func(h http.Header) {
+			p.limiter.Observe(id, ratelimit.Read(h[wire.HeaderRateLimit]))
+		})
 		if u.Kind == config.UpstreamEngine {
-			next.engines[id] = upstream.NewEngine(u.Address, p.transport)
+			next.engines[id] = upstream.NewEngine(u.Address, transport)
 		} else {
-			next.services[id] = upstream.NewService(u.Address, p.transport)
+			next.services[id] = upstream.NewService(u.Address, transport)
 		}
 	}
 	p.clients.Store(next)
--- a/upstream/wire/wire.go
+++ b/upstream/wire/wire.go
@@ -3,6 +3,11 @@
 package wire
 
 // Paths of the protocol.
+// HeaderRateLimit is the header of an answer with the requests a second, a decimal number,
+// that the upstream takes from all routers together. An answer without it ends the limit.
+const HeaderRateLimit = "Rate-Limit"
+
+// Paths of an engine.
 const (
 	PathGenerate    = "/v1/generate"       // POST Generate -> stream of Line
 	PathResume      = "/v1/streams/resume" // POST Resume -> stream of Line
