--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -51,12 +51,12 @@
 
 // harness is a relay with scripted upstreams.
 type harness struct {
-	t              *testing.T
-	relay          *Relay
-	mu             sync.Mutex
-	steps          []step
+	t     *testing.T
+	relay *Relay
+	mu    sync.Mutex
+	steps []step
 	// answer, if set, is called for each request in place of taking a step.
-	answer func(out OutgoingRequest) step
+	answer         func(out OutgoingRequest) step
 	sent           []OutgoingRequest
 	records        []RequestRecord
 	fleet          map[string]Upstream
