ratelimit, routing, edge: keep to the rate that upstreams name

A server in need was sent as much as the others.

Cause: the named rate was not read, and the only limit over all VMs was that of cold upstreams.

Change: one package decides which part of an upstream's rate a router may use, for cold and for limited upstreams and on both request paths. The others send one request in two windows together, in turns, since only an answer tells that the limit has ended; a notice usually tells sooner. A new process under the same id has no limit. A limited upstream counts in the capacity with what its part can fill, resumed streams take their turn, and a request that waits for limits alone is refused with the time of the first turn.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -23,7 +23,6 @@
 	"buckthornridge/pause"
 	"buckthornridge/peer"
 	"buckthornridge/quarantine"
-	"buckthornridge/ratelimit"
 	"buckthornridge/relay"
 	"buckthornridge/routing"
 	"buckthornridge/store"
@@ -86,7 +85,6 @@
 	manager    *allowance.Manager
 	pool       *exchange.Pool
 	guard      *quarantine.Guard
-	limiter    *ratelimit.Limiter
 	peers      *peers
 	gate       *traffic.Gate // whether the VM's link has capacity for new callers
 	notices    *notices      // nil without an address in the settings
@@ -121,7 +119,6 @@
 	p.fleet = newFleet(a.Upstream, p.routes, p.lapseDeadline)
 	p.pool = exchange.NewPool(p.maxConnections)
 	p.pool.Dial = a.Traffic.Dial(traffic.Upstreams, p.pool.Dial)
-	p.limiter = ratelimit.NewLimiter()
 	p.guard = quarantine.NewGuard(upstream.Prober{Dial: p.pool.Dial})
 	p.peers = &peers{
 		traffic: a.Traffic,
@@ -159,7 +156,7 @@
 		RetryBudget: relay.NewRetryBudget(relay.RetryPolicy{
 			Share: p.settings.RetryBudget.Share, Extra: p.settings.RetryBudget.Extra, Window: p.settings.RetryBudget.Window.D(),
 		}),
-		Guard: p.guard, Limiter: p.limiter,
+		Guard: p.guard, Limiter: p.fleet.limiter,
 		Recorder: p.metrics, DataCentre: p.settings.DataCentre, Routers: p.peers.count,
 	}
 	p.callers = &http.Server{
@@ -252,13 +249,14 @@
 	if p.settings.NoticeListen == "" {
 		return nil
 	}
-	n, err := newNotices(p.settings.NoticeListen, p.settings.Strength, p.peers.hosts, p.routes, p.adapter.Traffic)
+	n, err := newNotices(p.settings.NoticeListen, p.settings.Strength, p.peers.hosts, noticeReceiver{p.routes, p.fleet.limiter}, p.adapter.Traffic)
 	if err != nil {
 		return err
 	}
 	p.notices = n
 	p.routes.OnDispatch(n.notifyDispatch)
 	p.routes.OnReplaced(n.notifyReplaced)
+	p.fleet.limiter.OnChange(n.notifyLimit)
 	p.tasks.Go(func() { n.run(ctx) })
 	return nil
 }
@@ -336,6 +334,7 @@
 		p.fleet.removeLapsed()
 		p.pool.Sweep()
 		p.routes.SetRouters(p.peers.count())
+		p.fleet.updateRouters()
 		_ = pause.For(ctx, maintenanceInterval)
 	}
 }
@@ -377,6 +376,7 @@
 	suspects, quarantined := p.guard.Table().Count()
 	fmt.Fprintf(w, "quarantine_crashes_total %d\nquarantine_refused_total %d\nquarantine_suspect_count %d\nquarantine_entry_count %d\n",
 		crashes.Crashes.Load(), crashes.Refused.Load(), suspects, quarantined)
+	fmt.Fprintf(w, "limited_upstreams_count %d\n", p.fleet.limiter.Count())
 	n := p.notices
 	if n == nil {
 		n = &notices{} // without an address nothing was counted
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -9,6 +9,7 @@
 
 	"buckthornridge/budget/allowance"
 	"buckthornridge/config"
+	"buckthornridge/ratelimit"
 	"buckthornridge/relay"
 	"buckthornridge/routing"
 	"buckthornridge/store"
@@ -47,6 +48,9 @@
 	serviceByName map[string]relay.Service
 	evacuated     map[string]bool // data centres that get no new work
 	cold          coldUpstreams
+
+	shares  ratelimit.Routers  // the routers among which the rates of upstreams are divided
+	limiter *ratelimit.Limiter // of upstreams that name a rate
 }
 
 func newFleet(decode func(string, []byte) (relay.Upstream, error), table *routing.Table, lapseDeadline func() time.Time) *fleet {
@@ -56,6 +60,7 @@
 		evacuated: map[string]bool{}, cold: coldUpstreams{},
 		routers: func() (string, []allowance.Peer) { return "", nil },
 	}
+	f.limiter = ratelimit.NewLimiter(&f.shares, table.SetLimit)
 	f.current.Store(&map[string]relay.Upstream{})
 	f.serviceByAddress.Store(&map[string]string{})
 	return f
@@ -90,6 +95,9 @@
 		if old, known := f.entries[change.Key]; !known || old.Leaving != u.Leaving || old.Start != u.Start {
 			klog.Infof("step=upstream id=%s service=%s address=%s leaving=%t", u.ID, u.Service, u.Address, u.Leaving)
 		}
+		if old, known := f.entries[change.Key]; known && old.Start != u.Start {
+			f.limiter.Forget(u.ID) // the new process knows nothing of an earlier limit
+		}
 		f.entries[change.Key] = u
 		f.cold.extend(change.Key, u.WarmUp)
 	}
@@ -111,6 +119,7 @@
 }
 
 func (f *fleet) forget(key string) {
+	f.limiter.Forget(f.entries[key].ID)
 	delete(f.entries, key)
 	delete(f.lapsing, key)
 	delete(f.cold, key)
@@ -173,7 +182,7 @@
 	services := make(map[string]string, len(f.entries))
 	byID := make(map[string]relay.Upstream, len(f.entries))
 	upstreams := make(map[string]config.Upstream, len(f.entries))
-	self, routers := f.routers()
+	f.updateRouters()
 	for key, u := range f.entries {
 		u.Leaving = u.Leaving || f.evacuated[u.DataCentre]
 		byID[u.ID] = u
@@ -185,10 +194,21 @@
 		upstreams[u.ID] = config.Upstream{
 			Kind: config.UpstreamService, Address: u.Address, DataCentre: u.DataCentre,
 			Service: u.Service, Slots: slots, Leaving: u.Leaving,
-			WarmUp: f.cold.limit(key, u, f.serviceByName[u.Service].WarmUpRate, self, routers),
+			WarmUp: f.cold.limit(key, u, f.serviceByName[u.Service].WarmUpRate, &f.shares),
 		}
 	}
 	f.current.Store(&byID)
 	f.serviceByAddress.Store(&services)
 	f.table.Update(&config.Snapshot{Document: config.Document{Upstreams: upstreams}})
+	f.limiter.Apply()
+}
+
+// updateRouters passes the list of routers on.
+func (f *fleet) updateRouters() {
+	self, routers := f.routers()
+	names := make([]string, len(routers))
+	for i, r := range routers {
+		names[i] = r.VM
+	}
+	f.limiter.SetRouters(self, names)
 }
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -15,6 +15,7 @@
 	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
 
+	"buckthornridge/ratelimit"
 	"buckthornridge/routing"
 	"buckthornridge/traffic"
 )
@@ -34,18 +35,34 @@
 	noticeQueue = 64
 )
 
-// notice is the content of one datagram: a prompt that was sent to an engine, or an
-// upstream that was replaced.
+// notice is the content of one datagram: a prompt that was sent to an engine, an upstream
+// that was replaced, or one that names the rate it takes.
 type notice struct {
 	routing.DispatchNotice `msgpack:",inline"`
 	// Replaced is the id of an upstream whose address another upstream has now.
 	Replaced string `msgpack:"g,omitempty"`
+	// Limit is what an upstream says of its rate.
+	Limit *limitNotice `msgpack:"l,omitempty"`
+}
+
+// limitNotice tells what an upstream says of the rate that it takes.
+type limitNotice struct {
+	Upstream  string  `msgpack:"u"`
+	Named     bool    `msgpack:"n"`
+	PerSecond float64 `msgpack:"r"`
 }
 
 // noticeObserver gets the notices of other VMs.
 type noticeObserver interface {
 	ObserveDispatch(p routing.DispatchNotice)
 	MarkReplaced(id string)
+	Learn(upstream string, r ratelimit.Reading) bool
+}
+
+// noticeReceiver passes notices to routing and to the limiter.
+type noticeReceiver struct {
+	*routing.Table
+	*ratelimit.Limiter
 }
 
 // notices sends notices of long prompts that this VM has sent to engines, and of
@@ -103,6 +120,12 @@
 	n.enqueue(notice{Replaced: id})
 }
 
+// notifyLimit queues a notice of an upstream that names another rate, or none any more. A
+// VM that has no part of the rate gets no answers to learn it from.
+func (n *notices) notifyLimit(upstream string, r ratelimit.Reading) {
+	n.enqueue(notice{Limit: &limitNotice{Upstream: upstream, Named: r.Named, PerSecond: r.PerSecond}})
+}
+
 func (n *notices) enqueue(msg notice) {
 	select {
 	case n.queue <- msg:
@@ -193,6 +216,10 @@
 		n.observer.MarkReplaced(msg.Replaced)
 		return
 	}
+	if l := msg.Limit; l != nil {
+		n.observer.Learn(l.Upstream, ratelimit.Reading{Named: l.Named, PerSecond: l.PerSecond})
+		return
+	}
 	n.observer.ObserveDispatch(msg.DispatchNotice)
 }
 
--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"buckthornridge/ratelimit"
 	"buckthornridge/routing"
 	"buckthornridge/traffic"
 )
@@ -27,10 +28,11 @@
 type noticeRecorder struct {
 	placed   chan routing.DispatchNotice
 	replaced chan string
+	limits   chan ratelimit.Reading
 }
 
 func newNoticeRecorder() noticeRecorder {
-	return noticeRecorder{make(chan routing.DispatchNotice, 8), make(chan string, 8)}
+	return noticeRecorder{make(chan routing.DispatchNotice, 8), make(chan string, 8), make(chan ratelimit.Reading, 8)}
 }
 
 // ObserveDispatch implements noticeObserver.
@@ -39,6 +41,12 @@
 // MarkReplaced implements noticeObserver.
 func (h noticeRecorder) MarkReplaced(id string) { h.replaced <- id }
 
+// Learn implements noticeObserver.
+func (h noticeRecorder) Learn(_ string, r ratelimit.Reading) bool {
+	h.limits <- r
+	return true
+}
+
 // Notices of one VM reach the others; a datagram that is not a notice is skipped.
 func TestNoticesReachOtherVMs(t *testing.T) {
 	is := is.New(t)
--- a/edge/warmup_test.go
+++ b/edge/warmup_test.go
@@ -36,8 +36,11 @@
 	}
 	decode := func(key string, data []byte) (relay.Upstream, error) {
 		u := relay.Upstream{ID: key, Address: key + ":1", Service: "orders", DataCentre: "d"}
-		if string(data) == "cold" {
+		switch string(data) {
+		case "cold":
 			u.WarmUp = coldTime
+		case "restarted":
+			u.Start = 1
 		}
 		return u, nil
 	}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -82,9 +82,10 @@
 		Catalogue: &CurrentCatalogue{}, Budgets: b, Picker: picker, Fleet: b, Sender: b, Recorder: b,
 		RetryBudget: NewRetryBudget(RetryPolicy{Share: 0.2, Extra: 50, Window: 10 * time.Second}),
 		Routers:     func() int { return 1 },
-		Limiter:     ratelimit.NewLimiter(),
+		Limiter:     ratelimit.NewLimiter(&ratelimit.Routers{}, table.SetLimit),
 		Guard:       quarantine.NewGuard(b),
 	}
+	b.relay.Limiter.SetRouters("vm-1", []string{"vm-1"})
 	b.relay.Catalogue.Advance(NewCatalogue(Definition{
 		Version: 1,
 		Routes: []Route{
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -47,6 +47,9 @@
 
 // retryAfter returns when a refused caller may try again.
 func (r *call) retryAfter() time.Duration {
+	if r.limitedFor > 0 {
+		return r.limitedFor
+	}
 	if r.sends > 0 {
 		return retryAfterFull
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -76,13 +77,14 @@
 	deadline    time.Time // when the final response is due
 	reservation Reservation
 
-	sends           int      // attempts that may have reached an upstream
-	misdirected     int      // attempts that found another upstream at the address
-	excluded        []string // upstreams that get no further attempt
-	mayHaveRun      bool     // an upstream may have run the request, even if it failed
-	streamStarted   bool     // the stream's headers were sent to the caller
-	lastEventID     string   // last event that was forwarded
-	forwardedEvents int64    // number of forwarded events
+	sends           int           // attempts that may have reached an upstream
+	misdirected     int           // attempts that found another upstream at the address
+	excluded        []string      // upstreams that get no further attempt
+	mayHaveRun      bool          // an upstream may have run the request, even if it failed
+	streamStarted   bool          // the stream's headers were sent to the caller
+	lastEventID     string        // last event that was forwarded
+	forwardedEvents int64         // number of forwarded events
+	limitedFor      time.Duration // until an upstream's limit allows a request
 	record          RequestRecord
 }
 
@@ -212,6 +214,10 @@
 	}
 	choice, err := r.relay.Picker.Pick(r.routingRequest())
 	if err != nil {
+		var none *routing.NoUpstreamError
+		if errors.As(err, &none) && none.Limited {
+			r.limitedFor = none.RetryAfter
+		}
 		r.giveUp(ctx, "no upstream may take it: "+err.Error())
 		return true
 	}
--- a/request/generate.go
+++ b/request/generate.go
@@ -24,6 +24,9 @@
 // ErrCallersDisconnected ends an attempt after every caller disconnected.
 var ErrCallersDisconnected = eris.New("request: every caller disconnected")
 
+// errLimited reports that the engine's limit allows no further request now.
+var errLimited = eris.New("request: the engine's limit allows no request now")
+
 // ErrStalled ends an attempt that exceeded StallLimit or FirstTokenLimit.
 var ErrStalled = eris.New("request: the engine sent no token for too long")
 
@@ -199,6 +202,9 @@
 	if err != nil {
 		return usage, false, err
 	}
+	if !a.executor.router.Claim(h.Upstream) {
+		return usage, false, errLimited
+	}
 	w := newWatchdog(ctx, a.executor.settings)
 	defer w.stop()
 	stream, err := engine.Resume(w.ctx, h.StreamID, 0)
@@ -323,6 +329,9 @@
 		return nil, cause
 	}
 	for range resumeAttempts {
+		if !a.executor.router.Claim(a.target) {
+			return nil, cause
+		}
 		stream, err := engine.Resume(w.ctx, a.streamID, a.received)
 		if err == nil {
 			return upstream.EnforceLimits(w.ctx, engine, stream, a.engineRequest()), nil
--- a/request/harness_test.go
+++ b/request/harness_test.go
@@ -180,6 +180,8 @@
 	return nil, &Problem{Name: ProblemOverloaded, RetryAfter: time.Second, Detail: "no upstream"}
 }
 
+func (f *fakeRouter) Claim(string) bool { return true }
+
 func (f *fakeRouter) Engine(id string) (upstream.Engine, error) { return f.shared.engines[id], nil }
 func (f *fakeRouter) Service(id string) (upstream.Service, error) {
 	if f.shared.removedUpstream == id {
--- a/request/ports.go
+++ b/request/ports.go
@@ -75,6 +75,9 @@
 	// Pick returns a *Problem if no upstream can accept the request or the retry
 	// budgets allow no further attempt. exclude lists the upstreams already tried.
 	Pick(r *Request, exclude []string) (Choice, error)
+	// Claim reports whether an upstream's limit allows one more request now, for those
+	// that are not picked.
+	Claim(id string) bool
 	Engine(id string) (upstream.Engine, error)
 	Service(id string) (upstream.Service, error)
 }
--- a/router/members.go
+++ b/router/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -126,6 +127,18 @@
 	return n
 }
 
+// routerNames returns the sorted ids of the routers that accept work.
+func (m *members) routerNames() []string {
+	var names []string
+	for id, member := range m.view.Load().Members {
+		if member.Role == roleRouter && member.State <= membership.Suspected {
+			names = append(names, id)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // gossipLeaving announces to the other routers that this one is leaving.
 func (m *members) gossipLeaving() {
 	klog.V(1).Info("announcing to the other routers that this one is leaving")
--- a/router/pool.go
+++ b/router/pool.go
@@ -38,7 +38,7 @@
 }
 
 func newPool(table *routing.Table, interval time.Duration) *pool {
-	p := &pool{transport: upstream.NewTransport(), table: table, interval: interval, limiter: ratelimit.NewLimiter()}
+	p := &pool{transport: upstream.NewTransport(), table: table, interval: interval, limiter: ratelimit.NewLimiter(&ratelimit.Routers{}, table.SetLimit)}
 	p.clients.Store(&clientSet{})
 	return p
 }
--- a/router/ports.go
+++ b/router/ports.go
@@ -137,6 +137,9 @@
 	return out
 }
 
+// Claim implements request.Router.
+func (p routingPort) Claim(id string) bool { return p.router.Table().Claim(id) }
+
 // Engine implements request.Router.
 func (p routingPort) Engine(id string) (upstream.Engine, error) { return p.pool.engine(id) }
 
--- a/routing/capacity.go
+++ b/routing/capacity.go
@@ -48,19 +48,19 @@
 		return
 	}
 	if p.mean.computedAt.CompareAndSwap(last, now) {
-		p.summarize(t.routers.Load())
+		p.summarize(t.routers.Load(), t.now())
 	}
 }
 
-func (p *pool) summarize(routers int64) {
-	total := p.sum(p.live)
+func (p *pool) summarize(routers int64, now time.Duration) {
+	total := p.sum(p.live, now)
 	if total.upstreams > 0 {
 		p.mean.own.store(float64(total.inFlight) / float64(total.upstreams))
 		p.mean.failureShare.store(total.failureShare / float64(total.upstreams))
 		p.mean.firstToken.store(total.firstToken / float64(max(total.measured, 1)))
 	}
 	if total.slots == 0 {
-		total = p.sum(p.fallback)
+		total = p.sum(p.fallback, now)
 	}
 	if total.slots == 0 {
 		// Every upstream is ejected: admit about one request per upstream.
@@ -97,16 +97,16 @@
 	measured          int64 // upstreams with a known first-token time
 }
 
-func (p *pool) sum(list []*entry) sums {
+func (p *pool) sum(list []*entry, now time.Duration) sums {
 	var s sums
-	now := time.Now()
+	wall := time.Now()
 	for _, e := range list {
 		if e.health.ejected() {
 			continue
 		}
-		requests, prefill, _ := e.reportedOthers(now)
+		requests, prefill, _ := e.reportedOthers(wall)
 		s.upstreams++
-		s.slots += e.slots
+		s.slots += e.usableSlots(now)
 		s.requests += requests
 		s.prefill += prefill
 		s.inFlight += e.inFlight.Load()
--- a/routing/entry.go
+++ b/routing/entry.go
@@ -64,12 +64,13 @@
 
 	backlog backlog
 	health  health
-	warmUp  warmUp
+	warmUp  *spacing // while the upstream is cold
+	limit   *spacing // while the upstream names the rate that it takes
 	retries RetryBudget
 }
 
 func newEntry(id string, u config.Upstream) *entry {
-	e := &entry{id: id, address: u.Address, kind: u.Kind, service: u.Service, fencing: u.Fencing}
+	e := &entry{id: id, address: u.Address, kind: u.Kind, service: u.Service, fencing: u.Fencing, warmUp: newSpacing(), limit: newSpacing()}
 	e.slots = int64(u.Slots)
 	if e.slots <= 0 {
 		e.slots = defaultSlots
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -76,7 +76,7 @@
 
 // allowed is usable without regard to ejection and stalls.
 func (v *view) allowed(e *entry) bool {
-	if !e.warmUp.allows(v.now) {
+	if !e.allows(v.now) {
 		return false
 	}
 	if v.request.Attempt > 0 && !e.retries.has() {
--- a/routing/router.go
+++ b/routing/router.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,9 +68,9 @@
 	for {
 		e := r.choose(v)
 		if e == nil {
-			return nil, r.refuse(&request, ReasonExcluded)
+			return nil, r.refuseLimited(v)
 		}
-		if e.warmUp.claim(v.now) {
+		if e.claim(v.now) {
 			return r.commit(v, e), nil
 		}
 		v.abandon(e) // another request took the place of this one
@@ -183,6 +184,22 @@
 	return &NoUpstreamError{Target: request.Target, RetryAfter: after, Why: string(why)}
 }
 
+// refuseLimited refuses a request that no upstream may get now. If upstreams wait only for
+// their limits, the caller is told when the first of them may get a request.
+func (r *Router) refuseLimited(v *view) error {
+	err := r.refuse(v.request, ReasonExcluded)
+	wait, limited := v.untilAllowed()
+	var none *NoUpstreamError
+	if limited && errors.As(err, &none) {
+		none.Limited, none.RetryAfter = true, max(wait, minLimitedRetry)
+	}
+	return err
+}
+
+// minLimitedRetry is the least time after which a caller that was refused for the limits
+// of upstreams is told to come back.
+const minLimitedRetry = 100 * time.Millisecond
+
 // commit counts the request at the chosen upstream and records the explanation.
 func (r *Router) commit(v *view, e *entry) *Choice {
 	if v.estimate.firstToken == 0 || v.why != ReasonPolicy {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -112,7 +112,10 @@
 	Target Target
 	// RetryAfter is the suggested delay before a retry.
 	RetryAfter time.Duration
-	Why        string
+	// Limited says that RetryAfter is when the first upstream that waits for its limit may
+	// get a request.
+	Limited bool
+	Why     string
 }
 
 // Error implements error.
--- /dev/null
+++ b/routing/spacing.go
@@ -0,0 +1,139 @@
+package routing
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"buckthornridge/config"
+	"buckthornridge/ratelimit"
+)
+
+// spacing spaces this router's requests to an upstream that bears few. It is idle then and
+// looks like the best choice to every router at once. Times are relative to the table's
+// start.
+type spacing struct {
+	until    atomic.Int64 // end of the limit; 0 without one
+	interval atomic.Int64 // least time between two requests; with 0 there are none
+	last     atomic.Int64 // time of the last request
+}
+
+func newSpacing() *spacing {
+	s := &spacing{}
+	s.last.Store(math.MinInt64 / 2)
+	return s
+}
+
+// setWarmUp sets the limit of an upstream that has just started.
+func (s *spacing) setWarmUp(limit config.WarmUp, start time.Time) {
+	s.interval.Store(int64(limit.Interval))
+	if limit.Until.IsZero() {
+		s.until.Store(0)
+		return
+	}
+	s.until.Store(int64(limit.Until.Sub(start)))
+}
+
+// setLimit sets a limit that lasts until another one is set. Setting the same again has no
+// effect.
+func (s *spacing) setLimit(limit ratelimit.Limit, now time.Duration) {
+	if !limit.Active {
+		s.until.Store(0)
+		return
+	}
+	if s.until.Load() > 0 && s.interval.Load() == int64(limit.Interval) {
+		return
+	}
+	s.interval.Store(int64(limit.Interval))
+	if limit.Delay > 0 {
+		s.last.Store(int64(now + limit.Delay - limit.Interval))
+	}
+	s.until.Store(math.MaxInt64)
+}
+
+func (s *spacing) active(now time.Duration) bool { return int64(now) < s.until.Load() }
+
+// wait returns the time until the next request is due.
+func (s *spacing) wait(now time.Duration) time.Duration {
+	if !s.active(now) {
+		return 0
+	}
+	interval := s.interval.Load()
+	if interval <= 0 {
+		return time.Duration(s.until.Load() - int64(now))
+	}
+	return max(0, time.Duration(s.last.Load()+interval-int64(now)))
+}
+
+// claim takes the next request, and reports whether it was due.
+func (s *spacing) claim(now time.Duration) bool {
+	for {
+		last := s.last.Load()
+		if !s.active(now) {
+			return true
+		}
+		if s.wait(now) > 0 {
+			return false
+		}
+		if s.last.CompareAndSwap(last, int64(now)) {
+			return true
+		}
+	}
+}
+
+// allows reports whether the upstream may get a request now.
+func (e *entry) allows(now time.Duration) bool { return e.wait(now) == 0 }
+
+// wait returns the time until the upstream may get a request.
+func (e *entry) wait(now time.Duration) time.Duration {
+	return max(e.warmUp.wait(now), e.limit.wait(now))
+}
+
+// claim takes the upstream's next request, and reports whether it was due.
+func (e *entry) claim(now time.Duration) bool {
+	return e.warmUp.claim(now) && e.limit.claim(now)
+}
+
+// usableSlots returns the slots that this router's part of a limited rate can fill.
+func (e *entry) usableSlots(now time.Duration) int64 {
+	if !e.limit.active(now) {
+		return e.slots
+	}
+	interval := time.Duration(e.limit.interval.Load())
+	if interval <= 0 {
+		return 0
+	}
+	return min(e.slots, 1+int64(e.meanServiceTime()/interval))
+}
+
+// SetLimit sets or ends the limit of this router's requests to an upstream.
+func (t *Table) SetLimit(id string, limit ratelimit.Limit) {
+	if e := t.current.Load().entries[id]; e != nil {
+		e.limit.setLimit(limit, t.now())
+	}
+}
+
+// Claim takes the next request to an upstream for a purpose that has no Choice, such as
+// resuming a stream, and reports whether it was due.
+func (t *Table) Claim(id string) bool {
+	e := t.current.Load().entries[id]
+	return e == nil || e.claim(t.now())
+}
+
+// untilAllowed returns the time until the first of the pool's upstreams may get a request
+// that waits only for its limit; false if there is none.
+func (v *view) untilAllowed() (time.Duration, bool) {
+	shortest, found := time.Duration(0), false
+	if v.pool == nil {
+		return 0, false
+	}
+	for _, e := range v.pool.live {
+		if !e.takesWork() || e.health.ejected() || e.allows(v.now) {
+			continue
+		}
+		if wait := e.wait(v.now); !found || wait < shortest {
+			shortest, found = wait, true
+		}
+	}
+	return shortest, found
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -63,7 +63,7 @@
 			e.dataCentre = topo.index[u.DataCentre]
 		}
 		e.drainRequested.Store(u.Leaving)
-		e.warmUp.set(u.WarmUp, t.start)
+		e.warmUp.setWarmUp(u.WarmUp, t.start)
 		entries[id] = e
 	}
 	t.publish(newSet(entries, topo))
@@ -87,6 +87,7 @@
 		e.state.Store(old.state.Load())
 		e.leavingAt.Store(old.leavingAt.Load())
 		e.models.Store(old.models.Load())
+		e.limit = old.limit
 	}
 	return e
 }
