--- a/loadtool/fault/fault.go
+++ b/loadtool/fault/fault.go
@@ -29,6 +29,8 @@
 	State Kind = "state"
 	// Upstream sends Body to /debug/faults of the upstream Target.
 	Upstream Kind = "upstream"
+	// Limit sends Body to /debug/limit of the upstream Target.
+	Limit Kind = "limit"
 	// TopUp buys Share of the planned spend for every budget.
 	TopUp Kind = "top_up"
 )
@@ -117,6 +119,8 @@
 		return e.post(ctx, "http://"+e.PlatformAddress+"/debug/vms", string(body))
 	case Upstream:
 		return e.post(ctx, "http://"+e.Upstreams[f.Target]+"/debug/faults", f.Body)
+	case Limit:
+		return e.post(ctx, "http://"+e.Upstreams[f.Target]+"/debug/limit", f.Body)
 	case TopUp:
 		return e.TopUp(ctx, f.Share)
 	}
--- a/loadtool/fault/fault_test.go
+++ b/loadtool/fault/fault_test.go
@@ -38,12 +38,13 @@
 		{Kind: Platform, Body: `{"down":true}`},
 		{Kind: State, Target: "vm-1", Body: "gone"},
 		{Kind: Upstream, Target: "e", Body: `{"stall":true}`},
+		{Kind: Limit, Target: "e", Body: `{"per_second":2}`},
 		{Kind: TopUp, Share: 0.5},
 	} {
 		is.NoErr(executor.Do(t.Context(), f))
 	}
 	is.Equal(lines.String(), "kill router-1\n")
-	is.Equal(seen, []string{`/debug/faults {"down":true}`, `/debug/vms {"id":"vm-1","state":"gone"}`, `/debug/faults {"stall":true}`})
+	is.Equal(seen, []string{`/debug/faults {"down":true}`, `/debug/vms {"id":"vm-1","state":"gone"}`, `/debug/faults {"stall":true}`, `/debug/limit {"per_second":2}`})
 	is.Equal(bought, 0.5)
 	is.True(executor.Do(t.Context(), Fault{Kind: Platform, Body: "bad"}) != nil)
 	is.True(executor.Do(t.Context(), Fault{Kind: "other"}) != nil)
--- a/loadtool/report/report.go
+++ b/loadtool/report/report.go
@@ -71,6 +71,11 @@
 	PoisonBeyond        int `json:"poison_beyond"`
 	InnocentQuarantined int `json:"innocent_quarantined"`
 
+	// LimitedArrivals counts arrivals at upstreams while they named a rate, LimitBeyond those
+	// beyond what is allowed, in the worst window of each upstream.
+	LimitedArrivals int `json:"limited_arrivals"`
+	LimitBeyond     int `json:"limit_beyond"`
+
 	DrainCutRequests int     `json:"drain_cut_requests"`
 	WorkAfterLeaving float64 `json:"work_after_leaving_s"`
 
@@ -193,6 +198,7 @@
 	{"ledger_violations", count(func(r *Report) int { return r.LedgerViolations })},
 	{"poison_beyond", count(func(r *Report) int { return r.PoisonBeyond })},
 	{"innocent_quarantined", count(func(r *Report) int { return r.InnocentQuarantined })},
+	{"limit_beyond", count(func(r *Report) int { return r.LimitBeyond })},
 	{"nothing_completed", count(func(r *Report) int {
 		if r.Completed == 0 {
 			return 1 // without a response no fault can show
--- a/loadtool/run/evaluate.go
+++ b/loadtool/run/evaluate.go
@@ -35,6 +35,7 @@
 	e.evaluateOperations(ctx, r, in)
 	e.evaluateResourceUse(ctx, r)
 	e.evaluatePoison(ctx, r)
+	e.evaluateLimits(ctx, r)
 	r.Evaluate()
 	return r, nil
 }
--- a/loadtool/run/poison.go
+++ b/loadtool/run/poison.go
@@ -17,9 +17,9 @@
 	poisonRetries = 3               // that may still reach upstreams after that
 )
 
-// evaluatePoison counts the arrivals of poison requests at upstreams beyond what is
-// allowed, and other requests that were refused as if they were poison.
+// evaluatePoison counts the arrivals of poison requests at upstreams beyond what is allowed.
 func (e *experiment) evaluatePoison(ctx context.Context, r *report.Report) {
+	e.countInnocent(r)
 	if e.Scenario.Poison == nil {
 		return
 	}
@@ -43,6 +43,10 @@
 	if r.PoisonArrivals < poisonCrashes {
 		r.FaultErrors = append(r.FaultErrors, "too few crashes to tell anything")
 	}
+}
+
+// countInnocent counts tries of other requests that were refused as if they were poison.
+func (e *experiment) countInnocent(r *report.Report) {
 	for _, result := range e.results {
 		if e.poisonIDs[result.ID] {
 			continue
--- a/loadtool/scenario/scenario.go
+++ b/loadtool/scenario/scenario.go
@@ -3,6 +3,7 @@
 package scenario
 
 import (
+	"fmt"
 	"time"
 
 	"buckthornridge/loadtool/fault"
@@ -67,6 +68,13 @@
 	return f
 }
 
+// limitFault makes an upstream name a rate, or none if it is negative.
+func limitFault(seconds float64, target string, perSecond float64) fault.Fault {
+	f := newFault(seconds, fault.Limit, target)
+	f.Body = fmt.Sprintf(`{"per_second": %g}`, perSecond)
+	return f
+}
+
 // Table holds all scenarios. Targets "engine/N" and "service/N" denote the N-th
 // engine or service server of the configuration folder, from 0.
 var Table = []Scenario{
@@ -158,6 +166,16 @@
 			processFault(13, fault.Start, "service/1"),
 		},
 	},
+	{
+		Name: "server-limit", About: "three engines and a server name the rate that they take, while other upstreams crash",
+		Duration: 25 * time.Second, Rate: defaultRate, InitialFunding: ampleFunding, Popular: true,
+		Faults: []fault.Fault{
+			limitFault(2, "engine/0", 0.5), limitFault(2, "engine/3", 0.5), limitFault(2, "engine/4", 1), limitFault(2, "service/0", 1),
+			processFault(9, fault.Kill, "engine/2"), processFault(10, fault.Kill, "service/1"),
+			processFault(12, fault.Start, "engine/2"), processFault(13, fault.Start, "service/1"),
+			limitFault(17, "engine/0", -1), limitFault(17, "service/0", -1),
+		},
+	},
 	{
 		Name: "overload", About: "twice the request rate that the engines can serve",
 		Duration: 15 * time.Second, Rate: 150, InitialFunding: ampleFunding, SlowEngines: 4,
--- a/router/pool.go
+++ b/router/pool.go
@@ -47,8 +47,10 @@
 func (p *pool) update(s *config.Snapshot) {
 	next := &clientSet{engines: map[string]upstream.Engine{}, services: map[string]upstream.Service{}}
 	for id, u := range s.Upstreams {
-		transport := upstream.ObserveHeaders(p.transport, func(h http.Header) {
-			p.limiter.Observe(id, ratelimit.Read(h[wire.HeaderRateLimit]))
+		transport := upstream.ObserveHeaders(p.transport, func(path string, h http.Header) {
+			if u.Kind != config.UpstreamEngine || path == wire.PathGenerate || path == wire.PathResume {
+				p.limiter.Observe(id, ratelimit.Read(h[wire.HeaderRateLimit]))
+			}
 		})
 		if u.Kind == config.UpstreamEngine {
 			next.engines[id] = upstream.NewEngine(u.Address, transport)
--- a/upstream/wire/wire.go
+++ b/upstream/wire/wire.go
@@ -2,12 +2,12 @@
 // HTTP protocol. The client and the stand-in engine share them.
 package wire
 
-// Paths of the protocol.
 // HeaderRateLimit is the header of an answer with the requests a second, a decimal number,
-// that the upstream takes from all routers together. An answer without it ends the limit.
+// that the upstream takes from all routers together. An answer to a request for work without
+// it ends the limit.
 const HeaderRateLimit = "Rate-Limit"
 
-// Paths of an engine.
+// Paths of the protocol.
 const (
 	PathGenerate    = "/v1/generate"       // POST Generate -> stream of Line
 	PathResume      = "/v1/streams/resume" // POST Resume -> stream of Line
