ratelimit: keep a named rate while its upstream's entry has lapsed

TestLimitOutlastsALapsedEntry: 16 requests in 4 s at 2 a second where 8 are the plain limit, with an entry that is gone for a second in every three.

The rate belongs to a process of the upstream now, not to the entry, and the first turns of routers are spread over an interval. A new process under the same id has none (TestLimitEndsWithItsProcess). Peers are asked for records of crashes every 500 ms, not 150 ms, while the table does not answer.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -229,9 +229,9 @@
 	for _, task := range []func(context.Context){
 		p.config.run, p.upstreams.run, p.quarantine.run, p.publisher().Run, p.manager.Run, p.maintain, p.monitorLink,
 		func(ctx context.Context) { p.peers.run(ctx, p.incarnation) },
-		func(ctx context.Context) { p.peers.pollPeers(ctx, p.config) },
-		func(ctx context.Context) { p.peers.pollPeers(ctx, p.upstreams) },
-		func(ctx context.Context) { p.peers.pollPeers(ctx, p.quarantine) },
+		func(ctx context.Context) { p.peers.pollPeers(ctx, p.config, peerInterval) },
+		func(ctx context.Context) { p.peers.pollPeers(ctx, p.upstreams, peerInterval) },
+		func(ctx context.Context) { p.peers.pollPeers(ctx, p.quarantine, quarantinePeerInterval) },
 	} {
 		p.tasks.Go(func() { task(ctx) })
 	}
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -95,9 +95,7 @@
 		if old, known := f.entries[change.Key]; !known || old.Leaving != u.Leaving || old.Start != u.Start {
 			klog.Infof("step=upstream id=%s service=%s address=%s leaving=%t", u.ID, u.Service, u.Address, u.Leaving)
 		}
-		if old, known := f.entries[change.Key]; known && old.Start != u.Start {
-			f.limiter.Forget(u.ID) // the new process knows nothing of an earlier limit
-		}
+		f.limiter.Started(u.ID, u.Start)
 		f.entries[change.Key] = u
 		f.cold.extend(change.Key, u.WarmUp)
 	}
@@ -119,7 +117,6 @@
 }
 
 func (f *fleet) forget(key string) {
-	f.limiter.Forget(f.entries[key].ID)
 	delete(f.entries, key)
 	delete(f.lapsing, key)
 	delete(f.cold, key)
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -34,6 +34,9 @@
 	// answer.
 	peerInterval = 150 * time.Millisecond
 	peerTimeout  = 800 * time.Millisecond
+	// quarantinePeerInterval is the same for the records of crashes, which are acted on
+	// after a second.
+	quarantinePeerInterval = 500 * time.Millisecond
 	// peerPollDelay is how long, beyond the feed's wait, the table must not have
 	// answered before peers are polled.
 	peerPollDelay = 250 * time.Millisecond
--- a/edge/limit_test.go
+++ b/edge/limit_test.go
@@ -40,7 +40,7 @@
 				continue
 			}
 			u.arrivals = append(u.arrivals, time.Now())
-			u.env.fleets[i].limiter.Observe("d1", ratelimit.Reading{Named: u.rate >= 0, PerSecond: max(u.rate, 0)})
+			u.env.fleets[i].limiter.Observe("d1", 0, ratelimit.Reading{Named: u.rate >= 0, PerSecond: max(u.rate, 0)})
 			c.Done(routing.Outcome{Kind: routing.OutcomeOK, Total: time.Millisecond})
 		}
 		time.Sleep(step)
@@ -120,6 +120,24 @@
 	})
 }
 
+// Guards against a limit that is forgotten while the entry of its upstream has lapsed.
+func TestLimitOutlastsALapsedEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newColdEnv(t, 9)
+		e.apply(writeOf("d1", "warm"))
+		u := &namingUpstream{env: e, rate: 2}
+		began := time.Now()
+		for range 8 {
+			u.load(2 * time.Second)
+			e.apply(deletionOf("d1"))
+			u.load(time.Second)
+			e.apply(writeOf("d1", "warm"))
+		}
+		is.True(float64(u.most(began.Add(limitKnown))) <= 2*limitWindow.Seconds()+1) // turns are taken as before
+	})
+}
+
 // Guards against VMs that disagree on which VMs there are and together exceed the rate.
 func TestLimitHoldsWhileVMsDisagreeOnTheFleet(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -148,14 +166,14 @@
 		e.apply(writeOf("d1", "warm"))
 		first, second := e.fleets[0].limiter, e.fleets[1].limiter
 		receiver := &notices{observer: noticeReceiver{routing.NewTable(), second}}
-		first.OnChange(func(id string, r ratelimit.Reading) {
-			receiver.deliver(notice{Limit: &limitNotice{Upstream: id, Named: r.Named, PerSecond: r.PerSecond}})
+		first.OnChange(func(id string, process int64, r ratelimit.Reading) {
+			receiver.deliver(notice{Limit: &limitNotice{Upstream: id, Process: process, Named: r.Named, PerSecond: r.PerSecond}})
 		})
-		first.Observe("d1", ratelimit.Reading{Named: true, PerSecond: 2})
+		first.Observe("d1", 0, ratelimit.Reading{Named: true, PerSecond: 2})
 		is.Equal(second.Count(), 1)
-		first.Observe("d1", ratelimit.Reading{Invalid: true})
+		first.Observe("d1", 0, ratelimit.Reading{Invalid: true})
 		is.Equal(second.Count(), 1)
-		first.Observe("d1", ratelimit.Reading{})
+		first.Observe("d1", 0, ratelimit.Reading{})
 		is.Equal(second.Count(), 0)
 	})
 }
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -48,6 +48,7 @@
 // limitNotice tells what an upstream says of the rate that it takes.
 type limitNotice struct {
 	Upstream  string  `msgpack:"u"`
+	Process   int64   `msgpack:"p"` // relay.Upstream.Start
 	Named     bool    `msgpack:"n"`
 	PerSecond float64 `msgpack:"r"`
 }
@@ -56,7 +57,7 @@
 type noticeObserver interface {
 	ObserveDispatch(p routing.DispatchNotice)
 	MarkReplaced(id string)
-	Learn(upstream string, r ratelimit.Reading) bool
+	Learn(upstream string, process int64, r ratelimit.Reading) bool
 }
 
 // noticeReceiver passes notices to routing and to the limiter.
@@ -122,8 +123,8 @@
 
 // notifyLimit queues a notice of an upstream that names another rate, or none any more. A
 // VM that has no part of the rate gets no answers to learn it from.
-func (n *notices) notifyLimit(upstream string, r ratelimit.Reading) {
-	n.enqueue(notice{Limit: &limitNotice{Upstream: upstream, Named: r.Named, PerSecond: r.PerSecond}})
+func (n *notices) notifyLimit(upstream string, process int64, r ratelimit.Reading) {
+	n.enqueue(notice{Limit: &limitNotice{Upstream: upstream, Process: process, Named: r.Named, PerSecond: r.PerSecond}})
 }
 
 func (n *notices) enqueue(msg notice) {
@@ -217,7 +218,7 @@
 		return
 	}
 	if l := msg.Limit; l != nil {
-		n.observer.Learn(l.Upstream, ratelimit.Reading{Named: l.Named, PerSecond: l.PerSecond})
+		n.observer.Learn(l.Upstream, l.Process, ratelimit.Reading{Named: l.Named, PerSecond: l.PerSecond})
 		return
 	}
 	n.observer.ObserveDispatch(msg.DispatchNotice)
--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -42,7 +42,7 @@
 func (h noticeRecorder) MarkReplaced(id string) { h.replaced <- id }
 
 // Learn implements noticeObserver.
-func (h noticeRecorder) Learn(_ string, r ratelimit.Reading) bool {
+func (h noticeRecorder) Learn(_ string, _ int64, r ratelimit.Reading) bool {
 	h.limits <- r
 	return true
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -255,10 +255,10 @@
 	})
 }
 
-// pollPeers polls a few peers while the table has not answered for a while.
-func (p *peers) pollPeers(ctx context.Context, f *follower) {
+// pollPeers polls a few peers at an interval while the table has not answered for a while.
+func (p *peers) pollPeers(ctx context.Context, f *follower, interval time.Duration) {
 	for ctx.Err() == nil {
-		_ = pause.For(ctx, peerInterval)
+		_ = pause.For(ctx, interval)
 		if age, known := f.lastAnswer.elapsed(); known && age < f.wait+peerPollDelay {
 			continue
 		}
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -32,43 +32,55 @@
 	routers *Routers
 	apply   func(upstream string, l Limit)
 	// onChange is called for rates that this router learned by an answer.
-	onChange atomic.Pointer[func(upstream string, r Reading)]
+	onChange atomic.Pointer[func(upstream string, process int64, r Reading)]
 
 	// rates holds the named rates by upstream; it is replaced as a whole.
-	rates atomic.Pointer[map[string]float64]
+	rates atomic.Pointer[map[string]namedRate]
 	mu    sync.Mutex // held while rates is replaced
 }
 
+// namedRate is the rate that one process of an upstream has named.
+type namedRate struct {
+	perSecond float64
+	process   int64
+	since     time.Time
+}
+
+// maxRates bounds the number of rates. They outlast their upstreams, since an upstream that
+// drops out of the list may come back.
+const maxRates = 2048
+
 // NewLimiter returns a limiter that knows no rates. apply puts a limit into force.
 func NewLimiter(routers *Routers, apply func(upstream string, l Limit)) *Limiter {
 	l := &Limiter{routers: routers, apply: apply}
-	l.rates.Store(&map[string]float64{})
+	l.rates.Store(&map[string]namedRate{})
 	return l
 }
 
 // OnChange sets a function that is called when an answer names a rate for the first time, a
 // much different one, or none any more.
-func (l *Limiter) OnChange(f func(upstream string, r Reading)) { l.onChange.Store(&f) }
+func (l *Limiter) OnChange(f func(upstream string, process int64, r Reading)) { l.onChange.Store(&f) }
 
 // Count returns the number of upstreams that name a rate.
 func (l *Limiter) Count() int { return len(*l.rates.Load()) }
 
-// Observe takes the reading of an upstream's answer. An answer that names no rate ends the
-// earlier one.
-func (l *Limiter) Observe(upstream string, r Reading) {
+// Observe takes the reading of an answer of an upstream's process. An answer that names no
+// rate ends the earlier one.
+func (l *Limiter) Observe(upstream string, process int64, r Reading) {
 	old, known := (*l.rates.Load())[upstream]
-	if !l.Learn(upstream, r) {
+	if !l.Learn(upstream, process, r) {
 		return
 	}
-	if f := l.onChange.Load(); f != nil && (known != r.Named || math.Abs(r.PerSecond-old) > notifiedChange*old) {
-		(*f)(upstream, r)
+	changed := math.Abs(r.PerSecond-old.perSecond) > notifiedChange*old.perSecond
+	if f := l.onChange.Load(); f != nil && (known != r.Named || changed) {
+		(*f)(upstream, process, r)
 	}
 }
 
 // Learn takes what another router has read. It reports whether that is new.
-func (l *Limiter) Learn(upstream string, r Reading) bool {
+func (l *Limiter) Learn(upstream string, process int64, r Reading) bool {
 	old, known := (*l.rates.Load())[upstream]
-	if r.Invalid || known == r.Named && old == r.PerSecond {
+	if r.Invalid || known == r.Named && old.perSecond == r.PerSecond && (!known || old.process == process) {
 		return false
 	}
 	l.mu.Lock()
@@ -76,7 +88,10 @@
 	next := maps.Clone(*l.rates.Load())
 	delete(next, upstream)
 	if r.Named {
-		next[upstream] = r.PerSecond
+		if len(next) >= maxRates {
+			delete(next, oldest(next))
+		}
+		next[upstream] = namedRate{perSecond: r.PerSecond, process: process, since: time.Now()}
 	}
 	l.rates.Store(&next)
 	l.limit(upstream, r.Named, r.PerSecond)
@@ -84,15 +99,29 @@
 	return true
 }
 
-// Forget removes what is known of an upstream that has left or has started again.
-func (l *Limiter) Forget(upstream string) { l.Learn(upstream, Reading{}) }
+func oldest(rates map[string]namedRate) string {
+	first := ""
+	for upstream, rate := range rates {
+		if first == "" || rate.since.Before(rates[first].since) {
+			first = upstream
+		}
+	}
+	return first
+}
+
+// Started tells which process an upstream has now. It ends the limit of an earlier one.
+func (l *Limiter) Started(upstream string, process int64) {
+	if old, known := (*l.rates.Load())[upstream]; known && old.process != process {
+		l.Learn(upstream, process, Reading{})
+	}
+}
 
 // Apply puts the limits into force again, for upstreams that were added.
 func (l *Limiter) Apply() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for upstream, rate := range *l.rates.Load() {
-		l.limit(upstream, true, rate)
+		l.limit(upstream, true, rate.perSecond)
 	}
 }
 
@@ -110,7 +139,7 @@
 		return
 	}
 	rate := Rate{PerSecond: perSecond, Window: namedWindow}
-	limit := Limit{Active: true, Interval: l.routers.Interval(upstream, rate)}
+	limit := Limit{Active: true, Interval: l.routers.Interval(upstream, rate), Delay: l.routers.FirstTurn(upstream, rate)}
 	if limit.Interval == 0 {
 		limit.Interval, limit.Delay = l.routers.Probe(upstream, rate)
 	}
--- a/ratelimit/share.go
+++ b/ratelimit/share.go
@@ -69,8 +69,17 @@
 	return time.Duration(float64(users) / (usedShare * rate.PerSecond) * float64(time.Second))
 }
 
+// FirstTurn returns the time before the first of the requests that are Interval apart.
+// Routers that learn of a limit at the same time take turns.
+func (r *Routers) FirstTurn(upstream string, rate Rate) time.Duration {
+	interval := r.Interval(upstream, rate)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return interval / time.Duration(max(1, r.users(rate))) * time.Duration(1+r.rank(upstream))
+}
+
 // Probe returns the least time between two requests of a router that has no part, and the
-// time before the first one. Routers that learn of a limit at the same time take turns.
+// time before the first one.
 func (r *Routers) Probe(upstream string, rate Rate) (interval, delay time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -105,7 +105,7 @@
 func (t *attempt) handleResponse(ctx context.Context, response Response) bool {
 	head := response.Head()
 	if !head.Misdirected { // another upstream answers
-		t.call.relay.Limiter.Observe(t.target.ID, head.RateLimit)
+		t.call.relay.Limiter.Observe(t.target.ID, t.target.Start, head.RateLimit)
 	}
 	switch {
 	case head.NotExecuted:
--- a/router/pool.go
+++ b/router/pool.go
@@ -49,7 +49,7 @@
 	for id, u := range s.Upstreams {
 		transport := upstream.ObserveHeaders(p.transport, func(path string, h http.Header) {
 			if u.Kind != config.UpstreamEngine || path == wire.PathGenerate || path == wire.PathResume {
-				p.limiter.Observe(id, ratelimit.Read(h[wire.HeaderRateLimit]))
+				p.limiter.Observe(id, 0, ratelimit.Read(h[wire.HeaderRateLimit]))
 			}
 		})
 		if u.Kind == config.UpstreamEngine {
--- a/routing/spacing.go
+++ b/routing/spacing.go
@@ -45,9 +45,7 @@
 		return
 	}
 	s.interval.Store(int64(limit.Interval))
-	if limit.Delay > 0 {
-		s.last.Store(int64(now + limit.Delay - limit.Interval))
-	}
+	s.last.Store(max(s.last.Load(), int64(now+limit.Delay-limit.Interval)))
 	s.until.Store(math.MaxInt64)
 }
 
