--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"buckthornridge/ratelimit"
+	"buckthornridge/upstream"
 )
 
 // Guards against an upstream that names the rate it takes and gets as much as the others.
@@ -48,3 +49,59 @@
 		is.True(len(arrivals) >= 10) // it is used
 	})
 }
+
+// Guards against a rate that is overlooked because the answer that names it failed, and one
+// that is taken from another upstream at the address.
+func TestRateIsReadFromEachKindOfAnswer(t *testing.T) {
+	named := ratelimit.Reading{Named: true, PerSecond: 2}
+	cut := answered("x")
+	cut.bodyErr = upstream.ErrBroken
+	misdirected := refusing()
+	misdirected.head.Status, misdirected.head.Misdirected = 421, true
+	for _, c := range []struct {
+		name  string
+		step  step
+		count int
+	}{
+		{"answered", answered("x"), 1},
+		{"failed", failing(500), 1},
+		{"refused", refusing(), 1},
+		{"body breaks off", cut, 1},
+		{"another upstream answers", misdirected, 0},
+		{"no answer", broken(), 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runTest(t, func(t *testing.T) {
+				is := is.New(t)
+				c.step.head.RateLimit = named
+				b := newHarness(t, AtMostOnce, c.step)
+				b.serve(b.request())
+				is.Equal(b.relay.Limiter.Count(), c.count)
+			})
+		})
+	}
+}
+
+// Guards against requests that are held or told a wrong time when all upstreams of a service are limited.
+func TestLimitedServiceRefusesAtOnce(t *testing.T) {
+	runTest(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newHarness(t, Idempotent)
+		b.answer = func(OutgoingRequest) step {
+			s := answered("done")
+			s.head.RateLimit = ratelimit.Reading{Named: true, PerSecond: 2}
+			return s
+		}
+		q := b.request()
+		q.Size = Size{}
+		for range len(b.fleet) {
+			is.Equal(b.serve(q).status, 200) // each upstream names its rate
+		}
+		began := time.Now()
+		got := b.serve(q)
+		is.Equal(time.Since(began), time.Duration(0))
+		is.Equal(got.status, 503)
+		time.Sleep(got.problem.RetryAfter)
+		is.Equal(b.serve(q).status, 200)
+	})
+}
