quarantine: keep a crash cleared while a router that is gone still records it

Callers of a popular request would have been refused ten minutes after an upstream ended under it, if a router that saw the end was gone: its row stays, and the note that the crashes were cleared expired. TestClearedCrashesOfAGoneRouterStayCleared failed before.

--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -26,7 +26,8 @@
 	Ended(ctx context.Context, address string) bool
 }
 
-// Guard observes how requests end at upstreams and refuses those that end upstreams. All methods are safe for concurrent use.
+// Guard observes how requests end at upstreams and refuses those that end upstreams. All
+// methods are safe for concurrent use.
 type Guard struct {
 	table    *Table
 	prober   Prober
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -27,8 +27,8 @@
 	evaluationShare    = 20
 	// retention is how long evidence is kept, and thereby the length of a quarantine.
 	retention = 24 * time.Hour
-	// clearedRetention is how long it is remembered that a crash was cleared, so that the
-	// routers that observed it learn of that.
+	// clearedRetention is how long it is remembered at least that a crash was cleared, so
+	// that the routers that observed it learn of that.
 	clearedRetention = 10 * time.Minute
 	// maxCrashes bounds the crashes, and the cleared ones, that one router keeps.
 	maxCrashes = 64
@@ -246,7 +246,9 @@
 	now := time.Now()
 	before := len(t.own.crashes) + len(t.own.cleared)
 	maps.DeleteFunc(t.own.crashes, func(_ Crash, at time.Time) bool { return now.Sub(at) >= retention })
-	maps.DeleteFunc(t.own.cleared, func(_ Crash, at time.Time) bool { return now.Sub(at) >= clearedRetention })
+	maps.DeleteFunc(t.own.cleared, func(c Crash, at time.Time) bool {
+		return now.Sub(at) >= clearedRetention && !t.recorded(c) // a router that is gone forgets nothing
+	})
 	if len(t.own.crashes)+len(t.own.cleared) < before {
 		t.ownChanged()
 		return
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -257,6 +257,30 @@
 	})
 }
 
+// Guards against crashes that count again because the router that observed them is gone and can't
+// forget them.
+func TestClearedCrashesOfAGoneRouterStayCleared(t *testing.T) {
+	runTest(t, func(t *testing.T, is *is.I) {
+		f := newFleet(2)
+		for i := range 3 {
+			f.end(fmt.Sprint("u", i), content("popular"))
+		}
+		record := f.guards[0].table.Record()
+		f.guards[1].Completed(content("popular"))
+		for range 3 { // the first router never publishes again
+			time.Sleep(clearedRetention)
+			f.guards[1].table.Apply("vm-0", record)
+			f.guards[1].table.Expire()
+			time.Sleep(evaluationDelay + settleTime)
+			_, refused := f.guards[1].Refuse(content("popular"))
+			is.True(!refused)
+		}
+		f.guards[1].table.Apply("vm-0", Record{})
+		f.guards[1].table.Expire()
+		is.Equal(len(f.guards[1].table.Record().Cleared), 0)
+	})
+}
+
 // Guards against two requests that are taken for one, and a repeat that is taken for another.
 func TestFingerprint(t *testing.T) {
 	is := is.New(t)
