request: cancel a stream that can't be taken over for its engine's limit

The engine would have gone on generating for nobody until its resume window had passed, beside the attempt that replaces the stream. Where a stream can't be resumed it is cancelled already.

--- a/request/generate.go
+++ b/request/generate.go
@@ -203,6 +203,7 @@
 		return usage, false, err
 	}
 	if !a.executor.router.Claim(h.Upstream) {
+		_ = a.cancelStream(engine, h.StreamID)
 		return usage, false, errLimited
 	}
 	w := newWatchdog(ctx, a.executor.settings)
