--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -17,7 +17,7 @@
 	crashLimit = 3
 	// settleTime is the time between the last crash that counts and the quarantine. A
 	// router may meanwhile report that the request ended well elsewhere.
-	settleTime = time.Second
+	settleTime = 500 * time.Millisecond
 	// evaluationDelay is the least time between a change of the evidence and its
 	// evaluation. When an upstream ends, many requests are reported at once.
 	evaluationDelay = 50 * time.Millisecond
