routing: tell callers to wait for a limit only if all upstreams are limited

What callers saw: a request whose other upstreams failed or were full got the time of a limited upstream's next turn as its Retry-After, 10 s and more, though the others may take it at once.

Cause: the time was given as soon as one upstream of the pool waited for its limit. TestLimitOfOneUpstreamDelaysNoRetry failed before.

--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -105,3 +105,26 @@
 		is.Equal(b.serve(q).status, 200)
 	})
 }
+
+// Guards against a caller who is told to wait for a limit although an upstream without one may take it sooner.
+func TestLimitOfOneUpstreamDelaysNoRetry(t *testing.T) {
+	runTest(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newHarness(t, Idempotent)
+		b.answer = func(out OutgoingRequest) step {
+			s := refusing()
+			if out.Upstream.ID != "u1" {
+				return notSent()
+			}
+			s.head.RateLimit = ratelimit.Reading{Named: true, PerSecond: 0.1}
+			return s
+		}
+		for range 8 { // until u1 has named its rate
+			b.serve(b.request())
+		}
+		is.Equal(b.relay.Limiter.Count(), 1)
+		got := b.serve(b.request())
+		is.Equal(got.status, 503)
+		is.True(got.problem.RetryAfter <= retryAfterNoUpstream)
+	})
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -184,8 +184,8 @@
 	return &NoUpstreamError{Target: request.Target, RetryAfter: after, Why: string(why)}
 }
 
-// refuseLimited refuses a request that no upstream may get now. If upstreams wait only for
-// their limits, the caller is told when the first of them may get a request.
+// refuseLimited refuses a request that no upstream may get now. If all of them wait for their
+// limits, the caller is told when the first one may get a request.
 func (r *Router) refuseLimited(v *view) error {
 	err := r.refuse(v.request, ReasonExcluded)
 	wait, limited := v.untilAllowed()
--- a/routing/spacing.go
+++ b/routing/spacing.go
@@ -118,20 +118,20 @@
 	return e == nil || e.claim(t.now())
 }
 
-// untilAllowed returns the time until the first of the pool's upstreams may get a request
-// that waits only for its limit; false if there is none.
-func (v *view) untilAllowed() (time.Duration, bool) {
-	shortest, found := time.Duration(0), false
-	if v.pool == nil {
-		return 0, false
-	}
+// untilAllowed returns the time until the first of the pool's upstreams may get a request,
+// if all of them wait for their limits.
+func (v *view) untilAllowed() (shortest time.Duration, limited bool) {
 	for _, e := range v.pool.live {
-		if !e.takesWork() || e.health.ejected() || e.allows(v.now) {
+		if !e.takesWork() {
 			continue
 		}
-		if wait := e.wait(v.now); !found || wait < shortest {
-			shortest, found = wait, true
+		wait := e.wait(v.now)
+		if wait == 0 {
+			return 0, false // it gets no request for another reason, which may end at any time
+		}
+		if !limited || wait < shortest {
+			shortest, limited = wait, true
 		}
 	}
-	return shortest, found
+	return shortest, limited
 }
