--- a/edge/edge.go
+++ b/edge/edge.go
@@ -241,7 +241,7 @@
 
 // publisher returns the task that tells the other VMs which requests ended upstreams.
 func (p *Process) publisher() *quarantine.Publisher {
-	return &quarantine.Publisher{Table: p.adapter.Table, Guard: p.guard.Table(), Router: p.settings.VM, Routers: p.peers.count}
+	return &quarantine.Publisher{Rows: p.adapter.Table, Evidence: p.guard.Table(), Router: p.settings.VM, Routers: p.peers.count}
 }
 
 // startNotices starts exchanging notices of long prompts with the other VMs.
--- a/quarantine/publish.go
+++ b/quarantine/publish.go
@@ -58,8 +58,8 @@
 
 // Publisher writes the own observations of a table to the row of its router.
 type Publisher struct {
-	Table store.Table
-	Guard *Table
+	Rows     store.Table
+	Evidence *Table
 	// Router is the name of this router, the same for successive processes.
 	Router string
 	// Routers returns how many routers there are.
@@ -76,12 +76,12 @@
 	defer expiry.Stop()
 	for {
 		select {
-		case <-p.Guard.Changed():
+		case <-p.Evidence.Changed():
 			p.publishUntilDone(ctx)
 			interval := max(minPublishInterval, time.Duration(p.Routers())*intervalPerRouter)
 			_ = pause.For(ctx, interval)
 		case <-expiry.C:
-			p.Guard.Expire()
+			p.Evidence.Expire()
 		case <-ctx.Done():
 			return
 		}
@@ -110,11 +110,11 @@
 			return err
 		}
 	}
-	value, err := Encode(p.Guard.Record())
+	value, err := Encode(p.Evidence.Record())
 	if err != nil {
 		return err
 	}
-	version, err := p.Table.Commit(ctx, store.Txn{
+	version, err := p.Rows.Commit(ctx, store.Txn{
 		Conditions: []store.Condition{{Key: Key(p.Router), Version: p.row.Version}},
 		Writes:     []store.Write{{Key: Key(p.Router), Value: value}},
 	})
@@ -124,7 +124,7 @@
 
 // read reads the own row, and at first adopts what an earlier process has observed.
 func (p *Publisher) read(ctx context.Context) error {
-	rows, err := p.Table.Read(ctx, Key(p.Router))
+	rows, err := p.Rows.Read(ctx, Key(p.Router))
 	if err != nil {
 		return err
 	}
@@ -138,6 +138,6 @@
 		klog.Warningf("step=read_quarantine router=%s result=left_out err=%q", p.Router, err.Error())
 		return nil
 	}
-	p.Guard.Adopt(record)
+	p.Evidence.Adopt(record)
 	return nil
 }
--- a/quarantine/publish_test.go
+++ b/quarantine/publish_test.go
@@ -21,7 +21,7 @@
 func startRouter(t *testing.T, name string, fake *store.Fake, dead *deadAddresses) *router {
 	ctx, cancel := context.WithCancel(t.Context())
 	r := &router{Guard: NewGuard(dead), stop: cancel}
-	p := &Publisher{Table: fake.As(name).Table, Guard: r.table, Router: name, Routers: func() int { return 3 }}
+	p := &Publisher{Rows: fake.As(name).Table, Evidence: r.table, Router: name, Routers: func() int { return 3 }}
 	go p.Run(ctx)
 	go func() {
 		for ctx.Err() == nil {
--- a/router/router.go
+++ b/router/router.go
@@ -230,7 +230,7 @@
 	r.spawn(func() { r.sweep(ctx) })
 	r.spawn(func() { r.quarantine.run(ctx) })
 	publisher := quarantine.Publisher{
-		Table: r.services.Table, Guard: r.guard.Table(), Router: r.settings.VM, Routers: r.members.routerCount,
+		Rows: r.services.Table, Evidence: r.guard.Table(), Router: r.settings.VM, Routers: r.members.routerCount,
 	}
 	r.spawn(func() { publisher.Run(ctx) })
 	r.spawn(func() { r.billCopies.Run(ctx, r.services.Table, r.grantManager.Journal()) })
