--- a/budget/allowance/env_test.go
+++ b/budget/allowance/env_test.go
@@ -419,3 +419,14 @@
 	}
 	return vms
 }
+
+// reportAsOf returns the time of a VM's newest primary report.
+func (w *testEnv) reportAsOf(is *is.I, vm string) time.Duration {
+	var newest time.Duration
+	for _, row := range w.fake.Dump(reportKeyPrefix(vm)) {
+		r, err := decodeReport(row.Value)
+		is.NoErr(err)
+		newest = max(newest, r.AsOf)
+	}
+	return newest
+}
--- a/budget/allowance/report.go
+++ b/budget/allowance/report.go
@@ -65,7 +65,6 @@
 	if r != &m.primary {
 		return
 	}
-	m.reportTriedAt = time.Now()
 	if err == nil {
 		m.failedReports = 0
 	} else {
@@ -75,8 +74,9 @@
 
 // report writes a report of what this holder may have consumed.
 func (m *Manager) report(ctx context.Context, r *reportRow) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+	if r == &m.primary {
+		m.reportTriedAt = time.Now()
+	}
 	if r.version < 0 && !m.readReportVersion(ctx, r) {
 		return
 	}
@@ -181,13 +181,13 @@
 
 // readReportVersion reads the version of this holder's report after a lost answer.
 func (m *Manager) readReportVersion(ctx context.Context, r *reportRow) bool {
-	rows, err := m.options.Table.Read(ctx, r.key)
+	row, err := m.reread(ctx, r.key)
 	m.noteTableReply(err)
 	if err != nil {
 		m.noteReport(r, err)
 		logFailure("read report back", err)
 		return false
 	}
-	r.version = rows[0].Version
+	r.version = row.Version
 	return true
 }
--- a/budget/allowance/report_test.go
+++ b/budget/allowance/report_test.go
@@ -54,3 +54,26 @@
 		is.True(w.refusals <= 2*int(outage/reportInterval))
 	})
 }
+
+// Guards against a report that is renewed late after an outage in which the table was
+// silent: calls sent during it are never answered. A VM that loses power soon after the
+// table's return would lose all that its bound allowed in the outage.
+func TestReportIsRenewedOnceTheTableIsBack(t *testing.T) {
+	for phase := range 12 {
+		runTest(t, func(w *testEnv, is *is.I) {
+			const limit = 10_000_000
+			vms := w.startAll(limit, "a")
+			time.Sleep(3 * time.Second)
+			work := func(v *vm) { _ = v.request(studio, limit, 1000) }
+			load(vms, time.Second, 20*time.Millisecond, work)
+			vms[0].setCut(true)
+			load(vms, 4*time.Second+time.Duration(phase)*110*time.Millisecond, 20*time.Millisecond, work)
+			vms[0].setCut(false)
+			back := time.Since(w.began)
+			load(vms, reportInterval, 20*time.Millisecond, work)
+			asOf := w.reportAsOf(is, "a")
+			t.Logf("phase %d: report as of %v after the table's return", phase, asOf-back)
+			is.True(asOf >= back)
+		})
+	}
+}
