--- a/budget/allowance/account.go
+++ b/budget/allowance/account.go
@@ -28,6 +28,10 @@
 	maxLossShare = 0.027
 	// minLossShare is put at risk even after earlier losses took more than that.
 	minLossShare = 0.004
+	// lowRestShare is the part of a prepaid limit below which less is put at risk before
+	// the ramp start the less is left, down to minLowRestRisk of the usual amount.
+	lowRestShare   = 0.4
+	minLowRestRisk = 0.25
 	// minGrowthShare is the part of the growth after the ramp start that remains once
 	// losses have taken maxLossShare.
 	minGrowthShare = 0.1
@@ -181,7 +185,16 @@
 func (a *account) maxAtRisk(self string, holders int, now time.Time) float64 {
 	limit := float64(a.limit)
 	left := max(maxLossShare*limit-float64(a.pool.Lost), minLossShare*limit)
-	return left * a.fraction(self, holders, a.demandMeter.rate(now))
+	return left * a.lowRestRisk(self) * a.fraction(self, holders, a.demandMeter.rate(now))
+}
+
+// lowRestRisk scales what is put at risk by what is left of the budget. Near the end of a
+// budget each lost token is refused to a caller soon, while one that a report does not
+// allow is only spent a moment later.
+func (a *account) lowRestRisk(self string) float64 {
+	rest := float64(max(0, a.limit-a.pool.Lost-a.consumed(self)))
+	low := min(1, rest/(lowRestShare*float64(max(a.limit, 1))))
+	return max(minLowRestRisk, low*low*low)
 }
 
 // growthShare scales the growth of a bound after the ramp start by how much the budget
--- a/budget/allowance/losses_test.go
+++ b/budget/allowance/losses_test.go
@@ -49,6 +49,26 @@
 	})
 }
 
+// Guards against a short power loss that takes more than 3 in 100 of what was left of a
+// budget when a quarter of it was left: callers are refused for those tokens within
+// seconds.
+func TestPowerLossCostsLittleOfTheRest(t *testing.T) {
+	runTest(t, func(w *testEnv, is *is.I) {
+		const limit = 10_000_000
+		vms := w.startAll(limit, "a", "b", "c")
+		time.Sleep(3 * time.Second)
+		for w.total(studio) < limit*3/4 {
+			load(vms, 200*time.Millisecond, 10*time.Millisecond, func(v *vm) { _ = v.request(studio, limit, 1000) })
+		}
+		losePower(vms, limit, 700*time.Millisecond)
+		time.Sleep(3 * time.Second)
+		p, consumed := w.pool(studio), w.total(studio)
+		is.True(p.Settled+p.Lost >= consumed)
+		t.Logf("counted beyond what was consumed: %.3f of the rest", float64(p.Settled+p.Lost-consumed)/float64(limit-consumed))
+		is.True(p.Settled+p.Lost-consumed <= (limit-consumed)*3/100)
+	})
+}
+
 // After an upgrade the next process finds a report of a release with another growth
 // curve. It must count what that release allowed itself, not what it would allow.
 func TestCountsByTheCurveInTheReport(t *testing.T) {
