--- a/budget/allowance/report_test.go
+++ b/budget/allowance/report_test.go
@@ -77,3 +77,26 @@
 		})
 	}
 }
+
+// Guards against a silent table that is asked more often than it would be written to,
+// by each VM of a fleet at once.
+func TestSilentTableIsReadTwiceAReport(t *testing.T) {
+	runTest(t, func(w *testEnv, is *is.I) {
+		const limit, outage = 10_000_000, 5 * time.Second
+		vms := w.startAll(limit, "a")
+		time.Sleep(3 * time.Second)
+		work := func(v *vm) { _ = v.request(studio, limit, 1000) }
+		load(vms, time.Second, 20*time.Millisecond, work)
+		calls, silent := 0, primaryUnavailable("a")
+		w.setUnavailable(func(key string) bool {
+			if silent(key) {
+				calls++
+			}
+			return silent(key)
+		})
+		load(vms, outage, 20*time.Millisecond, work)
+		w.setUnavailable(nil)
+		t.Logf("%d calls in %v", calls, outage)
+		is.True(calls <= rereadsPerReport*int(outage/reportInterval))
+	})
+}
