--- a/admission/controller_test.go
+++ b/admission/controller_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/config"
 	"buckthornridge/routing"
 )
@@ -36,7 +37,7 @@
 func TestWaitingRequestIsRefusedWhenDeadlineIsUnreachable(t *testing.T) {
 	// A request waits for a slot that never becomes free. It must be refused when
 	// an immediate dispatch would be too late, not when the deadline has passed.
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newController(t, &fixedCapacity{limit: 1, firstToken: 300 * time.Millisecond})
 		_, err := c.Admit(t.Context(), Request{Workspace: "w", Model: "m"})
@@ -53,7 +54,7 @@
 }
 
 func TestCancelledRequestLeavesQueue(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newController(t, &fixedCapacity{limit: 1})
 		release, err := c.Admit(t.Context(), Request{Workspace: "w", Model: "m"})
@@ -72,7 +73,7 @@
 }
 
 func TestServicesDoNotWaitBehindModels(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newController(t, &fixedCapacity{limit: 1})
 		_, err := c.Admit(t.Context(), Request{Workspace: "w", Model: "m", Kind: "caption"})
@@ -103,7 +104,7 @@
 func TestUrgentRequestEvictsLessUrgentOne(t *testing.T) {
 	// A workspace's queue is full of its own briefs. A caption must not be refused
 	// because of them: the newest brief must be evicted and refused at once.
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := newController(t, &fixedCapacity{limit: 1})
 		s := *c.snapshot.Load()
--- a/admission/model_test.go
+++ b/admission/model_test.go
@@ -12,6 +12,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"buckthornridge/admission"
+	"buckthornridge/bubble"
 	"buckthornridge/config"
 	"buckthornridge/routing"
 )
@@ -161,7 +162,7 @@
 		first: newHistogram(), gaps: newHistogram(),
 		refused: map[admission.Cause]int{}, perSecond: map[int][2]int{}, kinds: map[string]*[4]int{},
 	}
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		stop := make(chan struct{})
 		m.build(t, stop)
 		if s.injectFault != nil {
--- /dev/null
+++ b/bubble/race.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package bubble
+
+const raceDetector = true
--- a/budget/allowance/env_test.go
+++ b/budget/allowance/env_test.go
@@ -8,11 +8,11 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/store"
 )
 
@@ -386,7 +386,7 @@
 
 func runTest(t *testing.T, test func(w *testEnv, is *is.I)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		defer func() {
 			for _, v := range w.vms {
--- a/budget/cost_test.go
+++ b/budget/cost_test.go
@@ -7,9 +7,9 @@
 	"runtime"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"buckthornridge/bubble"
 	"buckthornridge/budget"
 	"buckthornridge/budget/ledger"
 	"buckthornridge/config"
@@ -41,7 +41,7 @@
 		t.Logf("killed, weight %.1f: %s", weight, runTrialIn(t, 1, s, strategies[2]))
 	}
 	for _, rate := range []float64{10, 67, 200, 600} {
-		synctest.Test(t, func(t *testing.T) { rowPerBill(t, rate) })
+		bubble.Test(t, func(t *testing.T) { rowPerBill(t, rate) })
 	}
 }
 
--- a/budget/experiment_test.go
+++ b/budget/experiment_test.go
@@ -8,11 +8,11 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/budget"
 	"buckthornridge/budget/journal"
 	"buckthornridge/config"
@@ -370,7 +370,7 @@
 func runTrialIn(t *testing.T, seed uint64, s setup, w strategy) outcome {
 	t.Helper()
 	var got outcome
-	synctest.Test(t, func(t *testing.T) { got = runTrial(t, seed, s, w) })
+	bubble.Test(t, func(t *testing.T) { got = runTrial(t, seed, s, w) })
 	is.New(t).Equal(got.overspend, int64(0))
 	return got
 }
--- a/budget/grantmanager_test.go
+++ b/budget/grantmanager_test.go
@@ -6,11 +6,11 @@
 	"maps"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/budget"
 	"buckthornridge/budget/journal"
 	"buckthornridge/budget/ledger"
@@ -169,7 +169,7 @@
 // runTest runs a test in virtual time on a fleet with a topped-up budget, studio.
 func runTest(t *testing.T, tokens int64, body func(t *testing.T, is *is.I, f *fleet)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		defer f.stop()
 		f.topUp(studio, "order-1", tokens)
--- a/budget/journal/journal_test.go
+++ b/budget/journal/journal_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -14,6 +13,7 @@
 	"k8s.io/klog/v2"
 	"pgregory.net/rapid"
 
+	"buckthornridge/bubble"
 	"buckthornridge/budget/journal"
 	"buckthornridge/budget/ledger"
 	"buckthornridge/store"
@@ -68,7 +68,7 @@
 // entry, the router would stay in outage mode for ever; if it ended at once, the
 // entries before it would count as durable although they are not.
 func TestWaitDurableSkipsRemovedEntries(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		fake := store.NewFake(store.FakeOptions{})
 		w, stop := runWriter(t, fake)
@@ -98,7 +98,7 @@
 // second copy that stays in the table as long as the router runs: the next fold
 // must delete it.
 func TestStrayCopyOfASegmentIsRemoved(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		fake := store.NewFake(store.FakeOptions{})
 		writeHeldBudget(t, fake.As("operator").Table, "vm-1#1", 100)
@@ -133,7 +133,7 @@
 		turns := rapid.SliceOfN(rapid.IntRange(0, 3), len(keys), len(keys)).Draw(rt, "turns")
 		pauses := rapid.SliceOfN(rapid.IntRange(0, 100), len(keys), len(keys)).Draw(rt, "minutes")
 		var fault string
-		synctest.Test(t, func(t *testing.T) { fault = billOnce(t, keys, turns, pauses) })
+		bubble.Test(t, func(t *testing.T) { fault = billOnce(t, keys, turns, pauses) })
 		if fault != "" {
 			rt.Fatal(fault)
 		}
@@ -180,7 +180,7 @@
 
 // TestIndexIsReadOnce checks that a folder reads no index row that it wrote.
 func TestIndexIsReadOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		fake := store.NewFake(store.FakeOptions{})
 		writeHeldBudget(t, fake.As("operator").Table, "vm-1#1", 1000)
--- a/budget/manybudgets_test.go
+++ b/budget/manybudgets_test.go
@@ -7,9 +7,9 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"buckthornridge/bubble"
 	"buckthornridge/budget"
 	"buckthornridge/budget/journal"
 	"buckthornridge/config"
@@ -33,7 +33,7 @@
 	}
 	for _, budgets := range []int{1, 10, 100, 1_000, 2_400} {
 		for _, weight := range []float64{0, 1} {
-			synctest.Test(t, func(t *testing.T) { spreadOver(t, budgets, weight) })
+			bubble.Test(t, func(t *testing.T) { spreadOver(t, budgets, weight) })
 		}
 	}
 }
--- a/budget/percall/percall_test.go
+++ b/budget/percall/percall_test.go
@@ -5,10 +5,10 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/budget"
 	"buckthornridge/request"
 	"buckthornridge/store"
@@ -18,7 +18,7 @@
 // and against a request that is settled twice because the answer of its write was
 // lost.
 func TestBaselineNeverOverspends(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		fake := store.NewFake(store.FakeOptions{Seed: 1, Faults: store.Faults{LoseRate: 0.2}})
 		table := fake.As("operator").Table
--- a/budget/schedule_test.go
+++ b/budget/schedule_test.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"buckthornridge/bubble"
 	"buckthornridge/budget"
 	"buckthornridge/budget/journal"
 	"buckthornridge/budget/ledger"
@@ -354,7 +354,7 @@
 		weight := rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(rt, "refusal weight")
 		schedule := rapid.SliceOfN(rapid.Custom(drawEvent), 1, 40).Draw(rt, "schedule")
 		var faults []string
-		synctest.Test(t, func(t *testing.T) { faults = runSchedule(t, weight, schedule) })
+		bubble.Test(t, func(t *testing.T) { faults = runSchedule(t, weight, schedule) })
 		if len(faults) > 0 {
 			rt.Fatalf("%s", faults[0])
 		}
@@ -378,7 +378,7 @@
 
 func TestRegressionSchedules(t *testing.T) {
 	for name, schedule := range regressionSchedules {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			if faults := runSchedule(t, 0, schedule); len(faults) > 0 {
 				t.Error(name, faults)
 			}
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -9,11 +9,11 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/settings"
 	"buckthornridge/store"
 )
@@ -137,7 +137,7 @@
 		{"commit delayed twice, response lost", store.Faults{DelayNext: 2, Delay: time.Second, LoseNext: 1}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				ctx := minuteContext(t)
 				fake := store.NewFake(store.FakeOptions{Faults: c.faults})
@@ -164,7 +164,7 @@
 // repeat a change that may have been made, so the outcome is unknown until it can be
 // read back.
 func TestApplyDuringOutageReportsUnknownOutcome(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		fake := store.NewFake(store.FakeOptions{Faults: store.Faults{LoseNext: 1}})
 		fake.SetHooks(store.Hooks{After: func(call store.Call, _ error) {
@@ -309,7 +309,7 @@
 // same id. In the end the number must equal the number of accepted applies.
 func TestNoChangeIsLostOrDuplicatedUnderFaults(t *testing.T) {
 	for seed := range uint64(2) {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			faults := store.Faults{Latency: 4 * time.Millisecond, LoseRate: 0.2, DelayRate: 0.2, Delay: 300 * time.Millisecond}
 			fake := store.NewFake(store.FakeOptions{Seed: seed})
--- a/config/watcher_test.go
+++ b/config/watcher_test.go
@@ -7,13 +7,13 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/rotisserie/eris"
 	"go.uber.org/goleak"
 
+	"buckthornridge/bubble"
 	"buckthornridge/peer"
 	"buckthornridge/store"
 )
@@ -155,7 +155,7 @@
 }
 
 func runFleet(t *testing.T, vms []string, test func(t *testing.T, f *fleet)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet(t, vms...)
 		defer f.stop()
 		test(t, f)
--- a/duty/manager_test.go
+++ b/duty/manager_test.go
@@ -7,11 +7,11 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/budget"
 	"buckthornridge/budget/journal"
 	"buckthornridge/config"
@@ -106,7 +106,7 @@
 // The holder of a lease loses its connection to the table. Another VM must take
 // over the duty on its own, and no two VMs may hold the lease at the same time.
 func TestTakeoverAfterHolderIsDisconnected(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		fake := store.NewFake(store.FakeOptions{Faults: store.Faults{Latency: 10 * time.Millisecond}})
 		managers, log := trackedFleet(fake)
@@ -129,7 +129,7 @@
 // A holder that drains must release its lease. Otherwise the duty is not run
 // until the lease expires.
 func TestDrainReleasesLeases(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		managers, log := trackedFleet(store.NewFake(store.FakeOptions{}))
 		defer stopAll(t, managers)
@@ -146,7 +146,7 @@
 // renewals. The lease may then change its holder, but must not have two holders,
 // the duty must keep running, and the fence must never decrease.
 func TestLostResponses(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		fake := store.NewFake(store.FakeOptions{Seed: 7, Faults: store.Faults{LoseRate: 0.3, DelayRate: 0.1, Delay: time.Second}})
 		managers, log := trackedFleet(fake)
@@ -189,7 +189,7 @@
 // another VM folds the same bills; then the first VM resumes and its commit goes
 // on. No bill may be counted twice.
 func TestFoldByHolderPausedPastExpiry(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		fake := store.NewFake(store.FakeOptions{})
 		id := budget.ID{Workspace: "w", Name: "main"}
@@ -269,7 +269,7 @@
 // then the first VM resumes and its commit goes on. It must neither free the
 // tokens again nor undo the top-up.
 func TestReclaimByHolderPausedPastExpiry(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		fake := store.NewFake(store.FakeOptions{})
 		id := budget.ID{Workspace: "w", Name: "main"}
@@ -342,7 +342,7 @@
 }
 
 func TestFailedPassesAreCountedAndRetried(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		duty := new(failingDuty)
 		duty.left.Store(5)
--- a/edge/fleet_test.go
+++ b/edge/fleet_test.go
@@ -3,11 +3,11 @@
 import (
 	"errors"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/relay"
 	"buckthornridge/routing"
 	"buckthornridge/store"
@@ -41,7 +41,7 @@
 // An entry that lapsed in an outage of the table and is written again in time stays in
 // use; another, which is not written again, is removed.
 func TestLapsedEntryIsKeptUntilTheDeadline(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		until := time.Now().Add(lapseHold)
 		f := newFleet(decodeTestEntry, routing.NewTable(), func() time.Time { return until })
@@ -63,7 +63,7 @@
 // partition of the VM from the table had healed. Its entry was treated as lapsed for two
 // more seconds, and it got a request 2,072 ms after it had left.
 func TestDeletionAfterAnOutageTakesEffect(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		until := time.Now().Add(lapseHold)
 		f := newFleet(decodeTestEntry, routing.NewTable(), func() time.Time { return until })
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/store"
 	"buckthornridge/store/mirror"
 )
@@ -55,7 +56,7 @@
 // and the first reads afterwards are stale. The follower takes nothing older than its
 // mirror and reads on until it sees the server deleted.
 func TestHistoryLostAndStaleReads(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var seen []store.Change
 		feed := &scriptedFeed{answers: []any{
@@ -103,7 +104,7 @@
 // takes over a second on a busy link of 10 Mbit/s. If that were treated like silence,
 // the VM would start each transfer anew and keep the previous configuration.
 func TestReadsALargeConfigurationOverASlowLink(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := &follower{wait: 500 * time.Millisecond, feed: slowFeed{1500 * time.Millisecond}, mirror: mirror.New(), apply: func([]store.Change) {}}
 		ctx, cancel := context.WithCancel(t.Context())
--- a/edge/limit_test.go
+++ b/edge/limit_test.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/budget/allowance"
 	"buckthornridge/ratelimit"
 	"buckthornridge/routing"
@@ -74,7 +74,7 @@
 	for _, vms := range []int{1, 2, 9, 18, 59, 340} {
 		for _, rate := range []float64{0, 0.3, 2, 4.2, 20} {
 			t.Run(fmt.Sprintf("%d VMs, %g a second", vms, rate), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
+				bubble.Test(t, func(t *testing.T) {
 					is := is.New(t)
 					e := newColdEnv(t, vms)
 					e.apply(writeOf("d1", "warm"))
@@ -91,7 +91,7 @@
 
 // Guards against a VM that has no part of the rate, gets no answers and never learns that the limit has ended.
 func TestEndOfALimitIsLearned(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := newColdEnv(t, 18)
 		e.apply(writeOf("d1", "warm"))
@@ -110,7 +110,7 @@
 
 // Guards against a new process under the same id that is held to the limit of the one before.
 func TestLimitEndsWithItsProcess(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := newColdEnv(t, 1)
 		e.apply(writeOf("d1", "warm"))
@@ -127,7 +127,7 @@
 
 // Guards against a limit that is forgotten while the entry of its upstream has lapsed.
 func TestLimitOutlastsALapsedEntry(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := newColdEnv(t, 9)
 		e.apply(writeOf("d1", "warm"))
@@ -145,7 +145,7 @@
 
 // Guards against VMs that disagree on which VMs there are and together exceed the rate.
 func TestLimitHoldsWhileVMsDisagreeOnTheFleet(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := newColdEnv(t, 12)
 		for i, f := range e.fleets[:6] { // half of them do not know the others yet
@@ -165,7 +165,7 @@
 
 // Guards against a notice that does not reach the limiter, and a lost one that matters.
 func TestVMsLearnLimitsFromEachOther(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := newColdEnv(t, 2)
 		e.apply(writeOf("d1", "warm"))
--- a/edge/link_test.go
+++ b/edge/link_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/relay"
 	"buckthornridge/settings"
 	"buckthornridge/store"
@@ -52,7 +52,7 @@
 // from the first second on; dials to the store and loans timed out. With callers sent
 // elsewhere the same load was served.
 func TestFullLinkMakesTheProcessNotReady(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		p, meter := startOnWeakLink(t)
 		callersSend(meter, 0.2, 3*time.Second)
--- a/edge/warmup_test.go
+++ b/edge/warmup_test.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/budget/allowance"
 	"buckthornridge/relay"
 	"buckthornridge/routing"
@@ -104,7 +104,7 @@
 func TestColdUpstreamGetsOnlyWhatItBears(t *testing.T) {
 	for _, vms := range []int{1, 6, 14, 15, 18, 59, 340} {
 		t.Run(fmt.Sprint(vms), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				e := newColdEnv(t, vms)
 				e.apply(writeOf("d1", "cold"))
@@ -121,7 +121,7 @@
 // Guards against the same when an evacuation ends: the upstreams are cold, and the list
 // says so only later.
 func TestUpstreamsAreTakenForColdAfterAnEvacuation(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := newColdEnv(t, 59)
 		e.apply(writeOf("d1", "warm"))
@@ -137,7 +137,7 @@
 
 // Guards against an overload by a router that does not know how many others there are.
 func TestColdUpstreamIsNotUsedWithoutTheListOfRouters(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := newColdEnv(t, 1)
 		e.fleets[0].routers = func() (string, []allowance.Peer) { return "vm-0", nil }
--- a/loadtool/fault/fault_test.go
+++ b/loadtool/fault/fault_test.go
@@ -8,11 +8,12 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/rotisserie/eris"
+
+	"buckthornridge/bubble"
 )
 
 func TestEachKindIsSentToItsTarget(t *testing.T) {
@@ -53,7 +54,7 @@
 }
 
 func TestFaultsAreInjectedAtTheirTimes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		start := time.Now()
 		failure := eris.New("top-up failed")
--- a/membership/gossip_test.go
+++ b/membership/gossip_test.go
@@ -3,11 +3,11 @@
 import (
 	"flag"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/store"
 )
 
@@ -112,7 +112,7 @@
 // in time, so gossip must.
 func TestFleetConverges(t *testing.T) {
 	for _, size := range []int{2, 9, 40} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			c := measureFleet(t, max(size, 3), 10*time.Second)
 			is.True(c.listLeaving < 6*time.Second)
@@ -130,7 +130,7 @@
 
 // withFleet runs a test with a fleet in virtual time.
 func withFleet(t *testing.T, test func(*is.I, *fleet)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		defer f.stopAll()
 		test(is.New(t), f)
@@ -179,7 +179,7 @@
 // again. This must make no member dead, and suspected at the others only in the rare
 // seconds in which a heartbeat is late.
 func TestBrokenLinkKeepsMembersLive(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := measureBrokenLink(t, 9, time.Minute)
 		is.Equal(c.falselyDead, 0)
@@ -194,12 +194,12 @@
 		t.Skip("only with -measure")
 	}
 	for _, size := range []int{9, 100, 340} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			c := measureFleet(t, size, time.Minute)
 			t.Logf("%3d processes: sent %.0f B/s mean, %.0f max; upstream listed as leaving %v with %.3f list reads/s; leaving %v, joined %v, suspected %v, dead %v; hanging dead %v; false suspicions %d of %d",
 				size, c.sentMean, c.sentMax, c.listLeaving, c.listReadsMean, c.leaving, c.joined, c.suspected, c.dead, c.hanging, c.falselySuspected, c.stateReads)
 		})
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			c := measureBrokenLink(t, size, time.Minute)
 			t.Logf("%3d processes, one broken link: sent %.0f B/s mean, %.0f max; false suspicions %d, deaths %d of %d",
 				size, c.sentMean, c.sentMax, c.falselySuspected, c.falselyDead, c.stateReads)
--- a/membership/property_test.go
+++ b/membership/property_test.go
@@ -4,11 +4,11 @@
 	"fmt"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"buckthornridge/bubble"
 	"buckthornridge/store"
 )
 
@@ -184,7 +184,7 @@
 	rapid.Check(t, func(r *rapid.T) {
 		schedule := schedules(maxSteps).Draw(r, "schedule")
 		var w *testEnv
-		synctest.Test(t, func(*testing.T) {
+		bubble.Test(t, func(*testing.T) {
 			w = newTestEnv(testEnvSize)
 			for _, s := range schedule {
 				w.step(s)
--- a/membership/tracker_test.go
+++ b/membership/tracker_test.go
@@ -3,11 +3,11 @@
 import (
 	"errors"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/store"
 )
 
@@ -170,7 +170,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				k := newTestTracker()
 				c.events(k)
 				is.New(t).Equal(k.stateOf(peerID), c.want)
@@ -183,7 +183,7 @@
 // to the others, they wait for the whole limit of silence and send it requests
 // meanwhile.
 func TestCallFailureIsForwarded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		first, second := newTestTracker(), newTestTracker()
 		first.Receive(heartbeatMessage(5, true))
@@ -200,7 +200,7 @@
 // says live for minutes. All other routers must stop sending to the engine, and
 // start again once it has a new incarnation.
 func TestUpstreamReportedLeaving(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		engine := store.VM{ID: "design-1", Incarnation: "1", Role: "engine", State: store.VMLive}
 		first, second := newTestTracker(), newTestTracker()
@@ -223,7 +223,7 @@
 // An engine that is in no list reports that it is leaving. It can't be distinguished
 // from its next incarnation, so it must not be excluded for ever.
 func TestUnlistedUpstreamReportedLeaving(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		first, second := newTestTracker(), newTestTracker()
 		first.ReportLeaving("design-1", "engine")
@@ -239,7 +239,7 @@
 // timers have not fired yet, so the first call of Active must already return false.
 // The VM received nothing meanwhile, which must not make other members dead.
 func TestPauseIsDetected(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		k := newTestTracker()
 		k.Receive(heartbeatMessage(1, true))
@@ -267,7 +267,7 @@
 // pause. The response may be older than the second pause, so the hooks must run
 // again.
 func TestPauseDuringResumeHooks(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		k := newTestTracker()
 		hookRuns := 0
@@ -286,7 +286,7 @@
 
 // A pause of this process must not make a dead member live.
 func TestPauseKeepsDeadMembers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		k := newTestTracker()
 		k.Receive(heartbeatMessage(1, true))
--- a/membership/writes_test.go
+++ b/membership/writes_test.go
@@ -4,11 +4,11 @@
 	"encoding/json"
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/store"
 )
 
@@ -32,7 +32,7 @@
 
 // measure runs the renewals in virtual time against the fake table.
 func (c leaseTimers) measure(t *testing.T) (w writeRates) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		fake := store.NewFake(store.FakeOptions{})
 		renewals := 4
 		for range renewals {
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -10,11 +10,12 @@
 	"net"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
+
+	"buckthornridge/bubble"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -229,7 +230,7 @@
 // must fail with ErrBroken within seconds, although the caller's deadline is a
 // minute away.
 func TestSilentPeerBreaksCall(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		client := NewClient(nil)
 		client.DialContext = func(context.Context, string, string) (net.Conn, error) {
--- a/placement/placer/placer_test.go
+++ b/placement/placer/placer_test.go
@@ -6,11 +6,11 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/config"
 	"buckthornridge/duty"
 	"buckthornridge/store"
@@ -86,7 +86,7 @@
 func TestPlacerMovesEngineToModelInDemand(t *testing.T) {
 	// The only engine with caption is fully used while the three with brief are
 	// idle. Requests for caption are rejected until an engine changes its model.
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		env := newTestEnv()
 		env.engines["e0"].load.Running = 8
@@ -103,7 +103,7 @@
 func TestPlacerMovesNoModelsInShortOutage(t *testing.T) {
 	// The only engine with caption does not answer for a short time. To load caption
 	// elsewhere would use the weight store for a minute without need.
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		env := newTestEnv()
 		p := env.createPlacer()
@@ -125,7 +125,7 @@
 	// A lease expires while its holder is paused, so two control processes place
 	// models. The older one must send nothing. It acquires a new token at its next
 	// pass, if it still holds the lease.
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		env := newTestEnv()
 		old, next := env.createPlacer(), env.createPlacer()
@@ -142,7 +142,7 @@
 // Without the placement policy the placer must leave every engine unchanged,
 // whatever the demand.
 func TestNoPlacementWithoutThePolicy(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		env := newTestEnv()
 		env.dutyEnv.Config.Policy.Placement = ""
--- a/placement/reconciler_test.go
+++ b/placement/reconciler_test.go
@@ -5,11 +5,11 @@
 	"errors"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/store"
 	"buckthornridge/upstream"
 )
@@ -52,7 +52,7 @@
 	// An engine that ignores fencing tokens applies a delayed desired state of a
 	// reconciler that has since been replaced, and so drops the only replica of a
 	// model. Requests fail with "model not loaded" until the state is sent again.
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		engines := clientFake{"e0": {models: []string{"a"}}, "e1": {models: []string{"b"}}}
 		table := newTable()
--- a/quarantine/publish_test.go
+++ b/quarantine/publish_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/store"
 )
 
@@ -47,7 +48,7 @@
 // Guards against evidence that is lost with a lost response of the table, or undone by a late write.
 func TestEvidenceSurvivesLostWrites(t *testing.T) {
 	for seed := range uint64(20) {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			fake := store.NewFake(store.FakeOptions{Seed: seed, Faults: store.Faults{LoseRate: 0.3, DelayRate: 0.3, Delay: 500 * time.Millisecond}})
 			dead := &deadAddresses{dead: map[string]bool{"x": true}}
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -12,6 +12,8 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 	"pgregory.net/rapid"
+
+	"buckthornridge/bubble"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -81,7 +83,7 @@
 
 func runTest(t *testing.T, test func(t *testing.T, is *is.I)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) { test(t, is.New(t)) })
+	bubble.Test(t, func(t *testing.T) { test(t, is.New(t)) })
 }
 
 // Guards against three crashes that three routers saw, one each, and none acts on.
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -8,9 +8,9 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"buckthornridge/bubble"
 	"buckthornridge/config"
 	"buckthornridge/quarantine"
 	"buckthornridge/ratelimit"
@@ -220,5 +220,5 @@
 
 func runTest(t *testing.T, test func(t *testing.T)) {
 	t.Helper()
-	synctest.Test(t, test)
+	bubble.Test(t, test)
 }
--- a/request/harness_test.go
+++ b/request/harness_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	"buckthornridge/bubble"
 	"buckthornridge/budget"
 	"buckthornridge/pause"
 	"buckthornridge/quarantine"
@@ -346,7 +347,7 @@
 // its goroutines.
 func runTest(t *testing.T, test func(t *testing.T, is *is.I, env *testEnv)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		test(t, is.New(t), newTestEnv(t))
 		synctest.Wait()
 	})
--- a/router/members_test.go
+++ b/router/members_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/budget/journal"
 	"buckthornridge/membership"
 	"buckthornridge/routing"
@@ -58,7 +58,7 @@
 
 // testResume runs test in virtual time with a tracker that detects pauses.
 func testResume(t *testing.T, test func(*is.I, *resumeEnv)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		fake := store.NewFake(store.FakeOptions{})
 		table := fake.As("vm-1").Table
 		writer := journal.NewWriter(table, "vm-1#1", 0)
--- a/router/slow_test.go
+++ b/router/slow_test.go
@@ -7,10 +7,11 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"buckthornridge/bubble"
 )
 
 // pipeListener is a listener of in-memory connections, which work in virtual time.
@@ -52,7 +53,7 @@
 		{"oversized header", head + "X: " + strings.Repeat("a", 2*maxHeaderBytes), "", time.Second, "HTTP/1.1 431"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				listener := pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
 				server := callerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/routing/health_test.go
+++ b/routing/health_test.go
@@ -3,11 +3,11 @@
 import (
 	"errors"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/config"
 	"buckthornridge/membership"
 	"buckthornridge/upstream"
@@ -24,7 +24,7 @@
 func TestEjectedUpstreamComesBackByOneProbe(t *testing.T) {
 	// An engine refuses connections for a while. After the ejection a single request
 	// probes it: with ten probes at once, ten callers would wait.
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := newRouter(t, 4, "")
 		r.Seed(1)
@@ -126,7 +126,7 @@
 	// A plain service returns responses and no tokens, and its servers always have some call
 	// waiting. If silence were counted from the first call, all servers would count as
 	// stalled after seconds and calls would go to an arbitrary one.
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := snapshotOf(0)
 		s.Upstreams["s0"] = config.Upstream{Kind: config.UpstreamService, Address: "s0", Service: "orders"}
--- a/routing/overload_test.go
+++ b/routing/overload_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/kernel"
 )
 
@@ -63,7 +63,7 @@
 // or late that would have been served. A session that stays costs no other request
 // anything.
 func TestSessionsStayInOverload(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		fixed, current := burst("test_stay"), burst(SessionPolicy)
 		t.Logf("staying: %+v, %s: %+v", fixed, SessionPolicy, current)
--- a/routing/prefill_load_test.go
+++ b/routing/prefill_load_test.go
@@ -6,11 +6,11 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/config"
 )
 
@@ -197,7 +197,7 @@
 // it short ones, whose first tokens are late although other engines are idle. With notices
 // of long prompts, 95 of 100 that can be in time are.
 func TestRoutesShortPromptsAroundLongOnes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		late := newFleet(6, 12, true).run(officeWorkload(), 40*time.Second)
 		for _, share := range late {
@@ -212,7 +212,7 @@
 // As TestRoutesShortPromptsAroundLongOnes, in a fleet where each router sees one request in
 // eighty.
 func TestRoutesShortPromptsAroundLongOnesInALargeFleet(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		workload := officeWorkload()
 		for _, k := range workload {
@@ -229,7 +229,7 @@
 // Guards against a dependence on notices: all are lost, as while peers are partitioned, and
 // requests are served.
 func TestServesWithoutNotices(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		kinds := officeWorkload()
 		newFleet(6, 12, false).run(kinds, 10*time.Second)
--- a/routing/prefix_test.go
+++ b/routing/prefix_test.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/upstream"
 )
 
@@ -43,7 +43,7 @@
 func TestIndexNeverGrows(t *testing.T) {
 	// Over months, a router on a small VM handles many prompts. The index must keep its size
 	// and hold the prefixes in use instead of old ones.
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		x := NewPrefixIndex(1024)
 		size := len(x.buckets)
@@ -64,7 +64,7 @@
 	// An engine evicts prefixes after seconds and its events are lost. Requests with such a
 	// prefix are sent there again and again and wait for the whole prefill, unless the router
 	// learns from the cached tokens that the engine reports.
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		x := NewPrefixIndex(1024)
 		lookups, hits := 0, 0
--- a/routing/replaced_test.go
+++ b/routing/replaced_test.go
@@ -2,17 +2,18 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"buckthornridge/bubble"
 )
 
 // Guards against requests that go on to an upstream whose address belongs to another one
 // while the list of upstreams can't be read. One response is enough to stop them, at this
 // router and, by one notice, at the others.
 func TestReplacedUpstreamGetsNoMoreRequests(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		here, elsewhere := newRouter(t, 3, ""), newRouter(t, 3, "")
 		notices := 0
@@ -37,7 +38,7 @@
 
 // Guards against an upstream that stays ejected for good after it returned under its old id.
 func TestReplacedUpstreamIsProbedAgain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := newRouter(t, 2, "")
 		r.table.Observe("e1", Outcome{Kind: OutcomeReplaced})
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -4,11 +4,11 @@
 	"errors"
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/config"
 	"buckthornridge/kernel"
 	"buckthornridge/membership"
@@ -76,7 +76,7 @@
 }
 
 func TestDoneReleasesEverything(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := newRouter(t, 1, "")
 		e := r.table.current.Load().entries["e0"]
@@ -98,7 +98,7 @@
 	// An engine refuses a request with "leaving". An older load report and the lagging
 	// VM list both still call it live. Without the mark, further requests would go there
 	// seconds after the announcement.
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := newRouter(t, 2, "")
 		time.Sleep(10 * time.Second)
@@ -118,7 +118,7 @@
 }
 
 func TestStatusReportsEveryUpstream(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := newRouter(t, 3, "")
 		r.table.SetState("e1", membership.Suspected)
--- a/routing/session_test.go
+++ b/routing/session_test.go
@@ -3,11 +3,11 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/config"
 )
 
@@ -38,7 +38,7 @@
 
 // Requests of one session go to one upstream, and sessions spread over all of them.
 func TestSessionsStayAtAffinityUpstream(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := sessionRouter(t, 12)
 		used := map[string]int{}
@@ -60,7 +60,7 @@
 // The affinity upstream of a session with many requests fills up. The session must spread
 // to the next upstreams on the ring before it takes all slots of the first.
 func TestHotSessionSpreads(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := sessionRouter(t, 12)
 		used := map[string]int{}
@@ -78,7 +78,7 @@
 // An upstream fails two of five requests while the other requests and its health checks
 // succeed: its sessions are sent elsewhere, and return once it has recovered.
 func TestDegradedUpstreamIsAvoided(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := sessionRouter(t, 12)
 		affinity := r.pickSession(t, 7)
--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -1,9 +1,12 @@
 #!/usr/bin/env bash
-# Runs all tests with the race detector. Tests listed in KNOWN-RED.txt are
-# skipped and printed; each line there reads: test, command, seed, seen, issue.
+# Runs all tests with the race detector, and those of packages with bubbles again
+# without it: with it, bubbles run on one processor (package bubble). Tests listed
+# in KNOWN-RED.txt are skipped and printed; each line there reads: test, command,
+# seed, seen, issue.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+go="${GO:-go}"
 skip=""
 if [ -f KNOWN-RED.txt ]; then
 	while IFS=, read -r name rest; do
@@ -12,4 +15,17 @@
 		skip="${skip:+$skip|}^${name}\$"
 	done <KNOWN-RED.txt
 fi
-exec "${GO:-go}" test -race -count=1 ${skip:+-skip "$skip"} ./...
+
+# One package a line, with what its tests import.
+listed="$("$go" list -f '{{.ImportPath}} {{join .TestImports " "}} {{join .XTestImports " "}}' ./...)"
+mapfile -t bubbles < <(awk '/ buckthornridge\/bubble( |$)/ {print $1}' <<<"$listed")
+if grep -rlF --include='*.go' 'synctest.Test(' . | grep -vx './bubble/bubble.go'; then
+	echo "use bubble.Test in these files"
+	exit 1
+fi
+
+failed=0
+"$go" test -race -count=1 ${skip:+-skip "$skip"} ./... || failed=1
+echo "Without the race detector, bubbles on all processors:"
+"$go" test -count=1 ${skip:+-skip "$skip"} "${bubbles[@]}" || failed=1
+exit "$failed"
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	"buckthornridge/bubble"
 	"buckthornridge/settings"
 	"buckthornridge/standin/number"
 	"buckthornridge/upstream"
@@ -41,7 +42,7 @@
 		{"scaled", Faults{}, 0.5, 10 * 12 * time.Millisecond},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				s := testSettings()
 				s.TimeScale = tt.scale
@@ -66,7 +67,7 @@
 }
 
 func TestStallPausesBatch(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := startEngine(t, testSettings())
 		is.NoErr(e.SetFaults(Faults{Stall: true}))
@@ -82,7 +83,7 @@
 }
 
 func TestDetachedStreamIsCancelledAfterResumeWindow(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := startEngine(t, testSettings())
 		a, _ := e.submit(generateRequest("a", 0, 1000))
@@ -96,7 +97,7 @@
 }
 
 func TestLoadReportLags(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := testSettings()
 		s.LoadLag = settings.Duration(time.Second)
@@ -116,7 +117,7 @@
 }
 
 func TestLeavingEngineRefusesNewAndFinishesOpenStreams(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		e := startEngine(t, testSettings())
 		a, _ := e.submit(generateRequest("a", 0, 20))
@@ -137,7 +138,7 @@
 
 func TestDesiredStateLoadsAndUnloadsModels(t *testing.T) {
 	for _, fencing := range []bool{false, true} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			s := testSettings()
 			s.Fencing = fencing
@@ -168,7 +169,7 @@
 // A later desired state removes a model while its weights are loading: the model
 // must not be reported as loaded afterwards.
 func TestModelRemovedDuringLoadIsNotReported(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := testSettings()
 		s.WeightBytes, s.WeightBytesPerSecond = 30, 10
--- a/standin/platform/server_test.go
+++ b/standin/platform/server_test.go
@@ -9,11 +9,11 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/settings"
 	standin "buckthornridge/standin/platform"
 	"buckthornridge/store"
@@ -134,7 +134,7 @@
 // concurrent downloads of the same weights take about twice as long as one.
 func TestDownloadsShareWeightRate(t *testing.T) {
 	for downloads, want := range map[int]time.Duration{1: 3750 * time.Millisecond, 2: 7750 * time.Millisecond} {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			is := is.New(t)
 			server := standin.NewServer(contractSettings())
 			start := time.Now()
@@ -152,7 +152,7 @@
 }
 
 func TestWeightDownloadStopsWhenClientDisconnects(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		server := standin.NewServer(contractSettings())
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
--- a/store/fake_test.go
+++ b/store/fake_test.go
@@ -6,18 +6,18 @@
 	"fmt"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"buckthornridge/bubble"
 	"buckthornridge/store"
 )
 
 // A delayed write must be invisible before its due time and visible to all readers
 // from then on, without a timer.
 func TestDelayedWriteIsAppliedInVirtualTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		fake := store.NewFake(store.FakeOptions{Faults: store.Faults{DelayNext: 1, Delay: time.Minute}})
 		table := fake.As("router-1").Table
@@ -44,7 +44,7 @@
 // Of two delayed writes the first has the longer delay. They must be applied in the
 // order of their due times, even if no call happens until both are due.
 func TestDelayedWritesAreAppliedInOrderOfDueTimes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		fake := store.NewFake(store.FakeOptions{})
 		for _, delay := range []time.Duration{2 * time.Minute, time.Minute} {
@@ -60,7 +60,7 @@
 // The platform is unreachable while a slow write is in transit. The write must
 // never be applied.
 func TestWriteInTransitToUnavailablePlatformIsLost(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		fake := store.NewFake(store.FakeOptions{Faults: store.Faults{Down: true, Latency: 10 * time.Second}})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -82,7 +82,7 @@
 		"rows":  {store.Faults{WritesPerSecond: 3, CountRows: true}, 3},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				fake := store.NewFake(store.FakeOptions{Faults: c.faults})
 				for range 3 {
 					for range 10 {
@@ -116,7 +116,7 @@
 // had no effect, but the request is still in transit and arrives later. The write must
 // therefore give ErrOutcomeUnknown and be applied late.
 func TestDeadlineDoesNotCancelWriteInTransit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		fake := store.NewFake(store.FakeOptions{Faults: store.Faults{Latency: 10 * time.Second}})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
