testnet: servers of tests listen below the ports of connections

Cause: three tests took a free port by listening on port 0 and closing it again. The kernel takes such ports from the range that it also gives to connections, so that any connection of another process may have the port before the server starts. Change: one function for the three, package testnet, with ports below that range. Test: TestConnectionsDoNotTakeTheAddress; with port 0 as before it fails at its first address. Conclusion: two tests may still choose the same of 20,000 ports at the same moment.

--- a/cmd/buckthorn-upstream/main_test.go
+++ b/cmd/buckthorn-upstream/main_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -12,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"buckthornridge/testnet"
 	"buckthornridge/upstream"
 )
 
@@ -40,23 +40,11 @@
 	}
 }
 
-// freeAddress returns a loopback address that was free when it was checked. Another
-// process may take it before the test does.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 func TestEachKindServesUntilCancelled(t *testing.T) {
 	for _, kind := range []string{"engine", "service"} {
 		t.Run(kind, func(t *testing.T) {
 			is := is.New(t)
-			address := freeAddress(t)
+			address := testnet.FreeAddress(t)
 			path := writeSettings(t, fmt.Sprintf(`{
 				"kind": %q, "address": %q, "leave_grace": "0s", // stop at once
 				"engine": {"models": ["m"]},
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -18,6 +17,7 @@
 	"buckthornridge/settings"
 	standin "buckthornridge/standin/platform"
 	"buckthornridge/store"
+	"buckthornridge/testnet"
 )
 
 const (
@@ -26,17 +26,6 @@
 	ownerToken      = "lw-admin-platform-owner-example"
 )
 
-// freeAddress returns a loopback address that is not in use.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // testEnv runs a stand-in platform and control processes on loopback.
 type testEnv struct {
 	t        *testing.T
@@ -66,7 +55,7 @@
 	e.t.Helper()
 	s := DefaultSettings()
 	s.VM, s.DataCentre, s.Region = vm, "colombo-a", "lk-west"
-	s.Platform, s.AdminListen, s.PeerListen = e.address, freeAddress(e.t), freeAddress(e.t)
+	s.Platform, s.AdminListen, s.PeerListen = e.address, testnet.FreeAddress(e.t), testnet.FreeAddress(e.t)
 	s.Peers, s.Bootstrap, s.LeaseTTL = seeds, bootstrapDigest, settings.Duration(time.Second)
 	if err := s.Validate(); err != nil {
 		e.t.Fatal(err)
