--- a/edge/edge.go
+++ b/edge/edge.go
@@ -71,6 +71,9 @@
 	// Upstream decodes a row of UpstreamSegment.
 	Upstream func(key string, data []byte) (relay.Upstream, error)
 	Protocol Protocol
+	// DialUpstream, if set, replaces the dialler of connections to upstreams, for tests
+	// and fault injection.
+	DialUpstream traffic.Dial
 }
 
 // Process is one entry process.
@@ -118,6 +121,9 @@
 	p.gate = traffic.NewGate(s.LinkMbit)
 	p.fleet = newFleet(a.Upstream, p.routes, p.lapseDeadline)
 	p.pool = exchange.NewPool(p.maxConnections)
+	if a.DialUpstream != nil {
+		p.pool.Dial = a.DialUpstream
+	}
 	p.pool.Dial = a.Traffic.Dial(traffic.Upstreams, p.pool.Dial)
 	p.guard = quarantine.NewGuard(upstream.Prober{Dial: p.pool.Dial})
 	p.peers = &peers{
