--- a/edge/cut_test.go
+++ b/edge/cut_test.go
@@ -1,322 +1,37 @@
 package edge
 
 import (
-	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
-	"net/http/httptest"
-	"slices"
+	"os"
 	"strconv"
-	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"buckthornridge/bubble"
-	"buckthornridge/budget/allowance"
-	"buckthornridge/peer"
-	"buckthornridge/relay"
-	"buckthornridge/settings"
-	"buckthornridge/store"
+	"buckthornridge/reach"
 )
 
-// Moments of a test's run. judgedFrom is the end of the time that a VM is given to find
-// another path.
-const (
-	cutAt      = 3 * time.Second
-	judgedFrom = cutAt + 3*time.Second
-	healAt     = cutAt + 8*time.Second
-	runLength  = healAt + 4*time.Second
-	// requestInterval is the time between two requests at one VM.
-	requestInterval = 60 * time.Millisecond
-	requestTimeout  = 1500 * time.Millisecond
-)
-
-// cutEnv is a fleet of entry processes before the upstreams of two services.
-type cutEnv struct {
-	t      *testing.T
-	net    *cutNet
-	vms    []*Process
-	byName map[string][]string // addresses of upstreams by service
-	ctx    context.Context
-
-	answers  atomic.Int64
-	mu       sync.Mutex
-	runs     map[string]int // by request
-	attempts []attemptResult
-}
-
-// attemptResult is what a caller got.
-type attemptResult struct {
-	vm         int
-	path       string
-	at, took   time.Duration
-	status     int
-	whole      bool
-	retryAfter bool
-	id         string
-}
-
-func testProtocol() Protocol {
-	return Protocol{
-		ReadRequest: func(r *http.Request) (*relay.Request, *relay.Problem) {
-			id := r.Header.Get("Id")
-			return &relay.Request{
-				ID: id, Host: r.Host, Authority: r.Host, Method: r.Method, Target: r.URL.Path, Path: r.URL.Path,
-				Header: http.Header{"Id": {id}}, Arrived: time.Now(), CallerTimeout: requestTimeout,
-			}, nil
-		},
-		WriteProblem: func(h http.Header, p *relay.Problem) {
-			if p.RetryAfter > 0 {
-				h.Set("Retry-After", "1")
-			}
-		},
-		WriteHeader: func(out relay.OutgoingRequest) http.Header {
-			return http.Header{
-				"Id": {out.Request.ID}, "Content-Length": {strconv.Itoa(len(out.Request.Body))},
-				"Last-Event-Id": {out.LastEventID}, "Left": {strconv.FormatInt(out.Remaining.Milliseconds(), 10)},
-			}
-		},
-		ReadHead: func(status int, h http.Header) relay.Head {
-			return relay.Head{Status: status, Header: h, Signed: h.Get("Signed") != "", NotExecuted: h.Get("Not-Run") != ""}
-		},
-		ResponseMatches: func(id string, h http.Header) bool { return h.Get("Id") == id },
-	}
-}
-
-var testServices = map[string]int{"engine": 12, "orders": 4}
-
-func newCutEnv(t *testing.T, vms int) *cutEnv {
-	t.Helper()
-	ctx, cancel := context.WithCancel(t.Context())
-	e := &cutEnv{t: t, net: newCutNet(), byName: map[string][]string{}, ctx: ctx, runs: map[string]int{}}
-	t.Cleanup(func() {
-		cancel()
-		for _, p := range e.vms {
-			p.peerSrv.Close()
-			p.peers.client.Close()
-		}
-		e.net.close()
-		for _, p := range e.vms {
-			p.tasks.Wait()
-		}
-	})
-	for service, count := range testServices {
-		for i := range count {
-			address := fmt.Sprintf("%s-%d:1", service, i)
-			e.byName[service] = append(e.byName[service], address)
-			server := &http.Server{Handler: http.HandlerFunc(e.serveUpstream)}
-			l := e.net.listen(address)
-			go func() { _ = server.Serve(l) }()
-			t.Cleanup(func() { server.Close() })
-		}
-	}
-	for i := range vms {
-		e.vms = append(e.vms, e.newVM(i))
-	}
-	for _, p := range e.vms {
-		e.join(p)
-	}
-	return e
-}
-
-func vmName(i int) string      { return fmt.Sprint("vm-", i) }
-func peerAddress(i int) string { return fmt.Sprintf("%s:9", vmName(i)) }
-
-// newVM returns a process whose connections are those of the test's network.
-func (e *cutEnv) newVM(i int) *Process {
-	adapter := Adapter{
-		Table: store.NewFake(store.FakeOptions{}).As(vmName(i)).Table, Protocol: testProtocol(),
-		Upstream: func(key string, _ []byte) (relay.Upstream, error) {
-			service, _, _ := strings.Cut(key, "-")
-			return relay.Upstream{ID: key, Address: key + ":1", Service: service, Slots: 64, Start: 1}, nil
-		},
-		DialUpstream: e.net.dialer(vmName(i)),
-	}
-	p, err := New(Settings{
-		VM: vmName(i), IP: "10.0.0.1", DataCentre: "d", Listen: "-", ReadyListen: "-", PeerListen: peerAddress(i), Store: "-",
-		DrainLimit: settings.Duration(8 * time.Second), ConfigurationInForce: settings.Duration(2 * time.Second),
-		RetryBudget: RetrySettings{Share: 0.2, Extra: 50, Window: settings.Duration(10 * time.Second)},
-	}, adapter)
-	if err != nil {
-		e.t.Fatal(err)
-	}
-	p.peers.client = peer.NewClient(nil)
-	p.peers.client.DialContext = e.net.dialer(vmName(i))
-	l := e.net.listen(peerAddress(i))
-	go func() { _ = p.peerSrv.Serve(l) }()
-	return p
-}
-
-// join gives a process the list of members, the configuration and the upstreams.
-func (e *cutEnv) join(p *Process) {
-	for i := range e.vms {
-		p.peers.fleet = append(p.peers.fleet, allowance.Peer{VM: vmName(i), DataCentre: "d", Strength: 1})
-		if vmName(i) != p.settings.VM {
-			p.peers.addresses[vmName(i)] = peerAddress(i)
-		}
-	}
-	d := relay.Definition{Version: 1}
-	for service, count := range testServices {
-		d.Services = append(d.Services, relay.Service{Name: service, Slots: 64, Engine: service == "engine"})
-		for i := range count {
-			p.fleet.apply(writeOf(fmt.Sprintf("%s-%d", service, i), "ready"))
-		}
-	}
-	for _, r := range []relay.Route{
-		{Name: "once", Prefix: "/once/", Kind: relay.AtMostOnce, Attempts: 1, Services: []relay.WeightedService{{Service: "orders", Weight: 1}}},
-		{Name: "read", Prefix: "/read/", Kind: relay.Idempotent, Attempts: 2, Services: []relay.WeightedService{{Service: "orders", Weight: 1}}},
-		{Name: "stream", Prefix: "/stream/", Kind: relay.Stream, Attempts: 1, Services: []relay.WeightedService{{Service: "engine", Weight: 1}}},
-		{Name: "resume", Prefix: "/resume/", Kind: relay.Resumable, Attempts: 2, Services: []relay.WeightedService{{Service: "engine", Weight: 1}}},
-	} {
-		r.Host, r.Public, r.Timeout, r.TargetLatency = "h", true, 5*time.Second, 100*time.Millisecond
-		d.Routes = append(d.Routes, r)
-	}
-	p.activate(relay.NewCatalogue(d))
-	p.tasks.Go(func() { p.maintain(e.ctx) })
-}
-
-var testPaths = []string{"/once/", "/read/", "/stream/", "/resume/"}
-
-// streamEvents is the length of each stream. An upstream closes its connection after one
-// of closeEvery answers.
-const (
-	streamEvents = 4
-	closeEvery   = 4
-)
-
-// serveUpstream answers plain requests at once and streams in events.
-func (e *cutEnv) serveUpstream(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Id")
-	e.mu.Lock()
-	e.runs[id]++
-	e.mu.Unlock()
-	w.Header().Set("Id", id)
-	w.Header().Set("Signed", "yes")
-	w.Header().Set("Keep-Alive", "timeout=20")
-	if e.answers.Add(1)%closeEvery == 0 {
-		w.Header().Set("Connection", "close")
-	}
-	if strings.HasPrefix(r.URL.Path, "/once/") || strings.HasPrefix(r.URL.Path, "/read/") {
-		time.Sleep(15 * time.Millisecond)
-		fmt.Fprint(w, "answer to "+id)
-		return
-	}
-	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	for n := last + 1; n <= streamEvents; n++ {
-		time.Sleep(30 * time.Millisecond)
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, id)
-		if http.NewResponseController(w).Flush() != nil || r.Context().Err() != nil {
-			return
-		}
-	}
-}
-
-// isWhole reports whether a body is the whole answer to a request.
-func isWhole(path, id, body string) bool {
-	if path == "/once/" || path == "/read/" {
-		return body == "answer to "+id
-	}
-	want := ""
-	for n := 1; n <= streamEvents; n++ {
-		want += fmt.Sprintf("id: %d\ndata: %s\n\n", n, id)
-	}
-	return body == want
-}
-
-// ask sends a request to a VM and records what its caller gets.
-func (e *cutEnv) ask(vm int, path, id string, at time.Duration) {
-	r := httptest.NewRequest(http.MethodPost, "http://h"+path, nil)
-	r.Header.Set("Id", id)
-	w := &safeRecorder{ResponseRecorder: httptest.NewRecorder()}
-	began := time.Now()
-	func() {
-		defer func() {
-			if problem := recover(); problem != nil && problem != http.ErrAbortHandler {
-				panic(problem)
-			}
-		}()
-		e.vms[vm].callers.Handler.ServeHTTP(w, r)
-	}()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.attempts = append(e.attempts, attemptResult{
-		vm: vm, path: path, at: at, took: time.Since(began), status: w.Code, id: id,
-		whole: w.Code == http.StatusOK && isWhole(path, id, w.Body.String()), retryAfter: w.Header().Get("Retry-After") != "",
-	})
-}
-
-// safeRecorder is a recorder whose body may be written in parts.
-type safeRecorder struct{ *httptest.ResponseRecorder }
-
-// Write implements io.Writer.
-func (r *safeRecorder) Write(b []byte) (int, error) { return r.ResponseRecorder.Write(bytes.Clone(b)) }
-
-// load sends requests to all VMs until the run's end; change is called at each moment that
-// it names.
-func (e *cutEnv) load(changes map[time.Duration]func()) {
-	var requests sync.WaitGroup
-	for now, n := time.Duration(0), 0; now < runLength; now += 10 * time.Millisecond {
-		if change := changes[now]; change != nil {
-			change()
-		}
-		if now%requestInterval == 0 {
-			n++
-			for vm := range e.vms {
-				path := testPaths[(n+vm)%len(testPaths)]
-				id := fmt.Sprintf("%d-%d", vm, n)
-				requests.Go(func() { e.ask(vm, path, id, now) })
-			}
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	requests.Wait()
-}
-
-// tally counts the first attempts at some VMs from judgedFrom until the end of the cut.
-func (e *cutEnv) tally(vms func(vm int) bool) (served, all int) {
-	for _, a := range e.attempts {
-		if vms(a.vm) && a.at >= judgedFrom && a.at < healAt {
-			all++
-			if a.whole {
-				served++
-			}
-		}
-	}
-	return served, all
-}
-
-// checkPromises checks what holds whatever is cut: no request that must not be repeated
-// runs twice, and what is answered as not run has not run.
-func (e *cutEnv) checkPromises(t *testing.T) {
-	t.Helper()
-	for _, a := range e.attempts {
-		runs := e.runs[a.id]
-		if (a.path == "/once/" || a.path == "/stream/") && runs > 1 {
-			t.Errorf("%s %s ran %d times", a.path, a.id, runs)
-		}
-		if a.status == http.StatusServiceUnavailable && runs > 0 {
-			t.Errorf("%s %s was answered as not run and ran %d times", a.path, a.id, runs)
-		}
-	}
-}
+var cutModes = map[string]cutMode{"silent": silentCut, "reset": resetCut, "refused": refusedCut}
 
 // Guards against a VM that is cut off from upstreams and refuses its callers although
 // other VMs reach them.
 func TestCutOffVMsServeTheirCallers(t *testing.T) {
 	const vms = 6
+	everything := []string{"engine", "orders"}
 	for _, extent := range []struct {
 		name     string
 		count    int // VMs that are cut off
 		services []string
 	}{
-		{"one VM", 1, []string{"engine", "orders"}},
-		{"most VMs", 4, []string{"engine", "orders"}},
+		{"one VM", 1, everything},
+		{"most VMs", 4, everything},
 		{"one service", 2, []string{"orders"}},
 	} {
-		for name, mode := range map[string]cutMode{"silent": silentCut, "reset": resetCut, "refused": refusedCut} {
+		for name, mode := range cutModes {
 			t.Run(extent.name+", "+name, func(t *testing.T) {
 				bubble.Test(t, func(t *testing.T) {
 					e := newCutEnv(t, vms)
@@ -338,12 +53,168 @@
 						t.Errorf("VMs that were cut off served %d of %d first attempts, the others %d of %d", served, all, otherServed, others)
 					}
 					e.checkPromises(t)
+					e.checkReturnsToItsPath(t)
+				})
+			})
+		}
+	}
+}
+
+// ownPathWithin is how soon after a cut a VM must use its own connections again.
+const ownPathWithin = 2 * time.Second
+
+// checkReturnsToItsPath checks that nothing is forwarded long after the cuts.
+func (e *cutEnv) checkReturnsToItsPath(t *testing.T) {
+	t.Helper()
+	for i, p := range e.vms {
+		if late := p.forward.sent.Load() - e.forwardedBefore[i]; late > 0 {
+			t.Errorf("%s forwarded %d requests later than %s after the cut", p.settings.VM, late, ownPathWithin)
+		}
+	}
+}
+
+// Guards against callers that wait, or hear that their request may have run, where no VM
+// reaches the upstreams, or where one reaches neither upstreams nor other VMs.
+func TestWithoutAnyPathRequestsAreRefusedAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		count int // VMs that are cut off from the upstreams
+		alone bool
+	}{{"all VMs", 4, false}, {"a VM that is alone", 1, true}} {
+		for name, mode := range cutModes {
+			if mode == refusedCut {
+				continue // open connections go on serving
+			}
+			t.Run(c.name+", "+name, func(t *testing.T) {
+				bubble.Test(t, func(t *testing.T) {
+					e := newCutEnv(t, 4)
+					e.load(map[time.Duration]func(){cutAt: func() {
+						for vm := range c.count {
+							e.net.cut(mode, vmName(vm), e.upstreams()...)
+							for other := range e.vms {
+								if c.alone && other != vm {
+									e.net.cut(mode, vmName(vm), peerAddress(other))
+								}
+							}
+						}
+					}})
+					for _, a := range e.attempts {
+						if a.vm >= c.count || a.at < judgedFrom || a.at >= healAt {
+							continue
+						}
+						if a.status != http.StatusServiceUnavailable || !a.retryAfter || a.took >= reach.BriefDial {
+							t.Errorf("%s at %s: status %d after %s, Retry-After %t", a.path, a.at, a.status, a.took, a.retryAfter)
+						}
+					}
+					e.checkPromises(t)
 				})
 			})
 		}
 	}
 }
 
+// Guards against promises that are broken when VMs, upstreams and the links between VMs
+// fail together while requests are forwarded.
+func TestForwardingKeepsItsPromisesUnderRandomFaults(t *testing.T) {
+	seeds := 6
+	if text := os.Getenv("FORWARD_SEEDS"); text != "" {
+		var err error
+		if seeds, err = strconv.Atoi(text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				e := newCutEnv(t, 5)
+				e.load(e.randomFaults(rand.New(rand.NewPCG(uint64(seed), 52))))
+				e.checkPromises(t)
+				e.checkReturnsToItsPath(t)
+			})
+		})
+	}
+}
+
+// randomFaults returns cuts between VMs and upstreams and between VMs, all of which have
+// ended at healAt.
+func (e *cutEnv) randomFaults(random *rand.Rand) map[time.Duration]func() {
+	changes := map[time.Duration]func(){}
+	add := func(at time.Duration, change func()) {
+		at = at.Truncate(10 * time.Millisecond)
+		earlier := changes[at]
+		changes[at] = func() {
+			if earlier != nil {
+				earlier()
+			}
+			change()
+		}
+	}
+	modes := []cutMode{silentCut, resetCut, refusedCut}
+	cut := func(targets []string, longest time.Duration) {
+		vm, mode := vmName(random.IntN(len(e.vms))), modes[random.IntN(len(modes))]
+		from := time.Duration(random.Int64N(int64(healAt)))
+		to := min(from+time.Duration(random.Int64N(int64(longest))), healAt)
+		add(from, func() { e.net.cut(mode, vm, targets...) })
+		add(to, func() { e.net.cut(reachable, vm, targets...) })
+	}
+	for range 5 {
+		cut(e.upstreams(), healAt)
+		cut(e.byName["orders"], healAt)
+	}
+	for range 60 {
+		cut([]string{peerAddress(random.IntN(len(e.vms)))}, time.Second)
+	}
+	add(healAt, func() {
+		for vm := range e.vms {
+			e.net.cut(reachable, vmName(vm), e.upstreams()...)
+		}
+	})
+	return changes
+}
+
+// Guards against runs that go on after their callers left: the caller's leaving must reach
+// an upstream through another VM.
+func TestForwardedRunEndsWhenItsCallerLeaves(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		e := newCutEnv(t, 3)
+		e.net.cut(resetCut, vmName(0), e.upstreams()...)
+		e.ask(t.Context(), 0, "/read/", "warm", 0)
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(300*time.Millisecond, cancel)
+		e.ask(ctx, 0, "/endless/", "left", 0)
+		time.Sleep(500 * time.Millisecond)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.runs["left"] != 1 || !e.ended["left"] {
+			t.Errorf("runs %d, ended %t half a second after the caller left", e.runs["left"], e.ended["left"])
+		}
+	})
+}
+
+// Guards against a planned stop that cuts the requests which a VM sends for others.
+func TestPlannedStopCompletesForwardedRequests(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		e := newCutEnv(t, 2)
+		e.net.cut(resetCut, vmName(0), e.upstreams()...)
+		e.ask(t.Context(), 0, "/read/", "warm", 0)
+		var requests sync.WaitGroup
+		requests.Go(func() { e.ask(t.Context(), 0, "/stream/", "long", 0) })
+		time.Sleep(45 * time.Millisecond) // its first event has arrived
+		stopping := e.vms[1]
+		stopping.stopping.Store(true)
+		e.ask(t.Context(), 0, "/once/", "late", 0)
+		if last := e.last(); last.status != http.StatusServiceUnavailable {
+			t.Errorf("a request that no VM can send got status %d", last.status)
+		}
+		stopping.awaitForwarded(t.Context())
+		stopping.peerSrv.Close()
+		requests.Wait()
+		if last := e.last(); !last.whole {
+			t.Errorf("the stream was cut: status %d", last.status)
+		}
+	})
+}
+
 // Guards against upstreams that are taken for crashed, and requests that are quarantined,
 // because a VM lost its connections to them.
 func TestCutIsNoCrashOfUpstreams(t *testing.T) {
@@ -353,7 +224,7 @@
 				e := newCutEnv(t, 6)
 				e.load(map[time.Duration]func(){cutAt: func() {
 					for vm := range count {
-						e.net.cut(resetCut, vmName(vm), slices.Concat(e.byName["engine"], e.byName["orders"])...)
+						e.net.cut(resetCut, vmName(vm), e.upstreams()...)
 					}
 				}})
 				for _, p := range e.vms {
--- a/edge/cutnet_test.go
+++ b/edge/cutnet_test.go
@@ -131,9 +131,13 @@
 			}
 			switch mode {
 			case resetCut:
-				go c.Close()
+				go c.reset()
 			case silentCut:
 				c.silence()
+			case reachable:
+				if c.isSilent() {
+					go c.reset()
+				}
 			}
 		}
 	}
@@ -146,6 +150,7 @@
 	vm, address string
 	mu          sync.Mutex
 	silent      bool
+	wasReset    bool
 	once        sync.Once
 	closed      chan struct{}
 }
@@ -169,11 +174,28 @@
 	size, err := c.Conn.Read(b)
 	if c.isSilent() {
 		<-c.closed
-		return 0, errors.Join(syscall.ETIMEDOUT, err)
+		return 0, c.failure(err)
 	}
 	return size, err
 }
 
+// failure returns the error of a connection that was silent until it was closed.
+func (c *cutConn) failure(err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.wasReset {
+		return syscall.ECONNRESET
+	}
+	return errors.Join(syscall.ETIMEDOUT, err)
+}
+
+func (c *cutConn) reset() {
+	c.mu.Lock()
+	c.wasReset = true
+	c.mu.Unlock()
+	c.Close()
+}
+
 func (c *cutConn) Write(b []byte) (int, error) {
 	if c.isSilent() {
 		return len(b), nil
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -23,6 +23,7 @@
 	"buckthornridge/pause"
 	"buckthornridge/peer"
 	"buckthornridge/quarantine"
+	"buckthornridge/reach"
 	"buckthornridge/relay"
 	"buckthornridge/routing"
 	"buckthornridge/store"
@@ -87,6 +88,9 @@
 	fleet      *fleet
 	manager    *allowance.Manager
 	pool       *exchange.Pool
+	paths      *reach.Tracker // the VM's own paths to upstreams
+	forward    *forwarder     // sends through other VMs
+	forwarded  *forwardServer // sends for other VMs
 	guard      *quarantine.Guard
 	peers      *peers
 	gate       *traffic.Gate // whether the VM's link has capacity for new callers
@@ -125,7 +129,6 @@
 		p.pool.Dial = a.DialUpstream
 	}
 	p.pool.Dial = a.Traffic.Dial(traffic.Upstreams, p.pool.Dial)
-	p.guard = quarantine.NewGuard(upstream.Prober{Dial: p.pool.Dial})
 	p.peers = &peers{
 		traffic: a.Traffic,
 		self:    allowance.Peer{VM: s.VM, DataCentre: s.DataCentre, Strength: s.Strength},
@@ -134,6 +137,13 @@
 		sharingCache: map[string]allowance.Sharing{},
 	}
 	p.fleet.routers = p.peers.members
+	p.paths = p.fleet.paths
+	p.forward = &forwarder{peers: p.peers, choice: reach.NewForwarders(), protocol: a.Protocol}
+	p.forwarded = &forwardServer{pool: p.pool, tracker: p.paths, fleet: p.fleet, protocol: a.Protocol, stopping: &p.stopping}
+	p.forwarded.register(p.peerSrv)
+	own := upstream.Prober{Dial: p.pool.Dial}
+	p.guard = quarantine.NewGuard(confirmingProber{own: own, peers: p.peers})
+	serveProbes(p.peerSrv, own)
 	p.manager = allowance.New(allowance.Options{
 		Table: a.Table, Feed: a.Feed, Clock: a.Clock, VM: s.VM, Incarnation: p.incarnation, VMs: p.peers.count,
 		Sharing:    p.peers.sharing,
@@ -158,7 +168,10 @@
 	}
 	served := &relay.Relay{
 		Catalogue: &p.catalogue, Budgets: budgets{p.manager}, Picker: picker, Fleet: p.fleet,
-		Sender: sender{pool: p.pool, protocol: p.adapter.Protocol},
+		Sender: pathSender{
+			direct:  sender{pool: p.pool, protocol: p.adapter.Protocol, tracker: p.paths},
+			tracker: p.paths, forward: p.forward,
+		},
 		RetryBudget: relay.NewRetryBudget(relay.RetryPolicy{
 			Share: p.settings.RetryBudget.Share, Extra: p.settings.RetryBudget.Extra, Window: p.settings.RetryBudget.Window.D(),
 		}),
@@ -341,6 +354,7 @@
 		p.pool.Sweep()
 		p.routes.SetRouters(p.peers.count())
 		p.fleet.updateRouters()
+		p.maintainPaths(ctx)
 		_ = pause.For(ctx, maintenanceInterval)
 	}
 }
@@ -383,6 +397,8 @@
 	fmt.Fprintf(w, "quarantine_crashes_total %d\nquarantine_refused_total %d\nquarantine_suspect_count %d\nquarantine_entry_count %d\n",
 		crashes.Crashes.Load(), crashes.Refused.Load(), suspects, quarantined)
 	fmt.Fprintf(w, "limited_upstreams_count %d\n", p.fleet.limiter.Count())
+	fmt.Fprintf(w, "members_count %d\npaths_lost_count %d\nforwarded_sends_total %d\nforward_failed_total %d\nforwarded_for_peers_total %d\nforwarding_for_peers_count %d\n",
+		p.peers.count(), len(p.paths.LostServices()), p.forward.sent.Load(), p.forward.failed.Load(), p.forwarded.total.Load(), p.forwarded.active.Load())
 	n := p.notices
 	if n == nil {
 		n = &notices{} // without an address nothing was counted
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -10,6 +10,7 @@
 	"buckthornridge/budget/allowance"
 	"buckthornridge/config"
 	"buckthornridge/ratelimit"
+	"buckthornridge/reach"
 	"buckthornridge/relay"
 	"buckthornridge/routing"
 	"buckthornridge/store"
@@ -51,13 +52,14 @@
 
 	shares  ratelimit.Routers  // the routers among which the rates of upstreams are divided
 	limiter *ratelimit.Limiter // of upstreams that name a rate
+	paths   *reach.Tracker     // the VM's own paths to the upstreams
 }
 
 func newFleet(decode func(string, []byte) (relay.Upstream, error), table *routing.Table, lapseDeadline func() time.Time) *fleet {
 	f := &fleet{
 		decode: decode, table: table, lapseDeadline: lapseDeadline,
 		entries: map[string]relay.Upstream{}, lapsing: map[string]time.Time{}, serviceByName: map[string]relay.Service{},
-		evacuated: map[string]bool{}, cold: coldUpstreams{},
+		evacuated: map[string]bool{}, cold: coldUpstreams{}, paths: reach.NewTracker(),
 		routers: func() (string, []allowance.Peer) { return "", nil },
 	}
 	f.limiter = ratelimit.NewLimiter(&f.shares, table.SetLimit)
@@ -179,10 +181,14 @@
 	services := make(map[string]string, len(f.entries))
 	byID := make(map[string]relay.Upstream, len(f.entries))
 	upstreams := make(map[string]config.Upstream, len(f.entries))
+	inUse := make([]reach.Upstream, 0, len(f.entries))
 	f.updateRouters()
 	for key, u := range f.entries {
 		u.Leaving = u.Leaving || f.evacuated[u.DataCentre]
 		byID[u.ID] = u
+		if !u.Leaving {
+			inUse = append(inUse, reach.Upstream{ID: u.ID, Service: u.Service})
+		}
 		services[u.Address] = u.Service
 		slots := u.Slots
 		if slots <= 0 {
@@ -198,6 +204,7 @@
 	f.serviceByAddress.Store(&services)
 	f.table.Update(&config.Snapshot{Document: config.Document{Upstreams: upstreams}})
 	f.limiter.Apply()
+	f.paths.Update(inUse)
 }
 
 // updateRouters passes the list of routers on.
--- /dev/null
+++ b/edge/forward.go
@@ -0,0 +1,355 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"buckthornridge/peer"
+	"buckthornridge/reach"
+	"buckthornridge/relay"
+	"buckthornridge/telemetry"
+	"buckthornridge/upstream"
+	"buckthornridge/upstream/exchange"
+)
+
+const (
+	// methodForward sends a request to an upstream and streams its response.
+	methodForward = "upstream.forward"
+	// methodReach asks a peer whether it reaches a service.
+	methodReach = "upstream.reach"
+	// maxForwarders is how many peers are tried for one send.
+	maxForwarders = 3
+	// maxForwarded bounds the requests of peers that are in progress here.
+	maxForwarded = 256
+	// forwardChunk is the size of the largest part of a body in one message. A response
+	// that its caller doesn't read keeps up to peer.Window of them in memory.
+	forwardChunk = 2 << 10
+	// recentFailure is how long a failed attempt to reach an upstream answers for the
+	// next one.
+	recentFailure = time.Second
+	// reachTimeout bounds one question to a peer.
+	reachTimeout = 500 * time.Millisecond
+)
+
+// Codes of the errors with which a peer answers methodForward. Both guarantee that it
+// sent nothing to the upstream; any other error leaves that open.
+const (
+	// codeNoPath: the peer does not reach the service, or takes no requests.
+	codeNoPath = "no_path"
+	// codeNotSent: the peer could not connect to this upstream.
+	codeNotSent = "not_sent"
+)
+
+// forwardError is an error of methodForward.
+type forwardError struct {
+	code  string
+	cause string
+}
+
+// Error implements error.
+func (e *forwardError) Error() string { return "forward: " + e.code + ": " + e.cause }
+
+// Code implements peer.CodedError.
+func (e *forwardError) Code() string { return e.code }
+
+// forwardRequest is the request of methodForward.
+type forwardRequest struct {
+	ID       string      `msgpack:"i"` // of the caller's request
+	Upstream string      `msgpack:"u"`
+	Address  string      `msgpack:"a"`
+	Method   string      `msgpack:"m"`
+	Target   string      `msgpack:"t"`
+	Host     string      `msgpack:"h"`
+	Header   http.Header `msgpack:"e"`
+	Body     []byte      `msgpack:"b"`
+	Fresh    bool        `msgpack:"f"` // exchange.Request.FreshConnection
+	Trace    string      `msgpack:"c"` // traceparent
+}
+
+// forwardMessage is one message of the response: the head first, then parts of the body.
+type forwardMessage struct {
+	Status int         `msgpack:"s,omitempty"`
+	Header http.Header `msgpack:"e,omitempty"`
+	Body   []byte      `msgpack:"b,omitempty"`
+}
+
+// forwarder sends requests through other VMs.
+type forwarder struct {
+	peers    *peers
+	choice   *reach.Forwarders
+	protocol Protocol
+	// sent counts requests that a peer took, failed sends that no peer took.
+	sent, failed atomic.Int64
+}
+
+// Send sends a request through a peer. The error is upstream.ErrNotSent only if no peer
+// has sent a byte of it.
+func (f *forwarder) Send(ctx context.Context, out relay.OutgoingRequest) (relay.Response, error) {
+	hop, span := telemetry.StartChildSpan(ctx, "forward")
+	response, err := f.send(hop, out)
+	telemetry.EndSpan(span, err)
+	if err != nil {
+		f.failed.Add(1)
+		return nil, err
+	}
+	f.sent.Add(1)
+	return response, nil
+}
+
+func (f *forwarder) send(ctx context.Context, out relay.OutgoingRequest) (relay.Response, error) {
+	if deadline, has := ctx.Deadline(); has {
+		out.Remaining = min(out.Remaining, time.Until(deadline)) // part of it may have gone to a dial
+	}
+	cause := error(eris.New("no VM is known that reaches the service"))
+	for range maxForwarders {
+		address, found := f.choice.Pick(out.Upstream.Service, f.peers.otherAddresses(), time.Now())
+		if !found {
+			break
+		}
+		response, err := f.sendThrough(ctx, address, out)
+		if err == nil {
+			return response, nil
+		}
+		if !errors.Is(err, errDeclined) || !errors.Is(err, upstream.ErrNotSent) || ctx.Err() != nil {
+			return nil, err
+		}
+		cause = err
+	}
+	return nil, upstream.WrapError("forward", out.Upstream.Address, upstream.ErrNotSent, cause)
+}
+
+// errDeclined reports that a peer took no request for the service.
+var errDeclined = eris.New("the peer declined")
+
+// sendThrough sends a request through one peer and reads the head of the response.
+func (f *forwarder) sendThrough(ctx context.Context, address string, out relay.OutgoingRequest) (relay.Response, error) {
+	service := out.Upstream.Service
+	hop, cancel := context.WithCancel(ctx)
+	end := f.choice.Begin(address)
+	release := func() { end(); cancel() }
+	stream, err := f.open(hop, cancel, address, out)
+	if err != nil {
+		release()
+		if ctx.Err() == nil {
+			f.choice.Declined(service, address, time.Now())
+		}
+		return nil, upstream.WrapError("forward", address, upstream.ErrNotSent, errors.Join(errDeclined, err))
+	}
+	r := &forwardedResponse{stream: stream, address: address, release: release}
+	if err := r.readHead(f.protocol); err != nil {
+		r.Close()
+		kind, declined := classifyForward(err)
+		if declined && ctx.Err() == nil {
+			f.choice.Declined(service, address, time.Now())
+			err = errors.Join(errDeclined, err)
+		}
+		return nil, upstream.WrapError("forward", address, kind, err)
+	}
+	f.choice.Accepted(service, address, time.Now())
+	return r, nil
+}
+
+// classifyForward returns whether a request that a peer did not answer may have been sent,
+// and whether the peer is to be avoided for a while.
+func classifyForward(err error) (kind error, declined bool) {
+	var remote *peer.RemoteError
+	if !errors.As(err, &remote) {
+		return upstream.ErrBroken, true
+	}
+	switch remote.Code {
+	case codeNoPath, peer.CodeUnknownMethod:
+		return upstream.ErrNotSent, true
+	case codeNotSent:
+		return upstream.ErrNotSent, false
+	}
+	return upstream.ErrBroken, false
+}
+
+// open sends the request to a peer, to which a connection must be open within
+// reach.BriefDial. After an error nothing was sent.
+func (f *forwarder) open(ctx context.Context, cancel context.CancelFunc, address string, out relay.OutgoingRequest) (peer.Stream, error) {
+	timer := time.AfterFunc(reach.BriefDial, cancel)
+	defer timer.Stop()
+	return f.peers.client.Open(ctx, address, methodForward, &forwardRequest{
+		ID: out.Request.ID, Upstream: out.Upstream.ID, Address: out.Upstream.Address,
+		Method: out.Request.Method, Target: out.Request.Target, Host: out.Request.Authority,
+		Header: f.protocol.WriteHeader(out), Body: out.Request.Body, Fresh: out.FreshConnection,
+		Trace: telemetry.Traceparent(ctx),
+	})
+}
+
+// poll asks one peer whether it reaches a service.
+func (f *forwarder) poll(ctx context.Context, service string) {
+	address, found := f.choice.PickProbe(service, f.peers.otherAddresses(), time.Now())
+	if !found {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	var reaches bool
+	err := f.peers.client.Call(ctx, address, methodReach, service, &reaches)
+	if err != nil {
+		klog.V(1).Infof("step=ask_path peer=%s service=%s result=failed err=%q", address, service, err.Error())
+	}
+	if err == nil && reaches {
+		f.choice.Accepted(service, address, time.Now())
+	} else {
+		f.choice.Declined(service, address, time.Now())
+	}
+}
+
+// forwardedResponse is an upstream's response that a peer passes on.
+type forwardedResponse struct {
+	stream  peer.Stream
+	address string // of the peer
+	head    relay.Head
+	rest    []byte // of the last message
+	release func()
+}
+
+func (r *forwardedResponse) readHead(protocol Protocol) error {
+	var m forwardMessage
+	if err := r.stream.Next(&m, nil); err != nil {
+		return err
+	}
+	if m.Status == 0 {
+		return eris.New("forward: a response without a status")
+	}
+	r.head = protocol.ReadHead(m.Status, m.Header)
+	r.head.Via = r.address
+	return nil
+}
+
+// Head implements relay.Response.
+func (r *forwardedResponse) Head() relay.Head { return r.head }
+
+// Read implements relay.Response.
+func (r *forwardedResponse) Read(b []byte) (int, error) {
+	for len(r.rest) == 0 {
+		var m forwardMessage
+		err := r.stream.Next(&m, nil)
+		if err == io.EOF {
+			return 0, io.EOF
+		}
+		if err != nil {
+			return 0, upstream.WrapError("read response", r.address, upstream.ErrBroken, err)
+		}
+		r.rest = m.Body
+	}
+	n := copy(b, r.rest)
+	r.rest = r.rest[n:]
+	return n, nil
+}
+
+// Close implements relay.Response. It ends the exchange at the peer unless it has ended.
+func (r *forwardedResponse) Close() {
+	if err := r.stream.Close(); err != nil {
+		klog.V(1).Infof("step=close_forward peer=%s err=%q", r.address, err.Error())
+	}
+	r.release()
+}
+
+// forwardServer sends peers' requests to upstreams over this VM's own connections. It
+// never forwards them further.
+type forwardServer struct {
+	pool     *exchange.Pool
+	tracker  *reach.Tracker
+	fleet    *fleet
+	protocol Protocol
+	stopping *atomic.Bool
+	// active is the number of requests in progress, total that of all so far.
+	active, total atomic.Int64
+}
+
+func (f *forwardServer) register(server *peer.Server) {
+	server.Handle(methodReach, func(_ context.Context, decode func(any) error, _ peer.Sender) (any, error) {
+		var service string
+		if err := decode(&service); err != nil {
+			return nil, err
+		}
+		return !f.stopping.Load() && !f.tracker.Lost(service), nil
+	})
+	server.Handle(methodForward, func(ctx context.Context, decode func(any) error, send peer.Sender) (any, error) {
+		var q forwardRequest
+		if err := decode(&q); err != nil {
+			return nil, err
+		}
+		f.total.Add(1)
+		defer f.active.Add(-1)
+		if f.active.Add(1) > maxForwarded {
+			return nil, &forwardError{codeNoPath, "too many requests are in progress"}
+		}
+		return nil, f.serve(ctx, q, send)
+	})
+}
+
+func (f *forwardServer) serve(ctx context.Context, q forwardRequest, send peer.Sender) error {
+	if err := f.check(q); err != nil {
+		return err
+	}
+	ctx, span := telemetry.StartSpan(telemetry.FromTraceparent(ctx, q.Trace), "upstream.forward", telemetry.Attr("id", q.ID))
+	err := f.exchange(ctx, q, send)
+	telemetry.EndSpan(span, err)
+	return err
+}
+
+// check returns an error if the request must not be sent from here.
+func (f *forwardServer) check(q forwardRequest) error {
+	u, known := f.fleet.Upstream(q.Upstream)
+	switch {
+	case f.stopping.Load():
+		return &forwardError{codeNoPath, "stopping"}
+	case !known:
+		return &forwardError{codeNoPath, "the upstream is not known here"}
+	case u.Leaving || u.Address != q.Address:
+		return &forwardError{codeNotSent, "the upstream is leaving or has another address"}
+	case f.tracker.Lost(u.Service):
+		return &forwardError{codeNoPath, "this VM does not reach the service"}
+	case f.tracker.Fails(q.Upstream, time.Now(), recentFailure):
+		return &forwardError{codeNotSent, "the upstream was not reached just now"}
+	}
+	return nil
+}
+
+// exchange sends the request and passes the response on.
+func (f *forwardServer) exchange(ctx context.Context, q forwardRequest, send peer.Sender) error {
+	o := observer{tracker: f.tracker, id: q.Upstream, began: time.Now()}
+	response, err := f.pool.Do(ctx, q.Address, &exchange.Request{
+		Method: q.Method, Target: q.Target, Host: q.Host, Header: q.Header, Body: q.Body,
+		FreshConnection: q.Fresh, Dialed: o.dialed,
+		ResponseMatches: func(h http.Header) bool { return f.protocol.ResponseMatches(q.ID, h) },
+	})
+	if errors.Is(err, upstream.ErrNotSent) {
+		return &forwardError{codeNotSent, err.Error()}
+	}
+	o.exchanged(err)
+	if err != nil {
+		return err
+	}
+	defer response.Close()
+	if err := send(forwardMessage{Status: response.Status, Header: response.Header}); err != nil {
+		return err
+	}
+	chunk := make([]byte, forwardChunk)
+	for {
+		n, err := response.Read(chunk)
+		if n > 0 {
+			if err := send(forwardMessage{Body: chunk[:n]}); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -121,6 +121,17 @@
 	return others + 1
 }
 
+// otherAddresses returns the addresses of all other processes.
+func (p *peers) otherAddresses() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make([]string, 0, len(p.addresses))
+	for _, address := range p.addresses {
+		all = append(all, address)
+	}
+	return all
+}
+
 // randomAddresses returns up to n peers in random order.
 func (p *peers) randomAddresses(n int) []string {
 	p.mu.Lock()
--- a/edge/ports.go
+++ b/edge/ports.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
+	"time"
 
 	"buckthornridge/budget/allowance"
+	"buckthornridge/reach"
 	"buckthornridge/relay"
 	"buckthornridge/telemetry"
+	"buckthornridge/upstream"
 	"buckthornridge/upstream/exchange"
 )
 
@@ -21,15 +25,22 @@
 	ResponseMatches func(id string, h http.Header) bool
 }
 
-// sender sends requests over pooled connections.
+// sender sends requests over pooled connections, and records what they show of the paths
+// to the upstreams.
 type sender struct {
 	pool     *exchange.Pool
 	protocol Protocol
+	tracker  *reach.Tracker
 }
 
-// Send implements relay.Sender.
-func (s sender) Send(ctx context.Context, out relay.OutgoingRequest) (relay.Response, error) {
+// sendOver sends a request over the VM's own connections, in the way that the path says.
+func (s sender) sendOver(ctx context.Context, out relay.OutgoingRequest, path reach.Path) (relay.Response, error) {
 	hop, span := telemetry.StartChildSpan(ctx, "upstream")
+	o := observer{tracker: s.tracker, id: out.Upstream.ID, began: time.Now()}
+	var connectTimeout time.Duration
+	if path == reach.DirectBriefly {
+		connectTimeout = reach.BriefDial
+	}
 	response, err := s.pool.Do(hop, out.Upstream.Address, &exchange.Request{
 		Method:          out.Request.Method,
 		Target:          out.Request.Target,
@@ -37,19 +48,35 @@
 		Header:          s.protocol.WriteHeader(out),
 		Body:            out.Request.Body,
 		FreshConnection: out.FreshConnection,
+		OpenOnly:        path == reach.OpenOnly,
+		ConnectTimeout:  connectTimeout,
+		Dialed:          o.dialed,
 		ResponseMatches: func(h http.Header) bool { return s.protocol.ResponseMatches(out.Request.ID, h) },
 	})
 	telemetry.EndSpan(span, err)
+	if !errors.Is(err, upstream.ErrNotSent) {
+		o.exchanged(err)
+	}
 	if err != nil {
 		return nil, err
 	}
-	return pooledResponse{response, s.protocol.ReadHead(response.Status, response.Header)}, nil
+	return pooledResponse{response, s.protocol.ReadHead(response.Status, response.Header), o}, nil
 }
 
 // pooledResponse is an upstream's response on a pooled connection.
 type pooledResponse struct {
 	*exchange.Response
-	head relay.Head
+	head     relay.Head
+	observer observer
+}
+
+// Read implements relay.Response.
+func (a pooledResponse) Read(b []byte) (int, error) {
+	n, err := a.Response.Read(b)
+	if err != nil && err != io.EOF {
+		a.observer.exchanged(err)
+	}
+	return n, err
 }
 
 // Head implements relay.Response.
--- a/edge/stop.go
+++ b/edge/stop.go
@@ -40,6 +40,7 @@
 		klog.Warningf("step=drain result=cut active=%d err=%q", p.active.Load(), err.Error())
 		p.callers.Close()
 	}
+	p.awaitForwarded(requests)
 	p.awaitLoans(requests)
 	p.cancel()
 	closing, done := context.WithTimeout(ctx, closeTimeout)
@@ -60,6 +61,13 @@
 	}
 }
 
+// awaitForwarded waits for the requests of peers that are in progress. New ones are
+// refused since the stop began.
+func (p *Process) awaitForwarded(ctx context.Context) {
+	for p.forwarded.active.Load() > 0 && pause.For(ctx, loanPollInterval) == nil {
+	}
+}
+
 // Stop ends all work at once.
 func (p *Process) Stop() {
 	p.cancel()
--- /dev/null
+++ b/reach/tracker.go
@@ -0,0 +1,327 @@
+package reach
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// lostAfter is how many upstreams of a service must fail, with none that connects in
+	// between, until the router's own path counts as lost.
+	lostAfter = 2
+	// probeInterval is the time between two probes of an upstream.
+	probeInterval = 500 * time.Millisecond
+	// recoveryTime is how long the upstreams that still fail are probed after the router
+	// has its own path to the service back.
+	recoveryTime = 10 * time.Second
+	// minProbes and probeShare bound the probes of a service at one time: a large
+	// service returns to its own paths in a few steps, and not in one burst.
+	minProbes  = 3
+	probeShare = 0.1
+)
+
+// Tracker knows which upstreams the router reaches over its own connections. All methods
+// are safe for concurrent use. While nothing fails, they take no lock.
+type Tracker struct {
+	upstreams atomic.Pointer[map[string]*upstream]
+
+	mu       sync.Mutex // guards changes of upstreams and services
+	services map[string]*service
+}
+
+// service is the upstreams that serve the same requests.
+type service struct {
+	name    string
+	failing atomic.Int64 // length of failed
+
+	mu        sync.Mutex
+	members   map[string]*upstream
+	failed    map[string]*upstream // those of the members that fail
+	connected time.Time            // when a connection to any upstream was last opened
+	answered  time.Time            // when any upstream last answered, while some fail
+	lostAt    time.Time            // when the router's own path last counted as lost
+	lost      bool                 // the state that Changes has reported
+}
+
+// upstream is the state of one upstream. Its service's mutex guards it.
+type upstream struct {
+	id      string
+	service *service
+	failure Failure
+	// triedAt is when the last attempt that failed began, failedAt when it failed, and
+	// probedAt the time of the last probe.
+	triedAt, failedAt, probedAt time.Time
+	connected                   time.Time
+}
+
+// NewTracker returns a tracker without upstreams.
+func NewTracker() *Tracker {
+	t := &Tracker{services: map[string]*service{}}
+	t.upstreams.Store(&map[string]*upstream{})
+	return t
+}
+
+// Update sets the upstreams. What is known of those that stay is kept.
+func (t *Tracker) Update(list []Upstream) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := *t.upstreams.Load()
+	next := make(map[string]*upstream, len(list))
+	for _, item := range list {
+		if u := old[item.ID]; u != nil && u.service.name == item.Service {
+			next[item.ID] = u
+			continue
+		}
+		s := t.services[item.Service]
+		if s == nil {
+			s = &service{name: item.Service, members: map[string]*upstream{}, failed: map[string]*upstream{}}
+			t.services[item.Service] = s
+		}
+		u := &upstream{id: item.ID, service: s}
+		s.mu.Lock()
+		s.members[item.ID] = u
+		s.mu.Unlock()
+		next[item.ID] = u
+	}
+	for id, u := range old {
+		if next[id] != u {
+			u.service.remove(u)
+		}
+	}
+	t.upstreams.Store(&next)
+}
+
+func (s *service) remove(u *upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.members, u.id)
+	u.recover()
+}
+
+func (t *Tracker) find(id string) *upstream { return (*t.upstreams.Load())[id] }
+
+// Connected records that a connection to an upstream was opened.
+func (t *Tracker) Connected(id string, now time.Time) {
+	if u := t.find(id); u != nil {
+		u.service.mu.Lock()
+		defer u.service.mu.Unlock()
+		u.service.connected, u.connected = now, now
+		u.recover()
+	}
+}
+
+// Answered records that an upstream answered on an open connection.
+func (t *Tracker) Answered(id string, now time.Time) {
+	u := t.find(id)
+	if u == nil || u.service.failing.Load() == 0 {
+		return
+	}
+	u.service.mu.Lock()
+	defer u.service.mu.Unlock()
+	u.service.answered = now
+	if u.failure == Silent {
+		u.recover()
+	}
+}
+
+func (u *upstream) fails() bool { return u.service.failed[u.id] == u }
+
+func (u *upstream) recover() {
+	if u.fails() {
+		delete(u.service.failed, u.id)
+		u.service.failing.Store(int64(len(u.service.failed)))
+	}
+}
+
+// Failed records that an attempt that began at a given time opened no connection to an
+// upstream, or that an open one has been silent since then. An attempt that began before
+// another one connected says nothing about the router's own path.
+func (t *Tracker) Failed(id string, f Failure, began, now time.Time) {
+	u := t.find(id)
+	if u == nil {
+		return
+	}
+	u.service.mu.Lock()
+	defer u.service.mu.Unlock()
+	if began.Before(u.connected) || u.service.members[id] != u { // it may just have been removed
+		return
+	}
+	u.service.failed[id] = u
+	u.service.failing.Store(int64(len(u.service.failed)))
+	u.failure, u.triedAt, u.failedAt = f, began, now
+}
+
+// Fails reports whether the last attempt to reach an upstream failed, within a time.
+func (t *Tracker) Fails(id string, now time.Time, within time.Duration) bool {
+	u := t.find(id)
+	if u == nil || u.service.failing.Load() == 0 {
+		return false
+	}
+	u.service.mu.Lock()
+	defer u.service.mu.Unlock()
+	return u.fails() && now.Sub(u.failedAt) < within
+}
+
+// Path returns the path to an upstream.
+func (t *Tracker) Path(id string) Path {
+	u := t.find(id)
+	if u == nil || u.service.failing.Load() == 0 {
+		return Direct
+	}
+	s := u.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	recent, silent := s.recentFailures()
+	switch {
+	case !s.isLost(recent):
+		if recent > 0 {
+			return DirectBriefly
+		}
+		return Direct
+	case !u.fails() && recent < lostAfter:
+		return Direct // most of the others fail, and this one connected since
+	case silent:
+		return Forwarded
+	}
+	return OpenOnly
+}
+
+// recentFailures returns how many upstreams have failed since any of them connected or,
+// if they fell silent, answered, and whether any of those fell silent.
+func (s *service) recentFailures() (recent int, silent bool) {
+	for _, u := range s.failed {
+		if u.triedAt.Before(s.connected) {
+			continue
+		}
+		if u.failure == Silent && u.triedAt.Before(s.answered) {
+			continue
+		}
+		recent++
+		silent = silent || u.failure == Silent
+	}
+	return recent, silent
+}
+
+// isLost reports whether the router's own path to the service counts as lost: several
+// upstreams failed in a row, or most of them fail. The caller must hold s.mu.
+func (s *service) isLost(recent int) bool {
+	return recent >= min(lostAfter, len(s.members)) && recent > 0 || 2*len(s.failed) > len(s.members)
+}
+
+// Lost reports whether the router's own path to a service counts as lost.
+func (t *Tracker) Lost(name string) bool {
+	t.mu.Lock()
+	s := t.services[name]
+	t.mu.Unlock()
+	if s == nil || s.failing.Load() == 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	recent, _ := s.recentFailures()
+	return s.isLost(recent)
+}
+
+// Probes returns the upstreams to which a connection is to be opened now, in order to
+// learn whether the router's own path is lost or back. The result of each must be
+// recorded by Connected or Failed.
+func (t *Tracker) Probes(now time.Time) []string {
+	var due []string
+	for _, s := range t.all() {
+		if s.failing.Load() > 0 {
+			due = append(due, s.probes(now)...)
+		}
+	}
+	return due
+}
+
+func (s *service) probes(now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	recent, _ := s.recentFailures()
+	if s.isLost(recent) {
+		s.lostAt = now
+	}
+	if recent == 0 && (s.lostAt.IsZero() || now.Sub(s.lostAt) > recoveryTime) {
+		return nil
+	}
+	var candidates []*upstream
+	for _, u := range s.members {
+		if now.Sub(u.probedAt) >= probeInterval && (u.fails() || recent > 0) {
+			candidates = append(candidates, u)
+		}
+	}
+	sort.Slice(candidates, func(i, j int) bool {
+		if !candidates[i].probedAt.Equal(candidates[j].probedAt) {
+			return candidates[i].probedAt.Before(candidates[j].probedAt)
+		}
+		return candidates[i].id < candidates[j].id
+	})
+	candidates = candidates[:min(len(candidates), max(minProbes, int(probeShare*float64(len(s.members)))))]
+	ids := make([]string, len(candidates))
+	for i, u := range candidates {
+		u.probedAt = now
+		ids[i] = u.id
+	}
+	return ids
+}
+
+func (t *Tracker) all() []*service {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]*service, 0, len(t.services))
+	for _, s := range t.services {
+		list = append(list, s)
+	}
+	return list
+}
+
+// Change is a service to which the router has lost its own path, or reached it again.
+type Change struct {
+	Service string
+	Lost    bool
+	// Failing is how many of the Members upstreams fail; Failure is the way in which
+	// one of them did.
+	Failing, Members int
+	Failure          Failure
+}
+
+// Changes returns what has changed since the last call, for logs.
+func (t *Tracker) Changes() []Change {
+	var changes []Change
+	for _, s := range t.all() {
+		if c, changed := s.change(); changed {
+			changes = append(changes, c)
+		}
+	}
+	return changes
+}
+
+func (s *service) change() (Change, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	recent, silent := s.recentFailures()
+	lost := s.isLost(recent)
+	if lost == s.lost {
+		return Change{}, false
+	}
+	s.lost = lost
+	c := Change{Service: s.name, Lost: lost, Failing: len(s.failed), Members: len(s.members)}
+	if silent {
+		c.Failure = Silent
+	}
+	return c, true
+}
+
+// LostServices returns the services to which the router has lost its own path.
+func (t *Tracker) LostServices() []string {
+	var lost []string
+	for _, s := range t.all() {
+		if t.Lost(s.name) {
+			lost = append(lost, s.name)
+		}
+	}
+	return lost
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -104,6 +104,7 @@
 // handleResponse decides by the head of a response what is done with it.
 func (t *attempt) handleResponse(ctx context.Context, response Response) bool {
 	head := response.Head()
+	t.call.record.Via = head.Via
 	if !head.Misdirected { // another upstream answers
 		t.call.relay.Limiter.Observe(t.target.ID, t.target.Start, head.RateLimit)
 	}
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -85,6 +85,9 @@
 	Signed bool
 	// Altered says that the body is not as the upstream sent it.
 	Altered bool
+	// Via is the router that forwarded the request; empty for a response on a connection
+	// of this router.
+	Via string
 	// RateLimit is what the upstream says of the rate of requests that it takes.
 	RateLimit ratelimit.Reading
 }
@@ -115,6 +118,8 @@
 	Sends   int
 	// Upstreams lists the upstreams that the request was sent to.
 	Upstreams []string
+	// Via is the router through which the last response came; empty if it came directly.
+	Via string
 	// Expected is the time from the last send to the first byte that routing predicted;
 	// 0 if it had no prediction.
 	Expected time.Duration
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -45,6 +46,13 @@
 	// FreshConnection asks for a connection that is new or was used recently: a request
 	// that can't be retried is lost if an idle connection was closed.
 	FreshConnection bool
+	// OpenOnly allows only connections that are already open.
+	OpenOnly bool
+	// ConnectTimeout bounds the opening of a connection further than the dialler does; 0
+	// does not.
+	ConnectTimeout time.Duration
+	// Dialed, if set, is called with the result of opening a connection.
+	Dialed func(err error)
 	// ResponseMatches reports whether a response with this header belongs to the
 	// request. An upstream that is out of sync may send the response to an earlier one
 	// first.
@@ -72,7 +80,7 @@
 // Do sends a request and reads the head of its response. The context bounds the whole
 // exchange, including the reading of the body. The response must be closed.
 func (p *Pool) Do(ctx context.Context, address string, r *Request) (*Response, error) {
-	c, err := p.get(ctx, address, r.FreshConnection)
+	c, err := p.get(ctx, address, r)
 	if err != nil {
 		return nil, err
 	}
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -12,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"buckthornridge/traffic"
 	"buckthornridge/upstream"
 )
@@ -99,7 +102,7 @@
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var err error
-			if inner := raw.Control(func(fd uintptr) { err = setUserTimeout(int(fd)) }); inner != nil {
+			if inner := raw.Control(func(fd uintptr) { err = setuserTimeout(int(fd)) }); inner != nil {
 				return inner
 			}
 			return err
@@ -107,17 +110,17 @@
 	}
 }
 
-// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
-const tcpUserTimeout = 18
+// tcpuserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
+const tcpuserTimeout = 18
 
-func setUserTimeout(fd int) error {
-	return syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+func setuserTimeout(fd int) error {
+	return syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, tcpuserTimeout, int(userTimeout.Milliseconds()))
 }
 
 // get returns a usable idle connection, or opens one.
-func (p *Pool) get(ctx context.Context, address string, fresh bool) (*conn, error) {
+func (p *Pool) get(ctx context.Context, address string, r *Request) (*conn, error) {
 	for {
-		c := p.pop(address, fresh)
+		c := p.pop(address, r.FreshConnection)
 		if c == nil {
 			break
 		}
@@ -127,7 +130,27 @@
 		}
 		p.discard(c)
 	}
-	return p.open(ctx, address)
+	if r.OpenOnly {
+		return nil, upstream.WrapError("connect", address, upstream.ErrNotSent, errNoneOpen)
+	}
+	c, err := p.open(ctx, address, r.ConnectTimeout)
+	if r.Dialed != nil && !errors.Is(err, upstream.ErrConnectionLimit) {
+		r.Dialed(err)
+	}
+	return c, err
+}
+
+// errNoneOpen reports that no usable connection is open.
+var errNoneOpen = eris.New("no open connection")
+
+// Connect opens a connection and keeps it for later requests.
+func (p *Pool) Connect(ctx context.Context, address string) error {
+	c, err := p.open(ctx, address, 0)
+	if err != nil {
+		return err
+	}
+	p.put(c, defaultIdle)
+	return nil
 }
 
 // pop takes the most recently used idle connection, if it was used recently enough.
@@ -150,11 +173,17 @@
 	return c
 }
 
-func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
+// open opens a connection, within a timeout unless it is 0.
+func (p *Pool) open(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
 	if !p.reserveConnection(address) {
 		p.counters.Refused.Add(1)
 		return nil, upstream.WrapError("connect", address, upstream.ErrNotSent, upstream.ErrConnectionLimit)
 	}
+	if timeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
 	raw, err := p.Dial(ctx, "tcp", address)
 	if err != nil {
 		p.releaseConnection(address)
@@ -232,6 +261,24 @@
 	}
 }
 
+// DropIdle closes the idle connections to an address.
+func (p *Pool) DropIdle(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil {
+		return
+	}
+	for _, c := range h.idle {
+		c.raw.Close()
+		h.open--
+	}
+	h.idle = nil
+	if h.open == 0 {
+		delete(p.hosts, address)
+	}
+}
+
 // usable reports whether an idle connection is open and has nothing to read: bytes that
 // arrive between two requests belong to no request.
 func (c *conn) usable() bool {
