reach: upstreams that stay down are no sign of a lost path

Cause, from step=path lines: the other three VMs took their own path for lost and found again each 200 ms. Their probes went to the four upstreams that were down, each failure counted anew, and nothing else connected, since requests used open connections. While lost they declined the requests of their peers.

Change: a further failure of an upstream after which others connected counts for nothing; probes go first to upstreams that don't fail, one at a time unless the path counts as lost.

TestUpstreamsThatStayDownAreNoLostPath fails without the change.

--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -16,8 +16,9 @@
 	// recoveryTime is how long the upstreams that still fail are probed after the router
 	// has its own path to the service back.
 	recoveryTime = 10 * time.Second
-	// minProbes and probeShare bound the probes of a service at one time: a large
-	// service returns to its own paths in a few steps, and not in one burst.
+	// minProbes and probeShare bound the probes of a service at one time while the path
+	// counts as lost: a large service returns to its own paths in a few steps, and not in
+	// one burst. Otherwise one upstream is probed at a time.
 	minProbes  = 3
 	probeShare = 0.1
 )
@@ -148,9 +149,22 @@
 	if began.Before(u.connected) || u.service.members[id] != u { // it may just have been removed
 		return
 	}
+	u.failedAt = now
+	if u.fails() && !u.isRecent() {
+		return // others connected since it failed, so that it says nothing new
+	}
 	u.service.failed[id] = u
 	u.service.failing.Store(int64(len(u.service.failed)))
-	u.failure, u.triedAt, u.failedAt = f, began, now
+	u.failure, u.triedAt = f, began
+}
+
+// isRecent reports whether no upstream of the service has connected or, if this one fell
+// silent, answered since its failure.
+func (u *upstream) isRecent() bool {
+	if u.triedAt.Before(u.service.connected) {
+		return false
+	}
+	return u.failure != Silent || !u.triedAt.Before(u.service.answered)
 }
 
 // Fails reports whether the last attempt to reach an upstream failed, within a time.
@@ -188,18 +202,14 @@
 	return OpenOnly
 }
 
-// recentFailures returns how many upstreams have failed since any of them connected or,
-// if they fell silent, answered, and whether any of those fell silent.
+// recentFailures returns how many upstreams have failed with none that connected since,
+// and whether any of those fell silent.
 func (s *service) recentFailures() (recent int, silent bool) {
 	for _, u := range s.failed {
-		if u.triedAt.Before(s.connected) {
-			continue
-		}
-		if u.failure == Silent && u.triedAt.Before(s.answered) {
-			continue
+		if u.isRecent() {
+			recent++
+			silent = silent || u.failure == Silent
 		}
-		recent++
-		silent = silent || u.failure == Silent
 	}
 	return recent, silent
 }
@@ -241,8 +251,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	recent, _ := s.recentFailures()
+	most := 1
 	if s.isLost(recent) {
 		s.lostAt = now
+		most = max(minProbes, int(probeShare*float64(len(s.members))))
 	}
 	if recent == 0 && (s.lostAt.IsZero() || now.Sub(s.lostAt) > recoveryTime) {
 		return nil
@@ -253,13 +265,18 @@
 			candidates = append(candidates, u)
 		}
 	}
+	// First those that may show that the path is there.
 	sort.Slice(candidates, func(i, j int) bool {
-		if !candidates[i].probedAt.Equal(candidates[j].probedAt) {
-			return candidates[i].probedAt.Before(candidates[j].probedAt)
+		a, b := candidates[i], candidates[j]
+		switch {
+		case a.fails() != b.fails():
+			return b.fails()
+		case !a.probedAt.Equal(b.probedAt):
+			return a.probedAt.Before(b.probedAt)
 		}
-		return candidates[i].id < candidates[j].id
+		return a.id < b.id
 	})
-	candidates = candidates[:min(len(candidates), max(minProbes, int(probeShare*float64(len(s.members)))))]
+	candidates = candidates[:min(len(candidates), most)]
 	ids := make([]string, len(candidates))
 	for i, u := range candidates {
 		u.probedAt = now
--- a/reach/tracker_test.go
+++ b/reach/tracker_test.go
@@ -66,6 +66,23 @@
 	is.True(!tracker.Fails("u4", after(2500), time.Second))
 }
 
+// Guards against a path that counts as lost each time upstreams that have ended are tried
+// again.
+func TestUpstreamsThatStayDownAreNoLostPath(t *testing.T) {
+	is := is.New(t)
+	tracker := newTestTracker(12)
+	tracker.Failed("u0", Refused, after(0), after(1))
+	tracker.Failed("u1", Refused, after(0), after(1))
+	is.Equal(tracker.Probes(after(2))[0], "u10") // not one of those that fail
+	tracker.Connected("u10", after(3))
+	tracker.Failed("u0", Refused, after(1000), after(1001))
+	tracker.Failed("u1", Refused, after(1000), after(1001))
+	is.True(!tracker.Lost("s"))
+	tracker.Failed("u2", Refused, after(2000), after(2001))
+	tracker.Failed("u3", Refused, after(2000), after(2001))
+	is.True(tracker.Lost("s"))
+}
+
 // Guards against a VM that reaches a few upstreams and sends them the work of all others.
 func TestMostUpstreamsOutOfReach(t *testing.T) {
 	is := is.New(t)
