exchange: a short silence of a sound upstream ends no connection

An upstream may fall silent for a second or so and go on. TCP_USER_TIMEOUT was 1.5 s, shorter than the time until a second keep-alive probe (2 s), and it ends keep-alive whatever the count of probes: one lost probe was enough to give a connection up, and the stream on it was broken off.

It is 2.5 s now. The price: bytes sent to an upstream that is really gone are given up a second later.

--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -28,7 +28,9 @@
 	dialTimeout = time.Second
 	// userTimeout is how long sent bytes may stay unacknowledged. A partitioned link
 	// causes no reset; without the timeout a connection would hang for minutes.
-	userTimeout = 1500 * time.Millisecond
+	// It also ends keep-alive, whatever the count of probes: a sound upstream that is silent
+	// for a second must still answer the second probe.
+	userTimeout = 2500 * time.Millisecond
 	// keepAliveInterval is the time between two probes of an idle connection.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
@@ -93,7 +95,7 @@
 func (p *Pool) Counters() *Counters { return &p.counters }
 
 // NewDialer returns a dialer whose connections detect an unresponsive peer within about
-// two seconds.
+// three seconds.
 func NewDialer() net.Dialer {
 	return net.Dialer{
 		Timeout: dialTimeout,
@@ -102,7 +104,7 @@
 		},
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var err error
-			if inner := raw.Control(func(fd uintptr) { err = setuserTimeout(int(fd)) }); inner != nil {
+			if inner := raw.Control(func(fd uintptr) { err = setUserTimeout(int(fd)) }); inner != nil {
 				return inner
 			}
 			return err
@@ -110,11 +112,11 @@
 	}
 }
 
-// tcpuserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
-const tcpuserTimeout = 18
+// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
+const tcpUserTimeout = 18
 
-func setuserTimeout(fd int) error {
-	return syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, tcpuserTimeout, int(userTimeout.Milliseconds()))
+func setUserTimeout(fd int) error {
+	return syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
 }
 
 // get returns a usable idle connection, or opens one.
