edge: an upstream has ended only if another one is reached

Where all VMs lose their upstreams at once by resets, peers confirmed each other's false crashes: TestCutIsNoCrashOfUpstreams with all six VMs counted 3 to 5 crashes at each, so the requests that ran there could be quarantined when the cut is over.

Cause: a refused connection was taken for the end of the process behind it, with nothing to compare it with. Now each VM that finds an address refusing also opens a connection to an upstream that it reached before, of the same service if there is one; if that is refused too, it has no opinion.

--- a/edge/cut_test.go
+++ b/edge/cut_test.go
@@ -218,7 +218,7 @@
 // Guards against upstreams that are taken for crashed, and requests that are quarantined,
 // because a VM lost its connections to them.
 func TestCutIsNoCrashOfUpstreams(t *testing.T) {
-	for _, count := range []int{1, 4} {
+	for _, count := range []int{1, 4, 6} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
 			bubble.Test(t, func(t *testing.T) {
 				e := newCutEnv(t, 6)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -142,8 +142,9 @@
 	p.forwarded = &forwardServer{pool: p.pool, tracker: p.paths, fleet: p.fleet, protocol: a.Protocol, stopping: &p.stopping}
 	p.forwarded.register(p.peerSrv)
 	own := upstream.Prober{Dial: p.pool.Dial}
-	p.guard = quarantine.NewGuard(confirmingProber{own: own, peers: p.peers})
-	serveProbes(p.peerSrv, own)
+	controlled := controlledProber{own: own, tracker: p.paths, fleet: p.fleet}
+	p.guard = quarantine.NewGuard(confirmingProber{own: controlled, peers: p.peers})
+	serveProbes(p.peerSrv, own, controlled)
 	p.manager = allowance.New(allowance.Options{
 		Table: a.Table, Feed: a.Feed, Clock: a.Clock, VM: s.VM, Incarnation: p.incarnation, VMs: p.peers.count,
 		Sharing:    p.peers.sharing,
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -74,6 +74,16 @@
 // serviceAt returns the service of the upstream at an address, or "".
 func (f *fleet) serviceAt(address string) string { return (*f.serviceByAddress.Load())[address] }
 
+// idAt returns the id of the upstream at an address, or "".
+func (f *fleet) idAt(address string) string {
+	for id, u := range *f.current.Load() {
+		if u.Address == address {
+			return id
+		}
+	}
+	return ""
+}
+
 // Upstream implements relay.Fleet.
 func (f *fleet) Upstream(id string) (relay.Upstream, bool) {
 	u, known := (*f.current.Load())[id]
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -178,6 +178,45 @@
 	return u.fails() && now.Sub(u.failedAt) < within
 }
 
+// Control returns an upstream that was reached last time, of the same service if there is
+// one. If it can't be reached either, the fault is the router's own path.
+func (t *Tracker) Control(id string) (control string, found bool) {
+	u := t.find(id)
+	if u == nil {
+		return "", false
+	}
+	if control, found = u.service.reached(id); found {
+		return control, true
+	}
+	for _, s := range t.all() {
+		if control, found = s.reached(id); found {
+			return control, true
+		}
+	}
+	return "", false
+}
+
+// Failing returns how many upstreams of all services fail.
+func (t *Tracker) Failing() int {
+	count := 0
+	for _, s := range t.all() {
+		count += int(s.failing.Load())
+	}
+	return count
+}
+
+// reached returns an upstream other than the named one that was reached last time.
+func (s *service) reached(except string) (id string, found bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, u := range s.members {
+		if u.id != except && !u.fails() && !u.connected.IsZero() {
+			return u.id, true
+		}
+	}
+	return "", false
+}
+
 // Path returns the path to an upstream.
 func (t *Tracker) Path(id string) Path {
 	u := t.find(id)
