--- a/edge/cut_test.go
+++ b/edge/cut_test.go
@@ -13,9 +13,10 @@
 
 	"buckthornridge/bubble"
 	"buckthornridge/reach"
+	"buckthornridge/testnet"
 )
 
-var cutModes = map[string]cutMode{"silent": silentCut, "reset": resetCut, "refused": refusedCut}
+var cutModes = map[string]testnet.Mode{"silent": testnet.Silent, "reset": testnet.Reset, "refused": testnet.RefuseNew}
 
 // Guards against a VM that is cut off from upstreams and refuses its callers although
 // other VMs reach them.
@@ -36,16 +37,16 @@
 				bubble.Test(t, func(t *testing.T) {
 					e := newCutEnv(t, vms)
 					isCut := func(vm int) bool { return vm < extent.count }
-					set := func(mode cutMode) func() {
+					set := func(mode testnet.Mode) func() {
 						return func() {
 							for vm := range extent.count {
 								for _, service := range extent.services {
-									e.net.cut(mode, vmName(vm), e.byName[service]...)
+									e.net.Cut(mode, vmName(vm), e.byName[service]...)
 								}
 							}
 						}
 					}
-					e.load(map[time.Duration]func(){cutAt: set(mode), healAt: set(reachable)})
+					e.load(map[time.Duration]func(){cutAt: set(mode), healAt: set(testnet.Reachable)})
 					served, all := e.tally(isCut)
 					otherServed, others := e.tally(func(vm int) bool { return !isCut(vm) })
 					t.Logf("cut off: %d of %d, others: %d of %d", served, all, otherServed, others)
@@ -82,7 +83,7 @@
 		alone bool
 	}{{"all VMs", 4, false}, {"a VM that is alone", 1, true}} {
 		for name, mode := range cutModes {
-			if mode == refusedCut {
+			if mode == testnet.RefuseNew {
 				continue // open connections go on serving
 			}
 			t.Run(c.name+", "+name, func(t *testing.T) {
@@ -90,10 +91,10 @@
 					e := newCutEnv(t, 4)
 					e.load(map[time.Duration]func(){cutAt: func() {
 						for vm := range c.count {
-							e.net.cut(mode, vmName(vm), e.upstreams()...)
+							e.net.Cut(mode, vmName(vm), e.upstreams()...)
 							for other := range e.vms {
 								if c.alone && other != vm {
-									e.net.cut(mode, vmName(vm), peerAddress(other))
+									e.net.Cut(mode, vmName(vm), peerAddress(other))
 								}
 							}
 						}
@@ -149,13 +150,13 @@
 			change()
 		}
 	}
-	modes := []cutMode{silentCut, resetCut, refusedCut}
+	modes := []testnet.Mode{testnet.Silent, testnet.Reset, testnet.RefuseNew}
 	cut := func(targets []string, longest time.Duration) {
 		vm, mode := vmName(random.IntN(len(e.vms))), modes[random.IntN(len(modes))]
 		from := time.Duration(random.Int64N(int64(healAt)))
 		to := min(from+time.Duration(random.Int64N(int64(longest))), healAt)
-		add(from, func() { e.net.cut(mode, vm, targets...) })
-		add(to, func() { e.net.cut(reachable, vm, targets...) })
+		add(from, func() { e.net.Cut(mode, vm, targets...) })
+		add(to, func() { e.net.Cut(testnet.Reachable, vm, targets...) })
 	}
 	for range 5 {
 		cut(e.upstreams(), healAt)
@@ -166,7 +167,7 @@
 	}
 	add(healAt, func() {
 		for vm := range e.vms {
-			e.net.cut(reachable, vmName(vm), e.upstreams()...)
+			e.net.Cut(testnet.Reachable, vmName(vm), e.upstreams()...)
 		}
 	})
 	return changes
@@ -177,7 +178,7 @@
 func TestForwardedRunEndsWhenItsCallerLeaves(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		e := newCutEnv(t, 3)
-		e.net.cut(resetCut, vmName(0), e.upstreams()...)
+		e.net.Cut(testnet.Reset, vmName(0), e.upstreams()...)
 		e.ask(t.Context(), 0, "/read/", "warm", 0)
 		ctx, cancel := context.WithCancel(t.Context())
 		time.AfterFunc(300*time.Millisecond, cancel)
@@ -195,7 +196,7 @@
 func TestPlannedStopCompletesForwardedRequests(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
 		e := newCutEnv(t, 2)
-		e.net.cut(resetCut, vmName(0), e.upstreams()...)
+		e.net.Cut(testnet.Reset, vmName(0), e.upstreams()...)
 		e.ask(t.Context(), 0, "/read/", "warm", 0)
 		var requests sync.WaitGroup
 		requests.Go(func() { e.ask(t.Context(), 0, "/stream/", "long", 0) })
@@ -224,7 +225,7 @@
 				e := newCutEnv(t, 6)
 				e.load(map[time.Duration]func(){cutAt: func() {
 					for vm := range count {
-						e.net.cut(resetCut, vmName(vm), e.upstreams()...)
+						e.net.Cut(testnet.Reset, vmName(vm), e.upstreams()...)
 					}
 				}})
 				for _, p := range e.vms {
--- a/edge/cutenv_test.go
+++ b/edge/cutenv_test.go
@@ -19,6 +19,7 @@
 	"buckthornridge/relay"
 	"buckthornridge/settings"
 	"buckthornridge/store"
+	"buckthornridge/testnet"
 )
 
 // Moments of a test's run. judgedFrom is the end of the time that a VM is given to find
@@ -36,7 +37,7 @@
 // cutEnv is a fleet of entry processes before the upstreams of two services.
 type cutEnv struct {
 	t      *testing.T
-	net    *cutNet
+	net    *testnet.Network
 	vms    []*Process
 	byName map[string][]string // addresses of upstreams by service
 	ctx    context.Context
@@ -94,14 +95,14 @@
 func newCutEnv(t *testing.T, vms int) *cutEnv {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
-	e := &cutEnv{t: t, net: newCutNet(), byName: map[string][]string{}, ctx: ctx, runs: map[string]int{}, ended: map[string]bool{}}
+	e := &cutEnv{t: t, net: testnet.NewNetwork(), byName: map[string][]string{}, ctx: ctx, runs: map[string]int{}, ended: map[string]bool{}}
 	t.Cleanup(func() {
 		cancel()
 		for _, p := range e.vms {
 			p.peerSrv.Close()
 			p.peers.client.Close()
 		}
-		e.net.close()
+		e.net.Close()
 		for _, p := range e.vms {
 			p.tasks.Wait()
 		}
@@ -111,7 +112,7 @@
 			address := fmt.Sprintf("%s-%d:1", service, i)
 			e.byName[service] = append(e.byName[service], address)
 			server := &http.Server{Handler: http.HandlerFunc(e.serveUpstream)}
-			l := e.net.listen(address)
+			l := e.net.Listen(address)
 			go func() { _ = server.Serve(l) }()
 			t.Cleanup(func() { server.Close() })
 		}
@@ -139,7 +140,7 @@
 			service, _, _ := strings.Cut(key, "-")
 			return relay.Upstream{ID: key, Address: key + ":1", Service: service, Slots: 64, Start: 1}, nil
 		},
-		DialUpstream: e.net.dialer(vmName(i)),
+		DialUpstream: e.net.Dialer(vmName(i)),
 	}
 	p, err := New(Settings{
 		VM: vmName(i), IP: "10.0.0.1", DataCentre: "d", Listen: "-", ReadyListen: "-", PeerListen: peerAddress(i), Store: "-",
@@ -150,8 +151,8 @@
 		e.t.Fatal(err)
 	}
 	p.peers.client = peer.NewClient(nil)
-	p.peers.client.DialContext = e.net.dialer(vmName(i))
-	l := e.net.listen(peerAddress(i))
+	p.peers.client.DialContext = e.net.Dialer(vmName(i))
+	l := e.net.Listen(peerAddress(i))
 	go func() { _ = p.peerSrv.Serve(l) }()
 	return p
 }
--- a/edge/cutnet_test.go
+++ b/testnet/network.go
@@ -1,4 +1,4 @@
-package edge
+package testnet
 
 import (
 	"context"
@@ -10,35 +10,37 @@
 	"time"
 )
 
-// cutMode is what a VM's connections to upstreams do.
-type cutMode int
+// Mode is what a VM's connections to upstreams do.
+type Mode int
 
 const (
-	reachable  cutMode = iota
-	silentCut          // packets are lost
-	resetCut           // connections are reset and new ones refused
-	refusedCut         // open connections work, new ones are refused
+	Reachable Mode = iota
+	Silent         // packets are lost
+	Reset          // connections are reset and new ones refused
+	RefuseNew      // open connections work, new ones are refused
 )
 
-// How a silent cut ends connections: the kernel's time-outs as NewDialer sets them.
+// Time after which a silent dial and a silent connection fail, as with the dialler of
+// package exchange.
 const (
 	silentDialTimeout = time.Second
 	silentConnTimeout = 3 * time.Second
 )
 
-// cutNet is a network of VMs and upstreams in memory on which VMs lose upstreams.
-type cutNet struct {
+// Network is a network in memory on which VMs lose their paths to addresses. It can be used
+// in virtual time.
+type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*pipeListener
-	cuts      map[string]map[string]cutMode // by VM and address
-	conns     map[*cutConn]bool
-	dials     map[string]int // of upstreams, by VM
+	cuts      map[string]map[string]Mode // by VM and address
+	conns     map[*networkConn]bool
 }
 
-func newCutNet() *cutNet {
-	return &cutNet{
-		listeners: map[string]*pipeListener{}, cuts: map[string]map[string]cutMode{},
-		conns: map[*cutConn]bool{}, dials: map[string]int{},
+// NewNetwork returns a network on which all VMs reach all addresses.
+func NewNetwork() *Network {
+	return &Network{
+		listeners: map[string]*pipeListener{}, cuts: map[string]map[string]Mode{},
+		conns: map[*networkConn]bool{},
 	}
 }
 
@@ -65,7 +67,8 @@
 
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
-func (n *cutNet) listen(address string) net.Listener {
+// Listen returns a listener at an address.
+func (n *Network) Listen(address string) net.Listener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l := &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
@@ -73,15 +76,14 @@
 	return l
 }
 
-// dialer returns the function with which a VM opens connections.
-func (n *cutNet) dialer(vm string) func(context.Context, string, string) (net.Conn, error) {
+// Dialer returns the function with which a VM opens connections.
+func (n *Network) Dialer(vm string) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
 		n.mu.Lock()
-		n.dials[vm]++
 		mode, l := n.cuts[vm][address], n.listeners[address]
 		n.mu.Unlock()
 		switch mode {
-		case silentCut:
+		case Silent:
 			timer := time.NewTimer(silentDialTimeout)
 			defer timer.Stop()
 			select {
@@ -90,14 +92,14 @@
 			case <-ctx.Done():
 				return nil, ctx.Err()
 			}
-		case resetCut, refusedCut:
+		case Reset, RefuseNew:
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 		}
 		return n.connect(ctx, vm, address, l)
 	}
 }
 
-func (n *cutNet) connect(ctx context.Context, vm, address string, l *pipeListener) (net.Conn, error) {
+func (n *Network) connect(ctx context.Context, vm, address string, l *pipeListener) (net.Conn, error) {
 	if l == nil {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
@@ -109,19 +111,19 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	c := &cutConn{Conn: near, net: n, vm: vm, address: address, closed: make(chan struct{})}
+	c := &networkConn{Conn: near, net: n, vm: vm, address: address, closed: make(chan struct{})}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conns[c] = true
 	return c, nil
 }
 
-// cut changes what a VM's connections to an upstream do.
-func (n *cutNet) cut(mode cutMode, vm string, addresses ...string) {
+// Cut changes what a VM's connections to some addresses do.
+func (n *Network) Cut(mode Mode, vm string, addresses ...string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.cuts[vm] == nil {
-		n.cuts[vm] = map[string]cutMode{}
+		n.cuts[vm] = map[string]Mode{}
 	}
 	for _, address := range addresses {
 		n.cuts[vm][address] = mode
@@ -130,11 +132,11 @@
 				continue
 			}
 			switch mode {
-			case resetCut:
+			case Reset:
 				go c.reset()
-			case silentCut:
+			case Silent:
 				c.silence()
-			case reachable:
+			case Reachable:
 				if c.isSilent() {
 					go c.reset()
 				}
@@ -143,10 +145,10 @@
 	}
 }
 
-// cutConn is a VM's side of a connection.
-type cutConn struct {
+// networkConn is a VM's side of a connection.
+type networkConn struct {
 	net.Conn
-	net         *cutNet
+	net         *Network
 	vm, address string
 	mu          sync.Mutex
 	silent      bool
@@ -155,7 +157,7 @@
 	closed      chan struct{}
 }
 
-func (c *cutConn) silence() {
+func (c *networkConn) silence() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.silent {
@@ -164,13 +166,13 @@
 	}
 }
 
-func (c *cutConn) isSilent() bool {
+func (c *networkConn) isSilent() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.silent
 }
 
-func (c *cutConn) Read(b []byte) (int, error) {
+func (c *networkConn) Read(b []byte) (int, error) {
 	size, err := c.Conn.Read(b)
 	if c.isSilent() {
 		<-c.closed
@@ -180,7 +182,7 @@
 }
 
 // failure returns the error of a connection that was silent until it was closed.
-func (c *cutConn) failure(err error) error {
+func (c *networkConn) failure(err error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.wasReset {
@@ -189,21 +191,21 @@
 	return errors.Join(syscall.ETIMEDOUT, err)
 }
 
-func (c *cutConn) reset() {
+func (c *networkConn) reset() {
 	c.mu.Lock()
 	c.wasReset = true
 	c.mu.Unlock()
 	c.Close()
 }
 
-func (c *cutConn) Write(b []byte) (int, error) {
+func (c *networkConn) Write(b []byte) (int, error) {
 	if c.isSilent() {
 		return len(b), nil
 	}
 	return c.Conn.Write(b)
 }
 
-func (c *cutConn) Close() error {
+func (c *networkConn) Close() error {
 	c.once.Do(func() {
 		close(c.closed)
 		c.net.mu.Lock()
@@ -213,8 +215,8 @@
 	return c.Conn.Close()
 }
 
-// close ends all connections and listeners.
-func (n *cutNet) close() {
+// Close ends all connections and listeners.
+func (n *Network) Close() {
 	n.mu.Lock()
 	var all []interface{ Close() error }
 	for c := range n.conns {
--- a/testnet/testnet.go
+++ b/testnet/testnet.go
@@ -1,5 +1,5 @@
-// Package testnet gives tests addresses on loopback for servers that they start by
-// their settings.
+// Package testnet gives tests addresses on loopback for servers that they start by their
+// settings, and a network in memory whose paths they cut.
 package testnet
 
 import (
