reach: a VM that reaches some upstreams of a service sends for others

By reading: where most upstreams of a service are down, a VM's path counts as lost by their number although it reaches the rest, and it declined the requests of VMs that reach none. It declines now only if it reaches no upstream, and says of one that fails that nothing was sent to it. TestMostUpstreamsOutOfReach asks for it.

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -274,7 +274,7 @@
 		if err := decode(&service); err != nil {
 			return nil, err
 		}
-		return !f.stopping.Load() && !f.tracker.Lost(service), nil
+		return !f.stopping.Load() && f.tracker.Reaches(service), nil
 	})
 	server.Handle(methodForward, func(ctx context.Context, decode func(any) error, send peer.Sender) (any, error) {
 		var q forwardRequest
@@ -310,7 +310,7 @@
 		return &forwardError{codeNoPath, "the upstream is not known here"}
 	case u.Leaving || u.Address != q.Address:
 		return &forwardError{codeNotSent, "the upstream is leaving or has another address"}
-	case f.tracker.Lost(u.Service):
+	case !f.tracker.Reaches(u.Service):
 		return &forwardError{codeNoPath, "this VM does not reach the service"}
 	case f.tracker.Fails(q.Upstream, time.Now(), recentFailure):
 		return &forwardError{codeNotSent, "the upstream was not reached just now"}
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -233,7 +233,7 @@
 			return DirectBriefly
 		}
 		return Direct
-	case !u.fails() && recent < lostAfter:
+	case !u.fails() && !s.reachesNone(recent):
 		return Direct // most of the others fail, and this one connected since
 	case silent:
 		return Forwarded
@@ -253,10 +253,29 @@
 	return recent, silent
 }
 
-// isLost reports whether the router's own path to the service counts as lost: several
-// upstreams failed in a row, or most of them fail. The caller must hold s.mu.
+// isLost reports whether the router's own path to the service counts as lost: it reaches
+// none of the upstreams, or most of them fail. The caller must hold s.mu.
 func (s *service) isLost(recent int) bool {
-	return recent >= min(lostAfter, len(s.members)) && recent > 0 || 2*len(s.failed) > len(s.members)
+	return s.reachesNone(recent) || 2*len(s.failed) > len(s.members)
+}
+
+// reachesNone reports whether several upstreams failed in a row. The caller must hold s.mu.
+func (s *service) reachesNone(recent int) bool {
+	return recent > 0 && recent >= min(lostAfter, len(s.members))
+}
+
+// Reaches reports whether the router reaches any upstream of a service, as far as it knows.
+func (t *Tracker) Reaches(name string) bool {
+	t.mu.Lock()
+	s := t.services[name]
+	t.mu.Unlock()
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	recent, _ := s.recentFailures()
+	return len(s.members) > 0 && !s.reachesNone(recent)
 }
 
 // Lost reports whether the router's own path to a service counts as lost.
--- a/reach/tracker_test.go
+++ b/reach/tracker_test.go
@@ -92,8 +92,14 @@
 	}
 	tracker.Connected("u3", after(10))
 	is.True(tracker.Lost("s"))
+	is.True(tracker.Reaches("s")) // it may still send for others
 	is.Equal(tracker.Path("u0"), OpenOnly)
 	is.Equal(tracker.Path("u3"), Direct)
+	tracker.Failed("u3", Refused, after(20), after(20))
+	tracker.Update([]Upstream{{ID: "u3", Service: "s"}, {ID: "u4", Service: "s"}})
+	tracker.Failed("u4", Refused, after(21), after(21))
+	is.True(!tracker.Reaches("s"))
+	is.True(!tracker.Reaches("other"))
 }
 
 // Guards against silence that counts although other upstreams answer.
