testnet: each address is given once

A run of TestCutOffVMStreamsThroughAnotherVM failed, 1 of 100: address already in use. Addresses that were given are remembered. TestAddressesAreGivenOnce fails without that (500 draws).

--- a/testnet/testnet.go
+++ b/testnet/testnet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"testing"
 )
 
@@ -17,7 +18,12 @@
 	maxPort = 32_000
 )
 
-// FreeAddress returns a loopback address, host:port, that was free when it was checked.
+// given holds the addresses that FreeAddress has returned: until its server starts, an
+// address is free and would be chosen again.
+var given sync.Map
+
+// FreeAddress returns a loopback address, host:port, that was free when it was checked. It
+// returns each address once.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
 	for range maxPort - minPort {
@@ -29,6 +35,9 @@
 		if err := listener.Close(); err != nil {
 			t.Fatal(err)
 		}
+		if _, again := given.LoadOrStore(address, true); again {
+			continue
+		}
 		return address
 	}
 	t.Fatal("testnet: no free port")
--- a/testnet/testnet_test.go
+++ b/testnet/testnet_test.go
@@ -28,3 +28,15 @@
 		is.True(int(address.Port()) < first)
 	}
 }
+
+// Guards against two servers of a test that are given the same address.
+func TestAddressesAreGivenOnce(t *testing.T) {
+	seen := map[string]bool{}
+	for range 500 {
+		address := testnet.FreeAddress(t)
+		if seen[address] {
+			t.Fatalf("%s was given twice", address)
+		}
+		seen[address] = true
+	}
+}
