--- a/edge/forward.go
+++ b/edge/forward.go
@@ -16,7 +16,6 @@
 	"buckthornridge/relay"
 	"buckthornridge/telemetry"
 	"buckthornridge/upstream"
-	"buckthornridge/upstream/exchange"
 )
 
 const (
@@ -26,14 +25,6 @@
 	methodReach = "upstream.reach"
 	// maxForwarders is how many peers are tried for one send.
 	maxForwarders = 3
-	// maxForwarded bounds the requests of peers that are in progress here.
-	maxForwarded = 256
-	// forwardChunk is the size of the largest part of a body in one message. A response
-	// that its caller doesn't read keeps up to peer.Window of them in memory.
-	forwardChunk = 2 << 10
-	// recentFailure is how long a failed attempt to reach an upstream answers for the
-	// next one.
-	recentFailure = time.Second
 	// reachTimeout bounds one question to a peer.
 	reachTimeout = 500 * time.Millisecond
 )
@@ -85,7 +76,7 @@
 	peers    *peers
 	choice   *reach.Forwarders
 	protocol Protocol
-	// sent counts requests that a peer took, failed sends that no peer took.
+	// sent counts requests that a peer sent and got a response to, failed all others.
 	sent, failed atomic.Int64
 }
 
@@ -255,101 +246,3 @@
 	}
 	r.release()
 }
-
-// forwardServer sends peers' requests to upstreams over this VM's own connections. It
-// never forwards them further.
-type forwardServer struct {
-	pool     *exchange.Pool
-	tracker  *reach.Tracker
-	fleet    *fleet
-	protocol Protocol
-	stopping *atomic.Bool
-	// active is the number of requests in progress, total that of all so far.
-	active, total atomic.Int64
-}
-
-func (f *forwardServer) register(server *peer.Server) {
-	server.Handle(methodReach, func(_ context.Context, decode func(any) error, _ peer.Sender) (any, error) {
-		var service string
-		if err := decode(&service); err != nil {
-			return nil, err
-		}
-		return !f.stopping.Load() && f.tracker.Reaches(service), nil
-	})
-	server.Handle(methodForward, func(ctx context.Context, decode func(any) error, send peer.Sender) (any, error) {
-		var q forwardRequest
-		if err := decode(&q); err != nil {
-			return nil, err
-		}
-		f.total.Add(1)
-		defer f.active.Add(-1)
-		if f.active.Add(1) > maxForwarded {
-			return nil, &forwardError{codeNoPath, "too many requests are in progress"}
-		}
-		return nil, f.serve(ctx, q, send)
-	})
-}
-
-func (f *forwardServer) serve(ctx context.Context, q forwardRequest, send peer.Sender) error {
-	if err := f.check(q); err != nil {
-		return err
-	}
-	ctx, span := telemetry.StartSpan(telemetry.FromTraceparent(ctx, q.Trace), "upstream.forward", telemetry.Attr("id", q.ID))
-	err := f.exchange(ctx, q, send)
-	telemetry.EndSpan(span, err)
-	return err
-}
-
-// check returns an error if the request must not be sent from here.
-func (f *forwardServer) check(q forwardRequest) error {
-	u, known := f.fleet.Upstream(q.Upstream)
-	switch {
-	case f.stopping.Load():
-		return &forwardError{codeNoPath, "stopping"}
-	case !known:
-		return &forwardError{codeNoPath, "the upstream is not known here"}
-	case u.Leaving || u.Address != q.Address:
-		return &forwardError{codeNotSent, "the upstream is leaving or has another address"}
-	case !f.tracker.Reaches(u.Service):
-		return &forwardError{codeNoPath, "this VM does not reach the service"}
-	case f.tracker.Fails(q.Upstream, time.Now(), recentFailure):
-		return &forwardError{codeNotSent, "the upstream was not reached just now"}
-	}
-	return nil
-}
-
-// exchange sends the request and passes the response on.
-func (f *forwardServer) exchange(ctx context.Context, q forwardRequest, send peer.Sender) error {
-	o := observer{tracker: f.tracker, id: q.Upstream, began: time.Now()}
-	response, err := f.pool.Do(ctx, q.Address, &exchange.Request{
-		Method: q.Method, Target: q.Target, Host: q.Host, Header: q.Header, Body: q.Body,
-		FreshConnection: q.Fresh, Dialed: o.dialed,
-		ResponseMatches: func(h http.Header) bool { return f.protocol.ResponseMatches(q.ID, h) },
-	})
-	if errors.Is(err, upstream.ErrNotSent) {
-		return &forwardError{codeNotSent, err.Error()}
-	}
-	o.exchanged(err)
-	if err != nil {
-		return err
-	}
-	defer response.Close()
-	if err := send(forwardMessage{Status: response.Status, Header: response.Header}); err != nil {
-		return err
-	}
-	chunk := make([]byte, forwardChunk)
-	for {
-		n, err := response.Read(chunk)
-		if n > 0 {
-			if err := send(forwardMessage{Body: chunk[:n]}); err != nil {
-				return err
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
