edge: test that a forwarded response waits for its caller

A caller that does not read must stop the upstream, through another VM too: of a response of 2 MB at most the window of 128 messages of 2 KB and the buffers on the way are written before it reads; then all of it arrives.

--- a/edge/cut_test.go
+++ b/edge/cut_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -12,7 +13,9 @@
 	"time"
 
 	"buckthornridge/bubble"
+	"buckthornridge/peer"
 	"buckthornridge/reach"
+	"buckthornridge/relay"
 	"buckthornridge/testnet"
 )
 
@@ -237,3 +240,28 @@
 		})
 	}
 }
+
+// Guards against a VM whose memory fills with responses that their callers do not read:
+// the upstream must wait for the caller, through another VM too.
+func TestForwardedResponseWaitsForItsCaller(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		e := newCutEnv(t, 2)
+		response, err := e.vms[0].forward.Send(t.Context(), relay.OutgoingRequest{
+			Request:  &relay.Request{ID: "slow", Method: http.MethodPost, Target: "/flood/", Authority: "h"},
+			Upstream: relay.Upstream{ID: "orders-0", Address: "orders-0:1", Service: "orders"}, Remaining: time.Minute,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer response.Close()
+		time.Sleep(time.Second)
+		const buffers = 128 << 10 // of connections and of HTTP, on the way
+		if written := e.flooded.Load(); written > peer.Window*forwardChunk+buffers {
+			t.Errorf("the upstream wrote %d bytes that nobody read", written)
+		}
+		body, err := io.ReadAll(response)
+		if err != nil || len(body) != floodBytes {
+			t.Errorf("%d bytes of %d arrived, %v", len(body), floodBytes, err)
+		}
+	})
+}
--- a/edge/cutenv_test.go
+++ b/edge/cutenv_test.go
@@ -46,6 +46,7 @@
 	forwardedBefore []int64
 
 	answers  atomic.Int64
+	flooded  atomic.Int64 // bytes written by /flood/
 	mu       sync.Mutex
 	runs     map[string]int  // by request
 	ended    map[string]bool // runs that the upstream gave up, by request
@@ -188,6 +189,9 @@
 
 var testPaths = []string{"/once/", "/read/", "/stream/", "/resume/"}
 
+// floodBytes is the size of a response of /flood/.
+const floodBytes = 2 << 20
+
 // streamEvents is the length of each stream. An upstream closes its connection after one
 // of closeEvery answers.
 const (
@@ -212,6 +216,14 @@
 		fmt.Fprint(w, "answer to "+id)
 		return
 	}
+	if r.URL.Path == "/flood/" {
+		for part := make([]byte, 1<<10); e.flooded.Load() < floodBytes; e.flooded.Add(int64(len(part))) {
+			if _, err := w.Write(part); err != nil {
+				return
+			}
+		}
+		return
+	}
 	if r.URL.Path == "/endless/" {
 		<-r.Context().Done()
 		e.mu.Lock()
