relay: a stream whose resumption fails does not look complete

Cause: the last attempt's answer with a failure was forwarded whole, whatever the caller had by then. Its status and headers came too late, its body went behind the events, and the response ended in good order.

Change: once a stream has begun, an answer that is no stream ends it like a broken connection; the caller sees that it is incomplete.

By reading, package request resumes by its own protocol, in which a failure is no answer; it has no such path.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"buckthornridge/routing"
@@ -121,8 +122,19 @@
 		t.call.exclude(t.target.ID)
 		return false
 	}
-	if isSuccess(head.Status) && t.call.route.Kind.Streams() {
+	switch {
+	case isSuccess(head.Status) && t.call.route.Kind.Streams():
 		return t.stream(ctx, response)
+	case t.call.streamStarted:
+		// The caller has the head and some events of a response. Another whole response
+		// would make it look complete.
+		kind := routing.OutcomeCancelled
+		if head.Status >= http.StatusInternalServerError {
+			kind = routing.OutcomeErrored
+		}
+		t.reportOutcome(kind)
+		t.call.giveUp(ctx, "the upstream that was to resume the stream answered "+strconv.Itoa(head.Status))
+		return true
 	}
 	return t.forwardWhole(ctx, response)
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -146,6 +146,8 @@
 		{"a gap", Stream, []step{answered(events("1", "3"))}, events("1"), true, 200},
 		{"an event twice", Stream, []step{answered(events("1", "1"))}, events("1"), true, 200},
 		{"resumed at the wrong place", Resumable, []step{cut(events("1", "2")), answered(events("1", "2"))}, events("1", "2"), true, 200},
+		{"resumed by a server error", Resumable, []step{cut(events("1", "2")), failing(500)}, events("1", "2"), true, 200},
+		{"resumed by a refusal", Resumable, []step{cut(events("1", "2")), failing(404)}, events("1", "2"), true, 200},
 		{"ends inside an event", Stream, []step{answered(events("1") + "id: 2")}, events("1"), true, 200},
 		{"nothing at all", Stream, []step{answered("")}, "", false, 502},
 		{"an upstream's refusal", Stream, []step{failing(400)}, "failed", false, 400},
