--- /dev/null
+++ b/edge/process_metrics.go
@@ -0,0 +1,37 @@
+package edge
+
+import (
+	"fmt"
+	"io"
+)
+
+// writeProcessMetrics writes the counters and gauges that are read at the time of the
+// request.
+func (p *Process) writeProcessMetrics(w io.Writer) {
+	f := p.manager.Stats()
+	counters := p.pool.Counters()
+	fmt.Fprintf(w, "budget_granted_tokens %d\nbudget_settled_tokens %d\nbudget_open_tokens %d\nbudget_lost_tokens %d\n",
+		f.Granted, f.Settled, f.Open, f.Lost)
+	fmt.Fprintf(w, "budget_written_off_tokens_total{cause=\"running\"} %d\nbudget_written_off_tokens_total{cause=\"cover\"} %d\nbudget_written_off_tokens_total{cause=\"growth\"} %d\n",
+		f.WrittenOff.Running, f.WrittenOff.Headroom, f.WrittenOff.Growth)
+	fmt.Fprintf(w, "loans_borrowed_total %d\nloans_lent_total %d\nloans_open %d\n", f.Borrowed, f.Lent, f.OpenLoans)
+	fmt.Fprintf(w, "connections_opened_total %d\nconnections_reused_total %d\nforeign_answers_total %d\nupstreams_unread_total %d\n",
+		counters.Opened.Load(), counters.Reused.Load(), counters.Mismatched.Load(), p.fleet.unreadable.Load())
+	crashes := p.guard.Counters()
+	suspects, quarantined := p.guard.Table().Count()
+	fmt.Fprintf(w, "quarantine_crashes_total %d\nquarantine_refused_total %d\nquarantine_suspect_count %d\nquarantine_entry_count %d\n",
+		crashes.Crashes.Load(), crashes.Refused.Load(), suspects, quarantined)
+	fmt.Fprintf(w, "limited_upstreams_count %d\nlimited_rejections_total %d\n", p.fleet.limiter.Count(), p.fleet.rejections.Count())
+	fmt.Fprintf(w, "members_count %d\npaths_lost_count %d\nforwarded_sends_total %d\nforward_failed_total %d\nforwarded_for_peers_total %d\nforwarding_for_peers_count %d\n",
+		p.peers.count(), len(p.paths.LostServices()), p.forward.sent.Load(), p.forward.failed.Load(), p.forwarded.total.Load(), p.forwarded.active.Load())
+	n := p.notices
+	if n == nil {
+		n = &notices{} // without an address nothing was counted
+	}
+	fmt.Fprintf(w, "notices_sent_total %d\nnotices_received_total %d\nnotices_skipped_total %d\n",
+		n.sent.Load(), n.received.Load(), n.skipped.Load())
+	writeTraffic(w, p.adapter.Traffic.Read(), p.gate.Open())
+	if c := p.catalogue.Load(); c != nil {
+		fmt.Fprintf(w, "configuration_version %d\n", c.Version)
+	}
+}
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -1,27 +1,14 @@
 package reach
 
 import (
-	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-const (
-	// lostAfter is how many upstreams of a service must fail, with none that connects in
-	// between, until the router's own path counts as lost.
-	lostAfter = 2
-	// probeInterval is the time between two probes of an upstream.
-	probeInterval = 500 * time.Millisecond
-	// recoveryTime is how long the upstreams that still fail are probed after the router
-	// has its own path to the service back.
-	recoveryTime = 10 * time.Second
-	// minProbes and probeShare bound the probes of a service at one time while the path
-	// counts as lost: a large service returns to its own paths in a few steps, and not in
-	// one burst. Otherwise one upstream is probed at a time.
-	minProbes  = 3
-	probeShare = 0.1
-)
+// lostAfter is how many upstreams of a service must fail, with none that connects in
+// between, until the router's own path counts as lost.
+const lostAfter = 2
 
 // Tracker knows which upstreams the router reaches over its own connections. All methods
 // are safe for concurrent use. While nothing fails, they take no lock.
@@ -51,10 +38,9 @@
 	id      string
 	service *service
 	failure Failure
-	// triedAt is when the last attempt that failed began, failedAt when it failed, and
-	// probedAt the time of the last probe.
-	triedAt, failedAt, probedAt time.Time
-	connected                   time.Time
+	// triedAt is when the last attempt that failed began, failedAt when it failed,
+	// probedAt the time of the last probe and connected that of the last connection.
+	triedAt, failedAt, probedAt, connected time.Time
 }
 
 // NewTracker returns a tracker without upstreams.
@@ -292,57 +278,6 @@
 	return s.isLost(recent)
 }
 
-// Probes returns the upstreams to which a connection is to be opened now, in order to
-// learn whether the router's own path is lost or back. The result of each must be
-// recorded by Connected or Failed.
-func (t *Tracker) Probes(now time.Time) []string {
-	var due []string
-	for _, s := range t.all() {
-		if s.failing.Load() > 0 {
-			due = append(due, s.probes(now)...)
-		}
-	}
-	return due
-}
-
-func (s *service) probes(now time.Time) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	recent, _ := s.recentFailures()
-	most := 1
-	if s.isLost(recent) {
-		s.lostAt = now
-		most = max(minProbes, int(probeShare*float64(len(s.members))))
-	}
-	if recent == 0 && (s.lostAt.IsZero() || now.Sub(s.lostAt) > recoveryTime) {
-		return nil
-	}
-	var candidates []*upstream
-	for _, u := range s.members {
-		if now.Sub(u.probedAt) >= probeInterval && (u.fails() || recent > 0) {
-			candidates = append(candidates, u)
-		}
-	}
-	// First those that may show that the path is there.
-	sort.Slice(candidates, func(i, j int) bool {
-		a, b := candidates[i], candidates[j]
-		switch {
-		case a.fails() != b.fails():
-			return b.fails()
-		case !a.probedAt.Equal(b.probedAt):
-			return a.probedAt.Before(b.probedAt)
-		}
-		return a.id < b.id
-	})
-	candidates = candidates[:min(len(candidates), most)]
-	ids := make([]string, len(candidates))
-	for i, u := range candidates {
-		u.probedAt = now
-		ids[i] = u.id
-	}
-	return ids
-}
-
 func (t *Tracker) all() []*service {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -352,51 +287,3 @@
 	}
 	return list
 }
-
-// Change is a service to which the router has lost its own path, or reached it again.
-type Change struct {
-	Service string
-	Lost    bool
-	// Failing is how many of the Members upstreams fail; Failure is the way in which
-	// one of them did.
-	Failing, Members int
-	Failure          Failure
-}
-
-// Changes returns what has changed since the last call, for logs.
-func (t *Tracker) Changes() []Change {
-	var changes []Change
-	for _, s := range t.all() {
-		if c, changed := s.change(); changed {
-			changes = append(changes, c)
-		}
-	}
-	return changes
-}
-
-func (s *service) change() (Change, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	recent, silent := s.recentFailures()
-	lost := s.isLost(recent)
-	if lost == s.lost {
-		return Change{}, false
-	}
-	s.lost = lost
-	c := Change{Service: s.name, Lost: lost, Failing: len(s.failed), Members: len(s.members)}
-	if silent {
-		c.Failure = Silent
-	}
-	return c, true
-}
-
-// LostServices returns the services to which the router has lost its own path.
-func (t *Tracker) LostServices() []string {
-	var lost []string
-	for _, s := range t.all() {
-		if t.Lost(s.name) {
-			lost = append(lost, s.name)
-		}
-	}
-	return lost
-}
