relay, platform: upstreams' software versions and stream origins in the log

The logs of the incident could not tell a stream that was resumed inside an answer from one that its caller took up at another VM, nor show the versions: neither the version of an upstream nor the caller's Resumes header was read.

Request lines now have versions= (of the upstreams that it was sent to) and origin= (the caller's request that brought the first event), lines step=upstream have version= and start=. Nothing decides by them yet.

--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -108,7 +108,7 @@
 		}
 		delete(f.lapsing, change.Key)
 		if old, known := f.entries[change.Key]; !known || old.Leaving != u.Leaving || old.Start != u.Start {
-			klog.Infof("step=upstream id=%s service=%s address=%s leaving=%t", u.ID, u.Service, u.Address, u.Leaving)
+			klog.Infof("step=upstream id=%s service=%s address=%s version=%q start=%d leaving=%t", u.ID, u.Service, u.Address, u.Version, u.Start, u.Leaving)
 		}
 		f.limiter.Started(u.ID, u.Start)
 		f.entries[change.Key] = u
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -51,9 +51,9 @@
 
 // RequestLogLine returns the log line of one request. explain.ParseRequest parses it.
 func RequestLogLine(d relay.RequestRecord) string {
-	return fmt.Sprintf("step=request id=%s caller=%s route=%s workspace=%s outcome=%s cause=%s status=%d sends=%d upstreams=%v via=%s "+
+	return fmt.Sprintf("step=request id=%s caller=%s route=%s workspace=%s outcome=%s cause=%s status=%d sends=%d upstreams=%v versions=%q origin=%q via=%s "+
 		"expected_ms=%d first_ms=%d total_ms=%d ceiling=%d consumed=%d detail=%q",
-		d.ID, d.Caller, d.Route, d.Workspace, d.Outcome, d.Cause, d.Status, d.Sends, d.Upstreams, d.Via,
+		d.ID, d.Caller, d.Route, d.Workspace, d.Outcome, d.Cause, d.Status, d.Sends, d.Upstreams, d.Versions, d.Origin, d.Via,
 		d.Expected.Milliseconds(), d.First.Milliseconds(), d.Total.Milliseconds(), d.Ceiling, d.Consumed, d.Detail)
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -39,6 +39,7 @@
 	r.sends++
 	r.record.Sends = r.sends
 	r.record.Upstreams = append(r.record.Upstreams, t.target.ID)
+	r.record.Versions = append(r.record.Versions, t.target.Version)
 	if err != nil {
 		r.mayHaveRun = true
 		return t.handleBroken(ctx, err)
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -18,8 +18,10 @@
 	Address    string // host:port
 	DataCentre string
 	Service    string
-	Slots      int
-	Leaving    bool
+	// Version is the version of its software. Streams of two versions do not fit together.
+	Version string
+	Slots   int
+	Leaving bool
 	// WarmUp is how long the upstream remains cold, as it last reported.
 	WarmUp time.Duration
 }
@@ -121,6 +123,10 @@
 	Sends   int
 	// Upstreams lists the upstreams that the request was sent to.
 	Upstreams []string
+	// Versions lists the software versions of Upstreams.
+	Versions []string
+	// Origin is Request.Origin.
+	Origin string
 	// Via is the router through which the last response came; empty if it came directly.
 	Via string
 	// Expected is the time from the last send to the first byte that routing predicted;
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -52,7 +52,7 @@
 // is cancelled when the caller disconnects.
 func (r *Relay) Serve(ctx context.Context, w Writer, q *Request) {
 	call := &call{relay: r, writer: w, request: q}
-	call.record.ID, call.record.Caller = q.ID, q.Caller
+	call.record.ID, call.record.Caller, call.record.Origin = q.ID, q.Caller, q.Origin
 	// Deferred, since aborting the response panics.
 	defer func() {
 		call.record.Total = time.Since(q.Arrived)
--- a/relay/request.go
+++ b/relay/request.go
@@ -77,7 +77,10 @@
 	// LastEventID is the last event that the caller has; the response continues after
 	// it. It is empty for a stream from its beginning.
 	LastEventID string
-	Arrived     time.Time
+	// Origin is the id of the caller's request that brought the first event of the stream
+	// that this request continues. It is empty if the caller did not name it.
+	Origin  string
+	Arrived time.Time
 	// CallerTimeout is how long the caller waits after Arrived; 0 if it did not say.
 	CallerTimeout time.Duration
 }
