relay, edge: failing tests of streams that go on at another software version

TestStreamsKeepTheirVersion plays it in virtual time, six entry processes on a network in memory before twelve engines whose events name their version; callers take their streams up at other VMs with the id of the request that brought the first event. It judges both rules, ORDER and LOST, by what callers saw.

--- a/edge/cutenv_test.go
+++ b/edge/cutenv_test.go
@@ -71,11 +71,12 @@
 			return &relay.Request{
 				ID: id, Host: r.Host, Authority: r.Host, Method: r.Method, Target: r.URL.Path, Path: r.URL.Path,
 				Header: http.Header{"Id": {id}}, Arrived: time.Now(), CallerTimeout: requestTimeout,
+				LastEventID: r.Header.Get("Last-Event-Id"), Origin: r.Header.Get("Origin"),
 			}, nil
 		},
 		WriteProblem: func(h http.Header, p *relay.Problem) {
 			if p.RetryAfter > 0 {
-				h.Set("Retry-After", "1")
+				h.Set("Retry-After", strconv.FormatFloat(p.RetryAfter.Seconds(), 'f', 3, 64))
 			}
 		},
 		WriteHeader: func(out relay.OutgoingRequest) http.Header {
@@ -135,13 +136,18 @@
 
 // newVM returns a process whose connections are those of the test's network.
 func (e *cutEnv) newVM(i int) *Process {
+	return newTestVM(e.t, e.net, i, func(key string, _ []byte) (relay.Upstream, error) {
+		service, _, _ := strings.Cut(key, "-")
+		return relay.Upstream{ID: key, Address: key + ":1", Service: service, Slots: 64, Start: 1}, nil
+	})
+}
+
+// newTestVM returns a process whose connections are those of a network in memory.
+func newTestVM(t *testing.T, network *testnet.Network, i int, decode func(string, []byte) (relay.Upstream, error)) *Process {
+	t.Helper()
 	adapter := Adapter{
 		Table: store.NewFake(store.FakeOptions{}).As(vmName(i)).Table, Protocol: testProtocol(),
-		Upstream: func(key string, _ []byte) (relay.Upstream, error) {
-			service, _, _ := strings.Cut(key, "-")
-			return relay.Upstream{ID: key, Address: key + ":1", Service: service, Slots: 64, Start: 1}, nil
-		},
-		DialUpstream: e.net.Dialer(vmName(i)),
+		Upstream: decode, DialUpstream: network.Dialer(vmName(i)),
 	}
 	p, err := New(Settings{
 		VM: vmName(i), IP: "10.0.0.1", DataCentre: "d", Listen: "-", ReadyListen: "-", PeerListen: peerAddress(i), Store: "-",
@@ -149,11 +155,11 @@
 		RetryBudget: RetrySettings{Share: 0.2, Extra: 50, Window: settings.Duration(10 * time.Second)},
 	}, adapter)
 	if err != nil {
-		e.t.Fatal(err)
+		t.Fatal(err)
 	}
 	p.peers.client = peer.NewClient(nil)
-	p.peers.client.DialContext = e.net.Dialer(vmName(i))
-	l := e.net.Listen(peerAddress(i))
+	p.peers.client.DialContext = network.Dialer(vmName(i))
+	l := network.Listen(peerAddress(i))
 	go func() { _ = p.peerSrv.Serve(l) }()
 	return p
 }
--- /dev/null
+++ b/edge/versionenv_test.go
@@ -0,0 +1,432 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"buckthornridge/budget/allowance"
+	"buckthornridge/relay"
+	"buckthornridge/store"
+	"buckthornridge/testnet"
+)
+
+// Sizes and moments of a test with engines of several software versions.
+const (
+	versionVMs     = 6
+	versionEngines = 12
+	versionEvents  = 10
+	eventInterval  = 40 * time.Millisecond
+	streamInterval = 40 * time.Millisecond // between two new streams at one VM
+	listDelay      = 30 * time.Millisecond // of a change of an engine's entry
+	// inTouchAfter is how long a VM must have run undisturbed to count as in touch.
+	inTouchAfter   = 3 * time.Second
+	versionRun     = 9 * time.Second
+	disturbedAt    = 4 * time.Second
+	streamTimeout  = 4 * time.Second
+	streamAttempts = 3
+	reconnectDelay = 10 * time.Millisecond
+)
+
+// The rules: at most mixedAllowed streams hold events of two versions, and of takenUpJudged
+// or more streams that are taken up, the share that goes on is at least half of the share
+// of new streams that begin.
+const (
+	mixedAllowed  = 2
+	takenUpJudged = 12
+)
+
+// engine is a stand-in whose events name the version of its software.
+type engine struct {
+	ID      string `json:"id"`
+	Version string `json:"version"`
+	Start   int64  `json:"start"`
+	Leaving bool   `json:"leaving"`
+	server  *http.Server
+}
+
+func (g engine) address() string { return g.ID + ":1" }
+
+// versionVM is one VM and the process that it runs.
+type versionVM struct {
+	index   int
+	process *Process
+	ctx     context.Context // of the process and its callers' connections
+	end     context.CancelFunc
+	sinceAt time.Time // undisturbed since
+	offline bool      // it gets no changes of the list
+}
+
+// versionEnv is a fleet before engines of several versions, and callers that take their
+// streams up again at other VMs.
+type versionEnv struct {
+	t      *testing.T
+	net    *testnet.Network
+	random *rand.Rand
+
+	mu      sync.Mutex
+	vms     []*versionVM
+	engines map[string]*engine
+	listed  map[string]engine // the entries of the table
+	streams []*callerStream
+	tasks   sync.WaitGroup
+	all     []*Process
+}
+
+// callerStream is what a caller saw of one stream.
+type callerStream struct {
+	versions []string // of its events, each once
+	next     int      // number of the event that is due
+	broken   string   // what was wrong with its events
+	attempts []streamAttempt
+}
+
+// streamAttempt is one try of a caller.
+type streamAttempt struct {
+	at      time.Time
+	inTouch bool
+	takesUp bool
+	events  int // that it brought
+	status  int
+	whole   bool
+}
+
+func decodeEngine(_ string, data []byte) (relay.Upstream, error) {
+	var g engine
+	err := json.Unmarshal(data, &g)
+	return relay.Upstream{
+		ID: g.ID, Address: g.address(), Service: "engine", Slots: 64, Start: g.Start, Version: g.Version, Leaving: g.Leaving,
+	}, err
+}
+
+func newVersionEnv(t *testing.T, seed uint64, versions ...string) *versionEnv {
+	t.Helper()
+	e := &versionEnv{
+		t: t, net: testnet.NewNetwork(), random: rand.New(rand.NewPCG(seed, 55)),
+		engines: map[string]*engine{}, listed: map[string]engine{},
+	}
+	t.Cleanup(e.close)
+	for i := range versionEngines {
+		e.startEngine(fmt.Sprintf("engine-%d", i), versions[i%len(versions)])
+		e.list(fmt.Sprintf("engine-%d", i))
+	}
+	for i := range versionVMs {
+		e.vms = append(e.vms, &versionVM{index: i})
+		e.startVM(i)
+	}
+	return e
+}
+
+func (e *versionEnv) close() {
+	for _, vm := range e.vms {
+		vm.end()
+	}
+	for _, p := range e.all {
+		p.peerSrv.Close()
+		p.peers.client.Close()
+	}
+	for _, g := range e.engines {
+		g.server.Close()
+	}
+	e.net.Close()
+	e.tasks.Wait()
+	for _, p := range e.all {
+		p.tasks.Wait()
+	}
+}
+
+// startEngine starts a process of an engine. Its entry is not written.
+func (e *versionEnv) startEngine(id, version string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g := &engine{ID: id, Version: version, Start: time.Now().UnixMilli()}
+	g.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { g.serve(w, r) })}
+	e.engines[id] = g
+	l := e.net.Listen(g.address())
+	go func() { _ = g.server.Serve(l) }()
+}
+
+// serve streams events that name the engine's version.
+func (g *engine) serve(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("Signed", "yes")
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := last + 1; n <= versionEvents; n++ {
+		time.Sleep(eventInterval)
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, g.Version)
+		if http.NewResponseController(w).Flush() != nil || r.Context().Err() != nil {
+			return
+		}
+	}
+}
+
+// crashEngine ends an engine's process; its entry stays.
+func (e *versionEnv) crashEngine(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.engines[id].server.Close()
+}
+
+// list writes an engine's entry to the table; the VMs that are in touch get it a little later.
+func (e *versionEnv) list(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.listed[id] = *e.engines[id]
+	e.spread()
+}
+
+// unlist deletes an engine's entry.
+func (e *versionEnv) unlist(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.listed, id)
+	e.spread()
+}
+
+// spread brings the list to all VMs that are in touch with the table.
+func (e *versionEnv) spread() {
+	e.tasks.Go(func() {
+		time.Sleep(listDelay)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		for _, vm := range e.vms {
+			if !vm.offline && vm.process != nil {
+				e.bring(vm.process)
+			}
+		}
+	})
+}
+
+// bring applies the table's list to one process.
+func (e *versionEnv) bring(p *Process) {
+	for id, g := range e.listed {
+		data, err := json.Marshal(g)
+		if err != nil {
+			panic(err)
+		}
+		p.fleet.apply([]store.Change{{Row: store.Row{Key: id, Value: data}}})
+	}
+	for id := range *p.fleet.current.Load() {
+		if _, known := e.listed[id]; !known {
+			p.fleet.apply(deletionOf(id))
+		}
+	}
+}
+
+// startVM starts an empty process on a VM.
+func (e *versionEnv) startVM(i int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	vm := e.vms[i]
+	p := newTestVM(e.t, e.net, i, decodeEngine)
+	vm.ctx, vm.end = context.WithCancel(e.t.Context())
+	for other := range versionVMs {
+		p.peers.fleet = append(p.peers.fleet, allowance.Peer{VM: vmName(other), DataCentre: "d", Strength: 1})
+		if other != i {
+			p.peers.addresses[vmName(other)] = peerAddress(other)
+		}
+	}
+	e.bring(p)
+	p.activate(relay.NewCatalogue(relay.Definition{
+		Version:  1,
+		Services: []relay.Service{{Name: "engine", Slots: 64, Engine: true}},
+		Routes: []relay.Route{{
+			Name: "resume", Host: "h", Prefix: "/", Kind: relay.Resumable, Attempts: 3, Public: true, Timeout: streamTimeout,
+			TargetLatency: 400 * time.Millisecond, Services: []relay.WeightedService{{Service: "engine", Weight: 1}},
+		}},
+	}))
+	ctx := vm.ctx
+	p.tasks.Go(func() { p.maintain(ctx) })
+	e.all = append(e.all, p)
+	vm.process, vm.sinceAt = p, time.Now()
+}
+
+// killVM ends a VM's process, its connections and its memory.
+func (e *versionEnv) killVM(i int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	vm := e.vms[i]
+	vm.end()
+	vm.process.peerSrv.Close()
+	vm.process.peers.client.Close()
+	vm.process = nil
+}
+
+// partition cuts a VM off from the table and from the other VMs, or ends that.
+func (e *versionEnv) partition(i int, cut bool) {
+	mode := testnet.Reachable
+	if cut {
+		mode = testnet.Silent
+	}
+	for other := range versionVMs {
+		e.net.Cut(mode, vmName(i), peerAddress(other))
+		e.net.Cut(mode, vmName(other), peerAddress(i))
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.vms[i].offline, e.vms[i].sinceAt = cut, time.Now()
+	if !cut {
+		e.bring(e.vms[i].process)
+	}
+}
+
+// enter returns a VM for a caller: a certain one, or any that runs but the last one.
+func (e *versionEnv) enter(certain, last int) *versionVM {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if certain >= 0 && e.vms[certain].process != nil {
+		vm := *e.vms[certain]
+		return &vm
+	}
+	var running []int
+	for i, vm := range e.vms {
+		if vm.process != nil && i != last {
+			running = append(running, i)
+		}
+	}
+	vm := *e.vms[running[e.random.IntN(len(running))]]
+	return &vm
+}
+
+// stream has a caller ask for a stream, and take it up at other VMs until it is whole.
+func (e *versionEnv) stream(id string, home int) {
+	s := &callerStream{next: 1}
+	origin, last := "", -1
+	for n := range streamAttempts {
+		vm := e.enter(home, last)
+		home, last = -1, vm.index
+		attempt, retryAfter := e.attempt(vm, s, "/"+id, fmt.Sprintf("%s.%d", id, n), origin)
+		if attempt.events > 0 && origin == "" {
+			origin = fmt.Sprintf("%s.%d", id, n)
+		}
+		s.attempts = append(s.attempts, attempt)
+		if attempt.whole || s.broken != "" {
+			break
+		}
+		time.Sleep(retryAfter)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.streams = append(e.streams, s)
+}
+
+// attempt sends one request and reads what it brings.
+func (e *versionEnv) attempt(vm *versionVM, s *callerStream, path, id, origin string) (streamAttempt, time.Duration) {
+	ctx, cancel := context.WithTimeout(vm.ctx, streamTimeout)
+	defer cancel()
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://h"+path, nil)
+	r.Header.Set("Id", id)
+	a := streamAttempt{at: time.Now(), takesUp: s.next > 1, inTouch: !vm.offline && time.Since(vm.sinceAt) >= inTouchAfter}
+	if a.takesUp {
+		r.Header.Set("Last-Event-Id", strconv.Itoa(s.next-1))
+		r.Header.Set("Origin", origin)
+	}
+	w := &safeRecorder{ResponseRecorder: httptest.NewRecorder()}
+	func() {
+		defer func() {
+			if problem := recover(); problem != nil && problem != http.ErrAbortHandler {
+				panic(problem)
+			}
+		}()
+		vm.process.callers.Handler.ServeHTTP(w, r)
+	}()
+	a.status = w.Code
+	wait, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+	if err != nil {
+		wait = reconnectDelay.Seconds()
+	}
+	if w.Code == http.StatusOK && w.Body.Len() > 0 {
+		a.events = s.read(w.Body.String())
+		a.whole = s.next > versionEvents
+	}
+	return a, time.Duration(wait * float64(time.Second))
+}
+
+// read takes the events of an answer and returns how many there are.
+func (s *callerStream) read(body string) int {
+	count := 0
+	for event := range strings.SplitSeq(strings.TrimSuffix(body, "\n\n"), "\n\n") {
+		var n int
+		var version string
+		if _, err := fmt.Sscanf(event, "id: %d\ndata: %s", &n, &version); err != nil || n != s.next {
+			s.broken = fmt.Sprintf("%q in place of event %d", event, s.next)
+			return count
+		}
+		count++
+		s.next++
+		if !slices.Contains(s.versions, version) {
+			s.versions = append(s.versions, version)
+		}
+	}
+	return count
+}
+
+// load has callers begin streams at all VMs that run, and makes changes at their moments.
+func (e *versionEnv) load(changes map[time.Duration]func()) {
+	var callers sync.WaitGroup
+	n := 0
+	for now := time.Duration(0); now < versionRun; now += 10 * time.Millisecond {
+		if change := changes[now]; change != nil {
+			change()
+		}
+		if now%streamInterval == 0 {
+			for home := range versionVMs {
+				n++
+				id := fmt.Sprint("s", n)
+				callers.Go(func() { e.stream(id, home) })
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	callers.Wait()
+}
+
+// judge checks the rules by what callers saw. versions reports whether two versions serve
+// at a moment.
+func (e *versionEnv) judge(severalServe func(at time.Time) bool) {
+	e.t.Helper()
+	mixed, takenUp, goOn, asked, begun, whole := 0, 0, 0, 0, 0, 0
+	for _, s := range e.streams {
+		if s.broken != "" {
+			e.t.Errorf("a stream has %s", s.broken)
+		}
+		if len(s.versions) > 1 {
+			mixed++
+		}
+		for _, a := range s.attempts {
+			if a.whole {
+				whole++
+			}
+			if !a.inTouch || !severalServe(a.at) {
+				continue
+			}
+			if a.takesUp {
+				takenUp++
+				goOn += min(a.events, 1)
+			} else {
+				asked++
+				begun += min(a.events, 1)
+			}
+		}
+	}
+	e.t.Logf("%d streams, %d whole, %d mixed; taken up in touch %d, of them %d go on; new %d, of them %d begin",
+		len(e.streams), whole, mixed, takenUp, goOn, asked, begun)
+	if mixed > mixedAllowed {
+		e.t.Errorf("ORDER: %d streams hold events of two versions", mixed)
+	}
+	if takenUp >= takenUpJudged && 2*goOn*asked < begun*takenUp {
+		e.t.Errorf("LOST: %d of %d streams that were taken up go on, %d of %d new ones begin", goOn, takenUp, begun, asked)
+	}
+}
+
+// always says that two versions serve all the time.
+func always(time.Time) bool { return true }
