--- a/edge/atomic_time.go
+++ b/edge/atomic_time.go
@@ -13,6 +13,11 @@
 
 func (m *atomicTime) set() { m.at.Store(int64(time.Since(processStart)) + 1) }
 
+// setEarlier sets it to a time ago.
+func (m *atomicTime) setEarlier(ago time.Duration) {
+	m.at.Store(int64(time.Since(processStart)-ago) + 1)
+}
+
 // elapsed returns the time since it was set, and false if it never was.
 func (m *atomicTime) elapsed() (time.Duration, bool) {
 	at := m.at.Load()
--- a/edge/cutenv_test.go
+++ b/edge/cutenv_test.go
@@ -89,6 +89,10 @@
 			return relay.Head{Status: status, Header: h, Signed: h.Get("Signed") != "", NotExecuted: h.Get("Not-Run") != ""}
 		},
 		ResponseMatches: func(id string, h http.Header) bool { return h.Get("Id") == id },
+		ReadProcess: func(status int, body []byte) (int64, bool) {
+			process, err := strconv.ParseInt(string(body), 10, 64)
+			return process, err == nil && status == http.StatusOK
+		},
 	}
 }
 
@@ -136,19 +140,16 @@
 
 // newVM returns a process whose connections are those of the test's network.
 func (e *cutEnv) newVM(i int) *Process {
-	return newTestVM(e.t, e.net, i, func(key string, _ []byte) (relay.Upstream, error) {
+	return newTestVM(e.t, e.net, i, Adapter{Table: store.NewFake(store.FakeOptions{}).As(vmName(i)).Table, Protocol: testProtocol()}, func(key string, _ []byte) (relay.Upstream, error) {
 		service, _, _ := strings.Cut(key, "-")
 		return relay.Upstream{ID: key, Address: key + ":1", Service: service, Slots: 64, Start: 1}, nil
 	})
 }
 
 // newTestVM returns a process whose connections are those of a network in memory.
-func newTestVM(t *testing.T, network *testnet.Network, i int, decode func(string, []byte) (relay.Upstream, error)) *Process {
+func newTestVM(t *testing.T, network *testnet.Network, i int, adapter Adapter, decode func(string, []byte) (relay.Upstream, error)) *Process {
 	t.Helper()
-	adapter := Adapter{
-		Table: store.NewFake(store.FakeOptions{}).As(vmName(i)).Table, Protocol: testProtocol(),
-		Upstream: decode, DialUpstream: network.Dialer(vmName(i)),
-	}
+	adapter.Upstream, adapter.DialUpstream = decode, network.Dialer(vmName(i))
 	p, err := New(Settings{
 		VM: vmName(i), IP: "10.0.0.1", DataCentre: "d", Listen: "-", ReadyListen: "-", PeerListen: peerAddress(i), Store: "-",
 		DrainLimit: settings.Duration(8 * time.Second), ConfigurationInForce: settings.Duration(2 * time.Second),
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,24 +83,27 @@
 	adapter     Adapter
 	incarnation string
 
-	catalogue  relay.CurrentCatalogue
-	routes     *routing.Table
-	fleet      *fleet
-	manager    *allowance.Manager
-	pool       *exchange.Pool
-	paths      *reach.Tracker // the VM's own paths to upstreams
-	forward    *forwarder     // sends through other VMs
-	forwarded  *forwardServer // sends for other VMs
-	guard      *quarantine.Guard
-	peers      *peers
-	gate       *traffic.Gate // whether the VM's link has capacity for new callers
-	notices    *notices      // nil without an address in the settings
-	peerSrv    *peer.Server
-	metrics    *metrics
-	config     *follower
-	upstreams  *follower
-	quarantine *follower
-	lastOutage atomicTime // when the table last was in an outage
+	catalogue   relay.CurrentCatalogue
+	routes      *routing.Table
+	fleet       *fleet
+	manager     *allowance.Manager
+	pool        *exchange.Pool
+	paths       *reach.Tracker // the VM's own paths to upstreams
+	forward     *forwarder     // sends through other VMs
+	forwarded   *forwardServer // sends for other VMs
+	guard       *quarantine.Guard
+	peers       *peers
+	gate        *traffic.Gate // whether the VM's link has capacity for new callers
+	notices     *notices      // nil without an address in the settings
+	peerSrv     *peer.Server
+	metrics     *metrics
+	config      *follower
+	upstreams   *follower
+	quarantine  *follower
+	lastOutage  atomicTime // when the table last was in an outage
+	outageBegan atomicTime // when the last outage of the table began, roughly
+	inOutage    atomic.Bool
+	origins     *origins // where streams began
 
 	callers         *http.Server
 	ready           *http.Server
@@ -132,10 +136,14 @@
 		traffic: a.Traffic,
 		self:    allowance.Peer{VM: s.VM, DataCentre: s.DataCentre, Strength: s.Strength},
 		address: s.PeerListen, client: newPeerClient(a.Traffic), table: a.Table, feed: a.Feed,
-		addresses: map[string]string{}, seeds: s.Peers, rows: map[string]store.Row{},
+		addresses: map[string]string{}, hostByVM: map[string]netip.Addr{}, seeds: s.Peers, rows: map[string]store.Row{},
 		sharingCache: map[string]allowance.Sharing{},
 	}
 	p.fleet.routers = p.peers.members
+	p.fleet.identity.question, p.fleet.identity.read = a.Protocol.ProcessQuestion, a.Protocol.ReadProcess
+	p.fleet.identity.staleSince = p.listStaleSince
+	p.origins = newOrigins(p.peers, p.fleet.history)
+	p.origins.serve(p.peerSrv)
 	p.paths = p.fleet.paths
 	p.forward = &forwarder{peers: p.peers, choice: reach.NewForwarders(), protocol: a.Protocol}
 	p.forwarded = &forwardServer{pool: p.pool, tracker: p.paths, fleet: p.fleet, protocol: a.Protocol, stopping: &p.stopping}
@@ -169,14 +177,14 @@
 	served := &relay.Relay{
 		Catalogue: &p.catalogue, Budgets: budgets{p.manager}, Picker: picker, Fleet: p.fleet,
 		Sender: pathSender{
-			direct:  sender{pool: p.pool, protocol: p.adapter.Protocol, tracker: p.paths},
+			direct:  sender{pool: p.pool, protocol: p.adapter.Protocol, tracker: p.paths, identity: p.fleet.identity},
 			tracker: p.paths, forward: p.forward,
 		},
 		RetryBudget: relay.NewRetryBudget(relay.RetryPolicy{
 			Share: p.settings.RetryBudget.Share, Extra: p.settings.RetryBudget.Extra, Window: p.settings.RetryBudget.Window.D(),
 		}),
 		Guard: p.guard, Limiter: p.fleet.limiter, Rejections: p.fleet.rejections,
-		Recorder: p.metrics, DataCentre: p.settings.DataCentre, Routers: p.peers.count,
+		Origins: p.origins, Recorder: p.metrics, DataCentre: p.settings.DataCentre, Routers: p.peers.count,
 	}
 	p.callers = &http.Server{
 		Handler:           &callerHandler{protocol: p.adapter.Protocol, relay: served, catalogue: &p.catalogue, stopping: &p.stopping, active: &p.active},
@@ -246,7 +254,7 @@
 		return err
 	}
 	for _, task := range []func(context.Context){
-		p.config.run, p.upstreams.run, p.quarantine.run, p.publisher().Run, p.manager.Run, p.maintain, p.monitorLink,
+		p.config.run, p.upstreams.run, p.quarantine.run, p.publisher().Run, p.versionLog().Run, p.manager.Run, p.maintain, p.monitorLink,
 		func(ctx context.Context) { p.peers.run(ctx, p.incarnation) },
 		func(ctx context.Context) { p.peers.pollPeers(ctx, p.config, peerInterval) },
 		func(ctx context.Context) { p.peers.pollPeers(ctx, p.upstreams, peerInterval) },
@@ -268,17 +276,32 @@
 	if p.settings.NoticeListen == "" {
 		return nil
 	}
-	n, err := newNotices(p.settings.NoticeListen, p.settings.Strength, p.peers.hosts, noticeReceiver{p.routes, p.fleet.limiter, p.fleet.rejections}, p.adapter.Traffic)
+	local, err := netip.ParseAddrPort(p.settings.NoticeListen)
 	if err != nil {
-		return err
+		return eris.Wrap(err, "parse notice address")
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(local))
+	if err != nil {
+		return eris.Wrapf(err, "listen for notices on %s", p.settings.NoticeListen)
 	}
+	p.runNotices(ctx, conn, local.Port())
+	return nil
+}
+
+// runNotices exchanges notices over a socket until the context ends.
+func (p *Process) runNotices(ctx context.Context, conn noticeConn, port uint16) {
+	n := newNotices(conn, port, p.settings.Strength, p.peers.hosts, p.noticeReceiver(), p.adapter.Traffic)
 	p.notices = n
 	p.routes.OnDispatch(n.notifyDispatch)
 	p.routes.OnReplaced(n.notifyReplaced)
 	p.fleet.limiter.OnChange(n.notifyLimit)
 	p.fleet.rejections.OnRejected(n.notifyRejection)
+	p.origins.send = n.sendOrigin
 	p.tasks.Go(func() { n.run(ctx) })
-	return nil
+}
+
+func (p *Process) noticeReceiver() noticeReceiver {
+	return noticeReceiver{p.routes, p.fleet.limiter, p.fleet.rejections, p.origins}
 }
 
 func (p *Process) listen(ctx context.Context, address string, kind traffic.Kind, serve func(net.Listener) error) error {
@@ -348,18 +371,47 @@
 // maintain runs the periodic tasks until the context ends.
 func (p *Process) maintain(ctx context.Context) {
 	for ctx.Err() == nil {
-		if age, known := p.upstreams.lastAnswer.elapsed(); known && age > p.upstreams.wait+outageThreshold {
-			p.lastOutage.set()
-		}
+		p.watchTable()
 		p.fleet.removeLapsed()
 		p.pool.Sweep()
 		p.routes.SetRouters(p.peers.count())
 		p.fleet.updateRouters()
+		p.origins.records.Expire(time.Now())
 		p.maintainPaths(ctx)
 		_ = pause.For(ctx, maintenanceInterval)
 	}
 }
 
+// watchTable records the beginning and the end of outages of the table.
+func (p *Process) watchTable() {
+	age, known := p.upstreams.lastAnswer.elapsed()
+	if !known || age <= p.upstreams.wait+outageThreshold {
+		p.inOutage.Store(false)
+		return
+	}
+	if !p.inOutage.Swap(true) {
+		p.outageBegan.setEarlier(age)
+	}
+	p.lastOutage.set()
+}
+
+// listStaleSince returns since when the list of upstreams may be behind: in an outage of
+// the table, and until the upstreams have written their entries again after it.
+func (p *Process) listStaleSince() (time.Time, bool) {
+	age, known := p.upstreams.lastAnswer.elapsed()
+	if !known {
+		return time.Time{}, true
+	}
+	if age > p.upstreams.wait+outageThreshold {
+		return time.Now().Add(-age), true
+	}
+	if age, any := p.lastOutage.elapsed(); !any || age > lapseHold {
+		return time.Time{}, false
+	}
+	began, _ := p.outageBegan.elapsed()
+	return time.Now().Add(-began), true
+}
+
 // lapseDeadline returns the time until which a deleted entry may have lapsed in an
 // outage of the table rather than been removed.
 func (p *Process) lapseDeadline() time.Time {
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -9,6 +9,7 @@
 
 	"buckthornridge/budget/allowance"
 	"buckthornridge/config"
+	"buckthornridge/origin"
 	"buckthornridge/ratelimit"
 	"buckthornridge/reach"
 	"buckthornridge/relay"
@@ -55,6 +56,8 @@
 	// rejections follows the upstreams that bear few rejections.
 	rejections *ratelimit.Rejections
 	paths      *reach.Tracker // the VM's own paths to the upstreams
+	history    *origin.History
+	identity   *identities
 }
 
 func newFleet(decode func(string, []byte) (relay.Upstream, error), table *routing.Table, lapseDeadline func() time.Time) *fleet {
@@ -62,7 +65,12 @@
 		decode: decode, table: table, lapseDeadline: lapseDeadline,
 		entries: map[string]relay.Upstream{}, lapsing: map[string]time.Time{}, serviceByName: map[string]relay.Service{},
 		evacuated: map[string]bool{}, cold: coldUpstreams{}, paths: reach.NewTracker(),
-		routers: func() (string, []allowance.Peer) { return "", nil },
+		routers: func() (string, []allowance.Peer) { return "", nil }, history: origin.NewHistory(time.Now()),
+	}
+	f.identity = &identities{
+		staleSince: func() (time.Time, bool) { return time.Time{}, false },
+		several:    func(service string) bool { return f.history.Several(service, time.Now()) },
+		doubts:     map[string]doubt{},
 	}
 	f.limiter = ratelimit.NewLimiter(&f.shares, table.SetLimit)
 	f.rejections = ratelimit.NewRejections(table.BackOff, func() int { _, all := f.routers(); return len(all) })
@@ -90,6 +98,16 @@
 	return u, known
 }
 
+// Any implements relay.Fleet.
+func (f *fleet) Any(condition func(relay.Upstream) bool) bool {
+	for _, u := range *f.current.Load() {
+		if condition(u) {
+			return true
+		}
+	}
+	return false
+}
+
 // apply applies changes of the segment.
 func (f *fleet) apply(changes []store.Change) {
 	f.mu.Lock()
@@ -115,6 +133,20 @@
 		f.cold.extend(change.Key, u.WarmUp)
 	}
 	f.publish()
+	f.updateHistory()
+}
+
+// updateHistory passes the versions that are listed on. The caller must hold f.mu.
+func (f *fleet) updateHistory() {
+	versions := map[string]map[string]bool{}
+	for _, u := range f.entries {
+		if versions[u.Service] == nil {
+			versions[u.Service] = map[string]bool{}
+		}
+		versions[u.Service][u.Version] = true
+	}
+	f.history.Update(versions, time.Now())
+	f.identity.retain(*f.current.Load())
 }
 
 // remove removes an upstream, or marks it as lapsing if its entry may only have lapsed.
@@ -151,6 +183,7 @@
 	}
 	if removed {
 		f.publish()
+		f.updateHistory()
 	}
 }
 
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -61,7 +61,10 @@
 	Header   http.Header `msgpack:"e"`
 	Body     []byte      `msgpack:"b"`
 	Fresh    bool        `msgpack:"f"` // exchange.Request.FreshConnection
-	Trace    string      `msgpack:"c"` // traceparent
+	// Identify and Process are those of relay.OutgoingRequest.
+	Identify relay.Identify `msgpack:"n,omitempty"`
+	Process  int64          `msgpack:"p,omitempty"`
+	Trace    string         `msgpack:"c"` // traceparent
 }
 
 // forwardMessage is one message of the response: the head first, then parts of the body.
@@ -69,6 +72,8 @@
 	Status int         `msgpack:"s,omitempty"`
 	Header http.Header `msgpack:"e,omitempty"`
 	Body   []byte      `msgpack:"b,omitempty"`
+	// Process is the one that answers; 0 if it is not known.
+	Process int64 `msgpack:"p,omitempty"`
 }
 
 // forwarder sends requests through other VMs.
@@ -172,6 +177,7 @@
 		ID: out.Request.ID, Upstream: out.Upstream.ID, Address: out.Upstream.Address,
 		Method: out.Request.Method, Target: out.Request.Target, Host: out.Request.Authority,
 		Header: f.protocol.WriteHeader(out), Body: out.Request.Body, Fresh: out.FreshConnection,
+		Identify: out.Identify, Process: out.Process,
 		Trace: telemetry.Traceparent(ctx),
 	})
 }
@@ -214,7 +220,7 @@
 		return eris.New("forward: a response without a status")
 	}
 	r.head = protocol.ReadHead(m.Status, m.Header)
-	r.head.Via = r.address
+	r.head.Via, r.head.Process = r.address, m.Process
 	return nil
 }
 
--- a/edge/forward_server.go
+++ b/edge/forward_server.go
@@ -90,10 +90,13 @@
 
 // exchange sends the request and passes the response on.
 func (f *forwardServer) exchange(ctx context.Context, q forwardRequest, send peer.Sender) error {
-	o := observer{tracker: f.tracker, id: q.Upstream, began: time.Now()}
+	u, _ := f.fleet.Upstream(q.Upstream)
+	identity := f.fleet.identity
+	o := observer{tracker: f.tracker, identity: identity, upstream: u, began: time.Now()}
 	response, err := f.pool.Do(ctx, q.Address, &exchange.Request{
 		Method: q.Method, Target: q.Target, Host: q.Host, Header: q.Header, Body: q.Body,
-		FreshConnection: q.Fresh, Dialed: o.dialed,
+		FreshConnection: q.Fresh, Dialed: o.dialed, Closed: o.suspect,
+		Identify:        func() *exchange.Identification { return identity.identification(u, q.Identify, q.Process) },
 		ResponseMatches: func(h http.Header) bool { return f.protocol.ResponseMatches(q.ID, h) },
 	})
 	if errors.Is(err, upstream.ErrNotSent) {
@@ -104,7 +107,8 @@
 		return err
 	}
 	defer response.Close()
-	if err := send(forwardMessage{Status: response.Status, Header: response.Header}); err != nil {
+	first := forwardMessage{Status: response.Status, Header: response.Header, Process: identity.processOf(u, response)}
+	if err := send(first); err != nil {
 		return err
 	}
 	chunk := make([]byte, forwardChunk)
--- a/edge/limit_test.go
+++ b/edge/limit_test.go
@@ -170,7 +170,7 @@
 		e := newColdEnv(t, 2)
 		e.apply(writeOf("d1", "warm"))
 		first, second := e.fleets[0].limiter, e.fleets[1].limiter
-		receiver := &notices{observer: noticeReceiver{routing.NewTable(), second, e.fleets[1].rejections}}
+		receiver := &notices{observer: noticeReceiver{routing.NewTable(), second, e.fleets[1].rejections, nil}}
 		first.OnChange(func(id string, process int64, r ratelimit.Reading) {
 			receiver.deliver(notice{Limit: &limitNotice{Upstream: id, Process: process, Named: r.Named, PerSecond: r.PerSecond}})
 		})
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 	"golang.org/x/time/rate"
 	"k8s.io/klog/v2"
@@ -30,7 +29,7 @@
 	// used up; shorter ones are announced only while more of it remains.
 	longPrefill = 500 * time.Millisecond
 	// noticeBytes is the size of the largest notice that is read.
-	noticeBytes = 512
+	noticeBytes = 1024
 	// noticeQueue is the capacity of the queue of unsent notices.
 	noticeQueue = 64
 )
@@ -45,6 +44,8 @@
 	Limit *limitNotice `msgpack:"l,omitempty"`
 	// Rejection is a rejection by an upstream that bears few.
 	Rejection *rejectionNotice `msgpack:"j,omitempty"`
+	// Origin is where a stream began.
+	Origin *originNotice `msgpack:"o,omitempty"`
 }
 
 // limitNotice tells what an upstream says of the rate that it takes.
@@ -67,13 +68,15 @@
 	MarkReplaced(id string)
 	Learn(upstream string, process int64, r ratelimit.Reading) bool
 	ObserveRejection(upstream string, perSecond float64)
+	ObserveOrigin(o originNotice)
 }
 
-// noticeReceiver passes notices to routing and to the limiter.
+// noticeReceiver passes notices on to those that they are for.
 type noticeReceiver struct {
 	*routing.Table
 	*ratelimit.Limiter
 	rejections *ratelimit.Rejections
+	*origins
 }
 
 // ObserveRejection implements noticeObserver.
@@ -86,7 +89,7 @@
 // to each VM. A lost one costs at most a worse choice of an upstream, and a connection
 // to each VM of a large fleet would cost more than all notices.
 type notices struct {
-	conn    *net.UDPConn
+	conn    noticeConn
 	port    uint16 // the same on all VMs
 	limiter *rate.Limiter
 	queue   chan notice
@@ -98,24 +101,23 @@
 	sent, received, skipped atomic.Int64
 }
 
-// newNotices listens on an address, host:port.
-func newNotices(address string, strength float64, peers func() []netip.Addr, observer noticeObserver, meter *traffic.Meter) (*notices, error) {
-	local, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil, eris.Wrap(err, "parse notice address")
-	}
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(local))
-	if err != nil {
-		return nil, eris.Wrapf(err, "listen for notices on %s", address)
-	}
+// noticeConn is a socket for datagrams; *net.UDPConn implements it.
+type noticeConn interface {
+	ReadFromUDPAddrPort(b []byte) (int, netip.AddrPort, error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
+	Close() error
+}
+
+// newNotices returns notices over a socket. All VMs use the same port.
+func newNotices(conn noticeConn, port uint16, strength float64, peers func() []netip.Addr, observer noticeObserver, meter *traffic.Meter) *notices {
 	if strength <= 0 {
 		strength = 1
 	}
 	perSecond := strength * noticeRate
 	return &notices{
-		conn: conn, port: local.Port(), limiter: rate.NewLimiter(rate.Limit(perSecond), int(noticeBurst*perSecond)),
+		conn: conn, port: port, limiter: rate.NewLimiter(rate.Limit(perSecond), int(noticeBurst*perSecond)),
 		queue: make(chan notice, noticeQueue), peers: peers, observer: observer, traffic: meter,
-	}, nil
+	}
 }
 
 // notifyDispatch queues a notice of a prompt with the given prefill time. It never
@@ -175,11 +177,20 @@
 	}
 }
 
-func (n *notices) send(msg notice) {
-	peers := n.withinRate(n.peers())
+func (n *notices) send(msg notice) { n.sendTo(n.withinRate(n.peers()), msg) }
+
+// sendOrigin sends where a stream began at once: it must be on its way before the stream's
+// first event is. The limit of the rate does not apply, since a stream that breaks off
+// could not be continued elsewhere.
+func (n *notices) sendOrigin(peers []netip.Addr, o originNotice) {
+	n.limiter.AllowN(time.Now(), len(peers))
+	n.sendTo(peers, notice{Origin: &o})
+}
+
+func (n *notices) sendTo(peers []netip.Addr, msg notice) {
 	data, err := msgpack.Marshal(msg)
-	if err != nil {
-		klog.Errorf("step=notice result=failed err=%q", err.Error())
+	if err != nil || len(data) > noticeBytes {
+		klog.Errorf("step=notice result=failed bytes=%d err=%v", len(data), err)
 		return
 	}
 	for _, address := range peers {
@@ -246,6 +257,10 @@
 		n.observer.ObserveRejection(r.Upstream, r.PerSecond)
 		return
 	}
+	if o := msg.Origin; o != nil {
+		n.observer.ObserveOrigin(*o)
+		return
+	}
 	n.observer.ObserveDispatch(msg.DispatchNotice)
 }
 
--- a/edge/notices_rate_test.go
+++ b/edge/notices_rate_test.go
@@ -21,7 +21,6 @@
 	}
 	n := noticesAt(t, "127.0.0.1", 0, peers, newNoticeRecorder())
 	t.Cleanup(func() { n.conn.Close() })
-	n.port = netip.MustParseAddrPort(n.conn.LocalAddr().String()).Port()
 	n.limiter.SetLimit(strength * noticeRate)
 	n.limiter.SetBurst(strength * noticeRate)
 	began := time.Now()
--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -17,11 +18,13 @@
 // free one.
 func noticesAt(t *testing.T, host string, port uint16, peers []netip.Addr, observer noticeObserver) *notices {
 	t.Helper()
-	n, err := newNotices(fmt.Sprintf("%s:%d", host, port), 1, func() []netip.Addr { return peers }, observer, new(traffic.Meter))
+	at := netip.MustParseAddrPort(fmt.Sprintf("%s:%d", host, port))
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return n
+	port = netip.MustParseAddrPort(conn.LocalAddr().String()).Port()
+	return newNotices(conn, port, 1, func() []netip.Addr { return peers }, observer, new(traffic.Meter))
 }
 
 // noticeRecorder is a noticeObserver that sends notices to channels.
@@ -44,6 +47,9 @@
 // Learn implements noticeObserver.
 func (h noticeRecorder) ObserveRejection(upstream string, _ float64) { h.replaced <- upstream }
 
+// ObserveOrigin implements noticeObserver.
+func (h noticeRecorder) ObserveOrigin(o originNotice) { h.replaced <- o.Key }
+
 func (h noticeRecorder) Learn(_ string, _ int64, r ratelimit.Reading) bool {
 	h.limits <- r
 	return true
@@ -54,11 +60,10 @@
 	is := is.New(t)
 	recorder := newNoticeRecorder()
 	b := noticesAt(t, "127.0.0.2", 0, nil, recorder)
-	port := netip.MustParseAddrPort(b.conn.LocalAddr().String()).Port()
-	a := noticesAt(t, "127.0.0.1", port, []netip.Addr{netip.MustParseAddr("127.0.0.2")}, newNoticeRecorder())
+	a := noticesAt(t, "127.0.0.1", b.port, []netip.Addr{netip.MustParseAddr("127.0.0.2")}, newNoticeRecorder())
 	go a.run(t.Context())
 	go b.run(t.Context())
-	_, err := a.conn.WriteToUDPAddrPort([]byte("no notice"), netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), port))
+	_, err := a.conn.WriteToUDPAddrPort([]byte("no notice"), netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), b.port))
 	is.NoErr(err)
 	sent := routing.DispatchNotice{Upstream: "u1", Session: 7, Tokens: 45_000}
 	a.notifyDispatch(sent, time.Second)
--- a/edge/path.go
+++ b/edge/path.go
@@ -49,23 +49,29 @@
 
 // observer records what a request's connection shows of the path to its upstream.
 type observer struct {
-	tracker *reach.Tracker
-	id      string
-	began   time.Time
+	tracker  *reach.Tracker
+	identity *identities
+	upstream relay.Upstream
+	began    time.Time
 }
 
+// suspect records that the upstream's process may have ended.
+func (o observer) suspect() { o.identity.suspect(o.upstream.ID, o.upstream.Start, time.Now()) }
+
 // dialed records the result of opening a connection.
 func (o observer) dialed(err error) {
 	now := time.Now()
 	switch {
 	case err == nil:
-		o.tracker.Connected(o.id, now)
+		o.tracker.Connected(o.upstream.ID, now)
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
-		o.tracker.Failed(o.id, reach.Refused, o.began, now)
+		o.tracker.Failed(o.upstream.ID, reach.Refused, o.began, now)
+		o.suspect()
 	case errors.Is(err, context.Canceled) && now.Sub(o.began) < minDialWait:
 	case errors.Is(err, context.DeadlineExceeded) && now.Sub(o.began) < reach.BriefDial:
 	default:
-		o.tracker.Failed(o.id, reach.Silent, o.began, now)
+		o.tracker.Failed(o.upstream.ID, reach.Silent, o.began, now)
+		o.suspect()
 	}
 }
 
@@ -74,10 +80,13 @@
 func (o observer) exchanged(err error) {
 	switch {
 	case err == nil:
-		o.tracker.Answered(o.id, time.Now())
+		o.tracker.Answered(o.upstream.ID, time.Now())
 	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 	case errors.Is(err, syscall.ETIMEDOUT):
-		o.tracker.Failed(o.id, reach.Silent, o.began, time.Now())
+		o.tracker.Failed(o.upstream.ID, reach.Silent, o.began, time.Now())
+		o.suspect()
+	default:
+		o.suspect()
 	}
 }
 
@@ -124,7 +133,7 @@
 	if !known {
 		return
 	}
-	o := observer{tracker: p.paths, id: id, began: time.Now()}
+	o := observer{tracker: p.paths, identity: p.fleet.identity, upstream: u, began: time.Now()}
 	if err := p.pool.Connect(ctx, u.Address); !errors.Is(err, upstream.ErrConnectionLimit) {
 		o.dialed(err)
 	}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"buckthornridge/budget/allowance"
+	"buckthornridge/origin"
 	"buckthornridge/pause"
 	"buckthornridge/peer"
 	"buckthornridge/store"
@@ -68,6 +69,7 @@
 	fleet []allowance.Peer
 	// hostAddresses are the addresses of the other VMs.
 	hostAddresses []netip.Addr
+	hostByVM      map[string]netip.Addr
 	// sharingCache keeps the holders of budgets until the list of members changes.
 	sharingCache map[string]allowance.Sharing
 }
@@ -110,6 +112,33 @@
 	return p.self.VM, p.fleet
 }
 
+// peerAddresses returns the addresses for calls to some VMs, without this one and those
+// that are not known.
+func (p *peers) peerAddresses(members []origin.Member) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []string
+	for _, m := range members {
+		if address, known := p.addresses[m.Name]; known {
+			all = append(all, address)
+		}
+	}
+	return all
+}
+
+// noticeAddresses is peerAddresses for datagrams.
+func (p *peers) noticeAddresses(members []origin.Member) []netip.Addr {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []netip.Addr
+	for _, m := range members {
+		if address, known := p.hostByVM[m.Name]; known && m.Name != p.self.VM {
+			all = append(all, address)
+		}
+	}
+	return all
+}
+
 // count returns the number of VMs, this one included.
 func (p *peers) count() int {
 	p.mu.Lock()
@@ -178,6 +207,7 @@
 	addresses, rows := map[string]string{}, map[string]store.Row{}
 	fleet := []allowance.Peer{p.self}
 	var hosts []netip.Addr
+	hostByVM := map[string]netip.Addr{}
 	for _, change := range all.Changes {
 		vm := change.Key[len(memberSegment)+1:]
 		rows[vm] = change.Row
@@ -190,6 +220,7 @@
 			addresses[vm] = m.Address
 			if at, err := netip.ParseAddrPort(m.Address); err == nil {
 				hosts = append(hosts, at.Addr())
+				hostByVM[vm] = at.Addr()
 			} else {
 				klog.Warningf("step=read_members vm=%s result=no_notices err=%q", vm, err.Error())
 			}
@@ -198,7 +229,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.addresses, p.rows, p.hostAddresses = addresses, rows, hosts
+	p.addresses, p.rows, p.hostAddresses, p.hostByVM = addresses, rows, hosts, hostByVM
 	if len(all.Changes) > 0 && !slices.Equal(fleet, p.fleet) {
 		p.fleet = fleet
 		clear(p.sharingCache)
--- a/edge/ports.go
+++ b/edge/ports.go
@@ -23,6 +23,10 @@
 	WriteHeader     func(out relay.OutgoingRequest) http.Header
 	ReadHead        func(status int, h http.Header) relay.Head
 	ResponseMatches func(id string, h http.Header) bool
+	// ProcessQuestion is the path at which an upstream says which process it is, and
+	// ReadProcess decodes its answer (relay.Upstream.Start).
+	ProcessQuestion string
+	ReadProcess     func(status int, body []byte) (process int64, ok bool)
 }
 
 // sender sends requests over pooled connections, and records what they show of the paths
@@ -31,12 +35,13 @@
 	pool     *exchange.Pool
 	protocol Protocol
 	tracker  *reach.Tracker
+	identity *identities
 }
 
 // sendOver sends a request over the VM's own connections, in the way that the path says.
 func (s sender) sendOver(ctx context.Context, out relay.OutgoingRequest, path reach.Path) (relay.Response, error) {
 	hop, span := telemetry.StartChildSpan(ctx, "upstream")
-	o := observer{tracker: s.tracker, id: out.Upstream.ID, began: time.Now()}
+	o := observer{tracker: s.tracker, identity: s.identity, upstream: out.Upstream, began: time.Now()}
 	var connectTimeout time.Duration
 	if path == reach.DirectBriefly {
 		connectTimeout = reach.BriefDial
@@ -51,6 +56,10 @@
 		OpenOnly:        path == reach.OpenOnly,
 		ConnectTimeout:  connectTimeout,
 		Dialed:          o.dialed,
+		Closed:          o.suspect,
+		Identify: func() *exchange.Identification {
+			return s.identity.identification(out.Upstream, out.Identify, out.Process)
+		},
 		ResponseMatches: func(h http.Header) bool { return s.protocol.ResponseMatches(out.Request.ID, h) },
 	})
 	telemetry.EndSpan(span, err)
@@ -60,7 +69,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return pooledResponse{response, s.protocol.ReadHead(response.Status, response.Header), o}, nil
+	head := s.protocol.ReadHead(response.Status, response.Header)
+	head.Process = s.identity.processOf(out.Upstream, response)
+	return pooledResponse{response, head, o}, nil
 }
 
 // pooledResponse is an upstream's response on a pooled connection.
--- a/edge/process_metrics.go
+++ b/edge/process_metrics.go
@@ -17,6 +17,10 @@
 	fmt.Fprintf(w, "loans_borrowed_total %d\nloans_lent_total %d\nloans_open %d\n", f.Borrowed, f.Lent, f.OpenLoans)
 	fmt.Fprintf(w, "connections_opened_total %d\nconnections_reused_total %d\nforeign_answers_total %d\nupstreams_unread_total %d\n",
 		counters.Opened.Load(), counters.Reused.Load(), counters.Mismatched.Load(), p.fleet.unreadable.Load())
+	fmt.Fprintf(w, "connections_identified_total %d\n", counters.Identified.Load())
+	recorded, dropped := p.origins.records.Count()
+	fmt.Fprintf(w, "stream_origins_count %d\nstream_origins_dropped_total %d\nstreams_taken_up_total{origin=\"known\"} %d\nstreams_taken_up_total{origin=\"unknown\"} %d\n",
+		recorded, dropped, p.origins.found.Load(), p.origins.unknown.Load())
 	crashes := p.guard.Counters()
 	suspects, quarantined := p.guard.Table().Count()
 	fmt.Fprintf(w, "quarantine_crashes_total %d\nquarantine_refused_total %d\nquarantine_suspect_count %d\nquarantine_entry_count %d\n",
--- a/edge/versionenv_test.go
+++ b/edge/versionenv_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,6 +16,7 @@
 	"time"
 
 	"buckthornridge/budget/allowance"
+	"buckthornridge/pause"
 	"buckthornridge/relay"
 	"buckthornridge/store"
 	"buckthornridge/testnet"
@@ -35,6 +37,7 @@
 	streamTimeout  = 4 * time.Second
 	streamAttempts = 3
 	reconnectDelay = 10 * time.Millisecond
+	pollInterval   = 200 * time.Millisecond // of the table by a VM
 )
 
 // The rules: at most mixedAllowed streams hold events of two versions, and of takenUpJudged
@@ -56,6 +59,13 @@
 
 func (g engine) address() string { return g.ID + ":1" }
 
+// processQuestion is the path at which an engine tells its start.
+const processQuestion = "/process"
+
+func noticeAddress(vm int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(vm + 1)}), 7)
+}
+
 // versionVM is one VM and the process that it runs.
 type versionVM struct {
 	index   int
@@ -72,6 +82,8 @@
 	t      *testing.T
 	net    *testnet.Network
 	random *rand.Rand
+	table  *store.Fake
+	began  time.Time
 
 	mu      sync.Mutex
 	vms     []*versionVM
@@ -112,7 +124,7 @@
 	t.Helper()
 	e := &versionEnv{
 		t: t, net: testnet.NewNetwork(), random: rand.New(rand.NewPCG(seed, 55)),
-		engines: map[string]*engine{}, listed: map[string]engine{},
+		began: time.Now(), table: store.NewFake(store.FakeOptions{}), engines: map[string]*engine{}, listed: map[string]engine{},
 	}
 	t.Cleanup(e.close)
 	for i := range versionEngines {
@@ -157,6 +169,10 @@
 
 // serve streams events that name the engine's version.
 func (g *engine) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == processQuestion {
+		fmt.Fprint(w, g.Start)
+		return
+	}
 	w.Header().Set("Id", r.Header.Get("Id"))
 	w.Header().Set("Signed", "yes")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -227,14 +243,19 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	vm := e.vms[i]
-	p := newTestVM(e.t, e.net, i, decodeEngine)
+	protocol := testProtocol()
+	protocol.ProcessQuestion = processQuestion
+	table := versionTable{e.table.As(vmName(i)).Table, e, vm}
+	p := newTestVM(e.t, e.net, i, Adapter{Table: table, Feed: table, Clock: table, Protocol: protocol}, decodeEngine)
 	vm.ctx, vm.end = context.WithCancel(e.t.Context())
 	for other := range versionVMs {
 		p.peers.fleet = append(p.peers.fleet, allowance.Peer{VM: vmName(other), DataCentre: "d", Strength: 1})
 		if other != i {
 			p.peers.addresses[vmName(other)] = peerAddress(other)
 		}
+		p.peers.hostByVM[vmName(other)] = noticeAddress(other).Addr()
 	}
+	p.runNotices(vm.ctx, e.net.ListenPacket(vmName(i), noticeAddress(i)), noticeAddress(i).Port())
 	e.bring(p)
 	p.activate(relay.NewCatalogue(relay.Definition{
 		Version:  1,
@@ -246,10 +267,64 @@
 	}))
 	ctx := vm.ctx
 	p.tasks.Go(func() { p.maintain(ctx) })
+	p.tasks.Go(func() { p.versionLog().Run(ctx) })
+	p.tasks.Go(func() { e.poll(ctx, vm, p) })
 	e.all = append(e.all, p)
 	vm.process, vm.sinceAt = p, time.Now()
 }
 
+// poll lets a process know that the table answers, until the context ends.
+func (e *versionEnv) poll(ctx context.Context, vm *versionVM, p *Process) {
+	for ; ctx.Err() == nil; _ = pause.For(ctx, pollInterval) {
+		e.mu.Lock()
+		if !vm.offline {
+			p.upstreams.lastAnswer.set()
+		}
+		e.mu.Unlock()
+	}
+}
+
+// versionTable is the table as one VM reaches it.
+type versionTable struct {
+	store.Table
+	env *versionEnv
+	vm  *versionVM
+}
+
+func (v versionTable) isOffline() bool {
+	v.env.mu.Lock()
+	defer v.env.mu.Unlock()
+	return v.vm.offline
+}
+
+// All implements store.Feed.
+func (v versionTable) All(_ context.Context, segment string) (store.Changes, error) {
+	if v.isOffline() {
+		return store.Changes{}, store.ErrUnavailable
+	}
+	var all store.Changes
+	for _, row := range v.env.table.Dump(segment + "/") {
+		all.Changes = append(all.Changes, store.Change{Row: row})
+	}
+	return all, nil
+}
+
+// Since implements store.Feed. Nothing in the test follows it.
+func (v versionTable) Since(context.Context, string, int64, time.Duration) (store.Changes, error) {
+	return store.Changes{}, store.ErrUnavailable
+}
+
+// Commit implements store.Table.
+func (v versionTable) Commit(ctx context.Context, txn store.Txn) (int64, error) {
+	if v.isOffline() {
+		return 0, store.ErrUnavailable
+	}
+	return v.Table.Commit(ctx, txn)
+}
+
+// Now implements store.Clock.
+func (v versionTable) Now() (time.Duration, bool) { return time.Since(v.env.began), true }
+
 // killVM ends a VM's process, its connections and its memory.
 func (e *versionEnv) killVM(i int) {
 	e.mu.Lock()
@@ -270,6 +345,8 @@
 	for other := range versionVMs {
 		e.net.Cut(mode, vmName(i), peerAddress(other))
 		e.net.Cut(mode, vmName(other), peerAddress(i))
+		e.net.Cut(mode, vmName(i), noticeAddress(other).String())
+		e.net.Cut(mode, vmName(other), noticeAddress(i).String())
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -390,41 +467,57 @@
 	callers.Wait()
 }
 
-// judge checks the rules by what callers saw. versions reports whether two versions serve
-// at a moment.
-func (e *versionEnv) judge(severalServe func(at time.Time) bool) {
-	e.t.Helper()
-	mixed, takenUp, goOn, asked, begun, whole := 0, 0, 0, 0, 0, 0
+// tally is what the rules judge.
+type tally struct {
+	whole, mixed   int
+	takenUp, goOn  int // streams that were taken up at VMs in touch
+	asked, begun   int // new streams at VMs in touch
+	refusedTakeUps int // tries at any VM that continued nothing
+}
+
+// count counts the streams and their tries at moments at which two versions serve.
+func (e *versionEnv) count(severalServe func(at time.Time) bool) tally {
+	var n tally
 	for _, s := range e.streams {
 		if s.broken != "" {
 			e.t.Errorf("a stream has %s", s.broken)
 		}
 		if len(s.versions) > 1 {
-			mixed++
+			n.mixed++
 		}
+		takenUp, goesOn := 0, 0
 		for _, a := range s.attempts {
 			if a.whole {
-				whole++
+				n.whole++
 			}
-			if !a.inTouch || !severalServe(a.at) {
-				continue
+			if a.takesUp && a.events == 0 {
+				n.refusedTakeUps++
 			}
-			if a.takesUp {
-				takenUp++
-				goOn += min(a.events, 1)
-			} else {
-				asked++
-				begun += min(a.events, 1)
+			switch judged := a.inTouch && severalServe(a.at); {
+			case judged && a.takesUp:
+				takenUp, goesOn = 1, max(goesOn, min(a.events, 1))
+			case judged:
+				n.asked++
+				n.begun += min(a.events, 1)
 			}
 		}
+		n.takenUp += takenUp
+		n.goOn += goesOn
 	}
-	e.t.Logf("%d streams, %d whole, %d mixed; taken up in touch %d, of them %d go on; new %d, of them %d begin",
-		len(e.streams), whole, mixed, takenUp, goOn, asked, begun)
-	if mixed > mixedAllowed {
-		e.t.Errorf("ORDER: %d streams hold events of two versions", mixed)
+	return n
+}
+
+// judge checks the rules by what callers saw.
+func (e *versionEnv) judge(severalServe func(at time.Time) bool) {
+	e.t.Helper()
+	n := e.count(severalServe)
+	e.t.Logf("%d streams, %d whole, %d mixed; taken up in touch %d, of them %d go on, %d tries refused; new %d, of them %d begin",
+		len(e.streams), n.whole, n.mixed, n.takenUp, n.goOn, n.refusedTakeUps, n.asked, n.begun)
+	if n.mixed > mixedAllowed {
+		e.t.Errorf("ORDER: %d streams hold events of two versions", n.mixed)
 	}
-	if takenUp >= takenUpJudged && 2*goOn*asked < begun*takenUp {
-		e.t.Errorf("LOST: %d of %d streams that were taken up go on, %d of %d new ones begin", goOn, takenUp, begun, asked)
+	if n.takenUp >= takenUpJudged && 2*n.goOn*n.asked < n.begun*n.takenUp {
+		e.t.Errorf("LOST: %d of %d streams that were taken up go on, %d of %d new ones begin", n.goOn, n.takenUp, n.begun, n.asked)
 	}
 }
 
--- a/explain/describe.go
+++ b/explain/describe.go
@@ -18,6 +18,8 @@
 	string(allowance.CauseExhausted):  "the budget is used up",
 	string(allowance.CauseStopping):   "the process was stopping or starting, or the caller disconnected",
 	"no_upstream":                     "no upstream accepted the request; it was not executed",
+	"origin_unknown":                  "the caller takes up a stream of which it is not known at which version it began; it was not executed",
+	"origin_moved":                    "the caller takes up a stream of a service that the route no longer leads to; it was not executed",
 	"not_run_in_time":                 "the deadline passed before an upstream executed the request",
 	"quarantined":                     "upstreams ended while they ran the same request before; it was not executed",
 	"timed_out":                       "the deadline passed while an upstream was processing the request",
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -34,6 +34,9 @@
 	if errors.Is(err, upstream.ErrNotSent) {
 		t.reportOutcome(unsentOutcome(err))
 		r.exclude(t.target.ID)
+		if errors.Is(err, upstream.ErrConnectionLimit) {
+			r.noteFull(t.target.ID)
+		}
 		return r.giveUpAtLimit(ctx)
 	}
 	r.sends++
@@ -50,14 +53,18 @@
 
 // unsentOutcome returns what a request that was not sent tells about the upstream.
 func unsentOutcome(err error) routing.OutcomeKind {
-	if errors.Is(err, upstream.ErrConnectionLimit) {
+	switch {
+	case errors.Is(err, upstream.ErrConnectionLimit):
 		return routing.OutcomeFull
+	case errors.Is(err, upstream.ErrOtherProcess):
+		return routing.OutcomeCancelled
 	}
 	return routing.OutcomeUnreachable
 }
 
 func (t *attempt) outgoing() OutgoingRequest {
 	r := t.call
+	certainty, process := t.identify()
 	return OutgoingRequest{
 		Request:         r.request,
 		Upstream:        t.target,
@@ -66,6 +73,8 @@
 		Remaining:       r.remaining(),
 		LastEventID:     r.lastEventID,
 		FreshConnection: !r.route.Kind.Retryable(),
+		Identify:        certainty,
+		Process:         process,
 	}
 }
 
@@ -113,7 +122,7 @@
 	switch {
 	case head.NotExecuted:
 		return t.handleRefusal(ctx, head)
-	case head.Altered, isSuccess(head.Status) && !head.Signed:
+	case head.Altered, isSuccess(head.Status) && !head.Signed, t.isOtherProcess(head):
 		t.call.mayHaveRun = true
 		return t.handleBroken(ctx, upstream.ErrProtocol)
 	}
@@ -155,7 +164,10 @@
 	}
 	t.reportOutcome(kind)
 	r.exclude(t.target.ID)
-	if r.mayRetry(ctx, false) {
+	if !head.Misdirected {
+		r.noteRejected(t.target.ID)
+	}
+	if r.mayRetry(ctx, false) || r.waitForRetry(ctx) {
 		return false
 	}
 	r.giveUp(ctx, "the upstream took no more work")
--- a/relay/catalogue.go
+++ b/relay/catalogue.go
@@ -2,12 +2,15 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"buckthornridge/origin"
 )
 
 // Route says how requests for a host and path are handled.
@@ -27,6 +30,9 @@
 	// Public routes need no API key.
 	Public   bool
 	Services []WeightedService
+	// ServicesSince is when the route was seen to get these services; zero if it has had
+	// them since this router started.
+	ServicesSince time.Time
 }
 
 // WeightedService is a service and its weight among the services of a route.
@@ -138,6 +144,27 @@
 	return w, known
 }
 
+// Has reports whether the route leads to a service.
+func (r *Route) Has(service string) bool {
+	return slices.ContainsFunc(r.Services, func(s WeightedService) bool { return s.Service == service && s.Weight > 0 })
+}
+
+// OnlyService returns the service of all requests of the route since before any stream can
+// have begun that is still continued, if there is one.
+func (r *Route) OnlyService(now time.Time) (service string, ok bool) {
+	if now.Sub(r.ServicesSince) <= origin.Lifetime {
+		return "", false
+	}
+	count := 0
+	for _, s := range r.Services {
+		if s.Weight > 0 {
+			service = s.Service
+			count++
+		}
+	}
+	return service, count == 1
+}
+
 // Service returns the service that a request goes to. Among several it is chosen by a
 // hash of the request's id, so that all attempts of a request agree.
 func (r *Route) Service(requestID string) string {
@@ -158,6 +185,28 @@
 	return r.Services[len(r.Services)-1].Service
 }
 
+// noteServiceChanges records which routes have other services than in the catalogue before.
+func (c *Catalogue) noteServiceChanges(before *Catalogue, now time.Time) {
+	type place struct{ host, prefix string }
+	earlier := map[place]*Route{}
+	for host, routes := range before.byHost {
+		for _, r := range routes {
+			earlier[place{host, r.Prefix}] = r
+		}
+	}
+	for host, routes := range c.byHost {
+		for _, r := range routes {
+			old := earlier[place{host, r.Prefix}]
+			switch {
+			case old == nil || !slices.Equal(old.Services, r.Services):
+				r.ServicesSince = now
+			default:
+				r.ServicesSince = old.ServicesSince
+			}
+		}
+	}
+}
+
 // CurrentCatalogue publishes catalogues by read-copy-update. Within one process the
 // version never decreases.
 type CurrentCatalogue struct{ current atomic.Pointer[Catalogue] }
@@ -173,6 +222,9 @@
 		if old != nil && old.Version >= c.Version {
 			return false
 		}
+		if old != nil {
+			c.noteServiceChanges(old, time.Now())
+		}
 		if h.current.CompareAndSwap(old, c) {
 			return true
 		}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -12,6 +12,7 @@
 
 	"buckthornridge/bubble"
 	"buckthornridge/config"
+	"buckthornridge/origin"
 	"buckthornridge/quarantine"
 	"buckthornridge/ratelimit"
 	"buckthornridge/routing"
@@ -61,15 +62,16 @@
 	records        []RequestRecord
 	fleet          map[string]Upstream
 	ended          map[string]bool // addresses at which nothing listens
+	origins        map[string]origin.Origin
 	reservedTokens int64
 	settledTokens  int64
 }
 
 func newHarness(t *testing.T, kind Kind, steps ...step) *harness {
-	b := &harness{t: t, steps: steps, fleet: map[string]Upstream{}, ended: map[string]bool{}}
+	b := &harness{t: t, steps: steps, fleet: map[string]Upstream{}, ended: map[string]bool{}, origins: map[string]origin.Origin{}}
 	upstreams := map[string]config.Upstream{}
 	for _, id := range []string{"u1", "u2", "u3", "u4"} {
-		b.fleet[id] = Upstream{ID: id, Address: id + ":1", Service: "orders"}
+		b.fleet[id] = Upstream{ID: id, Address: id + ":1", Service: "orders", Start: 1}
 		upstreams[id] = config.Upstream{Kind: config.UpstreamService, Address: id + ":1", Service: "orders", Slots: 8}
 	}
 	table := routing.NewTable()
@@ -79,7 +81,7 @@
 		t.Fatal(err)
 	}
 	b.relay = &Relay{
-		Catalogue: &CurrentCatalogue{}, Budgets: b, Picker: picker, Fleet: b, Sender: b, Recorder: b,
+		Catalogue: &CurrentCatalogue{}, Budgets: b, Picker: picker, Fleet: b, Sender: b, Origins: b, Recorder: b,
 		RetryBudget: NewRetryBudget(RetryPolicy{Share: 0.2, Extra: 50, Window: 10 * time.Second}),
 		Routers:     func() int { return 1 },
 		Limiter:     ratelimit.NewLimiter(&ratelimit.Routers{}, table.SetLimit),
@@ -129,6 +131,9 @@
 	if next.err != nil {
 		return nil, next.err
 	}
+	if next.head.Process == 0 {
+		next.head.Process = out.Upstream.Start
+	}
 	return &scriptedResponse{step: next, body: strings.NewReader(next.body)}, nil
 }
 
@@ -151,6 +156,28 @@
 // Upstream implements Fleet.
 func (b *harness) Upstream(id string) (Upstream, bool) { u, known := b.fleet[id]; return u, known }
 
+// Any implements Fleet.
+func (b *harness) Any(condition func(Upstream) bool) bool {
+	for _, u := range b.fleet {
+		if condition(u) {
+			return true
+		}
+	}
+	return false
+}
+
+// Began implements Origins.
+func (b *harness) Began(key string, o origin.Origin, _ time.Time) { b.origins[key] = o }
+
+// Find implements Origins. Without a key, the stream began at the only version.
+func (b *harness) Find(_ context.Context, key string, _ *Route) (origin.Origin, bool) {
+	if key == "" {
+		return origin.Origin{Service: "orders", VersionKnown: true}, true
+	}
+	o, known := b.origins[key]
+	return o, known
+}
+
 // Ended implements quarantine.Prober.
 func (b *harness) Ended(_ context.Context, address string) bool { return b.ended[address] }
 
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"buckthornridge/origin"
 	"buckthornridge/ratelimit"
 	"buckthornridge/routing"
 )
@@ -45,9 +46,26 @@
 	Pick(request routing.Request) (*routing.Choice, error)
 }
 
-// Fleet looks up upstreams by id.
+// Listed returns what decides which streams the upstream may continue.
+func (u Upstream) Listed() origin.Listed {
+	return origin.Listed{Service: u.Service, Process: origin.Process{Upstream: u.ID, Start: u.Start}, Version: u.Version}
+}
+
+// Fleet looks up upstreams.
 type Fleet interface {
 	Upstream(id string) (Upstream, bool)
+	// Any reports whether any upstream meets a condition.
+	Any(condition func(Upstream) bool) bool
+}
+
+// Origins keeps where streams began, for the routers of the whole fleet.
+type Origins interface {
+	// Began records what sends the first event of a stream, before that event is
+	// forwarded. The key is that of package origin; until is when its caller gives up.
+	Began(key string, o origin.Origin, until time.Time)
+	// Find returns what began a stream that a caller takes up, or false if that is not
+	// known. The key is empty if the caller did not name the stream.
+	Find(ctx context.Context, key string, route *Route) (origin.Origin, bool)
 }
 
 // OutgoingRequest is a request as it is sent to one upstream.
@@ -63,8 +81,25 @@
 	// FreshConnection asks for a new or recently used connection: a request that can't
 	// be retried is lost if an idle connection was closed.
 	FreshConnection bool
+	// Identify says how certain it must be which process gets the request.
+	Identify Identify
+	// Process is the only one that may get it, by its Start, with OnlyProcess.
+	Process int64
 }
 
+// Identify says how certain it must be which process of an upstream gets a request.
+type Identify uint8
+
+const (
+	// AnyProcess may get the request.
+	AnyProcess Identify = iota
+	// KnownProcess asks for the process if the list of upstreams may be wrong. The request
+	// is sent in any case.
+	KnownProcess
+	// OnlyProcess sends the request only to OutgoingRequest.Process.
+	OnlyProcess
+)
+
 // Response is an upstream's response. It must be closed.
 type Response interface {
 	// Head returns the status, the headers and what they say about the response.
@@ -90,6 +125,8 @@
 	// Via is the router that forwarded the request; empty for a response on a connection
 	// of this router.
 	Via string
+	// Process is the start of the process that answers; 0 if it is not known.
+	Process int64
 	// RateLimit is what the upstream says of the rate of requests that it takes.
 	RateLimit ratelimit.Reading
 	// RejectionLimit is what the upstream says of the rate of requests that it may have
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"buckthornridge/origin"
 	"buckthornridge/quarantine"
 	"buckthornridge/ratelimit"
 	"buckthornridge/routing"
@@ -34,6 +35,7 @@
 	Picker      Picker
 	Fleet       Fleet
 	Sender      Sender
+	Origins     Origins
 	RetryBudget *RetryBudget
 	Recorder    Recorder
 	// Limiter follows the rates that upstreams name.
@@ -81,6 +83,7 @@
 
 	sends           int           // attempts that may have reached an upstream
 	misdirected     int           // attempts that found another upstream at the address
+	rejected        int           // attempts of a stream's continuation that found no room
 	excluded        []string      // upstreams that get no further attempt
 	mayHaveRun      bool          // an upstream may have run the request, even if it failed
 	streamStarted   bool          // the stream's headers were sent to the caller
@@ -88,6 +91,12 @@
 	forwardedEvents int64         // number of forwarded events
 	limitedFor      time.Duration // until an upstream's limit allows a request
 	record          RequestRecord
+
+	// origin is what began the stream, once its caller has an event of it. Only processes
+	// that it allows may get the request then.
+	origin *origin.Origin
+	full   []string // the excluded upstreams that only had no room
+	waits  int      // for room
 }
 
 // admit finds the request's route, workspace and service, before budget or upstream
@@ -152,6 +161,10 @@
 func (r *call) serve(ctx context.Context) {
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
+	if problem := r.findOrigin(ctx); problem != nil {
+		r.refuse(problem)
+		return
+	}
 	if problem := r.reserve(ctx); problem != nil {
 		r.refuse(problem)
 		return
@@ -220,6 +233,9 @@
 		if errors.As(err, &none) && none.Limited {
 			r.limitedFor = none.RetryAfter
 		}
+		if r.waitForRoom(ctx) {
+			return false
+		}
 		r.giveUp(ctx, "no upstream may take it: "+err.Error())
 		return true
 	}
@@ -244,7 +260,7 @@
 // giveUpAtLimit fails the request if its context is done or maxUpstreams is reached. It
 // reports whether it did.
 func (r *call) giveUpAtLimit(ctx context.Context) bool {
-	if len(r.excluded) < maxUpstreams && ctx.Err() == nil {
+	if len(r.excluded)-len(r.full) < maxUpstreams && ctx.Err() == nil {
 		return false
 	}
 	r.giveUp(ctx, "no upstream took it")
@@ -267,6 +283,7 @@
 		Priority:      r.priority,
 		DataCentre:    r.relay.DataCentre,
 		Exclude:       r.excluded,
+		Eligible:      r.eligible(),
 	}
 }
 
@@ -278,7 +295,7 @@
 	}
 	// A misdirected attempt does not count towards the route's limit: its upstream has
 	// ended.
-	if r.sends-r.misdirected >= max(r.route.Attempts, 1) || r.sends >= maxUpstreams {
+	if r.sends-r.misdirected-r.rejected >= max(r.route.Attempts, 1) || r.sends-r.rejected >= maxUpstreams {
 		return false
 	}
 	return r.relay.RetryBudget.Take(r.service.Name, r.relay.Routers())
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -63,6 +63,7 @@
 		t.choice.FirstToken(t.firstByte)
 	}
 	if !r.streamStarted {
+		t.noteOrigin(head)
 		r.streamStarted = true
 		r.record.First = time.Since(r.request.Arrived)
 		r.writer.Begin(head.Status, head.Header)
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -76,7 +76,7 @@
 
 // allowed is usable without regard to ejection and stalls.
 func (v *view) allowed(e *entry) bool {
-	if !e.allows(v.now) {
+	if !e.allows(v.now) || !v.eligible(e) {
 		return false
 	}
 	if v.request.Attempt > 0 && !e.retries.has() {
@@ -90,6 +90,10 @@
 	return true
 }
 
+func (v *view) eligible(e *entry) bool {
+	return v.request.Eligible == nil || v.request.Eligible(e.id)
+}
+
 type roundRobin struct{}
 
 func (roundRobin) choose(v *view) *entry {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -58,6 +58,8 @@
 	DataCentre string
 	// Exclude lists upstreams that earlier attempts of the request tried.
 	Exclude []string
+	// Eligible, if set, reports whether an upstream may get the request at all.
+	Eligible func(id string) bool
 }
 
 // OutcomeKind is the way in which an attempt ended.
--- a/routing/spacing.go
+++ b/routing/spacing.go
@@ -143,7 +143,7 @@
 // if all of them wait for their limits.
 func (v *view) untilAllowed() (shortest time.Duration, limited bool) {
 	for _, e := range v.pool.live {
-		if !e.takesWork() {
+		if !e.takesWork() || !v.eligible(e) {
 			continue
 		}
 		wait := e.wait(v.now)
--- a/testnet/network.go
+++ b/testnet/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
 	"os"
 	"sync"
 	"syscall"
@@ -34,13 +35,14 @@
 	listeners map[string]*pipeListener
 	cuts      map[string]map[string]Mode // by VM and address
 	conns     map[*networkConn]bool
+	packets   map[netip.AddrPort]*PacketConn
 }
 
 // NewNetwork returns a network on which all VMs reach all addresses.
 func NewNetwork() *Network {
 	return &Network{
 		listeners: map[string]*pipeListener{}, cuts: map[string]map[string]Mode{},
-		conns: map[*networkConn]bool{},
+		conns: map[*networkConn]bool{}, packets: map[netip.AddrPort]*PacketConn{},
 	}
 }
 
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -22,6 +22,10 @@
 // upstream.
 var ErrConnectionLimit = eris.New("upstream: connection limit reached")
 
+// ErrOtherProcess reports that nothing was sent because the upstream is not the process
+// that the request is meant for.
+var ErrOtherProcess = eris.New("upstream: another process")
+
 // RefusalReason is the reason for which an upstream did not run a request.
 type RefusalReason string
 
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -53,6 +53,12 @@
 	ConnectTimeout time.Duration
 	// Dialed, if set, is called with the result of opening a connection.
 	Dialed func(err error)
+	// Identify, if set, returns the question which process has the connection, or nil for
+	// none. It is called before the request is sent; a connection is asked once.
+	Identify func() *Identification
+	// Closed, if set, is called when an idle connection turns out to be closed before the
+	// upstream's idle timeout.
+	Closed func()
 	// ResponseMatches reports whether a response with this header belongs to the
 	// request. An upstream that is out of sync may send the response to an earlier one
 	// first.
@@ -66,6 +72,10 @@
 	// Framed says that the body has a length or is chunked. A body that ends with its
 	// connection may be incomplete.
 	Framed bool
+	// Process is the upstream's process that has the connection; 0 if it was not asked, or
+	// was and did not tell (Unidentified).
+	Process      int64
+	Unidentified bool
 
 	closing   bool // the connection closes after this response
 	body      io.ReadCloser
@@ -84,11 +94,15 @@
 	if err != nil {
 		return nil, err
 	}
+	if c, err = p.identify(ctx, c, r); err != nil {
+		return nil, err
+	}
 	response, err := p.exchange(ctx, c, r)
 	if err != nil {
 		p.discard(c)
 		return nil, err
 	}
+	response.Process, response.Unidentified = c.process, c.unidentified
 	return response, nil
 }
 
--- /dev/null
+++ b/upstream/exchange/identify.go
@@ -0,0 +1,103 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/upstream"
+)
+
+const (
+	// identifyTimeout bounds a question for the process of a connection.
+	identifyTimeout = 300 * time.Millisecond
+	// maxIdentityBytes bounds the answer.
+	maxIdentityBytes = 256 << 10
+	// identifyTries is how many connections are asked for one request: an idle one may
+	// have been closed by its upstream.
+	identifyTries = 2
+)
+
+// Identification asks an upstream which process it is. An upstream may restart under its
+// id and address, and a list of upstreams tells that only later; a connection ends with
+// its process.
+type Identification struct {
+	// OpenedSince spares connections that were opened earlier.
+	OpenedSince time.Time
+	// Process, if not 0, is the only process that may get the request. Without it the
+	// request is sent even if the process does not say which one it is.
+	Process int64
+	// Target is the path of the question, a GET request.
+	Target string
+	// Read decodes the answer.
+	Read func(status int, body []byte) (process int64, ok bool)
+}
+
+// identify makes sure that the process of a connection is known, if the request asks for
+// it. It returns the connection to use, which is another one if the given one was closed.
+func (p *Pool) identify(ctx context.Context, c *conn, r *Request) (*conn, error) {
+	if r.Identify == nil {
+		return c, nil
+	}
+	q := r.Identify()
+	if q == nil {
+		return c, nil
+	}
+	for try := 1; c.process == 0 && !c.openedAt.Before(q.OpenedSince); try++ {
+		err := p.ask(ctx, c, q)
+		if err == nil {
+			break
+		}
+		p.discard(c)
+		if ctx.Err() != nil || try == identifyTries || r.OpenOnly {
+			return nil, upstream.WrapError("identify", c.address, upstream.ErrNotSent, errors.Join(context.Cause(ctx), err))
+		}
+		if c, err = p.open(ctx, c.address, r.ConnectTimeout); err != nil {
+			return nil, err
+		}
+	}
+	if q.Process != 0 && c.process != 0 && c.process != q.Process {
+		p.put(c, defaultIdle)
+		return nil, upstream.WrapError("identify", c.address, upstream.ErrNotSent, upstream.ErrOtherProcess)
+	}
+	return c, nil
+}
+
+// ask asks for the process of a connection. An error means that the connection can't be
+// used any more.
+func (p *Pool) ask(ctx context.Context, c *conn, q *Identification) error {
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { c.raw.Close() })
+	defer stop()
+	p.counters.Identified.Add(1)
+	question := &Request{Method: http.MethodGet, Target: q.Target, Host: c.address}
+	if _, err := send(c, question); err != nil {
+		return err
+	}
+	answer, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodGet})
+	if err != nil {
+		return err
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxIdentityBytes+1))
+	switch {
+	case err != nil:
+		return err
+	case len(body) > maxIdentityBytes || answer.Close || wantsClose(answer.Header) || !stop():
+		return eris.New("the connection ends with the answer")
+	}
+	process, ok := q.Read(answer.StatusCode, body)
+	switch {
+	case ok:
+		c.process, c.unidentified = process, false
+	case q.Process != 0:
+		return eris.Errorf("status %d does not tell the process", answer.StatusCode)
+	default:
+		c.unidentified = true
+	}
+	return nil
+}
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -51,6 +51,8 @@
 // Counters count events on connections, for operators.
 type Counters struct {
 	Opened, Reused, Refused, Closed, Mismatched atomic.Int64
+	// Identified counts connections whose process was asked for.
+	Identified atomic.Int64
 }
 
 // Pool keeps connections to upstreams by address.
@@ -79,6 +81,9 @@
 	idleSince      time.Time
 	idleTimeout    time.Duration // how long the upstream keeps it open
 	desynchronized bool          // it carried a response to another request
+	openedAt       time.Time
+	process        int64 // of the upstream, by its own word; 0 if that is not known
+	unidentified   bool  // it was asked for its process and did not tell
 }
 
 // NewPool returns an empty pool. maxConnections returns the largest number of
@@ -131,6 +136,9 @@
 			return c, nil
 		}
 		p.discard(c)
+		if r.Closed != nil {
+			r.Closed()
+		}
 	}
 	if r.OpenOnly {
 		return nil, upstream.WrapError("connect", address, upstream.ErrNotSent, errNoneOpen)
@@ -186,13 +194,14 @@
 		ctx, cancel = context.WithTimeout(ctx, timeout)
 		defer cancel()
 	}
+	opening := time.Now()
 	raw, err := p.Dial(ctx, "tcp", address)
 	if err != nil {
 		p.releaseConnection(address)
 		return nil, upstream.WrapError("connect", address, upstream.ErrNotSent, err)
 	}
 	p.counters.Opened.Add(1)
-	return &conn{address: address, raw: raw, reader: bufio.NewReaderSize(raw, bufferBytes)}, nil
+	return &conn{address: address, raw: raw, reader: bufio.NewReaderSize(raw, bufferBytes), openedAt: opening}, nil
 }
 
 // reserveConnection counts a new connection. At the limit it closes an idle one, or
