edge, origin: a stream's origin is believed only while the list is current; more cases

What callers saw: nothing; found by review. A VM whose list of upstreams is behind may know one version only while another one serves elsewhere, and continued streams without looking for their record. Now a named stream is looked up first, and the only version counts while the table answered within the last poll and, for a named stream, some peer answered. A VM that starts while the table is away asks a peer for its history. Two records of one stream that differ are merged; if they contradict each other, nothing is known.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -143,6 +143,7 @@
 	p.fleet.identity.question, p.fleet.identity.read = a.Protocol.ProcessQuestion, a.Protocol.ReadProcess
 	p.fleet.identity.staleSince = p.listStaleSince
 	p.origins = newOrigins(p.peers, p.fleet.history)
+	p.origins.listIsCurrent = p.listIsCurrent
 	p.origins.serve(p.peerSrv)
 	p.paths = p.fleet.paths
 	p.forward = &forwarder{peers: p.peers, choice: reach.NewForwarders(), protocol: a.Protocol}
@@ -412,6 +413,12 @@
 	return time.Now().Add(-began), true
 }
 
+// listIsCurrent reports whether the table has answered within the last poll of the list.
+func (p *Process) listIsCurrent() bool {
+	age, known := p.upstreams.lastAnswer.elapsed()
+	return known && age <= p.upstreams.wait+peerPollDelay
+}
+
 // lapseDeadline returns the time until which a deleted entry may have lapsed in an
 // outage of the table rather than been removed.
 func (p *Process) lapseDeadline() time.Time {
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	"buckthornridge/budget/allowance"
@@ -18,6 +19,8 @@
 const (
 	// methodOrigin asks a peer where a stream began.
 	methodOrigin = "stream.origin"
+	// methodVersions asks a peer for its history of versions.
+	methodVersions = "stream.versions"
 	// originTimeout bounds the questions for one stream, which are asked at the same time.
 	originTimeout = 250 * time.Millisecond
 )
@@ -43,6 +46,8 @@
 	records *origin.Records
 	// send sends a record to other VMs; nil keeps it here only.
 	send func(to []netip.Addr, o originNotice)
+	// listIsCurrent reports whether this VM has the list of upstreams as the table has it.
+	listIsCurrent func() bool
 
 	mu      sync.Mutex
 	fleet   []allowance.Peer // as of which members was made
@@ -52,7 +57,7 @@
 }
 
 func newOrigins(p *peers, h *origin.History) *origins {
-	return &origins{peers: p, history: h, records: origin.NewRecords()}
+	return &origins{peers: p, history: h, records: origin.NewRecords(), listIsCurrent: func() bool { return true }}
 }
 
 // Began implements relay.Origins.
@@ -89,44 +94,59 @@
 
 // find returns where a stream began and how that is known; "" if it is not.
 func (o *origins) find(ctx context.Context, key string, route *relay.Route) (origin.Origin, string) {
-	if service, single := route.OnlyService(time.Now()); single {
-		if version, only := o.history.Only(service, time.Now()); only {
-			return origin.Origin{Service: service, Version: version, VersionKnown: true}, "only_version"
+	if key != "" {
+		if began, known := o.records.Find(key); known {
+			return began, "recorded"
+		}
+		began, answers := o.ask(ctx, key)
+		switch {
+		case began.IsKnown():
+			return began, "asked"
+		case answers == 0 && o.peers.count() > 1:
+			return origin.Origin{}, "" // this VM may have missed a version that others know
 		}
 	}
-	if key == "" {
+	service, single := route.OnlyService(time.Now())
+	if !single || !o.listIsCurrent() {
 		return origin.Origin{}, ""
 	}
-	if began, known := o.records.Find(key); known {
-		return began, "recorded"
-	}
-	if began, known := o.ask(ctx, key); known {
-		return began, "asked"
+	if version, only := o.history.Only(service, time.Now()); only {
+		return origin.Origin{Service: service, Version: version, VersionKnown: true}, "only_version"
 	}
 	return origin.Origin{}, ""
 }
 
-// ask asks the VMs that may hold a copy, all at the same time.
-func (o *origins) ask(ctx context.Context, key string) (origin.Origin, bool) {
+// ask asks the VMs that may hold a copy, all at the same time. It returns how many
+// answered.
+func (o *origins) ask(ctx context.Context, key string) (began origin.Origin, answers int) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
 	asked := o.peers.peerAddresses(origin.Holders(key, o.peers.self.VM, o.fleetMembers(), origin.Asked))
-	answers := make(chan originAnswer, len(asked))
+	results := make(chan *originAnswer, len(asked))
 	for _, address := range asked {
-		go func() {
-			var answer originAnswer
-			if err := o.peers.client.Call(ctx, address, methodOrigin, key, &answer); err != nil {
-				klog.V(1).Infof("step=ask_origin peer=%s result=failed err=%q", address, err.Error())
-			}
-			answers <- answer
-		}()
+		go func() { results <- o.askPeer(ctx, address, key) }()
 	}
 	for range asked {
-		if answer := <-answers; answer.Known {
-			return answer.Origin, true
+		answer := <-results
+		switch {
+		case answer == nil:
+			continue
+		case answer.Known:
+			return answer.Origin, answers + 1
 		}
+		answers++
+	}
+	return origin.Origin{}, answers
+}
+
+// askPeer asks one peer; nil means that it did not answer.
+func (o *origins) askPeer(ctx context.Context, address, key string) *originAnswer {
+	answer := new(originAnswer)
+	if err := o.peers.client.Call(ctx, address, methodOrigin, key, answer); err != nil {
+		klog.V(1).Infof("step=ask_origin peer=%s result=failed err=%q", address, err.Error())
+		return nil
 	}
-	return origin.Origin{}, false
+	return answer
 }
 
 // serve answers peers from the records of this VM.
@@ -139,6 +159,26 @@
 		began, known := o.records.Find(key)
 		return originAnswer{Known: known, Origin: began}, nil
 	})
+	server.Handle(methodVersions, func(context.Context, func(any) error, peer.Sender) (any, error) {
+		ages, complete := o.history.Ages(time.Now())
+		if !complete {
+			return nil, errIncomplete
+		}
+		return ages, nil
+	})
+}
+
+// errIncomplete reports that this VM does not know itself what was before its start.
+var errIncomplete = eris.New("the history is not complete")
+
+// askVersions asks one peer for its history.
+func (o *origins) askVersions(ctx context.Context) (origin.Ages, error) {
+	var ages origin.Ages
+	err := eris.New("no peer is known")
+	for _, address := range o.peers.randomAddresses(1) {
+		err = o.peers.client.Call(ctx, address, methodVersions, nil, &ages)
+	}
+	return ages, err
 }
 
 // fleetMembers returns the members of the fleet, this VM included.
@@ -160,6 +200,7 @@
 func (p *Process) versionLog() *origin.Log {
 	return &origin.Log{
 		Table: p.adapter.Table, Feed: p.adapter.Feed, Clock: p.adapter.Clock, History: p.fleet.history,
+		AskPeer: p.origins.askVersions,
 		Writes: func(service string) bool {
 			for _, m := range origin.Holders(service, "", p.origins.fleetMembers(), origin.Copies) {
 				if m.Name == p.settings.VM {
--- a/edge/version_test.go
+++ b/edge/version_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
 	"testing"
 	"time"
 
 	"buckthornridge/bubble"
+	"buckthornridge/testnet"
 )
 
 // versionCase is a disturbance of a fleet before engines of two versions.
@@ -52,6 +56,55 @@
 			disturbedAt + 2000*time.Millisecond: func() { e.each(0, 4, e.list) },
 		}
 	}},
+	{"VMs die while three versions serve and the table is away", func(e *versionEnv) map[time.Duration]func() {
+		return map[time.Duration]func(){
+			time.Second:                         func() { e.each(0, 4, func(id string) { e.replaceEngine(id, "v3") }) },
+			disturbedAt - 500*time.Millisecond:  func() { e.setTable(false) },
+			disturbedAt:                         func() { e.killVM(0); e.killVM(1) },
+			disturbedAt + 100*time.Millisecond:  func() { e.startVM(0); e.startVM(1) },
+			disturbedAt + 1500*time.Millisecond: func() { e.killVM(2) },
+			disturbedAt + 3*time.Second:         func() { e.setTable(true) },
+		}
+	}},
+	{"a release and its return while VMs die", func(e *versionEnv) map[time.Duration]func() {
+		changes := map[time.Duration]func(){}
+		for i := range versionEngines {
+			id := fmt.Sprintf("engine-%d", i)
+			forward, back := 2*time.Second+time.Duration(i)*200*time.Millisecond, 5*time.Second+time.Duration(i)*200*time.Millisecond
+			changes[forward] = func() { e.replaceEngine(id, "v3") }
+			changes[back] = func() { e.replaceEngine(id+"-v3", "v1") }
+		}
+		changes[3500*time.Millisecond] = func() { e.killVM(0); e.killVM(1) }
+		changes[3550*time.Millisecond] = func() { e.startVM(0); e.startVM(1) }
+		changes[6500*time.Millisecond] = func() { e.killVM(2); e.killVM(3) }
+		changes[6550*time.Millisecond] = func() { e.startVM(2); e.startVM(3) }
+		return changes
+	}},
+	{"VMs without a path to the engines", func(e *versionEnv) map[time.Duration]func() {
+		return map[time.Duration]func(){
+			2 * time.Second:                    func() { e.cutEngines(0, testnet.Reset); e.cutEngines(1, testnet.Silent) },
+			disturbedAt:                        func() { e.killVM(4); e.killVM(5); e.each(0, 3, e.crashEngine) },
+			disturbedAt + 100*time.Millisecond: func() { e.startVM(4); e.startVM(5) },
+		}
+	}},
+	{"all VMs die just after a release", func(e *versionEnv) map[time.Duration]func() {
+		return map[time.Duration]func(){
+			2 * time.Second: func() { e.each(0, versionEngines, func(id string) { e.replaceEngine(id, "v3") }) },
+			3 * time.Second: func() { e.eachVM(e.killVM); e.eachVM(e.startVM) },
+		}
+	}},
+}
+
+// eachVM calls f for all VMs.
+func (e *versionEnv) eachVM(f func(vm int)) {
+	for vm := range versionVMs {
+		f(vm)
+	}
+}
+
+// cutEngines changes what a VM's connections to the engines do.
+func (e *versionEnv) cutEngines(vm int, mode testnet.Mode) {
+	e.each(0, versionEngines, func(id string) { e.net.Cut(mode, vmName(vm), id+":1") })
 }
 
 // each calls f for the engines from first up to but not including end.
@@ -82,3 +135,92 @@
 		})
 	}
 }
+
+// Guards against streams without a name that go on at a guess, and against streams that are
+// refused although their service has one version: callers do not say where they began.
+func TestUnnamedStreamsGoOnAtTheOnlyVersion(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		versions []string
+		refused  bool
+	}{{"one version", []string{"v1"}, false}, {"two versions", []string{"v1", "v2"}, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				e := newVersionEnv(t, 1, c.versions...)
+				e.unnamed = true
+				e.load(map[time.Duration]func(){
+					disturbedAt:                        func() { e.killVM(0); e.killVM(1) },
+					disturbedAt + 100*time.Millisecond: func() { e.startVM(0); e.startVM(1) },
+				})
+				e.judgeOrder()
+				n := e.count(always)
+				if n.takenUp < takenUpJudged || (n.goOn == 0) != c.refused || !c.refused && n.goOn < n.takenUp {
+					t.Errorf("%d of %d streams that were taken up go on", n.goOn, n.takenUp)
+				}
+			})
+		})
+	}
+}
+
+// Guards against mixed streams when engines, VMs and links fail and versions change at random
+// moments, engines also under their id and unseen by the list.
+func TestStreamsKeepTheirVersionUnderRandomFaults(t *testing.T) {
+	seeds := 6
+	if text := os.Getenv("VERSION_SEEDS"); text != "" {
+		var err error
+		if seeds, err = strconv.Atoi(text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				e := newVersionEnv(t, uint64(seed), "v1", "v2")
+				e.load(e.randomFaults(rand.New(rand.NewPCG(uint64(seed), 56))))
+				e.judgeOrder()
+			})
+		})
+	}
+}
+
+// randomFaults returns 30 faults and changes before the last second of the run.
+func (e *versionEnv) randomFaults(random *rand.Rand) map[time.Duration]func() {
+	versions := []string{"v1", "v2", "v3"}
+	changes := map[time.Duration]func(){}
+	add := func(at time.Duration, change func()) {
+		at = at.Truncate(10 * time.Millisecond)
+		earlier := changes[at]
+		changes[at] = func() {
+			if earlier != nil {
+				earlier()
+			}
+			change()
+		}
+	}
+	for range 30 {
+		at := time.Second + time.Duration(random.Int64N(int64(versionRun-2*time.Second)))
+		lasts := time.Duration(random.Int64N(int64(2 * time.Second)))
+		vm, id, version := random.IntN(versionVMs), fmt.Sprintf("engine-%d", random.IntN(versionEngines)), versions[random.IntN(3)]
+		switch random.IntN(6) {
+		case 0: // a VM dies and starts again
+			add(at, func() { e.killVM(vm) })
+			add(at+lasts, func() { e.startVM(vm) })
+		case 1: // an engine restarts under its id, and its entry tells it later
+			add(at, func() { e.crashEngine(id); e.startEngine(id, version) })
+			add(at+lasts, func() { e.list(id) })
+		case 2: // an engine is down for a while
+			add(at, func() { e.crashEngine(id) })
+			add(at+lasts, func() { e.startEngine(id, version); e.list(id) })
+		case 3:
+			add(at, func() { e.partition(vm, true) })
+			add(at+lasts, func() { e.partition(vm, false) })
+		case 4:
+			add(at, func() { e.setTable(false) })
+			add(at+lasts, func() { e.setTable(true) })
+		case 5:
+			add(at, func() { e.cutEngines(vm, testnet.Reset) })
+			add(at+lasts, func() { e.cutEngines(vm, testnet.Reachable) })
+		}
+	}
+	return changes
+}
--- a/edge/versionenv_test.go
+++ b/edge/versionenv_test.go
@@ -90,6 +90,8 @@
 	engines map[string]*engine
 	listed  map[string]engine // the entries of the table
 	streams []*callerStream
+	unnamed bool // callers do not name the streams that they take up
+	away    bool // the table answers nobody
 	tasks   sync.WaitGroup
 	all     []*Process
 }
@@ -160,6 +162,9 @@
 func (e *versionEnv) startEngine(id, version string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if running := e.engines[id]; running != nil {
+		running.server.Close()
+	}
 	g := &engine{ID: id, Version: version, Start: time.Now().UnixMilli()}
 	g.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { g.serve(w, r) })}
 	e.engines[id] = g
@@ -215,7 +220,7 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		for _, vm := range e.vms {
-			if !vm.offline && vm.process != nil {
+			if !vm.offline && !e.away && vm.process != nil {
 				e.bring(vm.process)
 			}
 		}
@@ -243,6 +248,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	vm := e.vms[i]
+	if vm.process != nil {
+		return
+	}
 	protocol := testProtocol()
 	protocol.ProcessQuestion = processQuestion
 	table := versionTable{e.table.As(vmName(i)).Table, e, vm}
@@ -277,7 +285,7 @@
 func (e *versionEnv) poll(ctx context.Context, vm *versionVM, p *Process) {
 	for ; ctx.Err() == nil; _ = pause.For(ctx, pollInterval) {
 		e.mu.Lock()
-		if !vm.offline {
+		if !vm.offline && !e.away {
 			p.upstreams.lastAnswer.set()
 		}
 		e.mu.Unlock()
@@ -294,7 +302,17 @@
 func (v versionTable) isOffline() bool {
 	v.env.mu.Lock()
 	defer v.env.mu.Unlock()
-	return v.vm.offline
+	return v.vm.offline || v.env.away
+}
+
+// setTable makes the table answer all VMs or none.
+func (e *versionEnv) setTable(answers bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.away = !answers
+	if answers {
+		e.spread()
+	}
 }
 
 // All implements store.Feed.
@@ -328,12 +346,16 @@
 // killVM ends a VM's process, its connections and its memory.
 func (e *versionEnv) killVM(i int) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	vm := e.vms[i]
-	vm.end()
-	vm.process.peerSrv.Close()
-	vm.process.peers.client.Close()
+	p := vm.process
 	vm.process = nil
+	e.mu.Unlock()
+	if p == nil {
+		return
+	}
+	vm.end()
+	p.peerSrv.Close()
+	e.tasks.Go(func() { p.peers.client.Close() }) // waits for its dials
 }
 
 // partition cuts a VM off from the table and from the other VMs, or ends that.
@@ -352,7 +374,7 @@
 	defer e.mu.Unlock()
 	e.vms[i].offline, e.vms[i].sinceAt = cut, time.Now()
 	if !cut {
-		e.bring(e.vms[i].process)
+		e.spread()
 	}
 }
 
@@ -370,6 +392,9 @@
 			running = append(running, i)
 		}
 	}
+	if len(running) == 0 {
+		return nil
+	}
 	vm := *e.vms[running[e.random.IntN(len(running))]]
 	return &vm
 }
@@ -380,6 +405,10 @@
 	origin, last := "", -1
 	for n := range streamAttempts {
 		vm := e.enter(home, last)
+		for vm == nil {
+			time.Sleep(reconnectDelay)
+			vm = e.enter(home, last)
+		}
 		home, last = -1, vm.index
 		attempt, retryAfter := e.attempt(vm, s, "/"+id, fmt.Sprintf("%s.%d", id, n), origin)
 		if attempt.events > 0 && origin == "" {
@@ -405,7 +434,9 @@
 	a := streamAttempt{at: time.Now(), takesUp: s.next > 1, inTouch: !vm.offline && time.Since(vm.sinceAt) >= inTouchAfter}
 	if a.takesUp {
 		r.Header.Set("Last-Event-Id", strconv.Itoa(s.next-1))
-		r.Header.Set("Origin", origin)
+		if !e.unnamed {
+			r.Header.Set("Origin", origin)
+		}
 	}
 	w := &safeRecorder{ResponseRecorder: httptest.NewRecorder()}
 	func() {
@@ -507,15 +538,22 @@
 	return n
 }
 
-// judge checks the rules by what callers saw.
-func (e *versionEnv) judge(severalServe func(at time.Time) bool) {
+// judgeOrder checks that streams hold events of one version.
+func (e *versionEnv) judgeOrder() {
 	e.t.Helper()
-	n := e.count(severalServe)
+	n := e.count(always)
 	e.t.Logf("%d streams, %d whole, %d mixed; taken up in touch %d, of them %d go on, %d tries refused; new %d, of them %d begin",
 		len(e.streams), n.whole, n.mixed, n.takenUp, n.goOn, n.refusedTakeUps, n.asked, n.begun)
 	if n.mixed > mixedAllowed {
 		e.t.Errorf("ORDER: %d streams hold events of two versions", n.mixed)
 	}
+}
+
+// judge checks both rules.
+func (e *versionEnv) judge(severalServe func(at time.Time) bool) {
+	e.t.Helper()
+	e.judgeOrder()
+	n := e.count(severalServe)
 	if n.takenUp >= takenUpJudged && 2*n.goOn*n.asked < n.begun*n.takenUp {
 		e.t.Errorf("LOST: %d of %d streams that were taken up go on, %d of %d new ones begin", n.goOn, n.takenUp, n.begun, n.asked)
 	}
--- a/origin/history.go
+++ b/origin/history.go
@@ -71,6 +71,37 @@
 	}
 }
 
+// Ages is a router's history for another one: how long ago, in milliseconds, each version
+// of each service was last listed.
+type Ages map[string]map[string]int64
+
+// Ages returns the history, and false if it is not complete.
+func (h *History) Ages(now time.Time) (Ages, bool) {
+	if !h.IsComplete(now) {
+		return nil, false
+	}
+	all := Ages{}
+	for service, versions := range h.Services(now) {
+		all[service] = map[string]int64{}
+		for version, last := range versions {
+			all[service][version] = now.Sub(last).Milliseconds()
+		}
+	}
+	return all, true
+}
+
+// LearnAges completes the history with that of another router.
+func (h *History) LearnAges(ages Ages, now time.Time) {
+	for service, versions := range ages {
+		last := map[string]time.Time{}
+		for version, ms := range versions {
+			last[version] = now.Add(-time.Duration(ms) * time.Millisecond)
+		}
+		h.Learn(service, last)
+	}
+	h.Complete()
+}
+
 // Complete records that the whole log was learned.
 func (h *History) Complete() {
 	h.mu.Lock()
--- a/origin/log.go
+++ b/origin/log.go
@@ -44,6 +44,8 @@
 	History *History
 	// Writes reports whether this router is one of those that write the row of a service.
 	Writes func(service string) bool
+	// AskPeer asks another router for its history while the table does not answer.
+	AskPeer func(ctx context.Context) (Ages, error)
 
 	rows map[string]store.Row // as last read or written, by service
 }
@@ -54,6 +56,7 @@
 		err := l.step(ctx)
 		if err != nil && ctx.Err() == nil {
 			klog.V(1).Infof("step=version_log result=failed err=%q", err.Error())
+			l.learnFromPeer(ctx)
 		}
 		_ = pause.For(ctx, logInterval)
 	}
@@ -81,6 +84,23 @@
 	return nil
 }
 
+// learnFromPeer completes the history of a router that has started while the table does not
+// answer.
+func (l *Log) learnFromPeer(ctx context.Context) {
+	now := time.Now()
+	if l.AskPeer == nil || l.History.IsComplete(now) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	ages, err := l.AskPeer(ctx)
+	if err != nil {
+		klog.V(1).Infof("step=version_log from=peer result=failed err=%q", err.Error())
+		return
+	}
+	l.History.LearnAges(ages, now)
+}
+
 func (l *Log) read(ctx context.Context) error {
 	all, err := l.Feed.All(ctx, Segment)
 	if err != nil {
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -59,6 +59,28 @@
 	return o
 }
 
+// IsKnown reports whether the origin allows any upstream to continue the stream.
+func (o Origin) IsKnown() bool { return o.VersionKnown || o.Process.Start != 0 }
+
+// Merge combines two records of one stream. If they contradict each other, nothing is known
+// of it.
+func (o Origin) Merge(other Origin) Origin {
+	switch {
+	case o.Service != other.Service:
+		return Origin{}
+	case o.VersionKnown && other.VersionKnown:
+		if o.Version != other.Version {
+			return Origin{}
+		}
+		return o
+	case o.Process != other.Process:
+		return Origin{}
+	case other.VersionKnown:
+		return other
+	}
+	return o
+}
+
 // Lifetime is how long after its first event a stream may be continued if its caller did
 // not say how long it waits.
 const Lifetime = time.Minute
--- a/origin/records.go
+++ b/origin/records.go
@@ -25,14 +25,18 @@
 	origins map[string]Origin
 	slots   map[int64][]string // ids by the slot of time in which they expire
 	texts   map[string]string  // one copy of each service and version
+	began   time.Time
 	dropped int64
 }
 
 // NewRecords returns an empty set of records.
 func NewRecords() *Records {
-	return &Records{origins: map[string]Origin{}, slots: map[int64][]string{}, texts: map[string]string{}}
+	return &Records{origins: map[string]Origin{}, slots: map[int64][]string{}, texts: map[string]string{}, began: time.Now()}
 }
 
+// slot returns the slot of a time. It does not follow steps of the wall clock.
+func (r *Records) slot(at time.Time) int64 { return int64(at.Sub(r.began) / expirySlot) }
+
 // Key returns the key of a record: the caller's request id within its workspace.
 func Key(workspace, id string) string {
 	key := workspace + "/" + id
@@ -52,9 +56,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if kept, known := r.origins[id]; known {
-		if kept != o {
-			r.origins[id] = Origin{}
-		}
+		r.origins[id] = kept.Merge(o)
 		return
 	}
 	if len(r.origins) >= maxRecords {
@@ -63,7 +65,7 @@
 	}
 	o.Service, o.Version = r.intern(o.Service), r.intern(o.Version)
 	r.origins[id] = o
-	slot := until.UnixNano()/int64(expirySlot) + 1
+	slot := r.slot(until) + 1
 	r.slots[slot] = append(r.slots[slot], id)
 }
 
@@ -76,19 +78,19 @@
 	return text
 }
 
-// Find returns the origin of a stream. It may be one that allows nothing.
+// Find returns the origin of a stream.
 func (r *Records) Find(id string) (Origin, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	o, known := r.origins[id]
-	return o, known
+	return o, known && o.IsKnown()
 }
 
 // Expire removes the records whose time has passed. It must be called periodically.
 func (r *Records) Expire(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	current := now.UnixNano() / int64(expirySlot)
+	current := r.slot(now)
 	for slot, ids := range r.slots {
 		if slot > current {
 			continue
--- a/relay/catalogue.go
+++ b/relay/catalogue.go
@@ -185,23 +185,18 @@
 	return r.Services[len(r.Services)-1].Service
 }
 
-// noteServiceChanges records which routes have other services than in the catalogue before.
+// noteServiceChanges records which routes have other services than requests for the same
+// paths had in the catalogue before.
 func (c *Catalogue) noteServiceChanges(before *Catalogue, now time.Time) {
-	type place struct{ host, prefix string }
-	earlier := map[place]*Route{}
-	for host, routes := range before.byHost {
-		for _, r := range routes {
-			earlier[place{host, r.Prefix}] = r
-		}
-	}
 	for host, routes := range c.byHost {
 		for _, r := range routes {
-			old := earlier[place{host, r.Prefix}]
+			old := before.Route(host, r.Prefix)
 			switch {
-			case old == nil || !slices.Equal(old.Services, r.Services):
-				r.ServicesSince = now
-			default:
+			case old == nil: // there were no such requests
+			case slices.Equal(old.Services, r.Services):
 				r.ServicesSince = old.ServicesSince
+			default:
+				r.ServicesSince = now
 			}
 		}
 	}
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -52,7 +52,7 @@
 		o := t.originOf(head)
 		r.origin = &o
 	}
-	if r.route.Kind != Resumable || id == "" {
+	if r.route.Kind != Resumable || id == "" || !r.origin.IsKnown() {
 		return
 	}
 	patience := r.request.CallerTimeout
