--- a/origin/history.go
+++ b/origin/history.go
@@ -133,7 +133,10 @@
 			count++
 		}
 	}
-	return version, count == 1
+	if count != 1 {
+		return "", false
+	}
+	return version, true
 }
 
 // Several reports whether upstreams of several versions are listed for a service, or were
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -132,7 +134,7 @@
 		return nil, next.err
 	}
 	if next.head.Process == 0 {
-		next.head.Process = out.Upstream.Start
+		next.head.Process = cmp.Or(out.Process, out.Upstream.Start)
 	}
 	return &scriptedResponse{step: next, body: strings.NewReader(next.body)}, nil
 }
@@ -154,11 +156,19 @@
 }
 
 // Upstream implements Fleet.
-func (b *harness) Upstream(id string) (Upstream, bool) { u, known := b.fleet[id]; return u, known }
+func (b *harness) Upstream(id string) (Upstream, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u, known := b.fleet[id]
+	return u, known
+}
 
 // Any implements Fleet.
 func (b *harness) Any(condition func(Upstream) bool) bool {
-	for _, u := range b.fleet {
+	b.mu.Lock()
+	fleet := maps.Clone(b.fleet)
+	b.mu.Unlock()
+	for _, u := range fleet {
 		if condition(u) {
 			return true
 		}
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -34,7 +34,8 @@
 	}
 	if !r.route.Has(o.Service) {
 		return &Problem{Status: http.StatusServiceUnavailable, Name: "origin_moved",
-			Detail: "the route no longer leads to service " + o.Service + ", which began the stream"}
+			Detail:     "the route no longer leads to service " + o.Service + ", which began the stream",
+			RetryAfter: retryAfterNoUpstream}
 	}
 	o = r.resolve(o)
 	r.service, r.origin = r.catalogue.Services[o.Service], &o
--- a/relay/version_test.go
+++ b/relay/version_test.go
@@ -1,9 +1,14 @@
 package relay
 
 import (
+	"fmt"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/matryer/is"
+
+	"buckthornridge/origin"
 	"buckthornridge/upstream"
 )
 
@@ -59,3 +64,134 @@
 		})
 	}
 }
+
+// takeUp returns a request for the rest of a stream that the request r0 began.
+func (b *harness) takeUp() *Request {
+	q := b.request()
+	q.LastEventID, q.Origin = "2", "r0"
+	return q
+}
+
+// Guards against a stream that is taken up at a guess: what can't go on is refused as not
+// run, and nothing is sent or charged.
+func TestStreamThatCantGoOnIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		origin *origin.Origin
+		reason string
+	}{
+		{"unknown origin", nil, "origin_unknown"},
+		{"a service that the route does not lead to", &origin.Origin{Service: "chat", Version: "v1", VersionKnown: true}, "origin_moved"},
+		{"a version that no upstream has", &origin.Origin{Service: "orders", Version: "v9", VersionKnown: true}, "no_upstream"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newHarness(t, Resumable, answered(events("3")))
+			if c.origin != nil {
+				b.origins[origin.Key("studio", "r0")] = *c.origin
+			}
+			got := b.serve(b.takeUp())
+			is.Equal(got.status, 503)
+			is.Equal(got.problem.Name, c.reason)
+			is.True(got.problem.NotExecuted() && got.problem.RetryAfter > 0)
+			is.Equal(len(b.sent), 0)
+			is.Equal(b.settledTokens, int64(0))
+		})
+	}
+}
+
+// Guards against a stream that is taken up at the service that its new request's id chooses.
+func TestStreamOfASplitRouteGoesOnAtItsService(t *testing.T) {
+	is := is.New(t)
+	b := newHarness(t, Resumable)
+	b.answer = func(OutgoingRequest) step { return answered(events("3")) }
+	c := b.relay.Catalogue.Load()
+	b.relay.Catalogue = &CurrentCatalogue{}
+	b.relay.Catalogue.Advance(NewCatalogue(Definition{
+		Version: 2, Keys: c.keys, Workspaces: []Workspace{c.Workspaces["studio"]},
+		Services: []Service{c.Services["orders"], {Name: "other", EventTokens: 5}},
+		Routes: []Route{{Name: "split", Host: "shop", Prefix: "/", Kind: Resumable, Timeout: time.Second, Attempts: 2,
+			Services: []WeightedService{{"other", 99}, {"orders", 1}}}},
+	}))
+	b.origins[origin.Key("studio", "r0")] = origin.Origin{Service: "orders", Process: origin.Process{Upstream: "u2", Start: 7}}
+	for i := range 20 {
+		q := b.takeUp()
+		q.ID = fmt.Sprint("r", i)
+		is.Equal(b.serve(q).status, 200)
+		is.Equal(b.sent[i].Upstream.ID, "u2") // the process that began it, whose version is not known
+		is.Equal(b.sent[i].Process, int64(7))
+	}
+}
+
+// Guards against a continuation that gives up because the upstreams of its version have no
+// room for a moment, or that goes elsewhere; and against one that waits where none is left.
+func TestContinuationWaitsForItsVersion(t *testing.T) {
+	v1 := origin.Origin{Service: "orders", Version: "v1", VersionKnown: true}
+	for _, c := range []struct {
+		name   string
+		full   time.Duration // for which u1 and u2, of v1, have no room
+		leave  bool          // then they leave
+		status int
+		within time.Duration
+	}{
+		{"full for a moment", 300 * time.Millisecond, false, 200, time.Second},
+		{"full for too long", time.Hour, false, 503, time.Second},
+		{"leaving meanwhile", 200 * time.Millisecond, true, 503, 800 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			runTest(t, func(t *testing.T) {
+				is := is.New(t)
+				b := newHarness(t, Resumable)
+				b.setVersions(map[string]string{"u1": "v1", "u2": "v1", "u3": "v2", "u4": "v2"})
+				began := time.Now()
+				b.answer = func(out OutgoingRequest) step {
+					is.Equal(out.Upstream.Version, "v1")
+					if time.Since(began) < c.full {
+						return refusing()
+					}
+					return answered(events("3"))
+				}
+				if c.leave {
+					time.AfterFunc(100*time.Millisecond, func() {
+						b.mu.Lock()
+						defer b.mu.Unlock()
+						for _, id := range []string{"u1", "u2"} {
+							u := b.fleet[id]
+							u.Leaving = true
+							b.fleet[id] = u
+						}
+					})
+				}
+				b.origins[origin.Key("studio", "r0")] = v1
+				got := b.serve(b.takeUp())
+				is.Equal(got.status, c.status)
+				is.True(time.Since(began) < c.within)
+				if c.status == 503 {
+					is.True(got.problem.NotExecuted())
+					is.Equal(b.settledTokens, int64(0))
+				}
+			})
+		})
+	}
+}
+
+// Guards against a request that is bound to a version before its caller has an event of it.
+func TestOnlyWhatWasBegunBinds(t *testing.T) {
+	runTest(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newHarness(t, Resumable)
+		b.setVersions(map[string]string{"u1": "v1", "u2": "v2", "u3": "v3", "u4": "v4"})
+		first := ""
+		b.answer = func(out OutgoingRequest) step {
+			if first == "" || first == out.Upstream.ID {
+				first = out.Upstream.ID
+				return broken()
+			}
+			return answered(events("1", "2"))
+		}
+		got := b.serve(b.request())
+		is.Equal(got.status, 200)
+		o := b.origins[origin.Key("studio", "r1")]
+		is.True(o.Process.Upstream != first && o.VersionKnown)
+	})
+}
