--- a/edge/origins.go
+++ b/edge/origins.go
@@ -67,7 +67,7 @@
 	if o.send == nil {
 		return
 	}
-	if to := o.peers.noticeAddresses(origin.Holders(key, o.peers.self.VM, o.fleetMembers(), origin.Copies)); len(to) > 0 {
+	if to := o.peers.noticeAddresses(origin.Replicas(key, o.peers.self.VM, o.fleetMembers(), origin.Copies)); len(to) > 0 {
 		o.send(to, originNotice{Key: key, Origin: began, ForMS: until.Sub(now).Milliseconds()})
 	}
 }
@@ -121,7 +121,7 @@
 func (o *origins) ask(ctx context.Context, key string) (began origin.Origin, answers int) {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
 	defer cancel()
-	asked := o.peers.peerAddresses(origin.Holders(key, o.peers.self.VM, o.fleetMembers(), origin.Asked))
+	asked := o.peers.peerAddresses(origin.Replicas(key, o.peers.self.VM, o.fleetMembers(), origin.Asked))
 	results := make(chan *originAnswer, len(asked))
 	for _, address := range asked {
 		go func() { results <- o.askPeer(ctx, address, key) }()
@@ -202,7 +202,7 @@
 		Table: p.adapter.Table, Feed: p.adapter.Feed, Clock: p.adapter.Clock, History: p.fleet.history,
 		AskPeer: p.origins.askVersions,
 		Writes: func(service string) bool {
-			for _, m := range origin.Holders(service, "", p.origins.fleetMembers(), origin.Copies) {
+			for _, m := range origin.Replicas(service, "", p.origins.fleetMembers(), origin.Copies) {
 				if m.Name == p.settings.VM {
 					return true
 				}
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -4,7 +4,7 @@
 // does not check what it is asked to continue. A stream therefore goes on only at the
 // version that sent its first event, wherever in the fleet that was. Origin says what
 // began a stream and Allows decides; Records keeps origins by the id of the caller's
-// request, for this router's streams and for those whose copies it holds; Holders chooses
+// request, for this router's streams and for those whose copies it holds; Replicas chooses
 // the routers with the copies; History tells which versions a service has had lately, for
 // streams without a record.
 //
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -108,7 +108,7 @@
 
 // Guards against copies that are lost with one data centre, and against routers that look
 // for a record elsewhere because they know one member more or less.
-func TestHolders(t *testing.T) {
+func TestReplicas(t *testing.T) {
 	is := is.New(t)
 	var members []Member
 	for i := range 340 {
@@ -119,15 +119,15 @@
 	const records = 2000
 	for i := range records {
 		id := fmt.Sprint("r", i)
-		holders := Holders(id, "vm-1", members, Copies)
+		replicas := Replicas(id, "vm-1", members, Copies)
 		centres := map[string]bool{}
-		for _, h := range holders {
+		for _, h := range replicas {
 			counts[h.Name]++
 			centres[h.DataCentre] = true
 		}
 		is.Equal(len(centres), Copies)
-		asked := Holders(id, "vm-2", append(slices.Clone(members[:300]), Member{"new", "d1"}), Asked)
-		for _, h := range holders {
+		asked := Replicas(id, "vm-2", append(slices.Clone(members[:300]), Member{"new", "d1"}), Asked)
+		for _, h := range replicas {
 			if slices.Contains(asked, h) {
 				found++
 				break
@@ -141,7 +141,7 @@
 			t.Errorf("%s holds %d records", name, n)
 		}
 	}
-	is.Equal(len(Holders("x", "a", []Member{{"a", ""}, {"b", ""}}, Copies)), 1)
+	is.Equal(len(Replicas("x", "a", []Member{{"a", ""}, {"b", ""}}, Copies)), 1)
 }
 
 // Guards against a router that takes the version that it sees for the only one there was.
--- a/origin/holders.go
+++ b/origin/replicas.go
@@ -21,10 +21,10 @@
 	DataCentre string
 }
 
-// Holders returns the n members that come first for a record, by rendezvous hashing, without
+// Replicas returns the n members that come first for a record, by rendezvous hashing, without
 // the router self. The first ones stand in different data centres, as far as there are any,
 // so that the loss of one leaves a copy.
-func Holders(id, self string, members []Member, n int) []Member {
+func Replicas(id, self string, members []Member, n int) []Member {
 	type candidate struct {
 		member Member
 		score  uint64
