--- a/edge/cut_test.go
+++ b/edge/cut_test.go
@@ -6,8 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -120,14 +118,7 @@
 // Guards against promises that are broken when VMs, upstreams and the links between VMs
 // fail together while requests are forwarded.
 func TestForwardingKeepsItsPromisesUnderRandomFaults(t *testing.T) {
-	seeds := 6
-	if text := os.Getenv("FORWARD_SEEDS"); text != "" {
-		var err error
-		if seeds, err = strconv.Atoi(text); err != nil {
-			t.Fatal(err)
-		}
-	}
-	for seed := range seeds {
+	for seed := range seedCount(t, "FORWARD_SEEDS", 6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			bubble.Test(t, func(t *testing.T) {
 				e := newCutEnv(t, 5)
@@ -142,24 +133,14 @@
 // randomFaults returns cuts between VMs and upstreams and between VMs, all of which have
 // ended at healAt.
 func (e *cutEnv) randomFaults(random *rand.Rand) map[time.Duration]func() {
-	changes := map[time.Duration]func(){}
-	add := func(at time.Duration, change func()) {
-		at = at.Truncate(10 * time.Millisecond)
-		earlier := changes[at]
-		changes[at] = func() {
-			if earlier != nil {
-				earlier()
-			}
-			change()
-		}
-	}
+	changes := changePlan{}
 	modes := []testnet.Mode{testnet.Silent, testnet.Reset, testnet.RefuseNew}
 	cut := func(targets []string, longest time.Duration) {
 		vm, mode := vmName(random.IntN(len(e.vms))), modes[random.IntN(len(modes))]
 		from := time.Duration(random.Int64N(int64(healAt)))
 		to := min(from+time.Duration(random.Int64N(int64(longest))), healAt)
-		add(from, func() { e.net.Cut(mode, vm, targets...) })
-		add(to, func() { e.net.Cut(testnet.Reachable, vm, targets...) })
+		changes.add(from, func() { e.net.Cut(mode, vm, targets...) })
+		changes.add(to, func() { e.net.Cut(testnet.Reachable, vm, targets...) })
 	}
 	for range 5 {
 		cut(e.upstreams(), healAt)
@@ -168,7 +149,7 @@
 	for range 60 {
 		cut([]string{peerAddress(random.IntN(len(e.vms)))}, time.Second)
 	}
-	add(healAt, func() {
+	changes.add(healAt, func() {
 		for vm := range e.vms {
 			e.net.Cut(testnet.Reachable, vmName(vm), e.upstreams()...)
 		}
--- a/edge/cutenv_test.go
+++ b/edge/cutenv_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -295,6 +296,35 @@
 // Write implements io.Writer.
 func (r *safeRecorder) Write(b []byte) (int, error) { return r.ResponseRecorder.Write(bytes.Clone(b)) }
 
+// seedCount returns how many seeds a test runs: as many as an environment variable says.
+func seedCount(t *testing.T, variable string, standard int) int {
+	t.Helper()
+	text := os.Getenv(variable)
+	if text == "" {
+		return standard
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+// changePlan holds what is changed in a run, by its moments.
+type changePlan map[time.Duration]func()
+
+// add adds a change at a moment that may have others.
+func (p changePlan) add(at time.Duration, change func()) {
+	at = at.Truncate(10 * time.Millisecond)
+	earlier := p[at]
+	p[at] = func() {
+		if earlier != nil {
+			earlier()
+		}
+		change()
+	}
+}
+
 // load sends requests to all VMs until the run's end; change is called at each moment that
 // it names.
 func (e *cutEnv) load(changes map[time.Duration]func()) {
--- a/edge/identity.go
+++ b/edge/identity.go
@@ -14,7 +14,7 @@
 // away. Connections that were opened while nothing pointed to a restart are trusted, since
 // asking all of them would cost a call for each.
 type identities struct {
-	question string // relay.Protocol.ProcessQuestion; empty: upstreams can't be asked
+	question string // Protocol.ProcessQuestion; empty: upstreams can't be asked
 	read     func(status int, body []byte) (process int64, ok bool)
 	// staleSince returns since when the list of upstreams may be behind, if it may.
 	staleSince func() (time.Time, bool)
--- a/edge/version_test.go
+++ b/edge/version_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
@@ -165,14 +163,7 @@
 // Guards against mixed streams when engines, VMs and links fail and versions change at random
 // moments, engines also under their id and unseen by the list.
 func TestStreamsKeepTheirVersionUnderRandomFaults(t *testing.T) {
-	seeds := 6
-	if text := os.Getenv("VERSION_SEEDS"); text != "" {
-		var err error
-		if seeds, err = strconv.Atoi(text); err != nil {
-			t.Fatal(err)
-		}
-	}
-	for seed := range seeds {
+	for seed := range seedCount(t, "VERSION_SEEDS", 6) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			bubble.Test(t, func(t *testing.T) {
 				e := newVersionEnv(t, uint64(seed), "v1", "v2")
@@ -186,40 +177,30 @@
 // randomFaults returns 30 faults and changes before the last second of the run.
 func (e *versionEnv) randomFaults(random *rand.Rand) map[time.Duration]func() {
 	versions := []string{"v1", "v2", "v3"}
-	changes := map[time.Duration]func(){}
-	add := func(at time.Duration, change func()) {
-		at = at.Truncate(10 * time.Millisecond)
-		earlier := changes[at]
-		changes[at] = func() {
-			if earlier != nil {
-				earlier()
-			}
-			change()
-		}
-	}
+	changes := changePlan{}
 	for range 30 {
 		at := time.Second + time.Duration(random.Int64N(int64(versionRun-2*time.Second)))
 		lasts := time.Duration(random.Int64N(int64(2 * time.Second)))
 		vm, id, version := random.IntN(versionVMs), fmt.Sprintf("engine-%d", random.IntN(versionEngines)), versions[random.IntN(3)]
 		switch random.IntN(6) {
 		case 0: // a VM dies and starts again
-			add(at, func() { e.killVM(vm) })
-			add(at+lasts, func() { e.startVM(vm) })
+			changes.add(at, func() { e.killVM(vm) })
+			changes.add(at+lasts, func() { e.startVM(vm) })
 		case 1: // an engine restarts under its id, and its entry tells it later
-			add(at, func() { e.crashEngine(id); e.startEngine(id, version) })
-			add(at+lasts, func() { e.list(id) })
+			changes.add(at, func() { e.crashEngine(id); e.startEngine(id, version) })
+			changes.add(at+lasts, func() { e.list(id) })
 		case 2: // an engine is down for a while
-			add(at, func() { e.crashEngine(id) })
-			add(at+lasts, func() { e.startEngine(id, version); e.list(id) })
+			changes.add(at, func() { e.crashEngine(id) })
+			changes.add(at+lasts, func() { e.startEngine(id, version); e.list(id) })
 		case 3:
-			add(at, func() { e.partition(vm, true) })
-			add(at+lasts, func() { e.partition(vm, false) })
+			changes.add(at, func() { e.partition(vm, true) })
+			changes.add(at+lasts, func() { e.partition(vm, false) })
 		case 4:
-			add(at, func() { e.setTable(false) })
-			add(at+lasts, func() { e.setTable(true) })
+			changes.add(at, func() { e.setTable(false) })
+			changes.add(at+lasts, func() { e.setTable(true) })
 		case 5:
-			add(at, func() { e.cutEngines(vm, testnet.Reset) })
-			add(at+lasts, func() { e.cutEngines(vm, testnet.Reachable) })
+			changes.add(at, func() { e.cutEngines(vm, testnet.Reset) })
+			changes.add(at+lasts, func() { e.cutEngines(vm, testnet.Reachable) })
 		}
 	}
 	return changes
--- a/origin/history.go
+++ b/origin/history.go
@@ -29,7 +29,7 @@
 func (h *History) Update(present map[string]map[string]bool, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.touch(now)
+	h.touch(now) // versions that leave the list were in it until now
 	h.present, h.listed = present, true
 	h.touch(now)
 	for service, versions := range h.services {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -30,11 +30,12 @@
 
 // Relay serves callers' requests.
 type Relay struct {
-	Catalogue   *CurrentCatalogue
-	Budgets     Budgets
-	Picker      Picker
-	Fleet       Fleet
-	Sender      Sender
+	Catalogue *CurrentCatalogue
+	Budgets   Budgets
+	Picker    Picker
+	Fleet     Fleet
+	Sender    Sender
+	// Origins keeps where streams began.
 	Origins     Origins
 	RetryBudget *RetryBudget
 	Recorder    Recorder
--- a/upstream/exchange/identify_test.go
+++ b/upstream/exchange/identify_test.go
@@ -55,8 +55,8 @@
 	}
 }
 
-// identifyAnd sends a request and returns which process answered.
-func identifyAnd(t *testing.T, p *Pool, address string, identify func() *Identification) (*Response, error) {
+// exchangeIdentified sends a request and returns which process answered.
+func exchangeIdentified(t *testing.T, p *Pool, address string, identify func() *Identification) (*Response, error) {
 	t.Helper()
 	r, err := p.Do(t.Context(), address, &Request{
 		Method: http.MethodGet, Target: "/", Host: "x", Identify: identify, ResponseMatches: func(http.Header) bool { return true },
@@ -77,17 +77,17 @@
 	first := startProcess(t, "127.0.0.1:0", 1)
 	address := first.server.Addr
 	for range 3 {
-		r, err := identifyAnd(t, pool, address, who(1, time.Time{}))
+		r, err := exchangeIdentified(t, pool, address, who(1, time.Time{}))
 		is.NoErr(err)
 		is.Equal(r.Process, int64(1))
 	}
 	is.Equal(first.asked.Load(), int64(1)) // a connection is asked once
 	first.server.Close()
 	second := startProcess(t, address, 2)
-	_, err := identifyAnd(t, pool, address, who(1, time.Time{}))
+	_, err := exchangeIdentified(t, pool, address, who(1, time.Time{}))
 	is.True(errors.Is(err, upstream.ErrNotSent) && errors.Is(err, upstream.ErrOtherProcess))
 	is.Equal(second.ran.Load(), int64(0))
-	r, err := identifyAnd(t, pool, address, who(0, time.Time{}))
+	r, err := exchangeIdentified(t, pool, address, who(0, time.Time{}))
 	is.NoErr(err)
 	is.Equal(r.Process, int64(2))
 }
@@ -98,18 +98,18 @@
 	is := is.New(t)
 	pool := NewPool(nil)
 	p := startProcess(t, "127.0.0.1:0", 1)
-	_, err := identifyAnd(t, pool, p.server.Addr, nil)
+	_, err := exchangeIdentified(t, pool, p.server.Addr, nil)
 	is.NoErr(err)
-	r, err := identifyAnd(t, pool, p.server.Addr, who(0, time.Now().Add(time.Hour)))
+	r, err := exchangeIdentified(t, pool, p.server.Addr, who(0, time.Now().Add(time.Hour)))
 	is.NoErr(err)
 	is.True(r.Process == 0 && !r.Unidentified)
 	is.Equal(p.asked.Load(), int64(0))
 
 	silent := startProcess(t, "127.0.0.1:0", 0)
-	r, err = identifyAnd(t, pool, silent.server.Addr, who(0, time.Time{}))
+	r, err = exchangeIdentified(t, pool, silent.server.Addr, who(0, time.Time{}))
 	is.NoErr(err)
 	is.True(r.Process == 0 && r.Unidentified)
-	_, err = identifyAnd(t, pool, silent.server.Addr, who(1, time.Time{}))
+	_, err = exchangeIdentified(t, pool, silent.server.Addr, who(1, time.Time{}))
 	is.True(errors.Is(err, upstream.ErrNotSent))
 	is.Equal(silent.ran.Load(), int64(1))
 }
