--- a/edge/versionenv_test.go
+++ b/edge/versionenv_test.go
@@ -92,10 +92,21 @@
 	streams []*callerStream
 	unnamed bool // callers do not name the streams that they take up
 	away    bool // the table answers nobody
+	hooks   envHooks
 	tasks   sync.WaitGroup
 	all     []*Process
 }
 
+// envHooks change what a fleet's processes and engines do; each may be nil.
+type envHooks struct {
+	// protocol changes the protocol of a VM's process.
+	protocol func(p *Protocol, vm int)
+	// started is called with each process that starts, and with the context of its tasks.
+	started func(ctx context.Context, p *Process, vm *versionVM)
+	// answer answers a request in place of an engine. It reports whether it did.
+	answer func(g *engine, w http.ResponseWriter, r *http.Request) bool
+}
+
 // callerStream is what a caller saw of one stream.
 type callerStream struct {
 	versions []string // of its events, each once
@@ -123,13 +134,25 @@
 }
 
 func newVersionEnv(t *testing.T, seed uint64, versions ...string) *versionEnv {
+	t.Helper()
+	e := newEmptyEnv(t, seed, envHooks{})
+	e.populate(versionEngines, versions...)
+	return e
+}
+
+func newEmptyEnv(t *testing.T, seed uint64, hooks envHooks) *versionEnv {
 	t.Helper()
 	e := &versionEnv{
-		t: t, net: testnet.NewNetwork(), random: rand.New(rand.NewPCG(seed, 55)),
+		t: t, net: testnet.NewNetwork(), random: rand.New(rand.NewPCG(seed, 55)), hooks: hooks,
 		began: time.Now(), table: store.NewFake(store.FakeOptions{}), engines: map[string]*engine{}, listed: map[string]engine{},
 	}
 	t.Cleanup(e.close)
-	for i := range versionEngines {
+	return e
+}
+
+// populate starts the engines and the VMs.
+func (e *versionEnv) populate(engines int, versions ...string) {
+	for i := range engines {
 		e.startEngine(fmt.Sprintf("engine-%d", i), versions[i%len(versions)])
 		e.list(fmt.Sprintf("engine-%d", i))
 	}
@@ -137,7 +160,6 @@
 		e.vms = append(e.vms, &versionVM{index: i})
 		e.startVM(i)
 	}
-	return e
 }
 
 func (e *versionEnv) close() {
@@ -166,7 +188,11 @@
 		running.server.Close()
 	}
 	g := &engine{ID: id, Version: version, Start: time.Now().UnixMilli()}
-	g.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { g.serve(w, r) })}
+	g.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.hooks.answer == nil || !e.hooks.answer(g, w, r) {
+			g.serve(w, r)
+		}
+	})}
 	e.engines[id] = g
 	l := e.net.Listen(g.address())
 	go func() { _ = g.server.Serve(l) }()
@@ -253,6 +279,9 @@
 	}
 	protocol := testProtocol()
 	protocol.ProcessQuestion = processQuestion
+	if e.hooks.protocol != nil {
+		e.hooks.protocol(&protocol, i)
+	}
 	table := versionTable{e.table.As(vmName(i)).Table, e, vm}
 	p := newTestVM(e.t, e.net, i, Adapter{Table: table, Feed: table, Clock: table, Protocol: protocol}, decodeEngine)
 	vm.ctx, vm.end = context.WithCancel(e.t.Context())
@@ -271,12 +300,20 @@
 		Routes: []relay.Route{{
 			Name: "resume", Host: "h", Prefix: "/", Kind: relay.Resumable, Attempts: 3, Public: true, Timeout: streamTimeout,
 			TargetLatency: 400 * time.Millisecond, Services: []relay.WeightedService{{Service: "engine", Weight: 1}},
+		}, {
+			Name: "once", Host: "h", Prefix: "/once/", Kind: relay.Stream, Attempts: 1, Public: true, Timeout: streamTimeout,
+			TargetLatency: 400 * time.Millisecond, Services: []relay.WeightedService{{Service: "engine", Weight: 1}},
 		}},
+		Workspaces: []relay.Workspace{{Name: "studio", Prepaid: -1, Priority: -1}, {Name: "desk", Prepaid: -1, Priority: -1}},
+		Keys:       map[string]string{"studio": "studio", "desk": "desk"},
 	}))
 	ctx := vm.ctx
 	p.tasks.Go(func() { p.maintain(ctx) })
 	p.tasks.Go(func() { p.versionLog().Run(ctx) })
 	p.tasks.Go(func() { e.poll(ctx, vm, p) })
+	if e.hooks.started != nil {
+		e.hooks.started(ctx, p, vm)
+	}
 	e.all = append(e.all, p)
 	vm.process, vm.sinceAt = p, time.Now()
 }
