edge: requests in the test of deadly parts differ in their path

All requests of the test had one path and no body, so that the rule for whole requests took them for one that comes again; in the service of three engines it then refused everybody. Now no two are alike.

--- a/edge/partenv_test.go
+++ b/edge/partenv_test.go
@@ -199,7 +199,7 @@
 		a := partAttempt{at: time.Since(e.began), deadly: deadly, key: key, first: parts[0],
 			inTouch: !vm.offline && time.Since(vm.sinceAt) >= inTouchAfter}
 		ctx, cancel := context.WithTimeout(vm.ctx, streamTimeout)
-		r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://h"+e.path, nil)
+		r := httptest.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://h%sp%d", e.path, n), nil)
 		r.Header.Set("Id", fmt.Sprintf("p%d.%d", n, try))
 		r.Header.Set("Key", key)
 		r.Header.Set("Parts", strings.Join(parts, ","))
