quarantine, relay, request: parts of prompts that crash upstreams are refused

What callers saw: requests that share one part of their prompts crash one engine after the other (BUDGET); half of the service is lost to everybody.

Cause: a cause was recognized by the whole request only, and the evidence did not tell it from what ran beside it.

Change: a crash is recorded for the shared parts of the requests that the upstream had not begun to answer; a request that is being answered (two events, or a good end) shows that its parts were not the cause of earlier crashes. Three events of at least 0.1 s distance since the last such sign quarantine a part. Parts that were there at fewer crashes than another one, or at crashes that others explain, are not blamed; those that can't be told apart are refused together only. Evidence is kept by workspace; a part counts for all once it crashed upstreams under two. Crashes carry the time of the shared clock, so that a VM that starts acts at once. A request with a part under which upstreams crashed twice is not sent a second time, and the check precedes every attempt.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -152,6 +152,7 @@
 	own := upstream.Prober{Dial: p.pool.Dial}
 	controlled := controlledProber{own: own, tracker: p.paths, fleet: p.fleet}
 	p.guard = quarantine.NewGuard(confirmingProber{own: controlled, peers: p.peers})
+	p.guard.Table().SetClock(a.Clock)
 	serveProbes(p.peerSrv, own, controlled)
 	p.manager = allowance.New(allowance.Options{
 		Table: a.Table, Feed: a.Feed, Clock: a.Clock, VM: s.VM, Incarnation: p.incarnation, VMs: p.peers.count,
--- a/edge/process_metrics.go
+++ b/edge/process_metrics.go
@@ -23,6 +23,9 @@
 		recorded, dropped, p.origins.found.Load(), p.origins.unknown.Load())
 	crashes := p.guard.Counters()
 	suspects, quarantined := p.guard.Table().Count()
+	suspectParts, quarantinedParts := p.guard.Table().CountParts()
+	fmt.Fprintf(w, "quarantine_part_refused_total %d\nquarantine_part_suspect_count %d\nquarantine_part_entry_count %d\n",
+		crashes.RefusedForPart.Load(), suspectParts, quarantinedParts)
 	fmt.Fprintf(w, "quarantine_crashes_total %d\nquarantine_refused_total %d\nquarantine_suspect_count %d\nquarantine_entry_count %d\n",
 		crashes.Crashes.Load(), crashes.Refused.Load(), suspects, quarantined)
 	fmt.Fprintf(w, "limited_upstreams_count %d\nlimited_rejections_total %d\n", p.fleet.limiter.Count(), p.fleet.rejections.Count())
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -61,7 +61,13 @@
 	}
 	old := t.view.Load()
 	next := &view{suspects: make(map[Fingerprint]suspect, len(processes)), keys: map[uint32]bool{}}
+	next.parts = t.evaluateParts(now, processes)
 	culprits := findCulprits(processes)
+	for f := range culprits {
+		if next.parts.explains(processes[f]) {
+			delete(culprits, f)
+		}
+	}
 	for f, ended := range processes {
 		s := suspect{crashes: len(ended)}
 		if culprits[f] {
@@ -73,6 +79,7 @@
 		next.keys[f.key()] = true
 	}
 	logTransitions(old, next)
+	logPartTransitions(&old.parts, &next.parts)
 	t.view.Store(next)
 	if len(t.own.crashes) > maxCrashes {
 		t.evict(t.own.crashes, maxCrashes)
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -1,6 +1,7 @@
 // Package quarantine finds requests that end the upstreams that run them, and refuses
 // them. A request is recognized by its content, since it comes back with another id and
-// through other routers.
+// through other routers. Where requests that differ share a part of their prompts that
+// crashes upstreams, it finds the part and refuses all requests with it.
 //
 // The package decides without I/O: evidence is exchanged through records that its user
 // stores, and whether an upstream has ended is asked of a Prober.
@@ -39,6 +40,9 @@
 	// Target is the path and the query. Requests with another query are others.
 	Target string
 	Body   []byte
+	// Parts are the parts of the prompt that other requests may share. They do not count
+	// towards the fingerprint.
+	Parts []Part
 }
 
 // Fingerprint returns the request's fingerprint. It reads the whole body.
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -43,14 +43,23 @@
 	running   bool
 	ended     bool
 	// waiting holds the requests that broke since the last result.
-	waiting []Fingerprint
+	waiting []brokenRequest
+}
+
+// brokenRequest is a request whose connection was lost.
+type brokenRequest struct {
+	request     Request
+	fingerprint Fingerprint
+	at          time.Time
+	answered    bool // the upstream had begun to answer it
 }
 
 // Counters count what a guard has done, for operators.
 type Counters struct {
-	// Refused counts refused requests, Crashes pairs of a request and an upstream that
-	// ended while it ran the request.
-	Refused, Crashes atomic.Int64
+	// Refused counts requests that were refused for their whole content, RefusedForPart
+	// those refused for a part, and Crashes pairs of a request and an upstream that ended
+	// while it ran the request.
+	Refused, RefusedForPart, Crashes atomic.Int64
 }
 
 // NewGuard returns a guard with an empty table.
@@ -67,23 +76,41 @@
 // Refuse reports whether a request must not be sent to any upstream, and for how long at
 // most.
 func (g *Guard) Refuse(r Request) (left time.Duration, refused bool) {
-	left, refused = g.table.quarantined(r, time.Now())
+	now := time.Now()
+	left, refused = g.table.quarantined(r, now)
 	if refused {
 		g.counters.Refused.Add(1)
+		return left, true
+	}
+	left, refused = g.table.partQuarantined(r, now)
+	if refused {
+		g.counters.RefusedForPart.Add(1)
 	}
 	return left, refused
 }
 
+// Suspected reports whether several upstreams have crashed under a part of the request. It
+// should not be sent a second time then.
+func (g *Guard) Suspected(r Request) bool { return g.table.view.Load().parts.suspected(r) }
+
+// Answering reports that an upstream has begun to answer a request and goes on.
+func (g *Guard) Answering(r Request) { g.table.partAnswered(r) }
+
 // Completed reports that an upstream ran a request to a good end.
-func (g *Guard) Completed(r Request) { g.table.clear(r) }
+func (g *Guard) Completed(r Request) {
+	g.table.clear(r)
+	g.table.partAnswered(r)
+}
 
 // Broken reports that the connection of a request was lost while the upstream may have
-// been running it. It does not block.
-func (g *Guard) Broken(u Upstream, r Request) {
-	f := r.Fingerprint()
+// been running it. answered says whether Answering was reported of this attempt. It does
+// not block.
+func (g *Guard) Broken(u Upstream, r Request, answered bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	b := brokenRequest{request: r, fingerprint: r.Fingerprint(), at: now, answered: answered}
+	b.request.Body = nil
 	g.forgetProbes(now)
 	p := g.probes[u]
 	if p == nil {
@@ -92,12 +119,12 @@
 	}
 	switch {
 	case p.ended:
-		g.crashed(u, f)
+		g.crashed(u, b)
 	case p.running:
-		p.waiting = append(p.waiting, f)
+		p.waiting = append(p.waiting, b)
 	case p.startedAt.IsZero() || now.Sub(p.startedAt) >= probeInterval:
 		p.startedAt, p.running = now, true
-		p.waiting = append(p.waiting, f)
+		p.waiting = append(p.waiting, b)
 		go g.probe(u, p)
 	}
 }
@@ -119,16 +146,16 @@
 	defer g.mu.Unlock()
 	p.running, p.ended = false, ended
 	if ended {
-		for _, f := range p.waiting {
-			g.crashed(u, f)
+		for _, b := range p.waiting {
+			g.crashed(u, b)
 		}
 	}
 	p.waiting = nil
 }
 
 // crashed records that an upstream ended while it ran a request.
-func (g *Guard) crashed(u Upstream, f Fingerprint) {
+func (g *Guard) crashed(u Upstream, b brokenRequest) {
 	g.counters.Crashes.Add(1)
-	g.table.crash(Crash{Fingerprint: f, Process: u.process()})
-	klog.Infof("step=upstream_crash upstream=%s address=%s fingerprint=%s", u.ID, u.Address, f)
+	g.table.crash(Crash{Fingerprint: b.fingerprint, Process: u.process()}, b)
+	klog.Infof("step=upstream_crash upstream=%s address=%s fingerprint=%s answered=%t parts=%x", u.ID, u.Address, b.fingerprint, b.answered, b.request.Parts)
 }
--- a/quarantine/operate.go
+++ b/quarantine/operate.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/hex"
+	"maps"
 	"slices"
 	"time"
 
@@ -20,7 +21,9 @@
 
 // Entry is a suspected request as operators see it.
 type Entry struct {
-	Fingerprint string `json:"fingerprint"` // hexadecimal
+	// Fingerprint is that of a whole request in hexadecimal, or the names of parts of
+	// prompts, of which requests have all.
+	Fingerprint string `json:"fingerprint"`
 	// Crashes is the number of upstreams that ended under it.
 	Crashes     int  `json:"crashes"`
 	Quarantined bool `json:"quarantined"`
@@ -36,6 +39,11 @@
 	for f, s := range t.view.Load().suspects {
 		entries = append(entries, Entry{Fingerprint: f.String(), Crashes: s.crashes, Quarantined: !s.from.IsZero()})
 	}
+	for _, verdicts := range t.view.Load().parts.verdicts {
+		for _, v := range verdicts {
+			entries = append(entries, Entry{Fingerprint: v.String(), Crashes: len(v.crashes), Quarantined: true})
+		}
+	}
 	slices.SortFunc(entries, func(a, b Entry) int {
 		return cmp.Or(cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(a.Fingerprint, b.Fingerprint))
 	})
@@ -60,7 +68,7 @@
 			record.Cleared = append(record.Cleared, c)
 		}
 	}
-	if len(record.Cleared) == earlier {
+	if len(record.Cleared) == earlier && !t.releaseParts(&record, fingerprint) {
 		return ErrNotSuspected
 	}
 	value, err := Encode(record)
@@ -74,6 +82,27 @@
 	return err
 }
 
+// releaseMargin covers the rounding of times in records.
+const releaseMargin = 10 * time.Millisecond
+
+// releaseParts adds to a record that the parts of a verdict were answered after its last
+// crash. It reports whether there is such a verdict.
+func (t *Table) releaseParts(record *Record, name string) bool {
+	for _, verdicts := range t.view.Load().parts.verdicts {
+		for _, v := range verdicts {
+			if v.String() != name {
+				continue
+			}
+			last := slices.MaxFunc(slices.Collect(maps.Values(v.crashes)), time.Time.Compare)
+			for _, k := range v.keys {
+				record.PartsAnswered = append(record.PartsAnswered, PartAnswered{Key: k, At: t.clock.toShared(last.Add(releaseMargin))})
+			}
+			return true
+		}
+	}
+	return false
+}
+
 // recorded reports whether a router still keeps the crash.
 func (t *Table) recorded(c Crash) bool {
 	for _, o := range t.others {
--- /dev/null
+++ b/quarantine/part_evidence.go
@@ -0,0 +1,328 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+const (
+	// partCrashLimit is the number of events in which upstreams crash under a part before
+	// it is quarantined.
+	partCrashLimit = 3
+	// suspicionLimit is the number of such events after which a request with the part is
+	// not sent a second time.
+	suspicionLimit = 2
+	// eventGap is the least time between two crashes that count as two events: upstreams
+	// that lose power together crash together under every popular part.
+	eventGap = 100 * time.Millisecond
+	// maxPartCrashes bounds the crashes under parts, and the parts that were answered
+	// since, in the record of one router.
+	maxPartCrashes = 256
+	// answeredRecently is how long ago a part was answered at most for its crashes not to
+	// be published at once: it will most likely be answered again.
+	answeredRecently = 10 * time.Second
+)
+
+// PartCrash is the end of an upstream's process while it had requests with some parts that
+// it had not begun to answer.
+type PartCrash struct {
+	Process Process   `msgpack:"p"`
+	At      int64     `msgpack:"t"` // milliseconds of the shared clock
+	Parts   []partKey `msgpack:"k"`
+}
+
+// PartAnswered says when a part was last seen in a request that was being answered.
+type PartAnswered struct {
+	Key partKey `msgpack:"k"`
+	At  int64   `msgpack:"t"` // milliseconds of the shared clock
+}
+
+// partObservations are what one router knows of parts, in this router's time.
+type partObservations struct {
+	crashes  map[partKey]map[Process]time.Time
+	answered map[partKey]time.Time
+}
+
+func newPartObservations() partObservations {
+	return partObservations{crashes: map[partKey]map[Process]time.Time{}, answered: map[partKey]time.Time{}}
+}
+
+// add records a crash under a part. The first of several reports of one crash is the most
+// exact.
+func (o partObservations) add(k partKey, p Process, at time.Time) (added bool) {
+	crashes := o.crashes[k]
+	if crashes == nil {
+		crashes = map[Process]time.Time{}
+		o.crashes[k] = crashes
+	}
+	earlier, known := crashes[p]
+	if known && !at.Before(earlier) {
+		return false
+	}
+	crashes[p] = at
+	return !known
+}
+
+// size returns the number of crashes under parts.
+func (o partObservations) size() int {
+	n := 0
+	for _, crashes := range o.crashes {
+		n += len(crashes)
+	}
+	return n
+}
+
+// crashPart records that a process ended while it had a request that it had not begun to
+// answer. The caller must hold t.mu.
+func (t *Table) crashPart(p Process, r Request, at time.Time) {
+	workspace, unusual := r.workspaceHash(), false
+	for _, part := range r.Parts {
+		k := keyOf(part, workspace)
+		if !t.own.parts.add(k, p, at) {
+			continue
+		}
+		answered, known := t.answered.last(k)
+		unusual = unusual || !known || at.Sub(answered) > answeredRecently
+	}
+	t.evaluateSoon()
+	if unusual {
+		t.signalChange()
+		return
+	}
+	t.signalLater()
+}
+
+// partAnswered records that an upstream answers a request: its parts are not what crashed
+// others before.
+func (t *Table) partAnswered(r Request) {
+	if len(r.Parts) == 0 {
+		return
+	}
+	now, workspace, suspects := time.Now(), r.workspaceHash(), t.view.Load().parts.suspects
+	news := false
+	for _, part := range r.Parts {
+		for _, k := range [...]partKey{keyOf(part, workspace), keyOf(part, anyWorkspace)} {
+			t.answered.mark(k, now)
+			news = news || suspects[k]
+		}
+	}
+	if !news {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, part := range r.Parts {
+		for _, k := range [...]partKey{keyOf(part, workspace), keyOf(part, anyWorkspace)} {
+			if suspects[k] {
+				t.own.parts.answered[k] = now
+			}
+		}
+	}
+	t.evaluateSoon()
+	t.signalLater()
+}
+
+// partState is the evidence of all routers on one part in the requests of one workspace, or
+// of all.
+type partState struct {
+	crashes    map[Process]time.Time // since the part was last answered
+	workspaces map[uint32]bool
+	answered   time.Time
+}
+
+// partStates combines the evidence of all routers. The caller must hold t.mu.
+func (t *Table) partStates(now time.Time) map[partKey]*partState {
+	states := map[partKey]*partState{}
+	state := func(k partKey) *partState {
+		s := states[k]
+		if s == nil {
+			s = &partState{crashes: map[Process]time.Time{}, workspaces: map[uint32]bool{}}
+			s.answered, _ = t.answered.last(k)
+			states[k] = s
+		}
+		return s
+	}
+	each := func(visit func(o partObservations)) {
+		visit(t.own.parts)
+		for _, o := range t.others {
+			visit(o.parts)
+		}
+	}
+	each(func(o partObservations) {
+		for k := range o.crashes {
+			state(k)
+			state(k.everywhere())
+		}
+	})
+	each(func(o partObservations) {
+		for k, at := range o.answered {
+			for _, s := range [...]*partState{states[k], states[k.everywhere()]} {
+				if s != nil && at.After(s.answered) {
+					s.answered = at
+				}
+			}
+		}
+	})
+	each(func(o partObservations) {
+		for k, crashes := range o.crashes {
+			one, all := states[k], states[k.everywhere()]
+			for p, at := range crashes {
+				if now.Sub(at) >= retention {
+					continue
+				}
+				one.note(p, at, k.Workspace)
+				all.note(p, at, k.Workspace)
+			}
+		}
+	})
+	return states
+}
+
+// note adds a crash if the part has not been answered since.
+func (s *partState) note(p Process, at time.Time, workspace uint32) {
+	if !at.After(s.answered) {
+		return
+	}
+	if earlier, known := s.crashes[p]; !known || at.Before(earlier) {
+		s.crashes[p] = at
+	}
+	s.workspaces[workspace] = true
+}
+
+// events returns the times of the events in which upstreams crashed, the first one first.
+func (s *partState) events() []time.Time {
+	var events []time.Time
+	for _, at := range slices.SortedFunc(maps.Values(s.crashes), time.Time.Compare) {
+		if len(events) == 0 || at.Sub(events[len(events)-1]) >= eventGap {
+			events = append(events, at)
+		}
+	}
+	return events
+}
+
+// prune forgets the own crashes under parts that were answered since, and the answers that
+// no crash needs. The caller must hold t.mu.
+func (t *Table) pruneParts(states map[partKey]*partState, now time.Time) {
+	own := t.own.parts
+	for k, crashes := range own.crashes {
+		s, before := states[k], len(crashes)
+		maps.DeleteFunc(crashes, func(_ Process, at time.Time) bool {
+			return !at.After(s.answered) || now.Sub(at) >= retention
+		})
+		if len(crashes) == 0 {
+			delete(own.crashes, k)
+		}
+		if len(crashes) < before {
+			t.signalLater()
+		}
+	}
+	newest := map[partKey]time.Time{} // of the crashes that other routers record
+	for _, o := range t.others {
+		for k, crashes := range o.parts.crashes {
+			for _, at := range crashes {
+				for _, k := range [...]partKey{k, k.everywhere()} {
+					if at.After(newest[k]) {
+						newest[k] = at
+					}
+				}
+			}
+		}
+	}
+	for k, crash := range newest {
+		// It may have been answered before this router learned of the crash.
+		at, known := t.answered.last(k)
+		if known && at.After(crash) && own.answered[k].Before(crash) && !t.answeredElsewhere(k, crash) {
+			own.answered[k] = at
+			t.signalLater()
+		}
+	}
+	maps.DeleteFunc(own.answered, func(k partKey, at time.Time) bool {
+		crash, known := newest[k]
+		return !known || crash.After(at) || t.answeredElsewhere(k, crash)
+	})
+	t.evictParts(states)
+}
+
+// answeredElsewhere reports whether another router says that a part was answered after a
+// crash. The caller must hold t.mu.
+func (t *Table) answeredElsewhere(k partKey, crash time.Time) bool {
+	for _, o := range t.others {
+		if o.parts.answered[k].After(crash) {
+			return true
+		}
+	}
+	return false
+}
+
+// evictParts removes the own crashes of the parts with the fewest crashes, the oldest first,
+// if there are too many. A caller that crashes upstreams with ever new parts thus can't
+// displace one that is quarantined. The caller must hold t.mu.
+func (t *Table) evictParts(states map[partKey]*partState) {
+	own := t.own.parts
+	excess := own.size() - maxPartCrashes
+	if excess <= 0 {
+		return
+	}
+	newest := func(k partKey) time.Time {
+		return slices.MaxFunc(slices.Collect(maps.Values(own.crashes[k])), time.Time.Compare)
+	}
+	for _, k := range slices.SortedFunc(maps.Keys(own.crashes), func(a, b partKey) int {
+		return cmp.Or(cmp.Compare(len(states[a].crashes), len(states[b].crashes)), newest(a).Compare(newest(b)))
+	}) {
+		if excess <= 0 {
+			return
+		}
+		excess -= len(own.crashes[k])
+		delete(own.crashes, k)
+		klog.Warningf("step=quarantine %s state=evicted", k)
+	}
+}
+
+// record returns the observations as they are published.
+func (o partObservations) record(clock *commonClock) (crashes []PartCrash, answered []PartAnswered) {
+	byProcess := map[Process]*PartCrash{}
+	for _, k := range slices.SortedFunc(maps.Keys(o.crashes), comparePartKeys) {
+		for p, at := range o.crashes[k] {
+			c := byProcess[p]
+			if c == nil {
+				c = &PartCrash{Process: p, At: clock.toShared(at)}
+				byProcess[p] = c
+			}
+			c.At = min(c.At, clock.toShared(at))
+			c.Parts = append(c.Parts, k)
+		}
+	}
+	for _, p := range slices.Sorted(maps.Keys(byProcess)) {
+		crashes = append(crashes, *byProcess[p])
+	}
+	for _, k := range slices.SortedFunc(maps.Keys(o.answered), comparePartKeys) {
+		answered = append(answered, PartAnswered{Key: k, At: clock.toShared(o.answered[k])})
+	}
+	return crashes, answered
+}
+
+// readParts returns the observations of a record.
+func readParts(r Record, clock *commonClock) partObservations {
+	o := newPartObservations()
+	for _, c := range r.PartCrashes {
+		clock.observe(c.At)
+	}
+	for _, a := range r.PartsAnswered {
+		clock.observe(a.At)
+	}
+	left := maxPartCrashes
+	for _, c := range r.PartCrashes {
+		for _, k := range c.Parts[:min(len(c.Parts), left)] {
+			o.add(k, c.Process, clock.toLocal(c.At))
+			left--
+		}
+	}
+	for _, a := range r.PartsAnswered[:min(len(r.PartsAnswered), maxPartCrashes)] {
+		o.answered[a.Key] = clock.toLocal(a.At)
+	}
+	return o
+}
--- a/quarantine/publish.go
+++ b/quarantine/publish.go
@@ -79,6 +79,7 @@
 		case <-p.Evidence.Changed():
 			p.publishUntilDone(ctx)
 			interval := max(minPublishInterval, time.Duration(p.Routers())*intervalPerRouter)
+			p.Evidence.setPublishInterval(interval)
 			_ = pause.For(ctx, interval)
 		case <-expiry.C:
 			p.Evidence.Expire()
--- a/quarantine/publish_test.go
+++ b/quarantine/publish_test.go
@@ -55,7 +55,7 @@
 			var routers []*router
 			for i := range 3 {
 				routers = append(routers, startRouter(t, fmt.Sprint("vm-", i), fake, dead))
-				routers[i].Broken(Upstream{ID: fmt.Sprint("u", i), Address: "x"}, content("poison"))
+				routers[i].Broken(Upstream{ID: fmt.Sprint("u", i), Address: "x"}, content("poison"), false)
 				time.Sleep(300 * time.Millisecond)
 			}
 			time.Sleep(20 * time.Second) // writes are lost and repeated meanwhile
@@ -76,14 +76,14 @@
 		fake, dead := store.NewFake(store.FakeOptions{}), &deadAddresses{dead: map[string]bool{"x": true}}
 		first := startRouter(t, "vm-1", fake, dead)
 		for i := range 3 {
-			first.Broken(Upstream{ID: fmt.Sprint("u", i), Address: "x"}, content("poison"))
+			first.Broken(Upstream{ID: fmt.Sprint("u", i), Address: "x"}, content("poison"), false)
 		}
 		time.Sleep(5 * time.Second)
 		is.True(first.refuses(content("poison")))
 		first.stop()
 		time.Sleep(time.Second)
 		again, other := startRouter(t, "vm-1", fake, dead), startRouter(t, "vm-2", fake, dead)
-		again.Broken(Upstream{ID: "u9", Address: "x"}, content("other")) // its first write keeps the old record
+		again.Broken(Upstream{ID: "u9", Address: "x"}, content("other"), false) // its first write keeps the old record
 		time.Sleep(5 * time.Second)
 		is.True(again.refuses(content("poison")))
 		is.True(other.refuses(content("poison")))
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -3,12 +3,15 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"buckthornridge/store"
 )
 
 const (
@@ -49,6 +52,10 @@
 	Crashes []Crash `msgpack:"c"`
 	// Cleared are crashes of which the request was not the cause.
 	Cleared []Crash `msgpack:"x"`
+	// PartCrashes and PartsAnswered are the same for parts of prompts. A crash counts only
+	// if the part has not been answered since.
+	PartCrashes   []PartCrash    `msgpack:"k,omitempty"`
+	PartsAnswered []PartAnswered `msgpack:"a,omitempty"`
 }
 
 // Table holds the evidence of all routers and decides which requests are quarantined.
@@ -64,23 +71,31 @@
 	evaluating bool
 	// lastEvaluation is the time that the last evaluation took.
 	lastEvaluation time.Duration
+	clock          commonClock
+	// publishInterval is the least time between two publications of one router.
+	publishInterval time.Duration
+	signalling      bool // a delayed signal is on its way
+
+	answered answeredCache
 }
 
 // observations are those of one router, with the time at which this router got them.
 type observations struct {
 	crashes map[Crash]time.Time
 	cleared map[Crash]time.Time
+	parts   partObservations
 }
 
 func newObservations() observations {
-	return observations{crashes: map[Crash]time.Time{}, cleared: map[Crash]time.Time{}}
+	return observations{crashes: map[Crash]time.Time{}, cleared: map[Crash]time.Time{}, parts: newPartObservations()}
 }
 
 // view is an immutable result of the evaluation.
 type view struct {
 	suspects map[Fingerprint]suspect
 	// keys holds the keys of the suspects.
-	keys map[uint32]bool
+	keys  map[uint32]bool
+	parts partView
 }
 
 // find returns the state of a suspect. It computes the fingerprint only if the request's
@@ -104,11 +119,16 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	t := &Table{own: newObservations(), others: map[string]observations{}, changed: make(chan struct{}, 1)}
+	t := &Table{own: newObservations(), others: map[string]observations{}, changed: make(chan struct{}, 1), publishInterval: minPublishInterval}
+	t.answered.start = time.Now()
 	t.view.Store(&view{})
 	return t
 }
 
+// SetClock sets the clock that all routers share, before the table is used. Without one
+// they must agree on the time of day.
+func (t *Table) SetClock(c store.Clock) { t.clock.clock = c }
+
 // Changed returns a channel that has a value after the own observations changed.
 func (t *Table) Changed() <-chan struct{} { return t.changed }
 
@@ -121,6 +141,26 @@
 	return max(s.from.Add(retention).Sub(now), 0), true
 }
 
+// partQuarantined reports whether a request is refused for its parts, and for how long at
+// most.
+func (t *Table) partQuarantined(r Request, now time.Time) (left time.Duration, refused bool) {
+	verdict := t.view.Load().parts.refuses(r, now)
+	if verdict == nil {
+		return 0, false
+	}
+	return verdict.until.Sub(now), true
+}
+
+// CountParts returns the number of parts under which an upstream crashed and that have not
+// been answered since, and how many sets of them are quarantined.
+func (t *Table) CountParts() (suspects, quarantined int) {
+	v := &t.view.Load().parts
+	for _, verdicts := range v.verdicts {
+		quarantined += len(verdicts)
+	}
+	return len(v.suspects), quarantined
+}
+
 // Count returns the number of requests under which an upstream ended, and how many of them
 // are quarantined.
 func (t *Table) Count() (suspects, quarantined int) {
@@ -134,9 +174,12 @@
 }
 
 // crash records that a process ended while it ran a request.
-func (t *Table) crash(c Crash) {
+func (t *Table) crash(c Crash, b brokenRequest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !b.answered {
+		t.crashPart(c.Process, b.request, b.at)
+	}
 	if _, known := t.own.crashes[c]; known {
 		return
 	}
@@ -169,12 +212,38 @@
 // ownChanged signals a change of the own observations. The caller must hold t.mu.
 func (t *Table) ownChanged() {
 	t.evaluateSoon()
+	t.signalChange()
+}
+
+func (t *Table) signalChange() {
 	select {
 	case t.changed <- struct{}{}:
 	default:
 	}
 }
 
+// signalLater signals a change that other routers may publish too. The one that does so
+// first spares the others theirs. The caller must hold t.mu.
+func (t *Table) signalLater() {
+	if t.signalling {
+		return
+	}
+	t.signalling = true
+	time.AfterFunc(rand.N(t.publishInterval), func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.signalling = false
+		t.signalChange()
+	})
+}
+
+// setPublishInterval sets the least time between two publications of one router.
+func (t *Table) setPublishInterval(interval time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.publishInterval = interval
+}
+
 // evict removes the entries with the least weight if there are too many: those of the
 // requests with the fewest crashes, the oldest first. A caller that ends upstreams with ever
 // new requests thus can't displace one that is quarantined. The caller must hold t.mu.
@@ -210,8 +279,9 @@
 	}
 	take(next.crashes, old.crashes, r.Crashes)
 	take(next.cleared, old.cleared, r.Cleared)
+	next.parts = readParts(r, &t.clock)
 	t.others[router] = next
-	if len(next.crashes)+len(next.cleared) == 0 {
+	if len(next.crashes)+len(next.cleared)+len(next.parts.crashes)+len(next.parts.answered) == 0 {
 		delete(t.others, router)
 	}
 	t.evaluateSoon()
@@ -228,7 +298,18 @@
 	for _, c := range r.Cleared {
 		t.own.cleared[c] = now
 	}
-	if len(r.Crashes)+len(r.Cleared) > 0 {
+	earlier := readParts(r, &t.clock)
+	for k, crashes := range earlier.crashes {
+		for p, at := range crashes {
+			t.own.parts.add(k, p, at)
+		}
+	}
+	for k, at := range earlier.answered {
+		if at.After(t.own.parts.answered[k]) {
+			t.own.parts.answered[k] = at
+		}
+	}
+	if len(r.Crashes)+len(r.Cleared)+len(r.PartCrashes)+len(r.PartsAnswered) > 0 {
 		t.ownChanged()
 	}
 }
@@ -237,12 +318,14 @@
 func (t *Table) Record() Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.own.crashes) > maxCrashes {
+	if len(t.own.crashes) > maxCrashes || t.own.parts.size() > maxPartCrashes {
 		t.evaluate(time.Now()) // other routers take no more
 	}
 	uncleared := t.allCrashes(time.Now())
 	maps.DeleteFunc(t.own.crashes, func(c Crash, _ time.Time) bool { return !uncleared[c] })
-	return Record{Crashes: sorted(t.own.crashes), Cleared: sorted(t.own.cleared)}
+	r := Record{Crashes: sorted(t.own.crashes), Cleared: sorted(t.own.cleared)}
+	r.PartCrashes, r.PartsAnswered = t.own.parts.record(&t.clock)
+	return r
 }
 
 // Expire removes own observations that are older than the retention period.
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -61,7 +61,7 @@
 func (f *fleet) end(id string, requests ...Request) {
 	f.dead.dead[id] = true
 	for i, r := range requests {
-		f.guards[i%len(f.guards)].Broken(Upstream{ID: id, Address: id}, r)
+		f.guards[i%len(f.guards)].Broken(Upstream{ID: id, Address: id}, r, false)
 	}
 	synctest.Wait()
 	f.exchange()
@@ -117,7 +117,7 @@
 	runTest(t, func(t *testing.T, is *is.I) {
 		f := newFleet(1)
 		for i := range 10 {
-			f.guards[0].Broken(Upstream{ID: fmt.Sprint("u", i), Address: "alive"}, content("x"))
+			f.guards[0].Broken(Upstream{ID: fmt.Sprint("u", i), Address: "alive"}, content("x"), false)
 			time.Sleep(2 * time.Second)
 		}
 		is.Equal(f.refuses(content("x")), 0)
@@ -267,7 +267,7 @@
 		const poisons = 8 // of any fingerprints
 		for i := range 3 * poisons {
 			u := Upstream{ID: fmt.Sprint("u", i), Address: "x"}
-			f.guards[0].table.crash(Crash{Fingerprint: content(fmt.Sprint("poison", i%poisons)).Fingerprint(), Process: u.process()})
+			f.guards[0].table.crash(Crash{Fingerprint: content(fmt.Sprint("poison", i%poisons)).Fingerprint(), Process: u.process()}, brokenRequest{answered: true})
 		}
 		f.guards[0].table.Adopt(earlier)
 		f.exchange()
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -24,6 +24,7 @@
 	target    Upstream
 	startedAt time.Time
 	firstByte time.Duration // time to the first event or to the whole response
+	events    int           // forwarded events
 }
 
 // send sends the request and forwards the response. It reports whether the request is
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -81,6 +81,7 @@
 	priority    int
 	deadline    time.Time // when the final response is due
 	reservation Reservation
+	sharedParts []quarantine.Part
 
 	sends           int           // attempts that may have reached an upstream
 	misdirected     int           // attempts that found another upstream at the address
@@ -118,6 +119,7 @@
 	if problem := r.authenticate(); problem != nil {
 		return problem
 	}
+	r.sharedParts = sharedParts(r.request.Parts)
 	if problem := r.checkQuarantine(); problem != nil {
 		return problem
 	}
@@ -226,8 +228,12 @@
 // tryNextUpstream picks an upstream and sends the request to it. It reports whether the
 // request is done.
 func (r *call) tryNextUpstream(ctx context.Context) bool {
-	if r.sends > 0 && r.checkQuarantine() != nil {
-		r.giveUp(ctx, "upstreams ended while they ran this request")
+	if problem := r.checkQuarantine(); problem != nil {
+		if r.mayHaveRun || r.streamStarted || ctx.Err() != nil {
+			r.giveUp(ctx, problem.Detail)
+		} else {
+			r.refuse(problem)
+		}
 		return true
 	}
 	choice, err := r.relay.Picker.Pick(r.routingRequest())
@@ -293,7 +299,7 @@
 // mayRetry reports whether the request may be sent to another upstream, and takes the
 // retry from the retry budget. ran tells whether the last upstream may have run it.
 func (r *call) mayRetry(ctx context.Context, ran bool) bool {
-	if ctx.Err() != nil || (ran && !r.route.Kind.Retryable()) {
+	if ctx.Err() != nil || ran && (!r.route.Kind.Retryable() || r.crashesUpstreams()) {
 		return false
 	}
 	// A misdirected attempt does not count towards the route's limit: its upstream has
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -72,6 +72,9 @@
 		return errCallerDisconnected
 	}
 	r.forwardedEvents++
+	if t.events++; t.events == answeringEvents {
+		r.relay.Guard.Answering(r.content())
+	}
 	if id != "" {
 		r.lastEventID = id
 	}
--- a/request/call.go
+++ b/request/call.go
@@ -111,7 +111,7 @@
 	began := time.Now()
 	reply, err := e.sendTo(ctx, run, r, target)
 	telemetry.EndSpan(span, err)
-	e.reportAttempt(ctx, r, target, err)
+	e.reportAttempt(ctx, r, target, false, err)
 	choice.Done(AttemptResult{Err: err, FirstToken: time.Since(began)})
 	return reply, target, err
 }
@@ -213,7 +213,7 @@
 		}
 		tried = append(tried, target)
 		mayHaveRun = mayHaveRun || run.State().MayHaveRun() && !provesNotRun(err)
-		if problem := e.terminalProblem(ctx, n, err); problem != nil {
+		if problem := e.terminalProblem(ctx, r, n, err); problem != nil {
 			e.endIdempotent(run, r, reservation, *problem, mayHaveRun)
 			return
 		}
--- a/request/generate.go
+++ b/request/generate.go
@@ -68,7 +68,7 @@
 				return
 			}
 		}
-		if problem := e.terminalProblem(ctx, n, err); problem != nil {
+		if problem := e.terminalProblem(ctx, r, n, err); problem != nil {
 			endWithoutAnswer(run, reservation, *problem, mayHaveRun)
 			return
 		}
@@ -85,14 +85,14 @@
 
 // terminalProblem returns the problem that ends the request after attempt n, or
 // nil if another attempt is allowed.
-func (e *Executor) terminalProblem(ctx context.Context, n int, cause error) *Problem {
+func (e *Executor) terminalProblem(ctx context.Context, r *Request, n int, cause error) *Problem {
 	var problem *Problem
 	switch {
 	case errors.As(cause, &problem):
 		return problem
 	case ctx.Err() != nil:
 		return &Problem{Name: ProblemDeadline, RetryAfter: time.Second, Detail: "the deadline passed"}
-	case n >= e.settings.Attempts:
+	case n >= e.settings.Attempts, !provesNotRun(cause) && e.guard.Suspected(r.content()):
 		return &Problem{Name: ProblemUpstreamFailed, RetryAfter: time.Second, Detail: cause.Error()}
 	}
 	return nil
@@ -149,7 +149,7 @@
 	result.Err, result.Usage = err, usage
 	choice.Done(result)
 	telemetry.EndSpan(span, err)
-	a.executor.reportAttempt(ctx, a.request, a.target, err)
+	a.executor.reportAttempt(ctx, a.request, a.target, a.received >= answeringTokens, err)
 	return usage, err
 }
 
@@ -237,7 +237,9 @@
 	if token.Position != a.received {
 		return eris.Wrapf(upstream.ErrProtocol, "received token %d, expected token %d", token.Position, a.received)
 	}
-	a.received++
+	if a.received++; a.received == answeringTokens {
+		a.executor.guard.Answering(a.request.content())
+	}
 	if token.Position == a.run.position() {
 		a.run.add(token.Text)
 		return nil
--- a/request/harness_test.go
+++ b/request/harness_test.go
@@ -71,8 +71,8 @@
 // fakeGuard knows each upstream by its id alone.
 type fakeGuard struct{ *quarantine.Guard }
 
-func (g fakeGuard) Broken(upstreamID string, r quarantine.Request) {
-	g.Guard.Broken(quarantine.Upstream{ID: upstreamID, Address: upstreamID}, r)
+func (g fakeGuard) Broken(upstreamID string, r quarantine.Request, answered bool) {
+	g.Guard.Broken(quarantine.Upstream{ID: upstreamID, Address: upstreamID}, r, answered)
 }
 
 // Ended implements quarantine.Prober.
--- a/request/ports.go
+++ b/request/ports.go
@@ -63,9 +63,14 @@
 	// Refuse reports whether a request must not be sent to any upstream, and for how
 	// long at most.
 	Refuse(r quarantine.Request) (left time.Duration, refused bool)
+	// Suspected reports whether several upstreams have crashed under a part of the
+	// request, so that it should not be sent a second time.
+	Suspected(r quarantine.Request) bool
 	// Broken reports that the connection of a request was lost while the upstream may
-	// have been running it.
-	Broken(upstreamID string, r quarantine.Request)
+	// have been running it. answered says whether Answering was reported of the attempt.
+	Broken(upstreamID string, r quarantine.Request, answered bool)
+	// Answering reports that an upstream has begun to answer a request and goes on.
+	Answering(r quarantine.Request)
 	// Completed reports that an upstream ran a request to a good end.
 	Completed(r quarantine.Request)
 }
--- a/router/guard.go
+++ b/router/guard.go
@@ -16,10 +16,10 @@
 var _ request.Guard = guardPort{}
 
 // Broken implements request.Guard. An upstream that leaves ends by plan.
-func (p guardPort) Broken(upstreamID string, r quarantine.Request) {
+func (p guardPort) Broken(upstreamID string, r quarantine.Request, answered bool) {
 	m, known := p.view.Load().Members[upstreamID]
 	if !known || m.State == membership.Leaving {
 		return
 	}
-	p.Guard.Broken(quarantine.Upstream{ID: m.ID, Incarnation: m.Incarnation, Address: m.Address}, r)
+	p.Guard.Broken(quarantine.Upstream{ID: m.ID, Incarnation: m.Incarnation, Address: m.Address}, r, answered)
 }
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -113,5 +113,8 @@
 	m.Set("refused", expvar.Func(func() any { return g.Counters().Refused.Load() }))
 	m.Set("suspects", expvar.Func(func() any { suspects, _ := g.Table().Count(); return suspects }))
 	m.Set("entries", expvar.Func(func() any { _, entries := g.Table().Count(); return entries }))
+	m.Set("part_refused", expvar.Func(func() any { return g.Counters().RefusedForPart.Load() }))
+	m.Set("part_suspects", expvar.Func(func() any { suspects, _ := g.Table().CountParts(); return suspects }))
+	m.Set("part_entries", expvar.Func(func() any { _, entries := g.Table().CountParts(); return entries }))
 	return m
 }
