quarantine, edge: parts are tried again seldom; ends that a VM can't see itself

A part that is quarantined gets no chance to be answered.

An upstream's end went unnoticed where the VM has no path to it (its requests are forwarded), and a peer without a path counted as one that reaches it. Now the peers' word is enough, and no path is no opinion. Where all upstreams crash one after the other, the last ones are believed to have ended if the others are known to have: before, at most three failing ones of all services.

Tests: parts of one workspace decide nothing for another, ever new parts do not displace the cause, a loss of power of all blames nobody, tied parts are refused together only.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -149,11 +149,11 @@
 	p.forward = &forwarder{peers: p.peers, choice: reach.NewForwarders(), protocol: a.Protocol}
 	p.forwarded = &forwardServer{pool: p.pool, tracker: p.paths, fleet: p.fleet, protocol: a.Protocol, stopping: &p.stopping}
 	p.forwarded.register(p.peerSrv)
-	own := upstream.Prober{Dial: p.pool.Dial}
-	controlled := controlledProber{own: own, tracker: p.paths, fleet: p.fleet}
-	p.guard = quarantine.NewGuard(confirmingProber{own: controlled, peers: p.peers})
+	prober := newControlledProber(upstream.Prober{Dial: p.pool.Dial}, p.paths, p.fleet)
+	p.guard = quarantine.NewGuard(confirmingProber{own: prober, peers: p.peers})
 	p.guard.Table().SetClock(a.Clock)
-	serveProbes(p.peerSrv, own, controlled)
+	p.guard.Table().SetElection(p.peers.elects)
+	serveProbes(p.peerSrv, prober)
 	p.manager = allowance.New(allowance.Options{
 		Table: a.Table, Feed: a.Feed, Clock: a.Clock, VM: s.VM, Incarnation: p.incarnation, VMs: p.peers.count,
 		Sharing:    p.peers.sharing,
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -112,6 +112,18 @@
 	return p.self.VM, p.fleet
 }
 
+// elects reports whether this VM is the one of the fleet that a key falls to.
+func (p *peers) elects(key string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	others := make([]origin.Member, 0, len(p.fleet))
+	for _, m := range p.fleet {
+		others = append(others, origin.Member{Name: m.VM})
+	}
+	first := origin.Replicas(key, "", others, 1)
+	return len(first) == 1 && first[0].Name == p.self.VM
+}
+
 // peerAddresses returns the addresses for calls to some VMs, without this one and those
 // that are not known.
 func (p *peers) peerAddresses(members []origin.Member) []string {
--- a/edge/prober.go
+++ b/edge/prober.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
+	"maps"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
 	"buckthornridge/peer"
-	"buckthornridge/quarantine"
 	"buckthornridge/reach"
+	"buckthornridge/upstream"
 )
 
 const (
@@ -16,54 +18,105 @@
 	methodEnded = "upstream.ended"
 	// proberPeers is how many peers are asked.
 	proberPeers = 5
-	// maxEnded is how many upstreams are believed to have ended where none is reached. A
-	// request that ends upstreams is quarantined after the third.
+	// maxEnded is how many upstreams are believed to have ended where none is reached,
+	// besides those that were known to have ended while others were reached.
 	maxEnded = 3
+	// endedRetention is how long it is kept that an upstream has ended.
+	endedRetention = time.Minute
+	// ownProbeTimeout bounds the own probe, so that peers can be asked after it.
+	ownProbeTimeout = 150 * time.Millisecond
+)
+
+// opinion is what a VM can say about an upstream.
+type opinion uint8
+
+const (
+	unknown opinion = iota // nothing: the VM may have lost its path
+	reached                // something listens at the address
+	ended
 )
 
 // controlledProber finds out whether an upstream has ended, and compares it with another
 // one: to a VM that has lost its own path all upstreams look as if they had ended.
 type controlledProber struct {
-	own     quarantine.Prober
+	own     upstream.Prober
 	tracker *reach.Tracker
 	fleet   *fleet
+
+	mu sync.Mutex
+	// ended holds the upstreams that were found to have ended, with the time of that.
+	ended map[string]time.Time
 }
 
-// Ended implements quarantine.Prober.
-func (c controlledProber) Ended(ctx context.Context, address string) bool {
-	if !c.own.Ended(ctx, address) {
-		return false
+func newControlledProber(own upstream.Prober, tracker *reach.Tracker, fleet *fleet) *controlledProber {
+	return &controlledProber{own: own, tracker: tracker, fleet: fleet, ended: map[string]time.Time{}}
+}
+
+func (c *controlledProber) opinion(ctx context.Context, address string) opinion {
+	ctx, cancel := context.WithTimeout(ctx, ownProbeTimeout)
+	defer cancel()
+	switch c.own.Probe(ctx, address) {
+	case upstream.Listening:
+		return reached
+	case upstream.Unreached:
+		return unknown
 	}
 	id := c.fleet.idAt(address)
 	now := time.Now()
 	c.tracker.Failed(id, reach.Refused, now, now)
 	control, found := c.tracker.Control(id)
-	if !found {
-		return c.tracker.Failing() <= maxEnded
+	if !found && c.unexplained(id, now) >= maxEnded {
+		return unknown
+	}
+	if u, known := c.fleet.Upstream(control); found && known && c.own.Probe(ctx, u.Address) == upstream.Refusing {
+		return unknown
 	}
-	u, known := c.fleet.Upstream(control)
-	return !known || !c.own.Ended(ctx, u.Address)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended[id] = now
+	return ended
+}
+
+// unexplained returns how many upstreams fail, besides one and those that are known to have
+// ended. Where all upstreams crash one after the other, none is left to compare the last
+// ones with.
+func (c *controlledProber) unexplained(except string, now time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	maps.DeleteFunc(c.ended, func(_ string, at time.Time) bool { return now.Sub(at) > endedRetention })
+	count := 0
+	for _, id := range c.tracker.FailingUpstreams() {
+		if _, known := c.ended[id]; !known && id != except {
+			count++
+		}
+	}
+	return count
 }
 
 // confirmingProber has peers confirm that an upstream has ended: a VM may have lost its
-// path to some upstreams of a service only.
+// path to some upstreams of a service only, or to all.
 type confirmingProber struct {
-	own   quarantine.Prober
+	own   *controlledProber
 	peers *peers
 }
 
-// Ended implements quarantine.Prober. An upstream that any of the asked peers reaches has
-// not ended, and without an opinion of any peer nothing is certain.
-func (c confirmingProber) Ended(ctx context.Context, upstream string) bool {
-	if !c.own.Ended(ctx, upstream) {
+// Ended implements quarantine.Prober. An upstream that any of the asked VMs reaches has not
+// ended, and without the opinion of a peer nothing is certain. A VM without a path to it
+// goes by what its peers say.
+func (c confirmingProber) Ended(ctx context.Context, address string) bool {
+	own := c.own.opinion(ctx, address)
+	if own == reached {
 		return false
 	}
 	asked := c.peers.randomAddresses(proberPeers)
+	if len(asked) == 0 {
+		return own == ended
+	}
 	answers := make(chan opinion, len(asked))
-	for _, address := range asked {
-		go func() { answers <- c.ask(ctx, address, upstream) }()
+	for _, peer := range asked {
+		go func() { answers <- c.ask(ctx, peer, address) }()
 	}
-	confirmed := len(asked) == 0
+	confirmed := false
 	for range asked {
 		switch <-answers {
 		case reached:
@@ -75,38 +128,22 @@
 	return confirmed
 }
 
-// opinion is a peer's answer about an upstream.
-type opinion uint8
-
-const (
-	unknown opinion = iota // no answer, or none that says anything
-	reached                // the address does not refuse connections
-	ended
-)
-
-func (c confirmingProber) ask(ctx context.Context, peer, upstream string) opinion {
+func (c confirmingProber) ask(ctx context.Context, peer, address string) opinion {
 	var answer opinion
-	if err := c.peers.client.Call(ctx, peer, methodEnded, upstream, &answer); err != nil {
-		klog.V(1).Infof("step=ask_ended peer=%s address=%s result=failed err=%q", peer, upstream, err.Error())
+	if err := c.peers.client.Call(ctx, peer, methodEnded, address, &answer); err != nil {
+		klog.V(1).Infof("step=ask_ended peer=%s address=%s result=failed err=%q", peer, address, err.Error())
 		return unknown
 	}
 	return answer
 }
 
-// serveProbes answers peers. A VM that has itself lost its path to the upstream's service
-// has no opinion.
-func serveProbes(server *peer.Server, own, controlled quarantine.Prober) {
+// serveProbes answers peers.
+func serveProbes(server *peer.Server, own *controlledProber) {
 	server.Handle(methodEnded, func(ctx context.Context, decode func(any) error, _ peer.Sender) (any, error) {
 		var address string
 		if err := decode(&address); err != nil {
 			return nil, err
 		}
-		switch {
-		case controlled.Ended(ctx, address):
-			return ended, nil
-		case own.Ended(ctx, address):
-			return unknown, nil
-		}
-		return reached, nil
+		return own.opinion(ctx, address), nil
 	})
 }
--- a/quarantine/part_verdict.go
+++ b/quarantine/part_verdict.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -21,6 +22,43 @@
 	crashes map[Process]time.Time
 	// from is the start of the quarantine, until its end.
 	from, until time.Time
+	// tryFrom is when one request is sent again, to learn whether it still holds.
+	tryFrom time.Time
+	// tried is the last such request of this router.
+	tried *atomic.Pointer[trial]
+}
+
+// trial is a request that is sent although it is quarantined.
+type trial struct {
+	at      time.Time
+	request Fingerprint
+}
+
+const (
+	// firstTry is the least time after the last crash before a part is tried again, and
+	// tryGrowth the multiple of the time over which its crashes spread: 10 minutes, then an
+	// hour, then seven.
+	firstTry  = 10 * time.Minute
+	tryGrowth = 6
+	// tryInterval is the time between two tries of which none was answered or crashed.
+	tryInterval = time.Minute
+)
+
+// mayTry reports whether one request of a quarantined part is sent all the same: a part
+// that is refused gets no other chance to be answered.
+func (t *Table) mayTry(v *partVerdict, r Request, now time.Time) bool {
+	if now.Before(v.tryFrom) || t.elected == nil || !t.elected(v.String()) {
+		return false
+	}
+	last, next := v.tried.Load(), &trial{at: now, request: r.Fingerprint()}
+	if last != nil && now.Sub(last.at) < tryInterval {
+		return last.request == next.request
+	}
+	if !v.tried.CompareAndSwap(last, next) {
+		return false
+	}
+	klog.Infof("step=quarantine parts=%s state=tried crashes=%d", v, len(v.crashes))
+	return true
 }
 
 // String returns the verdict's parts.
@@ -86,11 +124,13 @@
 			last := slices.MaxFunc(slices.Collect(maps.Values(s.crashes)), time.Time.Compare)
 			candidates = append(candidates, &partVerdict{
 				keys: []partKey{k}, crashes: s.crashes, from: events[partCrashLimit-1].Add(settleTime), until: last.Add(retention),
+				tryFrom: last.Add(max(firstTry, tryGrowth*last.Sub(events[0]))),
 			})
 		}
 	}
 	for _, v := range explain(candidates) {
 		if !explainedByRequest(v, requests) {
+			v.tried = t.view.Load().parts.triedBefore(v)
 			view.verdicts[v.keys[0].Part] = append(view.verdicts[v.keys[0].Part], v)
 		}
 	}
@@ -123,6 +163,16 @@
 	return maximal
 }
 
+// triedBefore returns the last trial of a verdict that may have been in force before.
+func (v *partView) triedBefore(next *partVerdict) *atomic.Pointer[trial] {
+	for _, earlier := range v.verdicts[next.keys[0].Part] {
+		if slices.Equal(earlier.keys, next.keys) {
+			return earlier.tried
+		}
+	}
+	return new(atomic.Pointer[trial])
+}
+
 func includes(all, some map[Process]time.Time) bool {
 	for p := range some {
 		if _, has := all[p]; !has {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -75,6 +75,8 @@
 	// publishInterval is the least time between two publications of one router.
 	publishInterval time.Duration
 	signalling      bool // a delayed signal is on its way
+	// elected reports whether this router is the one that tries a part again.
+	elected func(key string) bool
 
 	answered answeredCache
 }
@@ -141,11 +143,15 @@
 	return max(s.from.Add(retention).Sub(now), 0), true
 }
 
+// SetElection sets the function that reports whether this router is the one of all that a
+// key falls to, before the table is used. Without one no router is.
+func (t *Table) SetElection(elected func(key string) bool) { t.elected = elected }
+
 // partQuarantined reports whether a request is refused for its parts, and for how long at
 // most.
 func (t *Table) partQuarantined(r Request, now time.Time) (left time.Duration, refused bool) {
 	verdict := t.view.Load().parts.refuses(r, now)
-	if verdict == nil {
+	if verdict == nil || t.mayTry(verdict, r, now) {
 		return 0, false
 	}
 	return verdict.until.Sub(now), true
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -59,7 +59,7 @@
 
 // end ends an upstream under requests that different routers have sent to it.
 func (f *fleet) end(id string, requests ...Request) {
-	f.dead.dead[id] = true
+	f.die(id)
 	for i, r := range requests {
 		f.guards[i%len(f.guards)].Broken(Upstream{ID: id, Address: id}, r, false)
 	}
@@ -67,6 +67,13 @@
 	f.exchange()
 }
 
+// die ends the upstream at an address.
+func (f *fleet) die(address string) {
+	f.dead.mu.Lock()
+	defer f.dead.mu.Unlock()
+	f.dead.dead[address] = true
+}
+
 func (f *fleet) refuses(r Request) int {
 	n := 0
 	for _, g := range f.guards {
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -1,6 +1,8 @@
 package reach
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -182,13 +184,15 @@
 	return "", false
 }
 
-// Failing returns how many upstreams of all services fail.
-func (t *Tracker) Failing() int {
-	count := 0
+// FailingUpstreams returns the upstreams of all services that fail.
+func (t *Tracker) FailingUpstreams() []string {
+	var ids []string
 	for _, s := range t.all() {
-		count += int(s.failing.Load())
+		s.mu.Lock()
+		ids = append(ids, slices.Collect(maps.Keys(s.failed))...)
+		s.mu.Unlock()
 	}
-	return count
+	return ids
 }
 
 // reached returns an upstream other than the named one that was reached last time.
