edge: failing test of answers that end with their connection

What callers see: an answer with neither a length nor chunks, whose upstream's process ends in it, looks whole: 200 with 130 or 0 of 261 bytes, and a stream that a crash cuts between two events ends as complete, also where another engine could go on with it.

--- a/edge/versionenv_test.go
+++ b/edge/versionenv_test.go
@@ -303,7 +303,7 @@
 		}, {
 			Name: "once", Host: "h", Prefix: "/once/", Kind: relay.Stream, Attempts: 1, Public: true, Timeout: streamTimeout,
 			TargetLatency: 400 * time.Millisecond, Services: []relay.WeightedService{{Service: "engine", Weight: 1}},
-		}},
+		}, wholeRoute},
 		Workspaces: []relay.Workspace{{Name: "studio", Prepaid: -1, Priority: -1}, {Name: "desk", Prepaid: -1, Priority: -1}},
 		Keys:       map[string]string{"studio": "studio", "desk": "desk"},
 	}))
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -21,9 +21,8 @@
 // partKey is a part as the requests of one workspace contain it. Evidence is kept by
 // workspace, so that no workspace can have the parts of another one refused, or clear them.
 type partKey struct {
-	_msgpack  struct{} `msgpack:",as_array"`
-	Part      Part
-	Workspace uint32 // a hash; anyWorkspace for all
+	Part      Part   `msgpack:"p"`
+	Workspace uint32 `msgpack:"w"` // a hash; anyWorkspace for all
 }
 
 func keyOf(p Part, workspace uint32) partKey { return partKey{Part: p, Workspace: workspace} }
