upstream/exchange, edge, upstream: an answer without a length may be cut by a crash

What callers saw: 200 with a part of an answer, or a stream that ends as complete between two events, when the upstream's process ended in an answer with neither a length nor chunks. Nobody read Response.Framed: the end of the connection was the end of the answer.

Change: after such a body the upstream's address is asked for a connection, which is kept for the next request. If it refuses, the process has ended and the answer counts as broken off: a stream goes on elsewhere where it may, a whole answer is replaced by a failure, and its parts are no longer cleared. An upstream that is listed as leaving, or no longer listed, ends by plan; its answer is whole. Forwarded requests are judged at the VM that has the connection. The client of plain services of the other path does the same.

TestReplyThatEndsWithItsServerIsBroken failed without the change of upstream/service.go.

Not covered: a process that is back within a millisecond, and one whose leaving the VM has not learned of (its last answer counts as broken off).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -179,7 +179,7 @@
 	served := &relay.Relay{
 		Catalogue: &p.catalogue, Budgets: budgets{p.manager}, Picker: picker, Fleet: p.fleet,
 		Sender: pathSender{
-			direct:  sender{pool: p.pool, protocol: p.adapter.Protocol, tracker: p.paths, identity: p.fleet.identity},
+			direct:  sender{pool: p.pool, protocol: p.adapter.Protocol, tracker: p.paths, identity: p.fleet.identity, fleet: p.fleet},
 			tracker: p.paths, forward: p.forward,
 		},
 		RetryBudget: relay.NewRetryBudget(relay.RetryPolicy{
--- a/edge/forward_server.go
+++ b/edge/forward_server.go
@@ -96,6 +96,7 @@
 	response, err := f.pool.Do(ctx, q.Address, &exchange.Request{
 		Method: q.Method, Target: q.Target, Host: q.Host, Header: q.Header, Body: q.Body,
 		FreshConnection: q.Fresh, Dialed: o.dialed, Closed: o.suspect,
+		ProcessEnded:    processEnded(ctx, f.pool, f.fleet, u),
 		Identify:        func() *exchange.Identification { return identity.identification(u, q.Identify, q.Process) },
 		ResponseMatches: func(h http.Header) bool { return f.protocol.ResponseMatches(q.ID, h) },
 	})
--- a/edge/ports.go
+++ b/edge/ports.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"buckthornridge/budget/allowance"
@@ -36,6 +37,24 @@
 	protocol Protocol
 	tracker  *reach.Tracker
 	identity *identities
+	fleet    *fleet
+}
+
+// processEndTimeout bounds the connection that shows whether an upstream's process has
+// ended.
+const processEndTimeout = 300 * time.Millisecond
+
+// processEnded returns the question whether an upstream's process has ended other than by
+// plan. The connection that answers it is kept for later requests.
+func processEnded(ctx context.Context, pool *exchange.Pool, fleet *fleet, u relay.Upstream) func() bool {
+	return func() bool {
+		if listed, known := fleet.Upstream(u.ID); !known || listed.Leaving || listed.Address != u.Address {
+			return false
+		}
+		ctx, cancel := context.WithTimeout(ctx, processEndTimeout)
+		defer cancel()
+		return errors.Is(pool.Connect(ctx, u.Address), syscall.ECONNREFUSED)
+	}
 }
 
 // sendOver sends a request over the VM's own connections, in the way that the path says.
@@ -57,6 +76,7 @@
 		ConnectTimeout:  connectTimeout,
 		Dialed:          o.dialed,
 		Closed:          o.suspect,
+		ProcessEnded:    processEnded(ctx, s.pool, s.fleet, out.Upstream),
 		Identify: func() *exchange.Identification {
 			return s.identity.identification(out.Upstream, out.Identify, out.Process)
 		},
--- a/edge/unframed_test.go
+++ b/edge/unframed_test.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -64,7 +63,7 @@
 					last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 					body := unframedBody(last)
 					if c.leaving {
-						go func() { _ = g.server.Shutdown(context.Background()) }()
+						go func() { _ = g.server.Shutdown(t.Context()) }()
 						time.Sleep(100 * time.Millisecond) // its entry says so meanwhile
 					}
 					if c.crash > 0 && !crashed {
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -59,6 +59,10 @@
 	// Closed, if set, is called when an idle connection turns out to be closed before the
 	// upstream's idle timeout.
 	Closed func()
+	// ProcessEnded, if set, reports whether the upstream's process has ended. It is called
+	// after a body that ended with its connection: if the process ended too, the body may
+	// be incomplete.
+	ProcessEnded func() bool
 	// ResponseMatches reports whether a response with this header belongs to the
 	// request. An upstream that is out of sync may send the response to an earlier one
 	// first.
@@ -83,6 +87,7 @@
 	conn      *conn
 	stop      func() bool // detaches the connection from the context
 	written   chan error  // result of writing the request; nil if it was written before
+	ended     func() bool // Request.ProcessEnded
 	readToEnd bool        // the body was read to its end
 	closed    atomic.Bool
 }
@@ -114,6 +119,7 @@
 		response, err = p.readResponse(c, r)
 		if err == nil {
 			response.pool, response.conn, response.stop, response.written = p, c, stop, written
+			response.ended = r.ProcessEnded
 			return response, nil
 		}
 	}
@@ -197,10 +203,14 @@
 	}
 }
 
-// Read reads the body. io.EOF means that the body is complete by its framing.
+// Read reads the body. io.EOF means that the body is complete: by its framing, or because
+// its connection was closed by a process that still runs.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	if err == io.EOF {
+		if !r.readToEnd && !r.Framed && r.ended != nil && r.ended() {
+			return n, upstream.WrapError("read response", r.conn.address, upstream.ErrBroken, errEndedWithConnection)
+		}
 		r.readToEnd = true
 		return n, io.EOF
 	}
@@ -210,6 +220,9 @@
 	return n, nil
 }
 
+// errEndedWithConnection reports a body without a length whose upstream has ended.
+var errEndedWithConnection = eris.New("the upstream's process ended with its connection")
+
 // Close ends the exchange. The connection goes back to the pool if the response was read
 // to its end and the connection is reusable.
 func (r *Response) Close() {
--- a/upstream/service.go
+++ b/upstream/service.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -45,12 +47,33 @@
 	}
 	defer resp.Body.Close()
 	body, err := readBounded(resp.Body, MaxReplyBytes)
+	if err == nil && isUnframed(resp) && probeDirectly(ctx, s.address) == Refusing {
+		err = errEndedWithConnection
+	}
 	if err != nil {
 		return Reply{}, WrapError("reply", s.address, ErrBroken, err)
 	}
 	return Reply{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
+// errEndedWithConnection reports a body without a length whose server has ended, so that
+// it may be incomplete.
+var errEndedWithConnection = eris.New("the server's process ended with its connection")
+
+// isUnframed reports whether a body has neither a length nor chunks.
+func isUnframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// endProbeTimeout bounds the probe of a server after a body without a length.
+const endProbeTimeout = 300 * time.Millisecond
+
+func probeDirectly(ctx context.Context, address string) Reachability {
+	ctx, cancel := context.WithTimeout(ctx, endProbeTimeout)
+	defer cancel()
+	return Prober{Dial: (&net.Dialer{}).DialContext}.Probe(ctx, address)
+}
+
 func (s *HTTPService) request(ctx context.Context, c Call) (*http.Request, error) {
 	if !strings.HasPrefix(c.Path, "/") {
 		return nil, eris.Errorf("path %q does not start with a slash", c.Path)
--- a/upstream/service_test.go
+++ b/upstream/service_test.go
@@ -130,3 +130,26 @@
 		t.Errorf("ran %v", ran)
 	}
 }
+
+// Guards against a reply without a length that looks whole although its server ended in it.
+func TestReplyThatEndsWithItsServerIsBroken(t *testing.T) {
+	for _, crashes := range []bool{false, true} {
+		is := is.New(t)
+		var server *httptest.Server
+		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Transfer-Encoding", "identity")
+			_, err := w.Write([]byte("half of it"))
+			is.NoErr(err)
+			is.NoErr(http.NewResponseController(w).Flush())
+			if crashes {
+				server.Listener.Close()
+			}
+		}))
+		defer server.Close()
+		transport := upstream.NewTransport()
+		defer transport.CloseIdleConnections()
+		reply, err := upstream.NewService(strings.TrimPrefix(server.URL, "http://"), transport).Do(t.Context(), upstream.Call{RequestID: "r", Method: "GET", Path: "/"})
+		is.Equal(errors.Is(err, upstream.ErrBroken), crashes)
+		is.Equal(string(reply.Body) == "half of it", !crashes)
+	}
+}
