--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -19,6 +19,11 @@
 	}{{"no suspects", 0, false}, {"1000 suspects", 1000, false}, {"suspected itself", 1, true}} {
 		b.Run(c.name, func(b *testing.B) {
 			g := NewGuard(nil)
+			request.Parts = []Part{PartOf("first"), PartOf("kind"), PartOf("session")}
+			for i := range partCrashLimit * c.suspects {
+				at := time.Now().Add(time.Duration(i-c.suspects*partCrashLimit) * 2 * eventGap)
+				g.table.own.parts.add(keyOf(PartOf(fmt.Sprint("deadly", i%max(c.suspects, 1))), 1), Process(i), at)
+			}
 			for i := range c.suspects {
 				r := request
 				if !c.matching {
@@ -35,6 +40,16 @@
 	}
 }
 
+// BenchmarkAnswering measures what it costs a request that its upstream begins to answer.
+func BenchmarkAnswering(b *testing.B) {
+	g := NewGuard(nil)
+	request := Request{Workspace: "studio", Parts: []Part{PartOf("first"), PartOf("kind"), PartOf("session")}}
+	b.ReportAllocs()
+	for b.Loop() {
+		g.Answering(request)
+	}
+}
+
 // BenchmarkEvaluate measures one evaluation of the evidence of a large fleet.
 func BenchmarkEvaluate(b *testing.B) {
 	t := NewTable()
@@ -43,6 +58,7 @@
 		for i := range maxCrashes {
 			r := Request{Target: fmt.Sprint(router, i)}
 			o.crashes[Crash{Fingerprint: r.Fingerprint(), Process: Process(router * i)}] = time.Now()
+			o.parts.add(keyOf(Part(router%20*maxCrashes+i), 1), Process(router*i), time.Now())
 		}
 		t.others[fmt.Sprint(router)] = o
 	}
--- a/quarantine/operate.go
+++ b/quarantine/operate.go
@@ -97,6 +97,7 @@
 			for _, k := range v.keys {
 				record.PartsAnswered = append(record.PartsAnswered, PartAnswered{Key: k, At: t.clock.toShared(last.Add(releaseMargin))})
 			}
+			record.PartsAnswered = record.PartsAnswered[max(0, len(record.PartsAnswered)-maxPartCrashes):]
 			return true
 		}
 	}
