--- a/loadtool/run/poison.go
+++ b/loadtool/run/poison.go
@@ -13,6 +13,7 @@
 // Limits on a request that crashes the upstreams that run it.
 const (
 	poisonCrashes = 3               // that pass before it must be held back
+	partCrashes   = 5               // the same for a part of prompts
 	poisonNotice  = 3 * time.Second // after the last of these until every router has to know
 	poisonRetries = 3               // that may still reach upstreams after that
 )
@@ -24,8 +25,14 @@
 		return
 	}
 	arrivals := map[string][]int64{} // Unix milliseconds by content
+	content := func(c node.Crash) string { return c.Body }
+	allowed := poisonCrashes
+	if e.Scenario.Poison.Part {
+		content = func(node.Crash) string { return node.CrashMarker } // all share the one part
+		allowed = partCrashes
+	}
 	for _, c := range e.savedCrashes {
-		arrivals[c.Body] = append(arrivals[c.Body], c.UnixMS)
+		arrivals[content(c)] = append(arrivals[content(c)], c.UnixMS)
 	}
 	for id, u := range e.fleet.document.Upstreams {
 		var crashes []node.Crash
@@ -33,12 +40,12 @@
 			r.FaultErrors = append(r.FaultErrors, "read the crashes of "+id+": "+err.Error())
 		}
 		for _, c := range crashes {
-			arrivals[c.Body] = append(arrivals[c.Body], c.UnixMS)
+			arrivals[content(c)] = append(arrivals[content(c)], c.UnixMS)
 		}
 	}
 	for _, times := range arrivals {
 		r.PoisonArrivals += len(times)
-		r.PoisonBeyond += beyondRetries(times)
+		r.PoisonBeyond += beyondRetries(times, allowed)
 	}
 	if r.PoisonArrivals < poisonCrashes {
 		r.FaultErrors = append(r.FaultErrors, "too few crashes to tell anything")
@@ -61,12 +68,12 @@
 
 // beyondRetries returns how many arrivals are more than the retries allowed after the
 // routers have to know of the last crash that passes.
-func beyondRetries(times []int64) int {
+func beyondRetries(times []int64, crashes int) int {
 	slices.Sort(times)
-	if len(times) < poisonCrashes {
+	if len(times) < crashes {
 		return 0
 	}
-	known := times[poisonCrashes-1] + poisonNotice.Milliseconds()
+	known := times[crashes-1] + poisonNotice.Milliseconds()
 	late := 0
 	for _, at := range times {
 		if at > known {
--- a/loadtool/run/poison_test.go
+++ b/loadtool/run/poison_test.go
@@ -18,6 +18,6 @@
 		{"three after the notice", []int64{0, 10, 20, 3021, 3022, 3023}, 0},
 		{"five after the notice, in any order", []int64{9_005, 0, 9_004, 10, 9_003, 20, 9_002, 9_001}, 2},
 	} {
-		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(beyondRetries(c.times), c.want) })
+		t.Run(c.name, func(t *testing.T) { is.New(t).Equal(beyondRetries(c.times, poisonCrashes), c.want) })
 	}
 }
--- a/loadtool/run/run.go
+++ b/loadtool/run/run.go
@@ -129,6 +129,9 @@
 			e.poisonIDs[a.ID] = true
 		}
 		e.arrivals = workload.Merge(e.arrivals, poison)
+		if e.Scenario.Poison.Part {
+			e.arrivals = workload.Merge(e.arrivals, workload.SoundTwins(plan, *e.Scenario.Poison, d))
+		}
 	}
 	if e.Scenario.Popular {
 		e.arrivals = workload.Merge(e.arrivals, workload.PopularArrivals(plan, d))
--- a/loadtool/scenario/scenario.go
+++ b/loadtool/scenario/scenario.go
@@ -166,6 +166,15 @@
 			processFault(13, fault.Start, "service/1"),
 		},
 	},
+	{
+		Name: "poison-part", About: "requests of which no two are alike share a part that crashes the upstreams that run them, while upstreams also crash for other causes",
+		Duration: 25 * time.Second, Rate: defaultRate, InitialFunding: ampleFunding, Popular: true,
+		Poison: &workload.Poison{From: 3 * time.Second, To: 24 * time.Second, Interval: 250 * time.Millisecond, Part: true},
+		Faults: []fault.Fault{
+			processFault(9, fault.Kill, "engine/2"), processFault(9, fault.Kill, "engine/5"), processFault(9, fault.Kill, "engine/8"),
+			processFault(12, fault.Start, "engine/2"), processFault(12, fault.Start, "engine/5"), processFault(12, fault.Start, "engine/8"),
+		},
+	},
 	{
 		Name: "server-limit", About: "three engines and a server name the rate that they take, while other upstreams crash",
 		Duration: 25 * time.Second, Rate: defaultRate, InitialFunding: ampleFunding, Popular: true,
