quarantine, edge: parts that were sound before need more to be blamed; random faults

Traced: popular parts and sessions break at every crash while a service of three engines goes up and down, and nothing of theirs is answered for seconds.

Change: a part that any router saw answered in the ten minutes before needs five events in place of three, at least half a second apart, with an answer to any request between them; the users allow five crashes. A part that was never answered is quarantined as before. One that was is tried again five seconds after its last crash, by one router; each try that crashes multiplies the time by 30.

TestPartsThatCrashEnginesUnderRandomFaults judges BUDGET and counts sound requests that are refused as deadly (1 in 100 allowed, the users' bar for false refusals).

--- a/edge/part_test.go
+++ b/edge/part_test.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -54,3 +56,50 @@
 		})
 	}
 }
+
+// Guards against the same under faults in series and overlapping: VMs that die and are out of touch, a table that is
+// away, engines that crash for other causes, alone, together and all at once.
+func TestPartsThatCrashEnginesUnderRandomFaults(t *testing.T) {
+	first := seedCount(t, "PART_FIRST", 0)
+	for i := range seedCount(t, "PART_SEEDS", 4) {
+		seed := uint64(first + i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 60))
+				deadly := []string{"d1", "d2", "d3"}[:1+random.IntN(3)]
+				path := []string{"/once/", "/resume/"}[random.IntN(2)]
+				e := newPartEnv(t, seed, []int{3, 6, 12}[random.IntN(3)], random.IntN(3), path, deadly...)
+				e.othersOnly = true
+				e.play(seed, e.randomPartFaults(random))
+				e.judge()
+			})
+		})
+	}
+}
+
+// randomPartFaults returns three series of faults.
+func (e *partEnv) randomPartFaults(random *rand.Rand) changePlan {
+	plan := changePlan{}
+	engines := len(e.engines)
+	for range 3 {
+		for at := crashFrom; at < crashUntil; at += time.Second + time.Duration(random.Int64N(int64(3*time.Second))) {
+			vm, n, down := random.IntN(versionVMs), 1+random.IntN(engines), time.Duration(random.Int64N(int64(2*time.Second)))
+			switch random.IntN(5) {
+			case 0:
+				plan.add(at, func() { e.killVM(vm) })
+				plan.add(at+down, func() { e.startVM(vm) })
+			case 1:
+				plan.add(at, func() { e.partition(vm, true) })
+				plan.add(at+down, func() { e.partition(vm, false) })
+			case 2:
+				plan.add(at, func() { e.setTable(false) })
+				plan.add(at+down, func() { e.setTable(true) })
+			case 3:
+				plan.add(at, func() { e.each(0, n, e.crashAndRestart) })
+			default:
+				plan.add(at, func() { e.each(n-1, n, e.crashAndRestart) })
+			}
+		}
+	}
+	return plan
+}
--- a/edge/partenv_test.go
+++ b/edge/partenv_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -38,6 +39,8 @@
 	lateAllowed       = 3
 	lostJudged        = 20
 	engineContact     = inTouchAfter
+	// falseRefusals is the share of requests that may be refused falsely under faults.
+	falseRefusals = 0.01
 )
 
 // partEnv is a fleet whose engines crash when they begin an answer on certain parts.
@@ -47,6 +50,8 @@
 	// position is that of the deadly part among the parts of a prompt.
 	position int
 	path     string
+	// othersOnly says that LOST is not judged, since all engines may be down for other causes.
+	othersOnly bool
 
 	partMu   sync.Mutex
 	arrivals map[string][]arrival // by deadly part, in their order
@@ -65,7 +70,9 @@
 	at             time.Duration
 	inTouch, begun bool
 	deadly         bool
+	quarantined    bool // it is refused for hours
 	key, first     string
+	parts          []string
 }
 
 func newPartEnv(t *testing.T, seed uint64, engines, position int, path string, deadly ...string) *partEnv {
@@ -147,6 +154,13 @@
 	return true
 }
 
+// inTouch reports whether a VM has run undisturbed, as the table has, for long enough.
+func (e *partEnv) inTouch(vm *versionVM) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !vm.offline && !e.away && time.Since(vm.sinceAt) >= inTouchAfter && time.Since(e.backAt) >= inTouchAfter
+}
+
 func (e *partEnv) arrive(part, from string) int {
 	e.mu.Lock()
 	var vm versionVM
@@ -159,7 +173,7 @@
 	e.partMu.Lock()
 	defer e.partMu.Unlock()
 	e.arrivals[part] = append(e.arrivals[part], arrival{
-		at: time.Since(e.began), inTouch: !vm.offline && time.Since(vm.sinceAt) >= inTouchAfter,
+		at: time.Since(e.began), inTouch: e.inTouch(&vm),
 	})
 	return len(e.arrivals[part]) - 1
 }
@@ -196,8 +210,8 @@
 			return
 		}
 		home, last = -1, vm.index
-		a := partAttempt{at: time.Since(e.began), deadly: deadly, key: key, first: parts[0],
-			inTouch: !vm.offline && time.Since(vm.sinceAt) >= inTouchAfter}
+		a := partAttempt{at: time.Since(e.began), deadly: deadly, key: key, first: parts[0], parts: parts[:len(parts)-1],
+			inTouch: e.inTouch(vm)}
 		ctx, cancel := context.WithTimeout(vm.ctx, streamTimeout)
 		r := httptest.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://h%sp%d", e.path, n), nil)
 		r.Header.Set("Id", fmt.Sprintf("p%d.%d", n, try))
@@ -214,6 +228,8 @@
 		}()
 		cancel()
 		a.begun = w.Code == http.StatusOK && w.Body.Len() > 0
+		retryAfter, _ := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
+		a.quarantined = retryAfter > time.Hour.Seconds()
 		if try == 0 {
 			e.partMu.Lock()
 			e.asked = append(e.asked, a)
@@ -245,6 +261,7 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	callers.Wait()
+	time.Sleep(prefillTime + versionEvents*eventInterval) // for engines that still answer callers that are gone
 }
 
 // judge checks both rules.
@@ -274,7 +291,31 @@
 		if late > lateAllowed {
 			e.t.Errorf("BUDGET: %s reached engines %d times late after its fifth crash", part, late)
 		}
-		e.judgeLost(part, known+2*engineContact)
+		if !e.othersOnly {
+			e.judgeLost(part, known+2*engineContact)
+		}
+	}
+	e.judgeRefusals()
+}
+
+// judgeRefusals checks that next to no sound request is refused as one that crashes engines.
+func (e *partEnv) judgeRefusals() {
+	e.t.Helper()
+	sound, refused, parts := 0, 0, map[string]int{}
+	for _, a := range e.asked {
+		if !a.deadly {
+			sound++
+			if a.quarantined {
+				refused++
+				for _, part := range a.parts {
+					parts[part]++
+				}
+			}
+		}
+	}
+	e.t.Logf("%d of %d sound requests are refused as deadly: %v", refused, sound, parts)
+	if float64(refused) > falseRefusals*float64(sound) {
+		e.t.Errorf("%d of %d sound requests are refused as deadly", refused, sound)
 	}
 }
 
--- a/edge/versionenv_test.go
+++ b/edge/versionenv_test.go
@@ -90,8 +90,9 @@
 	engines map[string]*engine
 	listed  map[string]engine // the entries of the table
 	streams []*callerStream
-	unnamed bool // callers do not name the streams that they take up
-	away    bool // the table answers nobody
+	unnamed bool      // callers do not name the streams that they take up
+	away    bool      // the table answers nobody
+	backAt  time.Time // when it last answered again
 	hooks   envHooks
 	tasks   sync.WaitGroup
 	all     []*Process
@@ -348,6 +349,7 @@
 	defer e.mu.Unlock()
 	e.away = !answers
 	if answers {
+		e.backAt = time.Now()
 		e.spread()
 	}
 }
--- a/quarantine/part_evidence.go
+++ b/quarantine/part_evidence.go
@@ -11,14 +11,22 @@
 
 const (
 	// partCrashLimit is the number of events in which upstreams crash under a part before
-	// it is quarantined.
-	partCrashLimit = 3
+	// it is quarantined, and soundCrashLimit that for a part that was answered before: it
+	// is more likely to have been there by chance.
+	partCrashLimit  = 3
+	soundCrashLimit = 5
+	// soundFor is how long ago a part was answered at most to be taken for one that was
+	// sound before its crashes.
+	soundFor = 10 * time.Minute
 	// suspicionLimit is the number of such events after which a request with the part is
 	// not sent a second time.
 	suspicionLimit = 2
 	// eventGap is the least time between two crashes that count as two events: upstreams
-	// that lose power together crash together under every popular part.
-	eventGap = 100 * time.Millisecond
+	// that lose power together crash together under every popular part. soundEventGap is
+	// that for parts that were answered before: a deadly part may end all upstreams of a
+	// service one after the other, and all requests that they had break with them.
+	eventGap      = 100 * time.Millisecond
+	soundEventGap = 500 * time.Millisecond
 	// maxPartCrashes bounds the crashes under parts, and the parts that were answered
 	// since, in the record of one router.
 	maxPartCrashes = 256
@@ -33,6 +41,11 @@
 	Process Process   `msgpack:"p"`
 	At      int64     `msgpack:"t"` // milliseconds of the shared clock
 	Parts   []partKey `msgpack:"k"`
+	// Sound are those of the parts that the router had seen answered before.
+	Sound []partKey `msgpack:"s,omitempty"`
+	// AnsweredAt is when the router last saw any request answered before the crash; 0 if it
+	// has seen none.
+	AnsweredAt int64 `msgpack:"b,omitempty"`
 }
 
 // PartAnswered says when a part was last seen in a request that was being answered.
@@ -45,10 +58,16 @@
 type partObservations struct {
 	crashes  map[partKey]map[Process]time.Time
 	answered map[partKey]time.Time
+	sound    map[partKey]bool // parts with crashes that were answered before
+	// lastAnswer is when any request was last answered before the end of a process.
+	lastAnswer map[Process]time.Time
 }
 
 func newPartObservations() partObservations {
-	return partObservations{crashes: map[partKey]map[Process]time.Time{}, answered: map[partKey]time.Time{}}
+	return partObservations{
+		crashes: map[partKey]map[Process]time.Time{}, answered: map[partKey]time.Time{}, sound: map[partKey]bool{},
+		lastAnswer: map[Process]time.Time{},
+	}
 }
 
 // add records a crash under a part. The first of several reports of one crash is the most
@@ -79,6 +98,9 @@
 // crashPart records that a process ended while it had a request that it had not begun to
 // answer. The caller must hold t.mu.
 func (t *Table) crashPart(p Process, r Request, at time.Time) {
+	if last := time.Unix(0, t.lastAnswer.Load()); last.Before(at) {
+		t.own.parts.lastAnswer[p] = last
+	}
 	workspace, unusual := r.workspaceHash(), false
 	for _, part := range r.Parts {
 		k := keyOf(part, workspace)
@@ -86,6 +108,9 @@
 			continue
 		}
 		answered, known := t.answered.last(k)
+		if t.wasSound(k, at) {
+			t.own.parts.sound[k] = true
+		}
 		unusual = unusual || !known || at.Sub(answered) > answeredRecently
 	}
 	t.evaluateSoon()
@@ -96,12 +121,20 @@
 	t.signalLater()
 }
 
+// wasSound reports whether this router has seen a part answered in the time before, for any
+// workspace.
+func (t *Table) wasSound(k partKey, now time.Time) bool {
+	at, known := t.answered.last(k.everywhere())
+	return known && now.Sub(at) <= soundFor
+}
+
 // partAnswered records that an upstream answers a request: its parts are not what crashed
 // others before.
 func (t *Table) partAnswered(r Request) {
 	if len(r.Parts) == 0 {
 		return
 	}
+	t.lastAnswer.Store(time.Now().UnixNano())
 	now, workspace, suspects := time.Now(), r.workspaceHash(), t.view.Load().parts.suspects
 	news := false
 	for _, part := range r.Parts {
@@ -132,6 +165,15 @@
 	crashes    map[Process]time.Time // since the part was last answered
 	workspaces map[uint32]bool
 	answered   time.Time
+	sound      bool // it was answered before its crashes
+}
+
+// limit returns the number of events after which the part is quarantined.
+func (s *partState) limit() int {
+	if s.sound {
+		return soundCrashLimit
+	}
+	return partCrashLimit
 }
 
 // partStates combines the evidence of all routers. The caller must hold t.mu.
@@ -142,6 +184,7 @@
 		if s == nil {
 			s = &partState{crashes: map[Process]time.Time{}, workspaces: map[uint32]bool{}}
 			s.answered, _ = t.answered.last(k)
+			s.sound = t.wasSound(k, now)
 			states[k] = s
 		}
 		return s
@@ -154,8 +197,9 @@
 	}
 	each(func(o partObservations) {
 		for k := range o.crashes {
-			state(k)
-			state(k.everywhere())
+			one, all := state(k), state(k.everywhere())
+			one.sound = one.sound || o.sound[k]
+			all.sound = all.sound || o.sound[k]
 		}
 	})
 	each(func(o partObservations) {
@@ -194,16 +238,57 @@
 }
 
 // events returns the times of the events in which upstreams crashed, the first one first.
-func (s *partState) events() []time.Time {
+// lastAnswer says when any request was last answered before the end of a process. Of a part
+// that was sound before, crashes with no answer at all between them are one event: in an
+// outage of a whole service nothing could show that it still is.
+func (s *partState) events(lastAnswer map[Process]time.Time) []time.Time {
+	byTime := slices.SortedFunc(maps.Keys(s.crashes), func(a, b Process) int {
+		return cmp.Or(s.crashes[a].Compare(s.crashes[b]), cmp.Compare(a, b))
+	})
+	gap := eventGap
+	if s.sound {
+		gap = soundEventGap
+	}
 	var events []time.Time
-	for _, at := range slices.SortedFunc(maps.Values(s.crashes), time.Time.Compare) {
-		if len(events) == 0 || at.Sub(events[len(events)-1]) >= eventGap {
-			events = append(events, at)
+	for _, p := range byTime {
+		at := s.crashes[p]
+		if len(events) > 0 {
+			last := events[len(events)-1]
+			if at.Sub(last) < gap || s.sound && !lastAnswer[p].After(last) {
+				continue
+			}
 		}
+		events = append(events, at)
 	}
 	return events
 }
 
+// lastAnswers combines what all routers know of the last answer before the end of each
+// process. The caller must hold t.mu.
+func (t *Table) lastAnswers(states map[partKey]*partState) map[Process]time.Time {
+	ends := map[Process]time.Time{} // some routers find a connection broken later than others
+	for _, s := range states {
+		for p, at := range s.crashes {
+			if earlier, known := ends[p]; !known || at.Before(earlier) {
+				ends[p] = at
+			}
+		}
+	}
+	all := map[Process]time.Time{}
+	add := func(o partObservations) {
+		for p, at := range o.lastAnswer {
+			if at.After(all[p]) && at.Before(ends[p]) {
+				all[p] = at
+			}
+		}
+	}
+	add(t.own.parts)
+	for _, o := range t.others {
+		add(o.parts)
+	}
+	return all
+}
+
 // prune forgets the own crashes under parts that were answered since, and the answers that
 // no crash needs. The caller must hold t.mu.
 func (t *Table) pruneParts(states map[partKey]*partState, now time.Time) {
@@ -215,11 +300,19 @@
 		})
 		if len(crashes) == 0 {
 			delete(own.crashes, k)
+			delete(own.sound, k)
 		}
 		if len(crashes) < before {
 			t.signalLater()
 		}
 	}
+	ended := map[Process]bool{}
+	for _, crashes := range own.crashes {
+		for p := range crashes {
+			ended[p] = true
+		}
+	}
+	maps.DeleteFunc(own.lastAnswer, func(p Process, _ time.Time) bool { return !ended[p] })
 	newest := map[partKey]time.Time{} // of the crashes that other routers record
 	for _, o := range t.others {
 		for k, crashes := range o.parts.crashes {
@@ -278,6 +371,7 @@
 		}
 		excess -= len(own.crashes[k])
 		delete(own.crashes, k)
+		delete(own.sound, k)
 		klog.Warningf("step=quarantine %s state=evicted", k)
 	}
 }
@@ -290,10 +384,16 @@
 			c := byProcess[p]
 			if c == nil {
 				c = &PartCrash{Process: p, At: clock.toShared(at)}
+				if last, known := o.lastAnswer[p]; known {
+					c.AnsweredAt = clock.toShared(last)
+				}
 				byProcess[p] = c
 			}
 			c.At = min(c.At, clock.toShared(at))
 			c.Parts = append(c.Parts, k)
+			if o.sound[k] {
+				c.Sound = append(c.Sound, k)
+			}
 		}
 	}
 	for _, p := range slices.Sorted(maps.Keys(byProcess)) {
@@ -320,6 +420,12 @@
 			o.add(k, c.Process, clock.toLocal(c.At))
 			left--
 		}
+		if c.AnsweredAt != 0 {
+			o.lastAnswer[c.Process] = clock.toLocal(c.AnsweredAt)
+		}
+		for _, k := range c.Sound[:min(len(c.Sound), maxPartCrashes)] {
+			o.sound[k] = true
+		}
 	}
 	for _, a := range r.PartsAnswered[:min(len(r.PartsAnswered), maxPartCrashes)] {
 		o.answered[a.Key] = clock.toLocal(a.At)
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -94,7 +94,7 @@
 		f := newFleet(3)
 		for n := range 5 {
 			f.crash(n, prompt("hostile", n, "shared"))
-			f.answer(1, prompt("victim", n, "popular"))
+			f.answer(0, prompt("victim", n, "popular"))
 			f.crash(10+n, prompt("hostile", n, "popular"))
 		}
 		time.Sleep(settleTime)
--- a/quarantine/part_verdict.go
+++ b/quarantine/part_verdict.go
@@ -35,11 +35,15 @@
 }
 
 const (
-	// firstTry is the least time after the last crash before a part is tried again, and
-	// tryGrowth the multiple of the time over which its crashes spread: 10 minutes, then an
-	// hour, then seven.
-	firstTry  = 10 * time.Minute
-	tryGrowth = 6
+	// firstTry is the time after the last crash before a part is tried again, and
+	// firstSoundTry that for one that was sound before and may have been refused by mistake.
+	// Each try that crashes an upstream multiplies it by tryGrowth: at most three a day.
+	firstTry      = 10 * time.Minute
+	firstSoundTry = 5 * time.Second
+	tryGrowth     = 30
+	// tryMargin is the time after the start of a quarantine in which a crash is of a request
+	// that was sent before.
+	tryMargin = time.Second
 	// tryInterval is the time between two tries of which none was answered or crashed.
 	tryInterval = time.Minute
 )
@@ -110,21 +114,22 @@
 	states := t.partStates(now)
 	t.pruneParts(states, now)
 	view := partView{suspects: map[partKey]bool{}, repeated: map[partKey]bool{}, verdicts: map[Part][]*partVerdict{}}
+	lastAnswer := t.lastAnswers(states)
 	var candidates []*partVerdict
 	for k, s := range states {
 		if len(s.crashes) == 0 || k.Workspace == anyWorkspace && len(s.workspaces) < 2 {
 			continue
 		}
-		events := s.events()
+		events := s.events(lastAnswer)
 		view.suspects[k] = true
 		if len(events) >= suspicionLimit {
 			view.repeated[k] = true
 		}
-		if len(events) >= partCrashLimit {
+		if limit := s.limit(); len(events) >= limit {
 			last := slices.MaxFunc(slices.Collect(maps.Values(s.crashes)), time.Time.Compare)
 			candidates = append(candidates, &partVerdict{
-				keys: []partKey{k}, crashes: s.crashes, from: events[partCrashLimit-1].Add(settleTime), until: last.Add(retention),
-				tryFrom: last.Add(max(firstTry, tryGrowth*last.Sub(events[0]))),
+				keys: []partKey{k}, crashes: s.crashes, from: events[limit-1].Add(settleTime), until: last.Add(retention),
+				tryFrom: last.Add(s.tryDelay(events)),
 			})
 		}
 	}
@@ -137,6 +142,20 @@
 	return view
 }
 
+// tryDelay returns how long after the last of the events the part is tried again.
+func (s *partState) tryDelay(events []time.Time) time.Duration {
+	delay, from := firstTry, events[s.limit()-1].Add(settleTime+tryMargin)
+	if s.sound {
+		delay = firstSoundTry
+	}
+	for _, at := range events {
+		if at.After(from) && delay < retention {
+			delay *= tryGrowth
+		}
+	}
+	return delay
+}
+
 // explain returns the least set of parts that explains the crashes under all candidates.
 // What ran beside the cause was there at fewer crashes than the cause, or at crashes that
 // several causes explain together.
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -78,7 +78,8 @@
 	// elected reports whether this router is the one that tries a part again.
 	elected func(key string) bool
 
-	answered answeredCache
+	answered   answeredCache
+	lastAnswer atomic.Int64 // when any request was last answered, in Unix nanoseconds
 }
 
 // observations are those of one router, with the time at which this router got them.
@@ -310,6 +311,8 @@
 			t.own.parts.add(k, p, at)
 		}
 	}
+	maps.Copy(t.own.parts.sound, earlier.sound)
+	maps.Copy(t.own.parts.lastAnswer, earlier.lastAnswer)
 	for k, at := range earlier.answered {
 		if at.After(t.own.parts.answered[k]) {
 			t.own.parts.answered[k] = at
