--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -87,6 +87,27 @@
 	})
 }
 
+// Guards against refusing a part that was sound before, because upstreams crash under it while nobody is answered, and
+// against never refusing one that has become deadly.
+func TestPartThatWasSoundIsRefusedLater(t *testing.T) {
+	for _, answers := range []bool{false, true} {
+		runTest(t, func(t *testing.T, is *is.I) {
+			f := newFleet(3)
+			f.answer(0, prompt("a", 0, "popular"))
+			for n := range soundCrashLimit {
+				is.Equal(f.refuses(prompt("a", 100, "popular")), 0)
+				time.Sleep(soundEventGap)
+				if answers {
+					f.answer(0, prompt("a", 1, "another"))
+				}
+				f.crash(n, prompt("a", 10+n, "popular"))
+			}
+			time.Sleep(settleTime)
+			is.Equal(f.refuses(prompt("a", 101, "popular")) == 3, answers)
+		})
+	}
+}
+
 // Guards against a workspace that has a part of another one refused, and against one that hides its crashes behind a
 // part that others use.
 func TestWorkspaceDoesNotDecideForAnother(t *testing.T) {
