router, origin: our own routers elect the one that tries a part again too

origin.Elects replaces the election in edge; router had none, so that a quarantined part ended there only by its age or an operator's release.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -116,12 +116,11 @@
 func (p *peers) elects(key string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	others := make([]origin.Member, 0, len(p.fleet))
-	for _, m := range p.fleet {
-		others = append(others, origin.Member{Name: m.VM})
+	names := make([]string, len(p.fleet))
+	for i, m := range p.fleet {
+		names[i] = m.VM
 	}
-	first := origin.Replicas(key, "", others, 1)
-	return len(first) == 1 && first[0].Name == p.self.VM
+	return origin.Elects(key, p.self.VM, names)
 }
 
 // peerAddresses returns the addresses for calls to some VMs, without this one and those
--- a/origin/replicas.go
+++ b/origin/replicas.go
@@ -55,3 +55,14 @@
 	}
 	return first
 }
+
+// Elects reports whether a router is the one of all that comes first for a key, by
+// rendezvous hashing.
+func Elects(key, self string, names []string) bool {
+	members := make([]Member, len(names))
+	for i, name := range names {
+		members[i] = Member{Name: name}
+	}
+	first := Replicas(key, "", members, 1)
+	return len(first) == 1 && first[0].Name == self
+}
--- a/router/router.go
+++ b/router/router.go
@@ -22,6 +22,7 @@
 	"buckthornridge/certs"
 	"buckthornridge/config"
 	"buckthornridge/membership"
+	"buckthornridge/origin"
 	"buckthornridge/peer"
 	"buckthornridge/quarantine"
 	"buckthornridge/request"
@@ -107,6 +108,7 @@
 	r.members = newMembers(r.settings, r.self(), r.services.VMs, r.peers, r.table)
 	r.pool = newPool(r.table, s.LoadInterval.D())
 	r.guard = quarantine.NewGuard(upstream.Prober{Dial: (&net.Dialer{}).DialContext})
+	r.guard.Table().SetElection(func(key string) bool { return origin.Elects(key, s.VM, r.members.routerNames()) })
 	r.pool.onLeaving = r.members.reportLeaving
 	if err := r.buildControllers(); err != nil {
 		return nil, err
