--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -24,8 +24,11 @@
 	exit 1
 fi
 
+# A package's tests may take long beside other work; go's own limit is ten minutes.
+limit=30m
+
 failed=0
-"$go" test -race -count=1 ${skip:+-skip "$skip"} ./... || failed=1
+"$go" test -race -count=1 -timeout="$limit" ${skip:+-skip "$skip"} ./... || failed=1
 echo "Without the race detector, bubbles on all processors:"
-"$go" test -count=1 ${skip:+-skip "$skip"} "${bubbles[@]}" || failed=1
+"$go" test -count=1 -timeout="$limit" ${skip:+-skip "$skip"} "${bubbles[@]}" || failed=1
 exit "$failed"
