edge: failing test of engines that crash by the rejections that they must send

Callers saw nearly all requests fail: whole processes in virtual time before four engines that name how many rejections a second they bear and let nobody wait three seconds later. Notices between VMs take 20 or 60 ms, and an engine that crashed is replaced by one with a new id.

--- /dev/null
+++ b/edge/fragile_test.go
@@ -0,0 +1,309 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"buckthornridge/bubble"
+	"buckthornridge/ratelimit"
+	"buckthornridge/relay"
+)
+
+// Sizes and moments of a test with engines that name how many rejections they bear. They
+// name it from fragileFrom on, and let nobody wait from fragileWeak on.
+const (
+	fragileEngines = 4
+	fragileSlots   = 6
+	fragileWaiting = 12 // before fragileWeak
+	fragileWork    = 100 * time.Millisecond
+	fragileFrom    = time.Second
+	fragileWeak    = 4 * time.Second
+	fragileRun     = 11 * time.Second
+	fragileEvents  = 2
+	fragileTimeout = time.Second
+	unlistAfter    = 1500 * time.Millisecond // a crash
+	replacedAfter  = 2500 * time.Millisecond // a crash
+	headerBears    = "Bears"
+)
+
+// fragileEngine is one process of an engine. One that must reject more than limit requests
+// in a second crashes; another one with a new id takes its place.
+type fragileEngine struct {
+	active     int
+	rejections []time.Time
+	slots      chan struct{}
+}
+
+// fragileEnv is a fleet before fragile engines.
+type fragileEnv struct {
+	*versionEnv
+	limit float64
+
+	fragileMu sync.Mutex
+	processes map[*engine]*fragileEngine
+	named     int // ids that were given to engines
+	crashes   int
+	arrivals  int
+	refused   map[bool]int // first tries from fragileWeak on, by whether half of the slots were taken
+	served    int          // first tries from fragileWeak on
+	asked     int
+}
+
+func newFragileEnv(t *testing.T, limit float64, noticeDelay time.Duration) *fragileEnv {
+	e := &fragileEnv{limit: limit, processes: map[*engine]*fragileEngine{}, named: fragileEngines, refused: map[bool]int{}}
+	e.versionEnv = newEmptyEnv(t, 1, envHooks{protocol: e.protocol, answer: e.answer, slots: fragileSlots})
+	e.net.DelayPackets(noticeDelay)
+	e.populate(fragileEngines, "v1")
+	return e
+}
+
+func (e *fragileEnv) protocol(p *Protocol, _ int) {
+	read := p.ReadHead
+	p.ReadHead = func(status int, h http.Header) relay.Head {
+		head := read(status, h)
+		head.RejectionLimit = ratelimit.Read(h[headerBears])
+		return head
+	}
+}
+
+// weak reports whether engines let nobody wait.
+func (e *fragileEnv) weak() bool { return time.Since(e.began) >= fragileWeak }
+
+// arrive takes a request or rejects it. The engine may crash.
+func (e *fragileEnv) arrive(g *engine) (f *fragileEngine, taken bool) {
+	e.fragileMu.Lock()
+	defer e.fragileMu.Unlock()
+	e.arrivals++
+	f = e.processes[g]
+	if f == nil {
+		f = &fragileEngine{slots: make(chan struct{}, fragileSlots)}
+		e.processes[g] = f
+	}
+	room := fragileSlots
+	if !e.weak() {
+		room += fragileWaiting
+	}
+	if f.active < room {
+		f.active++
+		return f, true
+	}
+	now := time.Now()
+	f.rejections = append(f.rejections, now)
+	for now.Sub(f.rejections[0]) >= time.Second {
+		f.rejections = f.rejections[1:]
+	}
+	if e.weak() && float64(len(f.rejections)) > e.limit {
+		f.rejections = nil
+		e.crash(g.ID)
+	}
+	return f, false
+}
+
+// crash ends an engine. Its entry lapses and another one starts. The caller must hold
+// fragileMu.
+func (e *fragileEnv) crash(id string) {
+	e.crashes++
+	e.named++
+	next := fmt.Sprintf("engine-%d", e.named)
+	e.tasks.Go(func() {
+		e.crashEngine(id)
+		time.Sleep(unlistAfter)
+		e.unlist(id)
+		time.Sleep(replacedAfter - unlistAfter)
+		if e.t.Context().Err() == nil {
+			e.startEngine(next, "v1")
+			e.list(next)
+		}
+	})
+}
+
+func (e *fragileEnv) leave(f *fragileEngine) {
+	e.fragileMu.Lock()
+	defer e.fragileMu.Unlock()
+	f.active--
+}
+
+// answer runs a request, or rejects it at once.
+func (e *fragileEnv) answer(g *engine, w http.ResponseWriter, r *http.Request) bool {
+	if r.URL.Path == processQuestion {
+		return false
+	}
+	f, taken := e.arrive(g)
+	w.Header().Set("Id", r.Header.Get("Id"))
+	if time.Since(e.began) >= fragileFrom {
+		w.Header().Set(headerBears, strconv.FormatFloat(e.limit, 'f', -1, 64))
+	}
+	if !taken {
+		w.Header().Set("Not-Run", "full")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}
+	defer e.leave(f)
+	f.slots <- struct{}{}
+	defer func() { <-f.slots }()
+	w.Header().Set("Signed", "yes")
+	time.Sleep(fragileWork)
+	for n := 1; n <= fragileEvents; n++ {
+		fmt.Fprintf(w, "id: %d\ndata: v1\n\n", n)
+	}
+	return true
+}
+
+// halfTaken reports whether at least half of the slots of the engines that run are taken.
+func (e *fragileEnv) halfTaken() bool {
+	e.mu.Lock()
+	running := map[*engine]bool{}
+	for _, g := range e.engines {
+		running[g] = true
+	}
+	e.mu.Unlock()
+	e.fragileMu.Lock()
+	defer e.fragileMu.Unlock()
+	active := 0
+	for g, f := range e.processes {
+		if running[g] {
+			active += f.active
+		}
+	}
+	return 2*active >= fragileSlots*fragileEngines
+}
+
+// ask has a caller send a request to a VM.
+func (e *fragileEnv) ask(home int, path, id string) {
+	vm := e.enter(home, -1)
+	if vm == nil {
+		return
+	}
+	judged := e.weak()
+	ctx, cancel := context.WithTimeout(vm.ctx, fragileTimeout)
+	defer cancel()
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://h"+path+id, nil)
+	r.Header.Set("Id", id)
+	w := &safeRecorder{ResponseRecorder: httptest.NewRecorder()}
+	func() {
+		defer func() {
+			if problem := recover(); problem != nil && problem != http.ErrAbortHandler {
+				panic(problem)
+			}
+		}()
+		vm.process.callers.Handler.ServeHTTP(w, r)
+	}()
+	halfTaken := e.halfTaken()
+	e.fragileMu.Lock()
+	defer e.fragileMu.Unlock()
+	if !judged {
+		return
+	}
+	e.asked++
+	switch {
+	case w.Code == http.StatusOK && strings.Count(w.Body.String(), "id:") == fragileEvents:
+		e.served++
+	case w.Code == http.StatusServiceUnavailable:
+		e.refused[halfTaken]++
+	}
+}
+
+// play has callers ask at all VMs: load is the work that they bring from fragileWeak on, as a
+// share of what the slots bear, and hot the share of it that the first VM gets.
+func (e *fragileEnv) play(load, hot float64, changes map[time.Duration]func()) {
+	const bears = fragileEngines * fragileSlots * float64(time.Second/fragileWork) // a second
+	const step = 2 * time.Millisecond
+	var callers sync.WaitGroup
+	due, n := 0.0, 0
+	for now := time.Duration(0); now < fragileRun; now += step {
+		if change := changes[now]; change != nil {
+			change()
+		}
+		share := 0.5
+		if now >= fragileWeak {
+			share = load
+		}
+		for due += share * bears * step.Seconds(); due >= 1; due-- {
+			n++
+			home, id, path := 1+n%(versionVMs-1), fmt.Sprint("f", n), "/once/"
+			if e.random.Float64() < hot {
+				home = 0
+			}
+			if n%2 == 0 {
+				path = "/"
+			}
+			callers.Go(func() { e.ask(home, path, id) })
+		}
+		time.Sleep(step)
+	}
+	callers.Wait()
+}
+
+// Shares that callers must get: of the work that the slots bear, and of requests that may be
+// refused though half of the slots are free.
+const (
+	fragileServed  = 0.6
+	fragileRefused = 0.05
+)
+
+// judge checks that few engines crash and that those that run are used.
+func (e *fragileEnv) judge(load float64) {
+	e.t.Helper()
+	bears := float64(e.asked) / max(load, 1)
+	e.t.Logf("%d crashes, %d arrivals; from the weakness on %d of %d served, %d refused, %d of them beside free slots",
+		e.crashes, e.arrivals, e.served, e.asked, e.refused[true]+e.refused[false], e.refused[false])
+	if e.crashes > 2+fragileEngines/10 {
+		e.t.Errorf("LIMIT: %d engines crashed", e.crashes)
+	}
+	if float64(e.served) < fragileServed*min(load, 1)*bears {
+		e.t.Errorf("%d of %d requests are served", e.served, e.asked)
+	}
+	if float64(e.refused[false]) > fragileRefused*float64(e.asked) {
+		e.t.Errorf("%d of %d requests are refused though half of the slots are free", e.refused[false], e.asked)
+	}
+}
+
+// fragileCase is a fleet before fragile engines and what is disturbed in it.
+type fragileCase struct {
+	name      string
+	limit     float64
+	delay     time.Duration // of notices between VMs
+	load, hot float64
+	changes   func(e *fragileEnv) map[time.Duration]func()
+}
+
+var fragileCases = []fragileCase{
+	{"low load", 3, 20 * time.Millisecond, 0.4, 1.0 / versionVMs, nil},
+	{"load 1.5, limit 3", 3, 20 * time.Millisecond, 1.5, 1.0 / versionVMs, nil},
+	{"load 4, limit 1", 1, 20 * time.Millisecond, 4, 1.0 / versionVMs, nil},
+	{"load 4, limit 5, late notices", 5, 60 * time.Millisecond, 4, 1.0 / versionVMs, nil},
+	{"one VM gets most callers", 3, 20 * time.Millisecond, 0.6, 0.6, nil},
+	{"VMs start and VMs are out of touch", 3, 20 * time.Millisecond, 1.5, 1.0 / versionVMs, func(e *fragileEnv) map[time.Duration]func() {
+		return map[time.Duration]func(){
+			3500 * time.Millisecond: func() { e.partition(3, true) },
+			5 * time.Second:         func() { e.killVM(0); e.killVM(1) },
+			5100 * time.Millisecond: func() { e.startVM(0); e.startVM(1) },
+			8 * time.Second:         func() { e.partition(3, false) },
+		}
+	}},
+}
+
+// Guards against engines that crash because they must reject more requests than they bear (LIMIT), where rejections are
+// known late and an engine that crashed is replaced by one with a new id.
+func TestReplacedFragileEnginesDoNotCrashAgain(t *testing.T) {
+	for _, c := range fragileCases {
+		t.Run(c.name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				e := newFragileEnv(t, c.limit, c.delay)
+				var changes map[time.Duration]func()
+				if c.changes != nil {
+					changes = c.changes(e)
+				}
+				e.play(c.load, c.hot, changes)
+				e.judge(c.load)
+			})
+		})
+	}
+}
--- a/edge/versionenv_test.go
+++ b/edge/versionenv_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -54,9 +55,13 @@
 	Version string `json:"version"`
 	Start   int64  `json:"start"`
 	Leaving bool   `json:"leaving"`
+	Slots   int    `json:"slots"` // 0: engineSlots
 	server  *http.Server
 }
 
+// engineSlots is how many requests an engine runs at once if it does not say so.
+const engineSlots = 64
+
 func (g engine) address() string { return g.ID + ":1" }
 
 // processQuestion is the path at which an engine tells its start.
@@ -104,6 +109,7 @@
 	protocol func(p *Protocol, vm int)
 	// started is called with each process that starts, and with the context of its tasks.
 	started func(ctx context.Context, p *Process, vm *versionVM)
+	slots   int // engine.Slots of each engine
 	// answer answers a request in place of an engine. It reports whether it did.
 	answer func(g *engine, w http.ResponseWriter, r *http.Request) bool
 }
@@ -130,7 +136,7 @@
 	var g engine
 	err := json.Unmarshal(data, &g)
 	return relay.Upstream{
-		ID: g.ID, Address: g.address(), Service: "engine", Slots: 64, Start: g.Start, Version: g.Version, Leaving: g.Leaving,
+		ID: g.ID, Address: g.address(), Service: "engine", Slots: cmp.Or(g.Slots, engineSlots), Start: g.Start, Version: g.Version, Leaving: g.Leaving,
 	}, err
 }
 
@@ -188,7 +194,7 @@
 	if running := e.engines[id]; running != nil {
 		running.server.Close()
 	}
-	g := &engine{ID: id, Version: version, Start: time.Now().UnixMilli()}
+	g := &engine{ID: id, Version: version, Start: time.Now().UnixMilli(), Slots: e.hooks.slots}
 	g.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if e.hooks.answer == nil || !e.hooks.answer(g, w, r) {
 			g.serve(w, r)
--- a/testnet/network.go
+++ b/testnet/network.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -36,6 +37,8 @@
 	cuts      map[string]map[string]Mode // by VM and address
 	conns     map[*networkConn]bool
 	packets   map[netip.AddrPort]*PacketConn
+	// packetDelay is how long a datagram takes, as a time.Duration.
+	packetDelay atomic.Int64
 }
 
 // NewNetwork returns a network on which all VMs reach all addresses.
--- a/testnet/packet.go
+++ b/testnet/packet.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 )
 
 // packetQueue is how many datagrams wait at a socket; further ones are lost.
@@ -57,13 +58,26 @@
 	if target == nil || mode != Reachable {
 		return len(b), nil
 	}
+	p := packet{append([]byte(nil), b...), c.address}
+	if delay := time.Duration(c.net.packetDelay.Load()); delay > 0 {
+		time.AfterFunc(delay, func() { target.receive(p) })
+	} else {
+		target.receive(p)
+	}
+	return len(b), nil
+}
+
+// receive queues a datagram, or loses it if too many wait.
+func (c *PacketConn) receive(p packet) {
 	select {
-	case target.packets <- packet{append([]byte(nil), b...), c.address}:
+	case c.packets <- p:
 	default:
 	}
-	return len(b), nil
 }
 
+// DelayPackets makes each datagram arrive a time after it was sent.
+func (n *Network) DelayPackets(delay time.Duration) { n.packetDelay.Store(int64(delay)) }
+
 // Close closes the socket.
 func (c *PacketConn) Close() error {
 	c.once.Do(func() { close(c.done) })
