--- a/edge/brittle_test.go
+++ b/edge/brittle_test.go
@@ -10,16 +10,16 @@
 
 	"buckthornridge/bubble"
 	"buckthornridge/budget/allowance"
-	"buckthornridge/ratelimit"
 	"buckthornridge/routing"
 )
 
 // Brittle upstreams of the test: each runs brittleSlots requests at once and lets few wait.
 const (
 	brittleSlots   = 6
-	brittleWaiting = 4  // from brittleFrom on
-	soundWaiting   = 24 // before
-	brittleFrom    = 3 * time.Second
+	brittleWaiting = 4           // from brittleFrom on
+	soundWaiting   = 24          // before
+	brittleNamed   = time.Second // from when on answers name the limit
+	brittleFrom    = brittleNamed + 3*time.Second
 	brittleWork    = 100 * time.Millisecond
 	brittleDown    = 3 * time.Second
 	noticeDelay    = 2 * time.Millisecond
@@ -70,10 +70,10 @@
 }
 
 // weaken lets fewer requests wait.
-func (u *brittleUpstream) weaken() {
+func (u *brittleUpstream) weaken(waiting int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.waiting = brittleWaiting
+	u.waiting = waiting
 }
 
 // counts returns how often the upstream fell over and how many requests it completed.
@@ -93,10 +93,15 @@
 func newBrittleEnv(t *testing.T, vms, upstreams int, limit float64) *brittleEnv {
 	t.Helper()
 	e := &brittleEnv{upstreams: map[string]*brittleUpstream{}}
-	for range vms {
+	members := make([]allowance.Peer, vms)
+	for i := range members {
+		members[i].VM = vmName(i)
+	}
+	for i := range vms {
 		table := routing.NewTable()
+		table.AllowBorrowing()
 		f := newFleet(decodeTestEntry, table, func() time.Time { return time.Time{} })
-		f.routers = func() (string, []allowance.Peer) { return "", make([]allowance.Peer, vms) }
+		f.routers = func() (string, []allowance.Peer) { return vmName(i), members }
 		for i := range upstreams {
 			id := fmt.Sprint("u", i)
 			e.upstreams[id] = &brittleUpstream{limit: limit, waiting: soundWaiting}
@@ -120,56 +125,27 @@
 	return e
 }
 
-// send has a VM send a request, and once more elsewhere if it is rejected.
-func (e *brittleEnv) send(vm int) {
-	var excluded []string
-	for attempt := range 2 {
-		c, err := e.routers[vm].Pick(routing.Request{Target: routing.Target{Service: "orders"}, Attempt: attempt, Exclude: excluded})
-		if err != nil {
-			return
-		}
-		u := e.upstreams[c.UpstreamID]
-		taken, down := u.arrive(time.Now())
-		switch {
-		case taken:
-			time.AfterFunc(brittleWork, func() {
-				u.complete()
-				c.Done(routing.Outcome{Kind: routing.OutcomeOK, Total: brittleWork})
-			})
-			return
-		case down:
-			c.Done(routing.Outcome{Kind: routing.OutcomeUnreachable})
-		default:
-			c.Done(routing.Outcome{Kind: routing.OutcomeFull})
-			e.fleets[vm].rejections.Rejected(c.UpstreamID, ratelimit.Reading{Named: true, PerSecond: u.limit})
-		}
-		excluded = append(excluded, c.UpstreamID)
-	}
-}
-
 // Guards against upstreams that fall over because they must reject more requests than they
 // bear: under overload, all VMs together send to upstreams that have no room.
 func TestBrittleUpstreamsDoNotFallOver(t *testing.T) {
-	const upstreams, length = 4, 10 * time.Second
+	const upstreams, length = 4, 11 * time.Second
 	for _, vms := range []int{1, 9, 59} {
-		for _, limit := range []float64{5, 20} {
+		for _, limit := range []float64{1, 3, 5, 20} {
 			for _, load := range []float64{0.9, 1.5, 4} { // of what the upstreams bear
 				t.Run(fmt.Sprintf("%d VMs, limit %g, load %g", vms, limit, load), func(t *testing.T) {
 					bubble.Test(t, func(t *testing.T) {
 						is := is.New(t)
-						e := newBrittleEnv(t, vms, upstreams, limit)
+						e := newLendingEnv(t, vms, upstreams, limit)
 						bears := upstreams * (brittleSlots + brittleWaiting) * float64(time.Second) / float64(brittleWork)
 						due, sent := 0.0, 0
 						for now := time.Duration(0); now < length; now += time.Millisecond {
 							share := 0.7
 							if now >= brittleFrom {
 								share = load
-								for _, u := range e.upstreams {
-									u.weaken()
-								}
+								e.weaken(brittleWaiting)
 							}
 							for due += share * bears / 1000; due >= 1; due-- {
-								e.send(sent % vms)
+								go e.send(sent%vms, false)
 								sent++
 							}
 							time.Sleep(time.Millisecond)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -147,7 +147,9 @@
 	p.origins.serve(p.peerSrv)
 	p.paths = p.fleet.paths
 	p.forward = &forwarder{peers: p.peers, choice: reach.NewForwarders(), protocol: a.Protocol}
-	p.forwarded = &forwardServer{pool: p.pool, tracker: p.paths, fleet: p.fleet, protocol: a.Protocol, stopping: &p.stopping}
+	p.forward.lenders = func(id string) []string { return p.peers.addressesOf(p.fleet.holders(id)) }
+	p.routes.AllowBorrowing()
+	p.forwarded = &forwardServer{pool: p.pool, tracker: p.paths, fleet: p.fleet, protocol: a.Protocol, stopping: &p.stopping, lend: p.routes.Lend, signals: p.fleet.signals()}
 	p.forwarded.register(p.peerSrv)
 	prober := newControlledProber(upstream.Prober{Dial: p.pool.Dial}, p.paths, p.fleet)
 	p.guard = quarantine.NewGuard(confirmingProber{own: prober, peers: p.peers})
@@ -185,7 +187,7 @@
 		RetryBudget: relay.NewRetryBudget(relay.RetryPolicy{
 			Share: p.settings.RetryBudget.Share, Extra: p.settings.RetryBudget.Extra, Window: p.settings.RetryBudget.Window.D(),
 		}),
-		Guard: p.guard, Limiter: p.fleet.limiter, Rejections: p.fleet.rejections,
+		Guard: p.guard, Signals: p.fleet.signals(),
 		Origins: p.origins, Recorder: p.metrics, DataCentre: p.settings.DataCentre, Routers: p.peers.count,
 	}
 	p.callers = &http.Server{
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -55,6 +56,7 @@
 	limiter *ratelimit.Limiter // of upstreams that name a rate
 	// rejections follows the upstreams that bear few rejections.
 	rejections *ratelimit.Rejections
+	slotBounds *ratelimit.SlotBounds
 	paths      *reach.Tracker // the VM's own paths to the upstreams
 	history    *origin.History
 	identity   *identities
@@ -73,7 +75,8 @@
 		doubts:     map[string]doubt{},
 	}
 	f.limiter = ratelimit.NewLimiter(&f.shares, table.SetLimit)
-	f.rejections = ratelimit.NewRejections(table.BackOff, func() int { _, all := f.routers(); return len(all) })
+	f.rejections = ratelimit.NewRejections(table.BackOff, f.holderCount)
+	f.slotBounds = ratelimit.NewSlotBounds(&f.shares, table.SetSlotBound)
 	f.current.Store(&map[string]relay.Upstream{})
 	f.serviceByAddress.Store(&map[string]string{})
 	return f
@@ -228,21 +231,22 @@
 	byID := make(map[string]relay.Upstream, len(f.entries))
 	upstreams := make(map[string]config.Upstream, len(f.entries))
 	inUse := make([]reach.Upstream, 0, len(f.entries))
+	bounded := make([]ratelimit.BoundedUpstream, 0, len(f.entries))
 	f.updateRouters()
 	for key, u := range f.entries {
 		u.Leaving = u.Leaving || f.evacuated[u.DataCentre]
+		if u.Slots <= 0 {
+			u.Slots = cmp.Or(max(0, f.serviceByName[u.Service].Slots), routing.DefaultSlots)
+		}
 		byID[u.ID] = u
 		if !u.Leaving {
 			inUse = append(inUse, reach.Upstream{ID: u.ID, Service: u.Service})
 		}
 		services[u.Address] = u.Service
-		slots := u.Slots
-		if slots <= 0 {
-			slots = f.serviceByName[u.Service].Slots
-		}
+		bounded = append(bounded, ratelimit.BoundedUpstream{ID: u.ID, Service: u.Service, Process: u.Start, Slots: u.Slots})
 		upstreams[u.ID] = config.Upstream{
 			Kind: config.UpstreamService, Address: u.Address, DataCentre: u.DataCentre,
-			Service: u.Service, Slots: slots, Leaving: u.Leaving,
+			Service: u.Service, Slots: u.Slots, Leaving: u.Leaving,
 			WarmUp: f.cold.limit(key, u, f.serviceByName[u.Service].WarmUpRate, &f.shares),
 		}
 	}
@@ -250,6 +254,7 @@
 	f.serviceByAddress.Store(&services)
 	f.table.Update(&config.Snapshot{Document: config.Document{Upstreams: upstreams}})
 	f.limiter.Apply()
+	f.slotBounds.Update(bounded)
 	f.paths.Update(inUse)
 }
 
@@ -260,5 +265,23 @@
 	for i, r := range routers {
 		names[i] = r.VM
 	}
-	f.limiter.SetRouters(self, names)
+	f.slotBounds.Refresh(f.limiter.SetRouters(self, names))
+}
+
+// signals returns what applies the upstreams' words on themselves.
+func (f *fleet) signals() relay.Signals {
+	return relay.Signals{Limiter: f.limiter, Rejections: f.rejections, SlotBounds: f.slotBounds}
+}
+
+// holders returns the other VMs that have a part of an upstream's slots while these are
+// bounded.
+func (f *fleet) holders(id string) []string {
+	u, _ := f.Upstream(id)
+	return f.shares.OtherHolders(id, ratelimit.BoundedSlots(u.Slots))
+}
+
+// holderCount returns how many VMs have such a part.
+func (f *fleet) holderCount(id string) int {
+	u, _ := f.Upstream(id)
+	return f.shares.Holders(ratelimit.BoundedSlots(u.Slots))
 }
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +27,9 @@
 	methodReach = "upstream.reach"
 	// maxForwarders is how many peers are tried for one send.
 	maxForwarders = 3
+	// maxLenders is how many peers are asked to send one request on their part of an
+	// upstream's slots.
+	maxLenders = 2
 	// reachTimeout bounds one question to a peer.
 	reachTimeout = 500 * time.Millisecond
 )
@@ -34,7 +39,7 @@
 const (
 	// codeNoPath: the peer does not reach the service, or takes no requests.
 	codeNoPath = "no_path"
-	// codeNotSent: the peer could not connect to this upstream.
+	// codeNotSent: the peer could not connect to this upstream, or has no room there.
 	codeNotSent = "not_sent"
 )
 
@@ -64,7 +69,8 @@
 	// Identify and Process are those of relay.OutgoingRequest.
 	Identify relay.Identify `msgpack:"n,omitempty"`
 	Process  int64          `msgpack:"p,omitempty"`
-	Trace    string         `msgpack:"c"` // traceparent
+	Borrowed bool           `msgpack:"w,omitempty"` // relay.OutgoingRequest.Borrowed
+	Trace    string         `msgpack:"c"`           // traceparent
 }
 
 // forwardMessage is one message of the response: the head first, then parts of the body.
@@ -81,8 +87,12 @@
 	peers    *peers
 	choice   *reach.Forwarders
 	protocol Protocol
+	// lenders returns the addresses of the peers that have a part of an upstream's slots.
+	lenders func(upstream string) []string
 	// sent counts requests that a peer sent and got a response to, failed all others.
 	sent, failed atomic.Int64
+	// borrowed counts requests that a peer sent on its part of an upstream's slots.
+	borrowed atomic.Int64
 }
 
 // Send sends a request through a peer. The error is upstream.ErrNotSent only if no peer
@@ -121,6 +131,26 @@
 	return nil, upstream.WrapError("forward", out.Upstream.Address, upstream.ErrNotSent, cause)
 }
 
+// sendOnOtherPart has a peer send a request on its part of the upstream's slots. The error
+// is upstream.ErrNoRoom if none has sent a byte of it.
+func (f *forwarder) sendOnOtherPart(ctx context.Context, out relay.OutgoingRequest) (relay.Response, error) {
+	lenders := f.lenders(out.Upstream.ID)
+	cause := error(eris.New("no VM is known that has a part"))
+	for tries := 0; tries < maxLenders && len(lenders) > 0 && ctx.Err() == nil; tries++ {
+		i := rand.IntN(len(lenders))
+		response, err := f.sendThrough(ctx, lenders[i], out)
+		if err == nil {
+			f.borrowed.Add(1)
+		}
+		if err == nil || !errors.Is(err, upstream.ErrNotSent) {
+			return response, err
+		}
+		cause = err
+		lenders = slices.Delete(lenders, i, i+1)
+	}
+	return nil, upstream.WrapError("borrow", out.Upstream.Address, upstream.ErrNotSent, errors.Join(upstream.ErrNoRoom, cause))
+}
+
 // errDeclined reports that a peer took no request for the service.
 var errDeclined = eris.New("the peer declined")
 
@@ -177,7 +207,7 @@
 		ID: out.Request.ID, Upstream: out.Upstream.ID, Address: out.Upstream.Address,
 		Method: out.Request.Method, Target: out.Request.Target, Host: out.Request.Authority,
 		Header: f.protocol.WriteHeader(out), Body: out.Request.Body, Fresh: out.FreshConnection,
-		Identify: out.Identify, Process: out.Process,
+		Identify: out.Identify, Process: out.Process, Borrowed: out.Borrowed,
 		Trace: telemetry.Traceparent(ctx),
 	})
 }
--- a/edge/forward_server.go
+++ b/edge/forward_server.go
@@ -10,6 +10,7 @@
 
 	"buckthornridge/peer"
 	"buckthornridge/reach"
+	"buckthornridge/relay"
 	"buckthornridge/telemetry"
 	"buckthornridge/upstream"
 	"buckthornridge/upstream/exchange"
@@ -34,8 +35,14 @@
 	fleet    *fleet
 	protocol Protocol
 	stopping *atomic.Bool
+	// lend takes one of this VM's requests in flight at an upstream.
+	lend func(upstream string) (release func(), ok bool)
+	// signals gets what the upstreams' answers say.
+	signals relay.Signals
 	// active is the number of requests in progress, total that of all so far.
 	active, total atomic.Int64
+	// lent is the number of those that were sent on this VM's part of an upstream's slots.
+	lent atomic.Int64
 }
 
 func (f *forwardServer) register(server *peer.Server) {
@@ -64,6 +71,14 @@
 	if err := f.check(q); err != nil {
 		return err
 	}
+	if q.Borrowed {
+		release, ok := f.lend(q.Upstream)
+		if !ok {
+			return &forwardError{codeNotSent, "this VM has no room at the upstream"}
+		}
+		defer release()
+		f.lent.Add(1)
+	}
 	ctx, span := telemetry.StartSpan(telemetry.FromTraceparent(ctx, q.Trace), "upstream.forward", telemetry.Attr("id", q.ID))
 	err := f.exchange(ctx, q, send)
 	telemetry.EndSpan(span, err)
@@ -108,6 +123,7 @@
 		return err
 	}
 	defer response.Close()
+	f.signals.Observe(u, f.protocol.ReadHead(response.Status, response.Header))
 	first := forwardMessage{Status: response.Status, Header: response.Header, Process: identity.processOf(u, response)}
 	if err := send(first); err != nil {
 		return err
--- a/edge/fragile_test.go
+++ b/edge/fragile_test.go
@@ -14,6 +14,7 @@
 	"buckthornridge/bubble"
 	"buckthornridge/ratelimit"
 	"buckthornridge/relay"
+	"buckthornridge/testnet"
 )
 
 // Sizes and moments of a test with engines that name how many rejections they bear. They
@@ -48,6 +49,7 @@
 
 	fragileMu sync.Mutex
 	processes map[*engine]*fragileEngine
+	down      map[*engine]bool
 	named     int // ids that were given to engines
 	crashes   int
 	arrivals  int
@@ -57,7 +59,7 @@
 }
 
 func newFragileEnv(t *testing.T, limit float64, noticeDelay time.Duration) *fragileEnv {
-	e := &fragileEnv{limit: limit, processes: map[*engine]*fragileEngine{}, named: fragileEngines, refused: map[bool]int{}}
+	e := &fragileEnv{limit: limit, processes: map[*engine]*fragileEngine{}, down: map[*engine]bool{}, named: fragileEngines, refused: map[bool]int{}}
 	e.versionEnv = newEmptyEnv(t, 1, envHooks{protocol: e.protocol, answer: e.answer, slots: fragileSlots})
 	e.net.DelayPackets(noticeDelay)
 	e.populate(fragileEngines, "v1")
@@ -101,21 +103,22 @@
 	}
 	if e.weak() && float64(len(f.rejections)) > e.limit {
 		f.rejections = nil
-		e.crash(g.ID)
+		e.crash(g)
 	}
 	return f, false
 }
 
 // crash ends an engine. Its entry lapses and another one starts. The caller must hold
 // fragileMu.
-func (e *fragileEnv) crash(id string) {
+func (e *fragileEnv) crash(g *engine) {
+	e.down[g] = true
 	e.crashes++
 	e.named++
 	next := fmt.Sprintf("engine-%d", e.named)
 	e.tasks.Go(func() {
-		e.crashEngine(id)
+		e.crashEngine(g.ID)
 		time.Sleep(unlistAfter)
-		e.unlist(id)
+		e.unlist(g.ID)
 		time.Sleep(replacedAfter - unlistAfter)
 		if e.t.Context().Err() == nil {
 			e.startEngine(next, "v1")
@@ -158,21 +161,15 @@
 
 // halfTaken reports whether at least half of the slots of the engines that run are taken.
 func (e *fragileEnv) halfTaken() bool {
-	e.mu.Lock()
-	running := map[*engine]bool{}
-	for _, g := range e.engines {
-		running[g] = true
-	}
-	e.mu.Unlock()
 	e.fragileMu.Lock()
 	defer e.fragileMu.Unlock()
-	active := 0
+	active, slots := 0, 0
 	for g, f := range e.processes {
-		if running[g] {
-			active += f.active
+		if !e.down[g] {
+			active, slots = active+f.active, slots+fragileSlots
 		}
 	}
-	return 2*active >= fragileSlots*fragileEngines
+	return 2*active >= slots
 }
 
 // ask has a caller send a request to a VM.
@@ -280,6 +277,13 @@
 	{"load 4, limit 1", 1, 20 * time.Millisecond, 4, 1.0 / versionVMs, nil},
 	{"load 4, limit 5, late notices", 5, 60 * time.Millisecond, 4, 1.0 / versionVMs, nil},
 	{"one VM gets most callers", 3, 20 * time.Millisecond, 0.6, 0.6, nil},
+	{"a VM is cut off from the engines", 3, 20 * time.Millisecond, 0.6, 1.0 / versionVMs, func(e *fragileEnv) map[time.Duration]func() {
+		return map[time.Duration]func(){2 * time.Second: func() {
+			for id := range e.engines {
+				e.net.Cut(testnet.Reset, vmName(0), id+":1")
+			}
+		}}
+	}},
 	{"VMs start and VMs are out of touch", 3, 20 * time.Millisecond, 1.5, 1.0 / versionVMs, func(e *fragileEnv) map[time.Duration]func() {
 		return map[time.Duration]func(){
 			3500 * time.Millisecond: func() { e.partition(3, true) },
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -32,6 +32,10 @@
 	noticeBytes = 1024
 	// noticeQueue is the capacity of the queue of unsent notices.
 	noticeQueue = 64
+	// urgentRate and urgentBurst bound the notices per second that are sent to all VMs
+	// though the rate is used up.
+	urgentRate  = 5
+	urgentBurst = 10
 )
 
 // notice is the content of one datagram: a prompt that was sent to an engine, an upstream
@@ -93,6 +97,9 @@
 	port    uint16 // the same on all VMs
 	limiter *rate.Limiter
 	queue   chan notice
+	// urgent holds notices that are due when the fleet is overloaded and the rate is used up.
+	urgent        chan notice
+	urgentLimiter *rate.Limiter
 	// peers returns the other VMs' addresses.
 	peers func() []netip.Addr
 	// observer gets the notices of other VMs.
@@ -117,6 +124,7 @@
 	return &notices{
 		conn: conn, port: port, limiter: rate.NewLimiter(rate.Limit(perSecond), int(noticeBurst*perSecond)),
 		queue: make(chan notice, noticeQueue), peers: peers, observer: observer, traffic: meter,
+		urgent: make(chan notice, noticeQueue), urgentLimiter: rate.NewLimiter(urgentRate, urgentBurst),
 	}
 }
 
@@ -147,7 +155,15 @@
 // notifyRejection queues a notice of an upstream that had no room. The other VMs would
 // find that out by further rejections.
 func (n *notices) notifyRejection(upstream string, perSecond float64) {
-	n.enqueue(notice{Rejection: &rejectionNotice{Upstream: upstream, PerSecond: perSecond}})
+	msg := notice{Rejection: &rejectionNotice{Upstream: upstream, PerSecond: perSecond}}
+	if n.urgentLimiter.Allow() {
+		select {
+		case n.urgent <- msg:
+			return
+		default:
+		}
+	}
+	n.enqueue(msg)
 }
 
 func (n *notices) enqueue(msg notice) {
@@ -169,6 +185,14 @@
 	go n.receive()
 	for {
 		select {
+		case p := <-n.urgent:
+			n.sendUrgent(p)
+			continue
+		default:
+		}
+		select {
+		case p := <-n.urgent:
+			n.sendUrgent(p)
 		case p := <-n.queue:
 			n.send(p)
 		case <-ctx.Done():
@@ -183,8 +207,15 @@
 // first event is. The limit of the rate does not apply, since a stream that breaks off
 // could not be continued elsewhere.
 func (n *notices) sendOrigin(peers []netip.Addr, o originNotice) {
+	n.sendUnlimited(peers, notice{Origin: &o})
+}
+
+// sendUrgent sends a notice to all peers at once.
+func (n *notices) sendUrgent(msg notice) { n.sendUnlimited(n.peers(), msg) }
+
+func (n *notices) sendUnlimited(peers []netip.Addr, msg notice) {
 	n.limiter.AllowN(time.Now(), len(peers))
-	n.sendTo(peers, notice{Origin: &o})
+	n.sendTo(peers, msg)
 }
 
 func (n *notices) sendTo(peers []netip.Addr, msg notice) {
--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -89,3 +89,20 @@
 	is.Equal(len(n.queue), 2)
 	is.Equal(n.skipped.Load(), int64(1))
 }
+
+// Guards against rejections that nobody hears of because notices of long prompts have used the rate up.
+func TestRejectionsAreToldUnderOverload(t *testing.T) {
+	is := is.New(t)
+	recorder := newNoticeRecorder()
+	b := noticesAt(t, "127.0.0.2", 0, nil, recorder)
+	a := noticesAt(t, "127.0.0.1", b.port, []netip.Addr{netip.MustParseAddr("127.0.0.2")}, newNoticeRecorder())
+	a.limiter.SetLimit(0)
+	a.limiter.SetBurst(0)
+	for range noticeQueue {
+		a.enqueue(notice{})
+	}
+	a.notifyRejection("u1", 3)
+	go a.run(t.Context())
+	go b.run(t.Context())
+	is.Equal(<-recorder.replaced, "u1")
+}
--- a/edge/path.go
+++ b/edge/path.go
@@ -24,6 +24,9 @@
 // Send implements relay.Sender. A request is forwarded only if no byte of it was sent
 // before.
 func (s pathSender) Send(ctx context.Context, out relay.OutgoingRequest) (relay.Response, error) {
+	if out.Borrowed {
+		return s.forward.sendOnOtherPart(ctx, out)
+	}
 	path := s.tracker.Path(out.Upstream.ID)
 	if path == reach.Forwarded {
 		return s.forward.Send(ctx, out)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -172,6 +172,19 @@
 	return all
 }
 
+// addressesOf returns the addresses of some VMs, without those that are not known.
+func (p *peers) addressesOf(vms []string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make([]string, 0, len(vms))
+	for _, vm := range vms {
+		if address, known := p.addresses[vm]; known {
+			all = append(all, address)
+		}
+	}
+	return all
+}
+
 // randomAddresses returns up to n peers in random order.
 func (p *peers) randomAddresses(n int) []string {
 	p.mu.Lock()
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -125,11 +125,14 @@
 	}
 }
 
-// SetRouters sets the routers that share the upstreams and adapts the limits to them.
-func (l *Limiter) SetRouters(self string, names []string) {
-	if l.routers.Set(self, names) {
+// SetRouters sets the routers that share the upstreams and adapts the limits to them. It
+// reports whether they changed.
+func (l *Limiter) SetRouters(self string, names []string) bool {
+	changed := l.routers.Set(self, names)
+	if changed {
 		l.Apply()
 	}
+	return changed
 }
 
 // limit puts this router's part of a rate into force. The caller must hold l.mu.
--- a/ratelimit/rejections.go
+++ b/ratelimit/rejections.go
@@ -45,7 +45,7 @@
 // All methods are safe for concurrent use.
 type Rejections struct {
 	apply   func(upstream string, b Backoff)
-	routers func() int // that share the upstreams
+	routers func(upstream string) int // that send to an upstream
 	// onRejected is called for rejections that this router has got.
 	onRejected atomic.Pointer[func(upstream string, perSecond float64)]
 	count      atomic.Int64
@@ -55,8 +55,8 @@
 }
 
 // NewRejections returns Rejections that know of none. apply puts a backoff into force,
-// routers returns how many routers share the upstreams.
-func NewRejections(apply func(upstream string, b Backoff), routers func() int) *Rejections {
+// routers returns how many routers send to an upstream.
+func NewRejections(apply func(upstream string, b Backoff), routers func(upstream string) int) *Rejections {
 	return &Rejections{apply: apply, routers: routers, recent: map[string][]time.Time{}}
 }
 
@@ -79,6 +79,15 @@
 	}
 }
 
+// Recent reports whether an upstream that names a limit has lately rejected a request of any
+// router. It may fail by that.
+func (r *Rejections) Recent(upstream string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.forget(time.Now())
+	return len(r.recent[upstream]) > 0
+}
+
 // Learn backs off from an upstream that has rejected a request of any router.
 func (r *Rejections) Learn(upstream string, perSecond float64) {
 	now := time.Now()
@@ -88,7 +97,7 @@
 	times := append(r.recent[upstream], now)
 	r.recent[upstream] = times
 	perSecond = max(perSecond, 1/capTime.Seconds())
-	routers := max(r.routers(), 1)
+	routers := max(r.routers(upstream), 1)
 	growth := time.Duration(float64(routers) / (growthShare * perSecond) * float64(time.Second))
 	b := Backoff{Cap: capTime, First: time.Duration(rand.Float64() * float64(growth)), Growth: growth}
 	if float64(len(times)) >= rejectionShare*perSecond {
--- a/ratelimit/share.go
+++ b/ratelimit/share.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -18,6 +19,10 @@
 	// minProbeInterval is the least time between two requests of a router that has no part
 	// of the rate, and that can learn only by its own requests that the limit has ended.
 	minProbeInterval = 10 * time.Second
+	// minHolders and slotsPerHolder decide how many routers have a part of an upstream's
+	// slots if there are more routers than slots.
+	minHolders     = 2
+	slotsPerHolder = 4
 	// windowsPerProbe is the number of windows in which all routers together make one such
 	// request.
 	windowsPerProbe = 2
@@ -89,6 +94,66 @@
 	return interval, interval / time.Duration(others) * time.Duration(1+r.rank(upstream)-users)
 }
 
+// Count returns how many routers there are, this one included.
+func (r *Routers) Count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(len(r.names), 1)
+}
+
+// Holders returns how many routers have a part of an upstream's slots: all of them, or a few
+// with several slots each if there are fewer slots than routers.
+func (r *Routers) Holders(slots int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.holders(slots)
+}
+
+func (r *Routers) holders(slots int) int {
+	if slots >= len(r.names) {
+		return len(r.names)
+	}
+	return min(slots, max(minHolders, slots/slotsPerHolder))
+}
+
+// Part returns how many of some slots of an upstream this router may fill. The parts of all
+// routers together are the slots. Without a list of routers it is one.
+func (r *Routers) Part(upstream string, slots int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	holders := r.holders(slots)
+	if holders <= 0 {
+		return min(1, slots)
+	}
+	part, rest := slots/holders, slots%holders
+	if rest == 0 && holders == len(r.names) {
+		return part
+	}
+	switch rank := r.rank(upstream); {
+	case rank >= holders:
+		return 0
+	case rank < rest:
+		return part + 1
+	}
+	return part
+}
+
+// OtherHolders returns the other routers that have a part of an upstream's slots.
+func (r *Routers) OtherHolders(upstream string, slots int) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	others := slices.DeleteFunc(slices.Clone(r.names), func(name string) bool { return name == r.self })
+	holders := r.holders(slots)
+	if holders == len(r.names) {
+		return others
+	}
+	slices.SortFunc(others, func(a, b string) int { return cmp.Compare(weight(upstream, b), weight(upstream, a)) })
+	if r.rank(upstream) < holders {
+		holders--
+	}
+	return others[:min(max(holders, 0), len(others))]
+}
+
 func (r *Routers) users(rate Rate) int {
 	if rate.PerSecond <= 0 {
 		return 0
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -36,6 +36,9 @@
 		t.reportOutcome(unsentOutcome(err))
 		r.exclude(t.target.ID)
 		r.noteUnsent(t.target.ID, err)
+		if errors.Is(err, upstream.ErrNoRoom) {
+			r.noRoom++
+		}
 		return r.giveUpAtLimit(ctx)
 	}
 	r.sends++
@@ -53,7 +56,7 @@
 // unsentOutcome returns what a request that was not sent tells about the upstream.
 func unsentOutcome(err error) routing.OutcomeKind {
 	switch {
-	case errors.Is(err, upstream.ErrConnectionLimit):
+	case errors.Is(err, upstream.ErrConnectionLimit), errors.Is(err, upstream.ErrNoRoom):
 		return routing.OutcomeFull
 	case errors.Is(err, upstream.ErrOtherProcess):
 		return routing.OutcomeCancelled
@@ -74,6 +77,7 @@
 		FreshConnection: !r.route.Kind.Retryable(),
 		Identify:        certainty,
 		Process:         process,
+		Borrowed:        t.choice.Borrowed,
 	}
 }
 
@@ -115,9 +119,7 @@
 func (t *attempt) handleResponse(ctx context.Context, response Response) bool {
 	head := response.Head()
 	t.call.record.Via = head.Via
-	if !head.Misdirected { // another upstream answers
-		t.call.relay.Limiter.Observe(t.target.ID, t.target.Start, head.RateLimit)
-	}
+	t.call.relay.Observe(t.target, head)
 	switch {
 	case head.NotExecuted:
 		return t.handleRefusal(ctx, head)
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -45,9 +45,10 @@
 
 // reportBroken reports a connection that was lost while the upstream may have been
 // running the request. A connection that the router itself closed says nothing about the
-// upstream, and one that is leaving ends by plan.
+// upstream, one that is leaving ends by plan, and one that had to reject more requests than
+// it bears ends whatever it runs.
 func (t *attempt) reportBroken(ctx context.Context) {
-	if ctx.Err() != nil || t.target.Leaving {
+	if ctx.Err() != nil || t.target.Leaving || t.call.relay.Rejections.Recent(t.target.ID) {
 		return
 	}
 	t.call.relay.Guard.Broken(quarantine.Upstream{
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"buckthornridge/ratelimit"
 )
 
 // crashing returns steps of upstreams that end as soon as they run the request.
@@ -49,3 +51,25 @@
 		is.Equal(b.settledTokens, int64(3*100)) // the refused ones are not charged
 	})
 }
+
+// Guards against requests that are taken for the cause when upstreams end by the rejections that they had to send.
+func TestEndByRejectionsIsNoEvidence(t *testing.T) {
+	runTest(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newHarness(t, AtMostOnce)
+		b.steps = b.crashing(20)
+		b.relay.Rejections = ratelimit.NewRejections(func(string, ratelimit.Backoff) {}, func(string) int { return 1 })
+		for i := range 10 {
+			for id := range b.fleet {
+				b.relay.Rejections.Learn(id, 100)
+			}
+			q := b.request()
+			q.ID = fmt.Sprint("r", i)
+			got := b.serve(q)
+			is.True(got.problem == nil || got.problem.Name != "quarantined")
+			b.restart()
+			time.Sleep(3 * time.Second)
+		}
+		is.True(len(b.sent) > 3)
+	})
+}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -86,9 +86,12 @@
 		Catalogue: &CurrentCatalogue{}, Budgets: b, Picker: picker, Fleet: b, Sender: b, Origins: b, Recorder: b,
 		RetryBudget: NewRetryBudget(RetryPolicy{Share: 0.2, Extra: 50, Window: 10 * time.Second}),
 		Routers:     func() int { return 1 },
-		Limiter:     ratelimit.NewLimiter(&ratelimit.Routers{}, table.SetLimit),
-		Rejections:  ratelimit.NewRejections(table.BackOff, func() int { return 1 }),
-		Guard:       quarantine.NewGuard(b),
+		Signals: Signals{
+			Limiter:    ratelimit.NewLimiter(&ratelimit.Routers{}, table.SetLimit),
+			Rejections: ratelimit.NewRejections(table.BackOff, func(string) int { return 1 }),
+			SlotBounds: ratelimit.NewSlotBounds(&ratelimit.Routers{}, table.SetSlotBound),
+		},
+		Guard: quarantine.NewGuard(b),
 	}
 	b.relay.Limiter.SetRouters("vm-1", []string{"vm-1"})
 	b.relay.Catalogue.Advance(NewCatalogue(Definition{
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -85,6 +85,8 @@
 	Identify Identify
 	// Process is the only one that may get it, by its Start, with OnlyProcess.
 	Process int64
+	// Borrowed asks for a router that sends it on its own part of the upstream's slots.
+	Borrowed bool
 }
 
 // Identify says how certain it must be which process of an upstream gets a request.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -9,7 +9,6 @@
 
 	"buckthornridge/origin"
 	"buckthornridge/quarantine"
-	"buckthornridge/ratelimit"
 	"buckthornridge/routing"
 )
 
@@ -39,10 +38,7 @@
 	Origins     Origins
 	RetryBudget *RetryBudget
 	Recorder    Recorder
-	// Limiter follows the rates that upstreams name.
-	Limiter *ratelimit.Limiter
-	// Rejections follows the upstreams that bear few rejections.
-	Rejections *ratelimit.Rejections
+	Signals
 	// Guard refuses requests that end upstreams.
 	Guard *quarantine.Guard
 	// DataCentre is the data centre that this router runs in.
@@ -84,6 +80,7 @@
 	sharedParts []quarantine.Part
 
 	sends           int           // attempts that may have reached an upstream
+	noRoom          int           // upstreams at which no other router had room
 	misdirected     int           // attempts that found another upstream at the address
 	rejected        int           // attempts of a stream's continuation that found no room
 	excluded        []string      // upstreams that get no further attempt
@@ -266,10 +263,13 @@
 // connections included.
 const maxUpstreams = 6
 
-// giveUpAtLimit fails the request if its context is done or maxUpstreams is reached. It
+// maxNoRoom bounds the upstreams of a request at which no other router had room.
+const maxNoRoom = 2
+
+// giveUpAtLimit fails the request if its context is done or a limit is reached. It
 // reports whether it did.
 func (r *call) giveUpAtLimit(ctx context.Context) bool {
-	if len(r.excluded)-len(r.full) < maxUpstreams && ctx.Err() == nil || r.waitForRoom(ctx) {
+	if len(r.excluded)-len(r.full) < maxUpstreams && r.noRoom < maxNoRoom && ctx.Err() == nil || r.waitForRoom(ctx) {
 		return false
 	}
 	r.giveUp(ctx, "no upstream took it")
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -126,7 +126,7 @@
 func (r *call) noteUnsent(id string, err error) {
 	switch {
 	case r.origin == nil, errors.Is(err, upstream.ErrOtherProcess):
-	case errors.Is(err, upstream.ErrConnectionLimit):
+	case errors.Is(err, upstream.ErrConnectionLimit), errors.Is(err, upstream.ErrNoRoom):
 		r.full = append(r.full, id)
 	default:
 		r.unreached = append(r.unreached, id)
@@ -167,7 +167,7 @@
 	}
 	r.waits++
 	r.excluded = slices.DeleteFunc(r.excluded, r.mayTryAgain)
-	r.full, r.unreached = nil, nil
+	r.full, r.unreached, r.noRoom = nil, nil, 0
 	r.waited += wait
 	return true
 }
--- /dev/null
+++ b/relay/signals.go
@@ -0,0 +1,24 @@
+package relay
+
+import "buckthornridge/ratelimit"
+
+// Signals applies what upstreams say of themselves in their answers, on whatever path these
+// come.
+type Signals struct {
+	// Limiter follows the rates that upstreams name.
+	Limiter *ratelimit.Limiter
+	// Rejections follows the rejections of upstreams that bear few.
+	Rejections *ratelimit.Rejections
+	// SlotBounds bounds the requests in flight at such upstreams.
+	SlotBounds *ratelimit.SlotBounds
+}
+
+// Observe applies what the head of an upstream's answer says. The answer of another
+// upstream at the address says nothing about it.
+func (s Signals) Observe(u Upstream, head Head) {
+	if head.Misdirected {
+		return
+	}
+	s.Limiter.Observe(u.ID, u.Start, head.RateLimit)
+	s.SlotBounds.Observe(u.Service, u.ID, u.Start, head.RejectionLimit)
+}
--- a/router/limit_test.go
+++ b/router/limit_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"buckthornridge/config"
+	"buckthornridge/ratelimit"
 	"buckthornridge/routing"
 	"buckthornridge/upstream"
 	"buckthornridge/upstream/wire"
@@ -48,3 +49,34 @@
 	}
 	is.True(arrivals.Load() >= 1 && arrivals.Load() <= 1.5*2*4+5)
 }
+
+// Guards against a server that names how many rejections it bears and gets more calls at once than it has slots.
+func TestServerThatBearsFewRejectionsIsNotOverfilled(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(wire.HeaderRejectionLimit, "1")
+	}))
+	defer server.Close()
+	snapshot := &config.Snapshot{Document: config.Document{Upstreams: map[string]config.Upstream{
+		"s1": {Kind: config.UpstreamService, Address: strings.TrimPrefix(server.URL, "http://"), Service: "orders", Slots: 8},
+	}}}
+	table := routing.NewTable()
+	table.Update(snapshot)
+	p := newPool(table, time.Second)
+	defer p.transport.CloseIdleConnections()
+	p.setRouters("r0", []string{"r0", "r1"})
+	p.update(snapshot)
+	service, err := p.service("s1")
+	is.NoErr(err)
+	_, err = service.Do(t.Context(), upstream.Call{RequestID: "r", Method: "GET", Path: "/x"})
+	is.NoErr(err)
+	routes, err := routing.NewRouter(table, "")
+	is.NoErr(err)
+	taken := 0
+	for range 20 {
+		if _, err := routes.Pick(routing.Request{Target: routing.Target{Service: "orders"}}); err == nil {
+			taken++
+		}
+	}
+	is.Equal(taken, ratelimit.BoundedSlots(8)/2)
+}
--- a/router/pool.go
+++ b/router/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +27,11 @@
 	table     *routing.Table
 	interval  time.Duration
 	limiter   *ratelimit.Limiter
-	clients   atomic.Pointer[clientSet]
+	shares    *ratelimit.Routers
+	// rejections and slotBounds keep upstreams that bear few rejections within their room.
+	rejections *ratelimit.Rejections
+	slotBounds *ratelimit.SlotBounds
+	clients    atomic.Pointer[clientSet]
 	// onLeaving is called for an upstream that reports itself as leaving.
 	onLeaving func(id string, kind config.UpstreamKind)
 }
@@ -38,7 +43,13 @@
 }
 
 func newPool(table *routing.Table, interval time.Duration) *pool {
-	p := &pool{transport: upstream.NewTransport(), table: table, interval: interval, limiter: ratelimit.NewLimiter(&ratelimit.Routers{}, table.SetLimit)}
+	shares := &ratelimit.Routers{}
+	p := &pool{
+		transport: upstream.NewTransport(), table: table, interval: interval, shares: shares,
+		limiter:    ratelimit.NewLimiter(shares, table.SetLimit),
+		rejections: ratelimit.NewRejections(table.BackOff, func(string) int { return shares.Count() }),
+		slotBounds: ratelimit.NewSlotBounds(shares, table.SetSlotBound),
+	}
 	p.clients.Store(&clientSet{})
 	return p
 }
@@ -46,12 +57,15 @@
 // update replaces the clients by those for the upstreams of a snapshot.
 func (p *pool) update(s *config.Snapshot) {
 	next := &clientSet{engines: map[string]upstream.Engine{}, services: map[string]upstream.Service{}}
+	bounded := make([]ratelimit.BoundedUpstream, 0, len(s.Upstreams))
 	for id, u := range s.Upstreams {
 		transport := upstream.ObserveHeaders(p.transport, func(path string, h http.Header) {
 			if u.Kind != config.UpstreamEngine || path == wire.PathGenerate || path == wire.PathResume {
 				p.limiter.Observe(id, 0, ratelimit.Read(h[wire.HeaderRateLimit]))
+				p.slotBounds.Observe(poolName(u), id, 0, ratelimit.Read(h[wire.HeaderRejectionLimit]))
 			}
 		})
+		bounded = append(bounded, ratelimit.BoundedUpstream{ID: id, Service: poolName(u), Slots: slotsOf(u)})
 		if u.Kind == config.UpstreamEngine {
 			next.engines[id] = upstream.NewEngine(u.Address, transport)
 		} else {
@@ -59,8 +73,27 @@
 		}
 	}
 	p.clients.Store(next)
+	p.slotBounds.Update(bounded)
+}
+
+// poolName names the upstreams that do the same work.
+func poolName(u config.Upstream) string { return u.Service + " " + strings.Join(u.Models, " ") }
+
+func slotsOf(u config.Upstream) int {
+	if u.Slots <= 0 {
+		return routing.DefaultSlots
+	}
+	return u.Slots
+}
+
+// setRouters sets the routers that share the upstreams.
+func (p *pool) setRouters(self string, names []string) {
+	p.slotBounds.Refresh(p.limiter.SetRouters(self, names))
 }
 
+// rejected records that an upstream has rejected a request for want of room.
+func (p *pool) rejected(id string) { p.rejections.Rejected(id, p.slotBounds.Limit(id)) }
+
 func (p *pool) engine(id string) (upstream.Engine, error) {
 	if e := p.clients.Load().engines[id]; e != nil {
 		return e, nil
--- a/router/ports.go
+++ b/router/ports.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return routingChoice{choice: choice, started: time.Now(), onLeaving: p.pool.onLeaving}, nil
+	return routingChoice{choice: choice, started: time.Now(), onLeaving: p.pool.onLeaving, onRejected: p.pool.rejected}, nil
 }
 
 func (p routingPort) routingRequest(r *request.Request, exclude []string) routing.Request {
@@ -151,6 +151,8 @@
 	choice    *routing.Choice
 	started   time.Time
 	onLeaving func(id string, kind config.UpstreamKind)
+	// onRejected is called for a refusal for want of room.
+	onRejected func(id string)
 }
 
 // Upstream implements request.Choice.
@@ -165,6 +167,9 @@
 	if kind == routing.OutcomeLeaving {
 		c.onLeaving(c.choice.UpstreamID, config.UpstreamEngine) // only engines report this refusal
 	}
+	if kind == routing.OutcomeFull {
+		c.onRejected(c.choice.UpstreamID)
+	}
 	c.choice.Done(routing.Outcome{
 		Kind:         kind,
 		FirstToken:   result.FirstToken,
--- a/router/router.go
+++ b/router/router.go
@@ -336,7 +336,7 @@
 		// took itself for the only one would fill the engines by itself, which
 		// causes a collapse under overload.
 		r.table.SetRouters(r.members.routerCount())
-		r.pool.limiter.SetRouters(r.settings.VM, r.members.routerNames())
+		r.pool.setRouters(r.settings.VM, r.members.routerNames())
 		r.executor.Sweep()
 		select {
 		case <-ticker.C:
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -14,6 +14,9 @@
 	// Expected is the predicted time to the first token.
 	Expected time.Duration
 	Why      Reason
+	// Borrowed says that another router must send the request, on its part of the
+	// upstream's slots.
+	Borrowed bool
 
 	table          *Table
 	entry          *entry
@@ -106,6 +109,9 @@
 			c.entry.backlog.drop(c.prefill.prompt)
 		}
 	}
+	if c.Borrowed {
+		c.entry.returnBorrowed(now, outcome.Kind == OutcomeFull)
+	}
 	c.entry.end(now)
 	c.learn(outcome)
 	c.table.observe(c.entry, outcome)
--- a/routing/entry.go
+++ b/routing/entry.go
@@ -6,12 +6,15 @@
 
 	"buckthornridge/config"
 	"buckthornridge/membership"
+	"buckthornridge/ratelimit"
 	"buckthornridge/upstream"
 )
 
+// DefaultSlots is how many requests an upstream is taken to run at once if it does not say.
+const DefaultSlots = 8
+
 // Assumptions about an upstream before the first observation.
 const (
-	defaultSlots       = 8
 	defaultTokenCost   = 100 * time.Microsecond // prefill of one prompt token
 	defaultServiceTime = 2 * time.Second        // time a request holds its slot
 	baseTokens         = 64                     // fixed share of a first token's time, in prompt tokens
@@ -68,6 +71,7 @@
 	limit   *spacing // while the upstream names the rate that it takes
 	pause   *spacing // after the upstream had no room
 	room    *room    // the requests that it may have room for
+	bound   slotBound
 	retries RetryBudget
 }
 
@@ -75,10 +79,11 @@
 	e := &entry{id: id, address: u.Address, kind: u.Kind, service: u.Service, fencing: u.Fencing, warmUp: newSpacing(), limit: newSpacing(), pause: newSpacing(), room: &room{}}
 	e.slots = int64(u.Slots)
 	if e.slots <= 0 {
-		e.slots = defaultSlots
+		e.slots = DefaultSlots
 	}
 	models := u.Models
 	e.models.Store(&models)
+	e.bound.limit.Store(ratelimit.NoBound)
 	e.retries.init(upstreamRetryShare, upstreamRetryBurst)
 	return e
 }
@@ -119,12 +124,11 @@
 	return sum
 }
 
-// begin records a dispatched request.
+// begin records a dispatched request, which claim has counted in flight.
 func (e *entry) begin(now time.Duration, priority int, work int64) {
-	inFlight := e.inFlight.Add(1)
 	e.prefill[priorityClass(priority)].Add(work)
 	e.health.begin(now, e.waiting.Add(1))
-	e.history.record(now, inFlight, e.prefillAhead(priorities))
+	e.history.record(now, e.inFlight.Load(), e.prefillAhead(priorities))
 }
 
 // endWaiting removes a request from those without a first token.
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -49,6 +49,8 @@
 	ringUpstream *entry
 	table        *Table
 	random       *random
+	// borrow allows upstreams at which only other routers' parts may have room.
+	borrow bool
 }
 
 // usable reports whether the upstream may get this request.
@@ -76,7 +78,7 @@
 
 // allowed is usable without regard to ejection and stalls.
 func (v *view) allowed(e *entry) bool {
-	if !e.allows(v.now) || !v.eligible(e) {
+	if !e.allows(v.now, v.borrow) || !v.eligible(e) {
 		return false
 	}
 	if v.request.Attempt > 0 && !e.retries.has() {
--- a/routing/router.go
+++ b/routing/router.go
@@ -67,11 +67,17 @@
 	}
 	for {
 		e := r.choose(v)
+		if e == nil && !v.borrow && r.table.borrowing.Load() {
+			v.borrow = true
+			continue
+		}
 		if e == nil {
 			return nil, r.refuseLimited(v)
 		}
-		if e.claim(v.now) {
-			return r.commit(v, e), nil
+		if ok, borrowed := e.claim(v.now, v.borrow); ok {
+			choice := r.commit(v, e)
+			choice.Borrowed = borrowed
+			return choice, nil
 		}
 		v.abandon(e) // another request took the place of this one
 	}
--- /dev/null
+++ b/routing/slotbound.go
@@ -0,0 +1,105 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"buckthornridge/ratelimit"
+)
+
+// borrowRetry is about how long this router asks for no other router's part of an upstream
+// after none had room. It doubles with each failure in a row, up to maxBorrowDoublings times.
+const (
+	borrowRetry        = 30 * time.Millisecond
+	maxBorrowDoublings = 3
+)
+
+// slotBound bounds this router's requests in flight at an upstream to its part of the
+// slots. Beyond that it may borrow: another router sends a request on its own part.
+type slotBound struct {
+	limit       atomic.Int64 // ratelimit.NoBound without one
+	borrowed    atomic.Int64 // requests in flight on the parts of others
+	borrowAfter atomic.Int64 // none is borrowed before; relative to the table's start
+	failures    atomic.Int64 // to borrow, in a row
+}
+
+// SetSlotBound bounds this router's requests in flight at an upstream, or ends that with
+// ratelimit.NoBound. A router that can't borrow may always have one.
+func (t *Table) SetSlotBound(id string, bound int) {
+	if e := t.current.Load().entries[id]; e != nil {
+		if bound == 0 && !t.borrowing.Load() {
+			bound = 1
+		}
+		e.bound.limit.Store(int64(bound))
+	}
+}
+
+// AllowBorrowing lets requests be sent on other routers' parts of bounded upstreams. It is
+// called before bounds are set.
+func (t *Table) AllowBorrowing() { t.borrowing.Store(true) }
+
+// ownInFlight returns the requests in flight that are not on other routers' parts.
+func (e *entry) ownInFlight() int64 { return e.inFlight.Load() - e.bound.borrowed.Load() }
+
+// partWait returns 0 if one more request fits into this router's part, otherwise when to try
+// again.
+func (e *entry) partWait() time.Duration {
+	if limit := e.bound.limit.Load(); limit < 0 || e.ownInFlight() < limit {
+		return 0
+	}
+	return roomRetry
+}
+
+func (e *entry) mayBorrow(now time.Duration) bool {
+	return e.bound.limit.Load() >= 0 && int64(now) >= e.bound.borrowAfter.Load() && e.bound.borrowed.Load() < e.borrowable()
+}
+
+// borrowable returns how many requests may be in flight on the parts of others.
+func (e *entry) borrowable() int64 {
+	return max(1, int64(ratelimit.BoundedSlots(int(e.slots)))-e.bound.limit.Load())
+}
+
+// claimSlot counts a request in flight if the bounds allow one. borrowed says that another
+// router must send it: that one's bounds hold then.
+func (e *entry) claimSlot(now time.Duration, borrow bool) (ok, borrowed bool) {
+	e.inFlight.Add(1)
+	own, limit := e.ownInFlight(), e.bound.limit.Load()
+	if (limit < 0 || own <= limit) && e.room.wait(now, own-1) == 0 && e.pause.claim(now) {
+		return true, false
+	}
+	if borrow && e.mayBorrow(now) {
+		if e.bound.borrowed.Add(1) <= e.borrowable() {
+			return true, true
+		}
+		e.bound.borrowed.Add(-1)
+	}
+	e.inFlight.Add(-1)
+	return false, false
+}
+
+// returnBorrowed ends a request on another router's part. It comes before the request
+// leaves those in flight, so that the own part never looks emptier than it is.
+func (e *entry) returnBorrowed(now time.Duration, full bool) {
+	e.bound.borrowed.Add(-1)
+	if !full {
+		e.bound.failures.Store(0)
+		return
+	}
+	retry := borrowRetry << min(e.bound.failures.Add(1)-1, maxBorrowDoublings)
+	e.bound.borrowAfter.Store(int64(now + time.Duration((0.5+rand.Float64())*float64(retry))))
+}
+
+// Lend takes one of this router's requests in flight at an upstream for a request that it
+// sends for another router. It reports whether there was one; release ends it.
+func (t *Table) Lend(id string) (release func(), ok bool) {
+	e := t.current.Load().entries[id]
+	if e == nil || !e.takesWork() {
+		return nil, false
+	}
+	// The other router has claimed its turn where the upstream's rate is limited.
+	if ok, _ := e.claimSlot(t.now(), false); !ok {
+		return nil, false
+	}
+	return func() { e.end(t.now()) }, true
+}
--- a/routing/spacing.go
+++ b/routing/spacing.go
@@ -87,20 +87,38 @@
 }
 
 // allows reports whether the upstream may get a request now.
-func (e *entry) allows(now time.Duration) bool { return e.wait(now) == 0 }
+func (e *entry) allows(now time.Duration, borrow bool) bool { return e.wait(now, borrow) == 0 }
 
 // wait returns the time until the upstream may get a request.
-func (e *entry) wait(now time.Duration) time.Duration {
-	return max(e.warmUp.wait(now), e.limit.wait(now), e.pause.wait(now), e.room.wait(now, e.inFlight.Load()))
+func (e *entry) wait(now time.Duration, borrow bool) time.Duration {
+	own := max(e.pause.wait(now), e.room.wait(now, e.ownInFlight()), e.partWait())
+	if own > 0 && borrow && e.mayBorrow(now) {
+		own = 0
+	}
+	return max(e.warmUp.wait(now), e.limit.wait(now), own)
 }
 
-// claim takes the upstream's next request, and reports whether it was due.
-func (e *entry) claim(now time.Duration) bool {
-	return e.room.wait(now, e.inFlight.Load()) == 0 && e.warmUp.claim(now) && e.limit.claim(now) && e.pause.claim(now)
+// claim takes the upstream's next request and counts it in flight, and reports whether it
+// was due. borrowed says that another router must send it.
+func (e *entry) claim(now time.Duration, borrow bool) (ok, borrowed bool) {
+	if ok, borrowed = e.claimSlot(now, borrow); !ok {
+		return false, false
+	}
+	if e.warmUp.claim(now) && e.limit.claim(now) {
+		return true, borrowed
+	}
+	if borrowed {
+		e.returnBorrowed(now, false)
+	}
+	e.inFlight.Add(-1)
+	return false, false
 }
 
 // usableSlots returns the slots that this router's part of a limited rate can fill.
 func (e *entry) usableSlots(now time.Duration) int64 {
+	if bound := e.bound.limit.Load(); bound >= 0 {
+		return min(e.slots, bound)
+	}
 	if !e.limit.active(now) {
 		return e.slots
 	}
@@ -126,7 +144,7 @@
 		return
 	}
 	now := t.now()
-	e.room.shrink(b, now, e.inFlight.Load())
+	e.room.shrink(b, now, e.ownInFlight())
 	if b.Pause > 0 {
 		e.pause.setPause(b, now)
 	}
@@ -136,7 +154,11 @@
 // resuming a stream, and reports whether it was due.
 func (t *Table) Claim(id string) bool {
 	e := t.current.Load().entries[id]
-	return e == nil || e.claim(t.now())
+	if e == nil {
+		return true
+	}
+	now := t.now()
+	return e.room.wait(now, e.ownInFlight()) == 0 && e.warmUp.claim(now) && e.limit.claim(now) && e.pause.claim(now)
 }
 
 // untilAllowed returns the time until the first of the pool's upstreams may get a request,
@@ -146,7 +168,7 @@
 		if !e.takesWork() || !v.eligible(e) {
 			continue
 		}
-		wait := e.wait(v.now)
+		wait := e.wait(v.now, v.borrow)
 		if wait == 0 {
 			return 0, false // it gets no request for another reason, which may end at any time
 		}
--- a/routing/table.go
+++ b/routing/table.go
@@ -23,6 +23,7 @@
 	index            *PrefixIndex
 	onCapacityChange atomic.Pointer[func(Target)]
 	routers          atomic.Int64
+	borrowing        atomic.Bool
 	// onDispatch is called for prompts that other routers should know of.
 	onDispatch atomic.Pointer[func(DispatchNotice, time.Duration)]
 	// onReplaced is called for upstreams that other routers should not try.
@@ -73,7 +74,7 @@
 func (e *entry) matches(u config.Upstream) bool {
 	slots := int64(u.Slots)
 	if slots <= 0 {
-		slots = defaultSlots
+		slots = DefaultSlots
 	}
 	return e.address == u.Address && e.kind == u.Kind && e.service == u.Service &&
 		e.fencing == u.Fencing && e.slots == slots
@@ -89,6 +90,7 @@
 		e.models.Store(old.models.Load())
 		e.limit = old.limit
 		e.pause, e.room = old.pause, old.room
+		e.bound.limit.Store(old.bound.limit.Load())
 	}
 	return e
 }
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -26,6 +26,10 @@
 // that the request is meant for.
 var ErrOtherProcess = eris.New("upstream: another process")
 
+// ErrNoRoom reports that nothing was sent because no router may send a request to the
+// upstream now. It does not indicate a fault of the upstream.
+var ErrNoRoom = eris.New("upstream: no router has room at it")
+
 // RefusalReason is the reason for which an upstream did not run a request.
 type RefusalReason string
 
--- a/upstream/wire/wire.go
+++ b/upstream/wire/wire.go
@@ -7,6 +7,11 @@
 // it ends the limit.
 const HeaderRateLimit = "Rate-Limit"
 
+// HeaderRejectionLimit is the header of an answer with how many requests a second, a decimal
+// number, the upstream may have to reject for want of room; with more it fails. An answer to
+// a request for work without it ends the limit.
+const HeaderRejectionLimit = "Rejection-Limit"
+
 // Paths of the protocol.
 const (
 	PathGenerate    = "/v1/generate"       // POST Generate -> stream of Line
