--- a/edge/fragile_test.go
+++ b/edge/fragile_test.go
@@ -1,10 +1,8 @@
 package edge
 
 import (
-	"context"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -179,19 +177,7 @@
 		return
 	}
 	judged := e.weak()
-	ctx, cancel := context.WithTimeout(vm.ctx, fragileTimeout)
-	defer cancel()
-	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://h"+path+id, nil)
-	r.Header.Set("Id", id)
-	w := &safeRecorder{ResponseRecorder: httptest.NewRecorder()}
-	func() {
-		defer func() {
-			if problem := recover(); problem != nil && problem != http.ErrAbortHandler {
-				panic(problem)
-			}
-		}()
-		vm.process.callers.Handler.ServeHTTP(w, r)
-	}()
+	w := e.request(vm, path, id, fragileTimeout)
 	halfTaken := e.halfTaken()
 	e.fragileMu.Lock()
 	defer e.fragileMu.Unlock()
--- a/edge/versionenv_test.go
+++ b/edge/versionenv_test.go
@@ -504,6 +504,22 @@
 	return a, time.Duration(wait * float64(time.Second))
 }
 
+// request sends a caller's request to a VM and returns what the caller got.
+func (e *versionEnv) request(vm *versionVM, path, id string, timeout time.Duration) (w *safeRecorder) {
+	ctx, cancel := context.WithTimeout(vm.ctx, timeout)
+	defer cancel()
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://h"+path+id, nil)
+	r.Header.Set("Id", id)
+	w = &safeRecorder{ResponseRecorder: httptest.NewRecorder()}
+	defer func() {
+		if problem := recover(); problem != nil && problem != http.ErrAbortHandler {
+			panic(problem)
+		}
+	}()
+	vm.process.callers.Handler.ServeHTTP(w, r)
+	return w
+}
+
 // read takes the events of an answer and returns how many there are.
 func (s *callerStream) read(body string) int {
 	count := 0
