relay, edge: an upstream whose answer says that it leaves gets no new requests

Cause: nobody read that field of answers.

Change: relay.Signals takes what a head says on each path, the fleet keeps the process as leaving beside its entry, so that every reader of the list holds to it: choice, repeats, resumed streams, forwarding for other VMs, capacity, quarantine. A new start is free of it. Our own interface has the field too.

A new process under the id and other values are used as before.

--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -51,6 +51,7 @@
 	serviceByName map[string]relay.Service
 	evacuated     map[string]bool // data centres that get no new work
 	cold          coldUpstreams
+	leaving       leavingProcesses
 
 	shares  ratelimit.Routers  // the routers among which the rates of upstreams are divided
 	limiter *ratelimit.Limiter // of upstreams that name a rate
@@ -158,7 +159,7 @@
 	if !known {
 		return
 	}
-	if until := f.lapseDeadline(); time.Now().Before(until) && !u.Leaving {
+	if until := f.lapseDeadline(); time.Now().Before(until) && !u.Leaving && !f.leaving.has(u) {
 		f.lapsing[key] = until
 		return
 	}
@@ -234,7 +235,7 @@
 	bounded := make([]ratelimit.BoundedUpstream, 0, len(f.entries))
 	f.updateRouters()
 	for key, u := range f.entries {
-		u.Leaving = u.Leaving || f.evacuated[u.DataCentre]
+		u.Leaving = u.Leaving || f.evacuated[u.DataCentre] || f.leaving.has(u)
 		if u.Slots <= 0 {
 			u.Slots = cmp.Or(max(0, f.serviceByName[u.Service].Slots), routing.DefaultSlots)
 		}
@@ -270,7 +271,7 @@
 
 // signals returns what applies the upstreams' words on themselves.
 func (f *fleet) signals() relay.Signals {
-	return relay.Signals{Limiter: f.limiter, Rejections: f.rejections, SlotBounds: f.slotBounds}
+	return relay.Signals{Limiter: f.limiter, Rejections: f.rejections, SlotBounds: f.slotBounds, MarkLeaving: f.markLeaving}
 }
 
 // holders returns the other VMs that have a part of an upstream's slots while these are
--- a/edge/leaving_test.go
+++ b/edge/leaving_test.go
@@ -77,6 +77,41 @@
 	return late
 }
 
+// Guards against an engine that gets no requests for what its earlier process said, or for a value that says nothing.
+func TestEngineThatDoesNotLeaveIsUsed(t *testing.T) {
+	for _, c := range []struct {
+		name, value string
+		restart     bool
+	}{{"a new process under its id", "1", true}, {"other values", "0", false}} {
+		t.Run(c.name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				e := newSayingEnv(t, 2, readLeaving, func(e *sayingEnv, p sayingPair, w http.ResponseWriter) bool {
+					if p.engine == "engine-0" && p.start == e.began.UnixMilli() {
+						w.Header().Set(headerLeaving, c.value)
+					}
+					return true
+				})
+				changes := map[time.Duration]func(){}
+				if c.restart {
+					changes[sayingFrom] = func() { e.startEngine("engine-0", "v1"); e.list("engine-0") }
+				}
+				e.play(changes)
+				used := 0
+				for _, a := range e.arrivals {
+					if a.engine == "engine-0" && a.at > sayingFrom+leaveWithin {
+						used++
+					}
+				}
+				t.Logf("%d of %d requests at engine-0", used, len(e.arrivals))
+				if used == 0 {
+					t.Error("engine-0 is not used")
+				}
+				e.judgeServed(sayingFrom+leaveWithin, sayingRun)
+			})
+		})
+	}
+}
+
 // Guards against requests that reach an engine long after its answers have said that it leaves (DRAIN).
 func TestEngineThatSaysItLeavesGetsNoNewRequests(t *testing.T) {
 	for _, c := range leavingCases {
@@ -119,4 +154,4 @@
 	}
 }
 
-func readLeaving(_ *relay.Head, _ http.Header) {}
+func readLeaving(head *relay.Head, h http.Header) { head.Leaving = h.Get(headerLeaving) == "1" }
--- a/edge/saying_test.go
+++ b/edge/saying_test.go
@@ -170,14 +170,3 @@
 		e.t.Error("nobody asked")
 	}
 }
-
-// count returns the requests that an engine's process got within a time.
-func (e *sayingEnv) count(engine string, from, until time.Duration) int {
-	count := 0
-	for _, a := range e.arrivals {
-		if a.engine == engine && a.at >= from && a.at < until {
-			count++
-		}
-	}
-	return count
-}
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -48,7 +48,7 @@
 // upstream, one that is leaving ends by plan, and one that had to reject more requests than
 // it bears ends whatever it runs.
 func (t *attempt) reportBroken(ctx context.Context) {
-	if ctx.Err() != nil || t.target.Leaving || t.call.relay.Rejections.Recent(t.target.ID) {
+	if ctx.Err() != nil || t.leaves() || t.call.relay.Rejections.Recent(t.target.ID) {
 		return
 	}
 	t.call.relay.Guard.Broken(quarantine.Upstream{
@@ -56,6 +56,12 @@
 	}, t.call.content(), t.events >= answeringEvents)
 }
 
+// leaves reports whether the upstream is known by now to leave.
+func (t *attempt) leaves() bool {
+	u, known := t.call.relay.Fleet.Upstream(t.target.ID)
+	return t.target.Leaving || known && u.Start == t.target.Start && u.Leaving
+}
+
 // answeringEvents is the number of events after which an upstream is taken to go on with
 // its answer. One that crashes as it begins may have sent the first one.
 const answeringEvents = 2
--- a/relay/crash_test.go
+++ b/relay/crash_test.go
@@ -73,3 +73,28 @@
 		is.True(len(b.sent) > 3)
 	})
 }
+
+// Guards against requests that are taken for the cause when upstreams end that had said in an answer that they leave.
+func TestEndOfLeavingUpstreamIsNoEvidence(t *testing.T) {
+	runTest(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newHarness(t, AtMostOnce)
+		b.crashing(0)
+		b.answer = func(out OutgoingRequest) step {
+			b.relay.Observe(out.Upstream, Head{Leaving: true}) // to another request
+			return broken()
+		}
+		for i := range 5 {
+			q := b.request()
+			q.ID = fmt.Sprint("r", i)
+			got := b.serve(q)
+			is.True(got.problem == nil || got.problem.Name != "quarantined")
+			for id, u := range b.fleet { // new processes
+				u.Leaving, u.Start = false, u.Start+1
+				b.fleet[id] = u
+			}
+			time.Sleep(3 * time.Second)
+		}
+		is.True(len(b.sent) > 3)
+	})
+}
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -134,6 +134,8 @@
 	// RejectionLimit is what the upstream says of the rate of requests that it may have
 	// to reject for want of room; with more it fails.
 	RejectionLimit ratelimit.Reading
+	// Leaving says that the upstream's process leaves and wants no new work.
+	Leaving bool
 }
 
 // Sender sends a request to an upstream and returns the head of its response. Its errors
--- a/relay/signals.go
+++ b/relay/signals.go
@@ -11,6 +11,9 @@
 	Rejections *ratelimit.Rejections
 	// SlotBounds bounds the requests in flight at such upstreams.
 	SlotBounds *ratelimit.SlotBounds
+	// MarkLeaving records that a process of an upstream leaves: the listed one and, if
+	// that is another one, the one that said so.
+	MarkLeaving func(u Upstream, process int64)
 }
 
 // Observe applies what the head of an upstream's answer says. The answer of another
@@ -21,4 +24,7 @@
 	}
 	s.Limiter.Observe(u.ID, u.Start, head.RateLimit)
 	s.SlotBounds.Observe(u.Service, u.ID, u.Start, head.RejectionLimit)
+	if head.Leaving {
+		s.MarkLeaving(u, head.Process)
+	}
 }
--- a/router/limit_test.go
+++ b/router/limit_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"buckthornridge/config"
+	"buckthornridge/membership"
 	"buckthornridge/ratelimit"
 	"buckthornridge/routing"
 	"buckthornridge/upstream"
@@ -80,3 +81,40 @@
 	}
 	is.Equal(taken, ratelimit.BoundedSlots(8)/2)
 }
+
+// Guards against a server whose answers say that it leaves and that gets further calls.
+func TestServerThatSaysItLeavesGetsNoFurtherCalls(t *testing.T) {
+	is := is.New(t)
+	var arrivals atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		arrivals.Add(1)
+		w.Header().Set(wire.HeaderLeaving, wire.LeavingValue)
+	}))
+	defer server.Close()
+	snapshot := &config.Snapshot{Document: config.Document{Upstreams: map[string]config.Upstream{
+		"s1": {Kind: config.UpstreamService, Address: strings.TrimPrefix(server.URL, "http://"), Service: "orders", Slots: 8},
+	}}}
+	table := routing.NewTable()
+	table.Update(snapshot)
+	p := newPool(table, time.Second)
+	p.onLeaving = func(id string, _ config.UpstreamKind) { table.SetState(id, membership.Leaving) }
+	defer p.transport.CloseIdleConnections()
+	p.update(snapshot)
+	routes, err := routing.NewRouter(table, "")
+	is.NoErr(err)
+	refused := 0
+	for range 10 {
+		choice, err := routes.Pick(routing.Request{Target: routing.Target{Service: "orders"}})
+		if err != nil {
+			refused++
+			continue
+		}
+		service, err := p.service(choice.UpstreamID)
+		is.NoErr(err)
+		_, err = service.Do(t.Context(), upstream.Call{RequestID: "r", Method: "GET", Path: "/x"})
+		is.NoErr(err)
+		choice.Done(routing.Outcome{Kind: routing.OutcomeOK, Total: time.Millisecond})
+	}
+	is.Equal(arrivals.Load(), int64(1))
+	is.Equal(refused, 9)
+}
--- a/router/pool.go
+++ b/router/pool.go
@@ -63,6 +63,9 @@
 			if u.Kind != config.UpstreamEngine || path == wire.PathGenerate || path == wire.PathResume {
 				p.limiter.Observe(id, 0, ratelimit.Read(h[wire.HeaderRateLimit]))
 				p.slotBounds.Observe(poolName(u), id, 0, ratelimit.Read(h[wire.HeaderRejectionLimit]))
+				if h.Get(wire.HeaderLeaving) == wire.LeavingValue {
+					p.onLeaving(id, u.Kind)
+				}
 			}
 		})
 		bounded = append(bounded, ratelimit.BoundedUpstream{ID: id, Service: poolName(u), Slots: slotsOf(u)})
--- a/upstream/wire/wire.go
+++ b/upstream/wire/wire.go
@@ -12,6 +12,13 @@
 // a request for work without it ends the limit.
 const HeaderRejectionLimit = "Rejection-Limit"
 
+// HeaderLeaving is the header of an answer of an upstream that is leaving, with the value
+// LeavingValue.
+const (
+	HeaderLeaving = "Leaving"
+	LeavingValue  = "1"
+)
+
 // Paths of the protocol.
 const (
 	PathGenerate    = "/v1/generate"       // POST Generate -> stream of Line
