ratelimit, routing: an upstream that asks a router for rest gets no requests from it in that time

Cause: nobody read the field. An upstream that turns away at once has nothing in flight and looked like the best choice for the next request; a route with one attempt then refused its caller.

Change: ratelimit.Rests keeps the time by process; routing holds each way to the upstream to it, on both request paths and for requests that are sent for other VMs, and tells refused callers when the first rest ends. Ends are spread, requests after them are spaced.

Values that are no decimal seconds are counted and ignored.

--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -58,6 +58,7 @@
 	// rejections follows the upstreams that bear few rejections.
 	rejections *ratelimit.Rejections
 	slotBounds *ratelimit.SlotBounds
+	rests      *ratelimit.Rests
 	paths      *reach.Tracker // the VM's own paths to the upstreams
 	history    *origin.History
 	identity   *identities
@@ -77,6 +78,7 @@
 	}
 	f.limiter = ratelimit.NewLimiter(&f.shares, table.SetLimit)
 	f.rejections = ratelimit.NewRejections(table.BackOff, f.holderCount)
+	f.rests = ratelimit.NewRests(table.SetRest, func(string) int { return f.shares.Count() })
 	f.slotBounds = ratelimit.NewSlotBounds(&f.shares, table.SetSlotBound)
 	f.current.Store(&map[string]relay.Upstream{})
 	f.serviceByAddress.Store(&map[string]string{})
@@ -256,6 +258,9 @@
 	f.table.Update(&config.Snapshot{Document: config.Document{Upstreams: upstreams}})
 	f.limiter.Apply()
 	f.slotBounds.Update(bounded)
+	for _, u := range byID {
+		f.rests.Apply(ratelimit.Process{Upstream: u.ID, Start: u.Start})
+	}
 	f.paths.Update(inUse)
 }
 
@@ -271,7 +276,7 @@
 
 // signals returns what applies the upstreams' words on themselves.
 func (f *fleet) signals() relay.Signals {
-	return relay.Signals{Limiter: f.limiter, Rejections: f.rejections, SlotBounds: f.slotBounds, MarkLeaving: f.markLeaving}
+	return relay.Signals{Limiter: f.limiter, Rejections: f.rejections, SlotBounds: f.slotBounds, Rests: f.rests, MarkLeaving: f.markLeaving}
 }
 
 // holders returns the other VMs that have a part of an upstream's slots while these are
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -34,13 +34,15 @@
 	reachTimeout = 500 * time.Millisecond
 )
 
-// Codes of the errors with which a peer answers methodForward. Both guarantee that it
+// Codes of the errors with which a peer answers methodForward. All guarantee that it
 // sent nothing to the upstream; any other error leaves that open.
 const (
 	// codeNoPath: the peer does not reach the service, or takes no requests.
 	codeNoPath = "no_path"
-	// codeNotSent: the peer could not connect to this upstream, or has no room there.
+	// codeNotSent: the peer could not connect to this upstream.
 	codeNotSent = "not_sent"
+	// codeNoRoom: the peer may send nothing to this upstream now.
+	codeNoRoom = "no_room"
 )
 
 // forwardError is an error of methodForward.
@@ -123,7 +125,8 @@
 		if err == nil {
 			return response, nil
 		}
-		if !errors.Is(err, errDeclined) || !errors.Is(err, upstream.ErrNotSent) || ctx.Err() != nil {
+		elsewhere := errors.Is(err, errDeclined) || errors.Is(err, upstream.ErrNoRoom)
+		if !elsewhere || !errors.Is(err, upstream.ErrNotSent) || ctx.Err() != nil {
 			return nil, err
 		}
 		cause = err
@@ -176,6 +179,9 @@
 			f.choice.Declined(service, address, time.Now())
 			err = errors.Join(errDeclined, err)
 		}
+		if isNoRoom(err) {
+			err = errors.Join(upstream.ErrNoRoom, err)
+		}
 		return nil, upstream.WrapError("forward", address, kind, err)
 	}
 	f.choice.Accepted(service, address, time.Now())
@@ -192,12 +198,18 @@
 	switch remote.Code {
 	case codeNoPath, peer.CodeUnknownMethod:
 		return upstream.ErrNotSent, true
-	case codeNotSent:
+	case codeNotSent, codeNoRoom:
 		return upstream.ErrNotSent, false
 	}
 	return upstream.ErrBroken, false
 }
 
+// isNoRoom reports whether a peer answered that it may send nothing to the upstream now.
+func isNoRoom(err error) bool {
+	var remote *peer.RemoteError
+	return errors.As(err, &remote) && remote.Code == codeNoRoom
+}
+
 // open sends the request to a peer, to which a connection must be open within
 // reach.BriefDial. After an error nothing was sent.
 func (f *forwarder) open(ctx context.Context, cancel context.CancelFunc, address string, out relay.OutgoingRequest) (peer.Stream, error) {
--- a/edge/forward_server.go
+++ b/edge/forward_server.go
@@ -37,6 +37,8 @@
 	stopping *atomic.Bool
 	// lend takes one of this VM's requests in flight at an upstream.
 	lend func(upstream string) (release func(), ok bool)
+	// rests reports whether an upstream wants no requests of this VM now.
+	rests func(upstream string) bool
 	// signals gets what the upstreams' answers say.
 	signals relay.Signals
 	// active is the number of requests in progress, total that of all so far.
@@ -74,7 +76,7 @@
 	if q.Borrowed {
 		release, ok := f.lend(q.Upstream)
 		if !ok {
-			return &forwardError{codeNotSent, "this VM has no room at the upstream"}
+			return &forwardError{codeNoRoom, "this VM's part of the upstream is full"}
 		}
 		defer release()
 		f.lent.Add(1)
@@ -97,6 +99,8 @@
 		return &forwardError{codeNotSent, "the upstream is leaving or has another address"}
 	case !f.tracker.Reaches(u.Service):
 		return &forwardError{codeNoPath, "this VM does not reach the service"}
+	case f.rests(q.Upstream):
+		return &forwardError{codeNoRoom, "the upstream wants no requests of this VM now"}
 	case f.tracker.Fails(q.Upstream, time.Now(), recentFailure):
 		return &forwardError{codeNotSent, "the upstream was not reached just now"}
 	}
--- a/edge/process_metrics.go
+++ b/edge/process_metrics.go
@@ -30,6 +30,8 @@
 		crashes.Crashes.Load(), crashes.Refused.Load(), suspects, quarantined)
 	fmt.Fprintf(w, "limited_upstreams_count %d\nlimited_rejections_total %d\n", p.fleet.limiter.Count(), p.fleet.rejections.Count())
 	fmt.Fprintf(w, "rejection_limits_count %d\nborrowed_sends_total %d\nlent_sends_total %d\n", p.fleet.slotBounds.Named(), p.forward.borrowed.Load(), p.forwarded.lent.Load())
+	asked, invalid := p.fleet.rests.Counts()
+	fmt.Fprintf(w, "upstream_rests_total{result=\"kept\"} %d\nupstream_rests_total{result=\"ignored\"} %d\n", asked, invalid)
 	fmt.Fprintf(w, "members_count %d\npaths_lost_count %d\nforwarded_sends_total %d\nforward_failed_total %d\nforwarded_for_peers_total %d\nforwarding_for_peers_count %d\n",
 		p.peers.count(), len(p.paths.LostServices()), p.forward.sent.Load(), p.forward.failed.Load(), p.forwarded.total.Load(), p.forwarded.active.Load())
 	n := p.notices
--- a/edge/rest_test.go
+++ b/edge/rest_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"buckthornridge/bubble"
+	"buckthornridge/ratelimit"
 	"buckthornridge/relay"
 	"buckthornridge/testnet"
 )
@@ -194,4 +195,4 @@
 	}
 }
 
-func readRest(_ *relay.Head, _ http.Header) {}
+func readRest(head *relay.Head, h http.Header) { head.Rest = ratelimit.ReadRest(h[headerRest]) }
--- a/ratelimit/rejections.go
+++ b/ratelimit/rejections.go
@@ -99,16 +99,19 @@
 	perSecond = max(perSecond, 1/capTime.Seconds())
 	routers := max(r.routers(upstream), 1)
 	growth := time.Duration(float64(routers) / (growthShare * perSecond) * float64(time.Second))
-	b := Backoff{Cap: capTime, First: time.Duration(rand.Float64() * float64(growth)), Growth: growth}
+	b := Backoff{Cap: capTime, First: jitter(growth), Growth: growth}
 	if float64(len(times)) >= rejectionShare*perSecond {
 		b.Pause = rejectionWindow - now.Sub(times[0])
-		b.Pause += time.Duration(rand.Float64() * pauseJitter * float64(rejectionWindow))
+		b.Pause += jitter(time.Duration(pauseJitter * float64(rejectionWindow)))
 		b.Interval, b.Ramp = time.Duration(routers)*rampInterval, rampTime
 	}
 	r.apply(upstream, b)
 	klog.V(1).Infof("step=upstream_full upstream=%s bears=%g recent=%d pause_ms=%d", upstream, perSecond, len(times), b.Pause.Milliseconds())
 }
 
+// jitter returns a random time of at most limit.
+func jitter(limit time.Duration) time.Duration { return time.Duration(rand.Float64() * float64(limit)) }
+
 // forget removes the rejections that upstreams no longer count.
 func (r *Rejections) forget(now time.Time) {
 	for u, times := range r.recent {
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -90,6 +90,7 @@
 			Limiter:    ratelimit.NewLimiter(&ratelimit.Routers{}, table.SetLimit),
 			Rejections: ratelimit.NewRejections(table.BackOff, func(string) int { return 1 }),
 			SlotBounds: ratelimit.NewSlotBounds(&ratelimit.Routers{}, table.SetSlotBound),
+			Rests:      ratelimit.NewRests(table.SetRest, func(string) int { return 1 }),
 			MarkLeaving: func(u Upstream, _ int64) {
 				u.Leaving = true
 				b.fleet[u.ID] = u
--- a/relay/limit_test.go
+++ b/relay/limit_test.go
@@ -148,3 +148,32 @@
 		}
 	})
 }
+
+// Guards against callers who are told to come back before any upstream's rest has ended, or long after.
+func TestCallersComeBackAtTheEndOfTheFirstRest(t *testing.T) {
+	runTest(t, func(t *testing.T) {
+		is := is.New(t)
+		b := newHarness(t, Idempotent)
+		resting := true
+		b.answer = func(OutgoingRequest) step {
+			s := answered("ok")
+			if resting {
+				s = refusing()
+				s.head.Rest = ratelimit.RestReading{For: 2 * time.Second}
+			}
+			return s
+		}
+		for range 2 * len(b.fleet) { // until all upstreams have asked for rest
+			b.serve(b.request())
+		}
+		is.Equal(len(b.sent), len(b.fleet))
+		resting = false
+		time.Sleep(time.Second)
+		got := b.serve(b.request())
+		is.Equal(got.status, 503)
+		is.Equal(len(b.sent), len(b.fleet))
+		is.True(got.problem.RetryAfter >= 900*time.Millisecond && got.problem.RetryAfter <= 1500*time.Millisecond)
+		time.Sleep(got.problem.RetryAfter)
+		is.Equal(b.serve(b.request()).status, 200)
+	})
+}
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -50,6 +50,9 @@
 	if r.limitedFor > 0 {
 		return r.limitedFor
 	}
+	if wait, limited := r.relay.Picker.UntilAllowed(r.routingRequest()); limited {
+		return wait
+	}
 	if r.sends > 0 {
 		return retryAfterFull
 	}
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -44,6 +44,9 @@
 // Picker chooses an upstream. *routing.Router implements it.
 type Picker interface {
 	Pick(request routing.Request) (*routing.Choice, error)
+	// UntilAllowed returns the time until an upstream may get a request, if all of them
+	// wait for their limits.
+	UntilAllowed(request routing.Request) (time.Duration, bool)
 }
 
 // Listed returns what decides which streams the upstream may continue.
@@ -136,6 +139,9 @@
 	RejectionLimit ratelimit.Reading
 	// Leaving says that the upstream's process leaves and wants no new work.
 	Leaving bool
+	// Rest is what a rejection says of the time for which the upstream wants no requests of
+	// this router.
+	Rest ratelimit.RestReading
 }
 
 // Sender sends a request to an upstream and returns the head of its response. Its errors
--- a/relay/signals.go
+++ b/relay/signals.go
@@ -11,6 +11,8 @@
 	Rejections *ratelimit.Rejections
 	// SlotBounds bounds the requests in flight at such upstreams.
 	SlotBounds *ratelimit.SlotBounds
+	// Rests keeps the upstreams that want no requests for a while.
+	Rests *ratelimit.Rests
 	// MarkLeaving records that a process of an upstream leaves: the listed one and, if
 	// that is another one, the one that said so.
 	MarkLeaving func(u Upstream, process int64)
@@ -24,6 +26,7 @@
 	}
 	s.Limiter.Observe(u.ID, u.Start, head.RateLimit)
 	s.SlotBounds.Observe(u.Service, u.ID, u.Start, head.RejectionLimit)
+	s.Rests.Observe(ratelimit.Process{Upstream: u.ID, Start: u.Start}, head.Rest)
 	if head.Leaving {
 		s.MarkLeaving(u, head.Process)
 	}
--- a/router/limit_test.go
+++ b/router/limit_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,6 +14,7 @@
 	"buckthornridge/config"
 	"buckthornridge/membership"
 	"buckthornridge/ratelimit"
+	"buckthornridge/request"
 	"buckthornridge/routing"
 	"buckthornridge/upstream"
 	"buckthornridge/upstream/wire"
@@ -118,3 +120,60 @@
 	is.Equal(arrivals.Load(), int64(1))
 	is.Equal(refused, 9)
 }
+
+// Guards against a server that asks a router for rest and gets its further calls.
+func TestServerThatAsksForRestGetsNoCalls(t *testing.T) {
+	is := is.New(t)
+	var arrivals atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		arrivals.Add(1)
+		w.Header().Set(wire.HeaderRest, "30")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	snapshot := &config.Snapshot{Document: config.Document{Upstreams: map[string]config.Upstream{
+		"s1": {Kind: config.UpstreamService, Address: strings.TrimPrefix(server.URL, "http://"), Service: "orders", Slots: 8},
+	}}}
+	table := routing.NewTable()
+	table.Update(snapshot)
+	p := newPool(table, time.Second)
+	defer p.transport.CloseIdleConnections()
+	p.update(snapshot)
+	routes, err := routing.NewRouter(table, "")
+	is.NoErr(err)
+	for range 10 {
+		choice, err := routes.Pick(routing.Request{Target: routing.Target{Service: "orders"}})
+		var none *routing.NoUpstreamError
+		if errors.As(err, &none) {
+			is.True(none.Limited && none.RetryAfter > 20*time.Second)
+			continue
+		}
+		service, err := p.service(choice.UpstreamID)
+		is.NoErr(err)
+		_, err = service.Do(t.Context(), upstream.Call{RequestID: "r", Method: "GET", Path: "/x"})
+		is.NoErr(err)
+		choice.Done(routing.Outcome{Kind: routing.OutcomeOK, Total: time.Millisecond})
+	}
+	is.Equal(arrivals.Load(), int64(1))
+}
+
+// Guards against an engine that says in a refusal for how long it wants no requests and gets the next one at once.
+func TestRefusalOfAnEngineNamesItsRest(t *testing.T) {
+	is := is.New(t)
+	snapshot := &config.Snapshot{Document: config.Document{Upstreams: map[string]config.Upstream{
+		"e1": {Kind: config.UpstreamEngine, Address: "127.0.0.1:1", Models: []string{"m"}, Slots: 8},
+	}}}
+	table := routing.NewTable()
+	table.Update(snapshot)
+	p := newPool(table, time.Second)
+	p.update(snapshot)
+	routes, err := routing.NewRouter(table, "")
+	is.NoErr(err)
+	port := routingPort{router: routes, pool: p}
+	choice, err := port.Pick(&request.Request{Generate: &request.Generate{Model: "m"}}, nil)
+	is.NoErr(err)
+	choice.Done(request.AttemptResult{Err: &upstream.RefusedError{Reason: upstream.RefusedFull, RetryAfter: 30 * time.Second}})
+	_, err = port.Pick(&request.Request{Generate: &request.Generate{Model: "m"}}, nil)
+	var problem *request.Problem
+	is.True(errors.As(err, &problem) && problem.RetryAfter > 20*time.Second)
+}
--- a/router/pool.go
+++ b/router/pool.go
@@ -31,6 +31,7 @@
 	// rejections and slotBounds keep upstreams that bear few rejections within their room.
 	rejections *ratelimit.Rejections
 	slotBounds *ratelimit.SlotBounds
+	rests      *ratelimit.Rests
 	clients    atomic.Pointer[clientSet]
 	// onLeaving is called for an upstream that reports itself as leaving.
 	onLeaving func(id string, kind config.UpstreamKind)
@@ -50,6 +51,7 @@
 		rejections: ratelimit.NewRejections(table.BackOff, func(string) int { return shares.Count() }),
 		slotBounds: ratelimit.NewSlotBounds(shares, table.SetSlotBound),
 	}
+	p.rests = ratelimit.NewRests(table.SetRest, func(string) int { return shares.Count() })
 	p.clients.Store(&clientSet{})
 	return p
 }
@@ -59,13 +61,9 @@
 	next := &clientSet{engines: map[string]upstream.Engine{}, services: map[string]upstream.Service{}}
 	bounded := make([]ratelimit.BoundedUpstream, 0, len(s.Upstreams))
 	for id, u := range s.Upstreams {
-		transport := upstream.ObserveHeaders(p.transport, func(path string, h http.Header) {
+		transport := upstream.ObserveHeads(p.transport, func(path string, status int, h http.Header) {
 			if u.Kind != config.UpstreamEngine || path == wire.PathGenerate || path == wire.PathResume {
-				p.limiter.Observe(id, 0, ratelimit.Read(h[wire.HeaderRateLimit]))
-				p.slotBounds.Observe(poolName(u), id, 0, ratelimit.Read(h[wire.HeaderRejectionLimit]))
-				if h.Get(wire.HeaderLeaving) == wire.LeavingValue {
-					p.onLeaving(id, u.Kind)
-				}
+				p.observe(id, u, status, h)
 			}
 		})
 		bounded = append(bounded, ratelimit.BoundedUpstream{ID: id, Service: poolName(u), Slots: slotsOf(u)})
@@ -79,6 +77,24 @@
 	p.slotBounds.Update(bounded)
 }
 
+// observe takes what the head of an answer to a request for work says of the upstream.
+func (p *pool) observe(id string, u config.Upstream, status int, h http.Header) {
+	p.limiter.Observe(id, 0, ratelimit.Read(h[wire.HeaderRateLimit]))
+	p.slotBounds.Observe(poolName(u), id, 0, ratelimit.Read(h[wire.HeaderRejectionLimit]))
+	if h.Get(wire.HeaderLeaving) == wire.LeavingValue {
+		p.onLeaving(id, u.Kind)
+	}
+	if status == http.StatusServiceUnavailable {
+		p.rests.Observe(ratelimit.Process{Upstream: id}, ratelimit.ReadRest(h[wire.HeaderRest]))
+	}
+}
+
+// refused takes a refusal of an engine, which says in its body for how long it wants no
+// requests.
+func (p *pool) refused(id string, e *upstream.RefusedError) {
+	p.rests.Observe(ratelimit.Process{Upstream: id}, ratelimit.RestReading{For: e.RetryAfter})
+}
+
 // poolName names the upstreams that do the same work.
 func poolName(u config.Upstream) string { return u.Service + " " + strings.Join(u.Models, " ") }
 
--- a/router/ports.go
+++ b/router/ports.go
@@ -113,7 +113,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return routingChoice{choice: choice, started: time.Now(), onLeaving: p.pool.onLeaving, onRejected: p.pool.rejected}, nil
+	return routingChoice{choice: choice, started: time.Now(), onLeaving: p.pool.onLeaving, onRejected: p.pool.rejected, onRefused: p.pool.refused}, nil
 }
 
 func (p routingPort) routingRequest(r *request.Request, exclude []string) routing.Request {
@@ -153,6 +153,8 @@
 	onLeaving func(id string, kind config.UpstreamKind)
 	// onRejected is called for a refusal for want of room.
 	onRejected func(id string)
+	// onRefused is called for each refusal.
+	onRefused func(id string, e *upstream.RefusedError)
 }
 
 // Upstream implements request.Choice.
@@ -167,6 +169,10 @@
 	if kind == routing.OutcomeLeaving {
 		c.onLeaving(c.choice.UpstreamID, config.UpstreamEngine) // only engines report this refusal
 	}
+	var refused *upstream.RefusedError
+	if errors.As(result.Err, &refused) {
+		c.onRefused(c.choice.UpstreamID, refused)
+	}
 	if kind == routing.OutcomeFull {
 		c.onRejected(c.choice.UpstreamID)
 	}
--- a/routing/entry.go
+++ b/routing/entry.go
@@ -70,13 +70,14 @@
 	warmUp  *spacing // while the upstream is cold
 	limit   *spacing // while the upstream names the rate that it takes
 	pause   *spacing // after the upstream had no room
+	rest    *spacing // while the upstream wants no requests of this router
 	room    *room    // the requests that it may have room for
 	bound   slotBound
 	retries RetryBudget
 }
 
 func newEntry(id string, u config.Upstream) *entry {
-	e := &entry{id: id, address: u.Address, kind: u.Kind, service: u.Service, fencing: u.Fencing, warmUp: newSpacing(), limit: newSpacing(), pause: newSpacing(), room: &room{}}
+	e := &entry{id: id, address: u.Address, kind: u.Kind, service: u.Service, fencing: u.Fencing, warmUp: newSpacing(), limit: newSpacing(), pause: newSpacing(), rest: newSpacing(), room: &room{}}
 	e.slots = int64(u.Slots)
 	if e.slots <= 0 {
 		e.slots = DefaultSlots
--- a/routing/router.go
+++ b/routing/router.go
@@ -202,6 +202,18 @@
 	return err
 }
 
+// UntilAllowed returns the time until the first upstream may get a request like this one, if
+// all of them wait for their limits.
+func (r *Router) UntilAllowed(request Request) (time.Duration, bool) {
+	v := r.view(&request)
+	if v.pool == nil {
+		return 0, false
+	}
+	v.borrow = r.table.borrowing.Load()
+	wait, limited := v.untilAllowed()
+	return max(wait, minLimitedRetry), limited
+}
+
 // minLimitedRetry is the least time after which a caller that was refused for the limits
 // of upstreams is told to come back.
 const minLimitedRetry = 100 * time.Millisecond
--- a/routing/slotbound.go
+++ b/routing/slotbound.go
@@ -98,7 +98,11 @@
 		return nil, false
 	}
 	// The other router has claimed its turn where the upstream's rate is limited.
-	if ok, _ := e.claimSlot(t.now(), false); !ok {
+	now := t.now()
+	if e.rest.wait(now) > 0 {
+		return nil, false
+	}
+	if ok, _ := e.claimSlot(now, false); !ok {
 		return nil, false
 	}
 	return func() { e.end(t.now()) }, true
--- a/routing/spacing.go
+++ b/routing/spacing.go
@@ -56,6 +56,9 @@
 	s.until.Store(max(s.until.Load(), int64(now+b.Pause+b.Ramp)))
 }
 
+// end ends a pause.
+func (s *spacing) end() { s.until.Store(0) }
+
 func (s *spacing) active(now time.Duration) bool { return int64(now) < s.until.Load() }
 
 // wait returns the time until the next request is due.
@@ -95,7 +98,7 @@
 	if own > 0 && borrow && e.mayBorrow(now) {
 		own = 0
 	}
-	return max(e.warmUp.wait(now), e.limit.wait(now), own)
+	return max(e.rest.wait(now), e.warmUp.wait(now), e.limit.wait(now), own)
 }
 
 // claim takes the upstream's next request and counts it in flight, and reports whether it
@@ -104,7 +107,7 @@
 	if ok, borrowed = e.claimSlot(now, borrow); !ok {
 		return false, false
 	}
-	if e.warmUp.claim(now) && e.limit.claim(now) {
+	if e.claimTurn(now) {
 		return true, borrowed
 	}
 	if borrowed {
@@ -114,8 +117,16 @@
 	return false, false
 }
 
+// claimTurn takes the upstream's next turn, and reports whether it was due.
+func (e *entry) claimTurn(now time.Duration) bool {
+	return e.rest.claim(now) && e.warmUp.claim(now) && e.limit.claim(now)
+}
+
 // usableSlots returns the slots that this router's part of a limited rate can fill.
 func (e *entry) usableSlots(now time.Duration) int64 {
+	if e.rest.wait(now) > 0 {
+		return 0
+	}
 	if bound := e.bound.limit.Load(); bound >= 0 {
 		return min(e.slots, bound)
 	}
@@ -150,6 +161,25 @@
 	}
 }
 
+// SetRest keeps this router's requests from an upstream for the pause that it asks for, and
+// spaces them after it. An empty one ends an earlier rest.
+func (t *Table) SetRest(id string, b ratelimit.Backoff) {
+	e := t.current.Load().entries[id]
+	switch {
+	case e == nil:
+	case b.Pause <= 0:
+		e.rest.end()
+	default:
+		e.rest.setPause(b, t.now())
+	}
+}
+
+// Rests reports whether an upstream wants no requests of this router now.
+func (t *Table) Rests(id string) bool {
+	e := t.current.Load().entries[id]
+	return e != nil && e.rest.wait(t.now()) > 0
+}
+
 // Claim takes the next request to an upstream for a purpose that has no Choice, such as
 // resuming a stream, and reports whether it was due.
 func (t *Table) Claim(id string) bool {
@@ -158,7 +188,7 @@
 		return true
 	}
 	now := t.now()
-	return e.room.wait(now, e.ownInFlight()) == 0 && e.warmUp.claim(now) && e.limit.claim(now) && e.pause.claim(now)
+	return e.room.wait(now, e.ownInFlight()) == 0 && e.claimTurn(now) && e.pause.claim(now)
 }
 
 // untilAllowed returns the time until the first of the pool's upstreams may get a request,
--- a/routing/table.go
+++ b/routing/table.go
@@ -89,7 +89,7 @@
 		e.leavingAt.Store(old.leavingAt.Load())
 		e.models.Store(old.models.Load())
 		e.limit = old.limit
-		e.pause, e.room = old.pause, old.room
+		e.pause, e.rest, e.room = old.pause, old.rest, old.room
 		e.bound.limit.Store(old.bound.limit.Load())
 	}
 	return e
--- a/upstream/wire/wire.go
+++ b/upstream/wire/wire.go
@@ -19,6 +19,10 @@
 	LeavingValue  = "1"
 )
 
+// HeaderRest is the header of a 503 with the seconds, a decimal number, for which the upstream
+// wants no requests of the router that it rejected.
+const HeaderRest = "Retry-After"
+
 // Paths of the protocol.
 const (
 	PathGenerate    = "/v1/generate"       // POST Generate -> stream of Line
