--- a/loadtool/fault/fault.go
+++ b/loadtool/fault/fault.go
@@ -31,6 +31,8 @@
 	Upstream Kind = "upstream"
 	// Limit sends Body to /debug/limit of the upstream Target.
 	Limit Kind = "limit"
+	// Says sends Body to /debug/says of the upstream Target.
+	Says Kind = "says"
 	// TopUp buys Share of the planned spend for every budget.
 	TopUp Kind = "top_up"
 )
@@ -121,6 +123,8 @@
 		return e.post(ctx, "http://"+e.Upstreams[f.Target]+"/debug/faults", f.Body)
 	case Limit:
 		return e.post(ctx, "http://"+e.Upstreams[f.Target]+"/debug/limit", f.Body)
+	case Says:
+		return e.post(ctx, "http://"+e.Upstreams[f.Target]+"/debug/says", f.Body)
 	case TopUp:
 		return e.TopUp(ctx, f.Share)
 	}
--- a/loadtool/report/report.go
+++ b/loadtool/report/report.go
@@ -76,6 +76,11 @@
 	LimitedArrivals int `json:"limited_arrivals"`
 	LimitBeyond     int `json:"limit_beyond"`
 
+	// SaidArrivals counts arrivals at upstreams that said that they leave, want rest or bear
+	// few rejections, SaidBeyond those beyond what that allows.
+	SaidArrivals int `json:"said_arrivals"`
+	SaidBeyond   int `json:"said_beyond"`
+
 	DrainCutRequests int     `json:"drain_cut_requests"`
 	WorkAfterLeaving float64 `json:"work_after_leaving_s"`
 
@@ -199,6 +204,7 @@
 	{"poison_beyond", count(func(r *Report) int { return r.PoisonBeyond })},
 	{"innocent_quarantined", count(func(r *Report) int { return r.InnocentQuarantined })},
 	{"limit_beyond", count(func(r *Report) int { return r.LimitBeyond })},
+	{"said_beyond", count(func(r *Report) int { return r.SaidBeyond })},
 	{"nothing_completed", count(func(r *Report) int {
 		if r.Completed == 0 {
 			return 1 // without a response no fault can show
--- a/loadtool/run/evaluate.go
+++ b/loadtool/run/evaluate.go
@@ -36,6 +36,7 @@
 	e.evaluateResourceUse(ctx, r)
 	e.evaluatePoison(ctx, r)
 	e.evaluateLimits(ctx, r)
+	e.evaluateSays(ctx, r)
 	r.Evaluate()
 	return r, nil
 }
--- a/loadtool/scenario/scenario.go
+++ b/loadtool/scenario/scenario.go
@@ -75,6 +75,13 @@
 	return f
 }
 
+// saysFault makes an upstream say something of itself in its answers.
+func saysFault(seconds float64, target, body string) fault.Fault {
+	f := newFault(seconds, fault.Says, target)
+	f.Body = body
+	return f
+}
+
 // Table holds all scenarios. Targets "engine/N" and "service/N" denote the N-th
 // engine or service server of the configuration folder, from 0.
 var Table = []Scenario{
@@ -185,6 +192,18 @@
 			limitFault(17, "engine/0", -1), limitFault(17, "service/0", -1),
 		},
 	},
+	{
+		Name: "server-says", About: "engines say in their answers that they leave, want rest and bear few rejections, while other upstreams crash",
+		Duration: 25 * time.Second, Rate: defaultRate, InitialFunding: ampleFunding, Popular: true,
+		Faults: []fault.Fault{
+			saysFault(2, "engine/0", `{"leaving": true}`), saysFault(2, "service/0", `{"leaving": true}`),
+			saysFault(3, "engine/3", `{"rejections": 2, "slots": 6}`), saysFault(3, "engine/4", `{"rejections": 2, "slots": 6}`),
+			saysFault(4, "engine/6", `{"rest_ms": 3000}`),
+			processFault(9, fault.Kill, "engine/2"), processFault(10, fault.Kill, "service/1"),
+			processFault(12, fault.Start, "engine/2"), processFault(13, fault.Start, "service/1"),
+			saysFault(14, "engine/6", `{}`), saysFault(17, "engine/3", `{}`),
+		},
+	},
 	{
 		Name: "overload", About: "twice the request rate that the engines can serve",
 		Duration: 15 * time.Second, Rate: 150, InitialFunding: ampleFunding, SlowEngines: 4,
--- a/standin/node/node.go
+++ b/standin/node/node.go
@@ -59,7 +59,7 @@
 	if err := up.Start(context.WithoutCancel(ctx)); err != nil {
 		return err
 	}
-	crashes := newCrashHandler(&limitHandler{next: up.Handler()})
+	crashes := newCrashHandler(&saysHandler{next: &limitHandler{next: up.Handler()}})
 	closing := &closingHandler{next: withTracing(crashes)}
 	announcer := startAnnouncer(o)
 	klog.InfoS("upstream started", "vm", o.VM.ID, "address", listener.Addr().String())
