ratelimit: an answer touches the bound of one upstream; design and capacity of upstreams' signals

The first form copied all readings and applied all bounds of a service for each first answer: at 6,000 upstreams that is seconds of processor time at a start, by reading. Readings are a sync.Map now, and a service is applied as a whole only when what it says as a whole changes.

--- a/ratelimit/slotbounds.go
+++ b/ratelimit/slotbounds.go
@@ -1,7 +1,6 @@
 package ratelimit
 
 import (
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +16,8 @@
 	// readingAge is how long an answer without a limit is relied on: a router that gets
 	// none may have missed that a limit began.
 	readingAge = 2 * time.Second
+	// refreshInterval is the least time between two refreshes.
+	refreshInterval = 500 * time.Millisecond
 	// NoBound is the bound of an upstream that names no rejection limit.
 	NoBound = -1
 )
@@ -34,14 +35,14 @@
 // upstreams of its service, since one that replaces a failed upstream says nothing before
 // its first answer. All methods are safe for concurrent use.
 type SlotBounds struct {
-	routers *Routers
-	apply   func(upstream string, bound int)
-	start   time.Time
-	// readings holds the last answers by upstream; the map is replaced as a whole.
-	readings atomic.Pointer[map[string]*limitReading]
-
-	mu       sync.Mutex
-	services map[string]*boundedService
+	routers  *Routers
+	apply    func(upstream string, bound int)
+	start    time.Time
+	readings sync.Map // of *limitReading, the last answers by upstream
+
+	mu        sync.Mutex
+	services  map[string]*boundedService
+	refreshed time.Time
 }
 
 // limitReading is what the last answer of an upstream's process said.
@@ -54,7 +55,7 @@
 
 // boundedService holds the upstreams of a service.
 type boundedService struct {
-	upstreams []BoundedUpstream
+	upstreams map[string]BoundedUpstream
 	// unsure says that no upstream names a limit, and none has lately denied it.
 	unsure bool
 	// named is how many upstreams name a limit, since is when the first of them did.
@@ -65,31 +66,33 @@
 // NewSlotBounds returns bounds for no upstreams. apply puts a bound into force, which is
 // NoBound or a number of requests in flight.
 func NewSlotBounds(routers *Routers, apply func(upstream string, bound int)) *SlotBounds {
-	b := &SlotBounds{routers: routers, apply: apply, start: time.Now(), services: map[string]*boundedService{}}
-	b.readings.Store(&map[string]*limitReading{})
-	return b
+	return &SlotBounds{routers: routers, apply: apply, start: time.Now(), services: map[string]*boundedService{}}
 }
 
 // Update sets the upstreams and applies their bounds.
 func (b *SlotBounds) Update(upstreams []BoundedUpstream) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	services := map[string]*boundedService{}
-	readings, kept := *b.readings.Load(), map[string]*limitReading{}
+	services, listed := map[string]*boundedService{}, make(map[string]int64, len(upstreams))
 	for _, u := range upstreams {
-		if services[u.Service] == nil {
-			services[u.Service] = &boundedService{}
+		s := services[u.Service]
+		if s == nil {
+			s = &boundedService{upstreams: map[string]BoundedUpstream{}}
 			if old := b.services[u.Service]; old != nil {
-				services[u.Service].named, services[u.Service].since = old.named, old.since
+				s.named, s.since = old.named, old.since
 			}
+			services[u.Service] = s
 		}
-		services[u.Service].upstreams = append(services[u.Service].upstreams, u)
-		if r := readings[u.ID]; r != nil && r.process == u.Process {
-			kept[u.ID] = r
-		}
+		s.upstreams[u.ID] = u
+		listed[u.ID] = u.Process
 	}
 	b.services = services
-	b.readings.Store(&kept)
+	b.readings.Range(func(id, reading any) bool {
+		if process, known := listed[id.(string)]; !known || process != reading.(*limitReading).process {
+			b.readings.Delete(id)
+		}
+		return true
+	})
 	for _, s := range services {
 		b.assess(s)
 		b.applyService(s)
@@ -101,10 +104,9 @@
 	if r.Invalid {
 		return
 	}
-	now := time.Since(b.start)
-	last := (*b.readings.Load())[upstream]
+	last := b.reading(upstream)
 	if last != nil && last.process == process && last.limit == r {
-		last.at.Store(int64(now))
+		last.at.Store(int64(time.Since(b.start)))
 		if r.Named || !last.bounded.Load() {
 			return
 		}
@@ -112,33 +114,54 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.services[service]
-	if s == nil || !s.has(upstream, process) {
+	if s == nil {
 		return
 	}
-	next := &limitReading{process: process, limit: r}
+	if u, listed := s.upstreams[upstream]; listed && u.Process == process {
+		b.replace(s, u, r)
+	}
+}
+
+// replace sets the reading of an upstream. The caller must hold b.mu.
+func (b *SlotBounds) replace(s *boundedService, u BoundedUpstream, r Reading) {
+	now := time.Since(b.start)
+	last := b.reading(u.ID)
+	wasNamed := last != nil && last.limit.Named
+	next := &limitReading{process: u.Process, limit: r}
 	next.at.Store(int64(now))
-	readings := maps.Clone(*b.readings.Load())
-	if last := readings[upstream]; last == nil && r.Named || last != nil && last.limit.Named != r.Named {
-		klog.Infof("step=rejection_limit upstream=%s service=%s named=%t limit=%g", upstream, service, r.Named, r.PerSecond)
+	b.readings.Store(u.ID, next)
+	if wasNamed != r.Named {
+		klog.Infof("step=rejection_limit upstream=%s service=%s named=%t limit=%g", u.ID, u.Service, r.Named, r.PerSecond)
 	}
-	readings[upstream] = next
-	b.readings.Store(&readings)
-	b.assess(s)
-	b.applyService(s)
+	wasUnsure, anyNamed := s.unsure, s.named > 0
+	switch {
+	case r.Named && !wasNamed:
+		s.named++
+	case !r.Named && wasNamed:
+		s.named--
+	}
+	if !anyNamed && s.named > 0 {
+		s.since = now
+	}
+	s.unsure = false
+	if wasUnsure || anyNamed != (s.named > 0) {
+		b.applyService(s)
+		return
+	}
+	b.applyOne(s, u)
 }
 
-func (s *boundedService) has(upstream string, process int64) bool {
-	for _, u := range s.upstreams {
-		if u.ID == upstream {
-			return u.Process == process
-		}
+func (b *SlotBounds) reading(upstream string) *limitReading {
+	r, known := b.readings.Load(upstream)
+	if !known {
+		return nil
 	}
-	return false
+	return r.(*limitReading)
 }
 
 // Limit returns the rejection limit that an upstream named last, if it does.
 func (b *SlotBounds) Limit(upstream string) Reading {
-	if r := (*b.readings.Load())[upstream]; r != nil {
+	if r := b.reading(upstream); r != nil {
 		return r.limit
 	}
 	return Reading{}
@@ -146,11 +169,11 @@
 
 // Named returns how many upstreams name a rejection limit.
 func (b *SlotBounds) Named() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	count := 0
-	for _, r := range *b.readings.Load() {
-		if r.limit.Named {
-			count++
-		}
+	for _, s := range b.services {
+		count += s.named
 	}
 	return count
 }
@@ -160,6 +183,11 @@
 func (b *SlotBounds) Refresh(routersChanged bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := time.Now()
+	if !routersChanged && now.Sub(b.refreshed) < refreshInterval {
+		return
+	}
+	b.refreshed = now
 	for _, s := range b.services {
 		if b.assess(s) || s.named > 0 || routersChanged {
 			b.applyService(s)
@@ -169,9 +197,9 @@
 
 // assess updates what a service's upstreams say together, and reports whether it changed.
 func (b *SlotBounds) assess(s *boundedService) (changed bool) {
-	readings, named, denied := *b.readings.Load(), 0, false
-	for _, u := range s.upstreams {
-		switch r := readings[u.ID]; {
+	named, denied := 0, false
+	for id := range s.upstreams {
+		switch r := b.reading(id); {
 		case r == nil:
 		case r.limit.Named:
 			named++
@@ -200,19 +228,22 @@
 
 // applyService applies the bounds of a service's upstreams. The caller must hold b.mu.
 func (b *SlotBounds) applyService(s *boundedService) {
-	readings := *b.readings.Load()
 	for _, u := range s.upstreams {
-		r := readings[u.ID]
-		bounded := s.unsure || s.named > 0 && !b.denies(s, r)
-		if r != nil {
-			r.bounded.Store(bounded)
-		}
-		if bounded {
-			b.apply(u.ID, b.routers.Part(u.ID, BoundedSlots(u.Slots)))
-		} else {
-			b.apply(u.ID, NoBound)
-		}
+		b.applyOne(s, u)
+	}
+}
+
+func (b *SlotBounds) applyOne(s *boundedService, u BoundedUpstream) {
+	r := b.reading(u.ID)
+	bounded := s.unsure || s.named > 0 && !b.denies(s, r)
+	if r != nil {
+		r.bounded.Store(bounded)
+	}
+	if !bounded {
+		b.apply(u.ID, NoBound)
+		return
 	}
+	b.apply(u.ID, b.routers.Part(u.ID, BoundedSlots(u.Slots)))
 }
 
 // BoundedSlots returns how many requests all routers together may have in flight at an
