routing, edge: a router that can ask nobody for a part and knows nothing of a service sends one request

Cause: such a VM bounds itself to its part, which may be none, until it gets an answer; it got none, since it sent nothing.

Change: the bound says whether it is assumed or named. Where it is assumed, the part is none and no VM could be asked to lend, one request goes over the own connection; its answer tells. A VM that a lender tells that the upstream was not reached takes that as a failed connection, not as one to ask elsewhere.

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -134,11 +134,12 @@
 	return nil, upstream.WrapError("forward", out.Upstream.Address, upstream.ErrNotSent, cause)
 }
 
-// sendOnOtherPart has a peer send a request on its part of the upstream's slots. The error
-// is upstream.ErrNoRoom if none has sent a byte of it.
+// sendOnOtherPart has a peer send a request on its part of the upstream's slots. If none has
+// sent a byte of it the error is upstream.ErrNoRoom, ErrNoLender if none could be asked, or
+// ErrNotSent alone if the upstream was not reached.
 func (f *forwarder) sendOnOtherPart(ctx context.Context, out relay.OutgoingRequest) (relay.Response, error) {
 	lenders := f.lenders(out.Upstream.ID)
-	cause := error(eris.New("no VM is known that has a part"))
+	cause, kind := error(eris.New("no VM is known that has a part")), upstream.ErrNoLender
 	for tries := 0; tries < maxLenders && len(lenders) > 0 && ctx.Err() == nil; tries++ {
 		i := rand.IntN(len(lenders))
 		response, err := f.sendThrough(ctx, lenders[i], out)
@@ -148,10 +149,16 @@
 		if err == nil || !errors.Is(err, upstream.ErrNotSent) {
 			return response, err
 		}
-		cause = err
+		noRoom := errors.Is(err, upstream.ErrNoRoom)
+		if !noRoom && !errors.Is(err, errDeclined) {
+			return nil, err // the peer could not connect to the upstream
+		}
+		if cause = err; noRoom {
+			kind = upstream.ErrNoRoom
+		}
 		lenders = slices.Delete(lenders, i, i+1)
 	}
-	return nil, upstream.WrapError("borrow", out.Upstream.Address, upstream.ErrNotSent, errors.Join(upstream.ErrNoRoom, cause))
+	return nil, upstream.WrapError("borrow", out.Upstream.Address, upstream.ErrNotSent, errors.Join(kind, cause))
 }
 
 // errDeclined reports that a peer took no request for the service.
--- a/edge/saying_test.go
+++ b/edge/saying_test.go
@@ -58,9 +58,14 @@
 const headerFrom = "From-Vm"
 
 func newSayingEnv(t *testing.T, engines int, readHead func(head *relay.Head, h http.Header), say func(e *sayingEnv, p sayingPair, w http.ResponseWriter) bool) *sayingEnv {
+	return newSmallSayingEnv(t, engines, engineSlots, readHead, say)
+}
+
+// newSmallSayingEnv is newSayingEnv with engines of a number of slots.
+func newSmallSayingEnv(t *testing.T, engines, slots int, readHead func(head *relay.Head, h http.Header), say func(e *sayingEnv, p sayingPair, w http.ResponseWriter) bool) *sayingEnv {
 	e := &sayingEnv{}
 	e.say = func(p sayingPair, w http.ResponseWriter) bool { return say(e, p, w) }
-	e.versionEnv = newEmptyEnv(t, 1, envHooks{answer: e.answer, protocol: func(p *Protocol, vm int) {
+	e.versionEnv = newEmptyEnv(t, 1, envHooks{answer: e.answer, slots: slots, protocol: func(p *Protocol, vm int) {
 		read, write := p.ReadHead, p.WriteHeader
 		p.ReadHead = func(status int, h http.Header) relay.Head {
 			head := read(status, h)
--- a/ratelimit/bench_test.go
+++ b/ratelimit/bench_test.go
@@ -46,7 +46,7 @@
 	}
 	routers := &Routers{}
 	routers.Set("vm-1", names)
-	bounds := NewSlotBounds(routers, func(string, int) {})
+	bounds := NewSlotBounds(routers, func(string, int, bool) {})
 	var upstreams []BoundedUpstream
 	for i := range 857 {
 		upstreams = append(upstreams, BoundedUpstream{ID: fmt.Sprint("engine-", i), Service: "engine", Process: 1, Slots: 24})
--- a/ratelimit/slotbounds.go
+++ b/ratelimit/slotbounds.go
@@ -36,7 +36,7 @@
 // its first answer. All methods are safe for concurrent use.
 type SlotBounds struct {
 	routers  *Routers
-	apply    func(upstream string, bound int)
+	apply    func(upstream string, bound int, assumed bool)
 	start    time.Time
 	readings sync.Map // of *limitReading, the last answers by upstream
 
@@ -64,8 +64,9 @@
 }
 
 // NewSlotBounds returns bounds for no upstreams. apply puts a bound into force, which is
-// NoBound or a number of requests in flight.
-func NewSlotBounds(routers *Routers, apply func(upstream string, bound int)) *SlotBounds {
+// NoBound or a number of requests in flight; assumed says that nothing is known of the
+// upstream's service.
+func NewSlotBounds(routers *Routers, apply func(upstream string, bound int, assumed bool)) *SlotBounds {
 	return &SlotBounds{routers: routers, apply: apply, start: time.Now(), services: map[string]*boundedService{}}
 }
 
@@ -240,10 +241,10 @@
 		r.bounded.Store(bounded)
 	}
 	if !bounded {
-		b.apply(u.ID, NoBound)
+		b.apply(u.ID, NoBound, false)
 		return
 	}
-	b.apply(u.ID, b.routers.Part(u.ID, BoundedSlots(u.Slots)))
+	b.apply(u.ID, b.routers.Part(u.ID, BoundedSlots(u.Slots)), s.unsure)
 }
 
 // BoundedSlots returns how many requests all routers together may have in flight at an
--- a/ratelimit/slotbounds_test.go
+++ b/ratelimit/slotbounds_test.go
@@ -16,7 +16,7 @@
 	t.Helper()
 	routers, applied := &Routers{}, map[string]int{}
 	routers.Set("r0", []string{"r0", "r1"})
-	b = NewSlotBounds(routers, func(upstream string, bound int) { applied[upstream] = bound })
+	b = NewSlotBounds(routers, func(upstream string, bound int, _ bool) { applied[upstream] = bound })
 	b.Update(threeUpstreams(1))
 	return b, applied
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -34,9 +34,12 @@
 	response, err := r.relay.Sender.Send(ctx, t.outgoing())
 	if errors.Is(err, upstream.ErrNotSent) {
 		t.reportOutcome(unsentOutcome(err))
-		r.exclude(t.target.ID)
-		r.noteUnsent(t.target.ID, err)
-		if errors.Is(err, upstream.ErrNoRoom) {
+		noLender := errors.Is(err, upstream.ErrNoLender)
+		if !noLender { // it may get the request without a lender
+			r.exclude(t.target.ID)
+			r.noteUnsent(t.target.ID, err)
+		}
+		if noLender || errors.Is(err, upstream.ErrNoRoom) {
 			r.noRoom++
 		}
 		return r.giveUpAtLimit(ctx)
@@ -58,6 +61,8 @@
 	switch {
 	case errors.Is(err, upstream.ErrConnectionLimit), errors.Is(err, upstream.ErrNoRoom):
 		return routing.OutcomeFull
+	case errors.Is(err, upstream.ErrNoLender):
+		return routing.OutcomeNotLent
 	case errors.Is(err, upstream.ErrOtherProcess):
 		return routing.OutcomeCancelled
 	}
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -110,7 +110,7 @@
 		}
 	}
 	if c.Borrowed {
-		c.entry.returnBorrowed(now, outcome.Kind == OutcomeFull)
+		c.entry.returnBorrowed(now, outcome.Kind)
 	}
 	c.entry.end(now)
 	c.learn(outcome)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -86,6 +86,9 @@
 	OutcomeBroken
 	// OutcomeProtocol is a response that violates the protocol.
 	OutcomeProtocol
+	// OutcomeNotLent is a request that another router was to send and that none could be
+	// asked to.
+	OutcomeNotLent
 	// OutcomeErrored is a complete response that reports an error of the upstream. A
 	// single one says little; an upstream with many more than its pool is degraded.
 	OutcomeErrored
--- a/routing/slotbound.go
+++ b/routing/slotbound.go
@@ -22,15 +22,21 @@
 	borrowed    atomic.Int64 // requests in flight on the parts of others
 	borrowAfter atomic.Int64 // none is borrowed before; relative to the table's start
 	failures    atomic.Int64 // to borrow, in a row
+	// assumed says that the upstream may name no limit: this router knows nothing of it.
+	assumed atomic.Bool
+	// alone says that no router could be asked to send the last request.
+	alone atomic.Bool
 }
 
 // SetSlotBound bounds this router's requests in flight at an upstream, or ends that with
-// ratelimit.NoBound. A router that can't borrow may always have one.
-func (t *Table) SetSlotBound(id string, bound int) {
+// ratelimit.NoBound. A router that can't borrow may always have one. assumed says that it is
+// not known whether the upstream names a limit.
+func (t *Table) SetSlotBound(id string, bound int, assumed bool) {
 	if e := t.current.Load().entries[id]; e != nil {
 		if bound == 0 && !t.borrowing.Load() {
 			bound = 1
 		}
+		e.bound.assumed.Store(assumed)
 		e.bound.limit.Store(int64(bound))
 	}
 }
@@ -42,10 +48,21 @@
 // ownInFlight returns the requests in flight that are not on other routers' parts.
 func (e *entry) ownInFlight() int64 { return e.inFlight.Load() - e.bound.borrowed.Load() }
 
+// ownLimit returns how many requests may be in flight on this router's part; below 0 there is
+// no bound. Where it has none, can ask nobody who has, and does not know whether there must
+// be a bound at all, one request finds out.
+func (e *entry) ownLimit() int64 {
+	limit := e.bound.limit.Load()
+	if limit == 0 && e.bound.assumed.Load() && e.bound.alone.Load() {
+		return 1
+	}
+	return limit
+}
+
 // partWait returns 0 if one more request fits into this router's part, otherwise when to try
 // again.
 func (e *entry) partWait() time.Duration {
-	if limit := e.bound.limit.Load(); limit < 0 || e.ownInFlight() < limit {
+	if limit := e.ownLimit(); limit < 0 || e.ownInFlight() < limit {
 		return 0
 	}
 	return roomRetry
@@ -64,7 +81,7 @@
 // router must send it: that one's bounds hold then.
 func (e *entry) claimSlot(now time.Duration, borrow bool) (ok, borrowed bool) {
 	e.inFlight.Add(1)
-	own, limit := e.ownInFlight(), e.bound.limit.Load()
+	own, limit := e.ownInFlight(), e.ownLimit()
 	if (limit < 0 || own <= limit) && e.room.wait(now, own-1) == 0 && e.pause.claim(now) {
 		return true, false
 	}
@@ -80,9 +97,10 @@
 
 // returnBorrowed ends a request on another router's part. It comes before the request
 // leaves those in flight, so that the own part never looks emptier than it is.
-func (e *entry) returnBorrowed(now time.Duration, full bool) {
+func (e *entry) returnBorrowed(now time.Duration, kind OutcomeKind) {
 	e.bound.borrowed.Add(-1)
-	if !full {
+	e.bound.alone.Store(kind == OutcomeNotLent)
+	if kind != OutcomeFull {
 		e.bound.failures.Store(0)
 		return
 	}
--- a/routing/spacing.go
+++ b/routing/spacing.go
@@ -111,7 +111,7 @@
 		return true, borrowed
 	}
 	if borrowed {
-		e.returnBorrowed(now, false)
+		e.returnBorrowed(now, OutcomeCancelled)
 	}
 	e.inFlight.Add(-1)
 	return false, false
--- a/upstream/errors.go
+++ b/upstream/errors.go
@@ -30,6 +30,10 @@
 // upstream now. It does not indicate a fault of the upstream.
 var ErrNoRoom = eris.New("upstream: no router has room at it")
 
+// ErrNoLender reports that nothing was sent because no other router that may send the
+// request could be asked.
+var ErrNoLender = eris.New("upstream: no router could be asked to send the request")
+
 // RefusalReason is the reason for which an upstream did not run a request.
 type RefusalReason string
 
