--- a/edge/fragile_test.go
+++ b/edge/fragile_test.go
@@ -177,7 +177,7 @@
 		return
 	}
 	judged := e.weak()
-	w := e.request(vm, path, id, fragileTimeout)
+	w := e.request(vm, path+id, id, fragileTimeout, nil)
 	halfTaken := e.halfTaken()
 	e.fragileMu.Lock()
 	defer e.fragileMu.Unlock()
--- a/edge/partenv_test.go
+++ b/edge/partenv_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -212,21 +211,8 @@
 		home, last = -1, vm.index
 		a := partAttempt{at: time.Since(e.began), deadly: deadly, key: key, first: parts[0], parts: parts[:len(parts)-1],
 			inTouch: e.inTouch(vm)}
-		ctx, cancel := context.WithTimeout(vm.ctx, streamTimeout)
-		r := httptest.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://h%sp%d", e.path, n), nil)
-		r.Header.Set("Id", fmt.Sprintf("p%d.%d", n, try))
-		r.Header.Set("Key", key)
-		r.Header.Set("Parts", strings.Join(parts, ","))
-		w := &safeRecorder{ResponseRecorder: httptest.NewRecorder()}
-		func() {
-			defer func() {
-				if problem := recover(); problem != nil && problem != http.ErrAbortHandler {
-					panic(problem)
-				}
-			}()
-			vm.process.callers.Handler.ServeHTTP(w, r)
-		}()
-		cancel()
+		w := e.versionEnv.request(vm, fmt.Sprintf("%sp%d", e.path, n), fmt.Sprintf("p%d.%d", n, try), streamTimeout,
+			map[string]string{"Key": key, "Parts": strings.Join(parts, ",")})
 		a.begun = w.Code == http.StatusOK && w.Body.Len() > 0
 		retryAfter, _ := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
 		a.quarantined = retryAfter > time.Hour.Seconds()
--- a/edge/saying_test.go
+++ b/edge/saying_test.go
@@ -128,7 +128,7 @@
 		return
 	}
 	at := e.now()
-	w := e.request(vm, path, id, sayingTimeout)
+	w := e.request(vm, path+id, id, sayingTimeout, nil)
 	seconds, _ := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
 	e.sayMu.Lock()
 	defer e.sayMu.Unlock()
--- a/edge/versionenv_test.go
+++ b/edge/versionenv_test.go
@@ -472,26 +472,15 @@
 
 // attempt sends one request and reads what it brings.
 func (e *versionEnv) attempt(vm *versionVM, s *callerStream, path, id, origin string) (streamAttempt, time.Duration) {
-	ctx, cancel := context.WithTimeout(vm.ctx, streamTimeout)
-	defer cancel()
-	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://h"+path, nil)
-	r.Header.Set("Id", id)
+	header := map[string]string{}
 	a := streamAttempt{at: time.Now(), takesUp: s.next > 1, inTouch: !vm.offline && time.Since(vm.sinceAt) >= inTouchAfter}
 	if a.takesUp {
-		r.Header.Set("Last-Event-Id", strconv.Itoa(s.next-1))
+		header["Last-Event-Id"] = strconv.Itoa(s.next - 1)
 		if !e.unnamed {
-			r.Header.Set("Origin", origin)
+			header["Origin"] = origin
 		}
 	}
-	w := &safeRecorder{ResponseRecorder: httptest.NewRecorder()}
-	func() {
-		defer func() {
-			if problem := recover(); problem != nil && problem != http.ErrAbortHandler {
-				panic(problem)
-			}
-		}()
-		vm.process.callers.Handler.ServeHTTP(w, r)
-	}()
+	w := e.request(vm, path, id, streamTimeout, header)
 	a.status = w.Code
 	wait, err := strconv.ParseFloat(w.Header().Get("Retry-After"), 64)
 	if err != nil {
@@ -505,11 +494,14 @@
 }
 
 // request sends a caller's request to a VM and returns what the caller got.
-func (e *versionEnv) request(vm *versionVM, path, id string, timeout time.Duration) (w *safeRecorder) {
+func (e *versionEnv) request(vm *versionVM, path, id string, timeout time.Duration, header map[string]string) (w *safeRecorder) {
 	ctx, cancel := context.WithTimeout(vm.ctx, timeout)
 	defer cancel()
-	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://h"+path+id, nil)
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://h"+path, nil)
 	r.Header.Set("Id", id)
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
 	w = &safeRecorder{ResponseRecorder: httptest.NewRecorder()}
 	defer func() {
 		if problem := recover(); problem != nil && problem != http.ErrAbortHandler {
