edge: the end of an upstream that leaves by its answers alone is no planned one

Cause: since an upstream that says in an answer that it leaves counts as leaving, and the end of a leaving one's process was taken as planned, after its last answer. That is true of one whose entry says so; one that has just begun to say so in its answers still serves for seconds, and an end in an answer is a crash.

Evidence: TestAnswerThatEndsWithItsConnection has two cases more, which failed: 200 with 130 of 261 bytes, for a stream and for a whole answer.

Change: the list keeps whether leaving is known from answers alone; the end of such a process makes an answer without a length incomplete. Where the table is away for all of that time, an answer that ends together with a planned exit counts as broken off, as for an exit that no list announced.

After: all eleven cases pass.

--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -237,7 +237,9 @@
 	bounded := make([]ratelimit.BoundedUpstream, 0, len(f.entries))
 	f.updateRouters()
 	for key, u := range f.entries {
-		u.Leaving = u.Leaving || f.evacuated[u.DataCentre] || f.leaving.has(u)
+		u.Leaving = u.Leaving || f.evacuated[u.DataCentre]
+		u.LeavesUnlisted = !u.Leaving && f.leaving.has(u)
+		u.Leaving = u.Leaving || u.LeavesUnlisted
 		if u.Slots <= 0 {
 			u.Slots = cmp.Or(max(0, f.serviceByName[u.Service].Slots), routing.DefaultSlots)
 		}
--- a/edge/ports.go
+++ b/edge/ports.go
@@ -48,7 +48,7 @@
 // plan. The connection that answers it is kept for later requests.
 func processEnded(ctx context.Context, pool *exchange.Pool, fleet *fleet, u relay.Upstream) func() bool {
 	return func() bool {
-		if listed, known := fleet.Upstream(u.ID); !known || listed.Leaving || listed.Address != u.Address {
+		if listed, known := fleet.Upstream(u.ID); !known || listed.Leaving && !listed.LeavesUnlisted || listed.Address != u.Address {
 			return false
 		}
 		ctx, cancel := context.WithTimeout(ctx, processEndTimeout)
--- a/edge/unframed_test.go
+++ b/edge/unframed_test.go
@@ -21,19 +21,23 @@
 	crash float64
 	// leaving says that the engine leaves by plan: it takes no new connections.
 	leaving bool
-	whole   bool // whether the caller must have the whole answer
+	// says says that the engine's answers say that it leaves, and its entry does not.
+	says  bool
+	whole bool // whether the caller must have the whole answer
 }
 
 var unframedCases = []unframedCase{
-	{"a whole answer", "/whole/", 0, false, true},
-	{"a whole answer of an engine that leaves", "/whole/", 0, true, true},
-	{"a whole answer that a crash cuts", "/whole/", 0.5, false, false},
-	{"a whole answer that a crash cuts before its first byte", "/whole/", 0.001, false, false},
-	{"a stream", "/once/", 0, false, true},
-	{"a stream of an engine that leaves", "/once/", 0, true, true},
-	{"a stream that a crash cuts inside an event", "/once/", 0.45, false, false},
-	{"a stream that a crash cuts between two events", "/once/", 0.5, false, false},
-	{"a stream that another engine goes on with", "/resume/", 0.5, false, true},
+	{"a whole answer", "/whole/", 0, false, false, true},
+	{"a whole answer of an engine that leaves", "/whole/", 0, true, false, true},
+	{"a whole answer that a crash cuts", "/whole/", 0.5, false, false, false},
+	{"a whole answer that a crash cuts before its first byte", "/whole/", 0.001, false, false, false},
+	{"a stream", "/once/", 0, false, false, true},
+	{"a stream of an engine that leaves", "/once/", 0, true, false, true},
+	{"a stream that a crash cuts inside an event", "/once/", 0.45, false, false, false},
+	{"a stream that a crash cuts between two events", "/once/", 0.5, false, false, false},
+	{"a stream that a crash cuts of an engine that says that it leaves", "/once/", 0.5, false, true, false},
+	{"a whole answer that a crash cuts of an engine that says that it leaves", "/whole/", 0.5, false, true, false},
+	{"a stream that another engine goes on with", "/resume/", 0.5, false, false, true},
 }
 
 // unframedBody is the answer; its first half ends between two events.
@@ -60,6 +64,9 @@
 					w.Header().Set("Id", r.Header.Get("Id"))
 					w.Header().Set("Signed", "yes")
 					w.Header().Set("Transfer-Encoding", "identity")
+					if c.says {
+						w.Header().Set(headerLeaving, "1")
+					}
 					last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 					body := unframedBody(last)
 					if c.leaving {
@@ -77,7 +84,14 @@
 					fmt.Fprint(w, body)
 					return true
 				}
-				e = newEmptyEnv(t, 1, envHooks{answer: answer})
+				e = newEmptyEnv(t, 1, envHooks{answer: answer, protocol: func(p *Protocol, _ int) {
+					read := p.ReadHead
+					p.ReadHead = func(status int, h http.Header) relay.Head {
+						head := read(status, h)
+						readLeaving(&head, h)
+						return head
+					}
+				}})
 				e.populate(4, "v1")
 				p := e.vms[0].process
 				if c.leaving {
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -23,6 +23,9 @@
 	Version string
 	Slots   int
 	Leaving bool
+	// LeavesUnlisted says that Leaving is known from its answers alone: its end is not yet
+	// due by plan.
+	LeavesUnlisted bool
 	// WarmUp is how long the upstream remains cold, as it last reported.
 	WarmUp time.Duration
 }
