--- a/edge/edge.go
+++ b/edge/edge.go
@@ -146,11 +146,7 @@
 	p.origins.listIsCurrent = p.listIsCurrent
 	p.origins.serve(p.peerSrv)
 	p.paths = p.fleet.paths
-	p.forward = &forwarder{peers: p.peers, choice: reach.NewForwarders(), protocol: a.Protocol}
-	p.forward.lenders = func(id string) []string { return p.peers.addressesOf(p.fleet.holders(id)) }
-	p.routes.AllowBorrowing()
-	p.forwarded = &forwardServer{pool: p.pool, tracker: p.paths, fleet: p.fleet, protocol: a.Protocol, stopping: &p.stopping, lend: p.routes.Lend, rests: p.routes.Rests, signals: p.fleet.signals()}
-	p.forwarded.register(p.peerSrv)
+	p.buildForwarding()
 	prober := newControlledProber(upstream.Prober{Dial: p.pool.Dial}, p.paths, p.fleet)
 	p.guard = quarantine.NewGuard(confirmingProber{own: prober, peers: p.peers})
 	p.guard.Table().SetClock(a.Clock)
--- a/edge/forward.go
+++ b/edge/forward.go
@@ -97,6 +97,21 @@
 	borrowed atomic.Int64
 }
 
+// buildForwarding connects what sends requests through peers, and what sends theirs.
+func (p *Process) buildForwarding() {
+	protocol := p.adapter.Protocol
+	p.forward = &forwarder{
+		peers: p.peers, choice: reach.NewForwarders(), protocol: protocol,
+		lenders: func(id string) []string { return p.peers.addressesOf(p.fleet.holders(id)) },
+	}
+	p.routes.AllowBorrowing()
+	p.forwarded = &forwardServer{
+		pool: p.pool, tracker: p.paths, fleet: p.fleet, protocol: protocol, stopping: &p.stopping,
+		lend: p.routes.Lend, rests: p.routes.Rests, signals: p.fleet.signals(),
+	}
+	p.forwarded.register(p.peerSrv)
+}
+
 // Send sends a request through a peer. The error is upstream.ErrNotSent only if no peer
 // has sent a byte of it.
 func (f *forwarder) Send(ctx context.Context, out relay.OutgoingRequest) (relay.Response, error) {
--- a/loadtool/scenario/scenario.go
+++ b/loadtool/scenario/scenario.go
@@ -193,7 +193,7 @@
 		},
 	},
 	{
-		Name: "server-says", About: "engines say in their answers that they leave, want rest and bear few rejections, while other upstreams crash",
+		Name: "server-says", About: "four engines and a server say in their answers that they leave, want rest or bear few rejections, while other upstreams crash",
 		Duration: 25 * time.Second, Rate: defaultRate, InitialFunding: ampleFunding, Popular: true,
 		Faults: []fault.Fault{
 			saysFault(2, "engine/0", `{"leaving": true}`), saysFault(2, "service/0", `{"leaving": true}`),
