ratelimit, edge: a router without a list of the others takes few slots of an upstream

Cause: a router that has not read the list of members took one slot of each upstream beside the parts of all others.

Change: such a router has a part at one upstream of four, has others send beyond that (any VM it knows), and reads the list each second until it has it.

TestRoutersWithoutAListTakeFewSlots: without the change five of them take 5 of 3 slots at each of 200 upstreams.

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -102,7 +102,7 @@
 	protocol := p.adapter.Protocol
 	p.forward = &forwarder{
 		peers: p.peers, choice: reach.NewForwarders(), protocol: protocol,
-		lenders: func(id string) []string { return p.peers.addressesOf(p.fleet.holders(id)) },
+		lenders: func(id string) []string { return p.peers.lenders(p.fleet.holders(id)) },
 	}
 	p.routes.AllowBorrowing()
 	p.forwarded = &forwardServer{
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -172,7 +172,15 @@
 	return all
 }
 
-// addressesOf returns the addresses of some VMs, without those that are not known.
+// lenders returns the addresses of the VMs that have a part of an upstream's slots, without
+// those that are not known. Before the list of members was read any VM may have one.
+func (p *peers) lenders(holders []string) []string {
+	if _, members := p.members(); len(members) == 0 {
+		return p.randomAddresses(maxLenders)
+	}
+	return p.addressesOf(holders)
+}
+
 func (p *peers) addressesOf(vms []string) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -213,7 +221,7 @@
 		} else if !registered {
 			registered = p.register(ctx, incarnation)
 		}
-		if reads < firstMemberReads || !registered {
+		if _, members := p.members(); reads < firstMemberReads || !registered || len(members) == 0 {
 			_ = pause.For(ctx, firstMemberInterval)
 		} else {
 			_ = pause.For(ctx, memberInterval)
--- a/ratelimit/share.go
+++ b/ratelimit/share.go
@@ -23,6 +23,9 @@
 	// slots if there are more routers than slots.
 	minHolders     = 2
 	slotsPerHolder = 4
+	// upstreamsPerLoner is of how many upstreams a router without a list of routers has a
+	// part at one.
+	upstreamsPerLoner = 4
 	// windowsPerProbe is the number of windows in which all routers together make one such
 	// request.
 	windowsPerProbe = 2
@@ -117,13 +120,14 @@
 }
 
 // Part returns how many of some slots of an upstream this router may fill. The parts of all
-// routers together are the slots. Without a list of routers it is one.
+// routers together are the slots. A router without a list of them takes one at few upstreams:
+// those that have the list share all slots.
 func (r *Routers) Part(upstream string, slots int) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	holders := r.holders(slots)
 	if holders <= 0 {
-		return min(1, slots)
+		return partWithoutList(upstream, r.self)
 	}
 	part, rest := slots/holders, slots%holders
 	if rest == 0 && holders == len(r.names) {
@@ -138,6 +142,14 @@
 	return part
 }
 
+// partWithoutList returns the part of a router that does not know the others.
+func partWithoutList(upstream, self string) int {
+	if weight(upstream, self)%upstreamsPerLoner == 0 {
+		return 1
+	}
+	return 0
+}
+
 // OtherHolders returns the other routers that have a part of an upstream's slots.
 func (r *Routers) OtherHolders(upstream string, slots int) []string {
 	r.mu.Lock()
--- a/ratelimit/slotbounds_test.go
+++ b/ratelimit/slotbounds_test.go
@@ -118,3 +118,23 @@
 		is.Equal(applied["u0"], boundedPart)
 	})
 }
+
+// Guards against routers without a list of the others, as after a start while the table is away, that fill the slots which
+// those with the list share.
+func TestRoutersWithoutAListTakeFewSlots(t *testing.T) {
+	is := is.New(t)
+	const slots, loners, upstreams = 3, 5, 200
+	over := 0
+	for u := range upstreams {
+		sum := 0
+		for i := range loners {
+			r := &Routers{}
+			r.Set(fmt.Sprint("r", i), nil)
+			sum += r.Part(fmt.Sprint("u", u), slots)
+		}
+		if sum > slots {
+			over++
+		}
+	}
+	is.True(over <= upstreams/20)
+}
