--- a/edge/fragile_test.go
+++ b/edge/fragile_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -199,6 +200,7 @@
 	const bears = fragileEngines * fragileSlots * float64(time.Second/fragileWork) // a second
 	const step = 2 * time.Millisecond
 	var callers sync.WaitGroup
+	random := rand.New(rand.NewPCG(1, 61))
 	due, n := 0.0, 0
 	for now := time.Duration(0); now < fragileRun; now += step {
 		if change := changes[now]; change != nil {
@@ -211,7 +213,7 @@
 		for due += share * bears * step.Seconds(); due >= 1; due-- {
 			n++
 			home, id, path := 1+n%(versionVMs-1), fmt.Sprint("f", n), "/once/"
-			if e.random.Float64() < hot {
+			if random.Float64() < hot {
 				home = 0
 			}
 			if n%2 == 0 {
--- a/edge/lending_test.go
+++ b/edge/lending_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,7 +23,9 @@
 // lendingEnv is a fleet whose VMs send requests for each other.
 type lendingEnv struct {
 	*brittleEnv
-	began                            time.Time
+	began time.Time
+
+	mu                               sync.Mutex
 	asked, served, refusedBesideRoom int
 }
 
@@ -36,10 +39,13 @@
 	if !judged {
 		return
 	}
+	active := e.active()
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.asked++
 	if served {
 		e.served++
-	} else if e.active() < len(e.upstreams)*brittleSlots/2 {
+	} else if active < len(e.upstreams)*brittleSlots/2 {
 		e.refusedBesideRoom++
 	}
 }
@@ -173,6 +179,8 @@
 							fell, _ := u.counts()
 							falls += fell
 						}
+						e.mu.Lock()
+						defer e.mu.Unlock()
 						t.Logf("%d falls, %d of %d served, %d refused beside free slots", falls, e.served, e.asked, e.refusedBesideRoom)
 						is.True(falls <= 2+upstreams/10)
 						is.True(float64(e.served) >= 0.6*float64(e.asked)/max(load, 1))
