--- a/budget/allowance/fallback.go
+++ b/budget/allowance/fallback.go
@@ -105,7 +105,7 @@
 // voidFallback marks the fallback row as void, and reports whether that was written.
 // Until then the holder keeps to what the row may say.
 func (m *Manager) voidFallback(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, m.callTimeout())
 	defer cancel()
 	if m.fallback.version < 0 && !m.readReportVersion(ctx, &m.fallback) {
 		return false
--- a/budget/allowance/follow.go
+++ b/budget/allowance/follow.go
@@ -50,7 +50,7 @@
 }
 
 func (m *Manager) poll(ctx context.Context, version int64) (store.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, m.callTimeout())
 	defer cancel()
 	if version < 0 {
 		return m.options.Feed.All(ctx, segment)
--- a/budget/allowance/grant.go
+++ b/budget/allowance/grant.go
@@ -62,7 +62,7 @@
 
 // adjustGrant changes a holder's share of one pool as planned.
 func (m *Manager) adjustGrant(ctx context.Context, a *account) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, m.callTimeout())
 	defer cancel()
 	for try := range maxGrantTries {
 		if try > 0 && pause.For(ctx, jitter(grantRetryJitter<<min(try, 3))) != nil {
--- a/budget/allowance/manager.go
+++ b/budget/allowance/manager.go
@@ -32,6 +32,9 @@
 	// LinkBusy reports whether the VM's link is so loaded that answers are delayed. Nil
 	// means never.
 	LinkBusy func() bool
+	// AnswerDelay returns how long answers wait at the VM's link while it is full. Nil means
+	// not at all.
+	AnswerDelay func() time.Duration
 	// VMs returns the number of VMs in the fleet, at least 1.
 	VMs func() int
 	// Era returns the newest era of the table that is known. Nil: the table tells none.
--- a/budget/allowance/reclaim.go
+++ b/budget/allowance/reclaim.go
@@ -136,7 +136,7 @@
 }
 
 func (m *Manager) readRow(ctx context.Context, key string) (store.Row, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, m.callTimeout())
 	defer cancel()
 	rows, err := m.options.Table.Read(ctx, key)
 	if err != nil {
@@ -147,7 +147,7 @@
 
 // commit writes or deletes one row on condition of its version.
 func (m *Manager) commit(ctx context.Context, row store.Row, w store.Write) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, m.callTimeout())
 	defer cancel()
 	return m.options.Table.Commit(ctx, store.Txn{
 		Conditions: []store.Condition{{Key: row.Key, Version: row.Version}},
--- a/budget/allowance/start.go
+++ b/budget/allowance/start.go
@@ -72,7 +72,7 @@
 func (m *Manager) readPartition(ctx context.Context, prefix string) []store.Row {
 	defer m.countPartitionTry(true)
 	for wait := startBackoff; ; wait = min(2*wait, maxStartBackoff) {
-		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		limited, cancel := context.WithTimeout(ctx, m.callTimeout())
 		rows, err := m.scanPartition(limited, prefix)
 		cancel()
 		m.noteTableReply(err)
@@ -105,7 +105,7 @@
 
 // readPredecessors reads the reports of predecessors on this VM.
 func (m *Manager) readPredecessors(ctx context.Context) (predecessorState, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, m.callTimeout())
 	defer cancel()
 	asked := time.Now()
 	rows, err := m.scanReports(ctx)
--- a/budget/allowance/summary.go
+++ b/budget/allowance/summary.go
@@ -105,7 +105,7 @@
 func (m *Manager) writeSummary(ctx context.Context, s usageSummary) error {
 	data, err := encode(s)
 	if err == nil {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		ctx, cancel := context.WithTimeout(ctx, m.callTimeout())
 		defer cancel()
 		_, err = m.options.Table.Commit(ctx, store.Txn{Writes: []store.Write{{Key: summaryKey(m.options.VM, m.options.Incarnation), Value: data}}})
 		m.noteTableReply(err)
--- a/budget/allowance/timeouts.go
+++ b/budget/allowance/timeouts.go
@@ -24,10 +24,35 @@
 	busyLinkTimeouts = timeouts{tokens: 200 * time.Millisecond, loan: 150 * time.Millisecond}
 )
 
+// Bounds of the timeouts on a full link.
+const (
+	// answerMargin multiplies the measured delay of answers.
+	answerMargin = 2
+	// maxTokensTimeout is how long a request waits for tokens at most: callers wait for the
+	// first part of their answer.
+	maxTokensTimeout = 600 * time.Millisecond
+	// maxCallTimeout bounds a call to the table.
+	maxCallTimeout = 3 * time.Second
+)
+
 // timeouts returns the timeouts that apply now.
 func (m *Manager) timeouts() timeouts {
-	if m.options.LinkBusy != nil && m.options.LinkBusy() {
-		return busyLinkTimeouts
+	if m.options.LinkBusy == nil || !m.options.LinkBusy() {
+		return defaultTimeouts
+	}
+	t := busyLinkTimeouts
+	if m.options.AnswerDelay != nil {
+		late := min(answerMargin*m.options.AnswerDelay(), maxTokensTimeout)
+		t.tokens, t.loan = max(t.tokens, late), max(t.loan, late)
+	}
+	return t
+}
+
+// callTimeout returns how long a call to the table may take: longer while answers wait at the
+// VM's link, or each call would be given up and made again just before its answer.
+func (m *Manager) callTimeout() time.Duration {
+	if m.options.AnswerDelay == nil {
+		return callTimeout
 	}
-	return defaultTimeouts
+	return min(max(callTimeout, answerMargin*m.options.AnswerDelay()), maxCallTimeout)
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -98,6 +98,7 @@
 	guard       *quarantine.Guard
 	peers       *peers
 	gate        *traffic.Gate // whether the VM's link has capacity for new callers
+	callerLink  *callerLink   // what callers get while the link is full; nil if its rate is not known
 	notices     *notices      // nil without an address in the settings
 	peerSrv     *peer.Server
 	metrics     *metrics
@@ -136,7 +137,10 @@
 		routes:            routing.NewTable(), metrics: newMetrics(), peerSrv: peer.NewServer(),
 	}
 	p.buffers = buffers.NewLimit(bufferedBytes(s.MemoryBytes))
-	p.gate = traffic.NewGate(s.LinkMbit)
+	p.gate, p.callerLink = traffic.NewGate(s.LinkMbit), newCallerLink(s.LinkMbit)
+	if p.callerLink != nil {
+		a.Traffic.SetLink(p.callerLink.state)
+	}
 	p.fleet = newFleet(a.Upstream, p.routes, p.lapseDeadline)
 	p.pool = exchange.NewPool(p.maxConnections)
 	if a.DialUpstream != nil {
@@ -168,16 +172,20 @@
 		Sharing:    p.peers.sharing,
 		Era:        a.Era,
 		Members:    p.peers.memberNames,
-		LoanClient: p.peers, LinkBusy: func() bool { return !p.gate.Open() },
+		LoanClient: p.peers, LinkBusy: func() bool { return !p.gate.Open() }, AnswerDelay: p.callerLink.answerDelay,
 	})
 	p.peers.serveBudgets(p.peerSrv, p.manager)
 	wait := feedWaitOf(s.ConfigurationInForce.D())
 	p.config = &follower{wait: wait, segment: a.ConfigSegment, feed: a.Feed, mirror: mirror.New(), apply: p.applyConfig, enterEra: p.heldOrders.enterEra}
 	p.upstreams = &follower{wait: wait, segment: a.UpstreamSegment, feed: a.Feed, mirror: mirror.New(), apply: p.fleet.apply, enterEra: p.enterUpstreamEra}
 	p.quarantine = &follower{wait: maxFeedWait, segment: quarantine.Segment, feed: a.Feed, mirror: mirror.New(), apply: p.guard.Table().ApplyChanges, enterEra: p.renewQuarantine}
-	p.peers.serve(p.peerSrv, map[string]*mirror.Mirror{
+	longWait := longFeedWaitOf(s.ConfigurationInForce.D())
+	p.config.longWait, p.upstreams.longWait, p.quarantine.longWait = longWait, longWait, maxLongWait
+	mirrors := map[string]*mirror.Mirror{
 		a.ConfigSegment: p.config.mirror, a.UpstreamSegment: p.upstreams.mirror, quarantine.Segment: p.quarantine.mirror,
-	})
+	}
+	p.peers.serve(p.peerSrv, mirrors)
+	serveVersions(p.peerSrv, mirrors)
 	p.metrics.writeProcessMetrics = p.writeProcessMetrics
 	return p, p.buildServers()
 }
@@ -190,7 +198,7 @@
 	served := &relay.Relay{
 		Catalogue: &p.catalogue, Budgets: budgets{p.manager}, Picker: picker, Fleet: p.fleet,
 		Sender: pathSender{
-			direct:  sender{pool: p.pool, protocol: p.adapter.Protocol, tracker: p.paths, identity: p.fleet.identity, fleet: p.fleet},
+			direct:  sender{pool: p.pool, protocol: p.adapter.Protocol, tracker: p.paths, identity: p.fleet.identity, fleet: p.fleet, outgoing: p.callerLink.outgoingPacer()},
 			tracker: p.paths, forward: p.forward,
 		},
 		RetryBudget: relay.NewRetryBudget(relay.RetryPolicy{
@@ -200,7 +208,7 @@
 		Origins: p.origins, Recorder: p.metrics, DataCentre: p.settings.DataCentre, Routers: p.peers.count,
 	}
 	p.callers = &http.Server{
-		Handler:           &callerHandler{protocol: p.adapter.Protocol, relay: served, catalogue: &p.catalogue, stopping: &p.stopping, active: &p.active, delay: &p.delay, buffers: p.buffers},
+		Handler:           &callerHandler{protocol: p.adapter.Protocol, relay: served, catalogue: &p.catalogue, stopping: &p.stopping, active: &p.active, delay: &p.delay, buffers: p.buffers, link: p.callerLink},
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -238,7 +246,7 @@
 		return "no configuration was seen yet"
 	case len(*p.fleet.current.Load()) == 0:
 		return "no upstream was seen yet"
-	case !p.gate.Open():
+	case !p.gate.Open(), p.callerLink.held():
 		return "the link has no room for more callers"
 	}
 	return ""
@@ -270,6 +278,7 @@
 	for _, task := range []func(context.Context){
 		p.config.run, p.upstreams.run, p.quarantine.run, p.publisher().Run, p.versionLog().Run, p.manager.Run, p.maintain, p.monitorLink, p.delay.Run,
 		func(ctx context.Context) { p.peers.run(ctx, p.incarnation) },
+		func(ctx context.Context) { p.peers.compareVersions(ctx, p.config, p.upstreams, p.quarantine) },
 		func(ctx context.Context) { p.peers.pollPeers(ctx, p.config, peerInterval) },
 		func(ctx context.Context) { p.peers.pollPeers(ctx, p.upstreams, peerInterval) },
 		func(ctx context.Context) { p.peers.pollPeers(ctx, p.quarantine, quarantinePeerInterval) },
@@ -308,6 +317,7 @@
 	p.notices = n
 	p.routes.OnDispatch(n.notifyDispatch)
 	p.routes.OnReplaced(n.notifyReplaced)
+	p.routes.OnSlow(n.notifySlow)
 	p.fleet.limiter.OnChange(n.notifyLimit)
 	p.fleet.rejections.OnRejected(n.notifyRejection)
 	p.origins.send = n.sendOrigin
@@ -402,7 +412,7 @@
 // watchTable records the beginning and the end of outages of the table.
 func (p *Process) watchTable() {
 	age, known := p.upstreams.lastAnswer.elapsed()
-	if !known || age <= p.upstreams.wait+outageThreshold {
+	if !known || age <= p.upstreams.currentWait()+outageThreshold {
 		p.inOutage.Store(false)
 		return
 	}
@@ -419,7 +429,7 @@
 	if !known {
 		return time.Time{}, true
 	}
-	if age > p.upstreams.wait+outageThreshold {
+	if age > p.upstreams.currentWait()+outageThreshold {
 		return time.Now().Add(-age), true
 	}
 	if age, any := p.lastOutage.elapsed(); !any || age > lapseHold {
@@ -432,7 +442,7 @@
 // listIsCurrent reports whether the table has answered within the last poll of the list.
 func (p *Process) listIsCurrent() bool {
 	age, known := p.upstreams.lastAnswer.elapsed()
-	return known && age <= p.upstreams.wait+peerPollDelay
+	return known && age <= p.upstreams.currentWait()+peerPollDelay
 }
 
 // lapseDeadline returns the time until which a deleted entry may have lapsed in an
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -202,9 +202,23 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.serviceByName = services
+	for name, s := range services {
+		f.table.SetTransferCost(routing.Target{Service: name}, transferCost(s))
+	}
 	f.publish()
 }
 
+// transferCost returns what it takes the engines of a service to fetch parts of prompts from each
+// other; zero if they can't.
+func transferCost(s relay.Service) routing.TransferCost {
+	if s.PartBytes <= 0 || s.PartLinkMbit <= 0 {
+		return routing.TransferCost{}
+	}
+	const bitsPerByte, bitsPerMbit = 8, 1e6
+	seconds := float64(s.PartBytes) * bitsPerByte / (s.PartLinkMbit * bitsPerMbit)
+	return routing.TransferCost{PerToken: time.Duration(seconds * float64(time.Second))}
+}
+
 // evacuate starts or ends the evacuation of data centres. Evacuated upstreams finish
 // their work and get none. When an evacuation ends, all of them may be cold, and the list
 // says so only later.
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -50,10 +50,14 @@
 
 // follower keeps one mirror up to date.
 type follower struct {
-	wait    time.Duration // how long one poll stays open
-	segment string
-	feed    store.Feed
-	mirror  *mirror.Mirror
+	wait time.Duration // how long one poll stays open
+	// longWait is the same while a peer would tell of a change; 0 for never.
+	longWait time.Duration
+	// comparedAt is when a peer last told its version.
+	comparedAt atomicTime
+	segment    string
+	feed       store.Feed
+	mirror     *mirror.Mirror
 	// apply gets the changes of the mirror.
 	apply func(changes []store.Change)
 	// enterEra, if set, is called before the first changes after a return of the table from
@@ -66,6 +70,14 @@
 	applyMu sync.Mutex
 }
 
+// currentWait returns how long a poll stays open now.
+func (f *follower) currentWait() time.Duration {
+	if age, known := f.comparedAt.elapsed(); f.longWait > 0 && known && age < versionTTL {
+		return f.longWait
+	}
+	return f.wait
+}
+
 // run follows the table until the context ends.
 func (f *follower) run(ctx context.Context) {
 	readAll := true
@@ -94,23 +106,24 @@
 }
 
 func (f *follower) poll(ctx context.Context, whole bool) (mirror.Update, error) {
-	ctx, cancel := f.withResponseTimeout(ctx)
+	wait := f.currentWait()
+	ctx, cancel := f.withResponseTimeout(ctx, wait)
 	defer cancel()
 	if whole {
 		all, err := f.feed.All(ctx, f.segment)
 		return mirror.Update{Changes: all.Changes, Version: all.Version, Full: true}, err
 	}
-	changes, err := f.feed.Since(ctx, f.segment, f.mirror.Version(), f.wait)
+	changes, err := f.feed.Since(ctx, f.segment, f.mirror.Version(), wait)
 	return mirror.Update{Changes: changes.Changes, Version: changes.Version}, err
 }
 
 // withResponseTimeout returns a context for one poll. It ends if no response has begun
 // within the wait and its slack, or if the transfer takes too long.
-func (f *follower) withResponseTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(ctx, f.wait+feedSlack+feedTransfer)
-	timer := time.AfterFunc(f.wait+feedSlack, cancel)
+func (f *follower) withResponseTimeout(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, wait+feedSlack+feedTransfer)
+	timer := time.AfterFunc(wait+feedSlack, cancel)
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteRequest: func(httptrace.WroteRequestInfo) { timer.Reset(f.wait + feedSlack) },
+		WroteRequest: func(httptrace.WroteRequestInfo) { timer.Reset(wait + feedSlack) },
 		GotFirstResponseByte: func() {
 			timer.Stop()
 			f.lastAnswer.set() // the table answers; peers need not be polled
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -27,6 +27,7 @@
 	active    *atomic.Int64
 	delay     *lag.Meter
 	buffers   *buffers.Limit
+	link      *callerLink
 }
 
 // ServeHTTP implements http.Handler.
@@ -41,6 +42,16 @@
 	if problem == nil {
 		problem = f.admit()
 	}
+	if problem == nil && f.link.saturated() {
+		writer.link, writer.request, writer.bytes = f.link, request, r.ContentLength
+		w.Header().Set("Connection", "close") // the balancer sends the caller elsewhere next time
+		admission, admitted := f.relay.Screen(writer, request, f.link.state)
+		if !admitted {
+			return
+		}
+		writer.class = admission.Priority
+		problem = f.link.awaitTurn(r.Context(), admission, r.ContentLength)
+	}
 	var body *buffers.Buffer
 	if problem == nil {
 		body, problem = f.readBody(w, r)
@@ -100,10 +111,20 @@
 	flusher  *http.ResponseController
 	protocol Protocol
 	id       string
+
+	// link is set while the VM's link is full; then it decides when a refused caller comes
+	// back. The rest describes the request to it.
+	link    *callerLink
+	request *relay.Request
+	class   int
+	bytes   int64
 }
 
 // Refuse implements relay.Writer.
 func (c *callerWriter) Refuse(p *relay.Problem) {
+	if c.link != nil {
+		p = c.link.schedule(p, c.request, c.class, c.bytes)
+	}
 	c.protocol.WriteProblem(c.w.Header(), p)
 	c.w.Header().Set("Content-Type", "text/plain")
 	c.w.WriteHeader(p.Status)
--- a/edge/link.go
+++ b/edge/link.go
@@ -20,6 +20,8 @@
 	linkInterval = 100 * time.Millisecond
 	// samplesPerLogLine is the number of samples between two log lines.
 	samplesPerLogLine = 10
+	// samplesPerCallsLine is the same for the lines that count calls to the table.
+	samplesPerCallsLine = 100
 )
 
 // newPeerClient returns a client whose traffic is counted.
@@ -37,17 +39,24 @@
 		return
 	}
 	lastLogged, at := meter.Read(), time.Now()
+	var calls map[string]int64
 	last := lastLogged
 	for sample := 1; pause.For(ctx, linkInterval) == nil; sample++ {
 		current, now := meter.Read(), time.Now()
 		if p.gate.Observe(current.Minus(last).Total(), now.Sub(at)) {
 			klog.Infof("step=link_gate open=%t use=%.2f", p.gate.Open(), p.gate.Utilization())
 		}
+		p.callerLink.observe(now, current.Minus(last), now.Sub(at), p.gate.Utilization(), meter.AnswerDelay())
 		last, at = current, now
 		if sample%samplesPerLogLine == 0 {
 			klog.Info(linkLogLine(current.Minus(lastLogged), p.openConnections.Load(), p.delay.TakeLongest(), meter.TakeCallStats(traffic.Store), meter.TakeCallStats(traffic.Peers)))
 			lastLogged = current
 		}
+		if sample%samplesPerCallsLine == 0 {
+			now := meter.TableCalls.Counts()
+			klog.Infof("step=table_calls seconds=%g%s", (samplesPerCallsLine * linkInterval).Seconds(), traffic.CausesLine(now, calls))
+			calls = now
+		}
 	}
 }
 
--- a/edge/loans.go
+++ b/edge/loans.go
@@ -74,6 +74,8 @@
 func (p *peers) timed(call func() error) error {
 	began := time.Now()
 	err := call()
-	p.traffic.RecordCall(traffic.Peers, 0, time.Since(began), err)
+	took := time.Since(began)
+	p.traffic.RecordCall(traffic.Peers, 0, took, err)
+	p.traffic.RecordAnswer(took)
 	return err
 }
--- a/edge/notices.go
+++ b/edge/notices.go
@@ -50,6 +50,8 @@
 	Rejection *rejectionNotice `msgpack:"j,omitempty"`
 	// Origin is where a stream began.
 	Origin *originNotice `msgpack:"o,omitempty"`
+	// Speed is of an engine that is slow at present.
+	Speed *routing.SpeedNotice `msgpack:"w,omitempty"`
 }
 
 // limitNotice tells what an upstream says of the rate that it takes.
@@ -69,6 +71,7 @@
 // noticeObserver gets the notices of other VMs.
 type noticeObserver interface {
 	ObserveDispatch(p routing.DispatchNotice)
+	ObserveSpeed(p routing.SpeedNotice)
 	MarkReplaced(id string)
 	Learn(upstream string, process int64, r ratelimit.Reading) bool
 	ObserveRejection(upstream string, perSecond float64)
@@ -139,6 +142,9 @@
 	n.enqueue(notice{DispatchNotice: p})
 }
 
+// notifySlow queues a notice of an engine that has turned slow.
+func (n *notices) notifySlow(p routing.SpeedNotice) { n.enqueue(notice{Speed: &p}) }
+
 // notifyReplaced queues a notice of a replaced upstream. They are rare, and each saves
 // every other VM a caller's request.
 func (n *notices) notifyReplaced(id string) {
@@ -255,7 +261,7 @@
 func (n *notices) receive() {
 	buffer := make([]byte, noticeBytes)
 	for {
-		size, _, err := n.conn.ReadFromUDPAddrPort(buffer)
+		size, from, err := n.conn.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -271,6 +277,7 @@
 		}
 		n.received.Add(1)
 		n.traffic.Received(traffic.Notices, size)
+		incoming.Router = from.Addr().String()
 		n.deliver(incoming)
 	}
 }
@@ -292,6 +299,10 @@
 		n.observer.ObserveOrigin(*o)
 		return
 	}
+	if msg.Speed != nil {
+		n.observer.ObserveSpeed(*msg.Speed)
+		return
+	}
 	n.observer.ObserveDispatch(msg.DispatchNotice)
 }
 
--- a/edge/notices_test.go
+++ b/edge/notices_test.go
@@ -32,12 +32,16 @@
 	placed   chan routing.DispatchNotice
 	replaced chan string
 	limits   chan ratelimit.Reading
+	slow     chan routing.SpeedNotice
 }
 
 func newNoticeRecorder() noticeRecorder {
-	return noticeRecorder{make(chan routing.DispatchNotice, 8), make(chan string, 8), make(chan ratelimit.Reading, 8)}
+	return noticeRecorder{make(chan routing.DispatchNotice, 8), make(chan string, 8), make(chan ratelimit.Reading, 8), make(chan routing.SpeedNotice, 8)}
 }
 
+// ObserveSpeed implements noticeObserver.
+func (h noticeRecorder) ObserveSpeed(p routing.SpeedNotice) { h.slow <- p }
+
 // ObserveDispatch implements noticeObserver.
 func (h noticeRecorder) ObserveDispatch(p routing.DispatchNotice) { h.placed <- p }
 
@@ -67,8 +71,12 @@
 	is.NoErr(err)
 	sent := routing.DispatchNotice{Upstream: "u1", Session: 7, Tokens: 45_000}
 	a.notifyDispatch(sent, time.Second)
-	is.Equal(<-recorder.placed, sent)
+	arrived := sent
+	arrived.Router = "127.0.0.1" // the receiver adds the sender
+	is.Equal(<-recorder.placed, arrived)
 	is.Equal(b.received.Load(), int64(1)) // counted before it is delivered
+	a.notifySlow(routing.SpeedNotice{Upstream: "u1", Factor: 2.5})
+	is.Equal(<-recorder.slow, routing.SpeedNotice{Upstream: "u1", Factor: 2.5})
 	a.notifyReplaced("u2")
 	is.Equal(<-recorder.replaced, "u2")
 }
--- a/edge/ports.go
+++ b/edge/ports.go
@@ -12,6 +12,7 @@
 	"buckthornridge/reach"
 	"buckthornridge/relay"
 	"buckthornridge/telemetry"
+	"buckthornridge/traffic"
 	"buckthornridge/upstream"
 	"buckthornridge/upstream/exchange"
 )
@@ -52,6 +53,7 @@
 	tracker  *reach.Tracker
 	identity *identities
 	fleet    *fleet
+	outgoing *traffic.Pacer // of request bodies to upstreams
 }
 
 // processEndTimeout bounds the connection that shows whether an upstream's process has
@@ -81,6 +83,10 @@
 func (s sender) sendOver(ctx context.Context, out relay.OutgoingRequest, path reach.Path) (relay.Response, error) {
 	hop, span := telemetry.StartChildSpan(ctx, "upstream")
 	o := observer{tracker: s.tracker, identity: s.identity, upstream: out.Upstream, began: time.Now()}
+	if err := s.awaitTurn(hop, out); err != nil {
+		telemetry.EndSpan(span, err)
+		return nil, err
+	}
 	var connectTimeout time.Duration
 	if path == reach.DirectBriefly {
 		connectTimeout = reach.BriefDial
@@ -115,6 +121,17 @@
 	return pooledResponse{response, head, o}, nil
 }
 
+// awaitTurn waits until the VM's link has room for a request.
+func (s sender) awaitTurn(ctx context.Context, out relay.OutgoingRequest) error {
+	err := s.outgoing.Acquire(ctx, traffic.Transfer{
+		Class: out.Priority, Flow: out.Workspace, Deadline: out.Deadline, Bytes: int64(len(out.Request.Body)),
+	})
+	if err != nil {
+		return upstream.WrapError("await turn on the link", out.Upstream.Address, upstream.ErrNotSent, errors.Join(upstream.ErrAbandoned, err))
+	}
+	return nil
+}
+
 // pooledResponse is an upstream's response on a pooled connection.
 type pooledResponse struct {
 	*exchange.Response
@@ -143,6 +160,20 @@
 	if err == nil {
 		return r, nil
 	}
+	return nil, budgetProblem(err)
+}
+
+// Screen implements relay.Budgets.
+func (b budgets) Screen(w relay.Workspace, ceiling int64) (bool, error) {
+	covered, err := b.manager.Screen(w.Name, w.Prepaid, ceiling)
+	if err != nil {
+		return false, budgetProblem(err)
+	}
+	return covered, nil
+}
+
+// budgetProblem returns the problem of a request that was not admitted.
+func budgetProblem(err error) *relay.Problem {
 	p := &relay.Problem{Status: http.StatusServiceUnavailable, Name: "budget_in_doubt", Detail: err.Error()}
 	var refused *allowance.RefusedError
 	if errors.As(err, &refused) {
@@ -152,5 +183,5 @@
 			p.Status, p.Name = http.StatusPaymentRequired, "budget_exhausted"
 		}
 	}
-	return nil, p
+	return p
 }
--- a/edge/process_metrics.go
+++ b/edge/process_metrics.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+
+	"buckthornridge/routing"
 )
 
 // writeProcessMetrics writes the counters and gauges that are read at the time of the
@@ -41,8 +43,27 @@
 	fmt.Fprintf(w, "notices_sent_total %d\nnotices_received_total %d\nnotices_skipped_total %d\n",
 		n.sent.Load(), n.received.Load(), n.skipped.Load())
 	fmt.Fprintf(w, "processor_delay_seconds %g\noverload_refused_total %d\nbuffered_bytes_count %d\n", p.delay.Delay().Seconds(), p.delay.Refused.Load(), p.buffers.Kept())
+	p.callerLink.writeMetrics(w)
+	p.writePlacement(w)
+	writeCounters(w, "table_calls_total", "call=%q", p.adapter.Traffic.TableCalls.Counts())
 	writeTraffic(w, p.adapter.Traffic.Read(), p.gate.Open())
 	if c := p.catalogue.Load(); c != nil {
 		fmt.Fprintf(w, "configuration_version %d\n", c.Version)
 	}
 }
+
+// writePlacement writes where paced streams gather and what engines fetched, over all services.
+func (p *Process) writePlacement(w io.Writer) {
+	c := p.catalogue.Load()
+	if c == nil {
+		return
+	}
+	var gathered int
+	var fetched, late int64
+	for name := range c.Services {
+		target := routing.Target{Service: name}
+		f, l := p.routes.FetchCounts(target)
+		gathered, fetched, late = gathered+p.routes.Gathered(target), fetched+f, late+l
+	}
+	fmt.Fprintf(w, "gathered_engines_count %d\nfetches_total{result=\"in_time\"} %d\nfetches_total{result=\"late\"} %d\n", gathered, fetched-late, late)
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -25,6 +25,7 @@
 	startedAt time.Time
 	firstByte time.Duration // time to the first event or to the whole response
 	events    int           // forwarded events
+	lastEvent time.Time     // when the last one was forwarded
 }
 
 // send sends the request and forwards the response. It reports whether the request is
@@ -89,6 +90,7 @@
 		Identify:        certainty,
 		Process:         process,
 		Borrowed:        t.choice.Borrowed,
+		FetchFrom:       t.choice.FetchFrom,
 	}
 }
 
--- a/relay/catalogue.go
+++ b/relay/catalogue.go
@@ -23,6 +23,9 @@
 	Timeout time.Duration
 	// TargetLatency is the latency within which a response has its full value.
 	TargetLatency time.Duration
+	// PauseTarget is the longest pause between two events of a stream at which it has its full
+	// value; 0 if the operators name none.
+	PauseTarget time.Duration
 	// Attempts is the largest number of upstreams that one request may be sent to.
 	Attempts int
 	// Priority orders requests; 0 goes first.
@@ -57,6 +60,10 @@
 	// WarmUpRate requests a second from all routers; 0 means no limit.
 	WarmUp     time.Duration
 	WarmUpRate float64
+	// PartBytes is what an engine keeps for one token of a prompt, and PartLinkMbit the rate at
+	// which another engine can fetch it; 0 if they can't.
+	PartBytes    int64
+	PartLinkMbit float64
 }
 
 // Workspace is a customer with a prepaid budget.
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -202,6 +202,9 @@
 // RecordRequest implements Recorder.
 func (b *harness) RecordRequest(d RequestRecord) { b.records = append(b.records, d) }
 
+// Screen implements Budgets.
+func (b *harness) Screen(Workspace, int64) (bool, error) { return true, nil }
+
 // Reserve implements Budgets.
 func (b *harness) Reserve(_ context.Context, w Workspace, ceiling int64) (Reservation, error) {
 	if b.reservedTokens+ceiling > w.Prepaid {
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -35,6 +35,9 @@
 	// Reserve reserves ceiling tokens of the workspace's budget before anything is sent.
 	// The error is a *Problem, whose status says whether the refusal is certain.
 	Reserve(ctx context.Context, w Workspace, ceiling int64) (Reservation, error)
+	// Screen tells at once whether Reserve would find the tokens on this VM. The error is a
+	// *Problem for a request that is refused for certain.
+	Screen(w Workspace, ceiling int64) (covered bool, err error)
 }
 
 // Reservation is a part of a budget that is reserved for one request.
@@ -96,6 +99,9 @@
 	Identify Identify
 	// Process is the only one that may get it, by its Start, with OnlyProcess.
 	Process int64
+	// FetchFrom is the address of the engine from which the upstream should fetch the parts of the
+	// prompt that it lacks; empty for none.
+	FetchFrom string
 	// Borrowed asks for a router that sends it on its own part of the upstream's slots.
 	Borrowed bool
 }
--- a/relay/prefix.go
+++ b/relay/prefix.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 
 	"github.com/cespare/xxhash/v2"
+
+	"buckthornridge/routing"
 )
 
 // prefixBlockTokens is the number of prompt tokens that one hash stands for. Parts
@@ -43,6 +45,22 @@
 	return max(parent, 1)
 }
 
+// shorterPrefixes returns the keys and sizes of the parts that sessions share with each other: each
+// proper prefix of what affinityKey covers.
+func shorterPrefixes(model string, parts []Part) []routing.SharedPrefix {
+	if len(parts) < 3 {
+		return nil
+	}
+	all := make([]routing.SharedPrefix, 0, len(parts)-2)
+	parent, tokens := xxhash.Sum64String(model), int64(0)
+	for _, part := range parts[:len(parts)-2] {
+		parent = combineHashes(parent, xxhash.Sum64String(part.ID))
+		tokens += part.Tokens
+		all = append(all, routing.SharedPrefix{Key: max(parent, 1), Tokens: tokens})
+	}
+	return all
+}
+
 // sharedTokens returns the number of tokens in the parts that affinityKey covers.
 func sharedTokens(parts []Part) int64 {
 	var sum int64
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -63,10 +63,14 @@
 	if !isNextEvent(r.lastEventID, id) {
 		return upstream.ErrProtocol
 	}
+	now := time.Now()
 	if t.firstByte == 0 {
-		t.firstByte = time.Since(t.startedAt)
+		t.firstByte = now.Sub(t.startedAt)
 		t.choice.FirstToken(t.firstByte)
+	} else {
+		t.choice.Gap(now.Sub(t.lastEvent))
 	}
+	t.lastEvent = now
 	if !r.streamStarted {
 		t.noteOrigin(head)
 		r.streamStarted = true
--- a/routing/backlog.go
+++ b/routing/backlog.go
@@ -131,6 +131,11 @@
 	// base is the rest of the time to a first token, with the network round trip: about
 	// the least observed. It does not delay other prompts.
 	base time.Duration
+	// rest is the typical rest of that time, beyond what is known to wait and the prefill
+	// itself; it includes base.
+	rest time.Duration
+	// gap is the typical time between two events of a stream.
+	gap time.Duration
 }
 
 // sizeClass holds the cost of prompts of about one size.
@@ -171,6 +176,36 @@
 	}
 }
 
+// restStep moves the typical rest of the time to a first token towards a median, and
+// minRestStep is the least step.
+const (
+	restStep    = 0.03
+	minRestStep = 100 * time.Microsecond
+)
+
+// observeRest records the part of the time to a first token that no wait and no prefill
+// explain.
+func (c *prefillCostModel) observeRest(rest time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	step := max(time.Duration(restStep*float64(c.rest)), minRestStep)
+	switch {
+	case c.rest == 0:
+		c.rest = max(rest, 0)
+	case rest > c.rest:
+		c.rest += step
+	default:
+		c.rest -= min(step, c.rest)
+	}
+}
+
+// typicalRest returns the typical rest of the time to a first token.
+func (c *prefillCostModel) typicalRest() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(c.rest, c.base)
+}
+
 // observeBase follows lower times at once and higher ones slowly.
 func (c *prefillCostModel) observeBase(took time.Duration) {
 	switch {
--- a/routing/choice.go
+++ b/routing/choice.go
@@ -17,6 +17,9 @@
 	// Borrowed says that another router must send the request, on its part of the
 	// upstream's slots.
 	Borrowed bool
+	// FetchFrom is the address of the engine from which the chosen one should fetch the shared
+	// prefix; empty for none.
+	FetchFrom string
 	// Tokens is the size of the request: its prompt and the most of its answer.
 	Tokens int64
 
@@ -26,6 +29,7 @@
 	prefix         []uint64
 	priority       int
 	pool           *pool
+	target         Target
 	prefill        *queuedPrefill
 	prefillCost    *prefillCostModel
 	firstTokenSeen atomic.Bool
@@ -53,8 +57,14 @@
 		return
 	}
 	prompt := c.prefill.prompt
-	if prompt.queueWait == 0 {
+	c.prefillCost.observeRest(now - prompt.sentAt - prompt.queueWait - prompt.prefill)
+	switch {
+	case prompt.queueWait > 0:
+	case c.FetchFrom == "":
 		c.prefillCost.observe(c.prefill.tokens, now-prompt.sentAt)
+	default:
+		took := now - prompt.sentAt - c.prefillCost.typicalRest() - (prompt.prefill - c.prefill.fetch)
+		c.table.fetchModelOf(c.target).observe(took, c.prefill.fetch, c.prefill.reading)
 	}
 	c.entry.backlog.firstToken(now, prompt)
 }
@@ -111,6 +121,9 @@
 			c.entry.backlog.drop(c.prefill.prompt)
 		}
 	}
+	if c.prefill != nil && c.prefill.paced {
+		c.table.streamsOf(c.target).addOwn(-1)
+	}
 	if c.Borrowed {
 		c.entry.returnBorrowed(now, outcome.Kind)
 		c.entry.end(now)
--- a/routing/dispatch_notice.go
+++ b/routing/dispatch_notice.go
@@ -12,6 +12,10 @@
 	Session uint64 `msgpack:"s"`
 	// Tokens is the number of tokens to prefill, without cached ones.
 	Tokens int64 `msgpack:"t"`
+	// Streams is how many paced streams of the engine's service the router runs.
+	Streams int64 `msgpack:"y,omitempty"`
+	// Router is who sent the notice; the receiver sets it.
+	Router string `msgpack:"-"`
 }
 
 // minNoticePrefill is the shortest prefill that other routers are notified of. Shorter
@@ -29,8 +33,9 @@
 	if e == nil || p.Tokens <= 0 {
 		return
 	}
-	now := t.now()
-	e.backlog.addRemote(now, t.prefillCostOf(Target{Service: e.service}).prefillTime(p.Tokens))
+	now, target := t.now(), Target{Service: e.service}
+	e.backlog.addRemote(now, t.prefillCostOf(target).prefillTime(p.Tokens))
+	t.streamsOf(target).learn(p.Router, p.Streams, now)
 	t.sessions.record(p.Session, p.Upstream, now)
 }
 
--- a/routing/entry.go
+++ b/routing/entry.go
@@ -66,6 +66,7 @@
 	serviceTime      ewma // nanoseconds from dispatch to the end
 
 	backlog backlog
+	speed   presentSpeed
 	health  health
 	warmUp  *spacing // while the upstream is cold
 	limit   *spacing // while the upstream names the rate that it takes
--- a/routing/overload_test.go
+++ b/routing/overload_test.go
@@ -18,7 +18,7 @@
 
 func (stayAtAffinity) choose(v *view) *entry {
 	var first *entry
-	for e := range v.walkRing(v.pool.rings[v.set.topology.region[v.from]]) {
+	for e := range walkRing(v.pool.rings[v.set.topology.region[v.from]], mix(v.request.AffinityKey), maxRingSteps) {
 		if !v.usable(e) {
 			continue
 		}
--- /dev/null
+++ b/routing/paced.go
@@ -0,0 +1,194 @@
+package routing
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A paced stream has many events, and its caller notices a pause between any two of them. An
+// engine reads prompts between the tokens of what it generates: while it reads a long prompt,
+// all streams there pause again and again. Where a pool has enough engines, paced streams
+// therefore gather at a few of them and other prompts keep away from those. How many follows
+// from the streams that run in the whole fleet, of which routers tell each other; which ones,
+// from an order that all routers share.
+
+// Parameters of paced streams.
+const (
+	// separationEngines is the smallest pool in which paced streams gather. In a smaller one a
+	// whole engine is too much for them.
+	separationEngines = 24
+	// pacedRatio is the least part of its prompt, as a divisor, that a paced stream generates
+	// at most: others end before a pause becomes likely.
+	pacedRatio = 8
+	// gatheredShare is the part of an engine's slots that paced streams fill where they gather:
+	// each one lengthens the steps of all.
+	gatheredShare = 0.5
+	// maxGathered is the largest part of a pool's engines for paced streams.
+	maxGathered = 0.2
+	// streamCountTTL is how long another router's count holds. Under overload routers send few
+	// notices, and that is when too few engines for the streams would hurt most.
+	streamCountTTL = 10 * time.Second
+	// countMemory is the time in which a higher count of the fleet's streams is forgotten: which
+	// engines prompts avoid should not follow each stream that ends.
+	countMemory = 5 * time.Second
+)
+
+// streamCount is how many paced streams of a target run in the whole fleet.
+type streamCount struct {
+	mu      sync.Mutex
+	own     int64
+	others  map[string]routerStreams // by router
+	highest float64                  // decaying
+	at      time.Duration
+}
+
+type routerStreams struct {
+	streams int64
+	at      time.Duration
+}
+
+// maxCountedRouters bounds the routers whose counts are kept.
+const maxCountedRouters = 4096
+
+func (c *streamCount) addOwn(n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.own += n
+}
+
+func (c *streamCount) ownStreams() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.own
+}
+
+// learn takes over another router's count.
+func (c *streamCount) learn(router string, streams int64, now time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.others == nil || len(c.others) >= maxCountedRouters {
+		c.others = map[string]routerStreams{}
+	}
+	c.others[router] = routerStreams{max(streams, 0), now}
+}
+
+// fleet returns the number of streams in the fleet, recent higher counts included.
+func (c *streamCount) fleet(now time.Duration) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sum := c.own
+	for router, r := range c.others {
+		if now-r.at > streamCountTTL {
+			delete(c.others, router)
+			continue
+		}
+		sum += r.streams
+	}
+	kept := c.highest * math.Exp(-float64(now-c.at)/float64(countMemory))
+	c.highest, c.at = max(float64(sum), kept), now
+	return c.highest
+}
+
+// streamsOf returns the count of a target's paced streams.
+func (t *Table) streamsOf(target Target) *streamCount {
+	if known, ok := t.streamCounts.Load(target); ok {
+		return known.(*streamCount)
+	}
+	kept, _ := t.streamCounts.LoadOrStore(target, new(streamCount))
+	return kept.(*streamCount)
+}
+
+// paced reports whether the request is a paced stream.
+func (v *view) paced() bool {
+	r := v.request
+	return r.PauseTarget > 0 && r.MaxTokens*pacedRatio >= r.PromptTokens
+}
+
+// gatherStreams finds the engines at which paced streams gather; none in a small pool, and none
+// if no paced streams run.
+func (v *view) gatherStreams() {
+	streams := v.table.streamsOf(v.request.Target).fleet(v.now)
+	if v.paced() {
+		streams = max(streams, 1)
+	}
+	v.gathering = v.gatheringFor(streams)
+}
+
+// gatheringFor returns the engines at which so many streams gather.
+func (v *view) gatheringFor(streams float64) []*entry {
+	if len(v.pool.live) < separationEngines {
+		return nil
+	}
+	var gathering []*entry
+	most := int(maxGathered * float64(len(v.pool.live)))
+	key := xxhash.Sum64String(v.request.Target.String())
+	for e := range walkRing(v.pool.rings[v.set.topology.region[v.from]], key, most) {
+		if streams <= 0 {
+			break
+		}
+		if e.takesWork() && !e.health.ejected() && !v.stalled(e) {
+			gathering = append(gathering, e)
+			streams -= gatheredShare * float64(e.slots)
+		}
+	}
+	return gathering
+}
+
+// Gathered returns at how many engines of a target paced streams gather.
+func (t *Table) Gathered(target Target) int {
+	s := t.current.Load()
+	pool := s.pools[target]
+	if pool == nil || len(pool.rings) == 0 {
+		return 0
+	}
+	v := &view{request: &Request{Target: target}, set: s, pool: pool, table: t, now: t.now()}
+	return len(v.gatheringFor(t.streamsOf(target).fleet(v.now)))
+}
+
+// slowStreamShare is the part of the acceptable pause that an engine at half its usual speed costs a
+// paced stream.
+const slowStreamShare = 0.25
+
+// ownStreamCost is what one of this router's own requests at an engine counts in the choice for
+// a paced stream.
+const ownStreamCost = 5 * time.Millisecond
+
+// choosePaced returns the engine for a paced stream among those at which they gather, or nil if
+// none is usable. It compares the two that come first for the session by rendezvous hashing,
+// which spreads the streams of all routers without a count by engine.
+func (v *view) choosePaced() *entry {
+	var first, second *entry
+	var firstWeight, secondWeight uint64
+	for _, e := range v.gathering {
+		if !v.usable(e) || v.slow(e) || v.degraded(e) {
+			continue
+		}
+		switch weight := mix(v.request.AffinityKey ^ xxhash.Sum64String(e.id)); {
+		case first == nil || weight > firstWeight:
+			second, secondWeight = first, firstWeight
+			first, firstWeight = e, weight
+		case second == nil || weight > secondWeight:
+			second, secondWeight = e, weight
+		}
+	}
+	if second != nil && v.pacedCost(second) < v.pacedCost(first) {
+		first = second
+	}
+	if first == nil || v.firstToken(first) > time.Duration(targetShare*float64(v.request.TargetLatency)) {
+		v.gathering = nil // there are more streams than was known
+		return nil
+	}
+	return first
+}
+
+func (v *view) pacedCost(e *entry) time.Duration {
+	slow := time.Duration((e.speed.load(v.now) - 1) * slowStreamShare * float64(v.request.PauseTarget))
+	return v.firstToken(e) + time.Duration(e.inFlight.Load())*ownStreamCost + slow
+}
+
+// gathers reports whether paced streams gather at an engine, so that other prompts avoid it.
+func (v *view) gathers(e *entry) bool { return slices.Contains(v.gathering, e) }
--- a/routing/policy.go
+++ b/routing/policy.go
@@ -45,10 +45,17 @@
 	// that likely caches the session's shared prefix.
 	prefillCost *prefillCostModel
 	cachedAt    string
+	// holder is the upstream from which fetchable tokens of the prefix may be fetched, fetch what
+	// is known of transfers.
+	holder    *entry
+	fetchable int64
+	fetch     *fetchModel
 	// ringUpstream is the first usable upstream on the ring for the affinity key.
 	ringUpstream *entry
-	table        *Table
-	random       *random
+	// gathering are the engines at which paced streams gather.
+	gathering []*entry
+	table     *Table
+	random    *random
 	// borrow allows upstreams at which only other routers' parts may have room.
 	borrow bool
 }
--- a/routing/prefill.go
+++ b/routing/prefill.go
@@ -6,6 +6,10 @@
 type queuedPrefill struct {
 	prompt *pendingPrompt
 	tokens int64 // to prefill
+	// fetch is the expected time of the fetch of the shared prefix, reading that of reading it;
+	// both are 0 without a fetch.
+	fetch, reading time.Duration
+	paced          bool // the request is a paced stream
 }
 
 // uncachedTokens returns the number of the request's prompt tokens that an upstream has to
@@ -14,6 +18,8 @@
 	tokens := v.request.PromptTokens
 	if v.hasSharedPrefix(e) {
 		tokens -= v.request.SharedTokens
+	} else if _, fetches := v.fetchTime(e); fetches {
+		tokens -= v.fetchable
 	}
 	return max(tokens, 0)
 }
@@ -38,13 +44,18 @@
 // firstToken returns the predicted time to the request's first token at an upstream.
 func (v *view) firstToken(e *entry) time.Duration {
 	queueWait, factor := e.backlog.wait(v.now)
-	return queueWait + time.Duration(factor*float64(v.prefillCost.prefillTime(v.uncachedTokens(e))))
+	prefill := time.Duration(factor * float64(v.prefillCost.prefillTime(v.uncachedTokens(e))))
+	fetch, fetches := v.fetchTime(e)
+	if !fetches {
+		fetch = 0
+	}
+	return queueWait + fetch + prefill
 }
 
 // affinityUpstream returns the session's affinity upstream: the one that caches its shared
 // prefix, else the first on the ring.
 func (v *view) affinityUpstream(first *entry) *entry {
-	if e := v.set.entries[v.cachedAt]; e != nil && e.serves(v.request.Target) && v.usable(e) {
+	if e := v.set.entries[v.cachedAt]; e != nil && e.serves(v.request.Target) && v.usable(e) && !v.gathers(e) {
 		return e
 	}
 	return first
@@ -74,6 +85,11 @@
 // queued there, or arrives while there is a queue, waits for that prefill.
 func (v *view) moveCost(earliest time.Duration) time.Duration {
 	prefix := v.prefillCost.prefillTime(v.request.SharedTokens)
+	if v.holder != nil && v.fetchable == v.request.SharedTokens {
+		if fetch, possible := v.fetch.time(v.request.SharedTokens, true); possible {
+			prefix = min(prefix, fetch)
+		}
+	}
 	typical := max(v.prefillCost.prefillTime(v.request.PromptTokens), time.Millisecond)
 	queued := float64(max(0, earliest-typical)) / float64(typical)
 	return time.Duration(evictionFactor * (1 + queued) * float64(prefix))
@@ -90,12 +106,18 @@
 	}
 	tokens := v.uncachedTokens(e)
 	prefill := v.prefillCost.prefillTime(tokens)
-	prompt := e.backlog.add(v.now, prefill, v.prefillCost.baseTime())
-	if v.announcesSharedPrefix() {
-		v.table.sessions.record(v.request.AffinityKey, e.id, v.now)
+	queued := &queuedPrefill{tokens: tokens, paced: v.paced()}
+	if fetch, fetches := v.fetchTime(e); fetches {
+		queued.fetch, queued.reading = fetch, v.prefillCost.prefillTime(v.fetchable)
+	}
+	queued.prompt = e.backlog.add(v.now, prefill+queued.fetch, v.prefillCost.baseTime())
+	v.recordParts(e)
+	streams := v.table.streamsOf(v.request.Target)
+	if queued.paced {
+		streams.addOwn(1)
 	}
 	if notify := v.table.onDispatch.Load(); notify != nil && prefill >= minNoticePrefill {
-		(*notify)(DispatchNotice{Upstream: e.id, Session: v.request.AffinityKey, Tokens: tokens}, prefill)
+		(*notify)(DispatchNotice{Upstream: e.id, Session: v.request.AffinityKey, Tokens: tokens, Streams: streams.ownStreams()}, prefill)
 	}
-	return &queuedPrefill{prompt: prompt, tokens: tokens}
+	return queued
 }
--- a/routing/router.go
+++ b/routing/router.go
@@ -104,6 +104,8 @@
 	if request.AffinityKey != 0 {
 		v.prefillCost = r.table.prefillCostOf(request.Target)
 		v.cachedAt = r.table.sessions.find(request.AffinityKey, v.now)
+		v.fetch = r.table.fetchModelOf(request.Target)
+		v.findHolder()
 	}
 	return v
 }
@@ -231,7 +233,11 @@
 	e.begin(v.now, v.request.Priority, v.estimate.own)
 	v.pool.count(v.request.Priority, v.estimate.own)
 	if v.request.AffinityKey != 0 {
-		v.estimate.firstToken = v.firstToken(e)
+		v.estimate.firstToken = time.Duration(e.speed.load(v.now) * float64(v.firstToken(e)+v.prefillCost.typicalRest()))
+	}
+	fetchFrom := ""
+	if _, fetches := v.fetchTimeOf(e); fetches {
+		fetchFrom = v.holder.address
 	}
 	queued := v.queue(e)
 	r.explain.Add(&Record{
@@ -241,6 +247,6 @@
 	return &Choice{
 		UpstreamID: e.id, Address: e.address, Expected: v.estimate.firstToken, Why: v.why,
 		table: r.table, entry: e, estimate: v.estimate, prefix: v.request.Prefix, Tokens: v.request.tokens(), priority: v.request.Priority,
-		pool: v.pool, prefill: queued, prefillCost: v.prefillCost,
+		pool: v.pool, prefill: queued, prefillCost: v.prefillCost, target: v.request.Target, FetchFrom: fetchFrom,
 	}
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -46,8 +46,13 @@
 	AffinityKey uint64
 	// SharedTokens is the length of these shared parts in tokens.
 	SharedTokens int64
+	// Shorter are the proper prefixes of these parts, shortest first, which other sessions may
+	// share.
+	Shorter []SharedPrefix
 	// TargetLatency is the acceptable time to a first token; 0 if unknown.
 	TargetLatency time.Duration
+	// PauseTarget is the longest acceptable pause between two events of a stream; 0 if unknown.
+	PauseTarget time.Duration
 	// PromptTokens is the expected length of the prompt in tokens.
 	PromptTokens int64
 	// MaxTokens is the maximum length of the response in tokens.
@@ -62,6 +67,12 @@
 	Eligible func(id string) bool
 }
 
+// SharedPrefix is a part of a prompt from its beginning.
+type SharedPrefix struct {
+	Key    uint64 // a hash of the parts
+	Tokens int64
+}
+
 // tokens returns the most that the request can take of an engine's memory.
 func (r *Request) tokens() int64 { return r.PromptTokens + r.MaxTokens }
 
--- a/routing/session.go
+++ b/routing/session.go
@@ -62,10 +62,16 @@
 	if v.request.AffinityKey == 0 {
 		return v.leastLoaded()
 	}
+	v.gatherStreams()
+	if v.paced() {
+		if e := v.choosePaced(); e != nil {
+			return e
+		}
+	}
 	var first, best *entry
 	var earliest time.Duration
-	for e := range v.walkRing(v.pool.rings[v.set.topology.region[v.from]]) {
-		if !v.usable(e) {
+	for e := range walkRing(v.pool.rings[v.set.topology.region[v.from]], mix(v.request.AffinityKey), maxRingSteps) {
+		if !v.usable(e) || v.gathers(e) {
 			continue
 		}
 		if first == nil {
@@ -87,27 +93,25 @@
 	return best
 }
 
-// walkRing yields the upstreams of a ring, each once, beginning at the affinity key.
-func (v *view) walkRing(ring []ringPoint) func(yield func(*entry) bool) {
+// walkRing yields up to most upstreams of a ring, each once, beginning at a key.
+func walkRing(ring []ringPoint, key uint64, most int) func(yield func(*entry) bool) {
 	return func(yield func(*entry) bool) {
 		if len(ring) == 0 {
 			return
 		}
-		at, _ := slices.BinarySearchFunc(ring, mix(v.request.AffinityKey), func(p ringPoint, key uint64) int {
+		at, _ := slices.BinarySearchFunc(ring, key, func(p ringPoint, key uint64) int {
 			return cmp.Compare(p.at, key)
 		})
-		var seen [maxRingSteps]*entry
-		n := 0
+		seen := make([]*entry, 0, maxRingSteps)
 		for i := range ring {
 			e := ring[(at+i)%len(ring)].entry
-			if slices.Contains(seen[:n], e) {
+			if slices.Contains(seen, e) {
 				continue
 			}
-			if n == maxRingSteps || !yield(e) {
+			if len(seen) == most || !yield(e) {
 				return
 			}
-			seen[n] = e
-			n++
+			seen = append(seen, e)
 		}
 	}
 }
--- a/routing/table.go
+++ b/routing/table.go
@@ -28,7 +28,10 @@
 	onDispatch atomic.Pointer[func(DispatchNotice, time.Duration)]
 	// onReplaced is called for upstreams that other routers should not try.
 	onReplaced   atomic.Pointer[func(id string)]
+	onSlow       atomic.Pointer[func(SpeedNotice)]
 	prefillCosts sync.Map // of *prefillCostModel, by Target
+	streamCounts sync.Map // of *streamCount, by Target
+	fetchModels  sync.Map // of *fetchModel, by Target
 	sessions     sessionIndex
 }
 
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -10,6 +10,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"time"
 )
 
 // Kind is a kind of traffic: whom the bytes are exchanged with.
@@ -38,8 +39,38 @@
 type Meter struct {
 	by        [kinds]counter
 	callStats callStats
+	answers   AnswerDelay
+	// TableCalls counts calls to the table by call and segment.
+	TableCalls Causes
+	// link is whether the VM's link is full, once SetLink has told.
+	link atomic.Pointer[Saturation]
 }
 
+// SetLink tells who decides whether the VM's link is full.
+func (m *Meter) SetLink(s *Saturation) {
+	if m != nil {
+		m.link.Store(s)
+	}
+}
+
+// Link returns who decides whether the VM's link is full, or nil.
+func (m *Meter) Link() *Saturation {
+	if m == nil {
+		return nil
+	}
+	return m.link.Load()
+}
+
+// RecordAnswer records how long a short call took until its answer, or until it was given up.
+func (m *Meter) RecordAnswer(took time.Duration) {
+	if m != nil {
+		m.answers.Record(time.Now(), took)
+	}
+}
+
+// AnswerDelay returns the least time that recent short calls took.
+func (m *Meter) AnswerDelay() time.Duration { return m.answers.Estimate(time.Now()) }
+
 // counter holds the counts of one kind since the start.
 type counter struct{ in, out, opened atomic.Int64 }
 
