--- a/edge/caller_link.go
+++ b/edge/caller_link.go
@@ -105,22 +105,25 @@
 	l.outgoing.SetUnpaced(float64(all.Out-carried[traffic.Upstreams].Out) / elapsed.Seconds())
 }
 
-// writeMetrics writes the counters of a full link.
+// writeMetrics writes the counters of a full link; zeros if its rate is not known.
 func (l *callerLink) writeMetrics(w io.Writer) {
 	if l == nil {
-		return
+		l = &callerLink{}
 	}
 	full := 0
 	if l.saturated() {
 		full = 1
 	}
-	fmt.Fprintf(w, "link_full %d\nlink_answer_delay_seconds %g\nlink_refused_total %d\nlink_returns_total %d\n",
+	fmt.Fprintf(w, "link_full_open %d\nlink_answer_delay_seconds %g\nlink_refused_total %d\nlink_returns_total %d\n",
 		full, l.state.AnswerDelay().Seconds(), l.refused.Load(), l.scheduled.Load())
 	for direction, pacer := range map[string]*traffic.Pacer{"in": l.incoming, "out": l.outgoing} {
 		s := pacer.Stats()
-		fmt.Fprintf(w, "link_transfers_waiting{direction=%q} %d\nlink_transfers_late_total{direction=%q} %d\n", direction, s.Waiting, direction, s.Late)
+		fmt.Fprintf(w, "link_transfers_waiting_count{direction=%q} %d\nlink_transfers_late_total{direction=%q} %d\n", direction, s.Waiting, direction, s.Late)
+		fmt.Fprintf(w, "link_transfers_total{direction=%q,class=\"0\"} %d\n", direction, s.Passed[0])
 		for class, n := range s.Passed {
-			fmt.Fprintf(w, "link_transfers_total{direction=%q,class=\"%d\"} %d\n", direction, class, n)
+			if class != 0 {
+				fmt.Fprintf(w, "link_transfers_total{direction=%q,class=\"%d\"} %d\n", direction, class, n)
+			}
 		}
 	}
 }
--- a/edge/link.go
+++ b/edge/link.go
@@ -53,7 +53,7 @@
 			lastLogged = current
 		}
 		if sample%samplesPerCallsLine == 0 {
-			now := meter.TableCalls.Counts()
+			now := meter.CallCounts()
 			klog.Infof("step=table_calls seconds=%g%s", (samplesPerCallsLine * linkInterval).Seconds(), traffic.CausesLine(now, calls))
 			calls = now
 		}
--- a/edge/process_metrics.go
+++ b/edge/process_metrics.go
@@ -45,7 +45,7 @@
 	fmt.Fprintf(w, "processor_delay_seconds %g\noverload_refused_total %d\nbuffered_bytes_count %d\n", p.delay.Delay().Seconds(), p.delay.Refused.Load(), p.buffers.Kept())
 	p.callerLink.writeMetrics(w)
 	p.writePlacement(w)
-	writeCounters(w, "table_calls_total", "call=%q", p.adapter.Traffic.TableCalls.Counts())
+	writeCounters(w, "table_calls_total", "call=%q", p.adapter.Traffic.CallCounts())
 	writeTraffic(w, p.adapter.Traffic.Read(), p.gate.Open())
 	if c := p.catalogue.Load(); c != nil {
 		fmt.Fprintf(w, "configuration_version %d\n", c.Version)
--- a/traffic/causes.go
+++ b/traffic/causes.go
@@ -15,14 +15,14 @@
 	calls map[string]int64
 }
 
-// Add counts one call.
-func (c *Causes) Add(cause string) {
+// Add counts calls; 0 makes a cause appear that has none yet.
+func (c *Causes) Add(cause string, calls int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.calls == nil {
 		c.calls = map[string]int64{}
 	}
-	c.calls[cause]++
+	c.calls[cause] += calls
 }
 
 // Counts returns the calls since the start by cause.
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -93,6 +93,14 @@
 // Snapshot holds the counts of each kind.
 type Snapshot [kinds]Count
 
+// CallCounts returns the calls to the table by call and segment.
+func (m *Meter) CallCounts() map[string]int64 {
+	if m == nil {
+		return nil
+	}
+	return m.TableCalls.Counts()
+}
+
 // Read returns the current counts.
 func (m *Meter) Read() Snapshot {
 	var r Snapshot
