--- a/routing/bench_test.go
+++ b/routing/bench_test.go
@@ -119,3 +119,25 @@
 		r.Limit(model)
 	}
 }
+
+// BenchmarkPickBesideStreams is the choice for a long prompt while paced streams gather.
+func BenchmarkPickBesideStreams(b *testing.B) {
+	for _, upstreams := range []int{60, 600, 6000} {
+		b.Run(fmt.Sprint(upstreams), func(b *testing.B) {
+			r := sessionRouter(b, upstreams)
+			for i := range uint64(upstreams) {
+				if _, err := r.Pick(pacedStream(i + 1)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				c, err := r.Pick(prompt(uint64(i%1000) + 1))
+				if err != nil {
+					b.Fatal(err)
+				}
+				c.Done(Outcome{Kind: OutcomeOK, FirstToken: time.Millisecond, Total: time.Millisecond})
+			}
+		})
+	}
+}
--- a/routing/session_test.go
+++ b/routing/session_test.go
@@ -11,7 +11,7 @@
 	"buckthornridge/config"
 )
 
-func sessionRouter(t *testing.T, upstreams int) *Router {
+func sessionRouter(t testing.TB, upstreams int) *Router {
 	t.Helper()
 	table := NewTable()
 	all := map[string]config.Upstream{}
