routing: streams gather only where they pause; where a prompt goes does not follow what it may fetch

Change: one in twenty of the fleet's streams must have paused for too long, engines need 32 slots; the fetch is asked for at the engine that the request goes to anyway. Tests: TestStreamsGatherWhereTheyPause failed without it.

--- a/routing/choice.go
+++ b/routing/choice.go
@@ -30,6 +30,8 @@
 	priority       int
 	pool           *pool
 	target         Target
+	pauseTarget    time.Duration
+	paused         atomic.Bool // a pause was longer than that
 	prefill        *queuedPrefill
 	prefillCost    *prefillCostModel
 	firstTokenSeen atomic.Bool
@@ -122,7 +124,11 @@
 		}
 	}
 	if c.prefill != nil && c.prefill.paced {
-		c.table.streamsOf(c.target).addOwn(-1)
+		streams := c.table.streamsOf(c.target)
+		streams.addOwn(-1)
+		if outcome.Kind == OutcomeOK {
+			streams.finish(c.paused.Load(), now)
+		}
 	}
 	if c.Borrowed {
 		c.entry.returnBorrowed(now, outcome.Kind)
--- a/routing/dispatch_notice.go
+++ b/routing/dispatch_notice.go
@@ -12,8 +12,8 @@
 	Session uint64 `msgpack:"s"`
 	// Tokens is the number of tokens to prefill, without cached ones.
 	Tokens int64 `msgpack:"t"`
-	// Streams is how many paced streams of the engine's service the router runs.
-	Streams int64 `msgpack:"y,omitempty"`
+	// StreamReport is of the router's paced streams of the engine's service.
+	StreamReport `msgpack:",inline"`
 	// Router is who sent the notice; the receiver sets it.
 	Router string `msgpack:"-"`
 }
@@ -35,7 +35,7 @@
 	}
 	now, target := t.now(), Target{Service: e.service}
 	e.backlog.addRemote(now, t.prefillCostOf(target).prefillTime(p.Tokens))
-	t.streamsOf(target).learn(p.Router, p.Streams, now)
+	t.streamsOf(target).learn(p.Router, p.StreamReport, now)
 	t.sessions.record(p.Session, p.Upstream, now)
 }
 
--- a/routing/paced.go
+++ b/routing/paced.go
@@ -13,8 +13,8 @@
 
 // A paced stream has many events, and its caller notices a pause between any two of them. An
 // engine reads prompts between the tokens of what it generates: while it reads a long prompt,
-// all streams there pause again and again. Where a pool has enough engines, paced streams
-// therefore gather at a few of them and other prompts keep away from those. How many follows
+// all streams there pause again and again. Where a pool has enough engines, and too many streams
+// pause for too long, paced streams gather at a few of them and other prompts keep away from those. How many follows
 // from the streams that run in the whole fleet, of which routers tell each other; which ones,
 // from an order that all routers share.
 
@@ -23,6 +23,16 @@
 	// separationEngines is the smallest pool in which paced streams gather. In a smaller one a
 	// whole engine is too much for them.
 	separationEngines = 24
+	// leastGatheredSlots is the fewest slots of an engine at which streams gather: one with fewer
+	// holds too few of them to be kept free of prompts.
+	leastGatheredSlots = 32
+	// neededShare is the part of the fleet's streams that must have paused for too long before
+	// streams gather; pauseWindow is the time over which it is taken, leastEnded the fewest streams
+	// that tell it. Streams gather until neededTTL has passed without such a moment.
+	neededShare = 0.05
+	pauseWindow = 10 * time.Second
+	leastEnded  = 10
+	neededTTL   = time.Minute
 	// pacedRatio is the least part of its prompt, as a divisor, that a paced stream generates
 	// at most: others end before a pause becomes likely.
 	pacedRatio = 8
@@ -46,6 +56,12 @@
 	others  map[string]routerStreams // by router
 	highest float64                  // decaying
 	at      time.Duration
+	// ended and paused are how many of this router's streams have ended recently, and how many of
+	// them had paused for too long. neededAt is when so many of the fleet's had that streams gather;
+	// 0 for never.
+	ended, paused float64
+	endedAt       time.Duration
+	neededAt      time.Duration
 
 	gathered atomic.Pointer[gathered]
 }
@@ -72,8 +88,17 @@
 }
 
 type routerStreams struct {
-	streams int64
-	at      time.Duration
+	StreamReport
+	at time.Duration
+}
+
+// StreamReport is what a router tells of its paced streams.
+type StreamReport struct {
+	Running int64 `msgpack:"y,omitempty"`
+	// Ended and Paused count those that have ended recently, decaying, and those of them that had
+	// paused for too long.
+	Ended  float32 `msgpack:"e,omitempty"`
+	Paused float32 `msgpack:"z,omitempty"`
 }
 
 // maxCountedRouters bounds the routers whose counts are kept.
@@ -85,24 +110,60 @@
 	c.own += n
 }
 
-func (c *streamCount) ownStreams() int64 {
+// finish counts a stream that has ended.
+func (c *streamCount) finish(paused bool, now time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decay(now)
+	c.ended++
+	if paused {
+		c.paused++
+	}
+}
+
+func (c *streamCount) decay(now time.Duration) {
+	kept := math.Exp(-float64(now-c.endedAt) / float64(pauseWindow))
+	c.ended, c.paused, c.endedAt = kept*c.ended, kept*c.paused, now
+}
+
+// report returns what other routers are told.
+func (c *streamCount) report(now time.Duration) StreamReport {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.own
+	c.decay(now)
+	return StreamReport{Running: c.own, Ended: float32(c.ended), Paused: float32(c.paused)}
 }
 
-// learn takes over another router's count.
-func (c *streamCount) learn(router string, streams int64, now time.Duration) {
+// learn takes over another router's report. Numbers that can't be are left out.
+func (c *streamCount) learn(router string, r StreamReport, now time.Duration) {
+	if r.Running < 0 || !(r.Paused >= 0 && r.Paused <= r.Ended) {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.others == nil || len(c.others) >= maxCountedRouters {
 		c.others = map[string]routerStreams{}
 	}
-	c.others[router] = routerStreams{max(streams, 0), now}
+	c.others[router] = routerStreams{r, now}
+}
+
+// needed reports whether so many of the fleet's streams pause that they should gather. The caller
+// holds c.mu.
+func (c *streamCount) needed(now time.Duration) bool {
+	c.decay(now)
+	ended, paused := c.ended, c.paused
+	for _, r := range c.others {
+		ended, paused = ended+float64(r.Ended), paused+float64(r.Paused)
+	}
+	if ended >= leastEnded && paused >= neededShare*ended {
+		c.neededAt = max(now, 1)
+	}
+	return c.neededAt > 0 && now-c.neededAt < neededTTL
 }
 
-// fleet returns the number of streams in the fleet, recent higher counts included.
-func (c *streamCount) fleet(now time.Duration) float64 {
+// fleet returns the number of streams in the fleet, recent higher counts included, and whether they
+// should gather.
+func (c *streamCount) fleet(now time.Duration) (streams float64, gather bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	sum := c.own
@@ -111,11 +172,11 @@
 			delete(c.others, router)
 			continue
 		}
-		sum += r.streams
+		sum += r.Running
 	}
 	kept := c.highest * math.Exp(-float64(now-c.at)/float64(countMemory))
 	c.highest, c.at = max(float64(sum), kept), now
-	return c.highest
+	return c.highest, c.needed(now)
 }
 
 // streamsOf returns the count of a target's paced streams.
@@ -140,7 +201,10 @@
 		return
 	}
 	count := v.table.streamsOf(v.request.Target)
-	streams := count.fleet(v.now)
+	streams, gather := count.fleet(v.now)
+	if !gather {
+		return
+	}
 	if v.paced() {
 		streams = max(streams, 1)
 	}
@@ -172,7 +236,7 @@
 			continue
 		}
 		seen[e] = true
-		if e.takesWork() && !e.health.ejected() && !v.stalled(e) {
+		if e.slots >= leastGatheredSlots && e.takesWork() && !e.health.ejected() && !v.stalled(e) {
 			gathering = append(gathering, e)
 			streams -= gatheredShare * float64(e.slots)
 		}
@@ -188,7 +252,11 @@
 		return 0
 	}
 	v := &view{request: &Request{Target: target}, set: s, pool: pool, table: t, now: t.now()}
-	return len(v.gatheringFor(t.streamsOf(target).fleet(v.now)))
+	streams, gather := t.streamsOf(target).fleet(v.now)
+	if !gather {
+		return 0
+	}
+	return len(v.gatheringFor(streams))
 }
 
 // slowStreamShare is the part of the acceptable pause that an engine at half its usual speed costs a
--- a/routing/prefill.go
+++ b/routing/prefill.go
@@ -18,8 +18,6 @@
 	tokens := v.request.PromptTokens
 	if v.hasSharedPrefix(e) {
 		tokens -= v.request.SharedTokens
-	} else if _, fetches := v.fetchTime(e); fetches {
-		tokens -= v.fetchable
 	}
 	return max(tokens, 0)
 }
@@ -44,12 +42,7 @@
 // firstToken returns the predicted time to the request's first token at an upstream.
 func (v *view) firstToken(e *entry) time.Duration {
 	queueWait, factor := e.backlog.wait(v.now)
-	prefill := time.Duration(factor * float64(v.prefillCost.prefillTime(v.uncachedTokens(e))))
-	fetch, fetches := v.fetchTime(e)
-	if !fetches {
-		fetch = 0
-	}
-	return queueWait + fetch + prefill
+	return queueWait + time.Duration(factor*float64(v.prefillCost.prefillTime(v.uncachedTokens(e))))
 }
 
 // affinityUpstream returns the session's affinity upstream: the one that caches its shared
@@ -85,11 +78,6 @@
 // queued there, or arrives while there is a queue, waits for that prefill.
 func (v *view) moveCost(earliest time.Duration) time.Duration {
 	prefix := v.prefillCost.prefillTime(v.request.SharedTokens)
-	if v.holder != nil && v.fetchable == v.request.SharedTokens {
-		if fetch, possible := v.fetch.time(v.request.SharedTokens, true); possible {
-			prefix = min(prefix, fetch)
-		}
-	}
 	typical := max(v.prefillCost.prefillTime(v.request.PromptTokens), time.Millisecond)
 	queued := float64(max(0, earliest-typical)) / float64(typical)
 	return time.Duration(evictionFactor * (1 + queued) * float64(prefix))
@@ -105,11 +93,13 @@
 		return nil
 	}
 	tokens := v.uncachedTokens(e)
-	prefill := v.prefillCost.prefillTime(tokens)
-	queued := &queuedPrefill{tokens: tokens, paced: v.paced()}
+	queued := &queuedPrefill{paced: v.paced()}
 	if fetch, fetches := v.fetchTime(e); fetches {
+		tokens = max(tokens-v.fetchable, 0)
 		queued.fetch, queued.reading = fetch, v.prefillCost.prefillTime(v.fetchable)
 	}
+	queued.tokens = tokens
+	prefill := v.prefillCost.prefillTime(tokens)
 	queued.prompt = e.backlog.add(v.now, prefill+queued.fetch, v.prefillCost.baseTime())
 	v.recordParts(e)
 	streams := v.table.streamsOf(v.request.Target)
@@ -117,7 +107,7 @@
 		streams.addOwn(1)
 	}
 	if notify := v.table.onDispatch.Load(); notify != nil && prefill >= minNoticePrefill {
-		(*notify)(DispatchNotice{Upstream: e.id, Session: v.request.AffinityKey, Tokens: tokens, Streams: streams.ownStreams()}, prefill)
+		(*notify)(DispatchNotice{Upstream: e.id, Session: v.request.AffinityKey, Tokens: tokens, StreamReport: streams.report(v.now)}, prefill)
 	}
 	return queued
 }
--- a/routing/present_speed.go
+++ b/routing/present_speed.go
@@ -92,6 +92,9 @@
 	if c.prefillCost == nil || gap <= 0 {
 		return
 	}
+	if c.pauseTarget > 0 && gap > c.pauseTarget {
+		c.paused.Store(true)
+	}
 	now := c.table.now()
 	if wait, _ := c.entry.backlog.wait(now - gap); wait > 0 {
 		return // a prompt that was read in between explains the gap
--- a/routing/router.go
+++ b/routing/router.go
@@ -247,6 +247,6 @@
 	return &Choice{
 		UpstreamID: e.id, Address: e.address, Expected: v.estimate.firstToken, Why: v.why,
 		table: r.table, entry: e, estimate: v.estimate, prefix: v.request.Prefix, Tokens: v.request.tokens(), priority: v.request.Priority,
-		pool: v.pool, prefill: queued, prefillCost: v.prefillCost, target: v.request.Target, FetchFrom: fetchFrom,
+		pool: v.pool, prefill: queued, prefillCost: v.prefillCost, target: v.request.Target, pauseTarget: v.request.PauseTarget, FetchFrom: fetchFrom,
 	}
 }
