edge: bodies to upstreams wait for turns only while the link is full

Cause, by reading: the pacer of outgoing bodies was in force on links with room; a long prompt used up its credit, and a small body of a less urgent class waited for it. Change: no turns before the link is full. TestLinkWithRoom failed without it.

--- a/edge/caller_link.go
+++ b/edge/caller_link.go
@@ -50,9 +50,10 @@
 	return l.state.AnswerDelay()
 }
 
-// outgoingPacer returns the pacer of bodies to upstreams, or nil.
+// outgoingPacer returns the pacer of bodies to upstreams, or nil while the link has room: then
+// small bodies would only wait for long ones.
 func (l *callerLink) outgoingPacer() *traffic.Pacer {
-	if l == nil {
+	if !l.saturated() {
 		return nil
 	}
 	return l.outgoing
--- a/edge/caller_link_test.go
+++ b/edge/caller_link_test.go
@@ -92,6 +92,8 @@
 	l := newCallerLink(8)
 	l.observe(time.Now(), traffic.Snapshot{}, time.Second, 0.4, 3*time.Millisecond)
 	is.True(!l.saturated() && !l.held() && l.answerDelay() == 0)
+	is.True(l.outgoingPacer() == nil) // no body waits for another one
+	is.True(fullLink(time.Second).outgoingPacer() != nil)
 }
 
 // Guards against a configuration that stays out of force because the feed has stalled: a poll
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -198,7 +198,7 @@
 	served := &relay.Relay{
 		Catalogue: &p.catalogue, Budgets: budgets{p.manager}, Picker: picker, Fleet: p.fleet,
 		Sender: pathSender{
-			direct:  sender{pool: p.pool, protocol: p.adapter.Protocol, tracker: p.paths, identity: p.fleet.identity, fleet: p.fleet, outgoing: p.callerLink.outgoingPacer()},
+			direct:  sender{pool: p.pool, protocol: p.adapter.Protocol, tracker: p.paths, identity: p.fleet.identity, fleet: p.fleet, link: p.callerLink},
 			tracker: p.paths, forward: p.forward,
 		},
 		RetryBudget: relay.NewRetryBudget(relay.RetryPolicy{
--- a/edge/ports.go
+++ b/edge/ports.go
@@ -53,7 +53,7 @@
 	tracker  *reach.Tracker
 	identity *identities
 	fleet    *fleet
-	outgoing *traffic.Pacer // of request bodies to upstreams
+	link     *callerLink
 }
 
 // processEndTimeout bounds the connection that shows whether an upstream's process has
@@ -123,7 +123,7 @@
 
 // awaitTurn waits until the VM's link has room for a request.
 func (s sender) awaitTurn(ctx context.Context, out relay.OutgoingRequest) error {
-	err := s.outgoing.Acquire(ctx, traffic.Transfer{
+	err := s.link.outgoingPacer().Acquire(ctx, traffic.Transfer{
 		Class: out.Priority, Flow: out.Workspace, Deadline: out.Deadline, Bytes: int64(len(out.Request.Body)),
 	})
 	if err != nil {
