relay, edge, explain: why a request was sent once more, and how its first run ended

What callers saw: one case of TWICE without logs. Cause of the blindness: a request line had the number of sends and the upstreams, not why a second send was made nor whether the first run had ended, so the hypotheses of docs/incidents/ran-twice.md looked alike. Change: each repeat is recorded with its cause and with what was known of the run before it, in the line, in repeats_total and in explain; a VM that sends for another one tells it by the code of its error. Conclusion: the hypotheses can be told apart in logs.

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -47,6 +47,15 @@
 	codeAbandoned = "abandoned"
 )
 
+// runEndCodes are the codes for an exchange with the upstream that failed: they say what is
+// known of the end of the run.
+var runEndCodes = map[string]upstream.RunEnd{
+	"run_unknown": upstream.RunUnknown, "run_ended": upstream.RunEnded, "run_cancelled": upstream.RunCancelled,
+}
+
+// runEndCode returns the code for a failed exchange.
+func runEndCode(err error) string { return "run_" + upstream.RunEndOf(err).String() }
+
 // forwardError is an error of methodForward.
 type forwardError struct {
 	code  string
@@ -216,7 +225,7 @@
 		case codeAbandoned:
 			err = errors.Join(upstream.ErrAbandoned, err)
 		}
-		return nil, upstream.WrapError("forward", address, kind, err)
+		return nil, upstream.WrapError("forward", address, kind, withRunEnd(err))
 	}
 	f.choice.Accepted(service, address, time.Now())
 	return r, nil
@@ -238,6 +247,20 @@
 	return upstream.ErrBroken, false
 }
 
+// withRunEnd adds to the error of a hop what is known of the end of the run. A peer that is
+// lost cancels the run, since it loses this VM too.
+func withRunEnd(err error) error {
+	var remote *peer.RemoteError
+	if !errors.As(err, &remote) {
+		return upstream.WithRunEnd(errors.Join(upstream.ErrRouterLost, err), upstream.RunCancelled)
+	}
+	end, said := runEndCodes[remote.Code]
+	if !said {
+		end = upstream.RunUnknown
+	}
+	return upstream.WithRunEnd(err, end)
+}
+
 // remoteCode returns the code of the error that a peer answered with; empty if it did not
 // answer.
 func remoteCode(err error) string {
@@ -324,7 +347,7 @@
 			return 0, io.EOF
 		}
 		if err != nil {
-			return 0, upstream.WrapError("read response", r.address, upstream.ErrBroken, err)
+			return 0, upstream.WrapError("read response", r.address, upstream.ErrBroken, withRunEnd(err))
 		}
 		r.rest = m.Body
 	}
--- a/edge/forward_server.go
+++ b/edge/forward_server.go
@@ -165,7 +165,7 @@
 	}
 	o.exchanged(err)
 	if err != nil {
-		return err
+		return &forwardError{runEndCode(err), err.Error()}
 	}
 	defer response.Close()
 	head := f.protocol.ReadHead(response.Status, response.Header)
@@ -189,7 +189,7 @@
 			return nil
 		}
 		if err != nil {
-			return err
+			return &forwardError{runEndCode(err), err.Error()}
 		}
 	}
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -24,6 +24,7 @@
 	mu                  sync.Mutex
 	outcomes            map[string]int64 // by outcome
 	routes              map[string]int64 // by route and outcome
+	repeats             map[string]int64 // by cause and what was known of the run before
 	firstByte           []int64
 	sends               int64
 	consumed            int64 // tokens
@@ -31,7 +32,7 @@
 }
 
 func newMetrics() *metrics {
-	return &metrics{outcomes: map[string]int64{}, routes: map[string]int64{}, firstByte: make([]int64, len(firstByteBounds)+1)}
+	return &metrics{outcomes: map[string]int64{}, routes: map[string]int64{}, repeats: map[string]int64{}, firstByte: make([]int64, len(firstByteBounds)+1)}
 }
 
 // RecordRequest implements relay.Recorder. It writes one log line and updates the
@@ -43,6 +44,9 @@
 	m.outcomes[d.Outcome]++
 	m.routes[fmt.Sprintf("route=%q,outcome=%q", d.Route, d.Outcome)]++
 	m.sends += int64(d.Sends)
+	for _, r := range d.Repeats {
+		m.repeats[fmt.Sprintf("cause=%q,before=%q", r.Cause, r.Before)]++
+	}
 	m.consumed += d.Consumed
 	if d.First > 0 {
 		m.firstByte[m.bucket(d.First)]++
@@ -51,9 +55,9 @@
 
 // RequestLogLine returns the log line of one request. explain.ParseRequest parses it.
 func RequestLogLine(d relay.RequestRecord) string {
-	return fmt.Sprintf("step=request id=%s caller=%s route=%s workspace=%s outcome=%s cause=%s status=%d sends=%d upstreams=%v versions=%q origin=%q via=%s "+
+	return fmt.Sprintf("step=request id=%s caller=%s route=%s workspace=%s outcome=%s cause=%s status=%d sends=%d repeats=%v upstreams=%v versions=%q origin=%q via=%s "+
 		"expected_ms=%d first_ms=%d total_ms=%d ceiling=%d consumed=%d detail=%q",
-		d.ID, d.Caller, d.Route, d.Workspace, d.Outcome, d.Cause, d.Status, d.Sends, d.Upstreams, d.Versions, d.Origin, d.Via,
+		d.ID, d.Caller, d.Route, d.Workspace, d.Outcome, d.Cause, d.Status, d.Sends, d.Repeats, d.Upstreams, d.Versions, d.Origin, d.Via,
 		d.Expected.Milliseconds(), d.First.Milliseconds(), d.Total.Milliseconds(), d.Ceiling, d.Consumed, d.Detail)
 }
 
@@ -72,6 +76,7 @@
 	defer m.mu.Unlock()
 	writeCounters(w, "requests_total", "outcome=%q", m.outcomes)
 	writeCounters(w, "route_requests_total", "%s", m.routes)
+	writeCounters(w, "repeats_total", "%s", m.repeats)
 	fmt.Fprintf(w, "sends_total %d\nconsumed_tokens_total %d\n", m.sends, m.consumed)
 	var below int64
 	for i, bound := range firstByteBounds {
--- a/explain/describe.go
+++ b/explain/describe.go
@@ -26,6 +26,13 @@
 	"failed":                          "an upstream may have executed the request and sent no complete response",
 	"broken_off":                      "the response stream ended before it was complete",
 	"caller_left":                     "the caller closed its connection",
+	"repeat_refused":                  "the upstream did not run it",
+	"repeat_failed":                   "the upstream answered with an error",
+	"repeat_closed":                   "the upstream closed or reset the connection",
+	"repeat_silent":                   "nothing came from the upstream any more",
+	"repeat_invalid":                  "the upstream's bytes were not the response to the request",
+	"repeat_too_large":                "the response exceeded a limit",
+	"repeat_router_lost":              "the VM that sent the request was lost",
 }
 
 func description(key string) string {
@@ -50,6 +57,10 @@
 	} else {
 		fmt.Fprintln(w, "  not sent to any upstream")
 	}
+	for _, repeat := range r.Repeats {
+		cause, before, _ := strings.Cut(repeat, ":")
+		fmt.Fprintf(w, "  sent once more%s; the run before: %s\n", description("repeat_"+cause), before)
+	}
 	if r.FirstByte > 0 {
 		fmt.Fprintf(w, "  first byte after %s, predicted %s after the last send\n", r.FirstByte, r.Expected)
 	}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -28,6 +28,8 @@
 	Cause     string
 	Status    int
 	Upstreams []string // in the order in which the request was sent to them
+	// Repeats says why the request was sent once more, each as relay.Repeat writes it.
+	Repeats []string
 	// Expected is the time from the last send to the first byte that routing predicted.
 	Expected time.Duration
 	// FirstByte is the time from arrival to the first byte of the response, Total that to
@@ -55,6 +57,7 @@
 	r.Outcome, r.Cause, r.Detail = fields["outcome"], fields["cause"], fields["detail"]
 	r.Status = int(parseInt(fields["status"]))
 	r.Upstreams = strings.Fields(strings.Trim(fields["upstreams"], "[]"))
+	r.Repeats = strings.Fields(strings.Trim(fields["repeats"], "[]"))
 	r.Expected, r.FirstByte, r.Total = parseMillis(fields["expected_ms"]), parseMillis(fields["first_ms"]), parseMillis(fields["total_ms"])
 	r.Reserved, r.Consumed = parseInt(fields["ceiling"]), parseInt(fields["consumed"])
 	return r, r.ID != "" || r.Outcome != ""
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -11,6 +11,7 @@
 	"buckthornridge/budget/allowance"
 	"buckthornridge/edge"
 	"buckthornridge/relay"
+	"buckthornridge/upstream"
 )
 
 func refusedRequest() relay.RequestRecord {
@@ -24,6 +25,7 @@
 func streamedRequest() relay.RequestRecord {
 	return relay.RequestRecord{
 		ID: "b1", Route: "drafts", Workspace: "studio", Outcome: "streamed", Status: 200, Sends: 2,
+		Repeats:   []relay.Repeat{{Cause: "silent", Before: upstream.RunCancelled}},
 		Upstreams: []string{"u1", "u2"}, Expected: 40 * time.Millisecond, First: 1200 * time.Millisecond,
 		Total: 2 * time.Second, Ceiling: 4500, Consumed: 4400,
 	}
@@ -40,8 +42,13 @@
 	for _, d := range []relay.RequestRecord{refusedRequest(), streamedRequest()} {
 		r, found := ParseRequest(logLine(d))
 		is.True(found)
+		repeats := []string{}
+		for _, repeat := range d.Repeats {
+			repeats = append(repeats, repeat.String())
+		}
 		is.Equal(r, RequestEntry{
-			Line: logLine(d), At: lineTime(logLine(d)), ID: d.ID, Route: d.Route, Workspace: d.Workspace, Outcome: d.Outcome, Cause: d.Cause,
+			Repeats: repeats,
+			Line:    logLine(d), At: lineTime(logLine(d)), ID: d.ID, Route: d.Route, Workspace: d.Workspace, Outcome: d.Outcome, Cause: d.Cause,
 			Status: d.Status, Upstreams: append([]string{}, d.Upstreams...), Expected: d.Expected, FirstByte: d.First,
 			Total: d.Total, Reserved: d.Ceiling, Consumed: d.Consumed, Detail: d.Detail,
 		})
@@ -71,6 +78,15 @@
 `)
 }
 
+// Guards against an explanation that does not say why a request was sent once more.
+func TestRequestEntryWritesRepeats(t *testing.T) {
+	is := is.New(t)
+	r, _ := ParseRequest(logLine(streamedRequest()))
+	var out strings.Builder
+	r.Write(&out)
+	is.True(strings.Contains(out.String(), "sent once more: nothing came from the upstream any more; the run before: cancelled"))
+}
+
 func TestRequestEntryWritesOutcomeAndCause(t *testing.T) {
 	is := is.New(t)
 	r, _ := ParseRequest(logLine(refusedRequest()))
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -121,7 +121,7 @@
 	t.reportBroken(ctx)
 	t.reportOutcome(brokenOutcome(ctx))
 	r.exclude(t.target.ID)
-	if r.mayRetry(ctx, true) {
+	if r.repeat(ctx, true, repeatAfter(err)) {
 		return false
 	}
 	r.giveUp(ctx, err.Error())
@@ -141,7 +141,7 @@
 		return t.handleBroken(ctx, upstream.ErrProtocol)
 	}
 	t.call.mayHaveRun = true
-	if head.Status >= http.StatusInternalServerError && t.call.mayRetry(ctx, true) {
+	if head.Status >= http.StatusInternalServerError && t.call.repeat(ctx, true, Repeat{repeatFailed, upstream.RunEnded}) {
 		t.reportOutcome(routing.OutcomeErrored)
 		t.call.exclude(t.target.ID)
 		return false
@@ -181,7 +181,7 @@
 	if !head.Misdirected {
 		r.noteRejected(t.target.ID)
 	}
-	if r.mayRetry(ctx, false) || r.waitForRetry(ctx) {
+	if r.repeat(ctx, false, refusedRepeat) || r.waitForRetry(ctx) {
 		return false
 	}
 	r.giveUp(ctx, "the upstream took no more work")
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -186,6 +186,9 @@
 	Upstreams []string
 	// Versions lists the software versions of Upstreams.
 	Versions []string
+	// Repeats says, for each time that the request was sent once more, why, and what was
+	// known of the run before.
+	Repeats []Repeat
 	// Origin is Request.Origin.
 	Origin string
 	// Via is the router through which the last response came; empty if it came directly.
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -146,7 +146,7 @@
 // and reports whether it does.
 func (r *call) waitForRetry(ctx context.Context) bool {
 	for r.waitForRoom(ctx) {
-		if r.mayRetry(ctx, false) {
+		if r.repeat(ctx, false, refusedRepeat) {
 			return true
 		}
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -102,7 +102,7 @@
 	t.reportBroken(ctx)
 	t.reportOutcome(brokenOutcome(ctx))
 	r.exclude(t.target.ID)
-	if r.mayRetry(ctx, true) {
+	if r.repeat(ctx, true, repeatAfter(err)) {
 		return false
 	}
 	r.giveUp(ctx, err.Error())
