upstream/exchange: a failed exchange resets its connection

Cause: Pool.Do ended a failed exchange with an ordinary close. The socket went on to deliver what it still held, and the upstream saw an orderly end of the sender's side, which is no sign that nobody waits; only cancelled exchanges and responses that were not read to their end were reset. Class: an end that only one side knows of. Evidence: TestFailedExchangeIsResetAtTheUpstream failed in 3 of 3 cases (the upstream read the request to an orderly end after the error had been returned). Change: the connection of a failed exchange is reset, also that of a question for the process that is cut short. After: 3 of 3 pass, 3 runs with the race detector.

--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -111,6 +111,7 @@
 	}
 	response, err := p.exchange(ctx, c, r)
 	if err != nil {
+		c.abort()
 		p.discard(c)
 		return nil, err
 	}
--- a/upstream/exchange/identify.go
+++ b/upstream/exchange/identify.go
@@ -87,7 +87,7 @@
 func (p *Pool) ask(ctx context.Context, c *conn, q *Identification) error {
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() { c.raw.Close() })
+	stop := context.AfterFunc(ctx, c.abort)
 	defer stop()
 	p.counters.Identified.Add(1)
 	question := &Request{Method: http.MethodGet, Target: q.Target, Host: c.address}
