peer, testnet: a caller that has fallen silent loses its calls before it gives them up

A VM without a path to the engines sends a stream through another VM; the hop between the two falls silent; the first VM gives it up after two seconds and sends the rest elsewhere, while the second VM, in touch with the engine, goes on with the first run. Cause: only the client's side of peer watched for silence; neither FIN nor RST gets through a cut. Class: a lease that only one side keeps. Why no test saw it: in testnet a close got through a silent cut. Change: the server's side counts checks without a frame while a call is awaited and ends the link after 1.25 to 1.5 s, before the caller's limit of 2 s less one ping interval; a link that failed is reset, so that a request which its socket still holds does not arrive once the path is back. testnet: a close does not get through a silent path, and what a socket held is delivered when the path is back unless the connection was reset. Conclusion: mended for the hop between VMs.

--- a/edge/cutenv_test.go
+++ b/edge/cutenv_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -46,6 +47,7 @@
 	// end of the cuts.
 	forwardedBefore []int64
 
+	spans    runLog
 	answers  atomic.Int64
 	flooded  atomic.Int64 // bytes written by /flood/
 	mu       sync.Mutex
@@ -65,13 +67,20 @@
 	id         string
 }
 
+func callerTimeout(path string) time.Duration {
+	if path == "/long/" {
+		return longTimeout
+	}
+	return requestTimeout
+}
+
 func testProtocol() Protocol {
 	return Protocol{
 		ReadRequest: func(r *http.Request) (*relay.Request, *relay.Problem) {
 			id := r.Header.Get("Id")
 			return &relay.Request{
 				ID: id, Host: r.Host, Authority: r.Host, Method: r.Method, Target: r.URL.Path, Path: r.URL.Path,
-				Header: http.Header{"Id": {id}}, Arrived: time.Now(), CallerTimeout: requestTimeout,
+				Header: http.Header{"Id": {id}}, Arrived: time.Now(), CallerTimeout: callerTimeout(r.URL.Path),
 				LastEventID: r.Header.Get("Last-Event-Id"), Origin: r.Header.Get("Origin"),
 			}, nil
 		},
@@ -189,9 +198,10 @@
 		{Name: "read", Prefix: "/read/", Kind: relay.Idempotent, Attempts: 2, Services: []relay.WeightedService{{Service: "orders", Weight: 1}}},
 		{Name: "endless", Prefix: "/endless/", Kind: relay.Idempotent, Attempts: 1, Services: []relay.WeightedService{{Service: "orders", Weight: 1}}},
 		{Name: "stream", Prefix: "/stream/", Kind: relay.Stream, Attempts: 1, Services: []relay.WeightedService{{Service: "engine", Weight: 1}}},
+		{Name: "long", Prefix: "/long/", Kind: relay.Resumable, Attempts: 3, Timeout: longTimeout, Services: []relay.WeightedService{{Service: "engine", Weight: 1}}},
 		{Name: "resume", Prefix: "/resume/", Kind: relay.Resumable, Attempts: 2, Services: []relay.WeightedService{{Service: "engine", Weight: 1}}},
 	} {
-		r.Host, r.Public, r.Timeout, r.TargetLatency = "h", true, 5*time.Second, 100*time.Millisecond
+		r.Host, r.Public, r.Timeout, r.TargetLatency = "h", true, cmp.Or(r.Timeout, 5*time.Second), 100*time.Millisecond
 		d.Routes = append(d.Routes, r)
 	}
 	p.activate(relay.NewCatalogue(d))
@@ -235,6 +245,10 @@
 		}
 		return
 	}
+	if r.URL.Path == "/long/" {
+		e.serveLong(w, r, id)
+		return
+	}
 	if r.URL.Path == "/endless/" {
 		<-r.Context().Done()
 		e.mu.Lock()
--- a/peer/link.go
+++ b/peer/link.go
@@ -2,11 +2,16 @@
 
 import (
 	"bufio"
+	"crypto/tls"
+	"errors"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	"buckthornridge/traffic"
 )
 
 const (
@@ -58,10 +63,27 @@
 	l.once.Do(func() {
 		l.err = reason
 		close(l.done)
+		if !errors.Is(reason, errClosed) {
+			l.dropUnsent()
+		}
 		l.conn.Close()
 	})
 }
 
+// dropUnsent makes closing the connection drop what its socket still holds. After an ordinary
+// close a request would reach the peer once the path is back, when it has been given up.
+func (l *link) dropUnsent() {
+	conn := traffic.Unwrapped(l.conn)
+	if secured, ok := conn.(*tls.Conn); ok {
+		conn = traffic.Unwrapped(secured.NetConn())
+	}
+	if lingering, ok := conn.(interface{ SetLinger(sec int) error }); ok {
+		if err := lingering.SetLinger(0); err != nil {
+			klog.V(1).Infof("step=close_link peer=%s err=%q", l.conn.RemoteAddr(), err.Error())
+		}
+	}
+}
+
 // writeLoop writes queued frames and flushes when the queue is empty, so that
 // frames that are queued at the same time share one system call.
 func (l *link) writeLoop() {
--- a/peer/server.go
+++ b/peer/server.go
@@ -9,8 +9,22 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
 )
 
+const (
+	// silenceChecks is how many times in a row, silenceCheck apart, a caller with calls in
+	// progress may have sent nothing, not even a ping, before its calls are cancelled. Callers
+	// give up a silent peer later (silenceLimit), so that what runs here for one of them has
+	// ended before it is sent elsewhere. Checks are counted, not time: frames that
+	// arrived while this process was paused are read before the next check.
+	silenceChecks = 5
+	silenceCheck  = 250 * time.Millisecond
+)
+
+// errCallerSilent ends a link whose caller has fallen silent.
+var errCallerSilent = eris.Errorf("received nothing for %s", silenceChecks*silenceCheck)
+
 // Window is how many streamed messages a handler may send before its caller
 // consumes them.
 const Window = 128
@@ -115,12 +129,17 @@
 
 	mu    sync.Mutex
 	calls map[uint64]*serverCall
+	quiet int // checks since the last frame
+	// watching says that the next check is due.
+	watching bool
 }
 
 // serverCall is one running handler.
 type serverCall struct {
-	cancel context.CancelFunc
-	credit chan int64 // messages added to the window; credits are merged
+	// awaited says that the caller waits for the reply, and so sends pings.
+	awaited bool
+	cancel  context.CancelFunc
+	credit  chan int64 // messages added to the window; credits are merged
 }
 
 func (s *Server) serveLink(l *link) {
@@ -133,6 +152,7 @@
 			l.fail(eris.Wrapf(err, "read from %s", l.conn.RemoteAddr()))
 			break
 		}
+		in.heard()
 		in.dispatch(f)
 	}
 	// The caller's connection is closed, so its calls are cancelled: nobody would
@@ -143,14 +163,75 @@
 	s.mu.Unlock()
 }
 
+// watch makes checks of the caller's silence while a call is in progress. The caller holds
+// in.mu.
+func (in *inboundCalls) watch() {
+	if !in.watching {
+		in.watching = true
+		time.AfterFunc(silenceCheck, in.check)
+	}
+}
+
+// check ends the link if its caller has fallen silent.
+func (in *inboundCalls) check() {
+	silent, calls := in.callerSilent()
+	if !silent {
+		return
+	}
+	klog.Warningf("step=peer_silent peer=%s calls=%d err=%q", in.link.conn.RemoteAddr(), calls, errCallerSilent.Error())
+	in.link.fail(errCallerSilent)
+}
+
+// heard records that a frame was received.
+func (in *inboundCalls) heard() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.quiet = 0
+}
+
+// callerSilent counts a check. It reports whether a caller that waits for replies has sent
+// nothing for too long, and how many calls are in progress.
+func (in *inboundCalls) callerSilent() (silent bool, calls int) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.watching = false
+	if !in.awaited() {
+		in.quiet = 0
+		return false, 0
+	}
+	if in.quiet++; in.quiet > silenceChecks {
+		return true, len(in.calls)
+	}
+	in.watch()
+	return false, len(in.calls)
+}
+
+// awaited reports whether the caller waits for a reply. The caller holds in.mu.
+func (in *inboundCalls) awaited() bool {
+	for _, c := range in.calls {
+		if c.awaited {
+			return true
+		}
+	}
+	return false
+}
+
+// cancelCall cancels a call for its caller, who waits for it no longer.
+func (in *inboundCalls) cancelCall(call uint64) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if c := in.calls[call]; c != nil {
+		c.awaited = false
+		c.cancel()
+	}
+}
+
 func (in *inboundCalls) dispatch(f *frame) {
 	switch f.Kind {
 	case frameRequest, framePush:
 		in.startCall(f)
 	case frameCancel:
-		if c := in.findCall(f.Call); c != nil {
-			c.cancel()
-		}
+		in.cancelCall(f.Call)
 	case frameCredit:
 		if c := in.findCall(f.Call); c != nil {
 			c.addCredit(f.Credit)
@@ -175,9 +256,12 @@
 		cancel()
 		ctx, cancel = context.WithTimeout(in.ctx, time.Duration(f.TimeoutMS)*time.Millisecond)
 	}
-	c := &serverCall{cancel: cancel, credit: make(chan int64, 1)}
+	c := &serverCall{awaited: f.Kind == frameRequest, cancel: cancel, credit: make(chan int64, 1)}
 	in.mu.Lock()
 	in.calls[f.Call] = c
+	if c.awaited {
+		in.watch()
+	}
 	in.mu.Unlock()
 	in.server.wg.Add(1)
 	go func() {
--- a/testnet/network.go
+++ b/testnet/network.go
@@ -143,7 +143,7 @@
 				c.silence()
 			case Reachable:
 				if c.isSilent() {
-					go c.reset()
+					go c.heal()
 				}
 			}
 		}
@@ -158,10 +158,16 @@
 	mu          sync.Mutex
 	silent      bool
 	wasReset    bool
+	wasClosed   bool
+	dropsUnsent bool   // SetLinger(0)
+	held        []byte // written while the connection was silent, for the far end
 	once        sync.Once
 	closed      chan struct{}
 }
 
+// maxHeld bounds the bytes that a silent connection keeps, as a socket's buffer does.
+const maxHeld = 64 << 10
+
 func (c *networkConn) silence() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -171,6 +177,32 @@
 	}
 }
 
+// heal ends the silence. The far end gets what the socket held if the near end has closed
+// the connection in the ordinary way, and sees its end only now.
+func (c *networkConn) heal() {
+	c.mu.Lock()
+	held := c.held
+	if !c.wasClosed || c.dropsUnsent {
+		held = nil
+	}
+	c.wasReset = c.wasReset || !c.wasClosed
+	c.mu.Unlock()
+	if len(held) > 0 {
+		// It fails if the far end has closed the connection.
+		_, _ = c.Conn.Write(held)
+	}
+	c.closeNear()
+	c.closeFar()
+}
+
+// SetLinger has the meaning of net.TCPConn.SetLinger; only 0 has an effect.
+func (c *networkConn) SetLinger(sec int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dropsUnsent = sec == 0
+	return nil
+}
+
 func (c *networkConn) isSilent() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -200,23 +232,43 @@
 	c.mu.Lock()
 	c.wasReset = true
 	c.mu.Unlock()
-	c.Close()
+	c.closeNear()
+	c.closeFar()
 }
 
 func (c *networkConn) Write(b []byte) (int, error) {
-	if c.isSilent() {
+	c.mu.Lock()
+	if c.silent {
+		defer c.mu.Unlock()
+		if c.wasClosed {
+			return 0, net.ErrClosed
+		}
+		c.held = append(c.held, b[:min(len(b), maxHeld-len(c.held))]...)
 		return len(b), nil
 	}
+	c.mu.Unlock()
 	return c.Conn.Write(b)
 }
 
+// Close closes the near end. The far end of a silent connection does not learn it.
 func (c *networkConn) Close() error {
-	c.once.Do(func() {
-		close(c.closed)
-		c.net.mu.Lock()
-		delete(c.net.conns, c)
-		c.net.mu.Unlock()
-	})
+	c.mu.Lock()
+	c.wasClosed = true
+	silent := c.silent
+	c.mu.Unlock()
+	c.closeNear()
+	if silent {
+		return c.Conn.SetReadDeadline(time.Unix(1, 0)) // ends a Read that began before the silence
+	}
+	return c.closeFar()
+}
+
+func (c *networkConn) closeNear() { c.once.Do(func() { close(c.closed) }) }
+
+func (c *networkConn) closeFar() error {
+	c.net.mu.Lock()
+	delete(c.net.conns, c)
+	c.net.mu.Unlock()
 	return c.Conn.Close()
 }
 
@@ -224,13 +276,17 @@
 func (n *Network) Close() {
 	n.mu.Lock()
 	var all []interface{ Close() error }
+	var conns []*networkConn
 	for c := range n.conns {
-		all = append(all, c)
+		conns = append(conns, c)
 	}
 	for _, l := range n.listeners {
 		all = append(all, l)
 	}
 	n.mu.Unlock()
+	for _, c := range conns {
+		c.reset()
+	}
 	for _, one := range all {
 		one.Close()
 	}
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -257,8 +257,8 @@
 // still in the buffer of the socket is dropped: after an ordinary close it would reach the
 // upstream as soon as the link lets it through.
 func (c *conn) abort() {
-	if tcp, ok := traffic.Unwrapped(c.raw).(*net.TCPConn); ok {
-		if err := tcp.SetLinger(0); err != nil {
+	if lingering, ok := traffic.Unwrapped(c.raw).(interface{ SetLinger(sec int) error }); ok {
+		if err := lingering.SetLinger(0); err != nil {
 			klog.V(1).Infof("step=abort peer=%s err=%q", c.address, err.Error())
 		}
 	}
