origin, relay, edge: streams begin at versions that the log names, and are taken up after it was read

Cause: streams began at a version as soon as it was listed, its row in the log was written up to half a second later, and a VM that took a stream up without a record trusted its own list and a log read at its start. Class: a fact is used before what has to outlive its users holds it. Change: rows say since when they name a version; a stream that may be resumed begins at a version that the log has named for half a second, unless no version is; a take-up without a record reads the log first.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -22,6 +22,7 @@
 	"buckthornridge/budget/allowance"
 	"buckthornridge/buffers"
 	"buckthornridge/lag"
+	"buckthornridge/origin"
 	"buckthornridge/pause"
 	"buckthornridge/peer"
 	"buckthornridge/quarantine"
@@ -109,6 +110,7 @@
 	outageBegan atomicTime // when the last outage of the table began, roughly
 	inOutage    atomic.Bool
 	origins     *origins // where streams began
+	versions    *origin.Log
 	heldOrders  heldOrders
 	// quarantineRenewal asks for the own record of crashes to be written again.
 	quarantineRenewal chan struct{}
@@ -159,6 +161,8 @@
 	p.fleet.identity.staleSince = p.listStaleSince
 	p.origins = newOrigins(p.peers, p.fleet.history)
 	p.origins.listIsCurrent = p.listIsCurrent
+	p.versions = p.newVersionLog()
+	p.origins.log.Read = func(ctx context.Context) error { _, err := p.versions.Learn(ctx); return err }
 	p.origins.serve(p.peerSrv)
 	p.paths = p.fleet.paths
 	p.buildForwarding()
@@ -276,7 +280,7 @@
 		return err
 	}
 	for _, task := range []func(context.Context){
-		p.config.run, p.upstreams.run, p.quarantine.run, p.publisher().Run, p.versionLog().Run, p.manager.Run, p.maintain, p.monitorLink, p.delay.Run,
+		p.config.run, p.upstreams.run, p.quarantine.run, p.publisher().Run, p.versions.Run, p.manager.Run, p.maintain, p.monitorLink, p.delay.Run,
 		func(ctx context.Context) { p.peers.run(ctx, p.incarnation) },
 		func(ctx context.Context) { p.peers.compareVersions(ctx, p.config, p.upstreams, p.quarantine) },
 		func(ctx context.Context) { p.peers.pollPeers(ctx, p.config, peerInterval) },
--- a/edge/fleet.go
+++ b/edge/fleet.go
@@ -145,17 +145,25 @@
 
 // updateHistory passes the versions that are listed on. The caller must hold f.mu.
 func (f *fleet) updateHistory() {
-	versions := map[string]map[string]bool{}
+	versions, serving := map[string]map[string]bool{}, map[string]map[string]bool{}
 	for _, u := range f.entries {
-		if versions[u.Service] == nil {
-			versions[u.Service] = map[string]bool{}
+		addVersion(versions, u)
+		if !u.Leaving {
+			addVersion(serving, u)
 		}
-		versions[u.Service][u.Version] = true
 	}
 	f.history.Update(versions, time.Now())
+	f.history.SetServing(serving)
 	f.identity.retain(*f.current.Load())
 }
 
+func addVersion(versions map[string]map[string]bool, u relay.Upstream) {
+	if versions[u.Service] == nil {
+		versions[u.Service] = map[string]bool{}
+	}
+	versions[u.Service][u.Version] = true
+}
+
 // remove removes an upstream, or marks it as lapsing if its entry may only have lapsed.
 func (f *fleet) remove(key string) {
 	u, known := f.entries[key]
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -49,6 +49,8 @@
 	send func(to []netip.Addr, o originNotice)
 	// listIsCurrent reports whether this VM has the list of upstreams as the table has it.
 	listIsCurrent func() bool
+	// log brings the history up to date with what outlives all VMs.
+	log origin.Reader
 
 	mu      sync.Mutex
 	fleet   []allowance.Peer // as of which members was made
@@ -111,12 +113,21 @@
 	if !single || !o.listIsCurrent() {
 		return origin.Origin{}, ""
 	}
+	if err := o.log.Refresh(ctx); err != nil {
+		klog.V(1).Infof("step=origin_log result=failed err=%q", err.Error())
+		return origin.Origin{}, ""
+	}
 	if version, only := o.history.Only(service, time.Now()); only {
 		return origin.Origin{Service: service, Version: version, VersionKnown: true}, "only_version"
 	}
 	return origin.Origin{}, ""
 }
 
+// Unsettled implements relay.Origins.
+func (o *origins) Unsettled(service string) map[string]bool {
+	return o.history.Unsettled(service, time.Now())
+}
+
 // ask asks the VMs that may hold a copy, all at the same time. It returns how many
 // answered.
 func (o *origins) ask(ctx context.Context, key string) (began origin.Origin, answers int) {
@@ -197,8 +208,8 @@
 	return o.members
 }
 
-// versionLog returns the task that keeps in the table which versions served.
-func (p *Process) versionLog() *origin.Log {
+// newVersionLog returns what keeps in the table which versions served.
+func (p *Process) newVersionLog() *origin.Log {
 	return &origin.Log{
 		Table: p.adapter.Table, Feed: p.adapter.Feed, Clock: p.adapter.Clock, History: p.fleet.history,
 		AskPeer: p.origins.askVersions,
--- a/edge/versionenv_test.go
+++ b/edge/versionenv_test.go
@@ -316,7 +316,7 @@
 	}))
 	ctx := vm.ctx
 	p.tasks.Go(func() { p.maintain(ctx) })
-	p.tasks.Go(func() { p.versionLog().Run(ctx) })
+	p.tasks.Go(func() { p.versions.Run(ctx) })
 	p.tasks.Go(func() { e.poll(ctx, vm, p) })
 	if e.hooks.started != nil {
 		e.hooks.started(ctx, p, vm)
--- a/origin/history.go
+++ b/origin/history.go
@@ -18,11 +18,13 @@
 	began    time.Time
 	services map[string]map[string]time.Time // by version: when it was last listed
 	present  map[string]map[string]bool      // versions that are listed now
+	serving  map[string]map[string]bool      // those of upstreams that take new work
+	logged   map[string]map[string]time.Time // since when the log has named them
 }
 
 // NewHistory returns the history of a router that starts now.
 func NewHistory(now time.Time) *History {
-	return &History{began: now, services: map[string]map[string]time.Time{}, present: map[string]map[string]bool{}}
+	return &History{began: now, services: map[string]map[string]time.Time{}, present: map[string]map[string]bool{}, logged: map[string]map[string]time.Time{}}
 }
 
 // Update takes the versions that are listed now, by service.
--- a/origin/log.go
+++ b/origin/log.go
@@ -30,6 +30,9 @@
 type logRow struct {
 	// Listed are the versions that were listed when the row was written.
 	Listed []string `msgpack:"l"`
+	// Since says since when the row has named each listed version, in milliseconds of the
+	// table's clock. Rows of older routers lack it.
+	Since map[string]int64 `msgpack:"t,omitempty"`
 	// Gone are versions that left the list not long before, with the time in milliseconds
 	// of the table's clock.
 	Gone map[string]int64 `msgpack:"g"`
@@ -74,7 +77,7 @@
 	if l.Era != nil && l.Era() > l.era {
 		l.enterEra(l.Era())
 	}
-	if l.rows == nil {
+	if l.rows == nil || l.lacksVersions() {
 		if err := l.read(ctx); err != nil {
 			return err
 		}
@@ -92,6 +95,12 @@
 	return nil
 }
 
+// lacksVersions reports whether versions are listed that another router should have written
+// by now.
+func (l *Log) lacksVersions() bool {
+	return !l.History.allLogged()
+}
+
 // enterEra has all rows read and written again: the table has come back from a copy that may
 // be older than they are.
 func (l *Log) enterEra(era int64) {
@@ -122,16 +131,26 @@
 }
 
 func (l *Log) read(ctx context.Context) error {
-	all, err := l.Feed.All(ctx, Segment)
+	rows, err := l.Learn(ctx)
 	if err != nil {
 		return err
 	}
+	l.rows = rows
+	return nil
+}
+
+// Learn reads the log into the history. It is safe for concurrent use.
+func (l *Log) Learn(ctx context.Context) (rows map[string]store.Row, err error) {
+	all, err := l.Feed.All(ctx, Segment)
+	if err != nil {
+		return nil, err
+	}
 	clock, known := l.Clock.Now()
 	if !known {
-		return eris.New("origin: the table's clock is not known")
+		return nil, eris.New("origin: the table's clock is not known")
 	}
 	now := time.Now()
-	rows := map[string]store.Row{}
+	rows = map[string]store.Row{}
 	for _, change := range all.Changes {
 		service := strings.TrimPrefix(change.Key, Segment+"/")
 		rows[service] = change.Row
@@ -141,10 +160,22 @@
 			continue
 		}
 		l.History.Learn(service, r.lastListed(now, clock))
+		l.History.Logged(service, r.loggedSince(now, clock))
 	}
-	l.rows = rows
 	l.History.Complete()
-	return nil
+	return rows, nil
+}
+
+// loggedSince returns since when the row has named each listed version.
+func (r logRow) loggedSince(now time.Time, clock time.Duration) map[string]time.Time {
+	since := map[string]time.Time{}
+	for _, v := range r.Listed {
+		since[v] = time.Time{}
+		if ms, said := r.Since[v]; said {
+			since[v] = now.Add(min(0, time.Duration(ms)*time.Millisecond-clock))
+		}
+	}
+	return since
 }
 
 // lastListed returns when each version was last listed, as far as the row tells.
@@ -174,12 +205,24 @@
 	return slices.Sorted(maps.Keys(l.History.Present(service)))
 }
 
+// since returns since when the row of a service has named a version, by the table's clock.
+func (l *Log) since(service, version string, clock time.Duration) int64 {
+	old, err := decodeRow(l.rows[service].Value)
+	if err != nil || !slices.Contains(old.Listed, version) {
+		return clock.Milliseconds()
+	}
+	return old.Since[version] // 0, long ago, if the row's writer did not say it
+}
+
 func (l *Log) write(ctx context.Context, service string, versions map[string]time.Time, now time.Time) error {
 	clock, known := l.Clock.Now()
 	if !known {
 		return eris.New("origin: the table's clock is not known")
 	}
-	r := logRow{Listed: l.listed(service), Gone: map[string]int64{}}
+	r := logRow{Listed: l.listed(service), Gone: map[string]int64{}, Since: map[string]int64{}}
+	for _, v := range r.Listed {
+		r.Since[v] = l.since(service, v, clock)
+	}
 	for v, last := range versions {
 		if !slices.Contains(r.Listed, v) {
 			r.Gone[v] = (clock - now.Sub(last)).Milliseconds()
@@ -203,6 +246,7 @@
 	}
 	l.rows[service] = store.Row{Key: key, Value: value, Version: version}
 	delete(l.renew, service)
+	l.History.Logged(service, r.loggedSince(now, clock))
 	klog.Infof("step=version_log service=%s listed=%q gone=%v", service, r.Listed, r.Gone)
 	return nil
 }
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -250,3 +250,50 @@
 		is.Equal(len(fake.Dump(Segment+"/")), 1)
 	})
 }
+
+// Guards against streams that begin at a version which nothing but the routers themselves
+// knows of, and against a service that serves nobody because its only version is new.
+func TestUnsettledVersions(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := NewHistory(time.Now())
+		list := func(versions ...string) {
+			present := map[string]bool{}
+			for _, v := range versions {
+				present[v] = true
+			}
+			h.Update(map[string]map[string]bool{"llm": present}, time.Now())
+			h.SetServing(map[string]map[string]bool{"llm": present})
+		}
+		list("v1")
+		is.Equal(len(h.Unsettled("llm", time.Now())), 0) // there is no other
+		h.Logged("llm", map[string]time.Time{"v1": {}})
+		list("v1", "v2")
+		is.Equal(h.Unsettled("llm", time.Now()), map[string]bool{"v2": true})
+		h.Logged("llm", map[string]time.Time{"v1": {}, "v2": time.Now()})
+		time.Sleep(settleTime - time.Millisecond)
+		is.Equal(h.Unsettled("llm", time.Now()), map[string]bool{"v2": true})
+		time.Sleep(time.Millisecond)
+		is.Equal(len(h.Unsettled("llm", time.Now())), 0)
+	})
+}
+
+// Guards against a reading of the log that is taken for current though the process stood
+// still since, and against one call to the table for each stream that is taken up.
+func TestReaderServesOnlyForItsTTL(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		reads, took := 0, 10*time.Millisecond
+		r := Reader{Read: func(context.Context) error { reads++; time.Sleep(took); return nil }}
+		for range 5 {
+			is.NoErr(r.Refresh(t.Context()))
+		}
+		is.Equal(reads, 1)
+		time.Sleep(readTTL)
+		is.NoErr(r.Refresh(t.Context()))
+		is.Equal(reads, 2)
+		time.Sleep(readTTL)
+		took = readTimeout + time.Second
+		is.True(r.Refresh(t.Context()) != nil) // the answer is from long ago
+	})
+}
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -65,6 +65,7 @@
 	fleet          map[string]Upstream
 	ended          map[string]bool // addresses at which nothing listens
 	origins        map[string]origin.Origin
+	unsettled      map[string]bool // versions
 	reservedTokens int64
 	settledTokens  int64
 }
@@ -187,6 +188,9 @@
 // Began implements Origins.
 func (b *harness) Began(key string, o origin.Origin, _ time.Time) { b.origins[key] = o }
 
+// Unsettled implements Origins.
+func (b *harness) Unsettled(string) map[string]bool { return b.unsettled }
+
 // Find implements Origins. Without a key, the stream began at the only version.
 func (b *harness) Find(_ context.Context, key string, _ *Route) (origin.Origin, bool) {
 	if key == "" {
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -72,6 +72,9 @@
 	// Began records what sends the first event of a stream, before that event is
 	// forwarded. The key is that of package origin; until is when its caller gives up.
 	Began(key string, o origin.Origin, until time.Time)
+	// Unsettled returns the versions of a service at which no stream that may be resumed
+	// should begin yet: it might not be known later where it began.
+	Unsettled(service string) map[string]bool
 	// Find returns what began a stream that a caller takes up, or false if that is not
 	// known. The key is empty if the caller did not name the stream.
 	Find(ctx context.Context, key string, route *Route) (origin.Origin, bool)
--- a/relay/resume.go
+++ b/relay/resume.go
@@ -103,7 +103,7 @@
 // eligible returns the condition on upstreams for the next attempt; nil if there is none.
 func (r *call) eligible() func(id string) bool {
 	if r.origin == nil {
-		return nil
+		return r.mayBegin()
 	}
 	return func(id string) bool {
 		u, known := r.relay.Fleet.Upstream(id)
@@ -112,6 +112,22 @@
 	}
 }
 
+// mayBegin returns the condition on upstreams at which the stream may begin; nil if there is
+// none.
+func (r *call) mayBegin() func(id string) bool {
+	if r.route.Kind != Resumable {
+		return nil
+	}
+	unsettled := r.relay.Origins.Unsettled(r.service.Name)
+	if len(unsettled) == 0 {
+		return nil
+	}
+	return func(id string) bool {
+		u, known := r.relay.Fleet.Upstream(id)
+		return known && !unsettled[u.Version]
+	}
+}
+
 // Time that the continuation of a stream waits for room or a path: it doubles with each
 // wait.
 const (
--- a/relay/version_test.go
+++ b/relay/version_test.go
@@ -226,3 +226,21 @@
 		})
 	}
 }
+
+// Guards against a stream that begins at a version which might not be known later, and
+// against other requests that are kept from it.
+func TestStreamsBeginAtSettledVersions(t *testing.T) {
+	for kind, want := range map[Kind]int{Resumable: 503, Stream: 200} {
+		runTest(t, func(t *testing.T) {
+			is := is.New(t)
+			b := newHarness(t, kind, answered(events("1")))
+			for id, u := range b.fleet {
+				u.Version = "new"
+				b.fleet[id] = u
+			}
+			b.unsettled = map[string]bool{"new": true}
+			is.Equal(b.serve(b.request()).status, want)
+			is.Equal(len(b.sent), min(1, 503-want))
+		})
+	}
+}
