edge: a refusal of the table is no answer, and an answer is as old as its question

Cause: the first byte of any response, also of a 503, counted as an answer of the table, and an answer counted from when it was read. Such a VM took its list for current, saw no outage and did not ask its peers. Class: 'answered' stood for 'has told us'. Change: lastAnswer is set once an answer was applied; a transfer in progress counts apart, and ends with its poll; whether the list is current goes by when the applied answer was asked for.

--- a/edge/atomic_time.go
+++ b/edge/atomic_time.go
@@ -13,6 +13,10 @@
 
 func (m *atomicTime) set() { m.at.Store(int64(time.Since(processStart)) + 1) }
 
+func (m *atomicTime) unset() { m.at.Store(0) }
+
+func (m *atomicTime) copyFrom(other *atomicTime) { m.at.Store(other.at.Load()) }
+
 // setEarlier sets it to a time ago.
 func (m *atomicTime) setEarlier(ago time.Duration) {
 	m.at.Store(int64(time.Since(processStart)-ago) + 1)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -415,7 +415,7 @@
 
 // watchTable records the beginning and the end of outages of the table.
 func (p *Process) watchTable() {
-	age, known := p.upstreams.lastAnswer.elapsed()
+	age, known := p.upstreams.sinceAnswer()
 	if !known || age <= p.upstreams.currentWait()+outageThreshold {
 		p.inOutage.Store(false)
 		return
@@ -429,7 +429,7 @@
 // listStaleSince returns since when the list of upstreams may be behind: in an outage of
 // the table, and until the upstreams have written their entries again after it.
 func (p *Process) listStaleSince() (time.Time, bool) {
-	age, known := p.upstreams.lastAnswer.elapsed()
+	age, known := p.upstreams.sinceAnswer()
 	if !known {
 		return time.Time{}, true
 	}
@@ -443,10 +443,11 @@
 	return time.Now().Add(-began), true
 }
 
-// listIsCurrent reports whether the table has answered within the last poll of the list.
+// listIsCurrent reports whether the list of upstreams is as the table had it two polls ago at
+// the most.
 func (p *Process) listIsCurrent() bool {
-	age, known := p.upstreams.lastAnswer.elapsed()
-	return known && age <= p.upstreams.currentWait()+peerPollDelay
+	age, known := p.upstreams.asOf.elapsed()
+	return known && age <= 2*p.upstreams.currentWait()+peerPollDelay
 }
 
 // lapseDeadline returns the time until which a deleted entry may have lapsed in an
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -62,8 +62,13 @@
 	apply func(changes []store.Change)
 	// enterEra, if set, is called before the first changes after a return of the table from
 	// an older copy.
-	enterEra   func()
-	lastAnswer atomicTime // when the table last answered
+	enterEra func()
+	// lastAnswer is when an answer of the table was last applied. Refusals are none.
+	lastAnswer atomicTime
+	// asOf is when that answer was asked for: what changed in the table since may be missing.
+	asOf atomicTime
+	// transferring is when the answer that is arriving began to; unset if none is.
+	transferring atomicTime
 
 	// applyMu keeps changes in the order in which the mirror took them: the table and
 	// peers report concurrently, and an older row that is applied last would stay.
@@ -78,11 +83,24 @@
 	return f.wait
 }
 
+// sinceAnswer returns the time since the table last answered, and false if it never did. A
+// long answer that is arriving counts.
+func (f *follower) sinceAnswer() (time.Duration, bool) {
+	age, known := f.lastAnswer.elapsed()
+	if arriving, any := f.transferring.elapsed(); any && (!known || arriving < age) {
+		return arriving, true
+	}
+	return age, known
+}
+
 // run follows the table until the context ends.
 func (f *follower) run(ctx context.Context) {
 	readAll := true
 	for ctx.Err() == nil {
+		var asked atomicTime
+		asked.set()
 		update, err := f.poll(ctx, readAll)
+		f.transferring.unset()
 		switch {
 		case errors.Is(err, store.ErrHistoryLost):
 			readAll = true
@@ -94,14 +112,16 @@
 			_ = pause.For(ctx, feedRetryDelay)
 			continue
 		}
-		f.lastAnswer.set()
 		if update.Full && update.Version < f.mirror.Version() {
+			f.lastAnswer.set()
 			klog.V(1).Infof("step=follow segment=%s result=stale version=%d known=%d", f.segment, update.Version, f.mirror.Version())
 			_ = pause.For(ctx, feedRetryDelay) // the mirror is newer
 			continue
 		}
 		readAll = false
 		f.applyUpdate(update)
+		f.lastAnswer.set()
+		f.asOf.copyFrom(&asked)
 	}
 }
 
@@ -126,7 +146,7 @@
 		WroteRequest: func(httptrace.WroteRequestInfo) { timer.Reset(wait + feedSlack) },
 		GotFirstResponseByte: func() {
 			timer.Stop()
-			f.lastAnswer.set() // the table answers; peers need not be polled
+			f.transferring.set() // peers need not be polled meanwhile
 		},
 	})
 	return ctx, func() {
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -155,3 +155,49 @@
 	is.Equal(feedWaitOf(2*time.Second), 500*time.Millisecond)
 	is.Equal(feedWaitOf(3*time.Second), 750*time.Millisecond)
 }
+
+// refusingFeed answers each call at once with a refusal.
+type refusingFeed struct{}
+
+func (refusingFeed) All(ctx context.Context, _ string) (store.Changes, error) {
+	httptrace.ContextClientTrace(ctx).GotFirstResponseByte()
+	return store.Changes{}, store.CallError("feed", "table", store.ErrUnavailable, nil)
+}
+
+func (f refusingFeed) Since(ctx context.Context, segment string, _ int64, _ time.Duration) (store.Changes, error) {
+	return f.All(ctx, segment)
+}
+
+// Guards against a VM that the table turns away and that takes its own list for current, and
+// does not ask its peers.
+func TestRefusalsOfTheTableAreNoAnswers(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &Process{upstreams: &follower{wait: 500 * time.Millisecond, feed: refusingFeed{}, mirror: mirror.New(), apply: func([]store.Change) {}}}
+		p.upstreams.lastAnswer.set()
+		p.upstreams.asOf.set()
+		ctx, cancel := context.WithCancel(t.Context())
+		go p.upstreams.run(ctx)
+		time.Sleep(3 * time.Second)
+		is.True(!p.listIsCurrent())
+		_, stale := p.listStaleSince()
+		is.True(stale)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against an answer that is taken for current though it was asked for long ago.
+func TestAnswerIsAsOldAsItsQuestion(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &Process{upstreams: &follower{wait: 500 * time.Millisecond, feed: slowFeed{1900 * time.Millisecond}, mirror: mirror.New(), apply: func([]store.Change) {}}}
+		ctx, cancel := context.WithCancel(t.Context())
+		go p.upstreams.run(ctx)
+		time.Sleep(2 * time.Second)
+		is.Equal(p.upstreams.mirror.Version(), int64(5))
+		is.True(!p.listIsCurrent())
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -358,7 +358,7 @@
 func (p *peers) pollPeers(ctx context.Context, f *follower, interval time.Duration) {
 	for ctx.Err() == nil {
 		_ = pause.For(ctx, interval)
-		if age, known := f.lastAnswer.elapsed(); known && age < f.currentWait()+peerPollDelay {
+		if age, known := f.sinceAnswer(); known && age < f.currentWait()+peerPollDelay {
 			continue
 		}
 		for _, address := range p.randomAddresses(peersPerPoll) {
--- a/edge/versionenv_test.go
+++ b/edge/versionenv_test.go
@@ -331,6 +331,7 @@
 		e.mu.Lock()
 		if !vm.offline && !e.away {
 			p.upstreams.lastAnswer.set()
+			p.upstreams.asOf.set()
 		}
 		e.mu.Unlock()
 	}
