relay, edge, testnet: a stream whose connection fell silent goes on once its run has ended

Cause: open connections may fall silent while new ones work. The router gives the connection up after some three seconds and continues the stream elsewhere; neither FIN nor RST arrives, so the first upstream works on. Class: an end that only one side knows of. Change: before such a stream is continued its upstream is asked over a new connection whether it still lists the run; while it does, the router waits, and if it does not say, the stream is broken off. An upstream that does not answer at all is no obstacle. testnet: connections that fall silent while new ones work, and a far end that goes on writing. Conclusion: mended for the VM's own connections; a VM that sends for another one does not ask on its behalf.

--- a/edge/cutenv_test.go
+++ b/edge/cutenv_test.go
@@ -103,9 +103,13 @@
 		},
 		ResponseMatches: func(id string, h http.Header) bool { return h.Get("Id") == id },
 		ReadProcess: func(status int, body []byte) (int64, bool) {
-			process, err := strconv.ParseInt(string(body), 10, 64)
+			text, _, _ := strings.Cut(string(body), " ")
+			process, err := strconv.ParseInt(text, 10, 64)
 			return process, err == nil && status == http.StatusOK
 		},
+		ReadRuns: func(_ int, body []byte) ([]string, bool) {
+			return strings.Fields(string(body))[1:], true
+		},
 	}
 }
 
@@ -153,7 +157,9 @@
 
 // newVM returns a process whose connections are those of the test's network.
 func (e *cutEnv) newVM(i int) *Process {
-	return newTestVM(e.t, e.net, i, Adapter{Table: store.NewFake(store.FakeOptions{}).As(vmName(i)).Table, Protocol: testProtocol()}, func(key string, _ []byte) (relay.Upstream, error) {
+	protocol := testProtocol()
+	protocol.ProcessQuestion = processQuestion
+	return newTestVM(e.t, e.net, i, Adapter{Table: store.NewFake(store.FakeOptions{}).As(vmName(i)).Table, Protocol: protocol}, func(key string, _ []byte) (relay.Upstream, error) {
 		service, _, _ := strings.Cut(key, "-")
 		return relay.Upstream{ID: key, Address: key + ":1", Service: service, Slots: 64, Start: 1}, nil
 	})
@@ -222,6 +228,10 @@
 
 // serveUpstream answers plain requests at once and streams in events.
 func (e *cutEnv) serveUpstream(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == processQuestion {
+		fmt.Fprint(w, strings.Join(append([]string{"1"}, e.spans.current()...), " "))
+		return
+	}
 	id := r.Header.Get("Id")
 	e.mu.Lock()
 	e.runs[id]++
--- a/edge/ports.go
+++ b/edge/ports.go
@@ -31,6 +31,9 @@
 	// ReadProcess decodes its answer (relay.Upstream.Start).
 	ProcessQuestion string
 	ReadProcess     func(status int, body []byte) (process int64, ok bool)
+	// ReadRuns decodes from the same answer the ids of the requests that the upstream runs, or
+	// false if it does not say.
+	ReadRuns func(status int, body []byte) (ids []string, ok bool)
 }
 
 // prepare makes the last decision before a request is written, and tells the upstream the
--- a/edge/tworuns_test.go
+++ b/edge/tworuns_test.go
@@ -46,6 +46,19 @@
 	}
 }
 
+// current returns the requests that are running.
+func (l *runLog) current() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var ids []string
+	for id, runs := range l.runs {
+		if runs[len(runs)-1].ended.IsZero() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // checkOverlaps checks that no run goes on beside the next one. It returns how many requests
 // had several runs.
 func (l *runLog) checkOverlaps(t *testing.T) (repeated int) {
@@ -108,3 +121,21 @@
 		})
 	}
 }
+
+// Guards against two runs of a stream at once where open connections to the engines fall
+// silent: the close that ends the first run does not arrive.
+func TestStreamOverASilentConnectionRunsOnceAtATime(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		e := newCutEnv(t, 3)
+		var streams sync.WaitGroup
+		for i := range 12 {
+			streams.Go(func() { e.ask(e.t.Context(), 0, "/long/", fmt.Sprint("s", i), 0) })
+		}
+		time.Sleep(time.Second)
+		e.net.SilenceOpen(vmName(0), e.upstreams()...)
+		streams.Wait()
+		if repeated := e.spans.checkOverlaps(t); repeated == 0 {
+			t.Error("no stream was sent a second time")
+		}
+	})
+}
--- a/relay/abandon_test.go
+++ b/relay/abandon_test.go
@@ -70,6 +70,8 @@
 type senderFunc func(context.Context, OutgoingRequest) (Response, error)
 
 // Send implements Sender.
+func (f senderFunc) Runs(context.Context, Upstream, string) RunState { return NotRunning }
+
 func (f senderFunc) Send(ctx context.Context, out OutgoingRequest) (Response, error) {
 	return f(ctx, out)
 }
--- a/relay/harness_test.go
+++ b/relay/harness_test.go
@@ -60,6 +60,8 @@
 	steps []step
 	// answer, if set, is called for each request in place of taking a step.
 	answer         func(out OutgoingRequest) step
+	runStates      []RunState // answers of Runs; NotRunning after them
+	asked          int        // questions of Runs
 	sent           []OutgoingRequest
 	records        []RequestRecord
 	fleet          map[string]Upstream
@@ -148,6 +150,19 @@
 	return &scriptedResponse{step: next, body: strings.NewReader(next.body)}, nil
 }
 
+// Runs implements Sender.
+func (b *harness) Runs(context.Context, Upstream, string) RunState {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.asked++
+	if len(b.runStates) == 0 {
+		return NotRunning
+	}
+	state := b.runStates[0]
+	b.runStates = b.runStates[1:]
+	return state
+}
+
 // scriptedResponse is the response of one step.
 type scriptedResponse struct {
 	step step
--- a/relay/ports.go
+++ b/relay/ports.go
@@ -165,8 +165,24 @@
 // wrap upstream.ErrNotSent or upstream.ErrBroken.
 type Sender interface {
 	Send(ctx context.Context, out OutgoingRequest) (Response, error)
+	// Runs asks an upstream, over a new connection, whether it still works on a request.
+	Runs(ctx context.Context, u Upstream, id string) RunState
 }
 
+// RunState is what an upstream says of a request whose exchange has failed.
+type RunState uint8
+
+const (
+	// RunStateUnknown: the upstream answers, and does not say.
+	RunStateUnknown RunState = iota
+	// Unreachable: the upstream does not answer this router.
+	Unreachable
+	// Running: it works on the request.
+	Running
+	// NotRunning: it does not, or its process has ended.
+	NotRunning
+)
+
 // Recorder counts and logs requests.
 type Recorder interface {
 	// RecordRequest records how a request ended.
--- a/relay/repeat.go
+++ b/relay/repeat.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"buckthornridge/pause"
 	"buckthornridge/upstream"
 )
 
@@ -36,7 +38,40 @@
 	return true
 }
 
-// repeatAfter returns why a request is sent once more after its exchange failed.
-func repeatAfter(err error) Repeat {
-	return Repeat{Cause: upstream.BreakCause(err), Before: upstream.RunEndOf(err)}
+// runPollInterval is the time between two questions whether a run has ended. Upstreams answer
+// with what was some hundred milliseconds ago.
+const runPollInterval = 200 * time.Millisecond
+
+// repeat reports whether the request may be sent to another upstream after its exchange
+// failed.
+func (t *attempt) repeat(ctx context.Context, err error) bool {
+	why := Repeat{Cause: upstream.BreakCause(err), Before: upstream.RunEndOf(err)}
+	if why.Before == upstream.RunUnknown && t.call.route.Kind == Resumable {
+		ended, mayRepeat := t.awaitRunEnd(ctx)
+		if !mayRepeat {
+			return false
+		}
+		why.Before = ended
+	}
+	return t.call.repeat(ctx, true, why)
+}
+
+// awaitRunEnd waits until the run of a stream has ended whose connection fell silent: its
+// upstream has not seen the close, and a continuation elsewhere would run beside it. It
+// reports whether the stream may be continued. That is so if the upstream is out of reach.
+func (t *attempt) awaitRunEnd(ctx context.Context) (end upstream.RunEnd, mayRepeat bool) {
+	r := t.call
+	for {
+		switch r.relay.Sender.Runs(ctx, t.target, r.request.ID) {
+		case NotRunning:
+			return upstream.RunEnded, true
+		case Unreachable:
+			return upstream.RunUnknown, true
+		case RunStateUnknown:
+			return upstream.RunUnknown, false
+		}
+		if r.remaining() <= runPollInterval || r.abandoned(ctx) || pause.For(ctx, runPollInterval) != nil {
+			return upstream.RunUnknown, false
+		}
+	}
 }
--- a/relay/repeat_test.go
+++ b/relay/repeat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"syscall"
 	"testing"
 
@@ -33,3 +34,36 @@
 		})
 	}
 }
+
+// Guards against two runs of a stream at once: the connection of the first fell silent, so its
+// upstream has not seen that it was closed.
+func TestSilentStreamGoesOnOnceItsRunHasEnded(t *testing.T) {
+	for name, c := range map[string]struct {
+		states []RunState
+		sends  int
+		repeat string
+	}{
+		"the run has ended":             {nil, 2, "silent:ended"},
+		"it ends later":                 {[]RunState{Running, Running}, 2, "silent:ended"},
+		"the upstream is out of reach":  {[]RunState{Unreachable}, 2, "silent:unknown"},
+		"the upstream does not say":     {[]RunState{RunStateUnknown}, 1, ""},
+		"the run lasts to the deadline": {slices.Repeat([]RunState{Running}, 100), 1, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runTest(t, func(t *testing.T) {
+				is := is.New(t)
+				silent := answered(events("1"))
+				silent.bodyErr = upstream.WrapError("read response", "u", upstream.ErrBroken, syscall.ETIMEDOUT)
+				b := newHarness(t, Resumable, silent, answered(events("2")))
+				b.runStates = c.states
+				b.serve(b.request())
+				is.Equal(len(b.sent), c.sends)
+				is.Equal(len(b.records[0].Repeats), c.sends-1)
+				if c.sends > 1 {
+					is.Equal(b.records[0].Repeats[0].String(), c.repeat)
+					is.Equal(b.asked, len(c.states)+map[bool]int{true: 0, false: 1}[c.repeat == "silent:unknown"])
+				}
+			})
+		})
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -102,7 +102,7 @@
 	t.reportBroken(ctx)
 	t.reportOutcome(brokenOutcome(ctx))
 	r.exclude(t.target.ID)
-	if r.repeat(ctx, true, repeatAfter(err)) {
+	if t.repeat(ctx, err) {
 		return false
 	}
 	r.giveUp(ctx, err.Error())
--- a/testnet/network.go
+++ b/testnet/network.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -116,7 +118,7 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	c := &networkConn{Conn: near, net: n, vm: vm, address: address, closed: make(chan struct{})}
+	c := &networkConn{Conn: near, net: n, vm: vm, address: address, closed: make(chan struct{}), reading: make(chan struct{}, 1)}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conns[c] = true
@@ -150,6 +152,17 @@
 	}
 }
 
+// SilenceOpen makes a VM's open connections to some addresses fall silent, while new ones work.
+func (n *Network) SilenceOpen(vm string, addresses ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.vm == vm && slices.Contains(addresses, c.address) {
+			c.silence()
+		}
+	}
+}
+
 // networkConn is a VM's side of a connection.
 type networkConn struct {
 	net.Conn
@@ -163,6 +176,7 @@
 	held        []byte // written while the connection was silent, for the far end
 	once        sync.Once
 	closed      chan struct{}
+	reading     chan struct{} // holds one element while the near end is read
 }
 
 // maxHeld bounds the bytes that a silent connection keeps, as a socket's buffer does.
@@ -209,13 +223,30 @@
 	return c.silent
 }
 
+// Read loses what the far end writes while the connection is silent, as the far end's socket
+// would: it goes on to take bytes.
 func (c *networkConn) Read(b []byte) (int, error) {
-	size, err := c.Conn.Read(b)
-	if c.isSilent() {
-		<-c.closed
-		return 0, c.failure(err)
+	c.reading <- struct{}{}
+	defer func() { <-c.reading }()
+	for {
+		size, err := c.Conn.Read(b)
+		if !c.isSilent() {
+			return size, err
+		}
+		if err != nil {
+			<-c.closed
+			return 0, c.failure(err)
+		}
+	}
+}
+
+// drain goes on to lose what the far end writes after the near end was closed.
+func (c *networkConn) drain() {
+	c.reading <- struct{}{}
+	defer func() { <-c.reading }()
+	if c.Conn.SetReadDeadline(time.Time{}) == nil {
+		_, _ = io.Copy(io.Discard, c.Conn) // until the far end closes, or the silence ends
 	}
-	return size, err
 }
 
 // failure returns the error of a connection that was silent until it was closed.
@@ -253,12 +284,16 @@
 // Close closes the near end. The far end of a silent connection does not learn it.
 func (c *networkConn) Close() error {
 	c.mu.Lock()
+	again, silent := c.wasClosed, c.silent
 	c.wasClosed = true
-	silent := c.silent
 	c.mu.Unlock()
 	c.closeNear()
+	if silent && again {
+		return nil
+	}
 	if silent {
-		return c.Conn.SetReadDeadline(time.Unix(1, 0)) // ends a Read that began before the silence
+		go c.drain()
+		return c.Conn.SetReadDeadline(time.Unix(1, 0)) // ends a Read in progress
 	}
 	return c.closeFar()
 }
