--- a/edge/forward.go
+++ b/edge/forward.go
@@ -54,7 +54,7 @@
 }
 
 // runEndCode returns the code for a failed exchange.
-func runEndCode(err error) string { return "run_" + upstream.RunEndOf(err).String() }
+func runEndCode(end upstream.RunEnd) string { return "run_" + end.String() }
 
 // forwardError is an error of methodForward.
 type forwardError struct {
--- a/edge/forward_server.go
+++ b/edge/forward_server.go
@@ -165,7 +165,7 @@
 	}
 	o.exchanged(err)
 	if err != nil {
-		return &forwardError{runEndCode(err), err.Error()}
+		return f.broken(ctx, q, u, err)
 	}
 	defer response.Close()
 	head := f.protocol.ReadHead(response.Status, response.Header)
@@ -189,7 +189,20 @@
 			return nil
 		}
 		if err != nil {
-			return &forwardError{runEndCode(err), err.Error()}
+			return f.broken(ctx, q, u, err)
 		}
 	}
 }
+
+// broken returns the error of a failed exchange for the peer. Where the connection of a stream
+// fell silent, it waits for the end of the run, which only this VM can ask for.
+func (f *forwardServer) broken(ctx context.Context, q forwardRequest, u relay.Upstream, err error) error {
+	end := upstream.RunEndOf(err)
+	if end == upstream.RunUnknown && q.Identify != relay.AnyProcess {
+		state := relay.AwaitRunEnd(ctx, func() relay.RunState { return runState(ctx, f.pool, f.protocol, u, q.ID) })
+		if state == relay.NotRunning {
+			end = upstream.RunEnded
+		}
+	}
+	return &forwardError{runEndCode(end), err.Error()}
+}
--- a/edge/runs.go
+++ b/edge/runs.go
@@ -18,31 +18,35 @@
 // opening of its connection.
 const runQuestionTimeout = 500 * time.Millisecond
 
+var runStateNames = map[relay.RunState]string{
+	relay.RunStateUnknown: "not_said", relay.Unreachable: "unreachable", relay.Running: "running", relay.NotRunning: "not_running",
+}
+
 // Runs implements relay.Sender.
 func (s pathSender) Runs(ctx context.Context, u relay.Upstream, id string) relay.RunState {
-	state := s.direct.runs(ctx, u, id)
-	klog.Infof("step=ask_run id=%s upstream=%s result=%s", id, u.ID, runStateNames[state])
-	return state
+	return runState(ctx, s.direct.pool, s.direct.protocol, u, id)
 }
 
-var runStateNames = map[relay.RunState]string{
-	relay.RunStateUnknown: "not_said", relay.Unreachable: "unreachable", relay.Running: "running", relay.NotRunning: "not_running",
+// runState asks an upstream whether it works on a request.
+func runState(ctx context.Context, pool *exchange.Pool, protocol Protocol, u relay.Upstream, id string) relay.RunState {
+	state := askRun(ctx, pool, protocol, u, id)
+	klog.Infof("step=ask_run id=%s upstream=%s result=%s", id, u.ID, runStateNames[state])
+	return state
 }
 
-// runs asks an upstream whether it works on a request.
-func (s sender) runs(ctx context.Context, u relay.Upstream, id string) relay.RunState {
-	if s.protocol.ReadRuns == nil || s.protocol.ProcessQuestion == "" {
+func askRun(ctx context.Context, pool *exchange.Pool, protocol Protocol, u relay.Upstream, id string) relay.RunState {
+	if protocol.ReadRuns == nil || protocol.ProcessQuestion == "" {
 		return relay.RunStateUnknown
 	}
 	ctx, cancel := context.WithTimeout(ctx, runQuestionTimeout)
 	defer cancel()
 	var running []string
 	said := false
-	process, err := s.pool.Identify(ctx, u.Address, &exchange.Identification{
-		Target: s.protocol.ProcessQuestion,
+	process, err := pool.Identify(ctx, u.Address, &exchange.Identification{
+		Target: protocol.ProcessQuestion,
 		Read: func(status int, body []byte) (int64, bool) {
-			running, said = s.protocol.ReadRuns(status, body)
-			return s.protocol.ReadProcess(status, body)
+			running, said = protocol.ReadRuns(status, body)
+			return protocol.ReadProcess(status, body)
 		},
 	})
 	switch {
--- a/edge/tworuns_test.go
+++ b/edge/tworuns_test.go
@@ -125,17 +125,26 @@
 // Guards against two runs of a stream at once where open connections to the engines fall
 // silent: the close that ends the first run does not arrive.
 func TestStreamOverASilentConnectionRunsOnceAtATime(t *testing.T) {
-	bubble.Test(t, func(t *testing.T) {
-		e := newCutEnv(t, 3)
-		var streams sync.WaitGroup
-		for i := range 12 {
-			streams.Go(func() { e.ask(e.t.Context(), 0, "/long/", fmt.Sprint("s", i), 0) })
-		}
-		time.Sleep(time.Second)
-		e.net.SilenceOpen(vmName(0), e.upstreams()...)
-		streams.Wait()
-		if repeated := e.spans.checkOverlaps(t); repeated == 0 {
-			t.Error("no stream was sent a second time")
-		}
-	})
+	for name, forwarded := range map[string]bool{"its own connection": false, "through another VM": true} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				e := newCutEnv(t, 3)
+				if forwarded {
+					e.net.Cut(testnet.Reset, vmName(0), e.upstreams()...)
+				}
+				var streams sync.WaitGroup
+				for i := range 12 {
+					streams.Go(func() { e.ask(e.t.Context(), 0, "/long/", fmt.Sprint("s", i), 0) })
+				}
+				time.Sleep(time.Second)
+				for vm := range e.vms {
+					e.net.SilenceOpen(vmName(vm), e.upstreams()...)
+				}
+				streams.Wait()
+				if repeated := e.spans.checkOverlaps(t); repeated == 0 {
+					t.Error("no stream was sent a second time")
+				}
+			})
+		})
+	}
 }
--- a/relay/repeat.go
+++ b/relay/repeat.go
@@ -61,17 +61,22 @@
 // reports whether the stream may be continued. That is so if the upstream is out of reach.
 func (t *attempt) awaitRunEnd(ctx context.Context) (end upstream.RunEnd, mayRepeat bool) {
 	r := t.call
+	switch AwaitRunEnd(ctx, func() RunState { return r.relay.Sender.Runs(ctx, t.target, r.request.ID) }) {
+	case NotRunning:
+		return upstream.RunEnded, true
+	case Unreachable:
+		return upstream.RunUnknown, true
+	}
+	return upstream.RunUnknown, false
+}
+
+// AwaitRunEnd asks what became of a run until it has ended, nothing can be learned of it, or
+// the context ends. It returns the last answer.
+func AwaitRunEnd(ctx context.Context, ask func() RunState) RunState {
 	for {
-		switch r.relay.Sender.Runs(ctx, t.target, r.request.ID) {
-		case NotRunning:
-			return upstream.RunEnded, true
-		case Unreachable:
-			return upstream.RunUnknown, true
-		case RunStateUnknown:
-			return upstream.RunUnknown, false
-		}
-		if r.remaining() <= runPollInterval || r.abandoned(ctx) || pause.For(ctx, runPollInterval) != nil {
-			return upstream.RunUnknown, false
+		state := ask()
+		if state != Running || pause.For(ctx, runPollInterval) != nil {
+			return state
 		}
 	}
 }
