origin, peer: a version that left the list is no longer taken for logged; clearer names

By reading the change: a version that left the list and came back over a minute later could count as logged by what was read before, while its row had lost it. It is logged again then (TestUnsettledVersions, a case that failed before). The functions that check a caller's silence are named for what they do.

--- a/origin/history.go
+++ b/origin/history.go
@@ -33,6 +33,7 @@
 	defer h.mu.Unlock()
 	h.touch(now) // versions that leave the list were in it until now
 	h.present, h.listed = present, true
+	h.forgetLogged()
 	h.touch(now)
 	for service, versions := range h.services {
 		for version, last := range versions {
--- a/origin/log.go
+++ b/origin/log.go
@@ -77,7 +77,8 @@
 	if l.Era != nil && l.Era() > l.era {
 		l.enterEra(l.Era())
 	}
-	if l.rows == nil || l.lacksVersions() {
+	// Versions that are not logged may have been written by another router since.
+	if l.rows == nil || !l.History.allLogged() {
 		if err := l.read(ctx); err != nil {
 			return err
 		}
@@ -95,12 +96,6 @@
 	return nil
 }
 
-// lacksVersions reports whether versions are listed that another router should have written
-// by now.
-func (l *Log) lacksVersions() bool {
-	return !l.History.allLogged()
-}
-
 // enterEra has all rows read and written again: the table has come back from a copy that may
 // be older than they are.
 func (l *Log) enterEra(era int64) {
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -275,6 +275,9 @@
 		is.Equal(h.Unsettled("llm", time.Now()), map[string]bool{"v2": true})
 		time.Sleep(time.Millisecond)
 		is.Equal(len(h.Unsettled("llm", time.Now())), 0)
+		list("v1")
+		list("v1", "v2") // the row may have lost it meanwhile
+		is.Equal(h.Unsettled("llm", time.Now()), map[string]bool{"v2": true})
 	})
 }
 
--- a/origin/settled.go
+++ b/origin/settled.go
@@ -22,6 +22,19 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.logged[service] = since
+	h.forgetLogged()
+}
+
+// forgetLogged forgets when versions were logged that are not listed any more: the row may
+// lose them. The caller holds h.mu.
+func (h *History) forgetLogged() {
+	for service, versions := range h.logged {
+		for version := range versions {
+			if !h.present[service][version] {
+				delete(versions, version)
+			}
+		}
+	}
 }
 
 // allLogged reports whether the log is known to name all versions that are listed.
--- a/peer/server.go
+++ b/peer/server.go
@@ -127,11 +127,10 @@
 	link   *link
 	ctx    context.Context
 
-	mu    sync.Mutex
-	calls map[uint64]*serverCall
-	quiet int // checks since the last frame
-	// watching says that the next check is due.
-	watching bool
+	mu       sync.Mutex
+	calls    map[uint64]*serverCall
+	quiet    int  // checks since the last frame
+	checking bool // a check is scheduled
 }
 
 // serverCall is one running handler.
@@ -152,7 +151,7 @@
 			l.fail(eris.Wrapf(err, "read from %s", l.conn.RemoteAddr()))
 			break
 		}
-		in.heard()
+		in.recordFrame()
 		in.dispatch(f)
 	}
 	// The caller's connection is closed, so its calls are cancelled: nobody would
@@ -163,17 +162,16 @@
 	s.mu.Unlock()
 }
 
-// watch makes checks of the caller's silence while a call is in progress. The caller holds
-// in.mu.
-func (in *inboundCalls) watch() {
-	if !in.watching {
-		in.watching = true
-		time.AfterFunc(silenceCheck, in.check)
+// scheduleCheck has the caller's silence checked soon. The caller holds in.mu.
+func (in *inboundCalls) scheduleCheck() {
+	if !in.checking {
+		in.checking = true
+		time.AfterFunc(silenceCheck, in.checkSilence)
 	}
 }
 
-// check ends the link if its caller has fallen silent.
-func (in *inboundCalls) check() {
+// checkSilence ends the link if its caller has fallen silent.
+func (in *inboundCalls) checkSilence() {
 	silent, calls := in.callerSilent()
 	if !silent {
 		return
@@ -182,8 +180,8 @@
 	in.link.fail(errCallerSilent)
 }
 
-// heard records that a frame was received.
-func (in *inboundCalls) heard() {
+// recordFrame records that a frame was received.
+func (in *inboundCalls) recordFrame() {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.quiet = 0
@@ -194,7 +192,7 @@
 func (in *inboundCalls) callerSilent() (silent bool, calls int) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.watching = false
+	in.checking = false
 	if !in.awaited() {
 		in.quiet = 0
 		return false, 0
@@ -202,7 +200,7 @@
 	if in.quiet++; in.quiet > silenceChecks {
 		return true, len(in.calls)
 	}
-	in.watch()
+	in.scheduleCheck()
 	return false, len(in.calls)
 }
 
@@ -260,7 +258,7 @@
 	in.mu.Lock()
 	in.calls[f.Call] = c
 	if c.awaited {
-		in.watch()
+		in.scheduleCheck()
 	}
 	in.mu.Unlock()
 	in.server.wg.Add(1)
