--- a/relay/repeat.go
+++ b/relay/repeat.go
@@ -46,6 +46,9 @@
 // failed.
 func (t *attempt) repeat(ctx context.Context, err error) bool {
 	why := Repeat{Cause: upstream.BreakCause(err), Before: upstream.RunEndOf(err)}
+	if ctx.Err() != nil {
+		return false
+	}
 	if why.Before == upstream.RunUnknown && t.call.route.Kind == Resumable {
 		ended, mayRepeat := t.awaitRunEnd(ctx)
 		if !mayRepeat {
