--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -32,9 +32,15 @@
 }
 
 func newMetrics() *metrics {
-	return &metrics{outcomes: map[string]int64{}, routes: map[string]int64{}, repeats: map[string]int64{}, firstByte: make([]int64, len(firstByteBounds)+1)}
+	m := &metrics{outcomes: map[string]int64{}, routes: map[string]int64{}, repeats: map[string]int64{}, firstByte: make([]int64, len(firstByteBounds)+1)}
+	for _, r := range relay.PossibleRepeats {
+		m.repeats[repeatLabels(r)] = 0
+	}
+	return m
 }
 
+func repeatLabels(r relay.Repeat) string { return fmt.Sprintf("cause=%q,before=%q", r.Cause, r.Before) }
+
 // RecordRequest implements relay.Recorder. It writes one log line and updates the
 // counters.
 func (m *metrics) RecordRequest(d relay.RequestRecord) {
@@ -45,7 +51,7 @@
 	m.routes[fmt.Sprintf("route=%q,outcome=%q", d.Route, d.Outcome)]++
 	m.sends += int64(d.Sends)
 	for _, r := range d.Repeats {
-		m.repeats[fmt.Sprintf("cause=%q,before=%q", r.Cause, r.Before)]++
+		m.repeats[repeatLabels(r)]++
 	}
 	m.consumed += d.Consumed
 	if d.First > 0 {
--- a/relay/repeat.go
+++ b/relay/repeat.go
@@ -17,6 +17,18 @@
 // refusedRepeat follows an upstream's guarantee that it did not run the request.
 var refusedRepeat = Repeat{repeatRefused, upstream.RunEnded}
 
+// PossibleRepeats are the repeats that occur, so that metrics show each from the start.
+var PossibleRepeats = []Repeat{
+	refusedRepeat,
+	{repeatFailed, upstream.RunEnded},
+	{upstream.BreakClosed, upstream.RunEnded},
+	{upstream.BreakSilent, upstream.RunEnded},
+	{upstream.BreakSilent, upstream.RunUnknown},
+	{upstream.BreakInvalid, upstream.RunCancelled},
+	{upstream.BreakTooLarge, upstream.RunCancelled},
+	{upstream.BreakRouterLost, upstream.RunCancelled},
+}
+
 // Repeat is one decision to send a request once more.
 type Repeat struct {
 	// Cause says why; it is short and stable.
