--- a/review/standins/cases.go
+++ b/review/standins/cases.go
@@ -299,6 +299,10 @@
 // idle: many users come at once, and their connections stay idle for longer than idleTimeoutMs.
 func idle(e *env) {
 	const users, timeout = 4200, 1500 * time.Millisecond
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil || files.Cur < users+1000 {
+		e.fail("the users need %d descriptors, %d are allowed", users+1000, files.Cur)
+	}
 	e.configure(16, 160, true)
 	e.engine(1, 16, 160, 100, nil)
 	for n := 1; n <= 4; n++ {
