edge, connlimit: heads are charged to a bound of the process and limited as configured

Callers saw: a process that runs out of memory and takes every caller's connection with it, on heads of short lines, over the limit or within it.

A parsed head costs many times its bytes (a key, a value, a slice and a map entry for each line, once more in each copy for an upstream), and nothing bounds the sum over thousands of connections. And maxHeaderBytes of the configuration is decoded and nothing reads it; 64 KiB and 4 more stand in its place.

Change: the guard scans a head as it is read, before net/http parses it. Lines and bytes beyond an ordinary head are charged to a tenth of the process's memory. If that is full, the unfinished large head that has waited longest gives way, and without one the head is refused with 503 (not run). A head over maxHeaderBytes is refused with 431 at the byte that exceeds it. A refused client is read from for half a second, 256 KiB at most: closed at once, its connection would be reset and the refusal could be lost. A cap on lines would refuse legal heads, so there is none: a legal head that comes alone is served, whatever its lines (TestLargeHeadsShareTheirMemory).

net/http's own limit is out of reach: it is read at each request from a field that may not change, so that a configured limit could not be in force at once.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -3,10 +3,25 @@
 import (
 	"container/list"
 	"context"
+	"errors"
+	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
+
+	"k8s.io/klog/v2"
+)
+
+const (
+	// lingerTimeout and lingerBytes bound how long, and how much of, what a refused client still
+	// sends is read: closing a connection with unread bytes would reset it, and the client would
+	// not receive the refusal.
+	lingerTimeout = 500 * time.Millisecond
+	lingerBytes   = 256 << 10
+	// retryAfter is when the client of a head without room should come back, in seconds.
+	retryAfter = 1
 )
 
 // conn is one connection under a guard.
@@ -14,44 +29,69 @@
 	net.Conn
 	guard *Guard
 
-	// reading says that a head is awaited.
+	// reading says that a head arrives or is awaited. Meanwhile the scanner, which measures it,
+	// belongs to the reader of the connection.
 	reading atomic.Bool
+	scanner headScanner
 
 	// The rest is guarded by guard.mu.
 	phase  phase
 	since  time.Time     // in the phase
 	entry  *list.Element // in guard.waiting; nil once the connection is forgotten
 	cost   int64         // of Bounds.ConnectionBytes
+	excess int64         // of Bounds.HeadBytes
 	noRoom bool          // the request found no room
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It refuses heads over the limits.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n == 0 || !c.reading.Swap(false) {
+	if n == 0 || !c.reading.Load() {
 		return n, err
 	}
-	if !c.guard.beginHead(c) {
-		return 0, errEnded
+	c.scanner.scan(b[:n])
+	c.reading.Store(!c.scanner.ended)
+	switch problem := c.guard.observeHead(c); {
+	case errors.Is(problem, errTooLarge):
+		return 0, c.refuse(b, http.StatusRequestHeaderFieldsTooLarge, "")
+	case errors.Is(problem, ErrNoRoom):
+		return 0, c.refuse(b, http.StatusServiceUnavailable, fmt.Sprintf("Retry-After: %d\r\n", retryAfter))
+	case problem != nil:
+		return 0, problem
 	}
 	return n, err
 }
 
-// errEnded reports a connection that was closed for its client's waiting. To net/http it is a
-// timeout, after which it does not answer.
-var errEnded = os.ErrDeadlineExceeded
+var (
+	errTooLarge = errors.New("connlimit: the head is over the limit")
+	// errEnded reports a connection that was closed for its client's waiting. To net/http it
+	// is a timeout, after which it does not answer.
+	errEnded = os.ErrDeadlineExceeded
+)
 
-// beginHead records that the first bytes of a request have arrived. It reports false if the
-// connection was closed before.
-func (g *Guard) beginHead(c *conn) bool {
+// observeHead records that bytes of a head have arrived.
+func (g *Guard) observeHead(c *conn) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	s := &c.scanner
 	if c.entry == nil {
-		return false
+		return errEnded
+	}
+	if s.bytes > g.limits.Load().HeaderBytes {
+		g.counts.TooLarge++
+		return errTooLarge
+	}
+	if c.phase == idle {
+		g.beginRequest(c)
+		g.enter(c, head)
+	}
+	if err := g.chargeHead(c); err != nil {
+		return err
 	}
-	g.beginRequest(c)
-	g.enter(c, head)
-	return true
+	if s.ended {
+		g.enter(c, answer)
+	}
+	return nil
 }
 
 // beginRequest charges a request. The caller holds g.mu.
@@ -62,16 +102,73 @@
 	}
 }
 
+// chargeHead charges a head by what has arrived of it. The caller holds g.mu.
+func (g *Guard) chargeHead(c *conn) error {
+	need := c.scanner.excess()
+	if g.bounds.HeadBytes > 0 {
+		need = min(need, g.bounds.HeadBytes)
+	}
+	if need <= c.excess {
+		return nil
+	}
+	added := (need - c.excess + headStep - 1) / headStep * headStep
+	if g.bounds.HeadBytes > 0 {
+		added = min(added, g.bounds.HeadBytes-c.excess)
+	}
+	for g.bounds.HeadBytes > 0 && g.heads+added > g.bounds.HeadBytes {
+		if !g.evictHead(c) {
+			g.counts.Refused++
+			return ErrNoRoom
+		}
+	}
+	c.excess += added
+	g.heads += added
+	return nil
+}
+
+// evictHead closes the connection that has waited longest of those with an unfinished, large
+// head, other than c. The caller holds g.mu.
+func (g *Guard) evictHead(c *conn) bool {
+	for e := g.waiting[head].Front(); e != nil; e = e.Next() {
+		if other := e.Value.(*conn); other != c && other.excess > 0 {
+			g.endForRoom(other)
+			return true
+		}
+	}
+	return false
+}
+
+// refuse answers a request whose head has not arrived whole. It reads into b what the client
+// still sends, so that the client receives the answer.
+func (c *conn) refuse(b []byte, status int, header string) error {
+	text := http.StatusText(status)
+	klog.V(1).Infof("step=read_head caller=%s outcome=%d bytes=%d lines=%d", c.RemoteAddr(), status, c.scanner.bytes, c.scanner.lines)
+	_ = c.SetDeadline(time.Now().Add(lingerTimeout)) // an error means that the connection has ended
+	if _, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\n%sConnection: close\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s\n", status, text, header, len(text)+1, text); err != nil {
+		return errEnded
+	}
+	_ = c.CloseWrite()
+	for read := 0; read < lingerBytes; {
+		n, err := c.Conn.Read(b)
+		if err != nil {
+			break
+		}
+		read += n
+	}
+	return errEnded
+}
+
 // becomeIdle records that the answer was sent whole.
 func (c *conn) becomeIdle() {
 	g := c.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c.noRoom = false
+	c.scanner, c.noRoom = headScanner{}, false
 	c.reading.Store(true)
 	if c.entry == nil {
 		return
 	}
+	g.releaseHead(c)
 	g.charge(c, connectionCost-c.cost)
 	g.enter(c, idle)
 }
@@ -84,6 +181,14 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the sending, which tells net/http's server that it can.
+func (c *conn) CloseWrite() error {
+	if tcp := unwrapped(c.Conn); tcp != nil {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
 // Unwrap returns the underlying connection.
 func (c *conn) Unwrap() net.Conn { return c.Conn }
 
--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -2,8 +2,8 @@
 // memory and time.
 //
 // Per-connection limits do not bound a process: it may have thousands of connections, each
-// within its limits. A Guard therefore charges each connection by what it does to bounds of the
-// process. Without room it closes the
+// within its limits. A Guard therefore charges each connection by what it does, and requests by
+// the lines and bytes of their heads, to bounds of the process. Without room it closes the
 // connections of clients that keep the process waiting: idle ones first, then unfinished
 // heads, those that have waited longest first. Requests in progress are never ended for another
 // one.
@@ -16,6 +16,10 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/rotisserie/eris"
+
+	"buckthornridge/traffic"
 )
 
 // Costs in bytes that connections are charged with.
@@ -24,18 +28,31 @@
 	connectionCost = 20 << 10
 	// requestCost is that of a request with an ordinary head, beyond its connection's.
 	requestCost = 24 << 10
+	// lineCost is that of a header line beyond its bytes: an entry in the map of headers, and
+	// in the copies of it that are sent to upstreams. byteCost is that of each byte: it is
+	// read, parsed, sent and logged.
+	lineCost = 256
+	byteCost = 4
+	// ordinaryLines and ordinaryBytes are what a head may have within requestCost.
+	ordinaryLines = 32
+	ordinaryBytes = 4 << 10
+	// headStep is the amount by which a head's charge grows while it arrives.
+	headStep = 8 << 10
 )
 
 // Bounds are those of a process. Zero means that there is no bound.
 type Bounds struct {
 	// Connections is the largest number of connections.
 	Connections int
-	// ConnectionBytes is what connections and their requests may be charged together.
-	ConnectionBytes int64
+	// ConnectionBytes is what connections and requests with ordinary heads may be charged
+	// together, HeadBytes what larger heads may be charged beyond that.
+	ConnectionBytes, HeadBytes int64
 }
 
 // Limits are those of one connection, which the operators may change at any time.
 type Limits struct {
+	// HeaderBytes is the size of the largest head, with its request line.
+	HeaderBytes int
 	// HeaderTimeout is how long a head may take to arrive, IdleTimeout how long a connection
 	// may stay open without a request.
 	HeaderTimeout, IdleTimeout time.Duration
@@ -43,7 +60,7 @@
 
 // DefaultLimits apply until the operators' limits are known, and in place of those that they do
 // not set.
-var DefaultLimits = Limits{HeaderTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second}
+var DefaultLimits = Limits{HeaderBytes: 64 << 10, HeaderTimeout: 10 * time.Second, IdleTimeout: 75 * time.Second}
 
 // phase is what a connection waits for.
 type phase int
@@ -67,20 +84,22 @@
 	waiting [phases]list.List // connections, those that entered the phase first in front
 	open    int
 	charged int64 // of Bounds.ConnectionBytes
+	heads   int64 // of Bounds.HeadBytes
 	counts  Counts
 }
 
 // Counts are those of a guard since its start.
 type Counts struct {
-	// Open is the number of connections, ConnectionBytes what they are charged.
-	Open            int
-	ConnectionBytes int64
+	// Open is the number of connections, ConnectionBytes and HeadBytes what they are charged.
+	Open                       int
+	ConnectionBytes, HeadBytes int64
 	// Evicted is how many connections were closed to make room, by what they waited for; Phases
 	// names it.
 	Evicted [phases]int64
-	// Refused is how many connections and requests found no room, TimedOut how many connections
-	// were closed at a timeout other than the idle one.
-	Refused, TimedOut int64
+	// Refused is how many connections and heads found no room, TooLarge how many heads were
+	// over the limit, and TimedOut how many connections were closed at a timeout other than the
+	// idle one.
+	Refused, TooLarge, TimedOut int64
 }
 
 // NewGuard returns a guard without connections.
@@ -92,6 +111,9 @@
 
 // SetLimits sets the limits of each connection. Zeros stand for DefaultLimits.
 func (g *Guard) SetLimits(l Limits) {
+	if l.HeaderBytes <= 0 {
+		l.HeaderBytes = DefaultLimits.HeaderBytes
+	}
 	if l.HeaderTimeout <= 0 {
 		l.HeaderTimeout = DefaultLimits.HeaderTimeout
 	}
@@ -106,7 +128,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c := g.counts
-	c.Open, c.ConnectionBytes = g.open, g.charged
+	c.Open, c.ConnectionBytes, c.HeadBytes = g.open, g.charged, g.heads
 	return c
 }
 
@@ -193,6 +215,12 @@
 	c.entry = nil
 	g.open--
 	g.charge(c, -c.cost)
+	g.releaseHead(c)
+}
+
+func (g *Guard) releaseHead(c *conn) {
+	g.heads -= c.excess
+	c.excess = 0
 }
 
 // evict closes the connection that has waited longest of those in the first phase that has any,
@@ -223,6 +251,9 @@
 	c.Conn.Close()
 }
 
+// ErrNoRoom reports a head for which the process has no memory left.
+var ErrNoRoom = eris.New("connlimit: no memory for the head")
+
 // Sweep closes the connections whose clients have exceeded a timeout. It must be called
 // periodically.
 func (g *Guard) Sweep() {
@@ -246,3 +277,9 @@
 	}
 	return ended
 }
+
+// unwrapped returns the TCP connection below a connection, or nil.
+func unwrapped(c net.Conn) *net.TCPConn {
+	tcp, _ := traffic.Unwrapped(c).(*net.TCPConn)
+	return tcp
+}
--- a/connlimit/connlimit_test.go
+++ b/connlimit/connlimit_test.go
@@ -96,6 +96,39 @@
 	return "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("A: b\r\n", lines)
 }
 
+// Guards against a head that is measured wrongly where it arrives in pieces.
+func TestScannerFindsTheEndOfAHead(t *testing.T) {
+	for text, end := range map[string]int{
+		"GET / HTTP/1.1\r\nA: b\r\n\r\nbody\r\n\r\n": 24, "GET /\n\nrest": 7, "\r\n\r\nGET /\r\n\r\n": 13, "GET /\r\n\rA\r\n": 0,
+	} {
+		for step := 1; step <= len(text); step++ {
+			var s headScanner
+			for at := 0; at < len(text); at += step {
+				s.scan([]byte(text[at:min(at+step, len(text))]))
+			}
+			is.New(t).Equal(s.ended, end > 0)
+			if end > 0 {
+				is.New(t).Equal(s.bytes, end)
+			}
+		}
+	}
+}
+
+// Guards against limits of heads that are not those in force.
+func TestHeadLimitIsThatInForce(t *testing.T) {
+	is := is.New(t)
+	g := NewGuard(Bounds{})
+	c := connect(t, served(t, g))
+	head := headOf(100) + "\r\n"
+	g.SetLimits(Limits{HeaderBytes: len(head)})
+	is.Equal(c.status(head), http.StatusOK)
+	await(g, func(c Counts) bool { return c.ConnectionBytes == connectionCost })
+	g.SetLimits(Limits{HeaderBytes: len(head) - 1})
+	is.Equal(c.status(head), http.StatusRequestHeaderFieldsTooLarge)
+	is.True(c.ended())
+	is.Equal(g.Counts().TooLarge, int64(1))
+}
+
 // Guards against timeouts that are not those in force, and against one phase's timeout in
 // another.
 func TestTimeoutsAreThoseInForce(t *testing.T) {
@@ -119,3 +152,24 @@
 	is.True(idler.ended())
 	is.Equal(g.Counts().Open, 1) // an answer that is not due yet ends at no timeout
 }
+
+// Guards against large heads that take more than their part of the memory, and against the
+// refusal of one within the limits that comes alone.
+func TestLargeHeadsShareTheirMemory(t *testing.T) {
+	is := is.New(t)
+	const lines = 1000
+	g := NewGuard(Bounds{HeadBytes: lines * lineCost})
+	address := served(t, g)
+	is.Equal(connect(t, address).status(headOf(2*lines)+"\r\n"), http.StatusOK) // alone it may take all
+	await(g, func(c Counts) bool { return c.HeadBytes == 0 })
+	unfinished := connect(t, address)
+	_, _ = io.WriteString(unfinished, headOf(lines))
+	await(g, func(c Counts) bool { return c.HeadBytes == lines*lineCost })
+	holder := connect(t, address)
+	_, _ = io.WriteString(holder, strings.Replace(headOf(lines), "/", "/hold", 1)+"\r\n")
+	is.True(unfinished.ended())
+	await(g, func(c Counts) bool { return c.Evicted[head] == 1 && g.answering() == 1 })
+	is.Equal(connect(t, address).status(headOf(lines)+"\r\n"), http.StatusServiceUnavailable)
+	is.Equal(connect(t, address).status(plain), http.StatusOK)
+	is.True(g.Counts().HeadBytes <= lines*lineCost)
+}
--- a/edge/conn_guards.go
+++ b/edge/conn_guards.go
@@ -15,16 +15,19 @@
 )
 
 const (
-	// callerConnShare is the part of the memory that callers' connections and their requests
-	// may take.
+	// callerConnShare is the part of the memory that callers' connections and requests with
+	// ordinary heads may take, callerHeadShare the part for larger heads.
 	callerConnShare = 0.3
+	callerHeadShare = 0.1
 	// fileDescriptors are those that are not for sockets.
 	fileDescriptors = 200
 	// callerDescriptorShare is the part of the other descriptors that callers' connections may
 	// take. The rest is for upstreams, peers, the store and health checks.
 	callerDescriptorShare = 0.5
 
-	connSweepInterval = 500 * time.Millisecond
+	// unboundedHeaderBytes leaves the bound of heads to the guard.
+	unboundedHeaderBytes = math.MaxInt32
+	connSweepInterval    = 500 * time.Millisecond
 )
 
 // newCallerGuard returns the guard of callers' connections, for a process with some memory in
@@ -36,6 +39,7 @@
 	return connlimit.NewGuard(connlimit.Bounds{
 		Connections:     callerConnections(),
 		ConnectionBytes: int64(callerConnShare * float64(memory)),
+		HeadBytes:       int64(callerHeadShare * float64(memory)),
 	})
 }
 
@@ -57,9 +61,9 @@
 	for pause.For(ctx, connSweepInterval) == nil {
 		p.callerConns.Sweep()
 		now := p.callerConns.Counts()
-		if now.Evicted != before.Evicted || now.Refused != before.Refused || now.TimedOut != before.TimedOut {
-			klog.Infof("step=caller_conns open=%d connection_bytes=%d evicted=%v refused=%d timed_out=%d",
-				now.Open, now.ConnectionBytes, now.Evicted, now.Refused, now.TimedOut)
+		if now.Evicted != before.Evicted || now.Refused != before.Refused || now.TooLarge != before.TooLarge || now.TimedOut != before.TimedOut {
+			klog.Infof("step=caller_conns open=%d connection_bytes=%d head_bytes=%d evicted=%v refused=%d too_large=%d timed_out=%d",
+				now.Open, now.ConnectionBytes, now.HeadBytes, now.Evicted, now.Refused, now.TooLarge, now.TimedOut)
 		}
 		before = now
 	}
@@ -67,9 +71,9 @@
 
 // writeConnMetrics writes the counters of callers' connections.
 func writeConnMetrics(w io.Writer, c connlimit.Counts) {
-	fmt.Fprintf(w, "caller_connections_count %d\ncaller_connection_bytes_count %d\n", c.Open, c.ConnectionBytes)
+	fmt.Fprintf(w, "caller_connections_count %d\ncaller_connection_bytes_count %d\ncaller_head_bytes_count %d\n", c.Open, c.ConnectionBytes, c.HeadBytes)
 	for p, n := range c.Evicted {
 		fmt.Fprintf(w, "caller_connections_evicted_total{phase=%q} %d\n", connlimit.Phases[p], n)
 	}
-	fmt.Fprintf(w, "caller_connections_refused_total %d\ncaller_timeouts_total %d\n", c.Refused, c.TimedOut)
+	fmt.Fprintf(w, "caller_connections_refused_total %d\ncaller_heads_too_large_total %d\ncaller_timeouts_total %d\n", c.Refused, c.TooLarge, c.TimedOut)
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -40,8 +40,7 @@
 // Limits of callers' connections, and the maintenance interval.
 const (
 	// headerTimeout is for health checks and readers of metrics.
-	headerTimeout  = 10 * time.Second
-	maxHeaderBytes = 64 << 10
+	headerTimeout = 10 * time.Second
 	// callerKeepAlive is the idle time after which a caller's connection is probed; a
 	// caller that acknowledges no probe is disconnected.
 	callerKeepAlive     = 10 * time.Second
@@ -215,7 +214,7 @@
 	}
 	p.callers = &http.Server{
 		Handler:        &callerHandler{protocol: p.adapter.Protocol, relay: served, catalogue: &p.catalogue, stopping: &p.stopping, active: &p.active, delay: &p.delay, buffers: p.buffers, link: p.callerLink},
-		MaxHeaderBytes: maxHeaderBytes,
+		MaxHeaderBytes: unboundedHeaderBytes,
 		ConnContext:    withConn,
 	}
 	p.ready = &http.Server{Handler: http.HandlerFunc(p.serveReady), ReadHeaderTimeout: headerTimeout}
@@ -388,7 +387,7 @@
 			limits[name] = w.Prepaid
 		}
 	}
-	p.callerConns.SetLimits(connlimit.Limits{HeaderTimeout: c.Limits.HeaderTimeout, IdleTimeout: c.Limits.IdleTimeout})
+	p.callerConns.SetLimits(connlimit.Limits{HeaderBytes: c.Limits.HeaderBytes, HeaderTimeout: c.Limits.HeaderTimeout, IdleTimeout: c.Limits.IdleTimeout})
 	p.fleet.setServices(c.Services)
 	p.manager.SetLimits(limits)
 	klog.Infof("step=apply_configuration version=%d workspaces=%d services=%d", c.Version, len(c.Workspaces), len(c.Services))
