edge, connlimit, buffers: bodies that do not arrive give way, and end in time

Callers saw: clients that announce a body and never send it keep every other caller out for as long as they stay: by reading, no timeout ends them.

Cause: the reading of a body has no bound of time. Each such request keeps its connection, and, by the word of its length, up to 64 KiB of the memory of bodies: in a process of 134 MB 512 of them keep all of it, and every caller with a body is refused with no_memory. After the handler net/http itself waits for the rest of the body.

Change: a connection whose request's body is awaited is in a phase of its own, after unfinished heads in the order in which room is made. The guard ends it by the deadline of its read, so that the handler answers 408 (not run) and net/http closes. A body has 60 s at most. If the memory of bodies is full, a reader has the body that has been awaited longest given up, and waits up to 100 ms for it.

--- a/buffers/buffers.go
+++ b/buffers/buffers.go
@@ -62,6 +62,10 @@
 
 // Buffer keeps bytes of one reader. It is for one goroutine.
 type Buffer struct {
+	// OnFull, if set, is called when the limit has no room. It may wait for some, and reports
+	// whether to try again.
+	OnFull func() bool
+
 	limit *Limit
 	max   int64
 	data  []byte
@@ -88,8 +92,10 @@
 	if added <= 0 {
 		return nil
 	}
-	if !b.limit.Reserve(added) {
-		return ErrFull
+	for !b.limit.Reserve(added) {
+		if b.OnFull == nil || !b.OnFull() {
+			return ErrFull
+		}
 	}
 	grown := make([]byte, len(b.data), capacity)
 	copy(grown, b.data)
--- a/buffers/buffers_test.go
+++ b/buffers/buffers_test.go
@@ -81,3 +81,24 @@
 	b.Free()
 	is.Equal(limit.Kept(), int64(0))
 }
+
+// Guards against readers that are refused though others would make room for them.
+func TestFullLimitAsksForRoom(t *testing.T) {
+	is := is.New(t)
+	limit := NewLimit(1 << 10)
+	other := New(limit, 1<<10)
+	is.NoErr(other.ReadExactly(strings.NewReader(strings.Repeat("o", 1<<10)), 1<<10))
+	b, asked := New(limit, 1<<10), 0
+	b.OnFull = func() bool {
+		if asked++; asked == 2 {
+			other.Free()
+		}
+		return asked <= 2
+	}
+	is.NoErr(b.ReadExactly(strings.NewReader("abc"), 3))
+	is.Equal(asked, 2)
+	is.Equal(string(b.Bytes()), "abc")
+	full := New(limit, 1<<10)
+	full.OnFull = func() bool { return false }
+	is.Equal(full.ReadExactly(strings.NewReader(strings.Repeat("f", 1<<10)), 1<<10), ErrFull)
+}
--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -89,7 +89,7 @@
 		return err
 	}
 	if s.ended {
-		g.enter(c, answer)
+		g.enter(c, body)
 	}
 	return nil
 }
@@ -126,11 +126,15 @@
 	return nil
 }
 
-// evictHead closes the connection that has waited longest of those with an unfinished, large
-// head, other than c. The caller holds g.mu.
+// evictHead closes the connection that has waited longest of those with an unfinished request
+// and a large head, other than c. The caller holds g.mu.
 func (g *Guard) evictHead(c *conn) bool {
-	for e := g.waiting[head].Front(); e != nil; e = e.Next() {
-		if other := e.Value.(*conn); other != c && other.excess > 0 {
+	for _, p := range []phase{head, body} {
+		for e := g.waiting[p].Front(); e != nil; e = e.Next() {
+			other := e.Value.(*conn)
+			if other == c || other.excess == 0 {
+				continue
+			}
 			g.endForRoom(other)
 			return true
 		}
@@ -158,6 +162,16 @@
 	return errEnded
 }
 
+// interrupt ends the connection. A handler that reads a body is told by its read, and can still
+// answer; otherwise nobody uses the connection but to wait for the client.
+func (c *conn) interrupt() {
+	if c.phase != body {
+		c.Conn.Close()
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // an error means that the connection has ended
+}
+
 // becomeIdle records that the answer was sent whole.
 func (c *conn) becomeIdle() {
 	g := c.guard
@@ -224,14 +238,53 @@
 	g := c.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if c.entry != nil && c.phase != answer {
+	if c.entry != nil && c.phase != body {
 		if c.phase == idle {
 			g.beginRequest(c)
 		}
-		g.enter(c, answer)
+		g.enter(c, body)
 	}
 	if c.noRoom {
 		g.counts.Refused++
 	}
 	return !c.noRoom
 }
+
+// BodyRead records that the request has arrived whole. It reports false if the connection was
+// ended just before: then the client may not be served.
+func (r Request) BodyRead() bool {
+	c := r.conn
+	if c == nil {
+		return true
+	}
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	if c.entry == nil {
+		return false
+	}
+	c.guard.enter(c, answer)
+	return true
+}
+
+// EvictBody closes the connection of the client that has taken longest to send its request's
+// body, other than this one, so that its memory becomes free soon. It reports whether there was
+// any.
+func (r Request) EvictBody() bool {
+	if r.conn == nil {
+		return false
+	}
+	g := r.conn.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for e := g.waiting[body].Front(); e != nil; e = e.Next() {
+		if other := e.Value.(*conn); other != r.conn {
+			g.endForRoom(other)
+			return true
+		}
+	}
+	return false
+}
+
+// TimedOut reports whether the error of reading a body is that the client took too long, or that
+// its memory was needed.
+func TimedOut(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -5,8 +5,8 @@
 // within its limits. A Guard therefore charges each connection by what it does, and requests by
 // the lines and bytes of their heads, to bounds of the process. Without room it closes the
 // connections of clients that keep the process waiting: idle ones first, then unfinished
-// heads, those that have waited longest first. Requests in progress are never ended for another
-// one.
+// heads, then unfinished bodies, those that have waited longest first.
+// Requests whose bodies have arrived are never ended for another one.
 package connlimit
 
 import (
@@ -40,6 +40,12 @@
 	headStep = 8 << 10
 )
 
+// Timeouts that the configuration does not set.
+const (
+	// BodyTimeout is how long a request's body may take to arrive.
+	BodyTimeout = 60 * time.Second
+)
+
 // Bounds are those of a process. Zero means that there is no bound.
 type Bounds struct {
 	// Connections is the largest number of connections.
@@ -68,12 +74,13 @@
 const (
 	idle   phase = iota // for the first byte of a request
 	head                // for the rest of a request's head
+	body                // for the rest of a request's body
 	answer              // for the end of the answer
 	phases
 )
 
 // Phases are the names of what connections wait for, for counters.
-var Phases = [phases]string{"idle", "head", "answer"}
+var Phases = [phases]string{"idle", "head", "body", "answer"}
 
 // Guard bounds the connections of one or more listeners. It is safe for concurrent use.
 type Guard struct {
@@ -248,7 +255,7 @@
 // end closes a connection whose client keeps the process waiting. The caller holds g.mu.
 func (g *Guard) end(c *conn) {
 	g.forget(c)
-	c.Conn.Close()
+	c.interrupt()
 }
 
 // ErrNoRoom reports a head for which the process has no memory left.
@@ -261,7 +268,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.endOlder(idle, limits.IdleTimeout)
-	g.counts.TimedOut += g.endOlder(head, limits.HeaderTimeout)
+	g.counts.TimedOut += g.endOlder(head, limits.HeaderTimeout) + g.endOlder(body, BodyTimeout)
 }
 
 // endOlder closes the connections that have been in a phase for longer than a limit, and returns
--- a/connlimit/connlimit_test.go
+++ b/connlimit/connlimit_test.go
@@ -24,7 +24,8 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil || !request.BodyRead() {
+			w.WriteHeader(http.StatusRequestTimeout)
 			return
 		}
 		if r.URL.Path == "/hold" {
@@ -153,6 +154,31 @@
 	is.Equal(g.Counts().Open, 1) // an answer that is not due yet ends at no timeout
 }
 
+// Guards against connections that are closed out of turn, or while their requests run.
+func TestRoomIsMadeInOrder(t *testing.T) {
+	is := is.New(t)
+	g := NewGuard(Bounds{Connections: 4})
+	address := served(t, g)
+	holder, unfinished, idler, waiting := connect(t, address), connect(t, address), connect(t, address), connect(t, address)
+	_, _ = io.WriteString(holder, "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
+	_, _ = io.WriteString(unfinished, headOf(1))
+	is.Equal(waiting.status("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), http.StatusOK)
+	_, _ = io.WriteString(waiting, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n")
+	await(g, func(c Counts) bool { return c.ConnectionBytes == 4*connectionCost+3*requestCost })
+	for i, ended := range []func() bool{
+		idler.ended, unfinished.ended,
+		func() bool { return waiting.status("") == http.StatusRequestTimeout && waiting.ended() },
+	} {
+		_, _ = io.WriteString(connect(t, address), "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
+		is.True(ended())
+		await(g, func(c Counts) bool {
+			return c.Evicted[i] == 1 && c.ConnectionBytes == 4*(connectionCost+requestCost) && g.answering() == i+2
+		})
+	}
+	is.Equal(connect(t, address).status(plain), 0)
+	is.Equal(g.Counts().Refused, int64(1))
+}
+
 // Guards against large heads that take more than their part of the memory, and against the
 // refusal of one within the limits that comes alone.
 func TestLargeHeadsShareTheirMemory(t *testing.T) {
@@ -173,3 +199,15 @@
 	is.Equal(connect(t, address).status(plain), http.StatusOK)
 	is.True(g.Counts().HeadBytes <= lines*lineCost)
 }
+
+// Guards against charges that remain after their connections.
+func TestNothingIsChargedOnceAllConnectionsEnded(t *testing.T) {
+	g := NewGuard(Bounds{HeadBytes: 1 << 20, ConnectionBytes: 1 << 20})
+	address := served(t, g)
+	for _, text := range []string{plain + plain + plain, headOf(500), headOf(500) + "\r\n" + headOf(3), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\na", "\r\n\r\n", ""} {
+		c := connect(t, address)
+		_, _ = io.WriteString(c, text)
+		c.Close()
+	}
+	await(g, func(c Counts) bool { return c.Open == 0 && c.ConnectionBytes == 0 && c.HeadBytes == 0 })
+}
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"k8s.io/klog/v2"
 
 	"buckthornridge/buffers"
 	"buckthornridge/connlimit"
 	"buckthornridge/lag"
+	"buckthornridge/pause"
 	"buckthornridge/relay"
 	"buckthornridge/telemetry"
 )
@@ -19,6 +21,12 @@
 // defaultBodyBytes bounds a body before a configuration sets the limit.
 const defaultBodyBytes = 4 << 20
 
+// How often, and how long, a body waits for the memory of bodies that arrive more slowly.
+const (
+	bodyRoomTries = 10
+	bodyRoomPause = 10 * time.Millisecond
+)
+
 // callerHandler serves callers' HTTP requests.
 type callerHandler struct {
 	protocol  Protocol
@@ -40,7 +48,8 @@
 	}
 	writer := &callerWriter{w: w, flusher: http.NewResponseController(w), protocol: f.protocol}
 	request, problem := f.protocol.ReadRequest(r)
-	if !connlimit.RequestOf(r.Context()).Begin() {
+	arriving := connlimit.RequestOf(r.Context())
+	if !arriving.Begin() {
 		problem = noMemory("the process has no room for the request")
 	}
 	if problem == nil {
@@ -58,9 +67,12 @@
 	}
 	var body *buffers.Buffer
 	if problem == nil {
-		body, problem = f.readBody(w, r)
+		body, problem = f.readBody(w, r, arriving)
 		defer body.Free()
 	}
+	if problem == nil && !arriving.BodyRead() {
+		problem = bodyTimeout()
+	}
 	if problem != nil {
 		klog.Infof("step=read_request caller=%s outcome=%s detail=%q", r.RemoteAddr, problem.Name, problem.Detail)
 		writer.Refuse(problem)
@@ -77,12 +89,17 @@
 
 // readBody reads the whole body: an incomplete request must not be sent to an upstream,
 // and a retry needs the body again.
-func (f *callerHandler) readBody(w http.ResponseWriter, r *http.Request) (*buffers.Buffer, *relay.Problem) {
+func (f *callerHandler) readBody(w http.ResponseWriter, r *http.Request, arriving connlimit.Request) (*buffers.Buffer, *relay.Problem) {
 	limit := int64(defaultBodyBytes)
 	if c := f.catalogue.Load(); c != nil && c.Limits.BodyBytes > 0 {
 		limit = c.Limits.BodyBytes
 	}
 	body := buffers.New(f.buffers, limit)
+	tries := 0
+	body.OnFull = func() bool {
+		tries++
+		return tries <= bodyRoomTries && arriving.EvictBody() && pause.For(r.Context(), bodyRoomPause) == nil
+	}
 	if r.ContentLength >= 0 {
 		return body, bodyProblem(body.ReadExactly(r.Body, r.ContentLength))
 	}
@@ -93,6 +110,10 @@
 	return body, bodyProblem(err)
 }
 
+func bodyTimeout() *relay.Problem {
+	return &relay.Problem{Status: http.StatusRequestTimeout, Name: "body_timeout", Detail: "the body did not arrive in time"}
+}
+
 func noMemory(detail string) *relay.Problem {
 	return &relay.Problem{Status: http.StatusServiceUnavailable, Name: "no_memory", Detail: detail, RetryAfter: retryAfterOverload}
 }
@@ -109,6 +130,8 @@
 		return tooLarge()
 	case errors.Is(err, buffers.ErrFull):
 		return noMemory(err.Error())
+	case connlimit.TimedOut(err):
+		return bodyTimeout()
 	}
 	return &relay.Problem{Status: http.StatusBadRequest, Name: "body_cut", Detail: err.Error()}
 }
