edge, connlimit: answers that nobody reads give way, and end in time

Callers saw: clients that send requests and read no answer keep every other caller out; the VM has no descriptors left.

Cause: the writing of an answer has no bound of time. A client that does not read, or sends requests in series and reads none of the answers, keeps its connection, its goroutine, its answer and for a stream the connection to the upstream.

Evidence, (700 clients, 600 descriptors): TestCrowdUnreadAnswers: 599 of 600 descriptors open, an ordinary request is not answered; TestCrowdUnreadStreams: 600 of 600, neither the ordinary request nor the ready check answered.

Change: the connection records when the write in progress last made progress. The guard closes it after 15 s without any, and after one second where there is no room for a newcomer and nothing else gives way. Writes are handed over in pieces of 64 KiB, so that a client that reads slowly shows progress. A request that waits for its upstream writes nothing, and is not touched.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -20,6 +20,8 @@
 	// not receive the refusal.
 	lingerTimeout = 500 * time.Millisecond
 	lingerBytes   = 256 << 10
+	// writePiece is the number of bytes after which a write counts as progress.
+	writePiece = 64 << 10
 	// retryAfter is when the client of a head without room should come back, in seconds.
 	retryAfter = 1
 )
@@ -33,6 +35,9 @@
 	// belongs to the reader of the connection.
 	reading atomic.Bool
 	scanner headScanner
+	// writeBegan is when the write in progress last made progress, by the package's clock; 0
+	// without one.
+	writeBegan atomic.Int64
 
 	// The rest is guarded by guard.mu.
 	phase  phase
@@ -162,14 +167,44 @@
 	return errEnded
 }
 
+// Write implements net.Conn. It records the progress that the client's reading allows.
+func (c *conn) Write(b []byte) (written int, err error) {
+	defer c.writeBegan.Store(0)
+	for {
+		c.writeBegan.Store(now())
+		piece := b[written:min(written+writePiece, len(b))]
+		n, err := c.Conn.Write(piece)
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
+// stalledFor returns how long the client has taken no byte of an answer.
+func (c *conn) stalledFor() time.Duration {
+	began := c.writeBegan.Load()
+	if began == 0 {
+		return 0
+	}
+	return time.Duration(now() - began)
+}
+
+var processStart = time.Now()
+
+// now returns the package's clock in nanoseconds. It does not follow steps of the time of day.
+func now() int64 { return int64(time.Since(processStart)) + 1 }
+
 // interrupt ends the connection. A handler that reads a body is told by its read, and can still
 // answer; otherwise nobody uses the connection but to wait for the client.
 func (c *conn) interrupt() {
-	if c.phase != body {
+	if c.phase != body || c.writeBegan.Load() != 0 {
 		c.Conn.Close()
 		return
 	}
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // an error means that the connection has ended
+	// Errors mean that the connection has ended.
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(StallTimeout))
 }
 
 // becomeIdle records that the answer was sent whole.
--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -4,8 +4,8 @@
 // Per-connection limits do not bound a process: it may have thousands of connections, each
 // within its limits. A Guard therefore charges each connection by what it does, and requests by
 // the lines and bytes of their heads, to bounds of the process. Without room it closes the
-// connections of clients that keep the process waiting: idle ones first, then unfinished
-// heads, then unfinished bodies, those that have waited longest first.
+// connections of clients that keep the process waiting: idle ones first, then unfinished heads,
+// unfinished bodies and answers that are not read, those that have waited longest first.
 // Requests whose bodies have arrived are never ended for another one.
 package connlimit
 
@@ -44,6 +44,11 @@
 const (
 	// BodyTimeout is how long a request's body may take to arrive.
 	BodyTimeout = 60 * time.Second
+	// StallTimeout is how long a client may take no byte of its answer.
+	StallTimeout = 15 * time.Second
+	// stalledWrite is how long a client has taken no byte of its answer before its connection is
+	// closed for want of room.
+	stalledWrite = time.Second
 )
 
 // Bounds are those of a process. Zero means that there is no bound.
@@ -233,10 +238,10 @@
 // evict closes the connection that has waited longest of those in the first phase that has any,
 // other than c. It reports whether there was any. The caller holds g.mu.
 func (g *Guard) evict(c *conn) bool {
-	for p := range answer {
+	for p := range phases {
 		for e := g.waiting[p].Front(); e != nil; e = e.Next() {
 			other := e.Value.(*conn)
-			if other == c {
+			if other == c || p == answer && other.stalledFor() < stalledWrite {
 				continue
 			}
 			g.endForRoom(other)
@@ -269,6 +274,14 @@
 	defer g.mu.Unlock()
 	g.endOlder(idle, limits.IdleTimeout)
 	g.counts.TimedOut += g.endOlder(head, limits.HeaderTimeout) + g.endOlder(body, BodyTimeout)
+	for e := g.waiting[answer].Front(); e != nil; {
+		c := e.Value.(*conn)
+		e = e.Next()
+		if c.stalledFor() > StallTimeout {
+			g.end(c)
+			g.counts.TimedOut++
+		}
+	}
 }
 
 // endOlder closes the connections that have been in a phase for longer than a limit, and returns
