edge: the addresses for health checks and metrics are bounded too

Callers saw: a process that ends over its memory, by clients that reach the address of the load balancer's health check, or that of metrics.

Cause: both servers have net/http's default of 1 MiB for a head and no bound of connections, idle time or answers.

Evidence, (60 clients, heads of 500 KB of short lines, unfinished): TestCrowdHeadsToTheReadyCheck 502,648,832 and TestCrowdHeadsToTheMetrics 501,284,864 bytes of 64,000,000, an ordinary request not answered in both. TestCrowdSilentConnectionsToTheReadyCheck passed there, after the old timeout of 10 s; it stays as a guard.

Change: both listeners are under one guard of 32 connections and 1 MiB of large heads, with limits of its own. Without room the connection idle longest gives way, so that the next health check finds room.

After: 27 and 28 MB, and the ordinary request is answered.

--- a/edge/conn_guards.go
+++ b/edge/conn_guards.go
@@ -25,22 +25,33 @@
 	// take. The rest is for upstreams, peers, the store and health checks.
 	callerDescriptorShare = 0.5
 
+	// operatorConnections bounds connections of health checks and of readers of metrics,
+	// operatorHeadBytes what their heads may take together.
+	operatorConnections = 32
+	operatorHeadBytes   = 1 << 20
+
 	// unboundedHeaderBytes leaves the bound of heads to the guard.
 	unboundedHeaderBytes = math.MaxInt32
 	connSweepInterval    = 500 * time.Millisecond
 )
 
-// newCallerGuard returns the guard of callers' connections, for a process with some memory in
-// bytes.
-func newCallerGuard(memory int64) *connlimit.Guard {
+// operatorLimits are those of health checks and of readers of metrics.
+var operatorLimits = connlimit.Limits{HeaderBytes: 16 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+
+// newConnGuards returns the guards of callers' connections and of operators' ones, for a
+// process with some memory in bytes.
+func newConnGuards(memory int64) (callers, operators *connlimit.Guard) {
 	if memory <= 0 {
 		memory = defaultMemory
 	}
-	return connlimit.NewGuard(connlimit.Bounds{
+	callers = connlimit.NewGuard(connlimit.Bounds{
 		Connections:     callerConnections(),
 		ConnectionBytes: int64(callerConnShare * float64(memory)),
 		HeadBytes:       int64(callerHeadShare * float64(memory)),
 	})
+	operators = connlimit.NewGuard(connlimit.Bounds{Connections: operatorConnections, HeadBytes: operatorHeadBytes})
+	operators.SetLimits(operatorLimits)
+	return callers, operators
 }
 
 // callerConnections returns how many connections of callers the process's descriptors allow; 0
@@ -60,6 +71,7 @@
 	before := p.callerConns.Counts()
 	for pause.For(ctx, connSweepInterval) == nil {
 		p.callerConns.Sweep()
+		p.operatorConns.Sweep()
 		now := p.callerConns.Counts()
 		if now.Evicted != before.Evicted || now.Refused != before.Refused || now.TooLarge != before.TooLarge || now.TimedOut != before.TimedOut {
 			klog.Infof("step=caller_conns open=%d connection_bytes=%d head_bytes=%d evicted=%v refused=%d too_large=%d timed_out=%d",
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -39,8 +39,6 @@
 
 // Limits of callers' connections, and the maintenance interval.
 const (
-	// headerTimeout is for health checks and readers of metrics.
-	headerTimeout = 10 * time.Second
 	// callerKeepAlive is the idle time after which a caller's connection is probed; a
 	// caller that acknowledges no probe is disconnected.
 	callerKeepAlive     = 10 * time.Second
@@ -123,6 +121,7 @@
 	delay         lag.Meter
 	buffers       *buffers.Limit
 	callerConns   *connlimit.Guard // callers' connections
+	operatorConns *connlimit.Guard // those of health checks and of readers of metrics
 	cancel        context.CancelFunc
 	tasks         sync.WaitGroup
 }
@@ -139,7 +138,7 @@
 		routes:            routing.NewTable(), metrics: newMetrics(), peerSrv: peer.NewServer(),
 	}
 	p.buffers = buffers.NewLimit(bufferedBytes(s.MemoryBytes))
-	p.callerConns = newCallerGuard(s.MemoryBytes)
+	p.callerConns, p.operatorConns = newConnGuards(s.MemoryBytes)
 	p.gate, p.callerLink = traffic.NewGate(s.LinkMbit), newCallerLink(s.LinkMbit)
 	if p.callerLink != nil {
 		a.Traffic.SetLink(p.callerLink.state)
@@ -217,9 +216,11 @@
 		MaxHeaderBytes: unboundedHeaderBytes,
 		ConnContext:    withConn,
 	}
-	p.ready = &http.Server{Handler: http.HandlerFunc(p.serveReady), ReadHeaderTimeout: headerTimeout}
-	p.metricsServer = &http.Server{Handler: p.metrics, ReadHeaderTimeout: headerTimeout}
+	p.ready = &http.Server{Handler: http.HandlerFunc(p.serveReady), MaxHeaderBytes: unboundedHeaderBytes}
+	p.metricsServer = &http.Server{Handler: p.metrics, MaxHeaderBytes: unboundedHeaderBytes}
 	p.callerConns.Attach(p.callers)
+	p.operatorConns.Attach(p.ready)
+	p.operatorConns.Attach(p.metricsServer)
 	return nil
 }
 
@@ -256,9 +257,9 @@
 		serve   func(net.Listener) error
 	}{
 		{p.settings.Listen, traffic.Callers, p.callerConns, p.callers.Serve},
-		{p.settings.ReadyListen, traffic.Callers, nil, p.ready.Serve},
+		{p.settings.ReadyListen, traffic.Callers, p.operatorConns, p.ready.Serve},
 		{p.settings.PeerListen, traffic.Peers, nil, p.peerSrv.Serve},
-		{p.settings.MetricsListen, traffic.Callers, nil, p.metricsServer.Serve},
+		{p.settings.MetricsListen, traffic.Callers, p.operatorConns, p.metricsServer.Serve},
 	} {
 		if one.address == "" {
 			continue
