relay: the hashes of one prompt are bounded

Callers saw: one request within all limits ends the process over its memory.

Cause: prefixHashes makes one hash for every 256 tokens that the parts of a prompt name, and a part may name a million tokens. A head of 16 KiB has room for 1,500 such parts: 6 million hashes, 49 MB, made anew for each choice of an upstream.

Change: 4,096 hashes for one prompt, a million tokens. Longer prompts are told apart by their first blocks.

--- a/relay/prefix.go
+++ b/relay/prefix.go
@@ -13,8 +13,12 @@
 // share of known tokens.
 const prefixBlockTokens = 256
 
-// prefixHashes returns one hash for each block of the prompt's parts. Each covers the
-// model and all blocks before it.
+// maxPrefixBlocks bounds the hashes of one prompt, whose parts may name any number of tokens.
+// Longer prompts are told apart by their first blocks.
+const maxPrefixBlocks = 1 << 12
+
+// prefixHashes returns one hash for each block of the prompt's parts, up to maxPrefixBlocks.
+// Each covers the model and all blocks before it.
 func prefixHashes(model string, parts []Part) []uint64 {
 	if len(parts) == 0 {
 		return nil
@@ -24,7 +28,7 @@
 	for _, part := range parts {
 		own := xxhash.Sum64String(part.ID)
 		blocks := max(1, (part.Tokens+prefixBlockTokens/2)/prefixBlockTokens)
-		for i := range blocks {
+		for i := range min(blocks, int64(maxPrefixBlocks-len(hashes))) {
 			parent = combineHashes(parent, own+uint64(i))
 			hashes = append(hashes, parent)
 		}
