edge: log lines of requests bound what callers name

Callers saw: nothing. 100 clients that send ids of 12 KB, 10,000 requests in all, made a process write 125 MB of log in 6 s; on platforms that charge processor time for each kilobyte that is a caller's time.

Cause: a request's line has its id, the stream that it takes up and a detail, as long as the caller sends them.

Change: 1 KiB each of what a caller names in a request's line.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -63,8 +63,18 @@
 func RequestLogLine(d relay.RequestRecord) string {
 	return fmt.Sprintf("step=request id=%s caller=%s route=%s workspace=%s outcome=%s cause=%s status=%d sends=%d repeats=%v upstreams=%v versions=%q origin=%q via=%s "+
 		"expected_ms=%d first_ms=%d total_ms=%d ceiling=%d consumed=%d detail=%q",
-		d.ID, d.Caller, d.Route, d.Workspace, d.Outcome, d.Cause, d.Status, d.Sends, d.Repeats, d.Upstreams, d.Versions, d.Origin, d.Via,
-		d.Expected.Milliseconds(), d.First.Milliseconds(), d.Total.Milliseconds(), d.Ceiling, d.Consumed, d.Detail)
+		clip(d.ID), d.Caller, d.Route, d.Workspace, d.Outcome, d.Cause, d.Status, d.Sends, d.Repeats, d.Upstreams, d.Versions, clip(d.Origin), d.Via,
+		d.Expected.Milliseconds(), d.First.Milliseconds(), d.Total.Milliseconds(), d.Ceiling, d.Consumed, clip(d.Detail))
+}
+
+// loggedBytes bounds texts of callers in log lines.
+const loggedBytes = 1 << 10
+
+func clip(text string) string {
+	if len(text) > loggedBytes {
+		return text[:loggedBytes]
+	}
+	return text
 }
 
 func (m *metrics) bucket(d time.Duration) int {
