--- a/connlimit/connlimit.go
+++ b/connlimit/connlimit.go
@@ -16,10 +16,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/rotisserie/eris"
-
-	"buckthornridge/traffic"
 )
 
 // Costs in bytes that connections are charged with.
@@ -108,7 +104,7 @@
 	// Evicted is how many connections were closed to make room, by what they waited for; Phases
 	// names it.
 	Evicted [phases]int64
-	// Refused is how many connections and heads found no room, TooLarge how many heads were
+	// Refused is how many connections, heads and requests found no room, TooLarge how many heads were
 	// over the limit, and TimedOut how many connections were closed at a timeout other than the
 	// idle one.
 	Refused, TooLarge, TimedOut int64
@@ -263,9 +259,6 @@
 	c.interrupt()
 }
 
-// ErrNoRoom reports a head for which the process has no memory left.
-var ErrNoRoom = eris.New("connlimit: no memory for the head")
-
 // Sweep closes the connections whose clients have exceeded a timeout. It must be called
 // periodically.
 func (g *Guard) Sweep() {
@@ -297,9 +290,3 @@
 	}
 	return ended
 }
-
-// unwrapped returns the TCP connection below a connection, or nil.
-func unwrapped(c net.Conn) *net.TCPConn {
-	tcp, _ := traffic.Unwrapped(c).(*net.TCPConn)
-	return tcp
-}
