--- /dev/null
+++ b/review/standins-2/server.go
@@ -0,0 +1,205 @@
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// server is one server of a service, a process of its own. A run is an event stream on the model
+// service and one body on the other service.
+type server struct {
+	id, service, zone, address, store string
+	slots                             int
+	gap                               time.Duration // between two events of a stream
+	work                              time.Duration // of a request that is no stream
+	drain                             time.Duration // between the accepted report and the exit
+	born                              int64
+
+	mu       sync.Mutex
+	sequence int64
+	state    string
+	runs     map[string]int // events made, by the id of the request
+}
+
+// serverMain runs a server until it is told to leave: SIGTERM makes it report that it drains, and
+// exit a while after the store has accepted that.
+func serverMain(arguments []string) error {
+	s := &server{state: "ready", born: time.Now().UnixMilli(), runs: map[string]int{}}
+	flags := flag.NewFlagSet("server", flag.ExitOnError)
+	flags.StringVar(&s.id, "id", "", "id of the server")
+	flags.StringVar(&s.service, "service", "", "its service")
+	flags.StringVar(&s.zone, "zone", "z-a", "its zone")
+	flags.StringVar(&s.address, "address", "", "address that it listens at")
+	flags.StringVar(&s.store, "store", "", "address of the store")
+	flags.IntVar(&s.slots, "slots", 16, "requests at once")
+	flags.DurationVar(&s.gap, "gap", 100*time.Millisecond, "between two events")
+	flags.DurationVar(&s.work, "work", 15*time.Millisecond, "of a request that is no stream")
+	flags.DurationVar(&s.drain, "drain", 2500*time.Millisecond, "between the accepted report that it drains and its exit")
+	if err := flags.Parse(arguments); err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return err
+	}
+	if err := s.beat(); err != nil {
+		return err
+	}
+	go func() { _ = http.Serve(l, s) }()
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM)
+	for {
+		select {
+		case <-time.After(1200 * time.Millisecond):
+			_ = s.beat()
+		case <-term:
+			s.mu.Lock()
+			s.state = "draining"
+			s.mu.Unlock()
+			if err := s.beat(); err != nil {
+				return err
+			}
+			s.say("draining", "", "the store has accepted it")
+			time.Sleep(s.drain)
+			s.mu.Lock()
+			for id, events := range s.runs {
+				s.say("left", id, fmt.Sprintf("cut after event %d", events))
+			}
+			_ = putRemotely(s.store, "servers", s.id, nil)
+			os.Exit(0)
+		}
+	}
+}
+
+// say writes a line for the record.
+func (s *server) say(what, id, detail string) {
+	fmt.Printf("%s server=%s what=%s id=%s %s\n", time.Now().Format("15:04:05.000"), s.id, what, id, detail)
+}
+
+// beat writes the server's entry.
+func (s *server) beat() error {
+	s.mu.Lock()
+	s.sequence++
+	entry := map[string]any{
+		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": s.slots, "state": s.state,
+		"warmupLeftMs": 0, "sequence": s.sequence, "born": s.born, "phase": "combined",
+	}
+	s.mu.Unlock()
+	return putRemotely(s.store, "servers", s.id, entry)
+}
+
+// ServeHTTP implements http.Handler.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/-/report":
+		s.report(w)
+		return
+	case "/healthz":
+		w.Header().Set("Instance-Id", s.id)
+		return
+	}
+	id := r.Header.Get("Attempt-Id")
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	w.Header().Set("Attempt-Id", id)
+	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != s.id {
+		w.Header().Set("Instance-Id", s.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if !s.begin(id) {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer s.end(id)
+	s.say("run", id, fmt.Sprintf("path=%s after=%q bytes=%d", r.URL.Path, r.Header.Get("Last-Event-Id"), len(body)))
+	s.respond(w, r, id)
+}
+
+// begin takes a slot for a run.
+func (s *server) begin(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.runs) >= s.slots {
+		return false
+	}
+	s.runs[id] = 0
+	return true
+}
+
+func (s *server) end(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.runs, id)
+}
+
+// report tells the state of the server.
+func (s *server) report(w http.ResponseWriter) {
+	s.mu.Lock()
+	executions := [][]any{}
+	for id, events := range s.runs {
+		executions = append(executions, []any{id, 100, events, 5})
+	}
+	report := map[string]any{
+		"phase": "combined", "loadedModels": []any{map[string]any{"name": "m", "version": 1, "loadedAdapters": []any{}}},
+		"busy": false, "sequence": 0, "queued": 0, "active": len(executions), "kvInUse": 100 * len(executions), "kvLimit": 500000,
+		"cacheHandles": 0, "state": s.state, "executions": executions, "born": s.born,
+	}
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(report)
+}
+
+// respond answers a request. The answer has neither a length nor chunks: it ends with its
+// connection.
+func (s *server) respond(w http.ResponseWriter, r *http.Request, id string) {
+	raw, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer raw.Close()
+	_ = buffered
+	kind := "application/octet-stream"
+	if strings.HasPrefix(r.URL.Path, "/stream") {
+		kind = "text/event-stream"
+	}
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: %s.%s\r\nContent-Type: %s\r\nConnection: close\r\n\r\n", id, s.id, id, kind)
+	if _, err := io.WriteString(raw, head); err != nil {
+		return
+	}
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	pieces, _ := strconv.Atoi(strings.TrimPrefix(r.URL.RawQuery, "pieces="))
+	for n := last + 1; n <= pieces; n++ {
+		time.Sleep(s.gap)
+		if _, err := io.WriteString(raw, piece(kind, id, n)); err != nil {
+			s.say("dropped", id, fmt.Sprintf("after piece %d", n-1))
+			return
+		}
+		s.mu.Lock()
+		s.runs[id] = n
+		s.mu.Unlock()
+	}
+	s.say("answered", id, fmt.Sprintf("pieces=%d", pieces))
+}
+
+// piece returns the n-th part of an answer.
+func piece(kind, id string, n int) string {
+	if kind == "text/event-stream" {
+		return fmt.Sprintf("id: %d\ndata: %s token %d\n\n", n, id, n)
+	}
+	return fmt.Sprintf("%s line %06d\n", id, n)
+}
