--- a/review/standins-2/env.go
+++ b/review/standins-2/env.go
@@ -27,6 +27,8 @@
 	record    *os.File
 	processes []*process
 	broken    []string
+	// onLine, if set, gets each line that a server says.
+	onLine func(line string)
 }
 
 // process is a process that the case has started.
@@ -100,6 +102,11 @@
 
 // Write implements io.Writer: what servers say goes to the record.
 func (e *env) Write(b []byte) (int, error) {
+	if e.onLine != nil {
+		for line := range strings.Lines(string(b)) {
+			e.onLine(line)
+		}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.record.Write(b)
--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -24,12 +24,16 @@
 	gap                               time.Duration // between two events of a stream
 	work                              time.Duration // of a request that is no stream
 	drain                             time.Duration // between the accepted report and the exit
+	loseFor                           time.Duration // how long answers are lost once that begins
+	loseEvery                         int           // of so many streams one loses its answer then
 	born                              int64
 
 	mu       sync.Mutex
 	sequence int64
 	state    string
 	runs     map[string]int // events made, by the id of the request
+	losing   time.Time      // until when answers are lost
+	streams  int            // begun while answers are lost
 }
 
 // serverMain runs a server until it is told to leave: SIGTERM makes it report that it drains, and
@@ -46,6 +50,8 @@
 	flags.DurationVar(&s.gap, "gap", 100*time.Millisecond, "between two events")
 	flags.DurationVar(&s.work, "work", 15*time.Millisecond, "of a request that is no stream")
 	flags.DurationVar(&s.drain, "drain", 2500*time.Millisecond, "between the accepted report that it drains and its exit")
+	flags.DurationVar(&s.loseFor, "lose-for", 4*time.Second, "how long answers are lost after SIGUSR1")
+	flags.IntVar(&s.loseEvery, "lose-every", 3, "of so many streams one loses its answer then")
 	if err := flags.Parse(arguments); err != nil {
 		return err
 	}
@@ -59,8 +65,15 @@
 	go func() { _ = http.Serve(l, s) }()
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM)
+	lose := make(chan os.Signal, 1)
+	signal.Notify(lose, syscall.SIGUSR1)
 	for {
 		select {
+		case <-lose:
+			s.mu.Lock()
+			s.losing = time.Now().Add(s.loseFor)
+			s.mu.Unlock()
+			s.say("loses", "", "answers from now on")
 		case <-time.After(1200 * time.Millisecond):
 			_ = s.beat()
 		case <-term:
@@ -177,12 +190,17 @@
 	if strings.HasPrefix(r.URL.Path, "/stream") {
 		kind = "text/event-stream"
 	}
+	pieces, _ := strconv.Atoi(strings.TrimPrefix(r.URL.RawQuery, "pieces="))
+	if kind == "text/event-stream" && s.loses() {
+		time.Sleep(s.gap)
+		s.lose(raw, id, pieces)
+		return
+	}
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: %s.%s\r\nContent-Type: %s\r\nConnection: close\r\n\r\n", id, s.id, id, kind)
 	if _, err := io.WriteString(raw, head); err != nil {
 		return
 	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	pieces, _ := strconv.Atoi(strings.TrimPrefix(r.URL.RawQuery, "pieces="))
 	for n := last + 1; n <= pieces; n++ {
 		time.Sleep(s.gap)
 		if _, err := io.WriteString(raw, piece(kind, id, n)); err != nil {
@@ -196,6 +214,34 @@
 	s.say("answered", id, fmt.Sprintf("pieces=%d", pieces))
 }
 
+// loses reports whether the answer of the stream that begins is lost.
+func (s *server) loses() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Now().After(s.losing) {
+		return false
+	}
+	s.streams++
+	return s.streams%s.loseEvery == 1
+}
+
+// lose resets the connection of a run and works on: this server is not one of those that drop a
+// request when its connection closes.
+func (s *server) lose(raw net.Conn, id string, pieces int) {
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	raw.Close()
+	s.say("lost", id, "the connection of its answer was reset")
+	for n := 1; n <= pieces; n++ {
+		time.Sleep(s.gap)
+		s.mu.Lock()
+		s.runs[id] = n
+		s.mu.Unlock()
+	}
+	s.say("worked", id, fmt.Sprintf("pieces=%d", pieces))
+}
+
 // piece returns the n-th part of an answer.
 func piece(kind, id string, n int) string {
 	if kind == "text/event-stream" {
