--- a/review/standins-2/leaving.go
+++ b/review/standins-2/leaving.go
@@ -65,7 +65,7 @@
 		for _, path := range []string{"/stream/once/", "/stream/resume/", "/status/", "/order/"} {
 			clients.Go(func() {
 				time.Sleep(time.Duration(n) * 40 * time.Millisecond)
-				e.checkAnswer(n%2, path, fmt.Sprintf("%s-%d", strings.Trim(strings.ReplaceAll(path, "/", "-"), "-"), n))
+				e.checkAnswer(n%2, path, fmt.Sprintf("%s-%d", strings.Trim(strings.ReplaceAll(path, "/", "-"), "-"), n), leavingPieces)
 			})
 		}
 	}
@@ -80,8 +80,8 @@
 }
 
 // checkAnswer sends one request and checks that an answer which looks whole is whole.
-func (e *env) checkAnswer(edge int, path, id string) {
-	q := request{method: "POST", path: fmt.Sprintf("%s?pieces=%d", path, leavingPieces), id: id, body: "hello", deadline: 14 * time.Second}
+func (e *env) checkAnswer(edge int, path, id string, pieces int) {
+	q := request{method: "POST", path: fmt.Sprintf("%s?pieces=%d", path, pieces), id: id, body: "hello", deadline: 14 * time.Second}
 	kind := "application/octet-stream"
 	if strings.HasPrefix(path, "/stream") {
 		kind = "text/event-stream"
@@ -92,7 +92,7 @@
 	}
 	a := e.send(edge, q)
 	var whole strings.Builder
-	for n := 1; n <= leavingPieces; n++ {
+	for n := 1; n <= pieces; n++ {
 		whole.WriteString(piece(kind, id, n))
 	}
 	e.log("client id=%s status=%d complete=%t bytes=%d of=%d took=%s err=%v", id, a.status, a.complete, len(a.body), whole.Len(), a.took.Round(time.Millisecond), a.err)
--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -20,7 +20,7 @@
 // service and one body on the other service.
 type server struct {
 	id, service, zone, address, store string
-	slots                             int
+	slots, queue                      int           // requests at once, and those that wait for a slot
 	gap                               time.Duration // between two events of a stream
 	work                              time.Duration // of a request that is no stream
 	drain                             time.Duration // between the accepted report and the exit
@@ -34,12 +34,14 @@
 	runs     map[string]int // events made, by the id of the request
 	losing   time.Time      // until when answers are lost
 	streams  int            // begun while answers are lost
+	waiting  int            // for a slot
+	ended    chan struct{}  // gets one for each run that ends while requests wait
 }
 
 // serverMain runs a server until it is told to leave: SIGTERM makes it report that it drains, and
 // exit a while after the store has accepted that.
 func serverMain(arguments []string) error {
-	s := &server{state: "ready", born: time.Now().UnixMilli(), runs: map[string]int{}}
+	s := &server{state: "ready", born: time.Now().UnixMilli(), runs: map[string]int{}, ended: make(chan struct{})}
 	flags := flag.NewFlagSet("server", flag.ExitOnError)
 	flags.StringVar(&s.id, "id", "", "id of the server")
 	flags.StringVar(&s.service, "service", "", "its service")
@@ -47,6 +49,7 @@
 	flags.StringVar(&s.address, "address", "", "address that it listens at")
 	flags.StringVar(&s.store, "store", "", "address of the store")
 	flags.IntVar(&s.slots, "slots", 16, "requests at once")
+	flags.IntVar(&s.queue, "queue", 0, "requests that wait for a slot")
 	flags.DurationVar(&s.gap, "gap", 100*time.Millisecond, "between two events")
 	flags.DurationVar(&s.work, "work", 15*time.Millisecond, "of a request that is no stream")
 	flags.DurationVar(&s.drain, "drain", 2500*time.Millisecond, "between the accepted report that it drains and its exit")
@@ -133,7 +136,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if !s.begin(id) {
+	if !s.begin(r, id) {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -143,12 +146,25 @@
 	s.respond(w, r, id)
 }
 
-// begin takes a slot for a run.
-func (s *server) begin(id string) bool {
+// begin takes a slot for a run, and waits for one if the queue has room.
+func (s *server) begin(r *http.Request, id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.runs) >= s.slots {
-		return false
+		if s.waiting >= s.queue {
+			return false
+		}
+		s.waiting++
+		s.mu.Unlock()
+		select {
+		case <-s.ended:
+		case <-r.Context().Done(): // a request whose connection closes is dropped
+			s.mu.Lock()
+			s.waiting--
+			return false
+		}
+		s.mu.Lock()
+		s.waiting--
 	}
 	s.runs[id] = 0
 	return true
@@ -158,6 +174,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.runs, id)
+	if s.waiting > 0 {
+		go func() { s.ended <- struct{}{} }()
+	}
 }
 
 // report tells the state of the server.
