--- a/review/standins-2/crowded.go
+++ b/review/standins-2/crowded.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { cases["8"] = playCrowded }
+func init() { cases["9"] = playCrowded }
 
 const (
 	crowdedEdges   = 9 // as many as the sheet has
--- a/review/standins-2/leaving.go
+++ b/review/standins-2/leaving.go
@@ -14,7 +14,7 @@
 	leavingClients = 12 // of each kind
 )
 
-func init() { cases["6"] = playLeaving }
+func init() { cases["7"] = playLeaving }
 
 // standardConfig is a configuration with a route of each kind that the cases use.
 func standardConfig() map[string]any {
--- a/review/standins-2/lost.go
+++ b/review/standins-2/lost.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-func init() { cases["7"] = playLost }
+func init() { cases["8"] = playLost }
 
 const (
 	lostPieces = 30 // of each stream, 100 ms apart
