--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -41,6 +41,8 @@
 	version int64
 	changed chan struct{}
 	began   time.Time
+	// away, if set, says of which rows the store is unavailable: it answers 503 to calls for them.
+	away func(table, part string) bool
 }
 
 func newStore() *store {
@@ -93,6 +95,42 @@
 	s.changed = make(chan struct{})
 }
 
+// setAway sets of which rows the store is unavailable.
+func (s *store) setAway(away func(table, part string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+// refuses answers 503 if the store is unavailable for a row. The caller holds s.mu.
+func (s *store) refuses(w http.ResponseWriter, table, part string) bool {
+	if s.away == nil || !s.away(table, part) {
+		return false
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// writtenParts returns the parts of a table with a prefix that have been written since a version.
+func (s *store) writtenParts(table, prefix string, since int64) map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := map[string]bool{}
+	for _, one := range s.changes {
+		if one.Table == table && strings.HasPrefix(one.Part, prefix) && one.Version > since && !one.Deleted {
+			found[one.Part] = true
+		}
+	}
+	return found
+}
+
+// currentVersion returns the newest version.
+func (s *store) currentVersion() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
 // answer writes an answer. The caller holds s.mu.
 func (s *store) answer(w http.ResponseWriter, status int, fields map[string]any) {
 	fields["rowVersion"], fields["nowMs"] = s.version, time.Since(s.began).Milliseconds()+1
@@ -114,6 +152,11 @@
 	time.Sleep(storeTransaction)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, one := range append(append([]row{}, txn.Expected...), txn.Write...) {
+		if s.refuses(w, one.Table, one.Part) {
+			return
+		}
+	}
 	current, failed := []row{}, false
 	for _, c := range txn.Expected {
 		now := s.rows[c.rowAddress]
@@ -141,6 +184,9 @@
 	q := r.URL.Query()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.refuses(w, q.Get("storeTable"), q.Get("part")) {
+		return
+	}
 	found := []row{}
 	for address, one := range s.rows {
 		if address.Table == q.Get("storeTable") && address.Part == q.Get("part") &&
