--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -20,10 +20,8 @@
 // service and one body on the other service.
 type server struct {
 	id, service, zone, address, store string
-	slots, queue                      int           // requests at once, and those that wait for a slot
+	slots                             int           // requests at once
 	gap                               time.Duration // between two events of a stream
-	work                              time.Duration // of a request that is no stream
-	drain                             time.Duration // between the accepted report and the exit
 	spoilFor                          time.Duration // how long answers are spoiled once that begins
 	spoilEvery                        int           // of so many streams one is spoiled then
 	born                              int64
@@ -34,14 +32,11 @@
 	runs     map[string]int // events made, by the id of the request
 	spoiling time.Time      // until when answers are spoiled
 	streams  int            // begun while answers are spoiled
-	waiting  int            // for a slot
-	ended    chan struct{}  // gets one for each run that ends while requests wait
 }
 
-// serverMain runs a server until it is told to leave: SIGTERM makes it report that it drains, and
-// exit a while after the store has accepted that.
+// serverMain runs a server until it is killed. SIGUSR1 makes it spoil some of its answers for a while.
 func serverMain(arguments []string) error {
-	s := &server{state: "ready", born: time.Now().UnixMilli(), runs: map[string]int{}, ended: make(chan struct{})}
+	s := &server{state: "ready", born: time.Now().UnixMilli(), runs: map[string]int{}}
 	flags := flag.NewFlagSet("server", flag.ExitOnError)
 	flags.StringVar(&s.id, "id", "", "id of the server")
 	flags.StringVar(&s.service, "service", "", "its service")
@@ -49,10 +44,7 @@
 	flags.StringVar(&s.address, "address", "", "address that it listens at")
 	flags.StringVar(&s.store, "store", "", "address of the store")
 	flags.IntVar(&s.slots, "slots", 16, "requests at once")
-	flags.IntVar(&s.queue, "queue", 0, "requests that wait for a slot")
 	flags.DurationVar(&s.gap, "gap", 100*time.Millisecond, "between two events")
-	flags.DurationVar(&s.work, "work", 15*time.Millisecond, "of a request that is no stream")
-	flags.DurationVar(&s.drain, "drain", 2500*time.Millisecond, "between the accepted report that it drains and its exit")
 	flags.DurationVar(&s.spoilFor, "spoil-for", 5*time.Second, "how long answers are spoiled after SIGUSR1")
 	flags.IntVar(&s.spoilEvery, "spoil-every", 50, "of so many streams one is spoiled then")
 	if err := flags.Parse(arguments); err != nil {
@@ -66,8 +58,6 @@
 		return err
 	}
 	go func() { _ = http.Serve(l, s) }()
-	term := make(chan os.Signal, 1)
-	signal.Notify(term, syscall.SIGTERM)
 	spoil := make(chan os.Signal, 1)
 	signal.Notify(spoil, syscall.SIGUSR1)
 	for {
@@ -79,21 +69,6 @@
 			s.say("spoils", "", "answers from now on")
 		case <-time.After(1200 * time.Millisecond):
 			_ = s.beat()
-		case <-term:
-			s.mu.Lock()
-			s.state = "draining"
-			s.mu.Unlock()
-			if err := s.beat(); err != nil {
-				return err
-			}
-			s.say("draining", "", "the store has accepted it")
-			time.Sleep(s.drain)
-			s.mu.Lock()
-			for id, events := range s.runs {
-				s.say("left", id, fmt.Sprintf("cut after event %d", events))
-			}
-			_ = putRemotely(s.store, "servers", s.id, nil)
-			os.Exit(0)
 		}
 	}
 }
@@ -136,7 +111,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if !s.begin(r, id) {
+	if !s.begin(id) {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -146,25 +121,12 @@
 	s.respond(w, r, id)
 }
 
-// begin takes a slot for a run, and waits for one if the queue has room.
-func (s *server) begin(r *http.Request, id string) bool {
+// begin takes a slot for a run.
+func (s *server) begin(id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.runs) >= s.slots {
-		if s.waiting >= s.queue {
-			return false
-		}
-		s.waiting++
-		s.mu.Unlock()
-		select {
-		case <-s.ended:
-		case <-r.Context().Done(): // a request whose connection closes is dropped
-			s.mu.Lock()
-			s.waiting--
-			return false
-		}
-		s.mu.Lock()
-		s.waiting--
+		return false
 	}
 	s.runs[id] = 0
 	return true
@@ -174,9 +136,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.runs, id)
-	if s.waiting > 0 {
-		go func() { s.ended <- struct{}{} }()
-	}
 }
 
 // report tells the state of the server.
@@ -199,12 +158,11 @@
 // respond answers a request. The answer has neither a length nor chunks: it ends with its
 // connection.
 func (s *server) respond(w http.ResponseWriter, r *http.Request, id string) {
-	raw, buffered, err := http.NewResponseController(w).Hijack()
+	raw, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return
 	}
 	defer raw.Close()
-	_ = buffered
 	kind := "application/octet-stream"
 	if strings.HasPrefix(r.URL.Path, "/stream") {
 		kind = "text/event-stream"
