httpconn: the end of a connection that was reset is not the end of a response

Callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: a socket reports the error that ended it once. While an upload is written by one goroutine and the response is read by another one, the write may take the ECONNRESET (or the ETIMEDOUT of a path that fell silent). The read then returns EOF, which for a body without a length or chunks is its end.

Why this works: httpconn.Conn, over which all clients of HTTP servers now read (upstreams on both paths, the platform's store), takes an EOF for an ordinary end only if the socket is still connected in one direction, as it is after a FIN alone, or if the write ended with EPIPE, which it does if the FIN came first. A write in progress on a disconnected socket returns at once, so that nothing waits. The first error is kept, since parsers may read on after it and the socket would then say EOF.

Handled before, tests kept: heads that are cut off at any byte (TestCutHeadIsNoResponse), early responses that are short by their framing. Sound ones still arrive: early responses with a FIN whether or not the upload is read, no length, interim heads, trailers.

--- /dev/null
+++ b/httpconn/conn.go
@@ -0,0 +1,108 @@
+// Package httpconn decides what bytes of a server are an HTTP/1.1 response, and when one is
+// whole. All clients of the process read servers through its connections; net/http parses
+// what they let through.
+//
+// A response is whole once its length or its last chunk and trailer was read, which net/http
+// tells, or, if it has neither, once the server has closed the connection in the ordinary
+// way. Conn tells that from the end of a connection that was reset or timed out.
+package httpconn
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+
+	"buckthornridge/traffic"
+)
+
+// Conn is a client's connection to an HTTP/1.1 server. One goroutine may read it while another
+// one writes it.
+type Conn struct {
+	net.Conn
+
+	writing  sync.Mutex // held during a Write; guards writeErr
+	writeErr error      // the first error of a Write
+
+	mu      sync.Mutex
+	readErr error // the first error of a Read
+}
+
+// New returns a connection over a raw one.
+func New(raw net.Conn) *Conn { return &Conn{Conn: raw} }
+
+// Unwrap returns the raw connection.
+func (c *Conn) Unwrap() net.Conn { return c.Conn }
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read implements net.Conn. io.EOF means that the server has closed the connection in the
+// ordinary way. Later calls return the first error again: parsers may read on after it, and
+// the socket no longer tells why the connection ended.
+func (c *Conn) Read(b []byte) (int, error) {
+	if err := c.failure(); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(b)
+	if err == io.EOF {
+		err = c.endCause()
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.readErr = err
+	}
+	return n, err
+}
+
+func (c *Conn) failure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readErr
+}
+
+// endCause returns why a connection ended that reads as closed. A socket reports the error
+// that ended it once: if a Write takes it, a Read sees the same end as after a close by the
+// server. After such a close a Write gets EPIPE.
+func (c *Conn) endCause() error {
+	if !isDisconnected(c.Conn) {
+		return io.EOF
+	}
+	// A Write in progress ends at once, since the socket is disconnected.
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeErr == nil || errors.Is(c.writeErr, syscall.EPIPE) {
+		return io.EOF
+	}
+	return c.writeErr
+}
+
+// isDisconnected reports whether a TCP connection has ended in both directions, as after a
+// reset or a timeout.
+func isDisconnected(c net.Conn) bool {
+	tcp, ok := traffic.Unwrapped(c).(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	disconnected := true
+	err = raw.Control(func(fd uintptr) {
+		_, err := syscall.Getpeername(int(fd))
+		disconnected = err == syscall.ENOTCONN
+	})
+	return err != nil || disconnected
+}
--- a/router/pool.go
+++ b/router/pool.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"buckthornridge/config"
+	"buckthornridge/httpconn"
 	"buckthornridge/ratelimit"
 	"buckthornridge/routing"
 	"buckthornridge/upstream"
@@ -23,7 +24,7 @@
 // pool holds the clients of the configured upstreams and polls the engines. The
 // client set is replaced as a whole when the configuration changes.
 type pool struct {
-	transport *http.Transport
+	transport *httpconn.Transport
 	table     *routing.Table
 	interval  time.Duration
 	limiter   *ratelimit.Limiter
--- a/store/httpclient/client.go
+++ b/store/httpclient/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"buckthornridge/httpconn"
 	"buckthornridge/store"
 )
 
@@ -42,7 +43,7 @@
 // Client is a client of one platform. It is safe for concurrent use.
 type Client struct {
 	options   Options
-	transport *http.Transport
+	transport *httpconn.Transport
 }
 
 // New returns a client, which connects at the first call.
@@ -54,7 +55,7 @@
 		options.MaxConns = DefaultMaxConns
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{options: options, transport: &http.Transport{
+	return &Client{options: options, transport: httpconn.NewTransport(&http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxConnsPerHost:     options.MaxConns,
 		MaxIdleConnsPerHost: options.MaxConns,
@@ -62,7 +63,7 @@
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: maxResponseHeader,
-	}}
+	})}
 }
 
 // Services returns the platform's services through this client.
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"buckthornridge/httpconn"
 	"buckthornridge/traffic"
 	"buckthornridge/upstream"
 )
@@ -77,7 +78,7 @@
 // conn is one connection to an upstream.
 type conn struct {
 	address        string
-	raw            net.Conn
+	raw            *httpconn.Conn
 	bytes          *boundedReader // from raw
 	reader         *bufio.Reader  // from bytes
 	idleSince      time.Time
@@ -197,12 +198,13 @@
 		defer cancel()
 	}
 	opening := time.Now()
-	raw, err := p.Dial(ctx, "tcp", address)
+	dialed, err := p.Dial(ctx, "tcp", address)
 	if err != nil {
 		p.releaseConnection(address)
 		return nil, upstream.WrapError("connect", address, upstream.ErrNotSent, err)
 	}
 	p.counters.Opened.Add(1)
+	raw := httpconn.New(dialed)
 	bytes := &boundedReader{from: raw, peer: address}
 	return &conn{address: address, raw: raw, bytes: bytes, reader: bufio.NewReaderSize(bytes, bufferBytes), openedAt: opening}, nil
 }
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"buckthornridge/httpconn"
 )
 
 // Settings of the shared transport.
@@ -29,9 +31,9 @@
 
 // NewTransport returns the transport that the clients of all upstreams share.
 // It ignores proxy settings and does not follow redirects.
-func NewTransport() *http.Transport {
+func NewTransport() *httpconn.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: idleTimeout}
-	return &http.Transport{
+	return httpconn.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -46,7 +48,7 @@
 		MaxResponseHeaderBytes: maxHeadBytes,
 		ReadBufferSize:         bufferBytes,
 		WriteBufferSize:        bufferBytes,
-	}
+	})
 }
 
 // trackedConn counts the attempted writes on a connection. The count shows
@@ -56,6 +58,9 @@
 	writes atomic.Int64 // sealedWrites once sealed
 }
 
+// Unwrap returns the underlying connection.
+func (c *trackedConn) Unwrap() net.Conn { return c.Conn }
+
 // sealedWrites is the write count of a connection that rejects all writes.
 const sealedWrites = -1
 
@@ -120,6 +125,9 @@
 	if layer, ok := conn.(interface{ NetConn() net.Conn }); ok {
 		conn = layer.NetConn()
 	}
+	if response, ok := conn.(*httpconn.Conn); ok {
+		conn = response.Unwrap()
+	}
 	found, _ := conn.(*trackedConn)
 	return found
 }
