httpconn: only a line of RFC 9112 with a status is the beginning of a response

Callers saw: a server in trouble sent a head with status 000 and the router went on as if an interim response had come: what followed it reached the caller as the answer, signed and whole. The same with 099, "+20" and 101. Statuses beyond 599, other versions of the protocol and control bytes in the reason were passed on. A line feed alone before a name ended the head, and the rest of the head was the body. The own path took all of these for replies, and a 000 with {"error":"full"} for the word that a request did not run. The client of the platform's store took a 000 or a 600 with a Store-Era for the word of a new era.

Cause: net/http parses the status with Atoi and takes any number of three characters, also with a sign, and any version; each reader then had its own idea: below 200 is interim.

Why this works: Conn checks the bytes of heads as they are read, from the moment at which a request is about to be sent (ExpectResponse), whoever parses them. What comes from another VM, whose process may be older, is checked by the same rule (CheckHead). A malformed head is a broken exchange: the request may have run.

--- a/edge/forward.go
+++ b/edge/forward.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
+	"buckthornridge/httpconn"
 	"buckthornridge/peer"
 	"buckthornridge/reach"
 	"buckthornridge/relay"
@@ -327,8 +328,8 @@
 	if err := r.stream.Next(&m, nil); err != nil {
 		return err
 	}
-	if m.Status == 0 {
-		return eris.New("forward: a response without a status")
+	if err := httpconn.CheckHead(m.Status, m.Header); err != nil {
+		return eris.Wrap(err, "forward")
 	}
 	r.head = protocol.ReadHead(m.Status, m.Header)
 	r.head.Via, r.head.Process = r.address, m.Process
--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -2,6 +2,9 @@
 // whole. All clients of the process read servers through its connections; net/http parses
 // what they let through.
 //
+// A response begins with a head in which each line is as RFC 9112 has it. net/http takes more:
+// it passes on names with blanks, or reads what follows a malformed head as the response.
+//
 // A response is whole once its length or its last chunk and trailer was read, which net/http
 // tells, or, if it has neither, once the server has closed the connection in the ordinary
 // way. Conn tells that from the end of a connection that was reset or timed out.
@@ -15,6 +18,8 @@
 	"sync"
 	"syscall"
 
+	"k8s.io/klog/v2"
+
 	"buckthornridge/traffic"
 )
 
@@ -28,11 +33,36 @@
 
 	mu      sync.Mutex
 	readErr error // the first error of a Read
+	inHead  bool  // the next bytes belong to a head
+	head    headScanner
 }
 
 // New returns a connection over a raw one.
 func New(raw net.Conn) *Conn { return &Conn{Conn: raw} }
 
+// ExpectResponse says that the next bytes must be the response to a request, beginning with
+// those that were read already. It is called before the request is written. The error is
+// ErrMalformed or ErrHeadTooLarge, as are those of Read then.
+func (c *Conn) ExpectResponse(buffered []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inHead, c.head = true, headScanner{}
+	return c.scan(buffered)
+}
+
+// scan checks bytes that were read while a head is expected. The caller must hold c.mu.
+func (c *Conn) scan(b []byte) error {
+	if !c.inHead {
+		return nil
+	}
+	err := c.head.scan(b)
+	if err != nil {
+		klog.Warningf("step=read_head peer=%s result=refused err=%q", c.RemoteAddr(), err.Error())
+	}
+	c.inHead = !c.head.done
+	return err
+}
+
 // Unwrap returns the raw connection.
 func (c *Conn) Unwrap() net.Conn { return c.Conn }
 
@@ -58,9 +88,15 @@
 	if err == io.EOF {
 		err = c.endCause()
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if headErr := c.scan(b[:n]); headErr != nil {
+		n, err = 0, headErr
+	}
+	if err == io.EOF && c.inHead && c.head.begun() {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.mu.Lock()
-		defer c.mu.Unlock()
 		c.readErr = err
 	}
 	return n, err
--- a/httpconn/transport.go
+++ b/httpconn/transport.go
@@ -4,13 +4,14 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 )
 
 // Transport is an http.Transport whose connections are Conns.
 type Transport struct{ *http.Transport }
 
 // NewTransport returns a transport with the settings of t, which must have DialContext and no
-// TLS.
+// TLS. It bounds heads itself.
 func NewTransport(t *http.Transport) *Transport {
 	dial := t.DialContext
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -22,3 +23,16 @@
 	}
 	return &Transport{t}
 }
+
+// expectResponse makes a connection expect a response once it is chosen for a request.
+func expectResponse(info httptrace.GotConnInfo) {
+	if c, ok := info.Conn.(*Conn); ok {
+		_ = c.ExpectResponse(nil) // of no bytes
+	}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: expectResponse} // not shared: httptrace changes it
+	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+}
--- a/store/httpclient/client.go
+++ b/store/httpclient/client.go
@@ -36,8 +36,6 @@
 const (
 	dialTimeout     = 2 * time.Second
 	idleConnTimeout = 90 * time.Second
-	// maxResponseHeader bounds the head of a response, in bytes.
-	maxResponseHeader = 16 << 10
 )
 
 // Client is a client of one platform. It is safe for concurrent use.
@@ -61,8 +59,6 @@
 		MaxIdleConnsPerHost: options.MaxConns,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-
-		MaxResponseHeaderBytes: maxResponseHeader,
 	})}
 }
 
--- a/upstream/exchange/exchange.go
+++ b/upstream/exchange/exchange.go
@@ -151,6 +151,9 @@
 
 // send writes the request. It returns a channel if the body is still being written.
 func send(c *conn, r *Request) (chan error, error) {
+	if err := c.expectResponse(); err != nil {
+		return nil, err
+	}
 	head := encodeHead(r)
 	if len(head)+len(r.Body) <= inlineBytes {
 		_, err := c.raw.Write(append(head, r.Body...))
@@ -197,21 +200,12 @@
 
 // readResponse reads responses until one belongs to the request.
 func (p *Pool) readResponse(c *conn, r *Request) (*Response, error) {
-	request := &http.Request{Method: r.Method}
-	mismatched, interim := 0, 0
-	c.bytes.bound(maxHeadBytes)
+	mismatched := 0
 	for {
-		raw, err := http.ReadResponse(c.reader, request)
+		raw, err := c.readHead(r.Method)
 		if err != nil {
 			return nil, err
 		}
-		if raw.StatusCode < http.StatusOK {
-			if interim++; interim > maxInterim {
-				return nil, upstream.ErrTooLarge
-			}
-			continue
-		}
-		c.bytes.unbound()
 		if r.ResponseMatches(raw.Header) {
 			return newResponse(raw), nil
 		}
@@ -224,7 +218,9 @@
 		if _, err := io.Copy(io.Discard, raw.Body); err != nil {
 			return nil, err
 		}
-		c.bytes.bound(maxHeadBytes)
+		if err := c.expectResponse(); err != nil {
+			return nil, err
+		}
 	}
 }
 
--- a/upstream/exchange/head.go
+++ b/upstream/exchange/head.go
@@ -1,45 +1,26 @@
 package exchange
 
 import (
-	"io"
-
-	"k8s.io/klog/v2"
-
-	"buckthornridge/upstream"
-)
-
-const (
-	// maxHeadBytes bounds the heads of the responses to one request, interim ones included.
-	maxHeadBytes = 16 << 10
-	// maxInterim bounds the interim responses to one request.
-	maxInterim = 8
+	"net/http"
 )
 
-// boundedReader bounds the bytes that are read from a connection while heads are read:
-// net/http sets no bound on them.
-type boundedReader struct {
-	from    io.Reader
-	peer    string
-	bounded bool
-	left    int // bytes, while bounded
+// expectResponse says that a response follows on the connection.
+func (c *conn) expectResponse() error {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.raw.ExpectResponse(buffered)
 }
 
-// bound allows n more bytes.
-func (r *boundedReader) bound(n int) { r.bounded, r.left = true, n }
-
-// unbound lifts the bound, for a body.
-func (r *boundedReader) unbound() { r.bounded = false }
-
-// Read implements io.Reader.
-func (r *boundedReader) Read(b []byte) (int, error) {
-	if !r.bounded {
-		return r.from.Read(b)
-	}
-	if r.left <= 0 {
-		klog.Warningf("step=read_head peer=%s result=cut_off limit=%d", r.peer, maxHeadBytes)
-		return 0, upstream.ErrTooLarge
+// readHead reads the head of the response to a request with a method. It skips interim
+// responses.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	request := &http.Request{Method: method}
+	for {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
 	}
-	n, err := r.from.Read(b[:min(len(b), r.left)])
-	r.left -= n
-	return n, err
 }
--- a/upstream/exchange/identify.go
+++ b/upstream/exchange/identify.go
@@ -94,12 +94,10 @@
 	if _, err := send(c, question); err != nil {
 		return err
 	}
-	c.bytes.bound(maxHeadBytes)
-	answer, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodGet})
+	answer, err := c.readHead(http.MethodGet)
 	if err != nil {
 		return err
 	}
-	c.bytes.unbound()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxIdentityBytes+1))
 	switch {
 	case err != nil:
--- a/upstream/exchange/pool.go
+++ b/upstream/exchange/pool.go
@@ -79,8 +79,7 @@
 type conn struct {
 	address        string
 	raw            *httpconn.Conn
-	bytes          *boundedReader // from raw
-	reader         *bufio.Reader  // from bytes
+	reader         *bufio.Reader // from raw
 	idleSince      time.Time
 	idleTimeout    time.Duration // how long the upstream keeps it open
 	desynchronized bool          // it carried a response to another request
@@ -205,8 +204,7 @@
 	}
 	p.counters.Opened.Add(1)
 	raw := httpconn.New(dialed)
-	bytes := &boundedReader{from: raw, peer: address}
-	return &conn{address: address, raw: raw, bytes: bytes, reader: bufio.NewReaderSize(bytes, bufferBytes), openedAt: opening}, nil
+	return &conn{address: address, raw: raw, reader: bufio.NewReaderSize(raw, bufferBytes), openedAt: opening}, nil
 }
 
 // reserveConnection counts a new connection. At the limit it closes an idle one, or
--- a/upstream/runend.go
+++ b/upstream/runend.go
@@ -6,6 +6,8 @@
 	"syscall"
 
 	"github.com/rotisserie/eris"
+
+	"buckthornridge/httpconn"
 )
 
 // RunEnd says what is known of the end of a run whose exchange has failed. A second run of
@@ -77,7 +79,7 @@
 	switch {
 	case errors.Is(err, ErrRouterLost):
 		return BreakRouterLost
-	case errors.Is(err, ErrTooLarge):
+	case errors.Is(err, ErrTooLarge), errors.Is(err, httpconn.ErrHeadTooLarge):
 		return BreakTooLarge
 	}
 	switch RunEndOf(err) {
--- a/upstream/transport.go
+++ b/upstream/transport.go
@@ -25,8 +25,6 @@
 	// bufferBytes is small because each open stream has a connection of its own
 	// and token lines are short.
 	bufferBytes = 2 << 10
-	// maxHeadBytes bounds the head of a response, interim ones included.
-	maxHeadBytes = 16 << 10
 )
 
 // NewTransport returns the transport that the clients of all upstreams share.
@@ -44,10 +42,8 @@
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
-
-		MaxResponseHeaderBytes: maxHeadBytes,
-		ReadBufferSize:         bufferBytes,
-		WriteBufferSize:        bufferBytes,
+		ReadBufferSize:      bufferBytes,
+		WriteBufferSize:     bufferBytes,
 	})
 }
 
