httpconn: a head has only fields of RFC 9112, and one end of its body

Callers saw: a server in trouble sent a head in which a field's name held a blank or a control byte, and they got it as an answer: with "Content-Length : 8" or "Transfer-Encoding : chunked" the body was all that came, frames of chunks included; with a blank or a tab at the beginning of the name the line became part of the value before it, so that a signature was altered and the length was lost; "Order Id: 7" was let through. The same in interim heads. Where a head names two ends of its body (chunks in HTTP/1.0, chunks and a length, a body behind a 204 or an interim head) one of them was taken.

Cause: net/http keeps names with blanks as they are, which no reader then knows, joins a line that begins with a blank to the one before it, and drops contradicting fields.

Control bytes other than a line feed, empty names and short bodies were refused before; their cases are kept.

A proxy may join or refuse obsolete continued lines (RFC 9112, 5.2); they are refused, since they can't be told from a stray blank.

--- a/edge/forward_test.go
+++ b/edge/forward_test.go
@@ -27,7 +27,8 @@
 func (s headStream) Close() error { return nil }
 
 // malformedForwards are heads that a process of an earlier version passes on.
-var malformedForwards = []forwardMessage{{}, {Status: 20}, {Status: 100}, {Status: 101}, {Status: 600}}
+var malformedForwards = []forwardMessage{{}, {Status: 20}, {Status: 100}, {Status: 101}, {Status: 600},
+	{Status: 200, Header: http.Header{"Order Id": {"7"}}}, {Status: 200, Header: http.Header{"Order": {"a\x01"}}}}
 
 // Guards against a head that is none of a response and that comes through another VM, whose
 // process may be of an earlier version.
--- a/httpconn/head.go
+++ b/httpconn/head.go
@@ -36,8 +36,12 @@
 	bytes   int // read so far
 	interim int // interim responses so far
 	line    []byte
-	status  int  // of the current head; 0 before its status line
 	done    bool // the final head was read
+
+	// Of the current head:
+	status  int // 0 before its status line
+	http10  bool
+	framing framing
 }
 
 // begun reports whether a part of a head was read.
@@ -77,15 +81,19 @@
 	case s.status == 0:
 		var err error
 		s.status, err = parseStatusLine(line)
+		s.http10 = bytes.HasPrefix(line, []byte("HTTP/1.0"))
 		return err
 	case len(line) == 0:
 		return s.endHead()
 	}
-	return nil
+	return s.framing.parseField(line)
 }
 
 // endHead ends an interim head or the final one.
 func (s *headScanner) endHead() error {
+	if err := s.framing.check(s.status, s.http10); err != nil {
+		return err
+	}
 	if isFinal(s.status) {
 		s.done = true
 		return nil
@@ -93,7 +101,7 @@
 	if s.interim++; s.interim > maxInterim {
 		return ErrHeadTooLarge
 	}
-	s.status = 0
+	s.status, s.framing = 0, framing{}
 	return nil
 }
 
@@ -104,15 +112,6 @@
 	maxStatus      = 599
 )
 
-// CheckHead returns ErrMalformed for the parts of a head that are not those of a final
-// response, for heads that arrive in another way than over a Conn.
-func CheckHead(status int, _ http.Header) error {
-	if !isFinal(status) {
-		return eris.Wrapf(ErrMalformed, "status %d of a final response", status)
-	}
-	return checkStatus(status)
-}
-
 func isFinal(status int) bool { return status >= minFinalStatus }
 
 // checkStatus returns an error for a number that is no status. No request asks for another
--- a/upstream/heads_test.go
+++ b/upstream/heads_test.go
@@ -19,6 +19,10 @@
 	"HTTP/1.1 600 Trouble\r\nContent-Length: 16\r\n\r\n",
 	"HTTP/1.1 101 Switching Protocols\r\n\r\n",
 	"HTTP/3.7 503 Trouble\r\nContent-Length: 16\r\n\r\n",
+	"HTTP/1.1 503 Trouble\r\nContent-Length : 99\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nLoad Report: 1\r\nContent-Length: 16\r\n\r\n",
+	"HTTP/1.1 503 Trouble\r\nServer: a\r\n Content-Length: 99\r\n\r\n",
+	"HTTP/1.0 503 Trouble\r\nTransfer-Encoding: chunked\r\n\r\n",
 }
 
 // Guards against bytes that are no response and that a client of the own path takes for one:
