edge: late requests of a planned stop end within it or are refused

A report from other operators: in a planned stop in calm, requests that came late in the grace were taken and passed on, and cut at its end with no answer, among them requests that may not be repeated (LOST).

Here: an upload that began in the notice and ended after it was sent to its upstream, with 1.2 s left and a deadline of 20 s, and cut. So were requests of the notice and of before it, without an answer. Late requests on connections that had sent nothing were read, not sent on, and their connections closed without an answer: true, but a caller can't know it, and does not come again with a request that may run once only.

Cause: Drain left all of that to http.Server.Shutdown, which drops requests that arrive once it has begun, and waits for the others until the process closes their connections.

Why this works: after the notice the listener and idle connections close, and the server goes on reading the others. A request that was not sent yet is sent only if its deadline lies before the end of the stop, and is refused else, at once and truly (503, Retry-After), also where it waited for room or its upload ended late. 0.1 s before the connections are closed the contexts of requests end with ErrStopping: those without an answer get a 504, or the 503 if nothing was sent. Streams go on as before until then.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -117,6 +117,7 @@
 	ready         *http.Server
 	metricsServer *http.Server
 	stopping      atomic.Bool
+	stop          *requestStop
 	active        atomic.Int64
 	delay         lag.Meter
 	buffers       *buffers.Limit
@@ -137,6 +138,7 @@
 		quarantineRenewal: make(chan struct{}, 1),
 		routes:            routing.NewTable(), metrics: newMetrics(), peerSrv: peer.NewServer(),
 	}
+	p.stop = newRequestStop()
 	p.buffers = buffers.NewLimit(bufferedBytes(s.MemoryBytes))
 	p.callerConns, p.operatorConns = newConnGuards(s.MemoryBytes)
 	p.gate, p.callerLink = traffic.NewGate(s.LinkMbit), newCallerLink(s.LinkMbit)
@@ -210,10 +212,12 @@
 		}),
 		Guard: p.guard, Signals: p.fleet.signals(), Buffers: p.buffers,
 		Origins: p.origins, Recorder: p.metrics, DataCentre: p.settings.DataCentre, Routers: p.peers.count,
+		StopsAt: p.stop.stopsAt,
 	}
 	p.callers = &http.Server{
 		Handler:        &callerHandler{protocol: p.adapter.Protocol, relay: served, catalogue: &p.catalogue, stopping: &p.stopping, active: &p.active, delay: &p.delay, buffers: p.buffers, link: p.callerLink},
 		MaxHeaderBytes: unboundedHeaderBytes,
+		BaseContext:    func(net.Listener) context.Context { return p.stop.requests },
 		ConnContext:    withConn,
 	}
 	p.ready = &http.Server{Handler: http.HandlerFunc(p.serveReady), MaxHeaderBytes: unboundedHeaderBytes}
@@ -256,7 +260,7 @@
 		guard   *connlimit.Guard
 		serve   func(net.Listener) error
 	}{
-		{p.settings.Listen, traffic.Callers, p.callerConns, p.callers.Serve},
+		{p.settings.Listen, traffic.Callers, p.callerConns, p.serveCallers},
 		{p.settings.ReadyListen, traffic.Callers, p.operatorConns, p.ready.Serve},
 		{p.settings.PeerListen, traffic.Peers, nil, p.peerSrv.Serve},
 		{p.settings.MetricsListen, traffic.Callers, p.operatorConns, p.metricsServer.Serve},
@@ -336,7 +340,7 @@
 		l = guard.Listener(l)
 	}
 	go func() {
-		if err := serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		if err := serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			klog.Errorf("step=serve address=%s err=%q", address, err.Error())
 		}
 	}()
--- a/relay/outcome.go
+++ b/relay/outcome.go
@@ -22,7 +22,7 @@
 		r.writer.Abort()
 		return
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(ctx.Err(), context.Canceled) && !stopped(ctx) {
 		r.record.Outcome, r.record.Detail = "caller_left", reason
 		r.writer.Abort()
 		return
@@ -35,6 +35,8 @@
 func (r *call) failureProblem(ctx context.Context, reason string) *Problem {
 	expired := ctx.Err() != nil || r.remaining() <= 0
 	switch {
+	case !r.mayHaveRun && stopped(ctx):
+		return stoppingProblem(reason)
 	case !r.mayHaveRun && expired:
 		return &Problem{Status: http.StatusServiceUnavailable, Name: "not_run_in_time", Detail: reason}
 	case !r.mayHaveRun:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -48,6 +48,10 @@
 	DataCentre string
 	// Routers returns how many routers share the upstreams; at least 1.
 	Routers func() int
+	// StopsAt returns until when requests are served, once that is bounded by a planned stop.
+	// nil stands for never. At the end the contexts of requests are cancelled with
+	// ErrStopping.
+	StopsAt func() (at time.Time, stops bool)
 }
 
 // Serve handles one request until its response is complete or it has failed. The context
@@ -127,7 +131,7 @@
 	r.service = r.catalogue.Services[r.route.Service(r.request.ID)]
 	r.lastEventID = r.request.LastEventID
 	r.deadline = r.requestDeadline()
-	return nil
+	return r.checkStop()
 }
 
 // authenticate finds the workspace by the API key.
@@ -247,6 +251,10 @@
 		r.giveUp(ctx, "no upstream took it in time")
 		return true
 	}
+	if problem := r.checkStop(); problem != nil && r.sends == 0 {
+		r.refuse(problem)
+		return true
+	}
 	choice, err := r.relay.Picker.Pick(r.routingRequest())
 	if err != nil {
 		var none *routing.NoUpstreamError
