exchange: the question for a process goes by what is a whole response

Callers could see two runs of one stream at once, or a stream that is not continued though it could be: a router asks an upstream whose connection fell silent whether it still runs the request. A sound answer that ends with its connection (Connection: close, or no length) was thrown away, and the upstream, which had just answered, counted as out of reach: the stream went on elsewhere beside the first run. The same with bytes that are no response.

Why this works: ask reads heads as exchanges do, and tells apart whether the answer is whole and whether its connection can be used again; only a request to be sent over that very connection needs both. An answer that is no whole response (ErrInvalidAnswer) tells nothing, and with nothing told the stream is not continued (relay.RunStateUnknown). No bytes at all still count as out of reach.

--- a/edge/runs.go
+++ b/edge/runs.go
@@ -52,7 +52,7 @@
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return relay.NotRunning
-	case errors.Is(err, upstream.ErrConnectionLimit):
+	case errors.Is(err, upstream.ErrConnectionLimit), errors.Is(err, exchange.ErrInvalidAnswer):
 		return relay.RunStateUnknown
 	case err != nil:
 		return relay.Unreachable
--- a/upstream/exchange/identify.go
+++ b/upstream/exchange/identify.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"buckthornridge/httpconn"
 	"buckthornridge/upstream"
 )
 
@@ -48,10 +49,13 @@
 		return c, nil
 	}
 	for try := 1; c.process == 0 && !c.openedAt.Before(q.OpenedSince); try++ {
-		err := p.ask(ctx, c, q)
-		if err == nil {
+		reusable, err := p.ask(ctx, c, q)
+		if err == nil && reusable {
 			break
 		}
+		if err == nil {
+			err = errEndsWithAnswer
+		}
 		p.discard(c)
 		if ctx.Err() != nil || try == identifyTries || r.OpenOnly {
 			return nil, upstream.WrapError("identify", c.address, upstream.ErrNotSent, errors.Join(context.Cause(ctx), err))
@@ -74,17 +78,28 @@
 	if err != nil {
 		return 0, err
 	}
-	if err := p.ask(ctx, c, q); err != nil {
+	reusable, err := p.ask(ctx, c, q)
+	if err != nil || !reusable {
 		p.discard(c)
+	} else {
+		p.put(c, defaultIdle)
+	}
+	if err != nil {
 		return 0, upstream.WrapError("identify", address, upstream.ErrNotSent, err)
 	}
-	p.put(c, defaultIdle)
 	return c.process, nil
 }
 
-// ask asks for the process of a connection. An error means that the connection can't be
-// used any more.
-func (p *Pool) ask(ctx context.Context, c *conn, q *Identification) error {
+// ErrInvalidAnswer reports that an upstream answers a question with bytes that are no whole
+// response.
+var ErrInvalidAnswer = eris.New("no valid answer to the question for the process")
+
+// errEndsWithAnswer reports a connection that ends with the answer to a question.
+var errEndsWithAnswer = eris.New("the connection ends with the answer")
+
+// ask asks for the process of a connection. It reports whether the connection can be used for
+// more; after an error it can't.
+func (p *Pool) ask(ctx context.Context, c *conn, q *Identification) (reusable bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
 	stop := context.AfterFunc(ctx, c.abort)
@@ -92,27 +107,33 @@
 	p.counters.Identified.Add(1)
 	question := &Request{Method: http.MethodGet, Target: q.Target, Host: c.address}
 	if _, err := send(c, question); err != nil {
-		return err
+		return false, err
 	}
 	answer, err := c.readHead(http.MethodGet)
+	if errors.Is(err, httpconn.ErrMalformed) || errors.Is(err, httpconn.ErrHeadTooLarge) {
+		err = errors.Join(ErrInvalidAnswer, err)
+	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxIdentityBytes+1))
-	switch {
-	case err != nil:
-		return err
-	case len(body) > maxIdentityBytes || answer.Close || wantsClose(answer.Header) || !stop():
-		return eris.New("the connection ends with the answer")
+	if err == nil && len(body) > maxIdentityBytes {
+		err = upstream.ErrTooLarge
+	}
+	if err != nil && ctx.Err() == nil {
+		err = errors.Join(ErrInvalidAnswer, err)
+	}
+	if err != nil {
+		return false, err
 	}
 	process, ok := q.Read(answer.StatusCode, body)
 	switch {
 	case ok:
 		c.process, c.unidentified = process, false
 	case q.Process != 0:
-		return eris.Errorf("status %d does not tell the process", answer.StatusCode)
+		return false, eris.Errorf("status %d does not tell the process", answer.StatusCode)
 	default:
 		c.unidentified = true
 	}
-	return nil
+	return !answer.Close && !wantsClose(answer.Header) && stop(), nil
 }
