edge: a stream that breaks off is reset for a client of HTTP/1.0

When the upstream broke off, the router closed the connection in the ordinary way, and the part looked whole.

Cause: http.ErrAbortHandler closes the connection; in HTTP/1.1 the missing last chunk tells that the stream is not whole, in HTTP/1.0 nothing does.

Why this works: for such a request Abort makes the close a reset. What the socket still holds is lost then, which a client of HTTP/1.1 is spared: there all stays as it was. The end of a planned stop aborts streams in the same way.

--- a/edge/caller_conn.go
+++ b/edge/caller_conn.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"syscall"
 
+	"k8s.io/klog/v2"
+
 	"buckthornridge/connlimit"
 	"buckthornridge/traffic"
 )
@@ -18,15 +20,32 @@
 	return context.WithValue(connlimit.WithConn(ctx, c), connKey{}, c)
 }
 
-// leftOf returns the question whether the caller of a request has closed its connection;
-// nil if the connection can't be asked.
-func leftOf(r *http.Request) func() bool {
+// tcpOf returns the TCP connection of a request; nil if it has another one.
+func tcpOf(r *http.Request) *net.TCPConn {
 	c, _ := r.Context().Value(connKey{}).(net.Conn)
 	if c == nil {
 		return nil
 	}
-	tcp, ok := traffic.Unwrapped(c).(*net.TCPConn)
-	if !ok {
+	tcp, _ := traffic.Unwrapped(c).(*net.TCPConn)
+	return tcp
+}
+
+// resetOnClose makes the close of a request's connection a reset.
+func resetOnClose(r *http.Request) {
+	tcp := tcpOf(r)
+	if tcp == nil {
+		return
+	}
+	if err := tcp.SetLinger(0); err != nil {
+		klog.V(1).Infof("step=abort caller=%s err=%q", r.RemoteAddr, err.Error())
+	}
+}
+
+// leftOf returns the question whether the caller of a request has closed its connection;
+// nil if the connection can't be asked.
+func leftOf(r *http.Request) func() bool {
+	tcp := tcpOf(r)
+	if tcp == nil {
 		return nil
 	}
 	raw, err := tcp.SyscallConn()
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -47,6 +47,9 @@
 		w.Header().Set("Connection", "close")
 	}
 	writer := &callerWriter{w: w, flusher: http.NewResponseController(w), protocol: f.protocol}
+	if !r.ProtoAtLeast(1, 1) {
+		writer.resetOnAbort = r
+	}
 	request, problem := f.protocol.ReadRequest(r)
 	arriving := connlimit.RequestOf(r.Context())
 	if !arriving.Begin() {
@@ -142,6 +145,9 @@
 	flusher  *http.ResponseController
 	protocol Protocol
 	id       string
+	// resetOnAbort is the request if a body without a length ends with the connection, as in
+	// HTTP/1.0: only a reset then tells that it is not whole.
+	resetOnAbort *http.Request
 
 	// link is set while the VM's link is full; then it decides when a refused caller comes
 	// back. The rest describes the request to it.
@@ -203,4 +209,9 @@
 }
 
 // Abort implements relay.Writer.
-func (c *callerWriter) Abort() { panic(http.ErrAbortHandler) }
+func (c *callerWriter) Abort() {
+	if c.resetOnAbort != nil {
+		resetOnClose(c.resetOnAbort)
+	}
+	panic(http.ErrAbortHandler)
+}
