--- a/edge/caller_conn.go
+++ b/edge/caller_conn.go
@@ -30,7 +30,7 @@
 	return tcp
 }
 
-// resetOnClose makes the close of a request's connection a reset.
+// resetOnClose makes the close of a request's connection send a reset.
 func resetOnClose(r *http.Request) {
 	tcp := tcpOf(r)
 	if tcp == nil {
--- a/edge/handler.go
+++ b/edge/handler.go
@@ -145,8 +145,8 @@
 	flusher  *http.ResponseController
 	protocol Protocol
 	id       string
-	// resetOnAbort is the request if a body without a length ends with the connection, as in
-	// HTTP/1.0: only a reset then tells that it is not whole.
+	// resetOnAbort is set for requests of HTTP/1.0, where the end of the connection ends a
+	// stream: only a reset shows that the stream is incomplete.
 	resetOnAbort *http.Request
 
 	// link is set while the VM's link is full; then it decides when a refused caller comes
--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -1,13 +1,13 @@
-// Package httpconn decides what bytes of a server are an HTTP/1.1 response, and when one is
-// whole. All clients of the process read servers through its connections; net/http parses
-// what they let through.
+// Package httpconn defines which bytes of a server are an HTTP/1.1 response, and when a
+// response is complete. All HTTP clients of upstreams and of the platform read through Conn;
+// net/http parses what it lets through.
 //
-// A response begins with a head in which each line is as RFC 9112 has it. net/http takes more:
-// it passes on names with blanks, or reads what follows a malformed head as the response.
+// A response begins with a head whose lines conform to RFC 9112. net/http is more lenient: it
+// keeps field names with blanks and accepts status codes such as 000.
 //
-// A response is whole once its length or its last chunk and trailer was read, which net/http
-// tells, or, if it has neither, once the server has closed the connection in the ordinary
-// way. Conn tells that from the end of a connection that was reset or timed out.
+// A body with a length or chunks is complete when net/http has read that length, or the last
+// chunk and the trailer. Any other body is complete when the server closes the connection in
+// an orderly way (FIN); Conn distinguishes that from a reset and a timeout.
 package httpconn
 
 import (
@@ -33,7 +33,7 @@
 
 	mu      sync.Mutex
 	readErr error // the first error of a Read
-	inHead  bool  // the next bytes belong to a head
+	inHead  bool  // the next bytes must belong to a head
 	head    headScanner
 }
 
@@ -59,7 +59,9 @@
 	if err != nil {
 		klog.Warningf("step=read_head peer=%s result=refused err=%q", c.RemoteAddr(), err.Error())
 	}
-	c.inHead = !c.head.done
+	if c.head.done {
+		c.inHead, c.head = false, headScanner{}
+	}
 	return err
 }
 
@@ -77,9 +79,9 @@
 	return n, err
 }
 
-// Read implements net.Conn. io.EOF means that the server has closed the connection in the
-// ordinary way. Later calls return the first error again: parsers may read on after it, and
-// the socket no longer tells why the connection ended.
+// Read implements net.Conn. io.EOF means that the server has closed the connection in an
+// orderly way. Later calls return the first error again: parsers may read on after it, and
+// the socket reports its error only once.
 func (c *Conn) Read(b []byte) (int, error) {
 	if err := c.failure(); err != nil {
 		return 0, err
@@ -108,14 +110,14 @@
 	return c.readErr
 }
 
-// endCause returns why a connection ended that reads as closed. A socket reports the error
-// that ended it once: if a Write takes it, a Read sees the same end as after a close by the
-// server. After such a close a Write gets EPIPE.
+// endCause returns why a Read got EOF. A socket reports the error that ended it only once: if
+// a Write gets it, a Read sees the same EOF as after an orderly close. If the server closed
+// before the connection was reset, the Write gets EPIPE.
 func (c *Conn) endCause() error {
 	if !isDisconnected(c.Conn) {
 		return io.EOF
 	}
-	// A Write in progress ends at once, since the socket is disconnected.
+	// A Write in progress returns at once, since the socket is disconnected.
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	if c.writeErr == nil || errors.Is(c.writeErr, syscall.EPIPE) {
--- a/httpconn/field.go
+++ b/httpconn/field.go
@@ -9,14 +9,14 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// framing is what a head says of where its body ends.
+// framing holds the fields of a head that determine where its body ends.
 type framing struct {
 	length  string // the value of Content-Length; empty without one
-	encoded bool   // with Transfer-Encoding
+	encoded bool   // it has Transfer-Encoding
 }
 
-// parseField checks one line of a head. A line that begins with a blank continues the value
-// before it in obsolete heads; it may as well be a stray blank in a name.
+// parseField checks one field line. Obsolete line folding, a line that begins with a blank, is
+// refused as RFC 9112, 5.2 permits: it can't be told from a stray blank in a name.
 func (f *framing) parseField(line []byte) error {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
@@ -31,8 +31,7 @@
 	return nil
 }
 
-// check returns an error where it is in doubt where the body ends: readers differ in what they
-// then take for it (RFC 9112, 6.1 and 6.3).
+// check returns an error if the end of the body is ambiguous (RFC 9112, 6.1 and 6.3).
 func (f *framing) check(status int, http10 bool) error {
 	bodiless := !isFinal(status) || status == http.StatusNoContent
 	switch {
@@ -44,8 +43,8 @@
 	return nil
 }
 
-// CheckHead returns ErrMalformed for the parts of a head that are not those of a final
-// response, for heads that arrive in another way than over a Conn.
+// CheckHead returns ErrMalformed unless a status and fields can be those of a final response.
+// It is for heads that another process has read.
 func CheckHead(status int, header http.Header) error {
 	if !isFinal(status) {
 		return eris.Wrapf(ErrMalformed, "status %d of a final response", status)
--- a/httpconn/head.go
+++ b/httpconn/head.go
@@ -15,9 +15,9 @@
 	maxInterim = 8
 )
 
-// Errors of a head. No response can be made of it.
+// Errors of heads.
 var (
-	// ErrMalformed reports bytes that are no head of an HTTP/1.1 response.
+	// ErrMalformed reports bytes that are not the head of an HTTP/1.1 response.
 	ErrMalformed = eris.New("httpconn: not an HTTP/1.1 response")
 	// ErrHeadTooLarge reports a head beyond MaxHeadBytes, or too many interim responses.
 	ErrHeadTooLarge = eris.New("httpconn: the head of the response is too large")
@@ -30,13 +30,13 @@
 	return eris.Wrapf(ErrMalformed, "%s %q", what, line[:min(len(line), maxQuoted)])
 }
 
-// headScanner checks the heads of the responses to one request as their bytes arrive: any
-// interim ones, and the final one.
+// headScanner checks the heads of the responses to one request as their bytes arrive: those of
+// interim responses, and the final one.
 type headScanner struct {
-	bytes   int // read so far
-	interim int // interim responses so far
-	line    []byte
-	done    bool // the final head was read
+	bytes   int    // read so far
+	interim int    // interim responses so far
+	line    []byte // the beginning of a line whose rest has not arrived
+	done    bool   // the final head was read
 
 	// Of the current head:
 	status  int // 0 before its status line
@@ -71,13 +71,13 @@
 	return nil
 }
 
-// endLine checks a line without its line feed. Without the carriage return before it, the line
-// feed may be a stray byte in the line.
+// endLine checks a line without its line feed. A line feed without a carriage return is
+// refused: it may be a stray byte in a field name, and would end the head.
 func (s *headScanner) endLine(line []byte) error {
 	line, found := bytes.CutSuffix(line, []byte("\r"))
 	switch {
 	case !found:
-		return malformed("a line feed alone behind", line)
+		return malformed("line feed without carriage return after", line)
 	case s.status == 0:
 		var err error
 		s.status, err = parseStatusLine(line)
@@ -114,8 +114,8 @@
 
 func isFinal(status int) bool { return status >= minFinalStatus }
 
-// checkStatus returns an error for a number that is no status. No request asks for another
-// protocol, so that a switch is no response to it.
+// checkStatus returns an error for an invalid status. 101 is one, since no request asks to
+// switch protocols.
 func checkStatus(status int) error {
 	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
 		return eris.Wrapf(ErrMalformed, "status %d", status)
@@ -123,8 +123,8 @@
 	return nil
 }
 
-// parseStatusLine returns the status of a line such as "HTTP/1.1 200 OK". The reason may be
-// missing, with the blank before it.
+// parseStatusLine returns the status of a line such as "HTTP/1.1 200 OK". The reason phrase and
+// the blank before it are optional.
 func parseStatusLine(line []byte) (status int, err error) {
 	const layout = "HTTP/1.x nnn"
 	if len(line) < len(layout) || !bytes.HasPrefix(line, []byte("HTTP/1.")) || !isDigit(line[7]) || line[8] != ' ' {
@@ -144,7 +144,7 @@
 
 func isDigit(c byte) bool { return c >= '0' && c <= '9' }
 
-// isText reports whether a text has no control bytes other than tabs.
+// isText reports whether a text has no control characters other than tabs.
 func isText(text []byte) bool {
 	return bytes.IndexFunc(text, func(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }) < 0
 }
--- a/httpconn/transport.go
+++ b/httpconn/transport.go
@@ -11,7 +11,7 @@
 type Transport struct{ *http.Transport }
 
 // NewTransport returns a transport with the settings of t, which must have DialContext and no
-// TLS. It bounds heads itself.
+// TLS. MaxResponseHeaderBytes is not needed, since Conn bounds heads.
 func NewTransport(t *http.Transport) *Transport {
 	dial := t.DialContext
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -24,7 +24,7 @@
 	return &Transport{t}
 }
 
-// expectResponse makes a connection expect a response once it is chosen for a request.
+// expectResponse is called with the connection that a request is about to be written to.
 func expectResponse(info httptrace.GotConnInfo) {
 	if c, ok := info.Conn.(*Conn); ok {
 		_ = c.ExpectResponse(nil) // of no bytes
@@ -33,6 +33,6 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	trace := &httptrace.ClientTrace{GotConn: expectResponse} // not shared: httptrace changes it
+	trace := &httptrace.ClientTrace{GotConn: expectResponse} // httptrace modifies it
 	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 }
--- a/relay/stop.go
+++ b/relay/stop.go
@@ -16,8 +16,8 @@
 // retryAfterStopping is short because other routers take the request at once.
 const retryAfterStopping = 50 * time.Millisecond
 
-// checkStop returns a problem for a request that must not be sent any more, since it may last
-// longer than this router.
+// checkStop returns a problem for a request that must not be sent any more, since it may not
+// end before the router does.
 func (r *call) checkStop() *Problem {
 	if r.relay.StopsAt == nil {
 		return nil
--- a/upstream/exchange/head.go
+++ b/upstream/exchange/head.go
@@ -1,10 +1,8 @@
 package exchange
 
-import (
-	"net/http"
-)
+import "net/http"
 
-// expectResponse says that a response follows on the connection.
+// expectResponse announces a response to the connection.
 func (c *conn) expectResponse() error {
 	buffered, err := c.reader.Peek(c.reader.Buffered())
 	if err != nil {
--- a/upstream/exchange/identify.go
+++ b/upstream/exchange/identify.go
@@ -90,15 +90,15 @@
 	return c.process, nil
 }
 
-// ErrInvalidAnswer reports that an upstream answers a question with bytes that are no whole
+// ErrInvalidAnswer reports that an upstream answered a question with a malformed or incomplete
 // response.
 var ErrInvalidAnswer = eris.New("no valid answer to the question for the process")
 
-// errEndsWithAnswer reports a connection that ends with the answer to a question.
+// errEndsWithAnswer reports a connection that closes after the answer to a question.
 var errEndsWithAnswer = eris.New("the connection ends with the answer")
 
-// ask asks for the process of a connection. It reports whether the connection can be used for
-// more; after an error it can't.
+// ask asks for the process of a connection. It reports whether the connection can be reused;
+// after an error it can't.
 func (p *Pool) ask(ctx context.Context, c *conn, q *Identification) (reusable bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
 	defer cancel()
